feat: schema, wire codec, settings, rules, store client, plan and agent state machine

Cause: the project starts; the first parts of the whole path. Change: pure crates without I/O, each with tests in test files.

--- /dev/null
+++ b/crates/agent/src/ledger.rs
@@ -0,0 +1,434 @@
+//! What is taken of a worker, and by whom: the one authority on its accelerators.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use sapphire_wire::{Hold, HoldState, Peer, Shape, Slice, TaskState, id, resource};
+
+use crate::member::{End, Member, Phase};
+
+/// What the ledger decided; the machine turns it into effects.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Tell the planner how its hold stands.
+    Reply(id::Attempt, HoldState, String),
+    /// Start the tasks under a lease.
+    Start(id::Attempt, Duration),
+    /// Extend the tasks' lease.
+    Renew(id::Attempt, Duration),
+    /// Ask for a checkpoint, and tell the lead that the gang is being evicted.
+    Evict(id::Attempt, Duration),
+    /// Stop the tasks.
+    Stop(id::Attempt),
+    /// The member ended: tell the lead.
+    Ended(id::Attempt),
+}
+
+/// Members by attempt, and the limits they are held to.
+#[derive(Debug)]
+pub struct Ledger {
+    capacity: resource::Amount,
+    lease: Duration,
+    memory: Duration,
+    grace: Duration,
+    bound: BTreeMap<id::Organisation, u32>,
+    is_draining: bool,
+    members: BTreeMap<id::Attempt, Member>,
+    changes: Vec<Change>,
+}
+
+impl Ledger {
+    /// An empty ledger.
+    pub fn new(capacity: resource::Amount, lease: Duration, memory: Duration) -> Self {
+        Ledger {
+            capacity,
+            lease,
+            memory,
+            grace: Duration::ZERO,
+            bound: BTreeMap::new(),
+            is_draining: false,
+            members: BTreeMap::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Takes what has been decided since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Members by attempt.
+    pub fn members(&self) -> &BTreeMap<id::Attempt, Member> {
+        &self.members
+    }
+
+    /// One member.
+    pub fn get_mut(&mut self, attempt: &str) -> Option<&mut Member> {
+        self.members.get_mut(attempt)
+    }
+
+    /// Puts the worker's part of the rules in force.
+    ///
+    /// # Errors
+    /// When the slice binds more accelerators than the worker has; nothing changes then.
+    pub fn apply(&mut self, slice: &Slice) -> Result<(), String> {
+        let total: u32 = slice.bound.iter().map(|bound| bound.accelerators).sum();
+        if total > self.capacity.accelerators {
+            return Err(format!("{total} accelerators bound, {} here", self.capacity.accelerators));
+        }
+        self.grace = Duration::from_millis(slice.grace_ms);
+        let bound = slice.bound.iter();
+        self.bound = bound.map(|b| (b.organisation.clone(), b.accelerators)).collect();
+        self.is_draining = slice.draining;
+        Ok(())
+    }
+
+    /// Refuses all new holds from now on.
+    pub fn drain(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// Whether new holds are refused.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+
+    /// What no member takes.
+    pub fn free(&self) -> resource::Amount {
+        let taken = self.members.values().filter(|member| member.takes_room());
+        taken.fold(self.capacity, |free, member| free.minus(&member.need))
+    }
+
+    /// Accelerators that stopping borrowers would free.
+    pub fn borrowed(&self) -> u32 {
+        let borrowers = self.members.values().filter(|m| m.takes_room() && !m.is_guaranteed);
+        borrowers.map(|member| member.need.accelerators).sum()
+    }
+
+    fn claimed(&self) -> resource::Amount {
+        let waiting = self.members.values().filter(|m| matches!(m.phase, Phase::Waiting { .. }));
+        waiting.fold(resource::Amount::default(), |sum, member| sum.plus(&member.need))
+    }
+
+    fn guaranteed_use(&self, organisation: &str) -> u32 {
+        let own = self.members.values().filter(|member| {
+            member.is_guaranteed && !member.is_ended() && member.organisation == organisation
+        });
+        own.map(|member| member.need.accelerators).sum()
+    }
+
+    /// Decides on a hold. A repeated hold gets the same reply.
+    pub fn hold(&mut self, now: Duration, hold: &Hold, planner: &Peer) {
+        if let Some(member) = self.members.get(&hold.attempt) {
+            let (state, reason) = Self::repeat(member);
+            self.reply(&hold.attempt, state, reason);
+            return;
+        }
+        let shape = hold.shape.clone().unwrap_or_default();
+        let need = resource::Amount::of_tasks(&shape, hold.tasks);
+        if let Err(reason) = self.admit(hold, &shape, &need) {
+            self.reply(&hold.attempt, HoldState::HoldRefused, &reason);
+            return;
+        }
+        let ttl = Duration::from_millis(hold.ttl_ms);
+        if self.free().minus(&self.claimed()).holds(&need) {
+            let phase = Phase::Held { until: now + ttl };
+            let member = Member::new(hold, planner, need, phase);
+            self.members.insert(hold.attempt.clone(), member);
+            self.reply(&hold.attempt, HoldState::HoldGranted, "");
+        } else {
+            let until = now + self.grace + ttl;
+            let member = Member::new(hold, planner, need, Phase::Waiting { until });
+            self.members.insert(hold.attempt.clone(), member);
+            self.reply(&hold.attempt, HoldState::HoldEvicting, "");
+            self.evict_for_waiting(now);
+            self.grant_waiting(now, ttl);
+        }
+    }
+
+    fn repeat(member: &Member) -> (HoldState, &'static str) {
+        match member.phase {
+            Phase::Waiting { .. } => (HoldState::HoldEvicting, ""),
+            Phase::Held { .. } => (HoldState::HoldGranted, ""),
+            _ => (HoldState::HoldRefused, "the attempt has started or ended here"),
+        }
+    }
+
+    /// Whether the hold may be granted, at once or after eviction.
+    fn admit(&self, hold: &Hold, shape: &Shape, need: &resource::Amount) -> Result<(), String> {
+        if shape.accelerators == 0 || hold.tasks == 0 {
+            return Err("the hold asks for nothing".to_owned());
+        }
+        if !self.capacity.holds(need) {
+            return Err("the worker is smaller than that".to_owned());
+        }
+        if self.is_draining {
+            return Err("the worker is draining".to_owned());
+        }
+        if !hold.guaranteed {
+            let room = self.free().minus(&self.claimed());
+            return if room.holds(need) { Ok(()) } else { Err("no room".to_owned()) };
+        }
+        if !self.is_within_share(need) {
+            return Err("more processors or memory than go with its accelerators".to_owned());
+        }
+        let bound = self.bound.get(&hold.organisation).copied().unwrap_or(0);
+        let used = self.guaranteed_use(&hold.organisation);
+        if used + need.accelerators > bound {
+            return Err(format!("beyond the guarantee: {used} of {bound} accelerators in use"));
+        }
+        Ok(())
+    }
+
+    /// Whether a guaranteed gang takes no more processors and memory than its accelerators'
+    /// share, so that it can't starve another organisation's guarantee on the same worker.
+    fn is_within_share(&self, need: &resource::Amount) -> bool {
+        let all = u64::from(self.capacity.accelerators);
+        let own = u64::from(need.accelerators);
+        u64::from(need.processors) * all <= u64::from(self.capacity.processors) * own
+            && u128::from(need.memory_bytes) * u128::from(all)
+                <= u128::from(self.capacity.memory_bytes) * u128::from(own)
+    }
+
+    /// Whether what is free, coming free and reclaimable covers all waiting holds.
+    fn can_reclaim(&self) -> bool {
+        let coming = self.members.values().filter(|member| match member.phase {
+            Phase::Evicting { .. } | Phase::Stopping => true,
+            Phase::Held { .. } | Phase::Running { .. } => self.is_reclaimable(member),
+            Phase::Waiting { .. } | Phase::Ended { .. } => false,
+        });
+        let room = coming.fold(self.free(), |room, member| room.plus(&member.need));
+        room.accelerators >= self.claimed().accelerators
+    }
+
+    fn reply(&mut self, attempt: &str, state: HoldState, reason: &str) {
+        self.changes.push(Change::Reply(attempt.to_owned(), state, reason.to_owned()));
+    }
+
+    /// Whether reclaim may stop this member: it borrows, or its organisation's guarantee here
+    /// has shrunk below what it uses.
+    fn is_reclaimable(&self, member: &Member) -> bool {
+        let bound = self.bound.get(&member.organisation).copied().unwrap_or(0);
+        !member.is_guaranteed || self.guaranteed_use(&member.organisation) > bound
+    }
+
+    /// Evicts the fewest borrowers that make room for all waiting holds, cheapest first: those
+    /// that have not started, then the youngest.
+    fn evict_for_waiting(&mut self, now: Duration) {
+        let claimed = self.claimed();
+        let mut coming = self.free();
+        for member in self.members.values() {
+            if matches!(member.phase, Phase::Evicting { .. } | Phase::Stopping) {
+                coming = coming.plus(&member.need);
+            }
+        }
+        let mut borrowers: Vec<(Duration, id::Attempt)> = self
+            .members
+            .iter()
+            .filter(|(_, member)| {
+                matches!(member.phase, Phase::Held { .. } | Phase::Running { .. })
+                    && self.is_reclaimable(member)
+            })
+            .map(|(attempt, member)| (Self::lost_by_eviction(now, member), attempt.clone()))
+            .collect();
+        borrowers.sort();
+        let mut chosen = Vec::new();
+        for (_, attempt) in borrowers {
+            if coming.holds(&claimed) {
+                break;
+            }
+            if let Some(member) = self.members.get(&attempt) {
+                coming = coming.plus(&member.need);
+                chosen.push(attempt);
+            }
+        }
+        for attempt in chosen {
+            self.evict(now, &attempt);
+        }
+    }
+
+    fn lost_by_eviction(now: Duration, member: &Member) -> Duration {
+        match member.phase {
+            Phase::Held { .. } => Duration::ZERO,
+            _ => now.saturating_sub(member.started),
+        }
+    }
+
+    /// Begins to evict a member, because its room is reclaimed or its lead says so.
+    pub fn evict(&mut self, now: Duration, attempt: &str) {
+        let grace = self.grace;
+        let Some(member) = self.members.get_mut(attempt) else { return };
+        match member.phase {
+            Phase::Held { .. } | Phase::Waiting { .. } => {
+                self.end(now, attempt, End::Barred, "its room was reclaimed");
+                self.reply(attempt, HoldState::HoldRefused, "its room was reclaimed");
+            }
+            Phase::Running { .. } => {
+                member.phase = Phase::Evicting { stop_at: now + grace };
+                member.reason = "its room was reclaimed".to_owned();
+                self.changes.push(Change::Evict(attempt.to_owned(), grace));
+            }
+            _ => {}
+        }
+    }
+
+    /// Grants waiting holds that now fit.
+    fn grant_waiting(&mut self, now: Duration, ttl: Duration) {
+        let waiting: Vec<id::Attempt> = self
+            .members
+            .iter()
+            .filter(|(_, member)| matches!(member.phase, Phase::Waiting { .. }))
+            .map(|(attempt, _)| attempt.clone())
+            .collect();
+        for attempt in waiting {
+            let free = self.free();
+            let Some(member) = self.members.get_mut(&attempt) else { continue };
+            if free.holds(&member.need) {
+                member.phase = Phase::Held { until: now + ttl };
+                self.reply(&attempt, HoldState::HoldGranted, "");
+            }
+        }
+    }
+
+    /// A lease from the lead: starts a held member, extends a running one.
+    ///
+    /// Guards against a lease that was delayed on its way: it counts from the beat it answers,
+    /// by this agent's own clock, so that a late one can't keep a stopped gang's task alive. A
+    /// lease never starts a member that was barred, nor one whose hold has lapsed.
+    pub fn lease(&mut self, now: Duration, attempt: &str, beat: u64) -> TaskState {
+        let lease = self.lease;
+        let Some(member) = self.members.get_mut(attempt) else { return TaskState::TaskUnknown };
+        match member.phase {
+            Phase::Held { until } if beat == 0 && now < until => {
+                member.phase = Phase::Running { until: now + lease };
+                member.started = now;
+                self.changes.push(Change::Start(attempt.to_owned(), lease));
+            }
+            Phase::Running { until } => {
+                let renewed = member.beat_time(beat).map_or(until, |at| at + lease).max(until);
+                member.phase = Phase::Running { until: renewed };
+                let left = renewed.saturating_sub(now);
+                self.changes.push(Change::Renew(attempt.to_owned(), left));
+            }
+            Phase::Ended { .. } => member.is_acknowledged = true,
+            _ => {}
+        }
+        self.members.get(attempt).map_or(TaskState::TaskUnknown, Member::state)
+    }
+
+    /// Refuses to start an attempt ever, stops it if it runs, and says where it stands.
+    ///
+    /// An attempt that has not been seen leaves a tombstone, so that a hold or lease still on
+    /// its way is refused when it arrives.
+    pub fn bar(&mut self, now: Duration, attempt: &str, reason: &str) -> TaskState {
+        if !self.members.contains_key(attempt) {
+            let tombstone = Member::barred(now + self.memory);
+            self.members.insert(attempt.to_owned(), tombstone);
+        }
+        self.stop(now, attempt, reason);
+        self.members.get(attempt).map_or(TaskState::TaskBarred, Member::state)
+    }
+
+    /// Stops an attempt that is known here.
+    pub fn stop(&mut self, now: Duration, attempt: &str, reason: &str) {
+        let Some(member) = self.members.get_mut(attempt) else { return };
+        match member.phase {
+            Phase::Waiting { .. } | Phase::Held { .. } => {
+                self.end(now, attempt, End::Barred, reason);
+            }
+            Phase::Running { .. } | Phase::Evicting { .. } => {
+                if member.reason.is_empty() {
+                    member.reason = reason.to_owned();
+                }
+                member.phase = Phase::Stopping;
+                self.changes.push(Change::Stop(attempt.to_owned()));
+            }
+            Phase::Stopping => {}
+            Phase::Ended { .. } => member.is_acknowledged = true,
+        }
+    }
+
+    /// The worker says that a member's tasks have ended.
+    pub fn task_ended(&mut self, now: Duration, attempt: &str, exit: Option<i32>, reason: &str) {
+        let Some(member) = self.members.get(attempt) else { return };
+        if !member.takes_room() {
+            return;
+        }
+        let end = exit.map_or(End::Stopped, End::Exited);
+        self.end(now, attempt, end, reason);
+    }
+
+    fn end(&mut self, now: Duration, attempt: &str, end: End, reason: &str) {
+        let forget_at = now + self.memory;
+        let Some(member) = self.members.get_mut(attempt) else { return };
+        member.phase = Phase::Ended { end, forget_at };
+        if member.reason.is_empty() {
+            member.reason = reason.to_owned();
+        }
+        self.changes.push(Change::Ended(attempt.to_owned()));
+    }
+
+    /// Lets holds and leases lapse, stops what outlived its grace period, grants what now fits.
+    pub fn tick(&mut self, now: Duration) {
+        let attempts: Vec<id::Attempt> = self.members.keys().cloned().collect();
+        for attempt in &attempts {
+            self.lapse(now, attempt);
+        }
+        self.evict_for_waiting(now);
+        self.grant_waiting(now, self.lease);
+        self.assert_invariants();
+    }
+
+    fn lapse(&mut self, now: Duration, attempt: &str) {
+        let Some(member) = self.members.get(attempt) else { return };
+        match member.phase {
+            Phase::Waiting { until } if now >= until => {
+                self.end(now, attempt, End::Barred, "no room came free in time");
+                self.reply(attempt, HoldState::HoldRefused, "no room came free in time");
+            }
+            Phase::Held { until } if now >= until => {
+                self.end(now, attempt, End::Barred, "the hold lapsed");
+            }
+            Phase::Running { until } if now >= until => {
+                self.stop(now, attempt, "the lease lapsed");
+            }
+            Phase::Evicting { stop_at } if now >= stop_at => {
+                self.stop(now, attempt, "its room was reclaimed");
+            }
+            Phase::Stopping => self.changes.push(Change::Stop(attempt.to_owned())),
+            Phase::Ended { forget_at, .. } if now >= forget_at => {
+                self.members.remove(attempt);
+            }
+            _ => {}
+        }
+    }
+
+    /// Attempts that still run or are held.
+    pub fn live(&self) -> BTreeSet<&id::Attempt> {
+        let live = self.members.iter().filter(|(_, member)| !member.is_ended());
+        live.map(|(attempt, _)| attempt).collect()
+    }
+
+    /// Checks that no accelerator is taken twice and that each guarantee can be reclaimed.
+    ///
+    /// # Panics
+    /// When the ledger contradicts itself; the process must not go on.
+    pub fn assert_invariants(&self) {
+        let taken: u32 = self
+            .members
+            .values()
+            .filter(|member| member.takes_room())
+            .map(|member| member.need.accelerators)
+            .sum();
+        assert!(taken <= self.capacity.accelerators, "accelerators taken twice: {taken}");
+        let bound: u32 = self.bound.values().sum();
+        assert!(bound <= self.capacity.accelerators, "more bound than there is: {bound}");
+        let is_settled = self.bound.iter().all(|(name, bound)| self.guaranteed_use(name) <= *bound);
+        assert!(
+            !is_settled || self.can_reclaim(),
+            "a guaranteed gang waits for room that no reclaim can free"
+        );
+    }
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/rules/src/diff.rs
@@ -0,0 +1,10 @@
+//! Difference between two rule files, line by line.
+
+/// Unified difference; empty when both are the same.
+pub fn unified(old: &str, new: &str, old_name: &str, new_name: &str) -> String {
+    similar::TextDiff::from_lines(old, new)
+        .unified_diff()
+        .context_radius(1)
+        .header(old_name, new_name)
+        .to_string()
+}
--- /dev/null
+++ b/crates/rules/src/file.rs
@@ -0,0 +1,284 @@
+//! A whole rule file, parsed and checked.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphire_wire::{Adjacency, id};
+
+use crate::{
+    finding, line,
+    rule::{self, Rule},
+};
+
+const KINDS: &str = "organisation, guarantee, quota, admission, reclaim, balance, drain, retries";
+const MAX_ACCELERATORS: u32 = 1_000_000;
+const MAX_TASKS: u32 = 256;
+const MAX_GRACE: Duration = Duration::from_secs(3_600);
+
+/// Grace period when no rule gives one.
+pub const DEFAULT_GRACE: Duration = Duration::from_secs(30);
+/// Waiting jobs of an organisation when no rule gives a limit.
+pub const DEFAULT_QUEUE: u32 = 200;
+/// Attempts of one job when no rule gives a limit.
+pub const DEFAULT_ATTEMPTS: u32 = 3;
+
+/// One accepted line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Line in the file, from 1.
+    pub line: usize,
+    /// What it says.
+    pub rule: Rule,
+    /// Who asked for it.
+    pub asked_by: String,
+}
+
+/// A whole rule file.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct File {
+    /// Lines with rules, in order.
+    pub entries: Vec<Entry>,
+}
+
+impl File {
+    /// Parses a file and checks it as a whole.
+    ///
+    /// # Errors
+    /// All findings, in order.
+    pub fn parse(text: &str) -> Result<Self, Vec<finding::Finding>> {
+        let mut findings = Vec::new();
+        let mut entries = Vec::new();
+        for (index, text) in text.lines().enumerate() {
+            if text.trim().is_empty() || text.trim_start().starts_with('#') {
+                continue;
+            }
+            let (entry, faults) = parse_line(index + 1, text);
+            entries.extend(entry);
+            findings.extend(faults);
+        }
+        let file = File { entries };
+        findings.extend(file.check());
+        findings.sort();
+        if findings.is_empty() { Ok(file) } else { Err(findings) }
+    }
+
+    /// Faults between lines: names that no line declares, and lines that contradict each other.
+    fn check(&self) -> Vec<finding::Finding> {
+        let mut findings = Vec::new();
+        let mut seen: BTreeMap<String, usize> = BTreeMap::new();
+        for entry in &self.entries {
+            let mut fault = |message| {
+                findings.push(finding::Finding { line: entry.line, column: 1, message });
+            };
+            if let Some(name) = organisation_of(&entry.rule)
+                && !name.is_empty()
+                && self.organisation(name).is_none()
+            {
+                fault(format!("organisation `{name}` is not declared in this file"));
+            }
+            let Some(key) = unique_key(&entry.rule) else { continue };
+            if let Some(first) = seen.get(&key) {
+                fault(format!("{key} is already given on line {first}"));
+            } else {
+                seen.insert(key, entry.line);
+            }
+        }
+        findings
+    }
+
+    /// Organisations, in order.
+    pub fn organisations(&self) -> impl Iterator<Item = &rule::Organisation> {
+        self.entries.iter().filter_map(|entry| match &entry.rule {
+            Rule::Organisation(organisation) => Some(organisation),
+            _ => None,
+        })
+    }
+
+    /// One organisation.
+    pub fn organisation(&self, name: &str) -> Option<&rule::Organisation> {
+        self.organisations().find(|organisation| organisation.name == name)
+    }
+
+    /// Guarantees, in order, with their lines.
+    pub fn guarantees(&self) -> impl Iterator<Item = (usize, &rule::Guarantee)> {
+        self.entries.iter().filter_map(|entry| match &entry.rule {
+            Rule::Guarantee(guarantee) => Some((entry.line, guarantee)),
+            _ => None,
+        })
+    }
+
+    /// Accelerators that an organisation may borrow in a region; none when not limited.
+    pub fn quota(&self, organisation: &str) -> Option<u32> {
+        self.entries.iter().find_map(|entry| match &entry.rule {
+            Rule::Quota(quota) if quota.organisation == organisation => Some(quota.accelerators),
+            _ => None,
+        })
+    }
+
+    /// Jobs that an organisation may have waiting in a region.
+    pub fn queue(&self, organisation: &str) -> u32 {
+        let limit = self.entries.iter().find_map(|entry| match &entry.rule {
+            Rule::Admission(admission) if admission.organisation == organisation => {
+                Some(admission.queue)
+            }
+            _ => None,
+        });
+        limit.unwrap_or(DEFAULT_QUEUE)
+    }
+
+    /// Attempts of one job of an organisation.
+    pub fn attempts(&self, organisation: &str) -> u32 {
+        let limit = self.entries.iter().find_map(|entry| match &entry.rule {
+            Rule::Retries(retries) if retries.organisation == organisation => {
+                Some(retries.attempts)
+            }
+            _ => None,
+        });
+        limit.unwrap_or(DEFAULT_ATTEMPTS)
+    }
+
+    /// How reclaim treats borrowers.
+    pub fn reclaim(&self) -> rule::Reclaim {
+        let reclaim = self.entries.iter().find_map(|entry| match &entry.rule {
+            Rule::Reclaim(reclaim) => Some(reclaim.clone()),
+            _ => None,
+        });
+        reclaim.unwrap_or(rule::Reclaim { grace: DEFAULT_GRACE, order: rule::Order::Youngest })
+    }
+
+    /// What placement prefers.
+    pub fn balance(&self) -> rule::Balance {
+        let balance = self.entries.iter().find_map(|entry| match &entry.rule {
+            Rule::Balance(balance) => Some(balance.clone()),
+            _ => None,
+        });
+        balance.unwrap_or(rule::Balance { completion: 50, fragmentation: 50 })
+    }
+
+    /// Whether a worker gets no new work.
+    pub fn is_drained(&self, worker: &str, rack: &str, zone: &str) -> bool {
+        self.entries.iter().any(|entry| match &entry.rule {
+            Rule::Drain(rule::Drain::Worker(name)) => name == worker,
+            Rule::Drain(rule::Drain::Rack(name)) => name == rack,
+            Rule::Drain(rule::Drain::Zone(name)) => name == zone,
+            _ => false,
+        })
+    }
+}
+
+fn organisation_of(rule: &Rule) -> Option<&id::Organisation> {
+    match rule {
+        Rule::Guarantee(guarantee) => Some(&guarantee.organisation),
+        Rule::Quota(quota) => Some(&quota.organisation),
+        Rule::Admission(admission) => Some(&admission.organisation),
+        Rule::Retries(retries) => Some(&retries.organisation),
+        _ => None,
+    }
+}
+
+fn unique_key(rule: &Rule) -> Option<String> {
+    match rule {
+        Rule::Organisation(organisation) => Some(format!("organisation `{}`", organisation.name)),
+        Rule::Quota(quota) => Some(format!("quota of `{}`", quota.organisation)),
+        Rule::Admission(admission) => Some(format!("admission of `{}`", admission.organisation)),
+        Rule::Retries(retries) => Some(format!("retries of `{}`", retries.organisation)),
+        Rule::Reclaim(_) => Some("reclaim".to_owned()),
+        Rule::Balance(_) => Some("balance".to_owned()),
+        Rule::Guarantee(_) | Rule::Drain(_) => None,
+    }
+}
+
+fn parse_line(number: usize, text: &str) -> (Option<Entry>, Vec<finding::Finding>) {
+    let (code, comment) = match text.split_once('#') {
+        Some((code, comment)) => (code, comment.trim()),
+        None => (text, ""),
+    };
+    let mut line = line::Line::new(number, code);
+    if comment.is_empty() {
+        let message = "the line has no comment that names who asked for it".to_owned();
+        line.fault(line.end(), message);
+    }
+    let rule = parse_rule(&mut line);
+    // Words behind a kind that is not known can't be judged.
+    let findings = if rule.is_some() { line.finish() } else { line.findings };
+    let asked_by = comment.to_owned();
+    let entry = rule.map(|rule| Entry { line: number, rule, asked_by });
+    (entry, findings)
+}
+
+fn parse_rule(line: &mut line::Line<'_>) -> Option<Rule> {
+    let (column, kind) = line.word("the kind of rule")?;
+    let rule = match kind {
+        "organisation" => Rule::Organisation(rule::Organisation {
+            name: line.name("the organisation's name"),
+            weight: line.count("weight", Some(1), 1, 1_000),
+            priority: line.count("priority", Some(0), 0, 100),
+        }),
+        "guarantee" => Rule::Guarantee(parse_guarantee(line)),
+        "quota" => Rule::Quota(rule::Quota {
+            organisation: line.name("the organisation's name"),
+            accelerators: line.count("accelerators", None, 0, MAX_ACCELERATORS),
+        }),
+        "admission" => Rule::Admission(rule::Admission {
+            organisation: line.name("the organisation's name"),
+            queue: line.count("queue", None, 1, 4_000),
+        }),
+        "reclaim" => Rule::Reclaim(rule::Reclaim {
+            grace: line.duration("grace", MAX_GRACE),
+            order: line.choice(
+                "order",
+                Some(rule::Order::Youngest),
+                &ORDERS,
+                rule::Order::Youngest,
+            ),
+        }),
+        "balance" => Rule::Balance(rule::Balance {
+            completion: line.count("completion", None, 0, 100),
+            fragmentation: line.count("fragmentation", None, 0, 100),
+        }),
+        "drain" => Rule::Drain(parse_drain(line)?),
+        "retries" => Rule::Retries(rule::Retries {
+            organisation: line.name("the organisation's name"),
+            attempts: line.count("attempts", None, 1, 100),
+        }),
+        _ => {
+            line.fault(column, format!("`{kind}` is not a kind of rule; known: {KINDS}"));
+            return None;
+        }
+    };
+    Some(rule)
+}
+
+const ORDERS: [(&str, rule::Order); 2] =
+    [("youngest", rule::Order::Youngest), ("smallest", rule::Order::Smallest)];
+
+const ADJACENCIES: [(&str, Adjacency); 3] =
+    [("worker", Adjacency::Worker), ("rack", Adjacency::Rack), ("zone", Adjacency::Zone)];
+
+fn parse_guarantee(line: &mut line::Line<'_>) -> rule::Guarantee {
+    let organisation = line.name("the organisation's name");
+    let accelerators = line.count("accelerators", None, 1, 64);
+    let tasks = line.count("tasks", Some(1), 1, MAX_TASKS);
+    let adjacency = line.choice("adjacency", None, &ADJACENCIES, Adjacency::Zone);
+    let count = line.count("count", Some(1), 1, 1_000);
+    let place = match (line.named("zone"), line.named("region")) {
+        (Some(zone), None) => rule::Place::Zone(zone),
+        (None, Some(region)) => rule::Place::Region(region),
+        _ => {
+            line.fault(line.end(), "give either `zone=` or `region=`".to_owned());
+            rule::Place::Region(String::new())
+        }
+    };
+    rule::Guarantee { organisation, accelerators, tasks, adjacency, count, place }
+}
+
+fn parse_drain(line: &mut line::Line<'_>) -> Option<rule::Drain> {
+    match (line.named("worker"), line.named("rack"), line.named("zone")) {
+        (Some(worker), None, None) => Some(rule::Drain::Worker(worker)),
+        (None, Some(rack), None) => Some(rule::Drain::Rack(rack)),
+        (None, None, Some(zone)) => Some(rule::Drain::Zone(zone)),
+        _ => {
+            line.fault(line.end(), "give one of `worker=`, `rack=` or `zone=`".to_owned());
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/schema/src/lib.rs
@@ -0,0 +1,14 @@
+//! Messages and settings, generated from the schema in `proto/`.
+//!
+//! The generated code is committed. `tests/schema/fresh.rs` regenerates and compares it;
+//! run that test with `SAPPHIRE_WRITE_SCHEMA=1` to write it anew.
+
+/// Messages between processes, and what the store holds.
+#[allow(missing_docs, clippy::all)]
+#[path = "generated/wire.rs"]
+pub mod wire;
+
+/// Settings of the daemon's two roles.
+#[allow(missing_docs, clippy::all)]
+#[path = "generated/settings.rs"]
+pub mod settings;
--- /dev/null
+++ b/crates/schema/tests/schema.rs
@@ -0,0 +1,34 @@
+//! The committed code is what the schema generates.
+
+use std::{env, fs, path};
+
+const FILES: [&str; 2] = ["wire", "settings"];
+
+/// Generates both files into a scratch folder and returns their texts.
+fn generate() -> Vec<String> {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let out = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let sources = FILES.map(|name| root.join("proto").join(name).with_extension("proto"));
+    let descriptors = protox::compile(sources, [root.join("proto")]).expect("the schema compiles");
+    let mut config = prost_build::Config::new();
+    config.out_dir(out).bytes(["."]).format(false);
+    config.compile_fds(descriptors).expect("code can be generated");
+    FILES
+        .iter()
+        .map(|name| fs::read_to_string(out.join(name).with_extension("rs")))
+        .map(|text| text.expect("written above"))
+        .collect()
+}
+
+#[test]
+fn committed_code_is_fresh() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("src/generated");
+    for (name, text) in FILES.iter().zip(generate()) {
+        let file = root.join(name).with_extension("rs");
+        if env::var_os("SAPPHIRE_WRITE_SCHEMA").is_some() {
+            fs::write(&file, &text).expect("the source tree is writable");
+        }
+        let committed = fs::read_to_string(&file).unwrap_or_default();
+        assert!(committed == text, "{name}.rs is stale: run with SAPPHIRE_WRITE_SCHEMA=1");
+    }
+}
--- /dev/null
+++ b/crates/settings/src/shared.rs
@@ -0,0 +1,57 @@
+//! Sections that both roles have.
+
+use std::time::Duration;
+
+use sapphire_schema::settings::{Logging, Metrics, Timing};
+
+use crate::section::Section;
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// Reads `timing`; every value has a default.
+pub(crate) fn timing(section: &mut Section<'_>) -> Timing {
+    section.optional_section("timing", read_timing).unwrap_or_else(default_timing)
+}
+
+fn read_timing(section: &mut Section<'_>) -> Timing {
+    let mut duration = |name, default: u64, least: u64, most: u64| {
+        section.duration(name, MILLISECOND * default as u32, range(least, most))
+    };
+    Timing {
+        heartbeat_ms: duration("heartbeat", 500, 50, 10_000),
+        silence_ms: duration("silence", 2_000, 200, 60_000),
+        lease_ms: duration("lease", 3_000, 300, 60_000),
+        hold_ms: duration("hold", 3_000, 300, 60_000),
+        request_ms: duration("request", 30_000, 100, 3_600_000),
+        shutdown_ms: duration("shutdown", 30_000, 100, 86_400_000),
+    }
+}
+
+fn range(least: u64, most: u64) -> std::ops::RangeInclusive<Duration> {
+    Duration::from_millis(least)..=Duration::from_millis(most)
+}
+
+/// Timing when the file has no such section.
+pub(crate) fn default_timing() -> Timing {
+    Timing {
+        heartbeat_ms: 500,
+        silence_ms: 2_000,
+        lease_ms: 3_000,
+        hold_ms: 3_000,
+        request_ms: 30_000,
+        shutdown_ms: 30_000,
+    }
+}
+
+/// Reads `logging`.
+pub(crate) fn logging(section: &mut Section<'_>) -> Logging {
+    let levels = ["error", "warn", "info", "debug", "trace"];
+    let read = |inner: &mut Section<'_>| Logging { level: inner.word("level", "info", &levels) };
+    section.optional_section("logging", read).unwrap_or(Logging { level: "info".to_owned() })
+}
+
+/// Reads `metrics`.
+pub(crate) fn metrics(section: &mut Section<'_>) -> Metrics {
+    let read = |inner: &mut Section<'_>| Metrics { address: inner.optional_address("address") };
+    section.optional_section("metrics", read).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,35 @@
+//! A settings file is checked whole: each finding names its line, key and what is allowed.
+
+use sapphire_settings::{agent, entry, finding};
+
+#[test]
+fn a_good_entry_file_is_read() {
+    let text = "name: e1\nregion: norte\nzone: norte-a\naddress: 127.0.0.1:7000\n\
+                http: 127.0.0.1:8000\nstore: 127.0.0.1:9000\nlimits:\n  body: 2 MiB\n\
+                timing:\n  lease: 5s\n";
+    insta::assert_debug_snapshot!(entry::read(text));
+}
+
+#[test]
+fn every_fault_of_an_entry_file_is_reported() {
+    let text = "name: e 1\nregion: norte\nadress: 127.0.0.1:7000\nhttp: localhost\n\
+                store: 127.0.0.1:9000\npeers: [1, 127.0.0.1:5]\nlimits:\n  body: 2 parsecs\n\
+                \x20 requests: 0\ntiming:\n  lease: 5\n  holds: 3s\n";
+    let findings = entry::read(text).expect_err("the file has faults");
+    insta::assert_snapshot!(finding::report("entry.yaml", &findings));
+}
+
+#[test]
+fn an_agent_needs_something_to_serve() {
+    let text = "name: a1\nregion: norte\nzone: norte-a\naddress: 127.0.0.1:7000\n\
+                entries: [127.0.0.1:7001]\n";
+    let findings = agent::read(text).expect_err("neither worker nor minion");
+    insta::assert_snapshot!(finding::report("agent.yaml", &findings));
+}
+
+#[test]
+fn text_that_is_not_yaml_is_a_finding() {
+    for text in ["", "a: [", "- 1", "a: b: c"] {
+        assert!(!entry::read(text).expect_err("not a mapping").is_empty(), "{text:?}");
+    }
+}
