--- a/crates/agent/src/effect.rs
+++ b/crates/agent/src/effect.rs
@@ -44,8 +44,6 @@
     pub accelerators: u32,
     /// Program.
     pub command: String,
-    /// How long the program runs, for stand-ins.
-    pub run: Duration,
     /// Lease; the worker stops the tasks when it lapses.
     pub lease: Duration,
 }
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -167,7 +167,6 @@
             tasks: member.tasks,
             accelerators: member.need.accelerators,
             command: member.command.clone(),
-            run: member.run,
             lease,
         };
         self.effects.push(Effect::RunTasks(run));
--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -69,8 +69,6 @@
     pub planner: Peer,
     /// Program.
     pub command: String,
-    /// How long the program runs, for stand-ins.
-    pub run: Duration,
     /// Where it stands.
     pub phase: Phase,
     /// When its tasks started.
@@ -100,7 +98,6 @@
             lead: hold.lead.clone().unwrap_or_default(),
             planner: planner.clone(),
             command: hold.command.clone(),
-            run: Duration::from_millis(hold.run_ms),
             phase,
             started: Duration::ZERO,
             reason: String::new(),
--- /dev/null
+++ b/crates/entry/src/machine.rs
@@ -0,0 +1,806 @@
+//! The entry's state machine: messages, store answers and callers in, effects out.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+use sapphire_plan::bind;
+use sapphire_rules::file;
+use sapphire_store::{
+    call::{Call, Reply, Value},
+    lease,
+};
+use sapphire_wire::{
+    Announce, CallState, EntryBeat, Epoch, Heartbeat, Job, JobCall, JobReply, Peer, Rules,
+    RulesPull, Wait, Welcome, envelope, frame, id, job_call, peer,
+};
+use serde_json::json;
+
+use crate::{
+    answer::{Account, Answer},
+    api,
+    effect::{Effect, Output},
+    event::{Caller, Event, Operation},
+    job_calls, options, peers, planner, registry, requests, rulebook,
+};
+
+/// Part that log lines about membership name.
+const MEMBER: &str = "member";
+/// Part that log lines about rules name.
+const RULES: &str = "rules";
+
+/// What a call to the store is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    WatchRules,
+    WriteRules,
+    HoldPlannerKey,
+    ReadCell,
+    WriteCell,
+    Forget,
+}
+
+/// One entry.
+pub struct Machine {
+    options: options::Options,
+    rng: Pcg64,
+    registry: registry::Registry,
+    peers: peers::Peers,
+    rulebook: rulebook::Rulebook,
+    requests: requests::Requests,
+    job_calls: job_calls::JobCalls,
+    holder: lease::Holder,
+    planner: Option<planner::Planner>,
+    /// Term of a planner key held whose cell is being read.
+    taking_over: Option<u64>,
+    operations: BTreeMap<Operation, (Purpose, Duration)>,
+    next_operation: Operation,
+    next_beat: Duration,
+    draining_since: Option<Duration>,
+    has_reported_overdue: bool,
+    effects: Vec<Effect>,
+}
+
+impl Machine {
+    /// Starts an entry.
+    pub fn new(options: options::Options) -> Self {
+        let me = &options.me;
+        let holder_value = format!("{} {} {:x}", me.name, me.address, me.generation);
+        let key = format!("planner/{}", options.region);
+        Machine {
+            rng: Pcg64::seed_from_u64(options.seed),
+            registry: registry::Registry::new(options.silence),
+            peers: peers::Peers::new(me, &options.peers, options.silence),
+            rulebook: rulebook::Rulebook::default(),
+            requests: requests::Requests::new(&options),
+            job_calls: job_calls::JobCalls::default(),
+            holder: lease::Holder::new(&key, Bytes::from(holder_value), options.lease),
+            planner: None,
+            taking_over: None,
+            operations: BTreeMap::new(),
+            next_operation: 1,
+            next_beat: Duration::ZERO,
+            draining_since: None,
+            has_reported_overdue: false,
+            effects: Vec::new(),
+            options,
+        }
+    }
+
+    /// Takes one event and returns what is to be done.
+    pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Frame(envelope) => self.frame(now, envelope),
+            Event::Tick => self.tick(now),
+            Event::Store(operation, reply) => self.stored(now, operation, reply),
+            Event::Http(caller, request) => self.http(now, caller, &request),
+            Event::CallerLeft(caller) => {
+                self.requests.leave(caller);
+                self.job_calls.leave(caller);
+            }
+            Event::Drain => self.drain(now),
+        }
+        self.poll_store(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Rules in force here.
+    pub fn rulebook(&self) -> &rulebook::Rulebook {
+        &self.rulebook
+    }
+
+    /// The planner of the region's cell, while this entry is it.
+    pub fn planner(&self) -> Option<&planner::Planner> {
+        self.planner.as_ref()
+    }
+
+    /// Agents known.
+    pub fn registry(&self) -> &registry::Registry {
+        &self.registry
+    }
+
+    /// Requests in flight.
+    pub fn requests(&self) -> &requests::Requests {
+        &self.requests
+    }
+
+    fn send(&mut self, to: &Peer, body: frame::Body) {
+        let envelope = envelope::Envelope {
+            from: self.options.me.clone(),
+            to_generation: to.generation,
+            body,
+        };
+        self.effects.push(Effect::Send { to: to.clone(), envelope: Box::new(envelope) });
+    }
+
+    /// Carries out one part's output. Messages to this entry itself (a caller here, the planner
+    /// here) are taken at once.
+    fn flush(&mut self, now: Duration, out: Output) {
+        self.effects.extend(out.lines.into_iter().map(Effect::Log));
+        for (caller, answer) in out.answers {
+            self.effects.push(Effect::Answer(caller, answer));
+        }
+        for (to, body) in out.sends {
+            if to.name == self.options.me.name {
+                let me = self.options.me.clone();
+                self.body(now, &me, body);
+            } else {
+                self.send(&to, body);
+            }
+        }
+    }
+
+    fn log(&mut self, part: &'static str, text: String) {
+        let mut out = Output::default();
+        out.log(part, text);
+        self.effects.extend(out.lines.into_iter().map(Effect::Log));
+    }
+
+    fn store(&mut self, now: Duration, purpose: Purpose, call: Call) {
+        let operation = self.next_operation;
+        self.next_operation += 1;
+        self.operations.insert(operation, (purpose, now));
+        self.effects.push(Effect::Store(operation, call));
+    }
+
+    /// Asks the store for whatever is due.
+    fn poll_store(&mut self, now: Duration) {
+        if let Some(call) = self.rulebook.poll(now) {
+            self.store(now, Purpose::WatchRules, call);
+        }
+        let is_planned = self.peers.planner(now, &self.options.region).is_some();
+        let may_take = !is_planned && self.draining_since.is_none() && self.rulebook.is_known();
+        if let Some(call) = self.holder.poll(now, may_take) {
+            self.store(now, Purpose::HoldPlannerKey, call);
+        }
+        if let Some(call) = self.planner.as_mut().and_then(|planner| planner.poll(now)) {
+            self.store(now, Purpose::WriteCell, call);
+        }
+    }
+
+    fn stored(&mut self, now: Duration, operation: Operation, reply: Reply) {
+        let Some((purpose, sent)) = self.operations.remove(&operation) else { return };
+        match purpose {
+            Purpose::WatchRules => {
+                if self.rulebook.watched(now, reply) {
+                    self.rules_changed(now);
+                }
+            }
+            Purpose::WriteRules => self.rules_written(now, reply),
+            Purpose::HoldPlannerKey => self.key_replied(now, sent, reply),
+            Purpose::ReadCell => self.cell_read(now, reply),
+            Purpose::WriteCell => self.cell_written(now, reply),
+            Purpose::Forget => {}
+        }
+    }
+
+    fn rules_written(&mut self, now: Duration, reply: Reply) {
+        let before = self.rulebook.revision();
+        let (call, answer) = self.rulebook.written(reply);
+        if let Some(call) = call {
+            self.store(now, Purpose::WriteRules, call);
+        }
+        if self.rulebook.revision() > before {
+            self.rules_changed(now);
+        }
+        if let Some((caller, answer)) = answer {
+            self.effects.push(Effect::Answer(caller, answer));
+        }
+    }
+
+    /// Newer rules are in force here: tells the other entries and, as planner, the agents now,
+    /// rather than at the next heartbeat.
+    fn rules_changed(&mut self, now: Duration) {
+        self.log(RULES, format!("in force revision={}", self.rulebook.revision()));
+        let ruleset = self.rulebook.ruleset().clone();
+        let others: Vec<Peer> = self
+            .peers
+            .heard(now)
+            .filter(|entry| entry.beat.rules < ruleset.revision)
+            .map(|entry| entry.peer.clone())
+            .collect();
+        for other in others {
+            let ruleset = Some(ruleset.clone());
+            self.send(&other, frame::Body::Rules(Rules { ruleset }));
+        }
+        self.tick_planner(now);
+    }
+
+    fn key_replied(&mut self, now: Duration, sent: Duration, reply: Reply) {
+        match self.holder.reply(now, sent, reply) {
+            lease::Outcome::Same => {}
+            lease::Outcome::Taken(term) => {
+                self.log(
+                    MEMBER,
+                    format!("planner key held region={} term={term}", self.options.region),
+                );
+                self.taking_over = Some(term);
+                self.read_cell(now);
+            }
+            lease::Outcome::Lapsed => self.step_down("the planner key lapsed"),
+        }
+    }
+
+    fn read_cell(&mut self, now: Duration) {
+        let key = planner::cell_key(&self.options.region);
+        self.store(now, Purpose::ReadCell, Call::Get { key });
+    }
+
+    fn cell_read(&mut self, now: Duration, reply: Reply) {
+        let Some(term) = self.taking_over else { return };
+        let Reply::Value(value) = reply else {
+            self.read_cell(now);
+            return;
+        };
+        self.taking_over = None;
+        self.take_over(now, term, &value);
+    }
+
+    fn take_over(&mut self, now: Duration, term: u64, value: &Value) {
+        let epoch = Epoch { term, takeover: 0, holder: self.options.me.name.clone() };
+        let planner = planner::Planner::new(now, &self.options, epoch, value);
+        self.log(MEMBER, format!("plans region={} {}", self.options.region, planner.summary()));
+        self.planner = Some(planner);
+        self.tick_planner(now);
+        self.beat(now);
+    }
+
+    fn cell_written(&mut self, now: Duration, reply: Reply) {
+        let mut out = Output::default();
+        let Some(planner) = &mut self.planner else { return };
+        let standing = planner.written(now, reply, &mut out);
+        self.flush(now, out);
+        match standing {
+            planner::Standing::Deposed => self.step_down("another planner wrote the cell"),
+            planner::Standing::Planner => self.tick_planner(now),
+        }
+    }
+
+    fn step_down(&mut self, reason: &str) {
+        if self.planner.take().is_some() || self.taking_over.take().is_some() {
+            self.log(MEMBER, format!("stops planning reason=\"{reason}\""));
+        }
+    }
+
+    fn tick_planner(&mut self, now: Duration) {
+        self.with_planner(now, |planner, around, out| planner.tick(now, around, out));
+    }
+
+    /// Runs a step of the planner, if this entry is it; returns whether it is.
+    fn with_planner(
+        &mut self,
+        now: Duration,
+        step: impl FnOnce(&mut planner::Planner, &planner::Surroundings<'_>, &mut Output),
+    ) -> bool {
+        let mut out = Output::default();
+        let Some(planner) = &mut self.planner else { return false };
+        let around = planner::Surroundings {
+            registry: &self.registry,
+            rules: self.rulebook.file(),
+            revision: self.rulebook.revision(),
+        };
+        step(planner, &around, &mut out);
+        self.flush(now, out);
+        true
+    }
+
+    fn frame(&mut self, now: Duration, envelope: envelope::Envelope) {
+        let mine = self.options.me.generation;
+        if envelope.to_generation != 0 && envelope.to_generation != mine {
+            return;
+        }
+        self.body(now, &envelope.from, envelope.body);
+    }
+
+    fn body(&mut self, now: Duration, from: &Peer, body: frame::Body) {
+        match body {
+            frame::Body::Announce(announce) => self.announced(now, from, announce),
+            frame::Body::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat),
+            frame::Body::EntryBeat(beat) => self.entry_beat(now, from, beat),
+            frame::Body::RulesPull(pull) => self.rules_pulled(from, pull),
+            frame::Body::Rules(rules) => {
+                if rules.ruleset.is_some_and(|ruleset| self.rulebook.offer(ruleset)) {
+                    self.rules_changed(now);
+                }
+            }
+            frame::Body::JobCall(call) => self.job_call(now, from, call),
+            frame::Body::JobReply(reply) => {
+                let mut out = Output::default();
+                self.job_calls.replied(reply, &mut out);
+                self.flush(now, out);
+            }
+            frame::Body::HoldReply(reply) => {
+                self.with_planner(now, |planner, around, out| {
+                    planner.hold_reply(now, from, &reply, around, out);
+                });
+            }
+            frame::Body::Report(report) => {
+                self.with_planner(now, |planner, around, out| {
+                    planner.report(now, from, &report, out);
+                    planner.tick(now, around, out);
+                });
+            }
+            frame::Body::BarReply(reply) => {
+                self.with_planner(now, |planner, _, out| {
+                    planner.bar_reply(now, from, &reply, out);
+                });
+                self.with_requests(now, |requests, registry, rng, out| {
+                    requests.bar_reply(now, from, &reply, registry, rng, out);
+                });
+            }
+            frame::Body::Answer(answer) => {
+                self.with_requests(now, |requests, registry, rng, out| {
+                    requests.answered(now, from, answer, registry, rng, out);
+                });
+            }
+            _ => {}
+        }
+    }
+
+    fn with_requests(
+        &mut self,
+        now: Duration,
+        step: impl FnOnce(&mut requests::Requests, &mut registry::Registry, &mut Pcg64, &mut Output),
+    ) {
+        let mut out = Output::default();
+        step(&mut self.requests, &mut self.registry, &mut self.rng, &mut out);
+        self.flush(now, out);
+    }
+
+    fn announced(&mut self, now: Duration, from: &Peer, announce: Announce) {
+        let zone = announce.zone.clone();
+        if self.registry.announce(now, from, announce) {
+            self.log(MEMBER, format!("agent={} zone={zone} announced", from.name));
+        }
+        self.welcome(now, from, false);
+    }
+
+    fn heartbeat(&mut self, now: Duration, from: &Peer, heartbeat: &Heartbeat) {
+        let is_known = self.registry.heartbeat(now, from, heartbeat);
+        self.welcome(now, from, !is_known);
+    }
+
+    fn welcome(&mut self, now: Duration, from: &Peer, announce_again: bool) {
+        let mut entries: Vec<Peer> = self.peers.heard(now).map(|e| e.peer.clone()).collect();
+        entries.push(self.options.me.clone());
+        let agent = self.registry.get(&from.name);
+        let is_own_cell = agent.is_some_and(|agent| agent.region == self.options.region);
+        let epoch = self.planner.as_ref().filter(|_| is_own_cell).map(|p| p.epoch().clone());
+        let welcome = Welcome { announce_again, entries, planner: epoch };
+        self.send(from, frame::Body::Welcome(welcome));
+        let agent = agent_of(&self.registry, &from.name);
+        if let Some(agent) = agent {
+            self.with_planner(now, |planner, around, out| planner.greet(&agent, around, out));
+        }
+    }
+
+    fn entry_beat(&mut self, now: Duration, from: &Peer, beat: EntryBeat) {
+        let has_newer = beat.rules > self.rulebook.revision();
+        self.peers.hear(now, from, beat);
+        if has_newer {
+            let above = self.rulebook.revision();
+            self.send(from, frame::Body::RulesPull(RulesPull { above }));
+        }
+    }
+
+    fn rules_pulled(&mut self, from: &Peer, pull: RulesPull) {
+        if self.rulebook.revision() > pull.above {
+            let ruleset = Some(self.rulebook.ruleset().clone());
+            self.send(from, frame::Body::Rules(Rules { ruleset }));
+        }
+    }
+
+    fn job_call(&mut self, now: Duration, from: &Peer, call: JobCall) {
+        let number = call.call;
+        let is_planner = self.with_planner(now, |planner, around, out| {
+            planner.call(now, from, call, around, out);
+            planner.tick(now, around, out);
+        });
+        if !is_planner {
+            let mut reply = JobReply { call: number, ..JobReply::default() };
+            reply.set_state(CallState::CallNotPlanner);
+            let mut out = Output::default();
+            out.send(from, frame::Body::JobReply(reply));
+            self.flush(now, out);
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        if now >= self.next_beat {
+            self.next_beat = now + self.options.heartbeat;
+            self.beat(now);
+        }
+        for name in self.registry.forget_silent(now) {
+            self.log(MEMBER, format!("agent={name} gone reason=silent"));
+        }
+        self.peers.forget_silent(now);
+        self.tick_planner(now);
+        self.with_requests(now, |requests, registry, rng, out| {
+            requests.tick(now, registry, rng, out);
+        });
+        self.tick_job_calls(now);
+        self.tick_drain(now);
+    }
+
+    fn tick_job_calls(&mut self, now: Duration) {
+        let mut out = Output::default();
+        let own = self.planner.is_some().then(|| self.options.me.clone());
+        let region = self.options.region.clone();
+        let peers = &self.peers;
+        let planner = |of: &str| {
+            let own = own.clone().filter(|_| of == region);
+            own.or_else(|| peers.planner(now, of).map(|(peer, _)| peer.clone()))
+        };
+        self.job_calls.tick(now, planner, &mut out);
+        self.flush(now, out);
+    }
+
+    /// Tells the other entries what this one has and does.
+    fn beat(&mut self, now: Duration) {
+        let mut entries: Vec<Peer> = self.peers.heard(now).map(|e| e.peer.clone()).collect();
+        entries.push(self.options.me.clone());
+        let beat = EntryBeat {
+            region: self.options.region.clone(),
+            zone: self.options.zone.clone(),
+            draining: self.draining_since.is_some(),
+            rules: self.rulebook.revision(),
+            planner: self.planner.as_ref().map(|planner| planner.epoch().clone()),
+            entries,
+        };
+        let others: Vec<Peer> = self.peers.all().map(|entry| entry.peer.clone()).collect();
+        for other in others {
+            let to = peer::new(&other.name, &other.address, 0);
+            self.send(&to, frame::Body::EntryBeat(beat.clone()));
+        }
+    }
+
+    fn drain(&mut self, now: Duration) {
+        if self.draining_since.is_some() {
+            return;
+        }
+        self.draining_since = Some(now);
+        self.log(MEMBER, format!("drain begins requests={}", self.requests.len()));
+        if let Some(call) = self.holder.release() {
+            self.store(now, Purpose::Forget, call);
+        }
+        self.step_down("shutdown");
+        self.beat(now);
+    }
+
+    /// Exits when every caller has its answer. New callers are served until the balancer has
+    /// had time to see that this entry is not ready.
+    fn tick_drain(&mut self, now: Duration) {
+        let Some(since) = self.draining_since else { return };
+        let has_lingered = now.saturating_sub(since) >= self.options.silence;
+        let is_idle = self.requests.is_empty() && self.job_calls.is_empty();
+        if has_lingered && is_idle {
+            self.effects.push(Effect::Exit);
+            return;
+        }
+        let is_overdue = now.saturating_sub(since) >= self.options.shutdown;
+        if is_overdue && !self.has_reported_overdue {
+            self.has_reported_overdue = true;
+            let (requests, calls) = (self.requests.len(), self.job_calls.len());
+            let text = format!("drain exceeds its bound requests={requests} job_calls={calls}");
+            self.log(MEMBER, text);
+        }
+    }
+
+    fn answer(&mut self, caller: Caller, answer: Answer) {
+        self.effects.push(Effect::Answer(caller, answer));
+    }
+
+    fn http(&mut self, now: Duration, caller: Caller, request: &api::Request) {
+        let region = self.options.region.clone();
+        match api::parse(request, &region) {
+            Ok(call) => self.call(now, caller, call),
+            Err(answer) => self.answer(caller, answer),
+        }
+    }
+
+    fn call(&mut self, now: Duration, caller: Caller, call: api::Call) {
+        match call {
+            api::Call::Service(service) => {
+                self.with_requests(now, |requests, registry, rng, out| {
+                    requests.take(now, caller, service, registry, rng, out);
+                });
+            }
+            api::Call::Submit(region, job) => self.submit(now, caller, &region, *job),
+            api::Call::Job(id, wait) => {
+                let is_waiting = !wait.is_zero();
+                let body = if is_waiting {
+                    job_call::Body::Wait(Wait { job: id.clone() })
+                } else {
+                    job_call::Body::Get(id.clone())
+                };
+                self.call_about(now, caller, job_calls::Kind::Look(is_waiting), &id, body, wait);
+            }
+            api::Call::Explain(id) => {
+                let body = job_call::Body::Explain(id.clone());
+                let kind = job_calls::Kind::Look(false);
+                self.call_about(now, caller, kind, &id, body, Duration::ZERO);
+            }
+            api::Call::Cancel(id) => {
+                let body = job_call::Body::Cancel(id.clone());
+                let kind = job_calls::Kind::Cancel;
+                self.call_about(now, caller, kind, &id, body, Duration::ZERO);
+            }
+            api::Call::Jobs(region, organisation) => {
+                let body = job_call::Body::List(organisation);
+                let kind = job_calls::Kind::List;
+                self.job_calls.take(now, caller, kind, &region, body, Duration::ZERO);
+                self.tick_job_calls(now);
+            }
+            api::Call::ApplyRules(apply) => self.apply_rules(now, caller, &apply),
+            call => {
+                let answer = self.look(now, &call);
+                self.answer(caller, answer);
+            }
+        }
+    }
+
+    /// Submits a job under an identifier that starts with its region. With the caller's key it
+    /// is the same each time, so that a submission that is repeated finds the job it made.
+    fn submit(&mut self, now: Duration, caller: Caller, region: &str, mut job: Job) {
+        job.id = if job.id.is_empty() {
+            format!("{region}.{:016x}", self.rng.random::<u64>())
+        } else {
+            format!("{region}.{}.{}", job.organisation, job.id)
+        };
+        if !sapphire_settings::section::is_name(&job.id.replace(region, "")) {
+            let reason = "organisation and key must be names of letters, digits, `-`, `_` or `.`";
+            self.answer(caller, Answer::failure(400, Account::NotRun, reason));
+            return;
+        }
+        let body = job_call::Body::Submit(job);
+        let kind = job_calls::Kind::Submit;
+        self.job_calls.take(now, caller, kind, region, body, Duration::ZERO);
+        self.tick_job_calls(now);
+    }
+
+    fn call_about(
+        &mut self,
+        now: Duration,
+        caller: Caller,
+        kind: job_calls::Kind,
+        id: &id::Job,
+        body: job_call::Body,
+        wait: Duration,
+    ) {
+        let region = id.split('.').next().unwrap_or_default().to_owned();
+        self.job_calls.take(now, caller, kind, &region, body, wait);
+        self.tick_job_calls(now);
+    }
+
+    fn apply_rules(&mut self, now: Duration, caller: Caller, apply: &api::Apply) {
+        if !apply.allow_short
+            && let Some(answer) = self.refuse_short(now, &apply.text)
+        {
+            self.answer(caller, answer);
+            return;
+        }
+        let me = &self.options.me;
+        let prefix = format!("{}-{:x}", me.name, me.generation);
+        match self.rulebook.apply(now, caller, apply, &prefix) {
+            Ok(call) => self.store(now, Purpose::WriteRules, call),
+            Err(answer) => self.answer(caller, answer),
+        }
+    }
+
+    /// Guarantees of a file that the workers known can't hold, all regions together.
+    fn short(&self, now: Duration, file: &file::File) -> Vec<bind::Short> {
+        let mut fleet = sapphire_plan::fleet::Fleet::default();
+        let agents = self.registry.agents().values();
+        let regions: std::collections::BTreeSet<&str> =
+            agents.map(|agent| agent.region.as_str()).collect();
+        for region in regions {
+            let is_drained = |w: &str, r: &str, z: &str| file.is_drained(w, r, z);
+            let part = self.registry.fleet(now, region, is_drained);
+            fleet.workers.extend(part.workers);
+        }
+        let guarantees = file.guarantees().collect();
+        bind::bind(&bind::Options { guarantees, fleet: &fleet, previous: &[] }).short
+    }
+
+    fn refuse_short(&self, now: Duration, text: &str) -> Option<Answer> {
+        let file = file::File::parse(text).ok()?;
+        let short = self.short(now, &file);
+        if short.is_empty() {
+            return None;
+        }
+        let findings: Vec<_> = short.iter().map(short_json).collect();
+        let value = json!({
+            "account": Account::NotRun.to_string(),
+            "reason": "some guarantees can't be held by the workers at hand; the rules are unchanged",
+            "findings": findings,
+        });
+        Some(Answer::json(422, &value))
+    }
+
+    /// Answers that need nothing but what is known here.
+    fn look(&self, now: Duration, call: &api::Call) -> Answer {
+        match call {
+            api::Call::Health => Answer::json(200, &json!({ "alive": true })),
+            api::Call::Ready => self.ready(),
+            api::Call::Rules => {
+                let ruleset = self.rulebook.ruleset();
+                Answer::json(
+                    200,
+                    &json!({
+                        "revision": ruleset.revision,
+                        "author": ruleset.author,
+                        "accepted_unix_ms": ruleset.accepted_unix_ms,
+                        "text": ruleset.text,
+                    }),
+                )
+            }
+            api::Call::History => self.history(),
+            api::Call::CheckRules(text) => match file::File::parse(text) {
+                Err(findings) => rulebook::refuse_findings(&findings),
+                Ok(file) => {
+                    let short = self.short(now, &file);
+                    let short: Vec<_> = short.iter().map(short_json).collect();
+                    Answer::json(200, &json!({ "rules": file.entries.len(), "findings": short }))
+                }
+            },
+            api::Call::Status => self.status(now),
+            api::Call::Workers => self.workers(now),
+            api::Call::Minions => self.minions(now),
+            api::Call::Organisations => self.organisations(),
+            _ => Answer::failure(500, Account::NotRun, "the call has no answer"),
+        }
+    }
+
+    fn ready(&self) -> Answer {
+        let reason = if self.draining_since.is_some() {
+            Some("draining")
+        } else if !self.rulebook.is_known() {
+            Some("the rules are not known yet")
+        } else {
+            None
+        };
+        let status = if reason.is_none() { 200 } else { 503 };
+        Answer::json(status, &json!({ "ready": reason.is_none(), "reason": reason }))
+    }
+
+    fn history(&self) -> Answer {
+        let past = self.rulebook.ruleset().history.iter().map(|past| {
+            json!({
+                "revision": past.revision,
+                "author": past.author,
+                "accepted_unix_ms": past.accepted_unix_ms,
+                "text": past.text,
+            })
+        });
+        Answer::json(200, &json!({ "history": past.collect::<Vec<_>>() }))
+    }
+
+    fn status(&self, now: Duration) -> Answer {
+        let mut by_revision: BTreeMap<u64, Vec<String>> = BTreeMap::new();
+        let mut add = |revision: u64, name: &str| {
+            by_revision.entry(revision).or_default().push(name.to_owned());
+        };
+        add(self.rulebook.revision(), &self.options.me.name);
+        for entry in self.peers.heard(now) {
+            add(entry.beat.rules, &entry.peer.name);
+        }
+        let agents = self.registry.agents().values();
+        for agent in agents.filter(|agent| self.registry.is_heard(now, agent)) {
+            add(agent.applied.rules, &agent.peer.name);
+        }
+        let processes: Vec<_> = by_revision
+            .into_iter()
+            .map(|(revision, names)| json!({ "revision": revision, "count": names.len(), "processes": names }))
+            .collect();
+        let short = self.planner.as_ref().map(planner::Planner::short).unwrap_or_default();
+        let short: Vec<_> = short.iter().map(short_json).collect();
+        Answer::json(
+            200,
+            &json!({
+                "revision": self.rulebook.revision(),
+                "in_force": processes,
+                "short": short,
+                "planner": self.planner_name(now),
+            }),
+        )
+    }
+
+    fn planner_name(&self, now: Duration) -> Option<String> {
+        if self.planner.is_some() {
+            return Some(self.options.me.name.clone());
+        }
+        self.peers.planner(now, &self.options.region).map(|(peer, _)| peer.name.clone())
+    }
+
+    fn workers(&self, now: Duration) -> Answer {
+        let workers = self.registry.agents().values().filter_map(|agent| {
+            let worker = agent.worker.as_ref()?;
+            Some(json!({
+                "name": worker.name,
+                "agent": agent.peer.name,
+                "region": agent.region,
+                "zone": agent.zone,
+                "rack": worker.rack,
+                "accelerators": worker.accelerators,
+                "free": agent.load.free_accelerators,
+                "borrowed": agent.load.borrowed_accelerators,
+                "draining": agent.load.draining,
+                "heard": self.registry.is_heard(now, agent),
+                "rules": agent.applied.rules,
+            }))
+        });
+        Answer::json(200, &json!({ "workers": workers.collect::<Vec<_>>() }))
+    }
+
+    fn minions(&self, now: Duration) -> Answer {
+        let minions = self.registry.agents().values().filter_map(|agent| {
+            let minion = agent.minion.as_ref()?;
+            Some(json!({
+                "name": minion.name,
+                "agent": agent.peer.name,
+                "service": minion.service,
+                "region": agent.region,
+                "zone": agent.zone,
+                "slots": minion.slots,
+                "free": agent.load.free_slots,
+                "draining": agent.load.draining,
+                "heard": self.registry.is_heard(now, agent),
+            }))
+        });
+        Answer::json(200, &json!({ "minions": minions.collect::<Vec<_>>() }))
+    }
+
+    fn organisations(&self) -> Answer {
+        let rules = self.rulebook.file();
+        let organisations = rules.organisations().map(|organisation| {
+            let own = rules.guarantees().filter(|(_, g)| g.organisation == organisation.name);
+            let guarantees: Vec<_> = own
+                .map(|(line, g)| json!({ "line": line, "count": g.count, "shape": bind::describe(g) }))
+                .collect();
+            json!({
+                "name": organisation.name,
+                "weight": organisation.weight,
+                "priority": organisation.priority,
+                "quota": rules.quota(&organisation.name),
+                "queue": rules.queue(&organisation.name),
+                "guarantees": guarantees,
+            })
+        });
+        Answer::json(200, &json!({ "organisations": organisations.collect::<Vec<_>>() }))
+    }
+}
+
+fn agent_of(registry: &registry::Registry, name: &str) -> Option<registry::Agent> {
+    registry.get(name).cloned()
+}
+
+fn short_json(short: &bind::Short) -> serde_json::Value {
+    json!({
+        "line": short.line,
+        "column": 1,
+        "organisation": short.organisation,
+        "missing": short.missing,
+        "message": format!("{} of {} can't be bound: {}", short.missing, short.organisation, short.shape),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/planner.rs
@@ -0,0 +1,1010 @@
+//! The planner of one cell: the job table, and each attempt at running a gang.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use prost::Message as _;
+use sapphire_plan::{bind, fleet, place, queue};
+use sapphire_rules::{file, rule};
+use sapphire_store::{
+    call::{Call, Reply, Revision, Value},
+    writer,
+};
+use sapphire_wire::{
+    Applied, Bar, BarReply, Binding, Bound, CallState, Cell, Decide, Epoch, GangState, Hold,
+    HoldReply, HoldState, Job, JobCall, JobReply, JobState, Peer, Placement, Report, Slice,
+    TaskState, epoch, frame, id, job_call, peer,
+};
+
+use crate::{
+    attempt::{Attempt, Fate, Phase, Seat},
+    effect::Output,
+    options, registry, view,
+};
+
+/// Part that the planner's log lines name.
+const PART: &str = "plan";
+/// Wait before a job whose holds were refused is placed again.
+const REFUSED_BACKOFF: Duration = Duration::from_millis(300);
+/// Time for which a worker whose task failed or was lost is left out of placement.
+const CULPRIT_BACKOFF: Duration = Duration::from_secs(5);
+/// Ended jobs kept for callers that come back, at most.
+const ENDED_KEPT: usize = 1_000;
+/// Largest cell document, in bytes; the store holds values up to a megabyte.
+const MAX_DOCUMENT: usize = 900 * 1024;
+/// When a caller refused for a full queue may come back.
+const FULL_RETRY: Duration = Duration::from_secs(5);
+
+/// Key of a cell in the store.
+pub fn cell_key(region: &str) -> String {
+    format!("cell/{region}")
+}
+
+/// What the planner looks at besides its own state.
+pub struct Surroundings<'a> {
+    /// Agents known.
+    pub registry: &'a registry::Registry,
+    /// Rules in force.
+    pub rules: &'a file::File,
+    /// Revision of the rules in force.
+    pub revision: id::Revision,
+}
+
+/// Whether the planner may go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It plans the cell.
+    Planner,
+    /// Another planner has written the cell.
+    Deposed,
+}
+
+/// A reply that waits until a change is kept.
+struct Owed {
+    change: writer::Change,
+    to: Peer,
+    reply: JobReply,
+}
+
+/// Planner of one cell.
+pub struct Planner {
+    options: options::Options,
+    epoch: Epoch,
+    jobs: BTreeMap<id::Job, Job>,
+    /// Change with which each job was last altered.
+    job_changes: BTreeMap<id::Job, writer::Change>,
+    bindings: Vec<Binding>,
+    bindings_version: u64,
+    short: Vec<bind::Short>,
+    bound_for: Option<(id::Revision, Vec<id::Worker>)>,
+    writer: writer::Writer,
+    change: writer::Change,
+    attempts: BTreeMap<id::Attempt, Attempt>,
+    owed: Vec<Owed>,
+    waiters: BTreeMap<id::Job, BTreeMap<(id::Process, u64), Peer>>,
+    not_before: BTreeMap<id::Job, Duration>,
+    avoided: BTreeMap<id::Worker, Duration>,
+    why: BTreeMap<id::Job, String>,
+    needs_schedule: bool,
+}
+
+fn millis(now: Duration) -> u64 {
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Planner {
+    /// Takes over a cell as the store holds it. The first write carries the new epoch, so that
+    /// an earlier planner's next write meets a conflict and it learns that it was replaced.
+    pub fn new(now: Duration, options: &options::Options, epoch: Epoch, cell: &Value) -> Self {
+        let stored = Cell::decode(cell.bytes.clone()).unwrap_or_default();
+        let prefix = format!("{}-{:x}-{}", options.me.name, options.me.generation, epoch.term);
+        let mut planner = Planner {
+            options: options.clone(),
+            epoch,
+            jobs: BTreeMap::new(),
+            job_changes: BTreeMap::new(),
+            bindings: stored.bindings,
+            bindings_version: stored.bindings_version,
+            short: Vec::new(),
+            bound_for: None,
+            writer: writer::Writer::new(&cell_key(&options.region), &prefix, cell.revision),
+            change: 1,
+            attempts: BTreeMap::new(),
+            owed: Vec::new(),
+            waiters: BTreeMap::new(),
+            not_before: BTreeMap::new(),
+            avoided: BTreeMap::new(),
+            why: BTreeMap::new(),
+            needs_schedule: true,
+        };
+        for job in stored.jobs {
+            planner.adopt(now, job);
+        }
+        planner
+    }
+
+    fn adopt(&mut self, now: Duration, job: Job) {
+        let is_live = matches!(job.state(), JobState::JobStarting | JobState::JobRunning);
+        if let (true, Some(recorded)) = (is_live, &job.attempt) {
+            let seat = |placement: &Placement| {
+                let name = placement.agent.as_ref().map(|a| a.name.clone()).unwrap_or_default();
+                let seat = Seat {
+                    placement: placement.clone(),
+                    worker: placement.worker.clone(),
+                    is_granted: false,
+                    settled: None,
+                };
+                (name, seat)
+            };
+            let attempt = Attempt {
+                job: job.id.clone(),
+                is_guaranteed: recorded.guaranteed,
+                phase: Phase::Adopted { since: now },
+                seats: recorded.placements.iter().map(seat).collect(),
+                change: 0,
+                may_have_started: true,
+                reason: "its planner was replaced".to_owned(),
+                is_evicted: false,
+                refused_by: Vec::new(),
+            };
+            self.attempts.insert(recorded.id.clone(), attempt);
+        }
+        self.jobs.insert(job.id.clone(), job);
+    }
+
+    /// Epoch with which it plans.
+    pub fn epoch(&self) -> &Epoch {
+        &self.epoch
+    }
+
+    /// Jobs by identifier.
+    pub fn jobs(&self) -> &BTreeMap<id::Job, Job> {
+        &self.jobs
+    }
+
+    /// Attempts under way.
+    pub fn attempts(&self) -> &BTreeMap<id::Attempt, Attempt> {
+        &self.attempts
+    }
+
+    /// Bindings in force.
+    pub fn bindings(&self) -> &[Binding] {
+        &self.bindings
+    }
+
+    /// Guarantees that the workers at hand can't hold.
+    pub fn short(&self) -> &[bind::Short] {
+        &self.short
+    }
+
+    /// Whether the store has not answered the last write.
+    pub fn is_store_out(&self) -> bool {
+        self.writer.is_failing()
+    }
+
+    fn touch(&mut self, job: &str) {
+        self.change += 1;
+        self.job_changes.insert(job.to_owned(), self.change);
+        self.needs_schedule = true;
+    }
+
+    /// Next write, if one is due.
+    pub fn poll(&mut self, now: Duration) -> Option<Call> {
+        let (jobs, bindings) = (&self.jobs, &self.bindings);
+        let (epoch, bindings_version) = (&self.epoch, self.bindings_version);
+        self.writer.poll(now, self.change, |write| {
+            let cell = Cell {
+                epoch: Some(epoch.clone()),
+                jobs: jobs.values().cloned().collect(),
+                bindings: bindings.clone(),
+                bindings_version,
+                write: write.to_owned(),
+            };
+            Bytes::from(cell.encode_to_vec())
+        })
+    }
+
+    /// Takes the answer to a write.
+    pub fn written(&mut self, now: Duration, reply: Reply, out: &mut Output) -> Standing {
+        let write_of = |value: &Value| {
+            Cell::decode(value.bytes.clone()).map(|cell| cell.write).unwrap_or_default()
+        };
+        match self.writer.reply(now, reply, write_of) {
+            writer::Outcome::Lost(_) => return Standing::Deposed,
+            writer::Outcome::Retry => out.log(PART, "store write got no answer".to_owned()),
+            writer::Outcome::Written(_) => {}
+        }
+        self.needs_schedule = true;
+        self.pay(out);
+        self.decide_held(now, out);
+        Standing::Planner
+    }
+
+    /// Sends replies whose change is kept.
+    fn pay(&mut self, out: &mut Output) {
+        let written = self.writer.written();
+        let (due, owed): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.owed).into_iter().partition(|owed| owed.change <= written);
+        self.owed = owed;
+        for owed in due {
+            let job = owed.reply.jobs.first().and_then(|job| self.jobs.get(&job.id)).cloned();
+            let jobs = job.map_or(owed.reply.jobs, |job| vec![job]);
+            out.send(&owed.to, frame::Body::JobReply(JobReply { jobs, ..owed.reply }));
+        }
+        let is_failing = self.writer.is_failing();
+        let is_final = |job: &Job| view::is_ended(job.state());
+        let kept = |id: &str| self.job_changes.get(id).copied().unwrap_or(0) <= written;
+        let ended: Vec<id::Job> = self
+            .waiters
+            .keys()
+            .filter(|id| self.jobs.get(*id).is_some_and(is_final) && (is_failing || kept(id)))
+            .cloned()
+            .collect();
+        for id in ended {
+            let job = self.jobs.get(&id).cloned();
+            for ((_, call), to) in self.waiters.remove(&id).unwrap_or_default() {
+                let jobs = job.clone().into_iter().collect();
+                let reply = JobReply { call, jobs, ..JobReply::default() };
+                out.send(&to, frame::Body::JobReply(reply));
+            }
+        }
+    }
+
+    /// Takes a call of an entry, for its caller.
+    pub fn call(
+        &mut self,
+        now: Duration,
+        from: &Peer,
+        call: JobCall,
+        around: &Surroundings<'_>,
+        out: &mut Output,
+    ) {
+        let number = call.call;
+        let reply = match call.body {
+            Some(job_call::Body::Submit(job)) => self.submit(now, from, number, job, around),
+            Some(job_call::Body::Cancel(id)) => self.cancel(now, from, number, &id, out),
+            Some(job_call::Body::Wait(wait)) => self.wait(from, number, &wait.job),
+            Some(job_call::Body::Get(id)) => Some(self.get(&id)),
+            Some(job_call::Body::Explain(id)) => Some(self.explain(&id)),
+            Some(job_call::Body::List(organisation)) => Some(self.list(&organisation)),
+            None => None,
+        };
+        if let Some(reply) = reply {
+            let reply = JobReply { call: number, ..reply };
+            out.send(from, frame::Body::JobReply(reply));
+        }
+    }
+
+    fn owe(&mut self, from: &Peer, call: u64, job: &Job) -> Option<JobReply> {
+        let change = self.job_changes.get(&job.id).copied().unwrap_or(0);
+        let reply = JobReply { call, jobs: vec![job.clone()], ..JobReply::default() };
+        if change <= self.writer.written() {
+            return Some(reply);
+        }
+        let is_same = |owed: &Owed| owed.reply.call == call && peer::is_same_life(&owed.to, from);
+        if !self.owed.iter().any(is_same) {
+            self.owed.push(Owed { change, to: from.clone(), reply });
+        }
+        None
+    }
+
+    /// Accepts a job, once it is kept, or refuses it at once with the reason. A submission that
+    /// is repeated (its answer was lost, or another entry was asked) finds the job it made.
+    fn submit(
+        &mut self,
+        now: Duration,
+        from: &Peer,
+        call: u64,
+        mut job: Job,
+        around: &Surroundings<'_>,
+    ) -> Option<JobReply> {
+        if let Some(known) = self.jobs.get(&job.id).cloned() {
+            let is_same = known.organisation == job.organisation
+                && known.shape == job.shape
+                && known.command == job.command;
+            if !is_same {
+                return Some(refused("the idempotency key was used for another job", None));
+            }
+            return self.owe(from, call, &known);
+        }
+        if let Err(reply) = self.admit(&job, around, now) {
+            return Some(reply);
+        }
+        job.submitted_unix_ms = millis(now);
+        if job.deadline_unix_ms > 0 {
+            job.deadline_unix_ms = job.deadline_unix_ms.saturating_add(millis(now));
+        }
+        job.set_state(JobState::JobWaiting);
+        self.jobs.insert(job.id.clone(), job.clone());
+        self.touch(&job.id);
+        self.owe(from, call, &job)
+    }
+
+    fn admit(&self, job: &Job, around: &Surroundings<'_>, now: Duration) -> Result<(), JobReply> {
+        let name = &job.organisation;
+        if around.rules.organisation(name).is_none() {
+            return Err(refused(&format!("organisation `{name}` is not in the rules"), None));
+        }
+        if self.writer.is_failing() {
+            let reason = "the store does not answer, so the job can't be kept";
+            return Err(refused(reason, Some(FULL_RETRY)));
+        }
+        let fleet = around.registry.fleet(now, &self.options.region, |_, _, _| false);
+        let shape = job.shape.clone().unwrap_or_default();
+        if !fleet.could_hold(&shape) {
+            let reason = "no set of workers here can ever hold this shape";
+            let retry = fleet.workers.is_empty().then_some(FULL_RETRY);
+            return Err(refused(reason, retry));
+        }
+        let is_waiting = |job: &&Job| job.state() == JobState::JobWaiting;
+        let waiting = self.jobs.values().filter(is_waiting);
+        let own = waiting.filter(|other| other.organisation == *name).count();
+        let limit = around.rules.queue(name) as usize;
+        if own >= limit {
+            let reason = format!("{own} jobs of `{name}` wait; the limit is {limit}");
+            return Err(refused(&reason, Some(FULL_RETRY)));
+        }
+        let live = self.jobs.values().filter(|job| !view::is_ended(job.state())).count();
+        if live >= self.options.max_jobs {
+            return Err(refused("the cell holds as many jobs as it may", Some(FULL_RETRY)));
+        }
+        Ok(())
+    }
+
+    fn get(&self, id: &str) -> JobReply {
+        let jobs: Vec<Job> = self.jobs.get(id).cloned().into_iter().collect();
+        let state = if jobs.is_empty() { CallState::CallNotFound } else { CallState::CallOk };
+        let mut reply = JobReply { jobs, ..JobReply::default() };
+        reply.set_state(state);
+        reply
+    }
+
+    fn explain(&self, id: &str) -> JobReply {
+        let mut reply = self.get(id);
+        for job in &mut reply.jobs {
+            if let Some(why) = self.why.get(&job.id).filter(|_| job.reason.is_empty()) {
+                job.reason = why.clone();
+            }
+        }
+        reply
+    }
+
+    fn list(&self, organisation: &str) -> JobReply {
+        let is_wanted = |job: &&Job| organisation.is_empty() || job.organisation == organisation;
+        let jobs = self.jobs.values().filter(is_wanted).cloned().collect();
+        JobReply { jobs, ..JobReply::default() }
+    }
+
+    fn wait(&mut self, from: &Peer, call: u64, id: &str) -> Option<JobReply> {
+        let job = self.jobs.get(id);
+        let Some(job) = job else { return Some(self.get(id)) };
+        if view::is_ended(job.state()) {
+            let job = job.clone();
+            return self.owe(from, call, &job);
+        }
+        let waiters = self.waiters.entry(id.to_owned()).or_default();
+        waiters.insert((from.name.clone(), call), from.clone());
+        None
+    }
+
+    fn cancel(
+        &mut self,
+        now: Duration,
+        from: &Peer,
+        call: u64,
+        id: &str,
+        out: &mut Output,
+    ) -> Option<JobReply> {
+        let Some(job) = self.jobs.get_mut(id) else { return Some(self.get(id)) };
+        match job.state() {
+            JobState::JobWaiting => {
+                job.cancel = true;
+                self.end(now, id, JobState::JobCancelled, "cancelled before it ran", out);
+            }
+            JobState::JobStarting | JobState::JobRunning if !job.cancel => {
+                job.cancel = true;
+                let attempt = job.attempt.as_ref().map(|attempt| attempt.id.clone());
+                self.touch(id);
+                if let Some(attempt) = attempt {
+                    self.settle(&attempt, "cancelled", out);
+                }
+            }
+            _ => {}
+        }
+        let job = self.jobs.get(id).cloned()?;
+        self.owe(from, call, &job)
+    }
+
+    fn end(&mut self, now: Duration, id: &str, state: JobState, reason: &str, out: &mut Output) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.set_state(state);
+        job.reason = reason.to_owned();
+        job.ended_unix_ms = millis(now);
+        out.log(PART, format!("job={id} state={} reason=\"{reason}\"", view::job_state(state)));
+        self.why.remove(id);
+        self.not_before.remove(id);
+        self.touch(id);
+        self.forget_ended();
+        self.pay(out);
+    }
+
+    /// Drops the oldest ended jobs beyond what is kept, and more when the document is too large.
+    fn forget_ended(&mut self) {
+        let mut ended: Vec<(u64, id::Job)> = self
+            .jobs
+            .values()
+            .filter(|job| view::is_ended(job.state()) && !self.waiters.contains_key(&job.id))
+            .map(|job| (job.ended_unix_ms, job.id.clone()))
+            .collect();
+        ended.sort();
+        let bytes: usize = self.jobs.values().map(|job| job.encoded_len() + 4).sum();
+        let by_count = ended.len().saturating_sub(ENDED_KEPT);
+        let by_size = if bytes > MAX_DOCUMENT { ended.len().div_ceil(4) } else { 0 };
+        for (_, id) in ended.into_iter().take(by_count.max(by_size)) {
+            self.jobs.remove(&id);
+            self.job_changes.remove(&id);
+        }
+    }
+
+    /// Workers of the cell with what is bound to guarantees and what attempts take.
+    fn fleet(&self, now: Duration, around: &Surroundings<'_>) -> fleet::Fleet {
+        let is_drained =
+            |worker: &str, rack: &str, zone: &str| around.rules.is_drained(worker, rack, zone);
+        let mut fleet = around.registry.fleet(now, &self.options.region, is_drained);
+        for binding in &self.bindings {
+            if let Some(worker) = fleet.workers.get_mut(&binding.worker) {
+                worker.bound.insert(binding.organisation.clone(), binding.accelerators);
+            }
+        }
+        for attempt in self.attempts.values() {
+            let Some(job) = self.jobs.get(&attempt.job) else { continue };
+            let shape = job.shape.clone().unwrap_or_default();
+            for seat in attempt.seats.values().filter(|seat| seat.settled.is_none()) {
+                let tasks = seat.placement.tasks;
+                let own = attempt.is_guaranteed;
+                fleet.take(&seat.worker, &job.organisation, &shape, tasks, own);
+            }
+        }
+        fleet
+    }
+
+    /// Binds guarantees anew when the rules or the open workers have changed.
+    fn rebind(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
+        let fleet = self.fleet(now, around);
+        let open = fleet.workers.iter().filter(|(_, worker)| worker.is_open);
+        let open: Vec<id::Worker> = open.map(|(name, _)| name.clone()).collect();
+        let signature = Some((around.revision, open));
+        if self.bound_for == signature {
+            return;
+        }
+        self.bound_for = signature;
+        let here = |guarantee: &rule::Guarantee| match &guarantee.place {
+            rule::Place::Region(region) => *region == self.options.region,
+            rule::Place::Zone(zone) => fleet.workers.values().any(|worker| worker.zone == *zone),
+        };
+        let guarantees = around.rules.guarantees().filter(|(_, g)| here(g)).collect();
+        let options = bind::Options { guarantees, fleet: &fleet, previous: &self.bindings };
+        let outcome = bind::bind(&options);
+        for short in &outcome.short {
+            out.log(
+                PART,
+                format!(
+                    "guarantee short organisation={} line={} missing={} shape=\"{}\"",
+                    short.organisation, short.line, short.missing, short.shape
+                ),
+            );
+        }
+        self.short = outcome.short;
+        let heard = around.registry.agents().values().map(|agent| agent.applied.bindings).max();
+        if outcome.bindings != self.bindings || heard > Some(self.bindings_version) {
+            self.bindings = outcome.bindings;
+            self.bindings_version = self.bindings_version.max(heard.unwrap_or(0)) + 1;
+            self.change += 1;
+            out.log(PART, format!("bound version={}", self.bindings_version));
+        }
+        self.needs_schedule = true;
+    }
+
+    /// Sends an agent its part of the rules, if it has an older one.
+    pub fn greet(&mut self, agent: &registry::Agent, around: &Surroundings<'_>, out: &mut Output) {
+        let applied = Applied { rules: around.revision, bindings: self.bindings_version };
+        let is_current =
+            (agent.applied.rules, agent.applied.bindings) >= (applied.rules, applied.bindings);
+        if agent.region != self.options.region || is_current {
+            return;
+        }
+        let worker = agent.worker.clone().unwrap_or_default();
+        let own = self.bindings.iter().filter(|binding| binding.worker == worker.name);
+        let bound = own.map(|binding| Bound {
+            organisation: binding.organisation.clone(),
+            accelerators: binding.accelerators,
+        });
+        let slice = Slice {
+            epoch: Some(self.epoch.clone()),
+            applied: Some(applied),
+            bound: bound.collect(),
+            draining: around.rules.is_drained(&worker.name, &worker.rack, &agent.zone),
+            grace_ms: millis(around.rules.reclaim().grace),
+        };
+        out.send(&agent.peer, frame::Body::Slice(slice));
+    }
+
+    /// Time has passed: bindings, time-outs of attempts, waiting jobs.
+    pub fn tick(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
+        self.rebind(now, around, out);
+        for agent in around.registry.agents().values() {
+            self.greet(agent, around, out);
+        }
+        let attempts: Vec<id::Attempt> = self.attempts.keys().cloned().collect();
+        for attempt in attempts {
+            self.tick_attempt(now, &attempt, around, out);
+        }
+        let due = |until: &Duration| *until <= now;
+        self.needs_schedule |= self.not_before.values().any(due);
+        self.not_before.retain(|_, until| !due(until));
+        self.avoided.retain(|_, until| !due(until));
+        self.pay(out);
+        self.schedule(now, around, out);
+        self.assert_invariants();
+    }
+
+    fn tick_attempt(
+        &mut self,
+        now: Duration,
+        id: &str,
+        around: &Surroundings<'_>,
+        out: &mut Output,
+    ) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let patience = self.options.lease * 2 + self.options.silence;
+        let late = |since: Duration| now.saturating_sub(since) > patience;
+        match attempt.phase {
+            Phase::Holding { until } if now >= until => {
+                self.settle(id, "not every agent granted its hold in time", out);
+            }
+            Phase::Decided { since } if late(since) => {
+                self.settle(id, "the lead did not answer the decision", out);
+            }
+            Phase::Running { heard } if late(heard) => {
+                self.settle(id, "the lead has been silent", out);
+            }
+            Phase::Adopted { since } if late(since) => {
+                self.settle(id, "its planner was replaced", out);
+            }
+            Phase::Settling => self.settle_gone(now, id, around, out),
+            _ => {}
+        }
+    }
+
+    /// Repeats the bar at agents that have not answered; those that are gone will not.
+    fn settle_gone(
+        &mut self,
+        now: Duration,
+        id: &str,
+        around: &Surroundings<'_>,
+        out: &mut Output,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        for seat in attempt.seats.values_mut().filter(|seat| seat.settled.is_none()) {
+            let Some(agent) = &seat.placement.agent else { continue };
+            if around.registry.is_gone(agent) {
+                seat.settled = Some(TaskState::TaskUnknown);
+            }
+        }
+        self.send_bars(id, out);
+        self.close_settled(now, id, out);
+    }
+
+    fn send_bars(&self, id: &str, out: &mut Output) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        for seat in attempt.seats.values().filter(|seat| seat.settled.is_none()) {
+            self.send_bar(id, seat.placement.agent.as_ref(), out);
+        }
+    }
+
+    fn send_bar(&self, attempt: &str, agent: Option<&Peer>, out: &mut Output) {
+        let Some(agent) = agent else { return };
+        let bar = Bar { attempt: attempt.to_owned(), epoch: Some(self.epoch.clone()) };
+        out.send(agent, frame::Body::Bar(bar));
+    }
+
+    /// Begins to find out what became of an attempt, by barring it everywhere.
+    fn settle(&mut self, id: &str, reason: &str, out: &mut Output) {
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        if attempt.phase != Phase::Settling {
+            attempt.phase = Phase::Settling;
+            attempt.reason = reason.to_owned();
+            out.log(PART, format!("attempt={id} settling reason=\"{reason}\""));
+            self.send_bars(id, out);
+        }
+    }
+
+    fn close_settled(&mut self, now: Duration, id: &str, out: &mut Output) {
+        let Some(fate) = self.attempts.get(id).and_then(Attempt::fate) else { return };
+        let Some(attempt) = self.attempts.remove(id) else { return };
+        for worker in &attempt.refused_by {
+            self.avoided.insert(worker.clone(), now + REFUSED_BACKOFF);
+        }
+        let Some(job) = self.jobs.get_mut(&attempt.job) else { return };
+        let reason = attempt.reason.clone();
+        let may_repeat = job.idempotent || fate == Fate::NotRun;
+        let was_cancelled = job.cancel;
+        let (state, reason) = match (fate, was_cancelled, may_repeat) {
+            (Fate::NotRun, true, _) => (JobState::JobCancelled, "cancelled before it ran".into()),
+            (_, true, _) => (JobState::JobCancelled, "cancelled after it had started".into()),
+            (_, false, true) => (JobState::JobWaiting, reason),
+            (Fate::Unknown, false, false) => (JobState::JobUnknown, reason),
+            (_, false, false) => (JobState::JobInterrupted, reason),
+        };
+        if state == JobState::JobWaiting {
+            let counts = fate != Fate::NotRun && !attempt.is_evicted;
+            self.requeue(now, &attempt.job, &reason, counts);
+        } else {
+            self.end(now, &attempt.job, state, &reason, out);
+        }
+    }
+
+    fn requeue(&mut self, now: Duration, id: &str, reason: &str, counts: bool) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.set_state(JobState::JobWaiting);
+        if !counts {
+            job.attempts = job.attempts.saturating_sub(1);
+        }
+        self.why.insert(id.to_owned(), format!("waits again: {reason}"));
+        self.not_before.insert(id.to_owned(), now + REFUSED_BACKOFF);
+        self.touch(id);
+    }
+
+    /// Places waiting jobs, in order.
+    fn schedule(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
+        if !std::mem::take(&mut self.needs_schedule) {
+            return;
+        }
+        let mut fleet = self.fleet(now, around);
+        let mut borrowed = queue::borrowed(self.jobs.values());
+        let order = queue::order(self.jobs.values(), around.rules);
+        let order: Vec<id::Job> = order.into_iter().map(|job| job.id.clone()).collect();
+        let avoid: Vec<id::Worker> = self.avoided.keys().cloned().collect();
+        for id in order {
+            self.schedule_one(now, &id, &mut fleet, &mut borrowed, &avoid, around, out);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "one pass over shared tallies")]
+    fn schedule_one(
+        &mut self,
+        now: Duration,
+        id: &str,
+        fleet: &mut fleet::Fleet,
+        borrowed: &mut BTreeMap<id::Organisation, u32>,
+        avoid: &[id::Worker],
+        around: &Surroundings<'_>,
+        out: &mut Output,
+    ) {
+        let Some(job) = self.jobs.get(id).cloned() else { return };
+        if job.deadline_unix_ms > 0 && millis(now) >= job.deadline_unix_ms {
+            let (state, reason) = match job.attempts {
+                0 => (JobState::JobNotRun, "its deadline passed before it ran"),
+                _ => (JobState::JobInterrupted, "its deadline passed before it ran whole"),
+            };
+            self.end(now, id, state, reason, out);
+            return;
+        }
+        let limit = around.rules.attempts(&job.organisation);
+        if job.attempts >= limit {
+            let reason = format!("{limit} attempts were made");
+            let has_failed = job.exit_code != 0;
+            let state = if has_failed { JobState::JobFailed } else { JobState::JobInterrupted };
+            self.end(now, id, state, &reason, out);
+            return;
+        }
+        let is_kept = self.job_changes.get(id).copied().unwrap_or(0) <= self.writer.written();
+        let is_repeat = job.attempt.is_some();
+        let may_start = is_kept || (self.writer.is_failing() && job.idempotent && is_repeat);
+        if !may_start || self.not_before.contains_key(id) {
+            return;
+        }
+        let shape = job.shape.clone().unwrap_or_default();
+        let own = place::Options { avoid, ..place::Options::guaranteed(&job.organisation, &shape) };
+        let other =
+            place::Options { avoid, ..place::Options::borrowing(&job.organisation, &shape) };
+        let accelerators = queue::accelerators(&job);
+        let in_use = borrowed.get(&job.organisation).copied().unwrap_or(0);
+        let quota = around.rules.quota(&job.organisation).unwrap_or(u32::MAX);
+        let within_quota = in_use.saturating_add(accelerators) <= quota;
+        let (outcome, is_guaranteed) = match place::place(fleet, &own) {
+            Some(outcome) => (Some(outcome), true),
+            None if within_quota => (place::place(fleet, &other), false),
+            None => (None, false),
+        };
+        let Some(outcome) = outcome else {
+            let why = if within_quota {
+                "no group of workers has room for the whole gang".to_owned()
+            } else {
+                format!("its organisation borrows {in_use} of {quota} accelerators")
+            };
+            self.why.insert(id.to_owned(), why);
+            return;
+        };
+        for seat in &outcome.seats {
+            fleet.take(&seat.worker, &job.organisation, &shape, seat.tasks, is_guaranteed);
+        }
+        if !is_guaranteed {
+            *borrowed.entry(job.organisation.clone()).or_default() += accelerators;
+        }
+        self.start(now, &job, &outcome, is_guaranteed, around, out);
+    }
+
+    /// Records an attempt and asks each agent for its hold.
+    fn start(
+        &mut self,
+        now: Duration,
+        job: &Job,
+        outcome: &place::Outcome,
+        is_guaranteed: bool,
+        around: &Surroundings<'_>,
+        out: &mut Output,
+    ) {
+        let number = job.attempts + 1;
+        let id = format!("{}/{}.{}.{:x}", job.id, self.epoch.term, self.change, number);
+        let mut seats = BTreeMap::new();
+        for seat in &outcome.seats {
+            let Some(agent) = around.registry.agent_of_worker(&seat.worker) else { return };
+            let agent = agent.peer.clone();
+            let name = agent.name.clone();
+            let worker = seat.worker.clone();
+            let placement =
+                Placement { agent: Some(agent), tasks: seat.tasks, worker: worker.clone() };
+            seats.insert(name, Seat { placement, worker, is_granted: false, settled: None });
+        }
+        let workers: Vec<&str> = outcome.seats.iter().map(|seat| seat.worker.as_str()).collect();
+        out.log(
+            PART,
+            format!(
+                "place job={} attempt={id} choice={} workers={} guaranteed={is_guaranteed} \
+                 reason=best-fit runner_up={}",
+                job.id,
+                outcome.group,
+                workers.join(","),
+                if outcome.runner_up.is_empty() { "none" } else { &outcome.runner_up },
+            ),
+        );
+        let placements = seats.values().map(|seat| seat.placement.clone()).collect();
+        if let Some(job) = self.jobs.get_mut(&job.id) {
+            job.set_state(JobState::JobStarting);
+            job.reason.clear();
+            job.attempts = number;
+            job.attempt = Some(sapphire_wire::Attempt {
+                id: id.clone(),
+                placements,
+                guaranteed: is_guaranteed,
+            });
+        }
+        self.touch(&job.id);
+        let attempt = Attempt {
+            job: job.id.clone(),
+            is_guaranteed,
+            phase: Phase::Holding { until: now + self.options.hold },
+            seats,
+            change: self.change,
+            may_have_started: false,
+            reason: String::new(),
+            is_evicted: false,
+            refused_by: Vec::new(),
+        };
+        self.attempts.insert(id.clone(), attempt);
+        self.send_holds(&id, job, out);
+    }
+
+    fn send_holds(&self, id: &str, job: &Job, out: &mut Output) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let lead = attempt.lead().and_then(|seat| seat.placement.agent.clone());
+        for seat in attempt.seats.values() {
+            let Some(agent) = &seat.placement.agent else { continue };
+            let hold = Hold {
+                attempt: id.to_owned(),
+                epoch: Some(self.epoch.clone()),
+                organisation: job.organisation.clone(),
+                shape: job.shape.clone(),
+                tasks: seat.placement.tasks,
+                guaranteed: attempt.is_guaranteed,
+                lead: lead.clone(),
+                ttl_ms: millis(self.options.hold),
+                command: job.command.clone(),
+            };
+            out.send(agent, frame::Body::Hold(hold));
+        }
+    }
+
+    /// Takes an agent's word on a hold.
+    pub fn hold_reply(
+        &mut self,
+        now: Duration,
+        from: &Peer,
+        reply: &HoldReply,
+        around: &Surroundings<'_>,
+        out: &mut Output,
+    ) {
+        let hold = self.options.hold;
+        let Some(attempt) = self.attempts.get_mut(&reply.attempt) else { return };
+        let Phase::Holding { until } = attempt.phase else { return };
+        let Some(seat) = attempt.seats.get_mut(&from.name) else { return };
+        match reply.state() {
+            HoldState::HoldGranted => {
+                seat.is_granted = true;
+                self.decide_held(now, out);
+            }
+            HoldState::HoldEvicting => {
+                let grace = around.rules.reclaim().grace;
+                attempt.phase = Phase::Holding { until: until.max(now + grace + hold) };
+            }
+            HoldState::HoldRefused => {
+                attempt.refused_by.push(seat.worker.clone());
+                let reason = format!("{} refused: {}", from.name, reply.reason);
+                self.settle(&reply.attempt, &reason, out);
+            }
+        }
+    }
+
+    /// Tells the lead of each gang that is held everywhere and recorded to start it.
+    ///
+    /// Guards against a planner that dies between the decision and its record: a successor
+    /// that did not know of the attempt could start the job a second time. A job that may
+    /// repeat is started without the record while the store is out.
+    fn decide_held(&mut self, now: Duration, out: &mut Output) {
+        let written = self.writer.written();
+        let is_failing = self.writer.is_failing();
+        for (id, attempt) in &mut self.attempts {
+            let Phase::Holding { .. } = attempt.phase else { continue };
+            let may_repeat = self.jobs.get(&attempt.job).is_some_and(|job| job.idempotent);
+            let is_recorded = attempt.change <= written || (is_failing && may_repeat);
+            if !attempt.is_held() || !is_recorded {
+                continue;
+            }
+            let Some(lead) = attempt.lead().and_then(|seat| seat.placement.agent.clone()) else {
+                continue;
+            };
+            let members = attempt.seats.values().filter_map(|seat| seat.placement.agent.clone());
+            let decide = Decide {
+                attempt: id.clone(),
+                epoch: Some(self.epoch.clone()),
+                members: members.collect(),
+            };
+            attempt.phase = Phase::Decided { since: now };
+            attempt.may_have_started = true;
+            out.log(PART, format!("decide attempt={id} lead={}", lead.name));
+            out.send(&lead, frame::Body::Decide(decide));
+        }
+    }
+
+    /// Takes a lead's word on its gang. The attempt is barred, which tells the lead to forget
+    /// it, only after the outcome is kept: until then the lead's memory is the only record.
+    pub fn report(&mut self, now: Duration, from: &Peer, report: &Report, out: &mut Output) {
+        let Some(attempt) = self.attempts.get_mut(&report.attempt) else {
+            self.acknowledge(from, &report.attempt, out);
+            return;
+        };
+        let job = attempt.job.clone();
+        match report.state() {
+            GangState::GangRunning => {
+                if attempt.phase == Phase::Settling {
+                    return;
+                }
+                let is_first = !matches!(attempt.phase, Phase::Running { .. });
+                attempt.phase = Phase::Running { heard: now };
+                attempt.may_have_started = true;
+                if is_first {
+                    self.running(now, &job, &report.attempt, out);
+                }
+            }
+            GangState::GangDone => {
+                self.attempts.remove(&report.attempt);
+                self.end(now, &job, JobState::JobDone, "", out);
+            }
+            GangState::GangFailed | GangState::GangStopped => {
+                self.failed(now, &report.attempt, report, out);
+            }
+        }
+    }
+
+    fn acknowledge(&self, from: &Peer, attempt: &str, out: &mut Output) {
+        let job = attempt.split('/').next().unwrap_or_default();
+        let change = self.job_changes.get(job).copied().unwrap_or(0);
+        if change <= self.writer.written() {
+            self.send_bar(attempt, Some(from), out);
+        }
+    }
+
+    fn running(&mut self, now: Duration, id: &str, attempt: &str, out: &mut Output) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.state() != JobState::JobRunning {
+            job.set_state(JobState::JobRunning);
+            job.started_unix_ms = millis(now);
+            out.log(PART, format!("job={id} state=running attempt={attempt}"));
+            self.touch(id);
+            self.why.remove(id);
+        }
+    }
+
+    fn failed(&mut self, now: Duration, id: &str, report: &Report, out: &mut Output) {
+        let Some(attempt) = self.attempts.remove(id) else { return };
+        let Some(job) = self.jobs.get_mut(&attempt.job) else { return };
+        job.exit_code = report.exit_code;
+        let is_failure = report.state() == GangState::GangFailed;
+        out.log(
+            PART,
+            format!(
+                "attempt={id} ended failed={is_failure} evicted={} reason=\"{}\"",
+                report.evicted, report.reason
+            ),
+        );
+        if job.cancel {
+            let reason = "cancelled after it had started";
+            self.end(now, &attempt.job, JobState::JobCancelled, reason, out);
+        } else if job.idempotent {
+            if let Some(seat) = attempt.seats.get(&report.culprit) {
+                self.avoided.insert(seat.worker.clone(), now + CULPRIT_BACKOFF);
+            }
+            self.requeue(now, &attempt.job, &report.reason, !report.evicted);
+        } else {
+            let state = if is_failure { JobState::JobFailed } else { JobState::JobInterrupted };
+            self.end(now, &attempt.job, state, &report.reason, out);
+        }
+    }
+
+    /// Takes an agent's word on an attempt that is being settled.
+    pub fn bar_reply(&mut self, now: Duration, from: &Peer, reply: &BarReply, out: &mut Output) {
+        let Some(attempt) = self.attempts.get_mut(&reply.attempt) else { return };
+        let Some(seat) = attempt.seats.get_mut(&from.name) else { return };
+        let is_same_life =
+            seat.placement.agent.as_ref().is_some_and(|agent| peer::is_same_life(agent, from));
+        let state = if is_same_life { reply.state() } else { TaskState::TaskUnknown };
+        if attempt.phase == Phase::Settling && state != TaskState::TaskRunning {
+            seat.settled = Some(state);
+            self.close_settled(now, &reply.attempt, out);
+        }
+    }
+
+    /// Checks that no job has two attempts and that live jobs and attempts match.
+    ///
+    /// # Panics
+    /// When the planner contradicts itself; the process must not go on.
+    pub fn assert_invariants(&self) {
+        let mut seen = BTreeSet::new();
+        for (id, attempt) in &self.attempts {
+            assert!(seen.insert(&attempt.job), "job {} has two attempts", attempt.job);
+            let job = self.jobs.get(&attempt.job);
+            let recorded = job.and_then(|job| job.attempt.as_ref()).map(|recorded| &recorded.id);
+            assert_eq!(recorded, Some(id), "attempt {id} is not its job's");
+        }
+        for job in self.jobs.values() {
+            let is_live = matches!(job.state(), JobState::JobStarting | JobState::JobRunning);
+            assert_eq!(is_live, seen.contains(&job.id), "job {} {:?}", job.id, job.state());
+        }
+    }
+
+    /// Term under which it plans.
+    pub fn term(&self) -> Revision {
+        self.epoch.term
+    }
+
+    /// One line for operators.
+    pub fn summary(&self) -> String {
+        format!(
+            "epoch={} jobs={} attempts={}",
+            epoch::text(&self.epoch),
+            self.jobs.len(),
+            self.attempts.len()
+        )
+    }
+}
+
+fn refused(reason: &str, retry: Option<Duration>) -> JobReply {
+    let mut reply = JobReply { reason: reason.to_owned(), ..JobReply::default() };
+    reply.set_state(CallState::CallRefused);
+    reply.retry_after_ms = retry.map_or(0, millis);
+    reply
+}
--- /dev/null
+++ b/crates/entry/src/registry.rs
@@ -0,0 +1,180 @@
+//! Agents that have announced themselves.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphire_plan::fleet;
+use sapphire_wire::{Announce, Applied, Heartbeat, Load, Minion, Peer, Worker, id, peer, resource};
+
+/// Time-outs of silence after which an agent is taken as gone.
+const GONE_AFTER: u32 = 5;
+
+/// One agent, as last heard.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    /// Its address and generation.
+    pub peer: Peer,
+    /// Region it runs in.
+    pub region: String,
+    /// Availability zone it runs in.
+    pub zone: String,
+    /// Worker it guards.
+    pub worker: Option<Worker>,
+    /// Minion it guards.
+    pub minion: Option<Minion>,
+    /// Load as last told.
+    pub load: Load,
+    /// Rules and bindings in force there.
+    pub applied: Applied,
+    /// When it was last heard.
+    pub heard: Duration,
+    /// Requests sent to it since its free slots were last told.
+    pub sent_slots: u32,
+    /// Requests of this entry that it works on.
+    pub in_flight: u32,
+}
+
+impl Agent {
+    /// Slots thought to be free.
+    pub fn free_slots(&self) -> u32 {
+        self.load.free_slots.saturating_sub(self.sent_slots)
+    }
+
+    /// Notes how many slots are free, as just told.
+    pub fn told_slots(&mut self, free: u32) {
+        self.load.free_slots = free;
+        self.sent_slots = 0;
+    }
+}
+
+/// Agents by name.
+#[derive(Debug)]
+pub struct Registry {
+    silence: Duration,
+    agents: BTreeMap<id::Process, Agent>,
+}
+
+impl Registry {
+    /// Knows no agent yet.
+    pub fn new(silence: Duration) -> Self {
+        Registry { silence, agents: BTreeMap::new() }
+    }
+
+    /// Takes an announcement. Returns whether the agent, or its life, is new.
+    pub fn announce(&mut self, now: Duration, from: &Peer, announce: Announce) -> bool {
+        let known = self.agents.get(&from.name);
+        if known.is_some_and(|agent| agent.peer.generation > from.generation) {
+            return false;
+        }
+        let is_new = known.is_none_or(|agent| !peer::is_same_life(&agent.peer, from));
+        let in_flight = known.filter(|_| !is_new).map_or(0, |agent| agent.in_flight);
+        let agent = Agent {
+            peer: from.clone(),
+            region: announce.region,
+            zone: announce.zone,
+            worker: announce.worker,
+            minion: announce.minion,
+            load: announce.load.unwrap_or_default(),
+            applied: announce.applied.unwrap_or_default(),
+            heard: now,
+            sent_slots: 0,
+            in_flight,
+        };
+        self.agents.insert(from.name.clone(), agent);
+        is_new
+    }
+
+    /// Takes a heartbeat. Returns false when this life of the agent is not known.
+    ///
+    /// Guards against a paused process that returns after its successor has announced itself:
+    /// generations grow, so an older life never replaces a newer one.
+    pub fn heartbeat(&mut self, now: Duration, from: &Peer, heartbeat: &Heartbeat) -> bool {
+        let Some(agent) = self.agents.get_mut(&from.name) else { return false };
+        if !peer::is_same_life(&agent.peer, from) {
+            return agent.peer.generation > from.generation;
+        }
+        agent.heard = now;
+        agent.applied = heartbeat.applied.unwrap_or_default();
+        if let Some(load) = heartbeat.load {
+            agent.load = load;
+            agent.sent_slots = 0;
+        } else if agent.in_flight == 0 {
+            agent.sent_slots = 0;
+        }
+        true
+    }
+
+    /// One agent.
+    pub fn get(&self, name: &str) -> Option<&Agent> {
+        self.agents.get(name)
+    }
+
+    /// One agent, to change.
+    pub fn get_mut(&mut self, name: &str) -> Option<&mut Agent> {
+        self.agents.get_mut(name)
+    }
+
+    /// All agents by name.
+    pub fn agents(&self) -> &BTreeMap<id::Process, Agent> {
+        &self.agents
+    }
+
+    /// Whether an agent has been heard lately.
+    pub fn is_heard(&self, now: Duration, agent: &Agent) -> bool {
+        now.saturating_sub(agent.heard) <= self.silence
+    }
+
+    /// Whether this life of an agent is surely over or out of reach for long: another life has
+    /// announced itself, or it is not known any more.
+    pub fn is_gone(&self, peer: &Peer) -> bool {
+        self.agents.get(&peer.name).is_none_or(|agent| !peer::is_same_life(&agent.peer, peer))
+    }
+
+    /// Forgets agents that have long been silent; returns their names.
+    pub fn forget_silent(&mut self, now: Duration) -> Vec<id::Process> {
+        let limit = self.silence * GONE_AFTER;
+        let is_gone = |agent: &Agent| now.saturating_sub(agent.heard) > limit;
+        let gone: Vec<id::Process> = self
+            .agents
+            .iter()
+            .filter(|(_, agent)| is_gone(agent))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in &gone {
+            self.agents.remove(name);
+        }
+        gone
+    }
+
+    /// Agent that guards a worker.
+    pub fn agent_of_worker(&self, worker: &str) -> Option<&Agent> {
+        let guards = |agent: &&Agent| agent.worker.as_ref().is_some_and(|w| w.name == worker);
+        self.agents.values().find(guards)
+    }
+
+    /// Workers of a region, with nothing bound or taken yet; `is_drained` tells by worker, rack
+    /// and zone.
+    pub fn fleet(
+        &self,
+        now: Duration,
+        region: &str,
+        is_drained: impl Fn(&str, &str, &str) -> bool,
+    ) -> fleet::Fleet {
+        let mut fleet = fleet::Fleet::default();
+        for agent in self.agents.values().filter(|agent| agent.region == region) {
+            let Some(worker) = &agent.worker else { continue };
+            let is_open = self.is_heard(now, agent)
+                && !agent.load.draining
+                && !is_drained(&worker.name, &worker.rack, &agent.zone);
+            let entry = fleet::Worker {
+                region: agent.region.clone(),
+                zone: agent.zone.clone(),
+                rack: worker.rack.clone(),
+                capacity: resource::Amount::of_worker(worker),
+                is_open,
+                ..fleet::Worker::default()
+            };
+            fleet.workers.insert(worker.name.clone(), entry);
+        }
+        fleet
+    }
+}
