--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A message arrived.
-    Frame(envelope::Envelope),
+    Frame(Box<envelope::Envelope>),
     /// Time has passed; to be given at least once per heartbeat interval.
     Tick,
     /// The worker stopped everything an earlier life of this agent had started.
--- a/crates/agent/src/ledger.rs
+++ b/crates/agent/src/ledger.rs
@@ -126,7 +126,7 @@
             self.reply(&hold.attempt, state, reason);
             return;
         }
-        let shape = hold.shape.clone().unwrap_or_default();
+        let shape = hold.shape.unwrap_or_default();
         let need = resource::Amount::of_tasks(&shape, hold.tasks);
         if let Err(reason) = self.admit(hold, &shape, &need) {
             self.reply(&hold.attempt, HoldState::HoldRefused, &reason);
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -58,7 +58,7 @@
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         match event {
-            Event::Frame(envelope) => self.frame(now, envelope),
+            Event::Frame(envelope) => self.frame(now, *envelope),
             Event::Tick => self.tick(now),
             Event::WorkerReset => self.is_ready = true,
             Event::TaskEnded(end) => {
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A message arrived.
-    Frame(envelope::Envelope),
+    Frame(Box<envelope::Envelope>),
     /// Time has passed; to be given at least once per heartbeat interval.
     Tick,
     /// The store answered, or failed to.
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -91,7 +91,7 @@
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         match event {
-            Event::Frame(envelope) => self.frame(now, envelope),
+            Event::Frame(envelope) => self.frame(now, *envelope),
             Event::Tick => self.tick(now),
             Event::Store(operation, reply) => self.stored(now, operation, reply),
             Event::Http(caller, request) => self.http(now, caller, &request),
@@ -319,11 +319,7 @@
             frame::Body::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat),
             frame::Body::EntryBeat(beat) => self.entry_beat(now, from, beat),
             frame::Body::RulesPull(pull) => self.rules_pulled(from, pull),
-            frame::Body::Rules(rules) => {
-                if rules.ruleset.is_some_and(|ruleset| self.rulebook.offer(ruleset)) {
-                    self.rules_changed(now);
-                }
-            }
+            frame::Body::Rules(rules) => self.rules_offered(now, rules),
             frame::Body::JobCall(call) => self.job_call(now, from, call),
             frame::Body::JobReply(reply) => {
                 let mut out = Output::default();
@@ -404,6 +400,12 @@
         }
     }
 
+    fn rules_offered(&mut self, now: Duration, rules: Rules) {
+        if rules.ruleset.is_some_and(|ruleset| self.rulebook.offer(ruleset)) {
+            self.rules_changed(now);
+        }
+    }
+
     fn rules_pulled(&mut self, from: &Peer, pull: RulesPull) {
         if self.rulebook.revision() > pull.above {
             let ruleset = Some(self.rulebook.ruleset().clone());
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -333,7 +333,7 @@
             return Err(refused(reason, Some(FULL_RETRY)));
         }
         let fleet = around.registry.fleet(now, &self.options.region, |_, _, _| false);
-        let shape = job.shape.clone().unwrap_or_default();
+        let shape = job.shape.unwrap_or_default();
         if !fleet.could_hold(&shape) {
             let reason = "no set of workers here can ever hold this shape";
             let retry = fleet.workers.is_empty().then_some(FULL_RETRY);
@@ -461,7 +461,7 @@
         }
         for attempt in self.attempts.values() {
             let Some(job) = self.jobs.get(&attempt.job) else { continue };
-            let shape = job.shape.clone().unwrap_or_default();
+            let shape = job.shape.unwrap_or_default();
             for seat in attempt.seats.values().filter(|seat| seat.settled.is_none()) {
                 let tasks = seat.placement.tasks;
                 let own = attempt.is_guaranteed;
@@ -707,7 +707,7 @@
         if !may_start || self.not_before.contains_key(id) {
             return;
         }
-        let shape = job.shape.clone().unwrap_or_default();
+        let shape = job.shape.unwrap_or_default();
         let own = place::Options { avoid, ..place::Options::guaranteed(&job.organisation, &shape) };
         let other =
             place::Options { avoid, ..place::Options::borrowing(&job.organisation, &shape) };
@@ -808,7 +808,7 @@
                 attempt: id.to_owned(),
                 epoch: Some(self.epoch.clone()),
                 organisation: job.organisation.clone(),
-                shape: job.shape.clone(),
+                shape: job.shape,
                 tasks: seat.placement.tasks,
                 guaranteed: attempt.is_guaranteed,
                 lead: lead.clone(),
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -33,7 +33,7 @@
 
 /// One job.
 pub fn job(job: &Job) -> Value {
-    let shape = job.shape.clone().unwrap_or_default();
+    let shape = job.shape.unwrap_or_default();
     let attempt = job.attempt.as_ref();
     let workers: Vec<_> = attempt
         .map(|attempt| {
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -104,8 +104,8 @@
     }
     let free = worker.free();
     let mut tasks = free.accelerators / shape.accelerators;
-    if shape.processors > 0 {
-        tasks = tasks.min(free.processors / shape.processors);
+    if let Some(by_processors) = free.processors.checked_div(shape.processors) {
+        tasks = tasks.min(by_processors);
     }
     if let Some(by_memory) = free.memory_bytes.checked_div(shape.memory_bytes) {
         tasks = tasks.min(u32::try_from(by_memory).unwrap_or(u32::MAX));
--- /dev/null
+++ b/crates/sapphired/src/entry_role.rs
@@ -0,0 +1,132 @@
+//! `sapphired entry`: the entry's state machine as an actor, with its I/O.
+
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::bounded;
+use sapphire_entry::{effect::Effect, event::Event, machine, options};
+use sapphire_settings::Entry;
+use sapphire_wire::peer;
+use stakker::{CX, Stakker, actor, after, call, ret_shutdown, stop};
+
+use crate::{clock, http, logging, mesh, metrics, runtime, store};
+
+/// How often time-outs are looked at.
+const TICK: Duration = Duration::from_millis(50);
+/// How often gauges are sent and idle connections closed, in ticks.
+const SLOW_TICKS: u32 = 100;
+
+/// The actor.
+struct Role {
+    machine: machine::Machine,
+    clock: clock::Clock,
+    mesh: mesh::Mesh,
+    store: store::Store,
+    edge: http::Edge,
+    levels: logging::Levels,
+    metrics: metrics::Sender,
+    ticks: u32,
+}
+
+impl Role {
+    fn init(cx: CX![], role: Role) -> Option<Self> {
+        call!([cx], tick());
+        Some(role)
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        self.event(cx, Event::Tick);
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(SLOW_TICKS) {
+            self.mesh.close_idle();
+            self.metrics.gauge("requests.in_flight", self.machine.requests().len() as u64);
+            self.metrics.gauge("agents", self.machine.registry().agents().len() as u64);
+            let jobs = self.machine.planner().map_or(0, |planner| planner.jobs().len());
+            self.metrics.gauge("jobs", jobs as u64);
+        }
+    }
+
+    fn event(&mut self, cx: CX![], event: Event) {
+        let now = self.clock.at(cx.now());
+        for effect in self.machine.handle(now, event) {
+            self.effect(cx, effect);
+        }
+    }
+
+    fn effect(&mut self, cx: CX![], effect: Effect) {
+        match effect {
+            Effect::Send { to, envelope } => match self.mesh.send(&to.address, *envelope) {
+                mesh::Sent::Queued(bytes) => {
+                    self.metrics.count("frames.sent_bytes", i64::try_from(bytes).unwrap_or(0));
+                }
+                mesh::Sent::Dropped => self.metrics.count("frames.dropped", 1),
+            },
+            Effect::Store(operation, call) => {
+                self.metrics.count("store.calls", 1);
+                self.store.call(operation, call);
+            }
+            Effect::Answer(caller, answer) => {
+                self.metrics.count(&format!("answers.{}", answer.status), 1);
+                self.edge.answer(caller, answer);
+            }
+            Effect::Log(line) => self.levels.info(line.part, &line.text),
+            Effect::Exit => {
+                self.levels.info("member", "exits after a graceful shutdown");
+                stop!(cx);
+            }
+        }
+    }
+}
+
+/// Runs an entry until it has shut down gracefully.
+///
+/// # Errors
+/// When an address can't be listened on or a thread can't be started.
+pub fn run(settings: &Entry) -> eyre::Result<()> {
+    let levels = logging::start(&settings.logging.clone().unwrap_or_default())?;
+    let metrics =
+        metrics::Sender::new(&settings.metrics.clone().unwrap_or_default(), &settings.name)?;
+    let clock = clock::Clock::start();
+    let options = options(settings, clock);
+    let max_body = settings.limits.unwrap_or_default().body_bytes;
+    let (events, queue) = bounded(runtime::MAX_EVENTS);
+    mesh::listen(&settings.address, events.clone(), |envelope| Event::Frame(Box::new(envelope)))?;
+    let role = Role {
+        machine: machine::Machine::new(options),
+        clock,
+        mesh: mesh::Mesh::default(),
+        store: store::Store::start(&settings.store, &events)?,
+        edge: http::Edge::start(&settings.http, usize::try_from(max_body)?, &events)?,
+        levels: levels.clone(),
+        metrics,
+        ticks: 0,
+    };
+    runtime::watch_signals(events, || Event::Drain)?;
+    levels.info("member", &format!("entry={} starts http={}", settings.name, settings.http));
+    let mut stakker = Stakker::new(Instant::now());
+    let actor = actor!(stakker, Role::init(role), ret_shutdown!(stakker));
+    runtime::run(&mut stakker, &actor, &queue, |_, actor, event| call!([actor], event(event)));
+    Ok(())
+}
+
+fn options(settings: &Entry, clock: clock::Clock) -> options::Options {
+    let timing = settings.timing.unwrap_or_default();
+    let limits = settings.limits.unwrap_or_default();
+    let millis = Duration::from_millis;
+    let generation = clock.generation();
+    options::Options {
+        me: peer::new(&settings.name, &settings.address, generation),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        peers: settings.peers.clone(),
+        heartbeat: millis(timing.heartbeat_ms),
+        silence: millis(timing.silence_ms),
+        lease: millis(timing.lease_ms),
+        hold: millis(timing.hold_ms),
+        request: millis(timing.request_ms),
+        shutdown: millis(timing.shutdown_ms),
+        max_requests: limits.requests as usize,
+        max_jobs: limits.jobs as usize,
+        seed: generation,
+    }
+}
--- /dev/null
+++ b/crates/sapphired/src/metrics.rs
@@ -0,0 +1,43 @@
+//! Counters and gauges as StatsD over UDP.
+
+use std::net::UdpSocket;
+
+use cadence::{Counted as _, Gauged as _, NopMetricSink, StatsdClient, UdpMetricSink};
+use eyre::WrapErr as _;
+use sapphire_settings::Metrics;
+
+/// Prefix of all names.
+const PREFIX: &str = "sapphireline";
+
+/// Sends metrics, or drops them when the settings name no receiver.
+pub struct Sender {
+    client: StatsdClient,
+}
+
+impl Sender {
+    /// Opens a socket to the receiver, if there is one.
+    ///
+    /// # Errors
+    /// When no local socket can be opened.
+    pub fn new(settings: &Metrics, process: &str) -> eyre::Result<Self> {
+        let prefix = format!("{PREFIX}.{process}");
+        if settings.address.is_empty() {
+            return Ok(Sender { client: StatsdClient::from_sink(&prefix, NopMetricSink) });
+        }
+        let socket = UdpSocket::bind("0.0.0.0:0").wrap_err("metrics socket")?;
+        socket.set_nonblocking(true).wrap_err("metrics socket")?;
+        let sink =
+            UdpMetricSink::from(settings.address.as_str(), socket).wrap_err("metrics receiver")?;
+        Ok(Sender { client: StatsdClient::from_sink(&prefix, sink) })
+    }
+
+    /// Adds to a counter. A lost datagram is not worth an error.
+    pub fn count(&self, name: &str, by: i64) {
+        let _ = self.client.count(name, by);
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -5,10 +5,12 @@
 
 /// Messages between processes, and what the store holds.
 #[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 #[path = "generated/wire.rs"]
 pub mod wire;
 
 /// Settings of the daemon's two roles.
 #[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 #[path = "generated/settings.rs"]
 pub mod settings;
--- a/crates/settings/src/shared.rs
+++ b/crates/settings/src/shared.rs
@@ -43,11 +43,40 @@
     }
 }
 
-/// Reads `logging`.
+/// Levels of logging, most severe first.
+const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+const DEFAULT_LEVEL: &str = "info";
+
+/// Reads `logging`: a level for all parts, and one for each part that differs.
 pub(crate) fn logging(section: &mut Section<'_>) -> Logging {
-    let levels = ["error", "warn", "info", "debug", "trace"];
-    let read = |inner: &mut Section<'_>| Logging { level: inner.word("level", "info", &levels) };
-    section.optional_section("logging", read).unwrap_or(Logging { level: "info".to_owned() })
+    section.optional_section("logging", read_logging).unwrap_or_else(|| same_level(DEFAULT_LEVEL))
+}
+
+fn read_logging(section: &mut Section<'_>) -> Logging {
+    let level = section.word("level", DEFAULT_LEVEL, &LEVELS);
+    let mut part = |name| section.word(name, &level, &LEVELS);
+    Logging {
+        route: part("route"),
+        plan: part("plan"),
+        rules: part("rules"),
+        member: part("member"),
+        agent: part("agent"),
+        edge: part("edge"),
+        level,
+    }
+}
+
+fn same_level(level: &str) -> Logging {
+    let level = || level.to_owned();
+    Logging {
+        level: level(),
+        route: level(),
+        plan: level(),
+        rules: level(),
+        member: level(),
+        agent: level(),
+        edge: level(),
+    }
 }
 
 /// Reads `metrics`.
