test: entries and agents in virtual time with seeded faults

Cause: the promises need proof under kills, cuts, freezes and store outages. Change: proofs crate (fake network, store, workers; invariants asserted at each step). It found and this commit mends: a job beyond quota accepted and never run; a gang in part for longer than one lease; a waiting job not looked at again; 'cancelled before it ran' said of a job that had run; a finished gang of an unrecorded attempt forgotten after take-over.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -39,7 +39,7 @@
         let machine = Machine {
             contacts: contact::Contacts::new(now, &options.entries),
             following: following::Following::default(),
-            ledger: ledger::Ledger::new(capacity, options.lease, options.memory),
+            ledger: ledger::Ledger::new(capacity, options.term(), options.memory),
             gangs: BTreeMap::new(),
             slots: slots::Slots::new(slots, options.memory),
             applied: Applied::default(),
@@ -331,7 +331,7 @@
     }
 
     fn member_beat(&mut self, now: Duration, from: &Peer, beat: Beat) {
-        let lease = self.options.lease;
+        let lease = self.options.term();
         let Some(gang) = self.gangs.get_mut(&beat.attempt) else {
             let reason = "the lead knows no such gang".to_owned();
             let stop = Stop { attempt: beat.attempt, reason };
@@ -368,7 +368,7 @@
     }
 
     fn bar_gang(&mut self, now: Duration, attempt: &str) -> TaskState {
-        let lease = self.options.lease;
+        let lease = self.options.term();
         if let Some(gang) = self.gangs.get_mut(attempt) {
             let report = gang.report(now, lease, attempt);
             if report.state() == GangState::GangRunning {
@@ -480,7 +480,7 @@
         let attempts: Vec<id::Attempt> = self.gangs.keys().cloned().collect();
         for attempt in attempts {
             if let Some(gang) = self.gangs.get_mut(&attempt) {
-                let sends = gang.tick(now, self.options.lease);
+                let sends = gang.tick(now, self.options.term());
                 self.send_gang(&attempt, sends);
                 self.report(now, &attempt);
             }
@@ -489,7 +489,7 @@
 
     fn report(&mut self, now: Duration, attempt: &str) {
         let Some(gang) = self.gangs.get(attempt) else { return };
-        let report = gang.report(now, self.options.lease, attempt);
+        let report = gang.report(now, self.options.term(), attempt);
         if let Some(planner) = self.following.planner().cloned() {
             self.send(&planner, frame::Body::Report(report));
         }
--- a/crates/agent/src/options.rs
+++ b/crates/agent/src/options.rs
@@ -28,3 +28,13 @@
     /// How long ended attempts are remembered, so that late messages can't start them.
     pub memory: Duration,
 }
+
+impl Options {
+    /// Time for which one renewal counts, and silence after which a member is taken as lost.
+    ///
+    /// Half the lease: the first half passes until a lost member is noticed, the second until
+    /// what remains has stopped, so that a gang runs in part for one lease at most.
+    pub fn term(&self) -> Duration {
+        self.lease / 2
+    }
+}
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -126,7 +126,12 @@
         planner
     }
 
-    fn adopt(&mut self, now: Duration, job: Job) {
+    /// Takes over a job.
+    ///
+    /// Guards against an earlier planner that started a job that may repeat while the store was
+    /// out: nothing is recorded of that, so such a job is never said not to have run.
+    fn adopt(&mut self, now: Duration, mut job: Job) {
+        job.may_have_run |= job.idempotent && job.state() == JobState::JobWaiting;
         let is_live = matches!(job.state(), JobState::JobStarting | JobState::JobRunning);
         if let (true, Some(recorded)) = (is_live, &job.attempt) {
             let seat = |placement: &Placement| {
@@ -339,6 +344,11 @@
             let retry = fleet.workers.is_empty().then_some(FULL_RETRY);
             return Err(refused(reason, retry));
         }
+        let quota = around.rules.quota(name).unwrap_or(u32::MAX);
+        if queue::accelerators(job) > quota && !self.is_guaranteed(now, job, around) {
+            let reason = format!("larger than its organisation's guarantee and quota of {quota}");
+            return Err(refused(&reason, None));
+        }
         let is_waiting = |job: &&Job| job.state() == JobState::JobWaiting;
         let waiting = self.jobs.values().filter(is_waiting);
         let own = waiting.filter(|other| other.organisation == *name).count();
@@ -354,6 +364,23 @@
         Ok(())
     }
 
+    /// Whether its organisation's guarantee can hold a job.
+    fn is_guaranteed(&self, now: Duration, job: &Job, around: &Surroundings<'_>) -> bool {
+        let mut fleet = around.registry.fleet(now, &self.options.region, |_, _, _| false);
+        self.bind_fleet(&mut fleet);
+        let shape = job.shape.unwrap_or_default();
+        let options = place::Options::guaranteed(&job.organisation, &shape);
+        place::place(&fleet, &options).is_some()
+    }
+
+    fn bind_fleet(&self, fleet: &mut fleet::Fleet) {
+        for binding in &self.bindings {
+            if let Some(worker) = fleet.workers.get_mut(&binding.worker) {
+                worker.bound.insert(binding.organisation.clone(), binding.accelerators);
+            }
+        }
+    }
+
     fn get(&self, id: &str) -> JobReply {
         let jobs: Vec<Job> = self.jobs.get(id).cloned().into_iter().collect();
         let state = if jobs.is_empty() { CallState::CallNotFound } else { CallState::CallOk };
@@ -402,7 +429,8 @@
         match job.state() {
             JobState::JobWaiting => {
                 job.cancel = true;
-                self.end(now, id, JobState::JobCancelled, "cancelled before it ran", out);
+                let reason = cancelled(job.may_have_run);
+                self.end(now, id, JobState::JobCancelled, reason, out);
             }
             JobState::JobStarting | JobState::JobRunning if !job.cancel => {
                 job.cancel = true;
@@ -454,11 +482,7 @@
         let is_drained =
             |worker: &str, rack: &str, zone: &str| around.rules.is_drained(worker, rack, zone);
         let mut fleet = around.registry.fleet(now, &self.options.region, is_drained);
-        for binding in &self.bindings {
-            if let Some(worker) = fleet.workers.get_mut(&binding.worker) {
-                worker.bound.insert(binding.organisation.clone(), binding.accelerators);
-            }
-        }
+        self.bind_fleet(&mut fleet);
         for attempt in self.attempts.values() {
             let Some(job) = self.jobs.get(&attempt.job) else { continue };
             let shape = job.shape.unwrap_or_default();
@@ -544,6 +568,7 @@
         }
         let due = |until: &Duration| *until <= now;
         self.needs_schedule |= self.not_before.values().any(due);
+        self.needs_schedule |= self.avoided.values().any(due);
         self.not_before.retain(|_, until| !due(until));
         self.avoided.retain(|_, until| !due(until));
         self.pay(out);
@@ -631,10 +656,9 @@
         let Some(job) = self.jobs.get_mut(&attempt.job) else { return };
         let reason = attempt.reason.clone();
         let may_repeat = job.idempotent || fate == Fate::NotRun;
-        let was_cancelled = job.cancel;
-        let (state, reason) = match (fate, was_cancelled, may_repeat) {
-            (Fate::NotRun, true, _) => (JobState::JobCancelled, "cancelled before it ran".into()),
-            (_, true, _) => (JobState::JobCancelled, "cancelled after it had started".into()),
+        job.may_have_run |= fate != Fate::NotRun;
+        let (state, reason) = match (fate, job.cancel, may_repeat) {
+            (_, true, _) => (JobState::JobCancelled, cancelled(job.may_have_run).to_owned()),
             (_, false, true) => (JobState::JobWaiting, reason),
             (Fate::Unknown, false, false) => (JobState::JobUnknown, reason),
             (_, false, false) => (JobState::JobInterrupted, reason),
@@ -686,8 +710,9 @@
     ) {
         let Some(job) = self.jobs.get(id).cloned() else { return };
         if job.deadline_unix_ms > 0 && millis(now) >= job.deadline_unix_ms {
-            let (state, reason) = match job.attempts {
-                0 => (JobState::JobNotRun, "its deadline passed before it ran"),
+            let (state, reason) = match (job.may_have_run, job.started_unix_ms) {
+                (false, _) => (JobState::JobNotRun, "its deadline passed before it ran"),
+                (true, 0) => (JobState::JobUnknown, "its deadline passed; it may have run"),
                 _ => (JobState::JobInterrupted, "its deadline passed before it ran whole"),
             };
             self.end(now, id, state, reason, out);
@@ -884,7 +909,7 @@
     /// it, only after the outcome is kept: until then the lead's memory is the only record.
     pub fn report(&mut self, now: Duration, from: &Peer, report: &Report, out: &mut Output) {
         let Some(attempt) = self.attempts.get_mut(&report.attempt) else {
-            self.acknowledge(from, &report.attempt, out);
+            self.unknown_report(now, from, report, out);
             return;
         };
         let job = attempt.job.clone();
@@ -910,6 +935,25 @@
         }
     }
 
+    /// A lead speaks of an attempt that is not under way here: one whose end is known, or one
+    /// that an earlier planner started while the store was out.
+    fn unknown_report(&mut self, now: Duration, from: &Peer, report: &Report, out: &mut Output) {
+        let id = report.attempt.split('/').next().unwrap_or_default().to_owned();
+        let is_done = report.state() == GangState::GangDone;
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.state() == JobState::JobWaiting
+            && job.idempotent
+        {
+            job.may_have_run = true;
+            let attempt = report.attempt.clone();
+            job.attempt = Some(sapphire_wire::Attempt { id: attempt, ..Default::default() });
+            if is_done {
+                self.end(now, &id, JobState::JobDone, "", out);
+            }
+        }
+        self.acknowledge(from, &report.attempt, out);
+    }
+
     fn acknowledge(&self, from: &Peer, attempt: &str, out: &mut Output) {
         let job = attempt.split('/').next().unwrap_or_default();
         let change = self.job_changes.get(job).copied().unwrap_or(0);
@@ -922,6 +966,7 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.state() != JobState::JobRunning {
             job.set_state(JobState::JobRunning);
+            job.may_have_run = true;
             job.started_unix_ms = millis(now);
             out.log(PART, format!("job={id} state=running attempt={attempt}"));
             self.touch(id);
@@ -933,6 +978,7 @@
         let Some(attempt) = self.attempts.remove(id) else { return };
         let Some(job) = self.jobs.get_mut(&attempt.job) else { return };
         job.exit_code = report.exit_code;
+        job.may_have_run = true;
         let is_failure = report.state() == GangState::GangFailed;
         out.log(
             PART,
@@ -942,8 +988,7 @@
             ),
         );
         if job.cancel {
-            let reason = "cancelled after it had started";
-            self.end(now, &attempt.job, JobState::JobCancelled, reason, out);
+            self.end(now, &attempt.job, JobState::JobCancelled, cancelled(true), out);
         } else if job.idempotent {
             if let Some(seat) = attempt.seats.get(&report.culprit) {
                 self.avoided.insert(seat.worker.clone(), now + CULPRIT_BACKOFF);
@@ -1002,6 +1047,10 @@
     }
 }
 
+fn cancelled(may_have_run: bool) -> &'static str {
+    if may_have_run { "cancelled; some of it may have run" } else { "cancelled before it ran" }
+}
+
 fn refused(reason: &str, retry: Option<Duration>) -> JobReply {
     let mut reply = JobReply { reason: reason.to_owned(), ..JobReply::default() };
     reply.set_state(CallState::CallRefused);
--- /dev/null
+++ b/crates/proofs/examples/long.rs
@@ -0,0 +1,34 @@
+//! Long randomised runs: `cargo run --release --package sapphire-proofs --example long`.
+
+use std::time::{Duration, Instant};
+
+use sapphire_proofs::chaos;
+
+/// Runs seeds one after the other and prints what was done. Ends at the first fault found.
+#[derive(argh::FromArgs)]
+struct Args {
+    /// first seed
+    #[argh(option, default = "1")]
+    first: u64,
+    /// how many seeds
+    #[argh(option, default = "100")]
+    seeds: u64,
+    /// seconds of virtual time under faults, for each seed
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// print the story of a seed that fails
+    #[argh(switch)]
+    story: bool,
+}
+
+fn main() {
+    let args: Args = argh::from_env();
+    let begin = Instant::now();
+    let mut total = chaos::Outcome::default();
+    for seed in args.first..args.first + args.seeds {
+        eprintln!("seed {seed}");
+        total.add(&chaos::run(seed, Duration::from_secs(args.seconds), args.story));
+    }
+    println!("seeds {} in {:.1?}", args.seeds, begin.elapsed());
+    println!("{total:#?}");
+}
--- /dev/null
+++ b/crates/proofs/tests/proofs.rs
@@ -0,0 +1,3 @@
+//! What must hold, under faults, in virtual time.
+
+mod runs;
