fix: a finished gang that no record names still ends its job

Change: jobs that may repeat are never said not to have run after a take-over; a lead's 'done' for an unrecorded attempt ends the job.

--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -131,7 +131,7 @@
     /// Guards against an earlier planner that started a job that may repeat while the store was
     /// out: nothing is recorded of that, so such a job is never said not to have run.
     fn adopt(&mut self, now: Duration, mut job: Job) {
-        job.may_have_run |= job.idempotent && job.state() == JobState::JobWaiting;
+        job.may_have_run |= job.idempotent && !view::is_ended(job.state());
         let is_live = matches!(job.state(), JobState::JobStarting | JobState::JobRunning);
         if let (true, Some(recorded)) = (is_live, &job.attempt) {
             let seat = |placement: &Placement| {
@@ -941,19 +941,36 @@
         let id = report.attempt.split('/').next().unwrap_or_default().to_owned();
         let is_done = report.state() == GangState::GangDone;
         if let Some(job) = self.jobs.get_mut(&id)
-            && job.state() == JobState::JobWaiting
+            && !view::is_ended(job.state())
             && job.idempotent
         {
             job.may_have_run = true;
-            let attempt = report.attempt.clone();
-            job.attempt = Some(sapphire_wire::Attempt { id: attempt, ..Default::default() });
             if is_done {
-                self.end(now, &id, JobState::JobDone, "", out);
+                self.drop_attempts(&id, out);
+                self.done_elsewhere(now, &id, &report.attempt, out);
             }
         }
         self.acknowledge(from, &report.attempt, out);
     }
 
+    fn done_elsewhere(&mut self, now: Duration, id: &str, attempt: &str, out: &mut Output) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            let id = attempt.to_owned();
+            job.attempt = Some(sapphire_wire::Attempt { id, ..Default::default() });
+        }
+        self.end(now, id, JobState::JobDone, "", out);
+    }
+
+    /// Bars what is under way for a job that has ended by another attempt.
+    fn drop_attempts(&mut self, job: &str, out: &mut Output) {
+        let own = self.attempts.iter().filter(|(_, attempt)| attempt.job == job);
+        let own: Vec<id::Attempt> = own.map(|(id, _)| id.clone()).collect();
+        for id in own {
+            self.send_bars(&id, out);
+            self.attempts.remove(&id);
+        }
+    }
+
     fn acknowledge(&self, from: &Peer, attempt: &str, out: &mut Output) {
         let job = attempt.split('/').next().unwrap_or_default();
         let change = self.job_changes.get(job).copied().unwrap_or(0);
