--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -54,6 +54,8 @@
     planner: Option<planner::Planner>,
     /// Term of a planner key held whose cell is being read.
     taking_over: Option<u64>,
+    /// Take-overs by this process so far.
+    takings: u64,
     operations: BTreeMap<Operation, (Purpose, Duration)>,
     next_operation: Operation,
     next_beat: Duration,
@@ -78,6 +80,7 @@
             holder: lease::Holder::new(&key, Bytes::from(holder_value), options.lease),
             planner: None,
             taking_over: None,
+            takings: 0,
             operations: BTreeMap::new(),
             next_operation: 1,
             next_beat: Duration::ZERO,
@@ -258,8 +261,9 @@
     }
 
     fn take_over(&mut self, now: Duration, term: u64, value: &Value) {
+        self.takings += 1;
         let epoch = Epoch { term, takeover: 0, holder: self.options.me.name.clone() };
-        let planner = planner::Planner::new(now, &self.options, epoch, value);
+        let planner = planner::Planner::new(now, &self.options, epoch, self.takings, value);
         self.log(MEMBER, format!("plans region={} {}", self.options.region, planner.summary()));
         self.planner = Some(planner);
         self.tick_planner(now);
@@ -272,11 +276,24 @@
         let standing = planner.written(now, reply, &mut out);
         self.flush(now, out);
         match standing {
-            planner::Standing::Deposed => self.step_down("another planner wrote the cell"),
+            planner::Standing::Deposed(term) => self.deposed(now, term),
             planner::Standing::Planner => self.tick_planner(now),
         }
     }
 
+    /// Another planner wrote the cell.
+    ///
+    /// Guards against an earlier planner whose last write arrives after this one has read the
+    /// cell: with the key still held and the other's term below, the cell is read again. To step
+    /// down would leave the key held and the cell without a planner.
+    fn deposed(&mut self, now: Duration, other: u64) {
+        self.step_down("another planner wrote the cell");
+        if let Some(own) = self.holder.last_term().filter(|own| *own > other) {
+            self.taking_over = Some(own);
+            self.read_cell(now);
+        }
+    }
+
     fn step_down(&mut self, reason: &str) {
         if self.planner.take().is_some() || self.taking_over.take().is_some() {
             self.log(MEMBER, format!("stops planning reason=\"{reason}\""));
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -58,8 +58,8 @@
 pub enum Standing {
     /// It plans the cell.
     Planner,
-    /// Another planner has written the cell.
-    Deposed,
+    /// Another planner has written the cell; its term.
+    Deposed(Revision),
 }
 
 /// A reply that waits until a change is kept.
@@ -98,9 +98,17 @@
 impl Planner {
     /// Takes over a cell as the store holds it. The first write carries the new epoch, so that
     /// an earlier planner's next write meets a conflict and it learns that it was replaced.
-    pub fn new(now: Duration, options: &options::Options, epoch: Epoch, cell: &Value) -> Self {
+    ///
+    /// `taking` numbers the take-overs of this process, so that write identifiers stay unique.
+    pub fn new(
+        now: Duration,
+        options: &options::Options,
+        epoch: Epoch,
+        taking: u64,
+        cell: &Value,
+    ) -> Self {
         let stored = Cell::decode(cell.bytes.clone()).unwrap_or_default();
-        let prefix = format!("{}-{:x}-{}", options.me.name, options.me.generation, epoch.term);
+        let prefix = format!("{}-{:x}-{taking}", options.me.name, options.me.generation);
         let mut planner = Planner {
             options: options.clone(),
             epoch,
@@ -218,7 +226,10 @@
             Cell::decode(value.bytes.clone()).map(|cell| cell.write).unwrap_or_default()
         };
         match self.writer.reply(now, reply, write_of) {
-            writer::Outcome::Lost(_) => return Standing::Deposed,
+            writer::Outcome::Lost(value) => {
+                let cell = Cell::decode(value.bytes).unwrap_or_default();
+                return Standing::Deposed(cell.epoch.unwrap_or_default().term);
+            }
             writer::Outcome::Retry => out.log(PART, "store write got no answer".to_owned()),
             writer::Outcome::Written(_) => {}
         }
