fix: requests no longer stall when slots fill; a short queue at the agent

Cause: with 16 connections through went to 52 requests a second: a refusal by the only minion barred it for that request, which then stood at the head of the queue; free slots were thought free anew with each answer.

--- a/crates/agent/src/contact.rs
+++ b/crates/agent/src/contact.rs
@@ -12,6 +12,8 @@
 pub struct Contact {
     /// Entry; generation 0 until it has been heard.
     pub peer: Peer,
+    /// Its region; empty until it has been heard.
+    pub region: String,
     /// When it was last heard.
     pub heard: Duration,
     /// It asked for an announcement, or was never sent one.
@@ -37,15 +39,17 @@
 
     /// Adds an entry that another process named.
     pub fn learn(&mut self, now: Duration, peer: &Peer) {
-        let contact = Contact { peer: peer.clone(), heard: now, wants_announcement: true };
+        let region = String::new();
+        let contact = Contact { peer: peer.clone(), region, heard: now, wants_announcement: true };
         self.known.entry(peer.address.clone()).or_insert(contact);
     }
 
     /// Notes a message of an entry. An entry in a new life knows nothing of this agent.
-    pub fn hear(&mut self, now: Duration, peer: &Peer) {
+    pub fn hear(&mut self, now: Duration, peer: &Peer, region: &str) {
         self.learn(now, peer);
         if let Some(contact) = self.known.get_mut(&peer.address) {
             contact.heard = now;
+            contact.region = region.to_owned();
             contact.wants_announcement |= !peer::is_same_life(&contact.peer, peer);
             contact.peer = peer.clone();
         }
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -12,6 +12,10 @@
     contact, effect, effect::Effect, event::Event, following, gang, ledger, member, options, slots,
 };
 
+/// An entry of another region gets one heartbeat in so many: traffic between regions is paid
+/// for by volume.
+pub const FAR_HEARTBEAT: u64 = 4;
+
 /// One agent.
 pub struct Machine {
     options: options::Options,
@@ -25,6 +29,8 @@
     is_ready: bool,
     is_draining: bool,
     next_tick: Duration,
+    /// Heartbeats sent so far.
+    beats: u64,
     /// Messages to itself: the lead is a member of its own gang.
     local: Vec<frame::Body>,
     effects: Vec<Effect>,
@@ -47,6 +53,7 @@
             is_ready: options.worker.is_none(),
             is_draining: false,
             next_tick: now,
+            beats: 0,
             local: Vec::new(),
             effects: Vec::new(),
             options,
@@ -241,7 +248,7 @@
     }
 
     fn welcome(&mut self, now: Duration, from: &Peer, welcome: Welcome) {
-        self.contacts.hear(now, from);
+        self.contacts.hear(now, from, &welcome.region);
         for entry in &welcome.entries {
             self.contacts.learn(now, entry);
         }
@@ -382,31 +389,30 @@
     }
 
     fn request(&mut self, now: Duration, from: &Peer, request: Request) {
-        match self.slots.take(now, &request.attempt, from) {
-            slots::Decision::Taken => {
-                let call = effect::Call {
-                    attempt: request.attempt.clone(),
-                    method: request.method,
-                    path: request.path,
-                    headers: request.headers,
-                    body: request.body,
-                    left: Duration::from_millis(request.left_ms),
-                };
-                self.effects.push(Effect::AskMinion(call));
-            }
-            slots::Decision::Repeated => {}
+        let attempt = request.attempt.clone();
+        match self.slots.take(now, request, from) {
+            slots::Decision::Taken(request) => self.ask_minion(request),
+            slots::Decision::Nothing => {}
             slots::Decision::Refused(reason) => {
-                let answer = Answer {
-                    attempt: request.attempt,
-                    reason,
-                    free_slots: self.slots.free(),
-                    ..Answer::default()
-                };
+                let free_slots = self.slots.free();
+                let answer = Answer { attempt, reason, free_slots, ..Answer::default() };
                 self.send(from, frame::Body::Answer(answer));
             }
         }
     }
 
+    fn ask_minion(&mut self, request: Request) {
+        let call = effect::Call {
+            attempt: request.attempt,
+            method: request.method,
+            path: request.path,
+            headers: request.headers,
+            body: request.body,
+            left: Duration::from_millis(request.left_ms),
+        };
+        self.effects.push(Effect::AskMinion(call));
+    }
+
     fn minion_answered(&mut self, now: Duration, response: effect::Response) {
         let Some(caller) = self.slots.release(now, &response.attempt) else { return };
         let mut answer = Answer { attempt: response.attempt, ..Answer::default() };
@@ -424,6 +430,9 @@
                 answer.reason = failure.reason;
             }
         }
+        while let Some(request) = self.slots.next(now) {
+            self.ask_minion(request);
+        }
         answer.free_slots = self.slots.free();
         self.send(&caller, frame::Body::Answer(answer));
     }
@@ -456,7 +465,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.ledger.live().is_empty() && self.gangs.is_empty() && self.slots.running() == 0
+        self.ledger.live().is_empty() && self.gangs.is_empty() && self.slots.busy() == 0
     }
 
     fn beat_members(&mut self, now: Duration) {
@@ -511,9 +520,17 @@
             applied: Some(self.applied),
         };
         let mut sends = Vec::new();
+        self.beats += 1;
         for contact in self.contacts.iter_mut() {
+            let is_far = !contact.region.is_empty() && contact.region != self.options.region;
+            if is_far && !self.beats.is_multiple_of(FAR_HEARTBEAT) {
+                continue;
+            }
             let body = if std::mem::take(&mut contact.wants_announcement) {
                 frame::Body::Announce(announce.clone())
+            } else if is_far {
+                // It missed the heartbeats before this one, and what changed with them.
+                frame::Body::Heartbeat(Heartbeat { load: Some(load), ..heartbeat })
             } else {
                 frame::Body::Heartbeat(heartbeat)
             };
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -72,7 +72,7 @@
         let key = format!("planner/{}", options.region);
         Machine {
             rng: Pcg64::seed_from_u64(options.seed),
-            registry: registry::Registry::new(options.silence),
+            registry: registry::Registry::new(options.silence, &options.region),
             peers: peers::Peers::new(me, &options.peers, options.silence),
             rulebook: rulebook::Rulebook::default(),
             requests: requests::Requests::new(&options),
@@ -93,6 +93,7 @@
 
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.registry.begin(now);
         match event {
             Event::Frame(envelope) => self.frame(now, *envelope),
             Event::Tick => self.tick(now),
@@ -400,7 +401,8 @@
         let agent = self.registry.get(&from.name);
         let is_own_cell = agent.is_some_and(|agent| agent.region == self.options.region);
         let epoch = self.planner.as_ref().filter(|_| is_own_cell).map(|p| p.epoch().clone());
-        let welcome = Welcome { announce_again, entries, planner: epoch };
+        let region = self.options.region.clone();
+        let welcome = Welcome { announce_again, entries, planner: epoch, region };
         self.send(from, frame::Body::Welcome(welcome));
         let agent = agent_of(&self.registry, &from.name);
         if let Some(agent) = agent {
@@ -661,7 +663,7 @@
     fn look(&self, now: Duration, call: &api::Call) -> Answer {
         match call {
             api::Call::Health => Answer::json(200, &json!({ "alive": true })),
-            api::Call::Ready => self.ready(),
+            api::Call::Ready => self.ready(now),
             api::Call::Rules => {
                 let ruleset = self.rulebook.ruleset();
                 Answer::json(
@@ -691,11 +693,13 @@
         }
     }
 
-    fn ready(&self) -> Answer {
+    fn ready(&self, now: Duration) -> Answer {
         let reason = if self.draining_since.is_some() {
             Some("draining")
         } else if !self.rulebook.is_known() {
             Some("the rules are not known yet")
+        } else if !self.registry.is_warm(now) {
+            Some("agents have not had time to announce themselves")
         } else {
             None
         };
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -8,6 +8,9 @@
 /// Time-outs of silence after which an agent is taken as gone.
 const GONE_AFTER: u32 = 5;
 
+/// Heartbeats of agents of other regions come at a quarter of the rate.
+const FAR_PATIENCE: u32 = 4;
+
 /// One agent, as last heard.
 #[derive(Clone, Debug)]
 pub struct Agent {
@@ -27,22 +30,34 @@
     pub applied: Applied,
     /// When it was last heard.
     pub heard: Duration,
-    /// Requests sent to it since its free slots were last told.
-    pub sent_slots: u32,
+    /// Slots that requests of other entries take, as last told.
+    pub others: u32,
     /// Requests of this entry that it works on.
     pub in_flight: u32,
 }
 
 impl Agent {
+    fn places(&self) -> u32 {
+        self.minion.as_ref().map_or(0, |minion| minion.slots + minion.waiting)
+    }
+
+    /// Slots and places to wait for one that are thought to be free.
+    pub fn free_places(&self) -> u32 {
+        self.places().saturating_sub(self.in_flight).saturating_sub(self.others)
+    }
+
     /// Slots thought to be free.
     pub fn free_slots(&self) -> u32 {
-        self.load.free_slots.saturating_sub(self.sent_slots)
+        let waiting = self.minion.as_ref().map_or(0, |minion| minion.waiting);
+        self.free_places().saturating_sub(waiting)
     }
 
-    /// Notes how many slots are free, as just told.
-    pub fn told_slots(&mut self, free: u32) {
+    /// Notes how many places are free, as just told. What is taken beyond this entry's own
+    /// requests is others'; those of its own that are still on their way stay counted.
+    pub fn told_places(&mut self, free: u32) {
         self.load.free_slots = free;
-        self.sent_slots = 0;
+        let taken = self.places().saturating_sub(free);
+        self.others = taken.saturating_sub(self.in_flight);
     }
 }
 
@@ -50,13 +65,30 @@
 #[derive(Debug)]
 pub struct Registry {
     silence: Duration,
+    region: String,
+    began: Option<Duration>,
     agents: BTreeMap<id::Process, Agent>,
 }
 
 impl Registry {
     /// Knows no agent yet.
-    pub fn new(silence: Duration) -> Self {
-        Registry { silence, agents: BTreeMap::new() }
+    pub fn new(silence: Duration, region: &str) -> Self {
+        Registry { silence, region: region.to_owned(), began: None, agents: BTreeMap::new() }
+    }
+
+    /// Notes that time has begun.
+    pub fn begin(&mut self, now: Duration) {
+        self.began.get_or_insert(now);
+    }
+
+    /// Whether every agent that lives has had time to announce itself.
+    pub fn is_warm(&self, now: Duration) -> bool {
+        self.began.is_some_and(|began| now.saturating_sub(began) >= self.silence)
+    }
+
+    /// Silence after which an agent is suspected; those of other regions speak less often.
+    fn patience(&self, agent: &Agent) -> Duration {
+        if agent.region == self.region { self.silence } else { self.silence * FAR_PATIENCE }
     }
 
     /// Takes an announcement. Returns whether the agent, or its life, is new.
@@ -76,7 +108,7 @@
             load: announce.load.unwrap_or_default(),
             applied: announce.applied.unwrap_or_default(),
             heard: now,
-            sent_slots: 0,
+            others: 0,
             in_flight,
         };
         self.agents.insert(from.name.clone(), agent);
@@ -96,10 +128,8 @@
         agent.applied = heartbeat.applied.unwrap_or_default();
         if let Some(load) = heartbeat.load {
             agent.load = load;
-            agent.sent_slots = 0;
-        } else if agent.in_flight == 0 {
-            agent.sent_slots = 0;
         }
+        agent.told_places(agent.load.free_slots);
         true
     }
 
@@ -120,7 +150,7 @@
 
     /// Whether an agent has been heard lately.
     pub fn is_heard(&self, now: Duration, agent: &Agent) -> bool {
-        now.saturating_sub(agent.heard) <= self.silence
+        now.saturating_sub(agent.heard) <= self.patience(agent)
     }
 
     /// Whether this life of an agent is surely over or out of reach for long: another life has
@@ -131,8 +161,8 @@
 
     /// Forgets agents that have long been silent; returns their names.
     pub fn forget_silent(&mut self, now: Duration) -> Vec<id::Process> {
-        let limit = self.silence * GONE_AFTER;
-        let is_gone = |agent: &Agent| now.saturating_sub(agent.heard) > limit;
+        let is_gone =
+            |agent: &Agent| now.saturating_sub(agent.heard) > self.patience(agent) * GONE_AFTER;
         let gone: Vec<id::Process> = self
             .agents
             .iter()
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -105,8 +105,7 @@
             .filter_map(|agent| agent.minion.as_ref().map(|minion| minion.slots))
             .sum();
         if slots == 0 {
-            let reason = format!("no minion has announced the service `{}`", call.name);
-            out.answer(caller, answer::Answer::failure(404, Account::NotRun, &reason));
+            out.answer(caller, unknown_service(&call.name, registry.is_warm(now)));
             return;
         }
         let most_queued = slots as usize * QUEUE_PER_SLOT;
@@ -138,18 +137,24 @@
             agent.minion.as_ref().is_some_and(|minion| minion.service == pending.call.name)
         };
         let is_open = |agent: &&registry::Agent| {
-            registry.is_heard(now, agent)
-                && !agent.load.draining
-                && !pending.refused_by.contains(&agent.peer.name)
+            registry.is_heard(now, agent) && !agent.load.draining && agent.free_places() > 0
         };
-        let agents = registry.agents().values().filter(serves).filter(is_open);
-        agents
-            .map(|agent| Candidate {
-                agent: agent.peer.name.clone(),
-                free_slots: agent.free_slots(),
-                distance: self.distance(agent),
-            })
-            .collect()
+        let open: Vec<&registry::Agent> =
+            registry.agents().values().filter(serves).filter(is_open).collect();
+        let is_other = |agent: &&&registry::Agent| !pending.refused_by.contains(&agent.peer.name);
+        let others: Vec<&registry::Agent> = open.iter().filter(is_other).copied().collect();
+        // One that refused is asked again only when no other is open.
+        let wanted = if others.is_empty() { open } else { others };
+        wanted.into_iter().map(|agent| self.candidate(agent)).collect()
+    }
+
+    fn candidate(&self, agent: &registry::Agent) -> Candidate {
+        Candidate {
+            agent: agent.peer.name.clone(),
+            free_slots: agent.free_slots(),
+            free_places: agent.free_places(),
+            distance: self.distance(agent),
+        }
     }
 
     fn distance(&self, agent: &registry::Agent) -> Distance {
@@ -175,7 +180,6 @@
         let candidates = self.candidates(now, pending, registry);
         let Some(choice) = choose::choose(&candidates, rng) else { return false };
         let Some(agent) = registry.get_mut(&choice.agent) else { return false };
-        agent.sent_slots += 1;
         agent.in_flight += 1;
         let peer = agent.peer.clone();
         let Some(pending) = self.pending.get_mut(attempt) else { return true };
@@ -214,9 +218,22 @@
         rng: &mut Pcg64,
         out: &mut Output,
     ) {
+        let free = answer.free_slots;
+        self.take_answer(now, from, answer, registry, out);
         if let Some(agent) = registry.get_mut(&from.name) {
-            agent.told_slots(answer.free_slots);
+            agent.told_places(free);
         }
+        self.drain_queue(now, registry, rng, out);
+    }
+
+    fn take_answer(
+        &mut self,
+        now: Duration,
+        from: &Peer,
+        answer: Answer,
+        registry: &mut registry::Registry,
+        out: &mut Output,
+    ) {
         let Some(pending) = self.pending.get(&answer.attempt) else { return };
         if !matches!(&pending.stage, Stage::Sent { agent, .. } if agent.name == from.name) {
             return;
@@ -239,7 +256,6 @@
                 self.retry(now, &answer.attempt, account, &answer.reason, registry, out);
             }
         }
-        self.drain_queue(now, registry, rng, out);
     }
 
     /// Queues a request for another agent, within its deadline and the retry budget.
@@ -289,6 +305,7 @@
         out.answer(pending.caller, answer.with(answer::ATTEMPT, attempt));
     }
 
+    /// Sends what is queued, in order, as far as places are free.
     fn drain_queue(
         &mut self,
         now: Duration,
@@ -296,10 +313,16 @@
         rng: &mut Pcg64,
         out: &mut Output,
     ) {
-        while let Some(attempt) = self.queue.pop_front() {
-            if !self.send(now, &attempt, registry, rng, out) {
-                self.queue.push_front(attempt);
-                return;
+        let mut full: Vec<String> = Vec::new();
+        for _ in 0..self.queue.len() {
+            let Some(attempt) = self.queue.pop_front() else { return };
+            let Some(pending) = self.pending.get(&attempt) else { continue };
+            let service = pending.call.name.clone();
+            if full.contains(&service) {
+                self.queue.push_back(attempt);
+            } else if !self.send(now, &attempt, registry, rng, out) {
+                full.push(service);
+                self.queue.push_back(attempt);
             }
         }
     }
@@ -411,6 +434,12 @@
     }
 }
 
+/// An entry that has just started has not heard every agent yet: the caller may come back.
+fn unknown_service(name: &str, is_warm: bool) -> answer::Answer {
+    let reason = format!("no minion has announced the service `{name}`");
+    if is_warm { answer::Answer::failure(404, Account::NotRun, &reason) } else { shed(&reason) }
+}
+
 fn shed(reason: &str) -> answer::Answer {
     answer::Answer::failure(503, Account::NotRun, reason).retry_after(SHED_RETRY)
 }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -10,6 +10,8 @@
     pub agent: id::Process,
     /// Slots thought to be free.
     pub free_slots: u32,
+    /// Slots and places to wait for one that are thought to be free.
+    pub free_places: u32,
     /// How far away it is.
     pub distance: Distance,
 }
@@ -36,26 +38,31 @@
     pub runner_up: id::Process,
 }
 
-/// Chooses among minions with free slots: the nearest distance that has any, and of two taken
-/// at random there the one with more free slots.
+/// Chooses among minions with free places, and of two taken at random among the best the one
+/// with more free places. Best is: a free slot in the region, near first; then a place to wait
+/// in the region, near first; then another region.
 pub fn choose(candidates: &[Candidate], rng: &mut impl Rng) -> Option<Outcome> {
-    let open = || candidates.iter().filter(|candidate| candidate.free_slots > 0);
-    let nearest = open().map(|candidate| candidate.distance).min()?;
-    let near: Vec<&Candidate> = open().filter(|c| c.distance == nearest).collect();
-    let first = rng.random_range(0..near.len());
-    let mut second = rng.random_range(0..near.len());
+    let rank = |candidate: &Candidate| {
+        let is_far = candidate.distance == Distance::Far;
+        (is_far, candidate.free_slots == 0, candidate.distance)
+    };
+    let open = || candidates.iter().filter(|candidate| candidate.free_places > 0);
+    let best = open().map(rank).min()?;
+    let best: Vec<&Candidate> = open().filter(|candidate| rank(candidate) == best).collect();
+    let first = rng.random_range(0..best.len());
+    let mut second = rng.random_range(0..best.len());
     if second == first {
-        second = (first + 1) % near.len();
+        second = (first + 1) % best.len();
     }
-    let (best, other) = if near[first].free_slots >= near[second].free_slots {
-        (near[first], near[second])
+    let (chosen, other) = if best[first].free_places >= best[second].free_places {
+        (best[first], best[second])
     } else {
-        (near[second], near[first])
+        (best[second], best[first])
     };
-    let has_other = best.agent != other.agent;
+    let has_other = chosen.agent != other.agent;
     Some(Outcome {
-        agent: best.agent.clone(),
-        free_slots: best.free_slots,
+        agent: chosen.agent.clone(),
+        free_slots: chosen.free_slots,
         runner_up: if has_other { other.agent.clone() } else { String::new() },
     })
 }
--- a/crates/sapphired/src/agent_role.rs
+++ b/crates/sapphired/src/agent_role.rs
@@ -149,6 +149,7 @@
         name: own.name.clone(),
         service: own.service.clone(),
         slots: own.slots,
+        waiting: own.slots,
     });
     options::Options {
         me: peer::new(&settings.name, &settings.address, clock.generation()),
--- a/crates/sapphired/src/mesh.rs
+++ b/crates/sapphired/src/mesh.rs
@@ -21,7 +21,7 @@
 /// Messages kept for a peer that is not connected.
 const SEND_BUFFER: i32 = 512;
 const RECONNECT_MIN: Duration = Duration::from_millis(20);
-const RECONNECT_MAX: Duration = Duration::from_millis(500);
+const RECONNECT_MAX: Duration = Duration::from_secs(1);
 /// A peer not spoken to for this long is disconnected.
 const IDLE: Duration = Duration::from_secs(60);
 
