--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -222,7 +222,7 @@
     fn body(&mut self, now: Duration, from: &Peer, body: frame::Body) {
         match body {
             frame::Body::Welcome(welcome) => self.welcome(now, from, welcome),
-            frame::Body::Slice(slice) => self.slice(now, from, slice),
+            frame::Body::Slice(slice) => self.slice(from, slice),
             frame::Body::Hold(hold) => self.hold(now, from, hold),
             frame::Body::Decide(decide) => self.decide(now, from, decide),
             frame::Body::Lease(lease) => self.lease(now, from, lease),
@@ -237,10 +237,10 @@
         }
     }
 
-    fn obeys(&mut self, now: Duration, from: &Peer, epoch: Option<&Epoch>) -> bool {
+    fn obeys(&mut self, from: &Peer, epoch: Option<&Epoch>) -> bool {
         let Some(epoch) = epoch else { return false };
         let is_new = self.following.epoch() != Some(epoch);
-        let obeys = self.following.obeys(now, self.options.silence, from, epoch);
+        let obeys = self.following.obeys(from, epoch);
         if obeys && is_new {
             self.log(format!("follows planner={} epoch={}", from.name, epoch::text(epoch)));
         }
@@ -256,13 +256,13 @@
             self.contacts.want(&from.address);
         }
         if let Some(epoch) = &welcome.planner {
-            self.obeys(now, from, Some(epoch));
+            self.obeys(from, Some(epoch));
         }
     }
 
     /// Puts the worker's part of the rules in force; never an older one than it has.
-    fn slice(&mut self, now: Duration, from: &Peer, slice: Slice) {
-        if !self.obeys(now, from, slice.epoch.as_ref()) {
+    fn slice(&mut self, from: &Peer, slice: Slice) {
+        if !self.obeys(from, slice.epoch.as_ref()) {
             return;
         }
         let Some(applied) = slice.applied else { return };
@@ -276,11 +276,11 @@
         }
         self.applied = applied;
         self.log(format!("in force rules={} bindings={}", applied.rules, applied.bindings));
-        self.heartbeat(now);
+        self.heartbeat();
     }
 
     fn hold(&mut self, now: Duration, from: &Peer, hold: sapphire_wire::Hold) {
-        if !self.obeys(now, from, hold.epoch.as_ref()) {
+        if !self.obeys(from, hold.epoch.as_ref()) {
             let mut reply = HoldReply { attempt: hold.attempt, ..HoldReply::default() };
             reply.reason = "another planner is followed here".to_owned();
             self.send(from, frame::Body::HoldReply(reply));
@@ -291,8 +291,7 @@
 
     /// Records the decision to run a gang, if this agent still holds its own part of it.
     fn decide(&mut self, now: Duration, from: &Peer, decide: Decide) {
-        if !self.obeys(now, from, decide.epoch.as_ref()) || self.gangs.contains_key(&decide.attempt)
-        {
+        if !self.obeys(from, decide.epoch.as_ref()) || self.gangs.contains_key(&decide.attempt) {
             return;
         }
         let phase = self.ledger.members().get(&decide.attempt).map(|member| &member.phase);
@@ -366,7 +365,7 @@
     fn bar(&mut self, now: Duration, from: &Peer, bar: Bar) {
         let state = match &bar.epoch {
             None => self.slots.bar(now, &bar.attempt),
-            Some(_) if !self.obeys(now, from, bar.epoch.as_ref()) => return,
+            Some(_) if !self.obeys(from, bar.epoch.as_ref()) => return,
             Some(_) => self.bar_gang(now, &bar.attempt),
         };
         let mut reply = BarReply { attempt: bar.attempt, ..BarReply::default() };
@@ -456,7 +455,7 @@
         self.beat_members(now);
         self.tick_gangs(now);
         if self.is_ready {
-            self.heartbeat(now);
+            self.heartbeat();
         }
         self.contacts.forget_silent(now, self.options.silence);
         if self.is_draining && self.is_idle() {
@@ -505,12 +504,11 @@
     }
 
     /// Tells every entry what changed; announces to those that don't know this life.
-    fn heartbeat(&mut self, now: Duration) {
+    fn heartbeat(&mut self) {
         let load = self.load();
         let delta = (load != self.told).then_some(load);
         self.told = load;
-        let planner_silent = self.following.is_silent(now, self.options.silence);
-        let heartbeat = Heartbeat { load: delta, applied: Some(self.applied), planner_silent };
+        let heartbeat = Heartbeat { load: delta, applied: Some(self.applied) };
         let announce = Announce {
             region: self.options.region.clone(),
             zone: self.options.zone.clone(),
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -263,7 +263,7 @@
 
     fn take_over(&mut self, now: Duration, term: u64, value: &Value) {
         self.takings += 1;
-        let epoch = Epoch { term, takeover: 0, holder: self.options.me.name.clone() };
+        let epoch = Epoch { term, holder: self.options.me.name.clone() };
         let planner = planner::Planner::new(now, &self.options, epoch, self.takings, value);
         self.log(MEMBER, format!("plans region={} {}", self.options.region, planner.summary()));
         self.planner = Some(planner);
--- a/crates/wire/src/epoch.rs
+++ b/crates/wire/src/epoch.rs
@@ -4,9 +4,9 @@
 
 use sapphire_schema::wire::Epoch;
 
-/// Compares two epochs: term, then take-over, then holder.
+/// Compares two epochs: term, then holder.
 pub fn compare(left: &Epoch, right: &Epoch) -> cmp::Ordering {
-    (left.term, left.takeover, &left.holder).cmp(&(right.term, right.takeover, &right.holder))
+    (left.term, &left.holder).cmp(&(right.term, &right.holder))
 }
 
 /// Whether `candidate` is strictly above `current`; everything is above none.
@@ -14,7 +14,7 @@
     current.is_none_or(|current| compare(candidate, current).is_gt())
 }
 
-/// Text for logs: `term.takeover/holder`.
+/// Text for logs: `term/holder`.
 pub fn text(epoch: &Epoch) -> String {
-    format!("{}.{}/{}", epoch.term, epoch.takeover, epoch.holder)
+    format!("{}/{}", epoch.term, epoch.holder)
 }
