--- a/crates/agent/src/gang.rs
+++ b/crates/agent/src/gang.rs
@@ -158,6 +158,11 @@
         held.map(|seen| Send::Lease(seen.peer.clone(), 0)).collect()
     }
 
+    /// Whether every member has started.
+    pub fn has_started(&self) -> bool {
+        self.members.values().all(|seen| seen.state != TaskState::TaskHeld)
+    }
+
     /// Whether nothing of the gang runs any more. A silent member counts once its lease, and
     /// the worker's own behind it, must have lapsed.
     pub fn is_over(&self, now: Duration, lease: Duration) -> bool {
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -344,11 +344,11 @@
             self.send(from, frame::Body::Stop(stop));
             return;
         };
-        let was_running = gang.report(now, lease, &beat.attempt).state() == GangState::GangRunning;
+        let before = (gang.has_started(), gang.report(now, lease, &beat.attempt).state());
         let sends = gang.beat(now, lease, from, &beat);
-        let is_final = gang.report(now, lease, &beat.attempt).state() != GangState::GangRunning;
+        let after = (gang.has_started(), gang.report(now, lease, &beat.attempt).state());
         self.send_gang(&beat.attempt, sends);
-        if was_running && is_final {
+        if before != after {
             self.report(now, &beat.attempt);
         }
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -85,6 +85,11 @@
         self.seats.values().next()
     }
 
+    /// Whether the lead is to speak next.
+    pub fn waits_for_lead(&self) -> bool {
+        matches!(self.phase, Phase::Decided { .. } | Phase::Running { .. } | Phase::Adopted { .. })
+    }
+
     /// Whether every agent holds its part.
     pub fn is_held(&self) -> bool {
         self.seats.values().all(|seat| seat.is_granted)
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -141,31 +141,37 @@
     fn adopt(&mut self, now: Duration, mut job: Job) {
         job.may_have_run |= job.idempotent && !view::is_ended(job.state());
         let is_live = matches!(job.state(), JobState::JobStarting | JobState::JobRunning);
-        if let (true, Some(recorded)) = (is_live, &job.attempt) {
-            let seat = |placement: &Placement| {
-                let name = placement.agent.as_ref().map(|a| a.name.clone()).unwrap_or_default();
-                let seat = Seat {
-                    placement: placement.clone(),
-                    worker: placement.worker.clone(),
-                    is_granted: false,
-                    settled: None,
-                };
-                (name, seat)
-            };
-            let attempt = Attempt {
-                job: job.id.clone(),
-                is_guaranteed: recorded.guaranteed,
-                phase: Phase::Adopted { since: now },
-                seats: recorded.placements.iter().map(seat).collect(),
-                change: 0,
-                may_have_started: true,
-                reason: "its planner was replaced".to_owned(),
-                is_evicted: false,
-                refused_by: Vec::new(),
-            };
-            self.attempts.insert(recorded.id.clone(), attempt);
+        let recorded = job.attempt.clone().filter(|_| is_live);
+        let id = job.id.clone();
+        self.jobs.insert(id.clone(), job);
+        if let Some(recorded) = recorded {
+            self.adopt_attempt(now, &id, &recorded);
         }
-        self.jobs.insert(job.id.clone(), job);
+    }
+
+    fn adopt_attempt(&mut self, now: Duration, job: &str, recorded: &sapphire_wire::Attempt) {
+        let seat = |placement: &Placement| {
+            let name = placement.agent.as_ref().map(|a| a.name.clone()).unwrap_or_default();
+            let seat = Seat {
+                placement: placement.clone(),
+                worker: placement.worker.clone(),
+                is_granted: false,
+                settled: None,
+            };
+            (name, seat)
+        };
+        let attempt = Attempt {
+            job: job.to_owned(),
+            is_guaranteed: recorded.guaranteed,
+            phase: Phase::Adopted { since: now },
+            seats: recorded.placements.iter().map(seat).collect(),
+            change: 0,
+            may_have_started: true,
+            reason: "its planner was replaced".to_owned(),
+            is_evicted: false,
+            refused_by: Vec::new(),
+        };
+        self.attempts.insert(recorded.id.clone(), attempt);
     }
 
     /// Epoch with which it plans.
@@ -595,8 +601,12 @@
         out: &mut Output,
     ) {
         let Some(attempt) = self.attempts.get(id) else { return };
-        let patience = self.options.lease * 2 + self.options.silence;
+        let patience = self.options.lease + self.options.silence;
         let late = |since: Duration| now.saturating_sub(since) > patience;
+        if attempt.waits_for_lead() && self.is_lead_restarted(attempt, around) {
+            self.settle(id, "the lead has restarted", out);
+            return;
+        }
         match attempt.phase {
             Phase::Holding { until } if now >= until => {
                 self.settle(id, "not every agent granted its hold in time", out);
@@ -604,10 +614,14 @@
             Phase::Decided { since } if late(since) => {
                 self.settle(id, "the lead did not answer the decision", out);
             }
-            Phase::Running { heard } if late(heard) => {
+            Phase::Running { heard }
+                if late(heard) && !self.is_lead_unreachable(now, id, around) =>
+            {
                 self.settle(id, "the lead has been silent", out);
             }
-            Phase::Adopted { since } if late(since) => {
+            Phase::Adopted { since }
+                if late(since) && !self.is_lead_unreachable(now, id, around) =>
+            {
                 self.settle(id, "its planner was replaced", out);
             }
             Phase::Settling => self.settle_gone(now, id, around, out),
@@ -615,6 +629,26 @@
         }
     }
 
+    /// Whether another life of the lead has announced itself: it knows nothing of the gang.
+    fn is_lead_restarted(&self, attempt: &Attempt, around: &Surroundings<'_>) -> bool {
+        let lead = attempt.lead().and_then(|seat| seat.placement.agent.as_ref());
+        lead.is_some_and(|lead| {
+            let known = around.registry.get(&lead.name);
+            known.is_some_and(|known| known.peer.generation > lead.generation)
+        })
+    }
+
+    /// Whether the lead's agent is silent, but not yet taken as gone.
+    ///
+    /// Guards a healthy gang against a short cut of the network: to bar it would throw its work
+    /// away, while its accelerators are out of reach in any case.
+    fn is_lead_unreachable(&self, now: Duration, id: &str, around: &Surroundings<'_>) -> bool {
+        let lead = self.attempts.get(id).and_then(Attempt::lead);
+        let Some(lead) = lead.and_then(|seat| seat.placement.agent.as_ref()) else { return false };
+        let agent = around.registry.get(&lead.name);
+        agent.is_some_and(|agent| !around.registry.is_heard(now, agent))
+    }
+
     /// Repeats the bar at agents that have not answered; those that are gone will not.
     fn settle_gone(
         &mut self,
@@ -923,12 +957,16 @@
             self.unknown_report(now, from, report, out);
             return;
         };
+        if attempt.phase != Phase::Settling || report.state() != GangState::GangRunning {
+            self.report_known(now, report, out);
+        }
+    }
+
+    fn report_known(&mut self, now: Duration, report: &Report, out: &mut Output) {
+        let Some(attempt) = self.attempts.get_mut(&report.attempt) else { return };
         let job = attempt.job.clone();
         match report.state() {
             GangState::GangRunning => {
-                if attempt.phase == Phase::Settling {
-                    return;
-                }
                 let is_first = !matches!(attempt.phase, Phase::Running { .. });
                 attempt.phase = Phase::Running { heard: now };
                 attempt.may_have_started = true;
@@ -950,13 +988,18 @@
     /// that an earlier planner started while the store was out.
     fn unknown_report(&mut self, now: Duration, from: &Peer, report: &Report, out: &mut Output) {
         let id = report.attempt.split('/').next().unwrap_or_default().to_owned();
-        let is_done = report.state() == GangState::GangDone;
-        if let Some(job) = self.jobs.get_mut(&id)
-            && !view::is_ended(job.state())
-            && job.idempotent
-        {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.acknowledge(from, &report.attempt, out);
+            return;
+        };
+        let is_last = job.attempt.as_ref().is_some_and(|last| last.id == report.attempt);
+        if job.state() == JobState::JobUnknown && is_last {
+            self.found_again(now, &id, report, out);
+            return;
+        }
+        if job.idempotent && !view::is_ended(job.state()) {
             job.may_have_run = true;
-            if is_done {
+            if report.state() == GangState::GangDone {
                 self.drop_attempts(&id, out);
                 self.done_elsewhere(now, &id, &report.attempt, out);
             }
@@ -964,6 +1007,19 @@
         self.acknowledge(from, &report.attempt, out);
     }
 
+    /// The lead of a job whose fate was unknown can be heard again: the job is what it says.
+    fn found_again(&mut self, now: Duration, id: &str, report: &Report, out: &mut Output) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let recorded = job.attempt.clone().unwrap_or_default();
+        out.log(PART, format!("job={id} found again attempt={}", recorded.id));
+        job.set_state(JobState::JobRunning);
+        job.reason.clear();
+        job.ended_unix_ms = 0;
+        self.touch(id);
+        self.adopt_attempt(now, id, &recorded);
+        self.report_known(now, report, out);
+    }
+
     fn done_elsewhere(&mut self, now: Duration, id: &str, attempt: &str, out: &mut Output) {
         if let Some(job) = self.jobs.get_mut(id) {
             let id = attempt.to_owned();
--- a/crates/proofs/src/world.rs
+++ b/crates/proofs/src/world.rs
@@ -221,6 +221,26 @@
         world
     }
 
+    /// Three regions of one or two zones with an entry in each zone and a rack of three workers;
+    /// the first region has two zones.
+    pub fn three_regions(seed: u64) -> Self {
+        let mut world = World::new(seed);
+        let zones = [
+            ("norte", "norte-a"),
+            ("norte", "norte-b"),
+            ("centro", "centro-a"),
+            ("lisboa", "lisboa-a"),
+        ];
+        for (index, (region, zone)) in zones.iter().enumerate() {
+            world.add_entry(&format!("e{}", index + 1), region, zone);
+            for worker in 1..=3 {
+                let name = format!("a{}", index * 3 + worker);
+                world.add_agent(&name, region, zone, &format!("r{}", index + 1));
+            }
+        }
+        world
+    }
+
     /// Adds an entry and starts it.
     pub fn add_entry(&mut self, name: &str, region: &str, zone: &str) {
         let rack = String::new();
@@ -627,10 +647,7 @@
     }
 
     fn answered(&mut self, caller: u64, answer: answer::Answer) {
-        let body = String::from_utf8_lossy(&answer.body).trim().to_owned();
-        let is_long = body.len() > 300;
-        let text = if is_long { format!("{} bytes", body.len()) } else { body };
-        self.tell(&format!("caller {caller}: {} {text}", answer.status));
+        self.tell(&format!("caller {caller}: {} {}", answer.status, in_short(&answer.body)));
         self.check.answered(caller, &answer, &self.agents);
         let before = self.answers.insert(caller, (self.now, answer));
         assert!(before.is_none(), "caller {caller} was answered twice");
@@ -829,6 +846,16 @@
     u64::try_from(now.as_micros()).unwrap_or(u64::MAX).max(last + 1)
 }
 
+/// An answer's body; of JSON only what tells the caller what became of its call.
+fn in_short(body: &[u8]) -> String {
+    let kept = ["account", "id", "state", "reason", "revision"];
+    let Ok(value) = serde_json::from_slice::<serde_json::Value>(body) else {
+        return String::from_utf8_lossy(body).trim().to_owned();
+    };
+    let kept = kept.iter().filter(|name| !value[**name].is_null() && value[**name] != "");
+    kept.map(|name| format!("{name}={}", value[*name])).collect::<Vec<_>>().join(" ")
+}
+
 fn take_inbox<M>(process: &mut Process<M>, now: Duration) -> Vec<envelope::Envelope> {
     if process.machine.is_none() {
         process.inbox.clear();
