fix: a planner that wakes from a freeze unbinds no guarantee

Cause: a test with real processes (SIGSTOP, SIGCONT) showed a guaranteed job refused for ever: on waking, the old planner thought all workers lost, bound guarantees to nothing and sent that, with a higher version, to an agent that had not yet heard the successor. Excluded: the store's fencing (its write was refused) and the agents' epoch (the agent still followed the old one, rightly). Change: slices are ordered by the planner's term first; a process that notices it was frozen takes the time out of its agents' silence, and does not plan until the store has spoken of its key. The fake network now lets a frozen process wake before it reads its messages.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -261,13 +261,17 @@
     }
 
     /// Puts the worker's part of the rules in force; never an older one than it has.
+    ///
+    /// Guards against a planner that was frozen and, on waking, binds guarantees as if all
+    /// workers were lost: its term is below its successor's, whose slice counts as newer
+    /// whatever the versions are. Rules themselves never go back, by whichever planner.
     fn slice(&mut self, from: &Peer, slice: Slice) {
         if !self.obeys(from, slice.epoch.as_ref()) {
             return;
         }
         let Some(applied) = slice.applied else { return };
-        let current = (self.applied.rules, self.applied.bindings);
-        if (applied.rules, applied.bindings) <= current {
+        let order = |of: &Applied| (of.term, of.rules, of.bindings);
+        if applied.rules < self.applied.rules || order(&applied) <= order(&self.applied) {
             return;
         }
         if let Err(reason) = self.ledger.apply(&slice) {
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -58,6 +58,10 @@
     takings: u64,
     operations: BTreeMap<Operation, (Purpose, Duration)>,
     next_operation: Operation,
+    /// When this process last ran.
+    last_run: Duration,
+    /// It was frozen, and has not heard from the store since whether it still plans.
+    is_waking: bool,
     next_beat: Duration,
     draining_since: Option<Duration>,
     has_reported_overdue: bool,
@@ -83,6 +87,8 @@
             takings: 0,
             operations: BTreeMap::new(),
             next_operation: 1,
+            last_run: Duration::ZERO,
+            is_waking: false,
             next_beat: Duration::ZERO,
             draining_since: None,
             has_reported_overdue: false,
@@ -94,6 +100,7 @@
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         self.registry.begin(now);
+        self.notice_freeze(now);
         match event {
             Event::Frame(envelope) => self.frame(now, *envelope),
             Event::Tick => self.tick(now),
@@ -109,6 +116,21 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Guards against what a frozen process believes when it wakes: that everybody has been
+    /// silent, and that it still plans. The time is taken out, and planning waits for the
+    /// store's word on the key; without an answer the incumbent goes on.
+    fn notice_freeze(&mut self, now: Duration) {
+        let gap = now.saturating_sub(self.last_run);
+        let is_first = self.last_run.is_zero();
+        self.last_run = now;
+        if is_first || gap < self.options.silence {
+            return;
+        }
+        self.log(MEMBER, format!("was frozen for={gap:?}"));
+        self.registry.forgive(gap);
+        self.is_waking = self.planner.is_some() && self.holder.is_stale(now);
+    }
+
     /// Rules in force here.
     pub fn rulebook(&self) -> &rulebook::Rulebook {
         &self.rulebook
@@ -232,6 +254,7 @@
     }
 
     fn key_replied(&mut self, now: Duration, sent: Duration, reply: Reply) {
+        let is_unanswered = matches!(reply, Reply::Unavailable(_));
         match self.holder.reply(now, sent, reply) {
             lease::Outcome::Same => {}
             lease::Outcome::Taken(term) => {
@@ -244,6 +267,8 @@
             }
             lease::Outcome::Lapsed => self.step_down("the planner key lapsed"),
         }
+        // An answer to a call from before a freeze says nothing of the key now.
+        self.is_waking &= self.holder.is_stale(now) && !is_unanswered;
     }
 
     fn read_cell(&mut self, now: Duration) {
@@ -312,6 +337,9 @@
         step: impl FnOnce(&mut planner::Planner, &planner::Surroundings<'_>, &mut Output),
     ) -> bool {
         let mut out = Output::default();
+        if self.is_waking {
+            return false;
+        }
         let Some(planner) = &mut self.planner else { return false };
         let around = planner::Surroundings {
             registry: &self.registry,
@@ -395,12 +423,17 @@
         self.welcome(now, from, !is_known);
     }
 
+    /// The planner, unless this process has just woken and can't know whether it still is one.
+    fn sure_planner(&self) -> Option<&planner::Planner> {
+        self.planner.as_ref().filter(|_| !self.is_waking)
+    }
+
     fn welcome(&mut self, now: Duration, from: &Peer, announce_again: bool) {
         let mut entries: Vec<Peer> = self.peers.heard(now).map(|e| e.peer.clone()).collect();
         entries.push(self.options.me.clone());
         let agent = self.registry.get(&from.name);
         let is_own_cell = agent.is_some_and(|agent| agent.region == self.options.region);
-        let epoch = self.planner.as_ref().filter(|_| is_own_cell).map(|p| p.epoch().clone());
+        let epoch = self.sure_planner().filter(|_| is_own_cell).map(|p| p.epoch().clone());
         let region = self.options.region.clone();
         let welcome = Welcome { announce_again, entries, planner: epoch, region };
         self.send(from, frame::Body::Welcome(welcome));
@@ -466,7 +499,7 @@
 
     fn tick_job_calls(&mut self, now: Duration) {
         let mut out = Output::default();
-        let own = self.planner.is_some().then(|| self.options.me.clone());
+        let own = self.sure_planner().map(|_| self.options.me.clone());
         let region = self.options.region.clone();
         let peers = &self.peers;
         let planner = |of: &str| {
@@ -486,7 +519,7 @@
             zone: self.options.zone.clone(),
             draining: self.draining_since.is_some(),
             rules: self.rulebook.revision(),
-            planner: self.planner.as_ref().map(|planner| planner.epoch().clone()),
+            planner: self.sure_planner().map(|planner| planner.epoch().clone()),
             entries,
         };
         let others: Vec<Peer> = self.peers.all().map(|entry| entry.peer.clone()).collect();
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -539,10 +539,9 @@
             );
         }
         self.short = outcome.short;
-        let heard = around.registry.agents().values().map(|agent| agent.applied.bindings).max();
-        if outcome.bindings != self.bindings || heard > Some(self.bindings_version) {
+        if outcome.bindings != self.bindings {
             self.bindings = outcome.bindings;
-            self.bindings_version = self.bindings_version.max(heard.unwrap_or(0)) + 1;
+            self.bindings_version += 1;
             self.change += 1;
             out.log(PART, format!("bound version={}", self.bindings_version));
         }
@@ -551,9 +550,10 @@
 
     /// Sends an agent its part of the rules, if it has an older one.
     pub fn greet(&mut self, agent: &registry::Agent, around: &Surroundings<'_>, out: &mut Output) {
-        let applied = Applied { rules: around.revision, bindings: self.bindings_version };
-        let is_current =
-            (agent.applied.rules, agent.applied.bindings) >= (applied.rules, applied.bindings);
+        let term = self.epoch.term;
+        let applied = Applied { rules: around.revision, bindings: self.bindings_version, term };
+        let order = |of: &Applied| (of.term, of.rules, of.bindings);
+        let is_current = order(&agent.applied) >= order(&applied);
         if agent.region != self.options.region || is_current {
             return;
         }
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -81,6 +81,13 @@
         self.began.get_or_insert(now);
     }
 
+    /// Takes out a time in which this process was frozen and could hear nobody.
+    pub fn forgive(&mut self, time: Duration) {
+        for agent in self.agents.values_mut() {
+            agent.heard += time;
+        }
+    }
+
     /// Whether every agent that lives has had time to announce itself.
     pub fn is_warm(&self, now: Duration) -> bool {
         self.began.is_some_and(|began| now.saturating_sub(began) >= self.silence)
--- a/crates/proofs/src/world.rs
+++ b/crates/proofs/src/world.rs
@@ -539,6 +539,9 @@
     /// Gives a running process the messages that wait for it. One that is down loses them.
     fn read_inbox(&mut self, name: &str) {
         let now = self.now;
+        if self.wakes_first(name) {
+            return;
+        }
         if let Some(process) = self.entries.get_mut(name) {
             let messages = take_inbox(process, now);
             for envelope in messages {
@@ -552,6 +555,19 @@
         }
     }
 
+    /// Whether a process that was frozen looks at its clock before it reads its messages: it
+    /// may, and then knows nothing of what happened meanwhile.
+    fn wakes_first(&mut self, name: &str) -> bool {
+        let until = match (self.entries.get(name), self.agents.get(name)) {
+            (Some(process), _) => process.paused_until,
+            (_, Some(guarded)) => guarded.process.paused_until,
+            _ => return false,
+        };
+        let has_just_woken =
+            until > Duration::ZERO && self.now >= until && self.now <= until + STEP;
+        has_just_woken && self.chance(500)
+    }
+
     fn tick(&mut self) {
         let now = self.now;
         let names: Vec<String> = self.entries.keys().cloned().collect();
--- a/crates/proofs/tests/promises/mod.rs
+++ b/crates/proofs/tests/promises/mod.rs
@@ -170,3 +170,26 @@
     let (_, job) = world.answer(caller).expect("the job ends");
     assert_eq!(job["state"], "done", "{job}");
 }
+
+/// The planner is frozen and wakes up just as another takes over, before the agents have heard
+/// of that one. Having heard nobody for seconds it thinks all workers lost and binds guarantees
+/// anew, to nothing. Agents that took that for newer refused every guaranteed gang from then on.
+#[test]
+fn a_planner_that_wakes_as_another_takes_over_unbinds_nothing() {
+    for moment in 0..40 {
+        let mut world = stories::world();
+        let planner = world.planner("norte").expect("settled");
+        let other = if planner == "e1" { "e2" } else { "e1" };
+        world.pause(&planner, SECOND * 100);
+        while world.entries[other].machine.as_ref().is_some_and(|m| m.planner().is_none()) {
+            world.run(Duration::from_millis(10));
+        }
+        world.run(Duration::from_millis(moment * 10));
+        world.pause(&planner, Duration::ZERO);
+        world.submit(other, &stories::gang("dossier", "sleep 100ms", false));
+        let caller = stories::wait(&mut world, other, "norte.review.dossier");
+        assert!(world.run_until_answer(caller, SECOND * 10), "at {moment}");
+        let (_, job) = world.answer(caller).expect("just answered");
+        assert_eq!(job["state"], "done", "at {moment}: {job}");
+    }
+}
--- /dev/null
+++ b/crates/sapphired/tests/processes/mod.rs
@@ -0,0 +1,131 @@
+//! What a user sees when a real process is killed, frozen or asked to end.
+
+use serde_json::{Value, json};
+
+use crate::fleet::Fleet;
+
+const RULES: &str = "organisation review # Ines\norganisation archive # Rui\n\
+    guarantee review accelerators=8 tasks=2 adjacency=rack zone=norte-a # Ines\n\
+    reclaim grace=1s # Rui\n";
+
+fn job(key: &str, command: &str) -> String {
+    json!({
+        "organisation": "review",
+        "shape": { "accelerators": 8, "tasks": 2, "adjacency": "rack" },
+        "command": command,
+        "key": key,
+    })
+    .to_string()
+}
+
+fn with_rules(name: &str) -> Fleet {
+    let fleet = Fleet::start(name, 3);
+    let (status, body) = fleet.ask(0, "PUT", "/v1/rules", RULES);
+    assert_eq!((status, body["revision"].clone()), (200, json!(1)), "{body}");
+    let is_everywhere = |body: &Value| {
+        body["in_force"].as_array().is_some_and(|all| all.len() == 1 && all[0]["revision"] == 1)
+    };
+    fleet.until(0, "/v1/rules/status", is_everywhere);
+    fleet
+}
+
+fn state(body: &Value) -> &str {
+    body["state"].as_str().unwrap_or_default()
+}
+
+/// The entry that plans is killed (SIGKILL) while a gang runs. The other one takes over and the
+/// caller there learns that the job, which must not repeat, was done in its first attempt.
+#[test]
+fn a_killed_planner_loses_no_job() {
+    let fleet = with_rules("killed");
+    let planner = fleet.planner();
+    let (status, body) = fleet.ask(planner, "POST", "/v1/jobs", &job("k", "sleep 5000ms"));
+    assert_eq!(status, 201, "{body}");
+    fleet.until(planner, "/v1/jobs/norte.review.k", |body| state(body) == "running");
+    fleet.signal(planner, "-KILL");
+    let body = fleet.until(1 - planner, "/v1/jobs/norte.review.k", |body| state(body) == "done");
+    assert_eq!(body["attempts"], 1);
+}
+
+/// The planner is frozen (SIGSTOP) past its lease and wakes up (SIGCONT) when another plans. It
+/// steps down; a job submitted through it runs once.
+#[test]
+fn a_frozen_planner_steps_down() {
+    let fleet = with_rules("frozen");
+    let planner = fleet.planner();
+    let other = 1 - planner;
+    fleet.signal(planner, "-STOP");
+    let name = format!("e{}", other + 1);
+    fleet.until(other, "/v1/rules/status", |body| body["planner"] == name.as_str());
+    fleet.signal(planner, "-CONT");
+    fleet.until(planner, "/v1/rules/status", |body| body["planner"] == name.as_str());
+    let (status, body) = fleet.ask(planner, "POST", "/v1/jobs", &job("k", "sleep 100ms"));
+    assert_eq!(status, 201, "{body}");
+    let body = fleet.until(planner, "/v1/jobs/norte.review.k", |body| state(body) == "done");
+    assert_eq!(body["attempts"], 1);
+}
+
+/// An agent is asked to end (SIGTERM) while a gang runs on it. The gang is not interrupted, and
+/// the agent exits well once it has ended.
+#[test]
+fn a_drained_agent_finishes_its_gang() {
+    let mut fleet = with_rules("drained");
+    let (status, body) = fleet.ask(0, "POST", "/v1/jobs", &job("k", "sleep 1500ms"));
+    assert_eq!(status, 201, "{body}");
+    let body = fleet.until(0, "/v1/jobs/norte.review.k", |body| state(body) == "running");
+    let agent = body["agents"][0].as_str().expect("it runs on two").to_owned();
+    let index: usize = agent[1..].parse().expect("agents are numbered");
+    fleet.signal(1 + index, "-TERM");
+    let body = fleet.until(0, "/v1/jobs/norte.review.k", |body| state(body) == "done");
+    assert_eq!(body["attempts"], 1);
+    assert!(fleet.wait(1 + index), "the agent failed");
+}
+
+/// Malformed calls of all kinds come in. Each gets a clear refusal, and a caller that comes
+/// after them is served.
+#[test]
+fn bad_calls_are_refused_and_harm_no_one() {
+    let fleet = with_rules("bad");
+    let long = "x".repeat(2 << 20);
+    let calls = [
+        ("POST", "/v1/jobs", "{"),
+        ("POST", "/v1/jobs", "{\"organisation\":\"review\"}"),
+        ("POST", "/v1/jobs", long.as_str()),
+        ("PUT", "/v1/rules", "promise everything"),
+        ("GET", "/v1/jobs/norte.none", ""),
+        ("DELETE", "/v1/rules", ""),
+        ("GET", "/v1/services/nothing/x", ""),
+        ("GET", "/nowhere", ""),
+        ("GET", "/v1/jobs/norte.none?wait=5", ""),
+    ];
+    let seen: Vec<String> = calls
+        .iter()
+        .map(|(method, path, body)| {
+            let (status, body) = fleet.ask(0, method, path, body);
+            format!("{method} {path}: {status} {}", body["reason"].as_str().unwrap_or_default())
+        })
+        .collect();
+    insta::assert_snapshot!(seen.join("\n"));
+    let (status, body) = fleet.ask(0, "POST", "/v1/services/review/check", "chapter");
+    assert_eq!((status, body), (200, json!("chapter")));
+}
+
+/// The store goes down. Requests go on, a new job is turned away as not run, and when the store
+/// is back the same job is accepted.
+#[test]
+fn a_store_outage_is_said_and_survived() {
+    let fleet = with_rules("outage");
+    let faults = format!("http://{}/faults", fleet.store);
+    fleet.ask_at(&faults, "PUT", "{\"down\":true}").expect("the stand-in answers");
+    // The first job may be caught between acceptance and its record: that is said as unknown.
+    let (status, body) = fleet.ask(0, "POST", "/v1/jobs", &job("first", "sleep 10ms"));
+    assert!(status == 504 && body["account"] == "unknown" || status == 503, "{status} {body}");
+    let (status, body) = fleet.ask(0, "POST", "/v1/jobs", &job("second", "sleep 10ms"));
+    assert_eq!((status, body["account"].clone()), (503, json!("not-run")), "{body}");
+    let (status, _) = fleet.ask(0, "POST", "/v1/services/review/check", "chapter");
+    assert_eq!(status, 200);
+    fleet.ask_at(&faults, "PUT", "{}").expect("the stand-in answers");
+    let is_accepted = || fleet.ask(0, "POST", "/v1/jobs", &job("second", "sleep 10ms")).0 == 201;
+    while !is_accepted() {}
+    fleet.until(0, "/v1/jobs/norte.review.second", |body| state(body) == "done");
+}
--- a/crates/store/src/lease.rs
+++ b/crates/store/src/lease.rs
@@ -145,6 +145,12 @@
         Outcome::Taken(term)
     }
 
+    /// Whether the key is held as far as is known, but its lease has run out by this process's
+    /// own clock.
+    pub fn is_stale(&self, now: Duration) -> bool {
+        matches!(self.phase, Phase::Held { until, .. } if now >= until)
+    }
+
     /// Gives the lease up, for a graceful shutdown; returns the call that frees the key.
     pub fn release(&mut self) -> Option<Call> {
         let Phase::Held { lease, .. } = self.phase else { return None };
