--- a/crates/agent/src/ledger.rs
+++ b/crates/agent/src/ledger.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use sapphire_plan::reclaim;
 use sapphire_wire::{Hold, HoldState, Peer, Shape, Slice, TaskState, id, resource};
 
 use crate::member::{End, Member, Phase};
@@ -214,48 +215,29 @@
         !member.is_guaranteed || self.guaranteed_use(&member.organisation) > bound
     }
 
-    /// Evicts the fewest borrowers that make room for all waiting holds, cheapest first: those
-    /// that have not started, then the youngest.
+    /// Evicts the cheapest borrowers that make room for all waiting holds.
     fn evict_for_waiting(&mut self, now: Duration) {
         let claimed = self.claimed();
-        let mut coming = self.free();
-        for member in self.members.values() {
-            if matches!(member.phase, Phase::Evicting { .. } | Phase::Stopping) {
-                coming = coming.plus(&member.need);
-            }
-        }
-        let mut borrowers: Vec<(Duration, id::Attempt)> = self
+        let ending = self
             .members
-            .iter()
-            .filter(|(_, member)| {
-                matches!(member.phase, Phase::Held { .. } | Phase::Running { .. })
-                    && self.is_reclaimable(member)
-            })
-            .map(|(attempt, member)| (Self::lost_by_eviction(now, member), attempt.clone()))
-            .collect();
-        borrowers.sort();
-        let mut chosen = Vec::new();
-        for (_, attempt) in borrowers {
-            if coming.holds(&claimed) {
-                break;
-            }
-            if let Some(member) = self.members.get(&attempt) {
-                coming = coming.plus(&member.need);
-                chosen.push(attempt);
-            }
-        }
-        for attempt in chosen {
+            .values()
+            .filter(|member| matches!(member.phase, Phase::Evicting { .. } | Phase::Stopping));
+        let coming = ending.fold(self.free(), |room, member| room.plus(&member.need));
+        let borrowers = self.members.iter().filter(|(_, member)| {
+            matches!(member.phase, Phase::Held { .. } | Phase::Running { .. })
+                && self.is_reclaimable(member)
+        });
+        let borrowers = borrowers.map(|(attempt, member)| reclaim::Borrower {
+            attempt: attempt.clone(),
+            need: member.need,
+            ran: ran(now, member),
+            gang: member.gang,
+        });
+        for attempt in reclaim::choose(borrowers.collect(), &coming, &claimed) {
             self.evict(now, &attempt);
         }
     }
 
-    fn lost_by_eviction(now: Duration, member: &Member) -> Duration {
-        match member.phase {
-            Phase::Held { .. } => Duration::ZERO,
-            _ => now.saturating_sub(member.started),
-        }
-    }
-
     /// Begins to evict a member, because its room is reclaimed or its lead says so.
     pub fn evict(&mut self, now: Duration, attempt: &str) {
         let grace = self.grace;
@@ -432,3 +414,10 @@
         );
     }
 }
+
+fn ran(now: Duration, member: &Member) -> Duration {
+    match member.phase {
+        Phase::Held { .. } => Duration::ZERO,
+        _ => now.saturating_sub(member.started),
+    }
+}
--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -61,6 +61,8 @@
     pub is_guaranteed: bool,
     /// What it takes.
     pub need: resource::Amount,
+    /// Accelerators of the whole gang.
+    pub gang: u32,
     /// Tasks on this worker.
     pub tasks: u32,
     /// Agent that coordinates the gang.
@@ -94,6 +96,7 @@
             organisation: hold.organisation.clone(),
             is_guaranteed: hold.guaranteed,
             need,
+            gang: hold.shape.map_or(0, |shape| shape.accelerators.saturating_mul(shape.tasks)),
             tasks: hold.tasks,
             lead: hold.lead.clone().unwrap_or_default(),
             planner: planner.clone(),
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_plan::{bind, fleet, place, queue};
+use sapphire_plan::{bind, estimate::Estimates, fleet, pass, place, queue};
 use sapphire_rules::{file, rule};
 use sapphire_store::{
     call::{Call, Reply, Revision, Value},
@@ -88,6 +88,7 @@
     not_before: BTreeMap<id::Job, Duration>,
     avoided: BTreeMap<id::Worker, Duration>,
     why: BTreeMap<id::Job, String>,
+    estimates: Estimates,
     needs_schedule: bool,
 }
 
@@ -126,6 +127,7 @@
             not_before: BTreeMap::new(),
             avoided: BTreeMap::new(),
             why: BTreeMap::new(),
+            estimates: Estimates::default(),
             needs_schedule: true,
         };
         for job in stored.jobs {
@@ -727,97 +729,85 @@
         self.touch(id);
     }
 
-    /// Places waiting jobs, in order.
+    /// Ends waiting jobs that may not be tried any more, and starts those that fit.
     fn schedule(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
         if !std::mem::take(&mut self.needs_schedule) {
             return;
         }
-        let mut fleet = self.fleet(now, around);
-        let mut borrowed = queue::borrowed(self.jobs.values());
-        let order = queue::order(self.jobs.values(), around.rules);
-        let order: Vec<id::Job> = order.into_iter().map(|job| job.id.clone()).collect();
-        let avoid: Vec<id::Worker> = self.avoided.keys().cloned().collect();
-        for id in order {
-            self.schedule_one(now, &id, &mut fleet, &mut borrowed, &avoid, around, out);
+        self.end_hopeless(now, around, out);
+        let running = self.running(now);
+        let outcome = pass::pass(pass::Options {
+            rules: around.rules,
+            fleet: self.fleet(now, around),
+            waiting: self.waiting(now),
+            running: &running,
+            avoid: &self.avoided.keys().cloned().collect::<Vec<_>>(),
+            mechanisms: pass::Mechanisms::default(),
+        });
+        self.why.extend(outcome.why);
+        for start in outcome.starts {
+            self.start(now, &start, around, out);
         }
     }
 
-    #[allow(clippy::too_many_arguments, reason = "one pass over shared tallies")]
-    fn schedule_one(
-        &mut self,
-        now: Duration,
-        id: &str,
-        fleet: &mut fleet::Fleet,
-        borrowed: &mut BTreeMap<id::Organisation, u32>,
-        avoid: &[id::Worker],
-        around: &Surroundings<'_>,
-        out: &mut Output,
-    ) {
-        let Some(job) = self.jobs.get(id).cloned() else { return };
-        if job.deadline_unix_ms > 0 && millis(now) >= job.deadline_unix_ms {
-            let (state, reason) = match (job.may_have_run, job.started_unix_ms) {
-                (false, _) => (JobState::JobNotRun, "its deadline passed before it ran"),
-                (true, 0) => (JobState::JobUnknown, "its deadline passed; it may have run"),
-                _ => (JobState::JobInterrupted, "its deadline passed before it ran whole"),
-            };
-            self.end(now, id, state, reason, out);
-            return;
-        }
-        let limit = around.rules.attempts(&job.organisation);
-        if job.attempts >= limit {
-            let reason = format!("{limit} attempts were made");
-            let has_failed = job.exit_code != 0;
-            let state = if has_failed { JobState::JobFailed } else { JobState::JobInterrupted };
-            self.end(now, id, state, &reason, out);
-            return;
-        }
-        let is_kept = self.job_changes.get(id).copied().unwrap_or(0) <= self.writer.written();
-        let is_repeat = job.attempt.is_some();
-        let may_start = is_kept || (self.writer.is_failing() && job.idempotent && is_repeat);
-        if !may_start || self.not_before.contains_key(id) {
-            return;
+    fn end_hopeless(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
+        let waiting = self.jobs.values().filter(|job| job.state() == JobState::JobWaiting);
+        let ends: Vec<_> = waiting
+            .filter_map(|job| Some((job.id.clone(), hopeless(now, job, around.rules)?)))
+            .collect();
+        for (id, (state, reason)) in ends {
+            self.end(now, &id, state, &reason, out);
         }
-        let shape = job.shape.unwrap_or_default();
-        let own = place::Options { avoid, ..place::Options::guaranteed(&job.organisation, &shape) };
-        let other =
-            place::Options { avoid, ..place::Options::borrowing(&job.organisation, &shape) };
-        let accelerators = queue::accelerators(&job);
-        let in_use = borrowed.get(&job.organisation).copied().unwrap_or(0);
-        let quota = around.rules.quota(&job.organisation).unwrap_or(u32::MAX);
-        let within_quota = in_use.saturating_add(accelerators) <= quota;
-        let (outcome, is_guaranteed) = match place::place(fleet, &own) {
-            Some(outcome) => (Some(outcome), true),
-            None if within_quota => (place::place(fleet, &other), false),
-            None => (None, false),
-        };
-        let Some(outcome) = outcome else {
-            let why = if within_quota {
-                "no group of workers has room for the whole gang".to_owned()
-            } else {
-                format!("its organisation borrows {in_use} of {quota} accelerators")
-            };
-            self.why.insert(id.to_owned(), why);
-            return;
+    }
+
+    /// Waiting jobs that may start: kept by the store, and not refused a moment ago. While the
+    /// store is out one that may repeat may start again unrecorded.
+    fn waiting(&self, now: Duration) -> Vec<pass::Waiting<'_>> {
+        let is_failing = self.writer.is_failing();
+        let may_start = |job: &&Job| {
+            let is_kept =
+                self.job_changes.get(&job.id).copied().unwrap_or(0) <= self.writer.written();
+            let may_repeat = is_failing && job.idempotent && job.attempt.is_some();
+            (is_kept || may_repeat) && !self.not_before.contains_key(&job.id)
         };
-        for seat in &outcome.seats {
-            fleet.take(&seat.worker, &job.organisation, &shape, seat.tasks, is_guaranteed);
-        }
-        if !is_guaranteed {
-            *borrowed.entry(job.organisation.clone()).or_default() += accelerators;
-        }
-        self.start(now, &job, &outcome, is_guaranteed, around, out);
+        let waiting = self.jobs.values().filter(|job| job.state() == JobState::JobWaiting);
+        let waiting = waiting.filter(may_start).map(|job| pass::Waiting {
+            job,
+            waited: now.saturating_sub(Duration::from_millis(job.submitted_unix_ms)),
+            expected: self.estimates.expect(job),
+        });
+        waiting.collect()
+    }
+
+    fn running(&self, now: Duration) -> Vec<pass::Running> {
+        let attempts = self.attempts.values().filter_map(|attempt| {
+            let job = self.jobs.get(&attempt.job)?;
+            let seats = attempt.seats.values().filter(|seat| seat.settled.is_none());
+            let seats = seats.map(|seat| place::Seat {
+                worker: seat.worker.clone(),
+                tasks: seat.placement.tasks,
+            });
+            Some(pass::Running {
+                organisation: job.organisation.clone(),
+                shape: job.shape.unwrap_or_default(),
+                seats: seats.collect(),
+                is_guaranteed: attempt.is_guaranteed,
+                remaining: Estimates::remaining(self.estimates.expect(job), ran(now, job)),
+            })
+        });
+        attempts.collect()
     }
 
     /// Records an attempt and asks each agent for its hold.
     fn start(
         &mut self,
         now: Duration,
-        job: &Job,
-        outcome: &place::Outcome,
-        is_guaranteed: bool,
+        start: &pass::Start,
         around: &Surroundings<'_>,
         out: &mut Output,
     ) {
+        let Some(job) = self.jobs.get(&start.job).cloned() else { return };
+        let (outcome, is_guaranteed) = (&start.place, start.is_guaranteed);
         let number = job.attempts + 1;
         let id = format!("{}/{}.{}.{:x}", job.id, self.epoch.term, self.change, number);
         let mut seats = BTreeMap::new();
@@ -866,7 +856,7 @@
             refused_by: Vec::new(),
         };
         self.attempts.insert(id.clone(), attempt);
-        self.send_holds(&id, job, out);
+        self.send_holds(&id, &job, out);
     }
 
     fn send_holds(&self, id: &str, job: &Job, out: &mut Output) {
@@ -971,11 +961,14 @@
                 attempt.phase = Phase::Running { heard: now };
                 attempt.may_have_started = true;
                 if is_first {
-                    self.running(now, &job, &report.attempt, out);
+                    self.note_running(now, &job, &report.attempt, out);
                 }
             }
             GangState::GangDone => {
                 self.attempts.remove(&report.attempt);
+                if let Some(job) = self.jobs.get(&job) {
+                    self.estimates.observe(job, ran(now, job));
+                }
                 self.end(now, &job, JobState::JobDone, "", out);
             }
             GangState::GangFailed | GangState::GangStopped => {
@@ -1046,7 +1039,7 @@
         }
     }
 
-    fn running(&mut self, now: Duration, id: &str, attempt: &str, out: &mut Output) {
+    fn note_running(&mut self, now: Duration, id: &str, attempt: &str, out: &mut Output) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.state() != JobState::JobRunning {
             job.set_state(JobState::JobRunning);
@@ -1131,6 +1124,30 @@
     }
 }
 
+/// Why a waiting job may not be tried any more, if so.
+fn hopeless(now: Duration, job: &Job, rules: &file::File) -> Option<(JobState, String)> {
+    if job.deadline_unix_ms > 0 && millis(now) >= job.deadline_unix_ms {
+        let (state, reason) = match (job.may_have_run, job.started_unix_ms) {
+            (false, _) => (JobState::JobNotRun, "its deadline passed before it ran"),
+            (true, 0) => (JobState::JobUnknown, "its deadline passed; it may have run"),
+            _ => (JobState::JobInterrupted, "its deadline passed before it ran whole"),
+        };
+        return Some((state, reason.to_owned()));
+    }
+    let limit = rules.attempts(&job.organisation);
+    let has_failed = job.exit_code != 0;
+    let state = if has_failed { JobState::JobFailed } else { JobState::JobInterrupted };
+    (job.attempts >= limit).then(|| (state, format!("{limit} attempts were made")))
+}
+
+/// How long a job has run in its present attempt.
+fn ran(now: Duration, job: &Job) -> Duration {
+    match job.state() {
+        JobState::JobRunning => now.saturating_sub(Duration::from_millis(job.started_unix_ms)),
+        _ => Duration::ZERO,
+    }
+}
+
 fn cancelled(may_have_run: bool) -> &'static str {
     if may_have_run { "cancelled; some of it may have run" } else { "cancelled before it ran" }
 }
--- /dev/null
+++ b/crates/plan/src/estimate.rs
@@ -0,0 +1,84 @@
+//! Learns how long jobs run, since declared times are often far off.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphire_wire::{Job, id};
+
+/// Weight of the newest observation.
+const NEWEST: f64 = 0.2;
+/// Observations after which the learned time counts as much as the declared one.
+const TRUST: f64 = 3.0;
+/// Run time of a job that declares none, until something is learned.
+const DEFAULT: Duration = Duration::from_secs(600);
+/// Shortest estimate.
+const LEAST: Duration = Duration::from_secs(1);
+
+/// Kind of a job: its organisation and how many accelerators it takes, in powers of two.
+type Kind = (id::Organisation, u32);
+
+#[derive(Clone, Debug, Default)]
+struct Learned {
+    /// Mean logarithm of the run time in seconds.
+    time: f64,
+    /// Mean logarithm of run time over declared time.
+    ratio: f64,
+    /// Mean distance of the declared time, once corrected, from the run time, as logarithms.
+    declared_error: f64,
+    /// Mean distance of the usual time of the kind from the run time, as logarithms.
+    usual_error: f64,
+    count: f64,
+}
+
+/// What has been learned of each kind of job.
+#[derive(Clone, Debug, Default)]
+pub struct Estimates {
+    learned: BTreeMap<Kind, Learned>,
+}
+
+fn kind(job: &Job) -> Kind {
+    let accelerators = crate::queue::accelerators(job).max(1);
+    (job.organisation.clone(), accelerators.ilog2())
+}
+
+fn declared(job: &Job) -> Duration {
+    if job.declared_ms == 0 { DEFAULT } else { Duration::from_millis(job.declared_ms).max(LEAST) }
+}
+
+impl Estimates {
+    /// Notes how long a job ran.
+    pub fn observe(&mut self, job: &Job, ran: Duration) {
+        let ran = ran.max(LEAST).as_secs_f64().ln();
+        let declared = declared(job).as_secs_f64().ln();
+        let learned = self.learned.entry(kind(job)).or_default();
+        let newest = if learned.count == 0.0 { 1.0 } else { NEWEST };
+        let blend = |mean: &mut f64, new: f64| *mean += newest * (new - *mean);
+        if learned.count > 0.0 {
+            blend(&mut learned.declared_error, (declared + learned.ratio - ran).abs());
+            blend(&mut learned.usual_error, (learned.time - ran).abs());
+        }
+        blend(&mut learned.time, ran);
+        blend(&mut learned.ratio, ran - declared);
+        learned.count += 1.0;
+    }
+
+    /// How long a job is expected to run: the declared time, corrected by the kind's usual
+    /// error, blended with the kind's usual time by how well each has foretold so far.
+    pub fn expect(&self, job: &Job) -> Duration {
+        let declared = declared(job).as_secs_f64().ln();
+        let Some(learned) = self.learned.get(&kind(job)) else {
+            return Duration::from_secs_f64(declared.exp());
+        };
+        let trust = learned.count / (learned.count + TRUST);
+        let corrected = declared + learned.ratio * trust;
+        let total = learned.declared_error + learned.usual_error;
+        let by_usual = if total > 0.0 { trust * learned.declared_error / total } else { 0.0 };
+        let expected = corrected * (1.0 - by_usual) + learned.time * by_usual;
+        Duration::from_secs_f64(expected.clamp(0.0, 20.0).exp())
+    }
+
+    /// How much longer a job is expected to run. One that outlives its estimate is expected to
+    /// run for half as long again as it has, so that it loses its place gradually.
+    pub fn remaining(expected: Duration, ran: Duration) -> Duration {
+        expected.saturating_sub(ran).max(ran / 2).max(LEAST)
+    }
+}
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Gives back room of some tasks of a gang, as if it had ended.
+    pub fn give(&mut self, worker: &str, shape: &Shape, tasks: u32) {
+        let Some(worker) = self.workers.get_mut(worker) else { return };
+        worker.used = worker.used.minus(&resource::Amount::of_tasks(shape, tasks));
+    }
+
     /// Whether a gang could run if nothing else did.
     pub fn could_hold(&self, shape: &Shape) -> bool {
         let mut empty = self.clone();
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,6 +1,9 @@
 //! Decisions about jobs as pure functions over plain state.
 
 pub mod bind;
+pub mod estimate;
 pub mod fleet;
+pub mod pass;
 pub mod place;
 pub mod queue;
+pub mod reclaim;
