feat: the balance rule moves order and packing between completion time and fragmentation

Change: large blocks spared by placement, smaller jobs wait a while before they break one of the last, order by run time and size with exponents from the balance rule, small jobs borrow before they use the guarantee.

--- a/crates/plan/src/pass.rs
+++ b/crates/plan/src/pass.rs
@@ -5,10 +5,11 @@
     time::Duration,
 };
 
-use sapphire_rules::file;
+use sapphire_rules::{file, rule};
 use sapphire_wire::{Job, Shape, id};
 
 use crate::{
+    bind,
     fleet::Fleet,
     place::{self, Seat},
     queue,
@@ -48,17 +49,24 @@
 /// Mechanisms that can be switched off, to measure what each is worth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mechanisms {
-    /// Order by expected area and age; without it, by arrival.
+    /// Order by expected run time, size and age; without it, by arrival.
     pub has_order: bool,
     /// Room kept for large gangs that wait.
     pub has_reservation: bool,
+    /// Placement that spares room for the largest guaranteed shape.
+    pub has_sparing: bool,
     /// Guarantees, with reclaim.
     pub has_guarantees: bool,
 }
 
 impl Default for Mechanisms {
     fn default() -> Self {
-        Mechanisms { has_order: true, has_reservation: true, has_guarantees: true }
+        Mechanisms {
+            has_order: true,
+            has_reservation: true,
+            has_sparing: true,
+            has_guarantees: true,
+        }
     }
 }
 
@@ -98,6 +106,34 @@
     pub why: BTreeMap<id::Job, String>,
 }
 
+/// What the balance of completion time against fragmentation comes to.
+///
+/// The slopes were fitted with the policy bench (seeds 1 to 4, load 0.8) between the two
+/// members' balances; docs/DESIGN.md has the figures.
+struct Preference {
+    /// Exponent of the expected run time: 1 is shortest first.
+    time: f64,
+    /// Exponent of the size; below zero large gangs go first.
+    size: f64,
+    /// Large blocks that smaller jobs leave whole.
+    blocks: u32,
+    /// How long a smaller job waits for other room.
+    patience: Duration,
+}
+
+impl Preference {
+    fn new(balance: &rule::Balance) -> Self {
+        let total = f64::from((balance.completion + balance.fragmentation).max(1));
+        let fragmentation = f64::from(balance.fragmentation) / total;
+        Preference {
+            time: 1.0 - 0.6 * fragmentation,
+            size: 1.0 - 4.0 * fragmentation,
+            blocks: (3.0 * fragmentation).round() as u32,
+            patience: Duration::from_secs(5_400).mul_f64(fragmentation),
+        }
+    }
+}
+
 /// Room kept for a gang that waits.
 struct Reservation {
     workers: BTreeSet<id::Worker>,
@@ -107,6 +143,9 @@
 /// One pass in progress.
 struct Pass<'a> {
     options: Options<'a>,
+    preference: Preference,
+    /// Largest guaranteed shape.
+    largest: Option<Shape>,
     borrowed: BTreeMap<id::Organisation, u32>,
     reservations: Vec<Reservation>,
     outcome: Outcome,
@@ -114,8 +153,8 @@
 
 /// Decides which waiting jobs start now.
 ///
-/// First every gang that its organisation's guarantee can hold, reclaiming what others borrow;
-/// then borrowers, in order, that fit into what is free. For the first of those that don't fit
+/// In order, each gang starts on its organisation's guarantee, reclaiming what others borrow of it,
+/// or on what is free. For the first of those that don't fit
 /// room is kept: others may use it only when they are expected to be gone in time.
 pub fn pass(options: Options<'_>) -> Outcome {
     let mut borrowed = BTreeMap::new();
@@ -124,16 +163,28 @@
         *borrowed.entry(running.organisation.clone()).or_default() += accelerators;
     }
     let outcome = Outcome::default();
-    let mut pass = Pass { options, borrowed, reservations: Vec::new(), outcome };
-    let waiting = pass.order();
-    let left: Vec<Waiting<'_>> =
-        waiting.into_iter().filter(|waiting| !pass.start_guaranteed(waiting)).collect();
-    for waiting in &left {
-        pass.start_borrower(waiting);
+    let largest = largest(options.rules).filter(|_| options.mechanisms.has_sparing);
+    let preference = Preference::new(&options.rules.balance());
+    let mut pass =
+        Pass { options, preference, largest, borrowed, reservations: Vec::new(), outcome };
+    for waiting in pass.order() {
+        let is_small = pass.is_small(waiting.job);
+        let is_started = (!is_small && pass.start_guaranteed(&waiting))
+            || pass.start_borrower(&waiting, is_small)
+            || (is_small && pass.start_guaranteed(&waiting));
+        if !is_started {
+            pass.wait(&waiting);
+        }
     }
     pass.outcome
 }
 
+/// The guaranteed shape with the most accelerators.
+fn largest(rules: &file::File) -> Option<Shape> {
+    let shapes = rules.guarantees().map(|(_, guarantee)| bind::shape(guarantee));
+    shapes.max_by_key(|shape| (shape.accelerators * shape.tasks, shape.tasks))
+}
+
 impl<'a> Pass<'a> {
     /// Urgent jobs first, then by score.
     fn order(&mut self) -> Vec<Waiting<'a>> {
@@ -149,8 +200,8 @@
         keyed.into_iter().map(|(_, waiting)| waiting).collect()
     }
 
-    /// Lower goes first: the expected area (accelerators times run time), more for an
-    /// organisation that borrows much for its weight, less with priority and with age.
+    /// Lower goes first: expected run time and size, each as far as the balance rule wants it,
+    /// more for an organisation that borrows much for its weight, less with priority and age.
     fn score(&self, waiting: &Waiting<'_>) -> f64 {
         if !self.options.mechanisms.has_order {
             return 0.0;
@@ -160,12 +211,14 @@
         let weight = organisation.map_or(1, |organisation| organisation.weight);
         let priority = organisation.map_or(0, |organisation| organisation.priority);
         let borrows = self.borrowed.get(&job.organisation).copied().unwrap_or(0);
-        let area = waiting.expected.as_secs_f64() * f64::from(queue::accelerators(job));
+        let time = waiting.expected.as_secs_f64().powf(self.preference.time);
+        let size = f64::from(queue::accelerators(job)).powf(self.preference.size);
         let share = (1.0 + f64::from(borrows)) / f64::from(weight);
         let age = 1.0 + waiting.waited.as_secs_f64() / AGEING;
-        area * share.sqrt() / (age * age * (1.0 + f64::from(priority)))
+        time * size * share.sqrt() / (age * age * (1.0 + f64::from(priority)))
     }
 
+    /// Starts a gang on its organisation's guarantee, reclaiming what others borrow of it.
     fn start_guaranteed(&mut self, waiting: &Waiting<'_>) -> bool {
         if !self.options.mechanisms.has_guarantees {
             return false;
@@ -173,8 +226,9 @@
         let job = waiting.job;
         let shape = job.shape.unwrap_or_default();
         let avoid = self.options.avoid;
-        let options =
-            place::Options { avoid, ..place::Options::guaranteed(&job.organisation, &shape) };
+        let spare = self.largest;
+        let guaranteed = place::Options::guaranteed(&job.organisation, &shape);
+        let options = place::Options { avoid, spare: spare.as_ref(), ..guaranteed };
         let Some(place) = place::place(&self.options.fleet, &options) else { return false };
         self.start(job, place, true);
         true
@@ -193,14 +247,28 @@
         self.outcome.starts.push(Start { job: job.id.clone(), place, is_guaranteed });
     }
 
-    fn start_borrower(&mut self, waiting: &Waiting<'_>) {
-        let job = waiting.job;
+    /// Whether a job is smaller than its organisation's largest guarantee. It borrows where it
+    /// can, so that the room of the guaranteed shape stays whole.
+    fn is_small(&self, job: &Job) -> bool {
+        let own =
+            self.options.rules.guarantees().filter(|(_, g)| g.organisation == job.organisation);
+        let largest = own.map(|(_, guarantee)| guarantee.accelerators * guarantee.tasks).max();
+        largest.is_some_and(|largest| queue::accelerators(job) < largest)
+    }
+
+    fn borrows_beyond_quota(&self, job: &Job) -> Option<String> {
         let in_use = self.borrowed.get(&job.organisation).copied().unwrap_or(0);
-        let quota = self.options.rules.quota(&job.organisation).unwrap_or(u32::MAX);
-        if in_use.saturating_add(queue::accelerators(job)) > quota {
-            let why = format!("its organisation borrows {in_use} of {quota} accelerators");
-            self.outcome.why.insert(job.id.clone(), why);
-            return;
+        let quota = self.options.rules.quota(&job.organisation)?;
+        let is_beyond = in_use.saturating_add(queue::accelerators(job)) > quota;
+        is_beyond.then(|| format!("its organisation borrows {in_use} of {quota} accelerators"))
+    }
+
+    /// Starts a job on what is free. One that has a guarantee to fall back on leaves what is
+    /// bound to others alone.
+    fn start_borrower(&mut self, waiting: &Waiting<'_>, has_fallback: bool) -> bool {
+        let job = waiting.job;
+        if self.borrows_beyond_quota(job).is_some() {
+            return false;
         }
         let shape = job.shape.unwrap_or_default();
         let mut avoid = self.options.avoid.to_vec();
@@ -209,19 +277,48 @@
                 avoid.extend(reservation.workers.iter().cloned());
             }
         }
+        let spare = self.largest;
         let borrowing = place::Options::borrowing(&job.organisation, &shape);
-        let options = place::Options { avoid: &avoid, ..borrowing };
-        if let Some(place) = place::place(&self.options.fleet, &options) {
-            self.start(job, place, false);
-            return;
+        let options = place::Options { avoid: &avoid, spare: spare.as_ref(), ..borrowing };
+        let Some(place) = place::place(&self.options.fleet, &options) else { return false };
+        if self.must_spare(waiting, &place) {
+            return false;
+        }
+        if has_fallback && self.takes_bound(&place, &shape) {
+            return false;
         }
-        let is_large = queue::accelerators(job) > 1;
-        let may_reserve = self.options.mechanisms.has_reservation && is_large;
-        let mut why = "no group of workers has room for the whole gang".to_owned();
-        if may_reserve
+        self.start(job, place, false);
+        true
+    }
+
+    /// Whether a smaller job would break one of the last large blocks. It waits a while for
+    /// other room, so that the next large gang finds one whole.
+    fn must_spare(&self, waiting: &Waiting<'_>, place: &place::Outcome) -> bool {
+        let Some(largest) = self.largest else { return false };
+        let is_smaller = queue::accelerators(waiting.job) < largest.accelerators * largest.tasks;
+        let is_patient = waiting.waited < self.preference.patience;
+        is_smaller && is_patient && place.broken > 0 && place.whole < self.preference.blocks
+    }
+
+    fn takes_bound(&self, place: &place::Outcome, shape: &Shape) -> bool {
+        place.seats.iter().any(|seat| {
+            let worker = self.options.fleet.workers.get(&seat.worker);
+            worker.is_some_and(|w| w.unbound_free() < shape.accelerators * seat.tasks)
+        })
+    }
+
+    /// Notes why a job waits, and keeps room for it if it is among the first.
+    fn wait(&mut self, waiting: &Waiting<'_>) {
+        let job = waiting.job;
+        let mut why = self
+            .borrows_beyond_quota(job)
+            .unwrap_or_else(|| "no group of workers has room for the whole gang".to_owned());
+        let may_reserve = self.options.mechanisms.has_reservation
+            && queue::accelerators(job) > 1
             && self.reservations.len() < RESERVATIONS
-            && let Some(reservation) = self.reserve(job, &shape)
-        {
+            && self.borrows_beyond_quota(job).is_none();
+        let shape = job.shape.unwrap_or_default();
+        if may_reserve && let Some(reservation) = self.reserve(job, &shape) {
             why = format!("room is kept for it, expected within {:?}", reservation.within);
             self.reservations.push(reservation);
         }
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -17,17 +17,19 @@
     pub is_guaranteed: bool,
     /// Workers to leave out.
     pub avoid: &'a [id::Worker],
+    /// Shape whose room is to be spared: the largest that is guaranteed.
+    pub spare: Option<&'a Shape>,
 }
 
 impl<'a> Options<'a> {
     /// A gang that takes only what is free.
     pub fn borrowing(organisation: &'a str, shape: &'a Shape) -> Self {
-        Options { organisation, shape, is_guaranteed: false, avoid: &[] }
+        Options { organisation, shape, is_guaranteed: false, avoid: &[], spare: None }
     }
 
     /// A gang that runs on its organisation's guarantee.
     pub fn guaranteed(organisation: &'a str, shape: &'a Shape) -> Self {
-        Options { organisation, shape, is_guaranteed: true, avoid: &[] }
+        Options { organisation, shape, is_guaranteed: true, avoid: &[], spare: None }
     }
 }
 
@@ -49,6 +51,10 @@
     pub group: String,
     /// Second-best group, for the log; empty when there was none.
     pub runner_up: String,
+    /// Large blocks that it breaks.
+    pub broken: u32,
+    /// Large blocks that are left whole.
+    pub whole: u32,
 }
 
 /// A worker that can take some of the gang.
@@ -61,8 +67,9 @@
 /// Places the whole gang, or nothing.
 ///
 /// The group (worker, rack or zone, by adjacency) with the best fit wins: least use of what is
-/// bound to others, then least room left over, so that large free blocks stay whole.
+/// bound to others, then fewest large blocks broken, then least room left over.
 pub fn place(fleet: &Fleet, options: &Options<'_>) -> Option<Outcome> {
+    let blocks = options.spare.map(|spare| Blocks::new(fleet, spare));
     let mut groups: BTreeMap<String, Vec<Room<'_>>> = BTreeMap::new();
     for (name, worker) in &fleet.workers {
         let tasks = tasks_that_fit(name, worker, options);
@@ -74,15 +81,17 @@
     let mut ranked: Vec<(Score, String, Vec<Seat>)> = groups
         .into_iter()
         .filter_map(|(group, rooms)| {
-            let (score, seats) = fill(rooms, options)?;
+            let (score, seats) = fill(rooms, options, blocks.as_ref())?;
             Some((score, group, seats))
         })
         .collect();
     ranked.sort_by(|left, right| (&left.0, &left.1).cmp(&(&right.0, &right.1)));
     let mut ranked = ranked.into_iter();
-    let (_, group, seats) = ranked.next()?;
+    let (score, group, seats) = ranked.next()?;
+    let broken = score.broken;
+    let whole = blocks.map_or(0, |blocks| blocks.count().saturating_sub(broken));
     let runner_up = ranked.next().map(|(_, group, _)| group).unwrap_or_default();
-    Some(Outcome { seats, group, runner_up })
+    Some(Outcome { seats, group, runner_up, broken, whole })
 }
 
 fn group_of(name: &str, worker: &Worker, adjacency: Adjacency) -> String {
@@ -126,11 +135,61 @@
     if processors && memory { u32::MAX } else { 0 }
 }
 
+/// How many gangs of a shape each rack could hold.
+struct Blocks<'a> {
+    spare: &'a Shape,
+    /// Tasks of the shape that fit into each rack, by zone and rack.
+    tasks: BTreeMap<(&'a str, &'a str), u32>,
+}
+
+impl<'a> Blocks<'a> {
+    fn new(fleet: &'a Fleet, spare: &'a Shape) -> Self {
+        let mut tasks = BTreeMap::new();
+        for worker in fleet.workers.values().filter(|worker| worker.is_open) {
+            let rack = (worker.zone.as_str(), worker.rack.as_str());
+            *tasks.entry(rack).or_default() += tasks_free(worker, 0, spare);
+        }
+        Blocks { spare, tasks }
+    }
+
+    /// Gangs of the shape for which there is room.
+    fn count(&self) -> u32 {
+        self.tasks.values().map(|tasks| tasks / self.spare.tasks.max(1)).sum()
+    }
+
+    /// Gangs of the shape for which there would be no room any more, racks by racks.
+    fn broken(&self, seats: &[(&Worker, u32)]) -> u32 {
+        let mut lost: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+        for (worker, accelerators) in seats {
+            let before = tasks_free(worker, 0, self.spare);
+            let after = tasks_free(worker, *accelerators, self.spare);
+            let rack = (worker.zone.as_str(), worker.rack.as_str());
+            *lost.entry(rack).or_default() += before - after;
+        }
+        let gangs = |tasks: u32| tasks / self.spare.tasks.max(1);
+        lost.iter()
+            .map(|(rack, lost)| {
+                let before = self.tasks.get(rack).copied().unwrap_or(0);
+                gangs(before) - gangs(before.saturating_sub(*lost))
+            })
+            .sum()
+    }
+}
+
+/// Tasks of a shape that fit into what is free, once some accelerators are taken.
+fn tasks_free(worker: &Worker, taken: u32, shape: &Shape) -> u32 {
+    worker.free().accelerators.saturating_sub(taken) / shape.accelerators.max(1)
+}
+
 /// Lower is better.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Score {
+    /// Large blocks broken.
+    broken: u32,
     /// Accelerators used that are bound to a guarantee.
     bound: u32,
+    /// Whole free workers broken.
+    opened: u32,
     /// Racks touched.
     racks: usize,
     /// Accelerators left free on the workers touched.
@@ -138,14 +197,19 @@
 }
 
 /// Seats the gang in one group, on as few workers as possible.
-fn fill(mut rooms: Vec<Room<'_>>, options: &Options<'_>) -> Option<(Score, Vec<Seat>)> {
+fn fill(
+    mut rooms: Vec<Room<'_>>,
+    options: &Options<'_>,
+    blocks: Option<&Blocks<'_>>,
+) -> Option<(Score, Vec<Seat>)> {
     let mut missing = options.shape.tasks;
     let total: u64 = rooms.iter().map(|room| u64::from(room.tasks)).sum();
     if missing == 0 || total < u64::from(missing) {
         return None;
     }
     let mut seats = Vec::new();
-    let mut score = Score { bound: 0, racks: 0, left: 0 };
+    let mut score = Score { bound: 0, broken: 0, opened: 0, racks: 0, left: 0 };
+    let mut taken = Vec::new();
     let mut racks: Vec<&str> = Vec::new();
     while missing > 0 {
         let room = rooms.swap_remove(next_room(&rooms, missing, &racks));
@@ -155,6 +219,9 @@
         if !options.is_guaranteed {
             score.bound += accelerators.saturating_sub(room.worker.unbound_free());
         }
+        let is_whole = room.worker.used.accelerators == 0;
+        score.opened += u32::from(is_whole && accelerators < room.worker.capacity.accelerators);
+        taken.push((room.worker, accelerators));
         score.left += room.worker.free().accelerators.saturating_sub(accelerators);
         if !racks.contains(&room.worker.rack.as_str()) {
             racks.push(&room.worker.rack);
@@ -162,6 +229,7 @@
         seats.push(Seat { worker: room.name.clone(), tasks });
     }
     score.racks = racks.len();
+    score.broken = blocks.map_or(0, |blocks| blocks.broken(&taken));
     seats.sort_by(|left, right| left.worker.cmp(&right.worker));
     Some((score, seats))
 }
--- a/crates/trace/examples/policy.rs
+++ b/crates/trace/examples/policy.rs
@@ -14,6 +14,9 @@
 /// Prints mean and standard deviation over the seeds, and the ratio to each baseline.
 #[derive(argh::FromArgs)]
 struct Args {
+    /// first seed
+    #[argh(option, default = "1")]
+    first: u64,
     /// seeds
     #[argh(option, default = "10")]
     seeds: u64,
@@ -30,7 +33,7 @@
 
 fn runs(deployment: &Deployment, policy: Policy, args: &Args) -> Vec<Figures> {
     let time = Duration::from_secs(args.hours * 3_600);
-    (1..=args.seeds)
+    (args.first..args.first + args.seeds)
         .map(|seed| {
             let load = load::make(deployment, seed, time, args.load);
             run::run(deployment, policy, &load, seed)
@@ -72,6 +75,7 @@
         policies.extend([
             ("no order", Policy::Pass(Mechanisms { has_order: false, ..on })),
             ("no reservation", Policy::Pass(Mechanisms { has_reservation: false, ..on })),
+            ("no sparing", Policy::Pass(Mechanisms { has_sparing: false, ..on })),
             ("no guarantees", Policy::Pass(Mechanisms { has_guarantees: false, ..on })),
         ]);
     }
--- a/crates/trace/src/baseline.rs
+++ b/crates/trace/src/baseline.rs
@@ -33,7 +33,13 @@
         }
         if held + tasks == shape.tasks {
             let seats = std::mem::take(seats);
-            return Some(Outcome { seats, group: group.to_owned(), runner_up: String::new() });
+            return Some(Outcome {
+                seats,
+                group: group.to_owned(),
+                runner_up: String::new(),
+                broken: 0,
+                whole: 0,
+            });
         }
     }
     None
--- a/crates/trace/src/run.rs
+++ b/crates/trace/src/run.rs
@@ -193,6 +193,7 @@
         for (id, place, is_guaranteed) in starts {
             self.start(now, &id, place, is_guaranteed);
         }
+        self.note_holdable(now);
     }
 
     fn by_baseline(&self, now: Duration) -> Vec<(id::Job, place::Outcome)> {
