perf: placement sorts and chunks instead of building maps of names

Cause: a gang of 256 took 0.83 ms at 1,000 workers and 42 ms at 38,000 (p50). Change: rooms are sorted by group once; racks and rooms are chosen by binary search.

--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -70,38 +70,70 @@
 /// bound to others, then fewest large blocks broken, then least room left over.
 pub fn place(fleet: &Fleet, options: &Options<'_>) -> Option<Outcome> {
     let blocks = options.spare.map(|spare| Blocks::new(fleet, spare));
-    let mut groups: BTreeMap<String, Vec<Room<'_>>> = BTreeMap::new();
-    for (name, worker) in &fleet.workers {
-        let tasks = tasks_that_fit(name, worker, options);
-        if tasks > 0 {
-            let group = group_of(name, worker, options.shape.adjacency());
-            groups.entry(group).or_default().push(Room { name, worker, tasks });
+    let mut rooms: Vec<Room<'_>> = fleet
+        .workers
+        .iter()
+        .map(|(name, worker)| Room { name, worker, tasks: tasks_that_fit(name, worker, options) })
+        .filter(|room| room.tasks > 0)
+        .collect();
+    let adjacency = options.shape.adjacency();
+    rooms.sort_by(|left, right| left.group(adjacency).cmp(&right.group(adjacency)));
+    let groups = rooms.chunk_by(|left, right| left.group(adjacency) == right.group(adjacency));
+    let ranked = groups.filter_map(|rooms| {
+        let (score, seats) = fill(rooms, options, blocks.as_ref())?;
+        Some((score, rooms[0].group(adjacency), seats))
+    });
+    let mut best: Option<(Score, Group<'_>, Vec<(&Room<'_>, u32)>)> = None;
+    let mut second: Option<(Score, Group<'_>)> = None;
+    for candidate in ranked {
+        let is_best =
+            best.as_ref().is_none_or(|best| (&candidate.0, candidate.1) < (&best.0, best.1));
+        if is_best {
+            second = best.replace(candidate).map(|(score, group, _)| (score, group));
+        } else if second.as_ref().is_none_or(|other| candidate.0 < other.0) {
+            second = Some((candidate.0, candidate.1));
         }
     }
-    let mut ranked: Vec<(Score, String, Vec<Seat>)> = groups
-        .into_iter()
-        .filter_map(|(group, rooms)| {
-            let (score, seats) = fill(rooms, options, blocks.as_ref())?;
-            Some((score, group, seats))
-        })
-        .collect();
-    ranked.sort_by(|left, right| (&left.0, &left.1).cmp(&(&right.0, &right.1)));
-    let mut ranked = ranked.into_iter();
-    let (score, group, seats) = ranked.next()?;
-    let broken = score.broken;
-    let whole = blocks.map_or(0, |blocks| blocks.count().saturating_sub(broken));
-    let runner_up = ranked.next().map(|(_, group, _)| group).unwrap_or_default();
-    Some(Outcome { seats, group, runner_up, broken, whole })
+    let (score, group, taken) = best?;
+    let whole = blocks.map_or(0, |blocks| blocks.count().saturating_sub(score.broken));
+    Some(Outcome {
+        seats: seats(&taken),
+        group: group_name(group),
+        runner_up: second.map(|(_, group)| group_name(group)).unwrap_or_default(),
+        broken: score.broken,
+        whole,
+    })
 }
 
-fn group_of(name: &str, worker: &Worker, adjacency: Adjacency) -> String {
-    match adjacency {
-        Adjacency::Worker => name.to_owned(),
-        Adjacency::Rack => format!("{}/{}", worker.zone, worker.rack),
-        Adjacency::Zone => worker.zone.clone(),
+/// Zone, rack and worker; the parts that don't count are empty.
+type Group<'a> = (&'a str, &'a str, &'a str);
+
+impl<'a> Room<'a> {
+    fn group(&self, adjacency: Adjacency) -> Group<'a> {
+        let (zone, rack) = (self.worker.zone.as_str(), self.worker.rack.as_str());
+        match adjacency {
+            Adjacency::Zone => (zone, "", ""),
+            Adjacency::Rack => (zone, rack, ""),
+            Adjacency::Worker => (zone, rack, self.name),
+        }
     }
 }
 
+fn group_name((zone, rack, worker): Group<'_>) -> String {
+    match (rack, worker) {
+        ("", "") => zone.to_owned(),
+        (rack, "") => format!("{zone}/{rack}"),
+        (_, worker) => worker.to_owned(),
+    }
+}
+
+fn seats(taken: &[(&Room<'_>, u32)]) -> Vec<Seat> {
+    let seat = |(room, tasks): &(&Room<'_>, u32)| Seat { worker: room.name.clone(), tasks: *tasks };
+    let mut seats: Vec<Seat> = taken.iter().map(seat).collect();
+    seats.sort_by(|left, right| left.worker.cmp(&right.worker));
+    seats
+}
+
 fn tasks_that_fit(name: &id::Worker, worker: &Worker, options: &Options<'_>) -> u32 {
     let shape = options.shape;
     if !worker.is_open || shape.accelerators == 0 || options.avoid.contains(name) {
@@ -196,53 +228,70 @@
     left: u32,
 }
 
-/// Seats the gang in one group, on as few workers as possible.
-fn fill(
-    mut rooms: Vec<Room<'_>>,
+/// Seats the gang in one group, on few racks and few workers.
+fn fill<'r, 'a>(
+    rooms: &'r [Room<'a>],
     options: &Options<'_>,
     blocks: Option<&Blocks<'_>>,
-) -> Option<(Score, Vec<Seat>)> {
-    let mut missing = options.shape.tasks;
+) -> Option<(Score, Vec<(&'r Room<'a>, u32)>)> {
     let total: u64 = rooms.iter().map(|room| u64::from(room.tasks)).sum();
-    if missing == 0 || total < u64::from(missing) {
+    if options.shape.tasks == 0 || total < u64::from(options.shape.tasks) {
         return None;
     }
-    let mut seats = Vec::new();
-    let mut score = Score { bound: 0, broken: 0, opened: 0, racks: 0, left: 0 };
+    let taken = choose(rooms, options.shape.tasks);
+    let mut score = Score { broken: 0, bound: 0, opened: 0, racks: 0, left: 0 };
+    let mut used = Vec::with_capacity(taken.len());
+    for (room, tasks) in &taken {
+        let (worker, accelerators) = (room.worker, options.shape.accelerators * tasks);
+        if !options.is_guaranteed {
+            score.bound += accelerators.saturating_sub(worker.unbound_free());
+        }
+        let is_whole = worker.used.accelerators == 0;
+        score.opened += u32::from(is_whole && accelerators < worker.capacity.accelerators);
+        score.left += worker.free().accelerators.saturating_sub(accelerators);
+        used.push((worker, accelerators));
+    }
+    let racks = taken.chunk_by(|left, right| left.0.worker.rack == right.0.worker.rack);
+    score.racks = racks.count();
+    score.broken = blocks.map_or(0, |blocks| blocks.broken(&used));
+    Some((score, taken))
+}
+
+/// Takes whole racks, the largest first, until one more rack or worker holds what is missing;
+/// of those that do, the tightest.
+fn choose<'r, 'a>(rooms: &'r [Room<'a>], tasks: u32) -> Vec<(&'r Room<'a>, u32)> {
+    let mut by_rack: Vec<&Room<'_>> = rooms.iter().collect();
+    by_rack.sort_by(|left, right| left.worker.rack.cmp(&right.worker.rack));
+    let racks = by_rack.chunk_by(|left, right| left.worker.rack == right.worker.rack);
+    let sum = |rack: &[&Room<'_>]| -> u32 { rack.iter().map(|room| room.tasks).sum() };
+    let mut racks: Vec<(u32, &[&'r Room<'a>])> = racks.map(|rack| (sum(rack), rack)).collect();
+    racks.sort_by_key(|(sum, _)| *sum);
+    let mut missing = tasks;
     let mut taken = Vec::new();
-    let mut racks: Vec<&str> = Vec::new();
     while missing > 0 {
-        let room = rooms.swap_remove(next_room(&rooms, missing, &racks));
+        let fitting = racks.partition_point(|(sum, _)| *sum < missing);
+        let index = if fitting < racks.len() { fitting } else { racks.len() - 1 };
+        let (_, rack) = racks.remove(index);
+        missing -= choose_in_rack(rack, missing, &mut taken);
+    }
+    taken
+}
+
+fn choose_in_rack<'r, 'a>(
+    rack: &[&'r Room<'a>],
+    most: u32,
+    taken: &mut Vec<(&'r Room<'a>, u32)>,
+) -> u32 {
+    let mut rooms = rack.to_vec();
+    rooms.sort_by(|left, right| left.tasks.cmp(&right.tasks).then(left.name.cmp(right.name)));
+    let mut missing = most;
+    while missing > 0 && !rooms.is_empty() {
+        let fitting = rooms.partition_point(|room| room.tasks < missing);
+        let index = if fitting < rooms.len() { fitting } else { rooms.len() - 1 };
+        let room = rooms.remove(index);
         let tasks = room.tasks.min(missing);
         missing -= tasks;
-        let accelerators = options.shape.accelerators * tasks;
-        if !options.is_guaranteed {
-            score.bound += accelerators.saturating_sub(room.worker.unbound_free());
-        }
-        let is_whole = room.worker.used.accelerators == 0;
-        score.opened += u32::from(is_whole && accelerators < room.worker.capacity.accelerators);
-        taken.push((room.worker, accelerators));
-        score.left += room.worker.free().accelerators.saturating_sub(accelerators);
-        if !racks.contains(&room.worker.rack.as_str()) {
-            racks.push(&room.worker.rack);
-        }
-        seats.push(Seat { worker: room.name.clone(), tasks });
+        taken.push((room, tasks));
     }
-    score.racks = racks.len();
-    score.broken = blocks.map_or(0, |blocks| blocks.broken(&taken));
-    seats.sort_by(|left, right| left.worker.cmp(&right.worker));
-    Some((score, seats))
-}
-
-/// The tightest room that takes all that is missing, else the largest; a rack already used
-/// goes first.
-fn next_room(rooms: &[Room<'_>], missing: u32, racks: &[&str]) -> usize {
-    let key = |room: &Room<'_>| {
-        let is_new_rack = !racks.contains(&room.worker.rack.as_str());
-        let takes_all = room.tasks >= missing;
-        let fit = if takes_all { room.tasks } else { u32::MAX - room.tasks };
-        (!takes_all, is_new_rack, fit, room.name.clone())
-    };
-    let indexes = 0..rooms.len();
-    indexes.min_by_key(|index| key(&rooms[*index])).expect("the caller checked the total")
+    most - missing
 }
