test: two planners at once, by an entry that alone loses the store; agents reviewed once a heartbeat

Cause: with the agents' epoch check switched off no test failed: no run had two live planners. Change: a fault that cuts one entry off the store, a promise test with both planning; the planner looks at every agent once a heartbeat instead of at each tick.

--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -250,7 +250,7 @@
             let ruleset = Some(ruleset.clone());
             self.send(&other, frame::Body::Rules(Rules { ruleset }));
         }
-        self.tick_planner(now);
+        self.with_planner(now, |planner, around, out| planner.rules_changed(now, around, out));
     }
 
     fn key_replied(&mut self, now: Duration, sent: Duration, reply: Reply) {
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -89,6 +89,8 @@
     avoided: BTreeMap<id::Worker, Duration>,
     why: BTreeMap<id::Job, String>,
     estimates: Estimates,
+    /// When every agent is looked at again.
+    next_review: Duration,
     needs_schedule: bool,
 }
 
@@ -128,6 +130,7 @@
             avoided: BTreeMap::new(),
             why: BTreeMap::new(),
             estimates: Estimates::default(),
+            next_review: Duration::ZERO,
             needs_schedule: true,
         };
         for job in stored.jobs {
@@ -578,9 +581,9 @@
 
     /// Time has passed: bindings, time-outs of attempts, waiting jobs.
     pub fn tick(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
-        self.rebind(now, around, out);
-        for agent in around.registry.agents().values() {
-            self.greet(agent, around, out);
+        if now >= self.next_review {
+            self.next_review = now + self.options.heartbeat;
+            self.review(now, around, out);
         }
         let attempts: Vec<id::Attempt> = self.attempts.keys().cloned().collect();
         for attempt in attempts {
@@ -596,6 +599,20 @@
         self.assert_invariants();
     }
 
+    /// Looks at every agent; at each heartbeat, since it costs time for each of them.
+    fn review(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
+        self.rebind(now, around, out);
+        for agent in around.registry.agents().values() {
+            self.greet(agent, around, out);
+        }
+    }
+
+    /// Newer rules are in force: binds and tells the agents without waiting.
+    pub fn rules_changed(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
+        self.next_review = Duration::ZERO;
+        self.tick(now, around, out);
+    }
+
     fn tick_attempt(
         &mut self,
         now: Duration,
--- a/crates/proofs/src/chaos.rs
+++ b/crates/proofs/src/chaos.rs
@@ -202,7 +202,7 @@
     }
 
     fn fault(&mut self) {
-        match self.world.rng.random_range(0..14) {
+        match self.world.rng.random_range(0..15) {
             0 => {
                 self.count("entry killed");
                 let name = self.entry();
@@ -281,6 +281,12 @@
                 self.world.drain(&name);
                 self.mend_in(8_000, 20_000, Mend::RestartAgent(name));
             }
+            13 => {
+                self.count("store cut off from one entry");
+                let name = self.entry();
+                self.world.store_faults.cut_off.push(name);
+                self.mend_in(500, 12_000, Mend::Store);
+            }
             _ => {
                 self.count("worker deaf");
                 let name = self.agent();
--- a/crates/proofs/src/world.rs
+++ b/crates/proofs/src/world.rs
@@ -120,6 +120,8 @@
 pub struct StoreFaults {
     /// It does not answer and does nothing.
     pub is_down: bool,
+    /// Entries that can't reach it.
+    pub cut_off: Vec<String>,
     /// Calls that take effect while their answer is lost, in a thousand.
     pub lost_answers: u32,
     /// Extra delay of each call.
@@ -791,7 +793,7 @@
             StoreStage::Arrives(call) => {
                 let until = now + WATCH_HOLD;
                 let is_watch = matches!(call, Call::Watch { .. });
-                if self.store_faults.is_down {
+                if self.is_store_away(&flight.entry) {
                     self.store_fails(flight.entry, flight.generation, flight.operation);
                 } else if is_watch {
                     let stage = StoreStage::Watches(call, until);
@@ -807,7 +809,7 @@
                 }
             }
             StoreStage::Watches(call, until) => {
-                if self.store_faults.is_down || now >= until {
+                if self.is_store_away(&flight.entry) || now >= until {
                     self.store_fails(flight.entry, flight.generation, flight.operation);
                     return;
                 }
@@ -832,6 +834,10 @@
         }
     }
 
+    fn is_store_away(&self, entry: &str) -> bool {
+        self.store_faults.is_down || self.store_faults.cut_off.iter().any(|name| name == entry)
+    }
+
     fn store_fails(
         &mut self,
         entry: String,
--- a/crates/proofs/tests/promises/mod.rs
+++ b/crates/proofs/tests/promises/mod.rs
@@ -68,6 +68,34 @@
     }
 }
 
+/// The planner alone loses the store, so its key lapses and another entry takes over, while the
+/// first goes on as in an outage: two planners at once. Agents follow the later term; a job that
+/// must not repeat, submitted through the first, runs at most once, and the first steps down.
+#[test]
+fn of_two_planners_at_once_agents_follow_the_later() {
+    let mut world = stories::world();
+    let old = world.planner("norte").expect("settled");
+    let new = if old == "e1" { "e2" } else { "e1" };
+    world.store_faults.cut_off.push(old.clone());
+    world.network.cuts.push(("e1".into(), "e2".into()));
+    world.run(SECOND * 6);
+    let plans = |world: &sapphire_proofs::world::World, name: &str| {
+        world.entries[name].machine.as_ref().is_some_and(|m| m.planner().is_some())
+    };
+    assert!(plans(&world, &old) && plans(&world, new), "both plan");
+    world.submit(new, &stories::gang("dossier", "sleep 3000ms", false));
+    let caller = stories::wait(&mut world, new, "norte.review.dossier");
+    world.submit(&old, &stories::borrower("stale", 8, 3, "sleep 100ms"));
+    world.run(SECOND);
+    world.network.cuts.clear();
+    world.store_faults.cut_off.clear();
+    world.run_until_answer(caller, SECOND * 20);
+    let (_, job) = world.answer(caller).expect("the job ends");
+    assert_eq!(job["state"], "done", "{job}");
+    world.run(SECOND * 5);
+    assert!(!plans(&world, &old) && plans(&world, new), "one steps down");
+}
+
 /// An agent announces that it leaves. Three seconds later no entry gives it anything new,
 /// though it is the only one with room.
 #[test]
