fix: a borrower that checkpoints keeps its lease to the end of the grace period

Cause: with the end of the grace period switched off no test failed; looking into why showed that an evicted task's lease was never renewed, so a checkpoint longer than half a lease was cut off.

--- a/crates/agent/src/ledger.rs
+++ b/crates/agent/src/ledger.rs
@@ -251,8 +251,9 @@
                 self.end(now, attempt, End::Barred, "its room was reclaimed");
                 self.reply(attempt, HoldState::HoldRefused, "its room was reclaimed");
             }
-            Phase::Running { .. } => {
-                member.phase = Phase::Evicting { stop_at: now + grace };
+            Phase::Running { until } => {
+                let stop_at = now + grace;
+                member.phase = Phase::Evicting { stop_at, until: until.min(stop_at) };
                 member.reason = "its room was reclaimed".to_owned();
                 self.changes.push(Change::Evict(attempt.to_owned(), grace));
             }
@@ -278,7 +279,8 @@
         }
     }
 
-    /// A lease from the lead: starts a held member, extends a running one.
+    /// A lease from the lead: starts a held member, extends a running one. One that is being
+    /// evicted goes on to the end of its grace period, so that a slow checkpoint is finished.
     ///
     /// Guards against a lease that was delayed on its way: it counts from the beat it answers,
     /// by this agent's own clock, so that a late one can't keep a stopped gang's task alive. A
@@ -298,6 +300,13 @@
                 let left = renewed.saturating_sub(now);
                 self.changes.push(Change::Renew(attempt.to_owned(), left));
             }
+            Phase::Evicting { stop_at, until } if now < stop_at => {
+                let renewed = member.beat_time(beat).map_or(until, |at| at + lease).max(until);
+                let until = renewed.min(stop_at);
+                member.phase = Phase::Evicting { stop_at, until };
+                let left = until.saturating_sub(now);
+                self.changes.push(Change::Renew(attempt.to_owned(), left));
+            }
             Phase::Ended { .. } => member.is_acknowledged = true,
             _ => {}
         }
@@ -380,7 +389,7 @@
             Phase::Running { until } if now >= until => {
                 self.stop(now, attempt, "the lease lapsed");
             }
-            Phase::Evicting { stop_at } if now >= stop_at => {
+            Phase::Evicting { until, .. } if now >= until => {
                 self.stop(now, attempt, "its room was reclaimed");
             }
             Phase::Stopping => self.changes.push(Change::Stop(attempt.to_owned())),
--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -40,6 +40,8 @@
     Evicting {
         /// When the tasks are stopped at the latest.
         stop_at: Duration,
+        /// When the lease lapses; never later than that.
+        until: Duration,
     },
     /// The worker was asked to stop its tasks.
     Stopping,
--- /dev/null
+++ b/crates/agent/tests/agent.rs
@@ -0,0 +1,4 @@
+//! The agent's own decisions.
+
+mod ledger;
+mod slots;
--- /dev/null
+++ b/crates/agent/tests/ledger/mod.rs
@@ -0,0 +1,143 @@
+//! What a worker's accelerators are given to, and when that lapses.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use sapphire_agent::{
+    ledger::{Change, Ledger},
+    member::Phase,
+};
+use sapphire_wire::{Bound, Hold, HoldState, Peer, Shape, Slice, TaskState, peer, resource};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn ledger() -> Ledger {
+    let capacity = resource::Amount { accelerators: 8, processors: 64, memory_bytes: 256 << 30 };
+    let mut ledger = Ledger::new(capacity, SECOND, SECOND * 600);
+    let bound = vec![Bound { organisation: "review".into(), accelerators: 8 }];
+    let slice = Slice { bound, grace_ms: 1_000, ..Slice::default() };
+    ledger.apply(&slice).expect("it fits");
+    ledger
+}
+
+fn planner() -> Peer {
+    peer::new("e1", "e1", 1)
+}
+
+fn hold(attempt: &str, organisation: &str, accelerators: u32, guaranteed: bool) -> Hold {
+    Hold {
+        attempt: attempt.into(),
+        organisation: organisation.into(),
+        shape: Some(Shape { accelerators, tasks: 1, ..Shape::default() }),
+        tasks: 1,
+        guaranteed,
+        lead: Some(peer::new("a1", "a1", 1)),
+        ttl_ms: 3_000,
+        command: "run".into(),
+        ..Hold::default()
+    }
+}
+
+fn replies(ledger: &mut Ledger) -> Vec<(HoldState, String)> {
+    let changes = ledger.take_changes().into_iter();
+    let replies = changes.filter_map(|change| match change {
+        Change::Reply(_, state, reason) => Some((state, reason)),
+        _ => None,
+    });
+    replies.collect()
+}
+
+/// A renewal is held up in the network and arrives late, when its lead has long stopped the
+/// gang. It counts from the beat that it answers, so it extends nothing, and the task stops.
+#[test]
+fn a_late_renewal_extends_nothing() {
+    let mut ledger = ledger();
+    ledger.hold(SECOND, &hold("j/1", "archive", 4, false), &planner());
+    ledger.lease(SECOND, "j/1", 0);
+    let beat = ledger.get_mut("j/1").expect("held").beat(SECOND);
+    ledger.lease(SECOND + SECOND * 9 / 10, "j/1", beat);
+    assert_matches!(ledger.members()["j/1"].phase, Phase::Running { until } if until == SECOND * 2);
+    ledger.tick(SECOND * 2);
+    assert_eq!(ledger.members()["j/1"].phase, Phase::Stopping);
+}
+
+/// The planner bars an attempt whose hold is still on its way. The caller is told "not run", so
+/// the hold is refused when it arrives, and so is a lease.
+#[test]
+fn a_hold_that_arrives_after_its_bar_is_refused() {
+    let mut ledger = ledger();
+    assert_eq!(ledger.bar(SECOND, "j/1", "settling"), TaskState::TaskBarred);
+    ledger.hold(SECOND, &hold("j/1", "archive", 4, false), &planner());
+    assert_matches!(replies(&mut ledger).as_slice(), [(HoldState::HoldRefused, _)]);
+    assert_eq!(ledger.lease(SECOND, "j/1", 0), TaskState::TaskBarred);
+    assert_eq!(ledger.free().accelerators, 8);
+}
+
+/// A borrower's checkpoint takes longer than a lease. It may go on to the end of the grace
+/// period, and not a moment longer, whatever leases still arrive.
+#[test]
+fn a_slow_checkpoint_has_the_whole_grace_period() {
+    let mut ledger = ledger();
+    let slow = Slice {
+        bound: vec![Bound { organisation: "review".into(), accelerators: 8 }],
+        grace_ms: 5_000,
+        ..Slice::default()
+    };
+    ledger.apply(&slow).expect("it fits");
+    ledger.hold(SECOND, &hold("b/1", "archive", 8, false), &planner());
+    ledger.lease(SECOND, "b/1", 0);
+    ledger.hold(SECOND, &hold("g/1", "review", 8, true), &planner());
+    for tenth in 10..80 {
+        let now = SECOND * tenth / 10;
+        if let Some(member) = ledger.get_mut("b/1") {
+            let beat = member.beat(now);
+            ledger.lease(now, "b/1", beat);
+        }
+        let is_renewed =
+            ledger.take_changes().iter().any(|change| matches!(change, Change::Renew(..)));
+        assert_eq!(is_renewed, now < SECOND * 6, "at {now:?}");
+        ledger.tick(now);
+        let is_evicting = matches!(ledger.members()["b/1"].phase, Phase::Evicting { .. });
+        assert_eq!(is_evicting, now < SECOND * 6, "at {now:?}");
+    }
+}
+
+#[test]
+fn a_guarantee_is_reclaimed_from_borrowers_and_no_further() {
+    let mut ledger = ledger();
+    ledger.hold(SECOND, &hold("b/1", "archive", 8, false), &planner());
+    ledger.lease(SECOND, "b/1", 0);
+    ledger.take_changes();
+    ledger.hold(SECOND * 2, &hold("g/1", "review", 8, true), &planner());
+    assert_matches!(
+        ledger.take_changes().as_slice(),
+        [Change::Reply(_, HoldState::HoldEvicting, _), Change::Evict(evicted, _)] if evicted == "b/1"
+    );
+    ledger.task_ended(SECOND * 2, "b/1", None, "checkpointed");
+    ledger.tick(SECOND * 2);
+    let granted = (HoldState::HoldGranted, String::new());
+    assert!(replies(&mut ledger).contains(&granted));
+    ledger.hold(SECOND * 2, &hold("g/2", "review", 1, true), &planner());
+    let refused = replies(&mut ledger);
+    assert_matches!(refused.as_slice(), [(HoldState::HoldRefused, reason)] if reason.contains("8 of 8"));
+}
+
+/// A gang asks for one guaranteed accelerator and all processors. Were it granted, the other
+/// guarantees on the worker would be worthless.
+#[test]
+fn a_guaranteed_gang_takes_no_more_than_its_share_of_processors() {
+    let mut ledger = ledger();
+    let mut greedy = hold("g/1", "review", 1, true);
+    greedy.shape = Some(Shape { processors: 9, ..greedy.shape.expect("set above") });
+    ledger.hold(SECOND, &greedy, &planner());
+    assert_matches!(replies(&mut ledger).as_slice(), [(HoldState::HoldRefused, _)]);
+}
+
+#[test]
+fn a_slice_that_binds_more_than_there_is_changes_nothing() {
+    let mut ledger = ledger();
+    let bound = vec![Bound { organisation: "archive".into(), accelerators: 9 }];
+    assert!(ledger.apply(&Slice { bound, ..Slice::default() }).is_err());
+    ledger.hold(SECOND, &hold("g/1", "review", 8, true), &planner());
+    assert_matches!(replies(&mut ledger).as_slice(), [(HoldState::HoldGranted, _)]);
+}
