--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -83,7 +83,7 @@
         let (score, seats) = fill(rooms, options, blocks.as_ref())?;
         Some((score, rooms[0].group(adjacency), seats))
     });
-    let mut best: Option<(Score, Group<'_>, Vec<(&Room<'_>, u32)>)> = None;
+    let mut best: Option<(Score, Group<'_>, Taken<'_, '_>)> = None;
     let mut second: Option<(Score, Group<'_>)> = None;
     for candidate in ranked {
         let is_best =
@@ -105,6 +105,9 @@
     })
 }
 
+/// Rooms taken, with how many tasks each.
+type Taken<'r, 'a> = Vec<(&'r Room<'a>, u32)>;
+
 /// Zone, rack and worker; the parts that don't count are empty.
 type Group<'a> = (&'a str, &'a str, &'a str);
 
@@ -233,7 +236,7 @@
     rooms: &'r [Room<'a>],
     options: &Options<'_>,
     blocks: Option<&Blocks<'_>>,
-) -> Option<(Score, Vec<(&'r Room<'a>, u32)>)> {
+) -> Option<(Score, Taken<'r, 'a>)> {
     let total: u64 = rooms.iter().map(|room| u64::from(room.tasks)).sum();
     if options.shape.tasks == 0 || total < u64::from(options.shape.tasks) {
         return None;
@@ -259,7 +262,7 @@
 
 /// Takes whole racks, the largest first, until one more rack or worker holds what is missing;
 /// of those that do, the tightest.
-fn choose<'r, 'a>(rooms: &'r [Room<'a>], tasks: u32) -> Vec<(&'r Room<'a>, u32)> {
+fn choose<'r, 'a>(rooms: &'r [Room<'a>], tasks: u32) -> Taken<'r, 'a> {
     let mut by_rack: Vec<&Room<'_>> = rooms.iter().collect();
     by_rack.sort_by(|left, right| left.worker.rack.cmp(&right.worker.rack));
     let racks = by_rack.chunk_by(|left, right| left.worker.rack == right.worker.rack);
@@ -277,11 +280,7 @@
     taken
 }
 
-fn choose_in_rack<'r, 'a>(
-    rack: &[&'r Room<'a>],
-    most: u32,
-    taken: &mut Vec<(&'r Room<'a>, u32)>,
-) -> u32 {
+fn choose_in_rack<'r, 'a>(rack: &[&'r Room<'a>], most: u32, taken: &mut Taken<'r, 'a>) -> u32 {
     let mut rooms = rack.to_vec();
     rooms.sort_by(|left, right| left.tasks.cmp(&right.tasks).then(left.name.cmp(right.name)));
     let mut missing = most;
