test: a draining agent refuses even guaranteed holds

Cause: with the agent's own refusal switched off no test failed; the planner's caution hid it. Change: a test of the ledger alone.

--- a/crates/agent/tests/ledger/mod.rs
+++ b/crates/agent/tests/ledger/mod.rs
@@ -73,6 +73,21 @@
     assert_eq!(ledger.free().accelerators, 8);
 }
 
+/// The agent is asked to leave. A planner that has not heard of it yet still sends a hold, for a
+/// guaranteed gang even: it is refused, and what runs goes on.
+#[test]
+fn a_draining_agent_refuses_holds_and_stops_nothing() {
+    let mut ledger = ledger();
+    ledger.hold(SECOND, &hold("b/1", "archive", 4, false), &planner());
+    ledger.lease(SECOND, "b/1", 0);
+    ledger.drain();
+    ledger.take_changes();
+    ledger.hold(SECOND, &hold("g/1", "review", 8, true), &planner());
+    let refused = replies(&mut ledger);
+    assert_matches!(refused.as_slice(), [(HoldState::HoldRefused, why)] if why.contains("draining"));
+    assert_matches!(ledger.members()["b/1"].phase, Phase::Running { .. });
+}
+
 /// A borrower's checkpoint takes longer than a lease. It may go on to the end of the grace
 /// period, and not a moment longer, whatever leases still arrive.
 #[test]
