--- a/crates/proofs/tests/promises/mod.rs
+++ b/crates/proofs/tests/promises/mod.rs
@@ -69,13 +69,16 @@
 }
 
 /// The planner alone loses the store, so its key lapses and another entry takes over, while the
-/// first goes on as in an outage: two planners at once. Agents follow the later term; a job that
-/// must not repeat, submitted through the first, runs at most once, and the first steps down.
+/// first goes on as in an outage: two planners at once. Agents follow the later term, so the
+/// first hears no more of a gang that runs, takes its lead as silent and bars it. The agents
+/// refuse that, or the gang's work would be lost. When the store is back the first steps down.
 #[test]
 fn of_two_planners_at_once_agents_follow_the_later() {
     let mut world = stories::world();
     let old = world.planner("norte").expect("settled");
     let new = if old == "e1" { "e2" } else { "e1" };
+    world.submit(new, &stories::gang("dossier", "sleep 25000ms", false));
+    world.run(SECOND);
     world.store_faults.cut_off.push(old.clone());
     world.network.cuts.push(("e1".into(), "e2".into()));
     world.run(SECOND * 6);
@@ -83,10 +86,9 @@
         world.entries[name].machine.as_ref().is_some_and(|m| m.planner().is_some())
     };
     assert!(plans(&world, &old) && plans(&world, new), "both plan");
-    world.submit(new, &stories::gang("dossier", "sleep 3000ms", false));
     let caller = stories::wait(&mut world, new, "norte.review.dossier");
     world.submit(&old, &stories::borrower("stale", 8, 3, "sleep 100ms"));
-    world.run(SECOND);
+    world.run(SECOND * 14);
     world.network.cuts.clear();
     world.store_faults.cut_off.clear();
     world.run_until_answer(caller, SECOND * 20);
@@ -221,3 +223,28 @@
         assert_eq!(job["state"], "done", "at {moment}: {job}");
     }
 }
+
+/// A job that must not repeat is accepted; then the store goes down before the attempt is
+/// recorded, and the planner dies. Had it started the gang, its successor would find a job that
+/// waits, and start it a second time: a farmer billed twice. The observer asserts that.
+#[test]
+fn a_gang_is_not_started_before_its_attempt_is_recorded() {
+    let mut world = stories::world();
+    let old = world.planner("norte").expect("settled");
+    let new = if old == "e1" { "e2" } else { "e1" };
+    let writes = world.store.counts["put"];
+    let caller = world.submit(new, &stories::gang("bill", "sleep 9000ms", false));
+    while world.answer(caller).is_none() {
+        world.run(Duration::from_millis(10));
+        world.store_faults.is_down = world.store.counts["put"] > writes;
+    }
+    assert_eq!(world.answer(caller).map(|(status, _)| status), Some(201));
+    world.store_faults.is_down = true;
+    world.run(SECOND / 2);
+    world.kill_entry(&old);
+    world.store_faults.is_down = false;
+    let caller = stories::wait(&mut world, new, "norte.review.bill");
+    assert!(world.run_until_answer(caller, SECOND * 30));
+    let (_, job) = world.answer(caller).expect("just answered");
+    assert_eq!(job["state"], "done", "{job}");
+}
