feat: a worker that fails every task is set aside, a wave of bad jobs sets none aside

Cause: a failing worker was left out for 5 s at a time only, so it ate a try of job after job. Change: plan::health; the planner leaves such workers out, 60 s and doubling; a fault kind and a test.

--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -799,6 +799,7 @@
     }
 
     fn workers(&self, now: Duration) -> Answer {
+        let aside = self.planner.as_ref().map(|planner| planner.aside(now)).unwrap_or_default();
         let workers = self.registry.agents().values().filter_map(|agent| {
             let worker = agent.worker.as_ref()?;
             Some(json!({
@@ -812,6 +813,7 @@
                 "borrowed": agent.load.borrowed_accelerators,
                 "draining": agent.load.draining,
                 "heard": self.registry.is_heard(now, agent),
+                "set_aside": aside.contains(&&worker.name),
                 "rules": agent.applied.rules,
             }))
         });
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_plan::{bind, estimate::Estimates, fleet, pass, place, queue};
+use sapphire_plan::{bind, estimate::Estimates, fleet, health, pass, place, queue};
 use sapphire_rules::{file, rule};
 use sapphire_store::{
     call::{Call, Reply, Revision, Value},
@@ -89,6 +89,7 @@
     avoided: BTreeMap<id::Worker, Duration>,
     why: BTreeMap<id::Job, String>,
     estimates: Estimates,
+    health: health::Health,
     /// When every agent is looked at again.
     next_review: Duration,
     needs_schedule: bool,
@@ -130,6 +131,7 @@
             avoided: BTreeMap::new(),
             why: BTreeMap::new(),
             estimates: Estimates::default(),
+            health: health::Health::default(),
             next_review: Duration::ZERO,
             needs_schedule: true,
         };
@@ -591,7 +593,7 @@
         }
         let due = |until: &Duration| *until <= now;
         self.needs_schedule |= self.not_before.values().any(due);
-        self.needs_schedule |= self.avoided.values().any(due);
+        self.needs_schedule |= self.avoided.values().any(due) || self.health.release(now);
         self.not_before.retain(|_, until| !due(until));
         self.avoided.retain(|_, until| !due(until));
         self.pay(out);
@@ -759,7 +761,7 @@
             fleet: self.fleet(now, around),
             waiting: self.waiting(now),
             running: &running,
-            avoid: &self.avoided.keys().cloned().collect::<Vec<_>>(),
+            avoid: &self.left_out(now),
             mechanisms: pass::Mechanisms::default(),
         });
         self.why.extend(outcome.why);
@@ -768,6 +770,30 @@
         }
     }
 
+    /// Workers that get nothing now: they refused a moment ago, lost a task, or are set aside.
+    fn left_out(&self, now: Duration) -> Vec<id::Worker> {
+        self.avoided.keys().chain(self.health.aside(now)).cloned().collect()
+    }
+
+    /// Workers that fail every task they start, and get nothing for a while.
+    pub fn aside(&self, now: Duration) -> Vec<&id::Worker> {
+        self.health.aside(now).collect()
+    }
+
+    fn note_failure(&mut self, now: Duration, attempt: &Attempt, culprit: &str, out: &mut Output) {
+        let Some(seat) = attempt.seats.get(culprit) else { return };
+        self.avoided.insert(seat.worker.clone(), now + CULPRIT_BACKOFF);
+        if let Some(time) = self.health.failed(now, &seat.worker, &attempt.job) {
+            out.log(
+                PART,
+                format!(
+                    "worker={} set aside for={time:?} reason=\"fails every task\"",
+                    seat.worker
+                ),
+            );
+        }
+    }
+
     fn end_hopeless(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
         let waiting = self.jobs.values().filter(|job| job.state() == JobState::JobWaiting);
         let ends: Vec<_> = waiting
@@ -983,7 +1009,9 @@
                 }
             }
             GangState::GangDone => {
-                self.attempts.remove(&report.attempt);
+                if let Some(attempt) = self.attempts.remove(&report.attempt) {
+                    self.health.succeeded(attempt.seats.values().map(|seat| &seat.worker));
+                }
                 if let Some(job) = self.jobs.get(&job) {
                     self.estimates.observe(job, ran(now, job));
                 }
@@ -1082,12 +1110,15 @@
                 report.evicted, report.reason
             ),
         );
-        if job.cancel {
+        let (is_cancelled, is_idempotent) = (job.cancel, job.idempotent);
+        if is_failure {
+            self.note_failure(now, &attempt, &report.culprit, out);
+        } else if let Some(seat) = attempt.seats.get(&report.culprit) {
+            self.avoided.insert(seat.worker.clone(), now + CULPRIT_BACKOFF);
+        }
+        if is_cancelled {
             self.end(now, &attempt.job, JobState::JobCancelled, cancelled(true), out);
-        } else if job.idempotent {
-            if let Some(seat) = attempt.seats.get(&report.culprit) {
-                self.avoided.insert(seat.worker.clone(), now + CULPRIT_BACKOFF);
-            }
+        } else if is_idempotent {
             self.requeue(now, &attempt.job, &report.reason, !report.evicted);
         } else {
             let state = if is_failure { JobState::JobFailed } else { JobState::JobInterrupted };
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bind;
 pub mod estimate;
 pub mod fleet;
+pub mod health;
 pub mod pass;
 pub mod place;
 pub mod queue;
--- a/crates/plan/tests/decisions/mod.rs
+++ b/crates/plan/tests/decisions/mod.rs
@@ -6,7 +6,7 @@
     prelude::{ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, proptest},
     test_runner::RngSeed,
 };
-use sapphire_plan::{estimate, fleet, pass, reclaim};
+use sapphire_plan::{estimate, fleet, health, pass, reclaim};
 use sapphire_rules::file;
 use sapphire_wire::{Adjacency, Job, Shape, resource};
 
@@ -64,6 +64,39 @@
     assert!((90..200).contains(&expected), "{expected}");
 }
 
+/// A worker fails each task that it starts while the others do well. After three jobs it is set
+/// aside, and on its return once more, for longer; a success makes it well again.
+#[test]
+fn a_worker_that_fails_every_task_is_set_aside() {
+    let mut health = health::Health::default();
+    let good: Vec<String> = vec!["w1".into(), "w2".into()];
+    for _ in 0..5 {
+        health.succeeded(good.iter());
+    }
+    let second = Duration::from_secs(1);
+    assert_eq!(health.failed(second, "bad", "j1"), None);
+    assert_eq!(health.failed(second, "bad", "j1"), None, "one job failing twice is no streak");
+    assert_eq!(health.failed(second, "bad", "j2"), None);
+    assert_eq!(health.failed(second, "bad", "j3"), Some(second * 60));
+    assert_eq!(health.aside(second * 60).collect::<Vec<_>>(), ["bad"]);
+    assert_eq!(health.aside(second * 61).count(), 0);
+    assert_eq!(health.failed(second * 70, "bad", "j4"), Some(second * 120));
+    health.succeeded([String::from("bad")].iter());
+    assert_eq!(health.failed(second * 300, "bad", "j5"), None);
+}
+
+/// Somebody submits two hundred jobs that all fail. They fail on every worker, and none is set
+/// aside: the good jobs behind them need all of them.
+#[test]
+fn a_wave_of_bad_jobs_sets_no_worker_aside() {
+    let mut health = health::Health::default();
+    for job in 0..200 {
+        let worker = format!("w{}", job % 6);
+        health.failed(Duration::from_secs(job), &worker, &format!("j{job}"));
+    }
+    assert_eq!(health.aside(Duration::from_secs(200)).collect::<Vec<_>>(), Vec::<&String>::new());
+}
+
 const RULES: &str = "organisation a weight=2 # x\norganisation b # x\n\
     guarantee a accelerators=8 tasks=2 adjacency=rack zone=z # x\nquota b accelerators=20 # x\n";
 
--- a/crates/proofs/src/chaos.rs
+++ b/crates/proofs/src/chaos.rs
@@ -67,7 +67,7 @@
     RestartAgent(String),
     Store,
     Network,
-    Hearing(String),
+    Worker(String),
 }
 
 struct Run {
@@ -202,7 +202,7 @@
     }
 
     fn fault(&mut self) {
-        match self.world.rng.random_range(0..15) {
+        match self.world.rng.random_range(0..16) {
             0 => {
                 self.count("entry killed");
                 let name = self.entry();
@@ -287,13 +287,21 @@
                 self.world.store_faults.cut_off.push(name);
                 self.mend_in(500, 12_000, Mend::Store);
             }
+            14 => {
+                self.count("worker broken");
+                let name = self.agent();
+                if let Some(guarded) = self.world.agents.get_mut(&name) {
+                    guarded.worker.is_broken = true;
+                }
+                self.mend_in(500, 9_000, Mend::Worker(name));
+            }
             _ => {
                 self.count("worker deaf");
                 let name = self.agent();
                 if let Some(guarded) = self.world.agents.get_mut(&name) {
                     guarded.worker.is_deaf = true;
                 }
-                self.mend_in(500, 9_000, Mend::Hearing(name));
+                self.mend_in(500, 9_000, Mend::Worker(name));
             }
         }
     }
@@ -326,9 +334,10 @@
             Mend::RestartAgent(name) => self.world.start_agent(&name),
             Mend::Store => self.world.store_faults = Default::default(),
             Mend::Network => self.world.network = Default::default(),
-            Mend::Hearing(name) => {
+            Mend::Worker(name) => {
                 if let Some(guarded) = self.world.agents.get_mut(&name) {
                     guarded.worker.is_deaf = false;
+                    guarded.worker.is_broken = false;
                 }
             }
         }
--- a/crates/proofs/src/worker.rs
+++ b/crates/proofs/src/worker.rs
@@ -29,6 +29,8 @@
     pub tasks: BTreeMap<id::Attempt, Task>,
     /// It ignores checkpoint and stop requests of tasks until their lease lapses.
     pub is_deaf: bool,
+    /// Every task that it starts fails at once.
+    pub is_broken: bool,
 }
 
 impl Worker {
@@ -38,7 +40,8 @@
             accelerators: run.accelerators,
             started: now,
             until: now + run.lease,
-            ends: program(&run.command).map(|(time, code)| (now + time, code)),
+            ends: program(if self.is_broken { "exit 9" } else { &run.command })
+                .map(|(time, code)| (now + time, code)),
             ended: None,
             has_exited: false,
         };
--- a/crates/proofs/tests/promises/mod.rs
+++ b/crates/proofs/tests/promises/mod.rs
@@ -160,6 +160,30 @@
     }
 }
 
+/// A worker fails every task that it starts, and is the tightest fit for each. It is set aside
+/// after three jobs, the others run them, and no job ends as failed.
+#[test]
+fn a_worker_that_fails_every_task_costs_no_job() {
+    let mut world = stories::world();
+    world.agents.get_mut("a4").expect("made above").worker.is_broken = true;
+    let keys: Vec<String> = (0..12).map(|number| format!("job-{number}")).collect();
+    for key in &keys {
+        world.submit("e1", &stories::borrower(key, 4, 1, "sleep 500ms"));
+        world.run(SECOND);
+    }
+    world.run(SECOND * 20);
+    for key in &keys {
+        let caller = world.call("e1", "GET", &format!("/v1/jobs/norte.archive.{key}"));
+        let (_, job) = world.answer(caller).expect("the planner answers at once");
+        assert_eq!(job["state"], "done", "{job}");
+    }
+    let caller = world.call("e1", "GET", "/v1/workers");
+    let (_, workers) = world.answer(caller).expect("answered at once");
+    let aside = workers["workers"].as_array().expect("a list").iter();
+    let aside: Vec<_> = aside.filter(|w| w["set_aside"] == true).map(|w| &w["name"]).collect();
+    assert_eq!(aside, ["w4"]);
+}
+
 /// Every agent is killed and started again at once. The entries hear them all again within a
 /// time-out, and the store sees no more calls than before.
 #[test]
