--- a/crates/proofs/tests/promises/mod.rs
+++ b/crates/proofs/tests/promises/mod.rs
@@ -160,13 +160,13 @@
     }
 }
 
-/// A worker fails every task that it starts, and is the tightest fit for each. It is set aside
+/// A worker fails every task that it starts, and is the first choice for many. It is set aside
 /// after three jobs, the others run them, and no job ends as failed.
 #[test]
 fn a_worker_that_fails_every_task_costs_no_job() {
     let mut world = stories::world();
-    world.agents.get_mut("a4").expect("made above").worker.is_broken = true;
-    let keys: Vec<String> = (0..12).map(|number| format!("job-{number}")).collect();
+    world.agents.get_mut("a1").expect("made above").worker.is_broken = true;
+    let keys: Vec<String> = (0..20).map(|number| format!("job-{number}")).collect();
     for key in &keys {
         world.submit("e1", &stories::borrower(key, 4, 1, "sleep 500ms"));
         world.run(SECOND);
@@ -181,7 +181,7 @@
     let (_, workers) = world.answer(caller).expect("answered at once");
     let aside = workers["workers"].as_array().expect("a list").iter();
     let aside: Vec<_> = aside.filter(|w| w["set_aside"] == true).map(|w| &w["name"]).collect();
-    assert_eq!(aside, ["w4"]);
+    assert_eq!(aside, ["w1"]);
 }
 
 /// Every agent is killed and started again at once. The entries hear them all again within a
