refactor: job table, bindings, admission and operators' overview out of planner and machine

Change: JobTable (jobs, kept changes, replies owed), Bindings, admission::admit and Overview, each in a file of its own. No behaviour changes.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,14 +4,18 @@
 //! jobs of its region's cell. All input, the time included, comes in as [`event::Event`]s; all
 //! output leaves as [`effect::Effect`]s. There is no I/O here.
 
+pub mod admission;
 pub mod answer;
 pub mod api;
 pub mod attempt;
+pub mod bindings;
 pub mod effect;
 pub mod event;
 pub mod job_calls;
+pub mod job_table;
 pub mod machine;
 pub mod options;
+pub mod overview;
 pub mod peers;
 pub mod planner;
 pub mod registry;
--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -5,8 +5,6 @@
 use bytes::Bytes;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
-use sapphire_plan::bind;
-use sapphire_rules::file;
 use sapphire_store::{
     call::{Call, Reply, Value},
     lease,
@@ -15,14 +13,13 @@
     Announce, CallState, EntryBeat, Epoch, Heartbeat, Job, JobCall, JobReply, Peer, Rules,
     RulesPull, Wait, Welcome, envelope, frame, id, job_call, peer,
 };
-use serde_json::json;
 
 use crate::{
     answer::{Account, Answer},
     api,
     effect::{Effect, Output},
     event::{Caller, Event, Operation},
-    job_calls, options, peers, planner, registry, requests, rulebook,
+    job_calls, options, overview, peers, planner, registry, requests, rulebook,
 };
 
 /// Part that log lines about membership name.
@@ -617,7 +614,7 @@
             }
             api::Call::ApplyRules(apply) => self.apply_rules(now, caller, &apply),
             call => {
-                let answer = self.look(now, &call);
+                let answer = self.overview(now).look(&call);
                 self.answer(caller, answer);
             }
         }
@@ -656,9 +653,21 @@
         self.tick_job_calls(now);
     }
 
+    fn overview(&self, now: Duration) -> overview::Overview<'_> {
+        overview::Overview {
+            now,
+            options: &self.options,
+            registry: &self.registry,
+            peers: &self.peers,
+            rulebook: &self.rulebook,
+            planner: self.planner.as_ref(),
+            is_draining: self.draining_since.is_some(),
+        }
+    }
+
     fn apply_rules(&mut self, now: Duration, caller: Caller, apply: &api::Apply) {
         if !apply.allow_short
-            && let Some(answer) = self.refuse_short(now, &apply.text)
+            && let Some(answer) = self.overview(now).refuse_short(&apply.text)
         {
             self.answer(caller, answer);
             return;
@@ -670,200 +679,4 @@
             Err(answer) => self.answer(caller, answer),
         }
     }
-
-    /// Guarantees of a file that the workers known can't hold, all regions together.
-    fn short(&self, now: Duration, file: &file::File) -> Vec<bind::Short> {
-        let mut fleet = sapphire_plan::fleet::Fleet::default();
-        let agents = self.registry.agents().values();
-        let regions: std::collections::BTreeSet<&str> =
-            agents.map(|agent| agent.region.as_str()).collect();
-        for region in regions {
-            let is_drained = |w: &str, r: &str, z: &str| file.is_drained(w, r, z);
-            let part = self.registry.fleet(now, region, is_drained);
-            fleet.workers.extend(part.workers);
-        }
-        let guarantees = file.guarantees().collect();
-        bind::bind(&bind::Options { guarantees, fleet: &fleet, previous: &[] }).short
-    }
-
-    fn refuse_short(&self, now: Duration, text: &str) -> Option<Answer> {
-        let file = file::File::parse(text).ok()?;
-        let short = self.short(now, &file);
-        if short.is_empty() {
-            return None;
-        }
-        let findings: Vec<_> = short.iter().map(short_json).collect();
-        let value = json!({
-            "account": Account::NotRun.to_string(),
-            "reason": "some guarantees can't be held by the workers at hand; the rules are unchanged",
-            "findings": findings,
-        });
-        Some(Answer::json(422, &value))
-    }
-
-    /// Answers that need nothing but what is known here.
-    fn look(&self, now: Duration, call: &api::Call) -> Answer {
-        match call {
-            api::Call::Health => Answer::json(200, &json!({ "alive": true })),
-            api::Call::Ready => self.ready(now),
-            api::Call::Rules => {
-                let ruleset = self.rulebook.ruleset();
-                Answer::json(
-                    200,
-                    &json!({
-                        "revision": ruleset.revision,
-                        "author": ruleset.author,
-                        "accepted_unix_ms": ruleset.accepted_unix_ms,
-                        "text": ruleset.text,
-                    }),
-                )
-            }
-            api::Call::History => self.history(),
-            api::Call::CheckRules(text) => match file::File::parse(text) {
-                Err(findings) => rulebook::refuse_findings(&findings),
-                Ok(file) => {
-                    let short = self.short(now, &file);
-                    let short: Vec<_> = short.iter().map(short_json).collect();
-                    Answer::json(200, &json!({ "rules": file.entries.len(), "findings": short }))
-                }
-            },
-            api::Call::Status => self.status(now),
-            api::Call::Workers => self.workers(now),
-            api::Call::Minions => self.minions(now),
-            api::Call::Organisations => self.organisations(),
-            _ => Answer::failure(500, Account::NotRun, "the call has no answer"),
-        }
-    }
-
-    fn ready(&self, now: Duration) -> Answer {
-        let reason = if self.draining_since.is_some() {
-            Some("draining")
-        } else if !self.rulebook.is_known() {
-            Some("the rules are not known yet")
-        } else if !self.registry.is_warm(now) {
-            Some("agents have not had time to announce themselves")
-        } else {
-            None
-        };
-        let status = if reason.is_none() { 200 } else { 503 };
-        Answer::json(status, &json!({ "ready": reason.is_none(), "reason": reason }))
-    }
-
-    fn history(&self) -> Answer {
-        let past = self.rulebook.ruleset().history.iter().map(|past| {
-            json!({
-                "revision": past.revision,
-                "author": past.author,
-                "accepted_unix_ms": past.accepted_unix_ms,
-                "text": past.text,
-            })
-        });
-        Answer::json(200, &json!({ "history": past.collect::<Vec<_>>() }))
-    }
-
-    fn status(&self, now: Duration) -> Answer {
-        let mut by_revision: BTreeMap<u64, Vec<String>> = BTreeMap::new();
-        let mut add = |revision: u64, name: &str| {
-            by_revision.entry(revision).or_default().push(name.to_owned());
-        };
-        add(self.rulebook.revision(), &self.options.me.name);
-        for entry in self.peers.heard(now) {
-            add(entry.beat.rules, &entry.peer.name);
-        }
-        let agents = self.registry.agents().values();
-        for agent in agents.filter(|agent| self.registry.is_heard(now, agent)) {
-            add(agent.applied.rules, &agent.peer.name);
-        }
-        let processes: Vec<_> = by_revision
-            .into_iter()
-            .map(|(revision, names)| json!({ "revision": revision, "count": names.len(), "processes": names }))
-            .collect();
-        let short = self.planner.as_ref().map(planner::Planner::short).unwrap_or_default();
-        let short: Vec<_> = short.iter().map(short_json).collect();
-        Answer::json(
-            200,
-            &json!({
-                "revision": self.rulebook.revision(),
-                "in_force": processes,
-                "short": short,
-                "planner": self.planner_name(now),
-            }),
-        )
-    }
-
-    fn planner_name(&self, now: Duration) -> Option<String> {
-        if self.planner.is_some() {
-            return Some(self.options.me.name.clone());
-        }
-        self.peers.planner(now, &self.options.region).map(|(peer, _)| peer.name.clone())
-    }
-
-    fn workers(&self, now: Duration) -> Answer {
-        let aside = self.planner.as_ref().map(|planner| planner.aside(now)).unwrap_or_default();
-        let workers = self.registry.agents().values().filter_map(|agent| {
-            let worker = agent.worker.as_ref()?;
-            Some(json!({
-                "name": worker.name,
-                "agent": agent.peer.name,
-                "region": agent.region,
-                "zone": agent.zone,
-                "rack": worker.rack,
-                "accelerators": worker.accelerators,
-                "free": agent.load.free_accelerators,
-                "borrowed": agent.load.borrowed_accelerators,
-                "draining": agent.load.draining,
-                "heard": self.registry.is_heard(now, agent),
-                "set_aside": aside.contains(&&worker.name),
-                "rules": agent.applied.rules,
-            }))
-        });
-        Answer::json(200, &json!({ "workers": workers.collect::<Vec<_>>() }))
-    }
-
-    fn minions(&self, now: Duration) -> Answer {
-        let minions = self.registry.agents().values().filter_map(|agent| {
-            let minion = agent.minion.as_ref()?;
-            Some(json!({
-                "name": minion.name,
-                "agent": agent.peer.name,
-                "service": minion.service,
-                "region": agent.region,
-                "zone": agent.zone,
-                "slots": minion.slots,
-                "free": agent.load.free_slots,
-                "draining": agent.load.draining,
-                "heard": self.registry.is_heard(now, agent),
-            }))
-        });
-        Answer::json(200, &json!({ "minions": minions.collect::<Vec<_>>() }))
-    }
-
-    fn organisations(&self) -> Answer {
-        let rules = self.rulebook.file();
-        let organisations = rules.organisations().map(|organisation| {
-            let own = rules.guarantees().filter(|(_, g)| g.organisation == organisation.name);
-            let guarantees: Vec<_> = own
-                .map(|(line, g)| json!({ "line": line, "count": g.count, "shape": bind::describe(g) }))
-                .collect();
-            json!({
-                "name": organisation.name,
-                "weight": organisation.weight,
-                "priority": organisation.priority,
-                "quota": rules.quota(&organisation.name),
-                "queue": rules.queue(&organisation.name),
-                "guarantees": guarantees,
-            })
-        });
-        Answer::json(200, &json!({ "organisations": organisations.collect::<Vec<_>>() }))
-    }
-}
-
-fn short_json(short: &bind::Short) -> serde_json::Value {
-    json!({
-        "line": short.line,
-        "column": 1,
-        "organisation": short.organisation,
-        "missing": short.missing,
-        "message": format!("{} of {} can't be bound: {}", short.missing, short.organisation, short.shape),
-    })
 }
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -5,23 +5,25 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use prost::Message as _;
-use sapphire_plan::{bind, estimate::Estimates, fleet, health, pass, place, queue};
-use sapphire_rules::{file, rule};
+use sapphire_plan::{bind, estimate::Estimates, fleet, health, pass, place};
+use sapphire_rules::file;
 use sapphire_store::{
     call::{Call, Reply, Revision, Value},
     writer,
 };
 use sapphire_wire::{
-    Applied, Bar, BarReply, Binding, Bound, CallState, Cell, Decide, Epoch, GangState, Hold,
-    HoldReply, HoldState, Job, JobCall, JobReply, JobState, Peer, Placement, Report, Slice,
-    TaskState, epoch, frame, id, job_call, peer,
+    Bar, BarReply, Binding, CallState, Cell, Decide, Epoch, GangState, Hold, HoldReply, HoldState,
+    Job, JobCall, JobReply, JobState, Peer, Placement, Report, TaskState, epoch, frame, id,
+    job_call, peer,
 };
 
 use crate::{
+    admission,
     attempt::{Attempt, Fate, Phase, Seat},
+    bindings::Bindings,
     effect::Output,
+    job_table::JobTable,
     options, registry, view,
 };
 
@@ -31,13 +33,6 @@
 const REFUSED_BACKOFF: Duration = Duration::from_millis(300);
 /// Time for which a worker whose task failed or was lost is left out of placement.
 const CULPRIT_BACKOFF: Duration = Duration::from_secs(5);
-/// Ended jobs kept for callers that come back, at most.
-const ENDED_KEPT: usize = 1_000;
-/// Largest cell document, in bytes; the store holds values up to a megabyte.
-const MAX_DOCUMENT: usize = 900 * 1024;
-/// When a caller refused for a full queue may come back.
-const FULL_RETRY: Duration = Duration::from_secs(5);
-
 /// Key of a cell in the store.
 pub fn cell_key(region: &str) -> String {
     format!("cell/{region}")
@@ -62,29 +57,13 @@
     Deposed(Revision),
 }
 
-/// A reply that waits until a change is kept.
-struct Owed {
-    change: writer::Change,
-    to: Peer,
-    reply: JobReply,
-}
-
 /// Planner of one cell.
 pub struct Planner {
     options: options::Options,
     epoch: Epoch,
-    jobs: BTreeMap<id::Job, Job>,
-    /// Change with which each job was last altered.
-    job_changes: BTreeMap<id::Job, writer::Change>,
-    bindings: Vec<Binding>,
-    bindings_version: u64,
-    short: Vec<bind::Short>,
-    bound_for: Option<(id::Revision, Vec<id::Worker>)>,
-    writer: writer::Writer,
-    change: writer::Change,
+    table: JobTable,
+    bindings: Bindings,
     attempts: BTreeMap<id::Attempt, Attempt>,
-    owed: Vec<Owed>,
-    waiters: BTreeMap<id::Job, BTreeMap<(id::Process, u64), Peer>>,
     not_before: BTreeMap<id::Job, Duration>,
     avoided: BTreeMap<id::Worker, Duration>,
     why: BTreeMap<id::Job, String>,
@@ -116,17 +95,9 @@
         let mut planner = Planner {
             options: options.clone(),
             epoch,
-            jobs: BTreeMap::new(),
-            job_changes: BTreeMap::new(),
-            bindings: stored.bindings,
-            bindings_version: stored.bindings_version,
-            short: Vec::new(),
-            bound_for: None,
-            writer: writer::Writer::new(&cell_key(&options.region), &prefix, cell.revision),
-            change: 1,
+            table: JobTable::new(&cell_key(&options.region), &prefix, cell.revision),
+            bindings: Bindings::adopt(&stored),
             attempts: BTreeMap::new(),
-            owed: Vec::new(),
-            waiters: BTreeMap::new(),
             not_before: BTreeMap::new(),
             avoided: BTreeMap::new(),
             why: BTreeMap::new(),
@@ -150,7 +121,7 @@
         let is_live = matches!(job.state(), JobState::JobStarting | JobState::JobRunning);
         let recorded = job.attempt.clone().filter(|_| is_live);
         let id = job.id.clone();
-        self.jobs.insert(id.clone(), job);
+        self.table.adopt(job);
         if let Some(recorded) = recorded {
             self.adopt_attempt(now, &id, &recorded);
         }
@@ -188,7 +159,7 @@
 
     /// Jobs by identifier.
     pub fn jobs(&self) -> &BTreeMap<id::Job, Job> {
-        &self.jobs
+        self.table.jobs()
     }
 
     /// Attempts under way.
@@ -198,47 +169,38 @@
 
     /// Bindings in force.
     pub fn bindings(&self) -> &[Binding] {
-        &self.bindings
+        self.bindings.all()
     }
 
     /// Guarantees that the workers at hand can't hold.
     pub fn short(&self) -> &[bind::Short] {
-        &self.short
+        self.bindings.short()
     }
 
     /// Whether the store has not answered the last write.
     pub fn is_store_out(&self) -> bool {
-        self.writer.is_failing()
+        self.table.is_failing()
     }
 
     fn touch(&mut self, job: &str) {
-        self.change += 1;
-        self.job_changes.insert(job.to_owned(), self.change);
+        self.table.touch(job);
         self.needs_schedule = true;
     }
 
     /// Next write, if one is due.
     pub fn poll(&mut self, now: Duration) -> Option<Call> {
-        let (jobs, bindings) = (&self.jobs, &self.bindings);
-        let (epoch, bindings_version) = (&self.epoch, self.bindings_version);
-        self.writer.poll(now, self.change, |write| {
-            let cell = Cell {
-                epoch: Some(epoch.clone()),
-                jobs: jobs.values().cloned().collect(),
-                bindings: bindings.clone(),
-                bindings_version,
-                write: write.to_owned(),
-            };
-            Bytes::from(cell.encode_to_vec())
+        let (epoch, bindings) = (&self.epoch, &self.bindings);
+        self.table.poll(now, || Cell {
+            epoch: Some(epoch.clone()),
+            bindings: bindings.all().to_vec(),
+            bindings_version: bindings.version(),
+            ..Cell::default()
         })
     }
 
     /// Takes the answer to a write.
     pub fn written(&mut self, now: Duration, reply: Reply, out: &mut Output) -> Standing {
-        let write_of = |value: &Value| {
-            Cell::decode(value.bytes.clone()).map(|cell| cell.write).unwrap_or_default()
-        };
-        match self.writer.reply(now, reply, write_of) {
+        match self.table.reply(now, reply) {
             writer::Outcome::Lost(value) => {
                 let cell = Cell::decode(value.bytes).unwrap_or_default();
                 return Standing::Deposed(cell.epoch.unwrap_or_default().term);
@@ -247,41 +209,11 @@
             writer::Outcome::Written(_) => {}
         }
         self.needs_schedule = true;
-        self.pay(out);
+        self.table.pay(out);
         self.decide_held(now, out);
         Standing::Planner
     }
 
-    /// Sends replies whose change is kept.
-    fn pay(&mut self, out: &mut Output) {
-        let written = self.writer.written();
-        let (due, owed): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.owed).into_iter().partition(|owed| owed.change <= written);
-        self.owed = owed;
-        for owed in due {
-            let job = owed.reply.jobs.first().and_then(|job| self.jobs.get(&job.id)).cloned();
-            let jobs = job.map_or(owed.reply.jobs, |job| vec![job]);
-            out.send(&owed.to, frame::Body::JobReply(JobReply { jobs, ..owed.reply }));
-        }
-        let is_failing = self.writer.is_failing();
-        let is_final = |job: &Job| view::is_ended(job.state());
-        let kept = |id: &str| self.job_changes.get(id).copied().unwrap_or(0) <= written;
-        let ended: Vec<id::Job> = self
-            .waiters
-            .keys()
-            .filter(|id| self.jobs.get(*id).is_some_and(is_final) && (is_failing || kept(id)))
-            .cloned()
-            .collect();
-        for id in ended {
-            let job = self.jobs.get(&id).cloned();
-            for ((_, call), to) in self.waiters.remove(&id).unwrap_or_default() {
-                let jobs = job.clone().into_iter().collect();
-                let reply = JobReply { call, jobs, ..JobReply::default() };
-                out.send(&to, frame::Body::JobReply(reply));
-            }
-        }
-    }
-
     /// Takes a call of an entry, for its caller.
     pub fn call(
         &mut self,
@@ -295,8 +227,8 @@
         let reply = match call.body {
             Some(job_call::Body::Submit(job)) => self.submit(now, from, number, job, around),
             Some(job_call::Body::Cancel(id)) => self.cancel(now, from, number, &id, out),
-            Some(job_call::Body::Wait(wait)) => self.wait(from, number, &wait.job),
-            Some(job_call::Body::Get(id)) => Some(self.get(&id)),
+            Some(job_call::Body::Wait(wait)) => self.table.wait(from, number, &wait.job),
+            Some(job_call::Body::Get(id)) => Some(self.table.found(&id)),
             Some(job_call::Body::Explain(id)) => Some(self.explain(&id)),
             Some(job_call::Body::List(organisation)) => Some(self.list(&organisation)),
             None => None,
@@ -307,19 +239,6 @@
         }
     }
 
-    fn owe(&mut self, from: &Peer, call: u64, job: &Job) -> Option<JobReply> {
-        let change = self.job_changes.get(&job.id).copied().unwrap_or(0);
-        let reply = JobReply { call, jobs: vec![job.clone()], ..JobReply::default() };
-        if change <= self.writer.written() {
-            return Some(reply);
-        }
-        let is_same = |owed: &Owed| owed.reply.call == call && peer::is_same_life(&owed.to, from);
-        if !self.owed.iter().any(is_same) {
-            self.owed.push(Owed { change, to: from.clone(), reply });
-        }
-        None
-    }
-
     /// Accepts a job, once it is kept, or refuses it at once with the reason. A submission that
     /// is repeated (its answer was lost, or another entry was asked) finds the job it made.
     fn submit(
@@ -330,91 +249,48 @@
         mut job: Job,
         around: &Surroundings<'_>,
     ) -> Option<JobReply> {
-        if let Some(known) = self.jobs.get(&job.id).cloned() {
+        if let Some(known) = self.table.get(&job.id).cloned() {
             let is_same = known.organisation == job.organisation
                 && known.shape == job.shape
                 && known.command == job.command;
             if !is_same {
                 return Some(refused("the idempotency key was used for another job", None));
             }
-            return self.owe(from, call, &known);
+            return self.table.owe(from, call, &known.id);
         }
-        if let Err(reply) = self.admit(&job, around, now) {
-            return Some(reply);
+        if let Err(error) = self.admit(&job, around, now) {
+            return Some(refused(&error.reason, error.retry));
         }
         job.submitted_unix_ms = millis(now);
         if job.deadline_unix_ms > 0 {
             job.deadline_unix_ms = job.deadline_unix_ms.saturating_add(millis(now));
         }
         job.set_state(JobState::JobWaiting);
-        self.jobs.insert(job.id.clone(), job.clone());
-        self.touch(&job.id);
-        self.owe(from, call, &job)
-    }
-
-    fn admit(&self, job: &Job, around: &Surroundings<'_>, now: Duration) -> Result<(), JobReply> {
-        let name = &job.organisation;
-        if around.rules.organisation(name).is_none() {
-            return Err(refused(&format!("organisation `{name}` is not in the rules"), None));
-        }
-        if self.writer.is_failing() {
-            let reason = "the store does not answer, so the job can't be kept";
-            return Err(refused(reason, Some(FULL_RETRY)));
-        }
-        let fleet = around.registry.fleet(now, &self.options.region, |_, _, _| false);
-        let shape = job.shape.unwrap_or_default();
-        if !fleet.could_hold(&shape) {
-            let reason = "no set of workers here can ever hold this shape";
-            let retry = fleet.workers.is_empty().then_some(FULL_RETRY);
-            return Err(refused(reason, retry));
-        }
-        let quota = around.rules.quota(name).unwrap_or(u32::MAX);
-        if queue::accelerators(job) > quota && !self.is_guaranteed(now, job, around) {
-            let reason = format!("larger than its organisation's guarantee and quota of {quota}");
-            return Err(refused(&reason, None));
-        }
-        let is_waiting = |job: &&Job| job.state() == JobState::JobWaiting;
-        let waiting = self.jobs.values().filter(is_waiting);
-        let own = waiting.filter(|other| other.organisation == *name).count();
-        let limit = around.rules.queue(name) as usize;
-        if own >= limit {
-            let reason = format!("{own} jobs of `{name}` wait; the limit is {limit}");
-            return Err(refused(&reason, Some(FULL_RETRY)));
-        }
-        let live = self.jobs.values().filter(|job| !view::is_ended(job.state())).count();
-        if live >= self.options.max_jobs {
-            return Err(refused("the cell holds as many jobs as it may", Some(FULL_RETRY)));
-        }
-        Ok(())
+        let id = job.id.clone();
+        self.table.insert(job);
+        self.needs_schedule = true;
+        self.table.owe(from, call, &id)
     }
 
-    /// Whether its organisation's guarantee can hold a job.
-    fn is_guaranteed(&self, now: Duration, job: &Job, around: &Surroundings<'_>) -> bool {
+    fn admit(
+        &self,
+        job: &Job,
+        around: &Surroundings<'_>,
+        now: Duration,
+    ) -> Result<(), admission::Error> {
         let mut fleet = around.registry.fleet(now, &self.options.region, |_, _, _| false);
-        self.bind_fleet(&mut fleet);
-        let shape = job.shape.unwrap_or_default();
-        let options = place::Options::guaranteed(&job.organisation, &shape);
-        place::place(&fleet, &options).is_some()
-    }
-
-    fn bind_fleet(&self, fleet: &mut fleet::Fleet) {
-        for binding in &self.bindings {
-            if let Some(worker) = fleet.workers.get_mut(&binding.worker) {
-                worker.bound.insert(binding.organisation.clone(), binding.accelerators);
-            }
-        }
-    }
-
-    fn get(&self, id: &str) -> JobReply {
-        let jobs: Vec<Job> = self.jobs.get(id).cloned().into_iter().collect();
-        let state = if jobs.is_empty() { CallState::CallNotFound } else { CallState::CallOk };
-        let mut reply = JobReply { jobs, ..JobReply::default() };
-        reply.set_state(state);
-        reply
+        self.bindings.mark(&mut fleet);
+        let options = admission::Options {
+            rules: around.rules,
+            fleet: &fleet,
+            table: &self.table,
+            max_jobs: self.options.max_jobs,
+        };
+        admission::admit(job, &options)
     }
 
     fn explain(&self, id: &str) -> JobReply {
-        let mut reply = self.get(id);
+        let mut reply = self.table.found(id);
         for job in &mut reply.jobs {
             if let Some(why) = self.why.get(&job.id).filter(|_| job.reason.is_empty()) {
                 job.reason = why.clone();
@@ -425,22 +301,10 @@
 
     fn list(&self, organisation: &str) -> JobReply {
         let is_wanted = |job: &&Job| organisation.is_empty() || job.organisation == organisation;
-        let jobs = self.jobs.values().filter(is_wanted).cloned().collect();
+        let jobs = self.table.values().filter(is_wanted).cloned().collect();
         JobReply { jobs, ..JobReply::default() }
     }
 
-    fn wait(&mut self, from: &Peer, call: u64, id: &str) -> Option<JobReply> {
-        let job = self.jobs.get(id);
-        let Some(job) = job else { return Some(self.get(id)) };
-        if view::is_ended(job.state()) {
-            let job = job.clone();
-            return self.owe(from, call, &job);
-        }
-        let waiters = self.waiters.entry(id.to_owned()).or_default();
-        waiters.insert((from.name.clone(), call), from.clone());
-        None
-    }
-
     fn cancel(
         &mut self,
         now: Duration,
@@ -449,7 +313,7 @@
         id: &str,
         out: &mut Output,
     ) -> Option<JobReply> {
-        let Some(job) = self.jobs.get_mut(id) else { return Some(self.get(id)) };
+        let Some(job) = self.table.get_mut(id) else { return Some(self.table.found(id)) };
         match job.state() {
             JobState::JobWaiting => {
                 job.cancel = true;
@@ -466,12 +330,11 @@
             }
             _ => {}
         }
-        let job = self.jobs.get(id).cloned()?;
-        self.owe(from, call, &job)
+        self.table.owe(from, call, id)
     }
 
     fn end(&mut self, now: Duration, id: &str, state: JobState, reason: &str, out: &mut Output) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.table.get_mut(id) else { return };
         job.set_state(state);
         job.reason = reason.to_owned();
         job.ended_unix_ms = millis(now);
@@ -479,26 +342,8 @@
         self.why.remove(id);
         self.not_before.remove(id);
         self.touch(id);
-        self.forget_ended();
-        self.pay(out);
-    }
-
-    /// Drops the oldest ended jobs beyond what is kept, and more when the document is too large.
-    fn forget_ended(&mut self) {
-        let mut ended: Vec<(u64, id::Job)> = self
-            .jobs
-            .values()
-            .filter(|job| view::is_ended(job.state()) && !self.waiters.contains_key(&job.id))
-            .map(|job| (job.ended_unix_ms, job.id.clone()))
-            .collect();
-        ended.sort();
-        let bytes: usize = self.jobs.values().map(|job| job.encoded_len() + 4).sum();
-        let by_count = ended.len().saturating_sub(ENDED_KEPT);
-        let by_size = if bytes > MAX_DOCUMENT { ended.len().div_ceil(4) } else { 0 };
-        for (_, id) in ended.into_iter().take(by_count.max(by_size)) {
-            self.jobs.remove(&id);
-            self.job_changes.remove(&id);
-        }
+        self.table.forget_ended();
+        self.table.pay(out);
     }
 
     /// Workers of the cell with what is bound to guarantees and what attempts take.
@@ -506,9 +351,9 @@
         let is_drained =
             |worker: &str, rack: &str, zone: &str| around.rules.is_drained(worker, rack, zone);
         let mut fleet = around.registry.fleet(now, &self.options.region, is_drained);
-        self.bind_fleet(&mut fleet);
+        self.bindings.mark(&mut fleet);
         for attempt in self.attempts.values() {
-            let Some(job) = self.jobs.get(&attempt.job) else { continue };
+            let Some(job) = self.table.get(&attempt.job) else { continue };
             let shape = job.shape.unwrap_or_default();
             for seat in attempt.seats.values().filter(|seat| seat.settled.is_none()) {
                 let tasks = seat.placement.tasks;
@@ -519,66 +364,14 @@
         fleet
     }
 
-    /// Binds guarantees anew when the rules or the open workers have changed.
-    fn rebind(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
-        let fleet = self.fleet(now, around);
-        let open = fleet.workers.iter().filter(|(_, worker)| worker.is_open);
-        let open: Vec<id::Worker> = open.map(|(name, _)| name.clone()).collect();
-        let signature = Some((around.revision, open));
-        if self.bound_for == signature {
-            return;
-        }
-        self.bound_for = signature;
-        let here = |guarantee: &rule::Guarantee| match &guarantee.place {
-            rule::Place::Region(region) => *region == self.options.region,
-            rule::Place::Zone(zone) => fleet.workers.values().any(|worker| worker.zone == *zone),
-        };
-        let guarantees = around.rules.guarantees().filter(|(_, g)| here(g)).collect();
-        let options = bind::Options { guarantees, fleet: &fleet, previous: &self.bindings };
-        let outcome = bind::bind(&options);
-        for short in &outcome.short {
-            out.log(
-                PART,
-                format!(
-                    "guarantee short organisation={} line={} missing={} shape=\"{}\"",
-                    short.organisation, short.line, short.missing, short.shape
-                ),
-            );
-        }
-        self.short = outcome.short;
-        if outcome.bindings != self.bindings {
-            self.bindings = outcome.bindings;
-            self.bindings_version += 1;
-            self.change += 1;
-            out.log(PART, format!("bound version={}", self.bindings_version));
-        }
-        self.needs_schedule = true;
-    }
-
     /// Sends an agent its part of the rules, if it has an older one.
-    pub fn greet(&mut self, agent: &registry::Agent, around: &Surroundings<'_>, out: &mut Output) {
-        let term = self.epoch.term;
-        let applied = Applied { rules: around.revision, bindings: self.bindings_version, term };
-        let order = |of: &Applied| (of.term, of.rules, of.bindings);
-        let is_current = order(&agent.applied) >= order(&applied);
-        if agent.region != self.options.region || is_current {
+    pub fn greet(&self, agent: &registry::Agent, around: &Surroundings<'_>, out: &mut Output) {
+        if agent.region != self.options.region {
             return;
         }
-        let worker = agent.worker.clone().unwrap_or_default();
-        let own = self.bindings.iter().filter(|binding| binding.worker == worker.name);
-        let bound = own.map(|binding| Bound {
-            organisation: binding.organisation.clone(),
-            accelerators: binding.accelerators,
-        });
-        let slice = Slice {
-            epoch: Some(self.epoch.clone()),
-            applied: Some(applied),
-            bound: bound.collect(),
-            draining: around.rules.is_drained(&worker.name, &worker.rack, &agent.zone),
-            grace_ms: millis(around.rules.reclaim().grace),
-            smallest_first: around.rules.reclaim().order == rule::Order::Smallest,
-        };
-        out.send(&agent.peer, frame::Body::Slice(slice));
+        if let Some(slice) = self.bindings.slice_for(agent, &self.epoch, around) {
+            out.send(&agent.peer, frame::Body::Slice(slice));
+        }
     }
 
     /// Time has passed: bindings, time-outs of attempts, waiting jobs.
@@ -596,14 +389,19 @@
         self.needs_schedule |= self.avoided.values().any(due) || self.health.release(now);
         self.not_before.retain(|_, until| !due(until));
         self.avoided.retain(|_, until| !due(until));
-        self.pay(out);
+        self.table.pay(out);
         self.schedule(now, around, out);
         self.assert_invariants();
     }
 
     /// Looks at every agent; at each heartbeat, since it costs time for each of them.
     fn review(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
-        self.rebind(now, around, out);
+        let fleet = self.fleet(now, around);
+        if self.bindings.renew(&fleet, &self.options.region, around, out) {
+            self.table.bump();
+        }
+        // Workers may have come or gone.
+        self.needs_schedule = true;
         for agent in around.registry.agents().values() {
             self.greet(agent, around, out);
         }
@@ -720,7 +518,7 @@
         for worker in &attempt.refused_by {
             self.avoided.insert(worker.clone(), now + REFUSED_BACKOFF);
         }
-        let Some(job) = self.jobs.get_mut(&attempt.job) else { return };
+        let Some(job) = self.table.get_mut(&attempt.job) else { return };
         let reason = attempt.reason.clone();
         let may_repeat = job.idempotent || fate == Fate::NotRun;
         job.may_have_run |= fate != Fate::NotRun;
@@ -739,7 +537,7 @@
     }
 
     fn requeue(&mut self, now: Duration, id: &str, reason: &str, counts: bool) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.table.get_mut(id) else { return };
         job.set_state(JobState::JobWaiting);
         if !counts {
             job.attempts = job.attempts.saturating_sub(1);
@@ -795,7 +593,7 @@
     }
 
     fn end_hopeless(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
-        let waiting = self.jobs.values().filter(|job| job.state() == JobState::JobWaiting);
+        let waiting = self.table.values().filter(|job| job.state() == JobState::JobWaiting);
         let ends: Vec<_> = waiting
             .filter_map(|job| Some((job.id.clone(), hopeless(now, job, around.rules)?)))
             .collect();
@@ -807,14 +605,13 @@
     /// Waiting jobs that may start: kept by the store, and not refused a moment ago. While the
     /// store is out one that may repeat may start again unrecorded.
     fn waiting(&self, now: Duration) -> Vec<pass::Waiting<'_>> {
-        let is_failing = self.writer.is_failing();
+        let is_failing = self.table.is_failing();
         let may_start = |job: &&Job| {
-            let is_kept =
-                self.job_changes.get(&job.id).copied().unwrap_or(0) <= self.writer.written();
+            let is_kept = self.table.is_kept(&job.id);
             let may_repeat = is_failing && job.idempotent && job.attempt.is_some();
             (is_kept || may_repeat) && !self.not_before.contains_key(&job.id)
         };
-        let waiting = self.jobs.values().filter(|job| job.state() == JobState::JobWaiting);
+        let waiting = self.table.values().filter(|job| job.state() == JobState::JobWaiting);
         let waiting = waiting.filter(may_start).map(|job| pass::Waiting {
             job,
             waited: now.saturating_sub(Duration::from_millis(job.submitted_unix_ms)),
@@ -825,7 +622,7 @@
 
     fn running(&self, now: Duration) -> Vec<pass::Running> {
         let attempts = self.attempts.values().filter_map(|attempt| {
-            let job = self.jobs.get(&attempt.job)?;
+            let job = self.table.get(&attempt.job)?;
             let seats = attempt.seats.values().filter(|seat| seat.settled.is_none());
             let seats = seats.map(|seat| place::Seat {
                 worker: seat.worker.clone(),
@@ -850,10 +647,10 @@
         around: &Surroundings<'_>,
         out: &mut Output,
     ) {
-        let Some(job) = self.jobs.get(&start.job).cloned() else { return };
+        let Some(job) = self.table.get(&start.job).cloned() else { return };
         let (outcome, is_guaranteed) = (&start.place, start.is_guaranteed);
         let number = job.attempts + 1;
-        let id = format!("{}/{}.{}.{:x}", job.id, self.epoch.term, self.change, number);
+        let id = format!("{}/{}.{}.{:x}", job.id, self.epoch.term, self.table.change(), number);
         let mut seats = BTreeMap::new();
         for seat in &outcome.seats {
             let Some(agent) = around.registry.agent_of_worker(&seat.worker) else { return };
@@ -877,7 +674,7 @@
             ),
         );
         let placements = seats.values().map(|seat| seat.placement.clone()).collect();
-        if let Some(job) = self.jobs.get_mut(&job.id) {
+        if let Some(job) = self.table.get_mut(&job.id) {
             job.set_state(JobState::JobStarting);
             job.reason.clear();
             job.attempts = number;
@@ -893,7 +690,7 @@
             is_guaranteed,
             phase: Phase::Holding { until: now + self.options.hold },
             seats,
-            change: self.change,
+            change: self.table.change(),
             may_have_started: false,
             reason: String::new(),
             is_evicted: false,
@@ -959,11 +756,11 @@
     /// that did not know of the attempt could start the job a second time. A job that may
     /// repeat is started without the record while the store is out.
     fn decide_held(&mut self, now: Duration, out: &mut Output) {
-        let written = self.writer.written();
-        let is_failing = self.writer.is_failing();
+        let written = self.table.written();
+        let is_failing = self.table.is_failing();
         for (id, attempt) in &mut self.attempts {
             let Phase::Holding { .. } = attempt.phase else { continue };
-            let may_repeat = self.jobs.get(&attempt.job).is_some_and(|job| job.idempotent);
+            let may_repeat = self.table.get(&attempt.job).is_some_and(|job| job.idempotent);
             let is_recorded = attempt.change <= written || (is_failing && may_repeat);
             if !attempt.is_held() || !is_recorded {
                 continue;
@@ -1012,7 +809,7 @@
                 if let Some(attempt) = self.attempts.remove(&report.attempt) {
                     self.health.succeeded(attempt.seats.values().map(|seat| &seat.worker));
                 }
-                if let Some(job) = self.jobs.get(&job) {
+                if let Some(job) = self.table.get(&job) {
                     self.estimates.observe(job, ran(now, job));
                 }
                 self.end(now, &job, JobState::JobDone, "", out);
@@ -1027,7 +824,7 @@
     /// that an earlier planner started while the store was out.
     fn unknown_report(&mut self, now: Duration, from: &Peer, report: &Report, out: &mut Output) {
         let id = report.attempt.split('/').next().unwrap_or_default().to_owned();
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.table.get_mut(&id) else {
             self.acknowledge(from, &report.attempt, out);
             return;
         };
@@ -1048,7 +845,7 @@
 
     /// The lead of a job whose fate was unknown can be heard again: the job is what it says.
     fn found_again(&mut self, now: Duration, id: &str, report: &Report, out: &mut Output) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.table.get_mut(id) else { return };
         let recorded = job.attempt.clone().unwrap_or_default();
         out.log(PART, format!("job={id} found again attempt={}", recorded.id));
         job.set_state(JobState::JobRunning);
@@ -1060,7 +857,7 @@
     }
 
     fn done_elsewhere(&mut self, now: Duration, id: &str, attempt: &str, out: &mut Output) {
-        if let Some(job) = self.jobs.get_mut(id) {
+        if let Some(job) = self.table.get_mut(id) {
             let id = attempt.to_owned();
             job.attempt = Some(sapphire_wire::Attempt { id, ..Default::default() });
         }
@@ -1079,14 +876,13 @@
 
     fn acknowledge(&self, from: &Peer, attempt: &str, out: &mut Output) {
         let job = attempt.split('/').next().unwrap_or_default();
-        let change = self.job_changes.get(job).copied().unwrap_or(0);
-        if change <= self.writer.written() {
+        if self.table.is_kept(job) {
             self.send_bar(attempt, Some(from), out);
         }
     }
 
     fn note_running(&mut self, now: Duration, id: &str, attempt: &str, out: &mut Output) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.table.get_mut(id) else { return };
         if job.state() != JobState::JobRunning {
             job.set_state(JobState::JobRunning);
             job.may_have_run = true;
@@ -1099,7 +895,7 @@
 
     fn failed(&mut self, now: Duration, id: &str, report: &Report, out: &mut Output) {
         let Some(attempt) = self.attempts.remove(id) else { return };
-        let Some(job) = self.jobs.get_mut(&attempt.job) else { return };
+        let Some(job) = self.table.get_mut(&attempt.job) else { return };
         job.exit_code = report.exit_code;
         job.may_have_run = true;
         let is_failure = report.state() == GangState::GangFailed;
@@ -1147,11 +943,11 @@
         let mut seen = BTreeSet::new();
         for (id, attempt) in &self.attempts {
             assert!(seen.insert(&attempt.job), "job {} has two attempts", attempt.job);
-            let job = self.jobs.get(&attempt.job);
+            let job = self.table.get(&attempt.job);
             let recorded = job.and_then(|job| job.attempt.as_ref()).map(|recorded| &recorded.id);
             assert_eq!(recorded, Some(id), "attempt {id} is not its job's");
         }
-        for job in self.jobs.values() {
+        for job in self.table.values() {
             let is_live = matches!(job.state(), JobState::JobStarting | JobState::JobRunning);
             assert_eq!(is_live, seen.contains(&job.id), "job {} {:?}", job.id, job.state());
         }
@@ -1167,7 +963,7 @@
         format!(
             "epoch={} jobs={} attempts={}",
             epoch::text(&self.epoch),
-            self.jobs.len(),
+            self.table.jobs().len(),
             self.attempts.len()
         )
     }
