refactor: what waits for a while, and what a pass is given, out of the planner

Cause: planner.rs still did scheduling's bookkeeping beside attempts. Change: Backoff (jobs and workers left alone, health) and candidates (waiting, running, hopeless).

--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -6,7 +6,7 @@
 };
 
 use prost::Message as _;
-use sapphire_plan::{bind, estimate::Estimates, fleet, health, pass, place};
+use sapphire_plan::{bind, estimate::Estimates, fleet, pass};
 use sapphire_rules::file;
 use sapphire_store::{
     call::{Call, Reply, Revision, Value},
@@ -21,7 +21,9 @@
 use crate::{
     admission,
     attempt::{Attempt, Fate, Phase, Seat},
+    backoff::Backoff,
     bindings::Bindings,
+    candidates,
     effect::Output,
     job_table::JobTable,
     options, registry, view,
@@ -29,10 +31,6 @@
 
 /// Part that the planner's log lines name.
 const PART: &str = "plan";
-/// Wait before a job whose holds were refused is placed again.
-const REFUSED_BACKOFF: Duration = Duration::from_millis(300);
-/// Time for which a worker whose task failed or was lost is left out of placement.
-const CULPRIT_BACKOFF: Duration = Duration::from_secs(5);
 /// Key of a cell in the store.
 pub fn cell_key(region: &str) -> String {
     format!("cell/{region}")
@@ -64,11 +62,9 @@
     table: JobTable,
     bindings: Bindings,
     attempts: BTreeMap<id::Attempt, Attempt>,
-    not_before: BTreeMap<id::Job, Duration>,
-    avoided: BTreeMap<id::Worker, Duration>,
+    backoff: Backoff,
     why: BTreeMap<id::Job, String>,
     estimates: Estimates,
-    health: health::Health,
     /// When every agent is looked at again.
     next_review: Duration,
     needs_schedule: bool,
@@ -98,11 +94,9 @@
             table: JobTable::new(&cell_key(&options.region), &prefix, cell.revision),
             bindings: Bindings::adopt(&stored),
             attempts: BTreeMap::new(),
-            not_before: BTreeMap::new(),
-            avoided: BTreeMap::new(),
+            backoff: Backoff::default(),
             why: BTreeMap::new(),
             estimates: Estimates::default(),
-            health: health::Health::default(),
             next_review: Duration::ZERO,
             needs_schedule: true,
         };
@@ -340,7 +334,7 @@
         job.ended_unix_ms = millis(now);
         out.log(PART, format!("job={id} state={} reason=\"{reason}\"", view::job_state(state)));
         self.why.remove(id);
-        self.not_before.remove(id);
+        self.backoff.forget_job(id);
         self.touch(id);
         self.table.forget_ended();
         self.table.pay(out);
@@ -384,11 +378,7 @@
         for attempt in attempts {
             self.tick_attempt(now, &attempt, around, out);
         }
-        let due = |until: &Duration| *until <= now;
-        self.needs_schedule |= self.not_before.values().any(due);
-        self.needs_schedule |= self.avoided.values().any(due) || self.health.release(now);
-        self.not_before.retain(|_, until| !due(until));
-        self.avoided.retain(|_, until| !due(until));
+        self.needs_schedule |= self.backoff.expire(now);
         self.table.pay(out);
         self.schedule(now, around, out);
         self.assert_invariants();
@@ -516,7 +506,7 @@
         let Some(fate) = self.attempts.get(id).and_then(Attempt::fate) else { return };
         let Some(attempt) = self.attempts.remove(id) else { return };
         for worker in &attempt.refused_by {
-            self.avoided.insert(worker.clone(), now + REFUSED_BACKOFF);
+            self.backoff.refused(now, worker);
         }
         let Some(job) = self.table.get_mut(&attempt.job) else { return };
         let reason = attempt.reason.clone();
@@ -543,7 +533,7 @@
             job.attempts = job.attempts.saturating_sub(1);
         }
         self.why.insert(id.to_owned(), format!("waits again: {reason}"));
-        self.not_before.insert(id.to_owned(), now + REFUSED_BACKOFF);
+        self.backoff.delay_job(now, id);
         self.touch(id);
     }
 
@@ -553,13 +543,13 @@
             return;
         }
         self.end_hopeless(now, around, out);
-        let running = self.running(now);
+        let running = candidates::running(now, &self.table, &self.attempts, &self.estimates);
         let outcome = pass::pass(pass::Options {
             rules: around.rules,
             fleet: self.fleet(now, around),
-            waiting: self.waiting(now),
+            waiting: candidates::waiting(now, &self.table, &self.backoff, &self.estimates),
             running: &running,
-            avoid: &self.left_out(now),
+            avoid: &self.backoff.left_out(now),
             mechanisms: pass::Mechanisms::default(),
         });
         self.why.extend(outcome.why);
@@ -568,20 +558,14 @@
         }
     }
 
-    /// Workers that get nothing now: they refused a moment ago, lost a task, or are set aside.
-    fn left_out(&self, now: Duration) -> Vec<id::Worker> {
-        self.avoided.keys().chain(self.health.aside(now)).cloned().collect()
-    }
-
     /// Workers that fail every task they start, and get nothing for a while.
     pub fn aside(&self, now: Duration) -> Vec<&id::Worker> {
-        self.health.aside(now).collect()
+        self.backoff.aside(now)
     }
 
     fn note_failure(&mut self, now: Duration, attempt: &Attempt, culprit: &str, out: &mut Output) {
         let Some(seat) = attempt.seats.get(culprit) else { return };
-        self.avoided.insert(seat.worker.clone(), now + CULPRIT_BACKOFF);
-        if let Some(time) = self.health.failed(now, &seat.worker, &attempt.job) {
+        if let Some(time) = self.backoff.failed(now, &seat.worker, &attempt.job) {
             out.log(
                 PART,
                 format!(
@@ -595,50 +579,13 @@
     fn end_hopeless(&mut self, now: Duration, around: &Surroundings<'_>, out: &mut Output) {
         let waiting = self.table.values().filter(|job| job.state() == JobState::JobWaiting);
         let ends: Vec<_> = waiting
-            .filter_map(|job| Some((job.id.clone(), hopeless(now, job, around.rules)?)))
+            .filter_map(|job| Some((job.id.clone(), candidates::hopeless(now, job, around.rules)?)))
             .collect();
         for (id, (state, reason)) in ends {
             self.end(now, &id, state, &reason, out);
         }
     }
 
-    /// Waiting jobs that may start: kept by the store, and not refused a moment ago. While the
-    /// store is out one that may repeat may start again unrecorded.
-    fn waiting(&self, now: Duration) -> Vec<pass::Waiting<'_>> {
-        let is_failing = self.table.is_failing();
-        let may_start = |job: &&Job| {
-            let is_kept = self.table.is_kept(&job.id);
-            let may_repeat = is_failing && job.idempotent && job.attempt.is_some();
-            (is_kept || may_repeat) && !self.not_before.contains_key(&job.id)
-        };
-        let waiting = self.table.values().filter(|job| job.state() == JobState::JobWaiting);
-        let waiting = waiting.filter(may_start).map(|job| pass::Waiting {
-            job,
-            waited: now.saturating_sub(Duration::from_millis(job.submitted_unix_ms)),
-            expected: self.estimates.expect(job),
-        });
-        waiting.collect()
-    }
-
-    fn running(&self, now: Duration) -> Vec<pass::Running> {
-        let attempts = self.attempts.values().filter_map(|attempt| {
-            let job = self.table.get(&attempt.job)?;
-            let seats = attempt.seats.values().filter(|seat| seat.settled.is_none());
-            let seats = seats.map(|seat| place::Seat {
-                worker: seat.worker.clone(),
-                tasks: seat.placement.tasks,
-            });
-            Some(pass::Running {
-                organisation: job.organisation.clone(),
-                shape: job.shape.unwrap_or_default(),
-                seats: seats.collect(),
-                is_guaranteed: attempt.is_guaranteed,
-                remaining: Estimates::remaining(self.estimates.expect(job), ran(now, job)),
-            })
-        });
-        attempts.collect()
-    }
-
     /// Records an attempt and asks each agent for its hold.
     fn start(
         &mut self,
@@ -807,10 +754,10 @@
             }
             GangState::GangDone => {
                 if let Some(attempt) = self.attempts.remove(&report.attempt) {
-                    self.health.succeeded(attempt.seats.values().map(|seat| &seat.worker));
+                    self.backoff.succeeded(attempt.seats.values().map(|seat| &seat.worker));
                 }
                 if let Some(job) = self.table.get(&job) {
-                    self.estimates.observe(job, ran(now, job));
+                    self.estimates.observe(job, candidates::ran(now, job));
                 }
                 self.end(now, &job, JobState::JobDone, "", out);
             }
@@ -910,7 +857,7 @@
         if is_failure {
             self.note_failure(now, &attempt, &report.culprit, out);
         } else if let Some(seat) = attempt.seats.get(&report.culprit) {
-            self.avoided.insert(seat.worker.clone(), now + CULPRIT_BACKOFF);
+            self.backoff.lost(now, &seat.worker);
         }
         if is_cancelled {
             self.end(now, &attempt.job, JobState::JobCancelled, cancelled(true), out);
@@ -969,30 +916,6 @@
     }
 }
 
-/// Why a waiting job may not be tried any more, if so.
-fn hopeless(now: Duration, job: &Job, rules: &file::File) -> Option<(JobState, String)> {
-    if job.deadline_unix_ms > 0 && millis(now) >= job.deadline_unix_ms {
-        let (state, reason) = match (job.may_have_run, job.started_unix_ms) {
-            (false, _) => (JobState::JobNotRun, "its deadline passed before it ran"),
-            (true, 0) => (JobState::JobUnknown, "its deadline passed; it may have run"),
-            _ => (JobState::JobInterrupted, "its deadline passed before it ran whole"),
-        };
-        return Some((state, reason.to_owned()));
-    }
-    let limit = rules.attempts(&job.organisation);
-    let has_failed = job.exit_code != 0;
-    let state = if has_failed { JobState::JobFailed } else { JobState::JobInterrupted };
-    (job.attempts >= limit).then(|| (state, format!("{limit} attempts were made")))
-}
-
-/// How long a job has run in its present attempt.
-fn ran(now: Duration, job: &Job) -> Duration {
-    match job.state() {
-        JobState::JobRunning => now.saturating_sub(Duration::from_millis(job.started_unix_ms)),
-        _ => Duration::ZERO,
-    }
-}
-
 fn cancelled(may_have_run: bool) -> &'static str {
     if may_have_run { "cancelled; some of it may have run" } else { "cancelled before it ran" }
 }
