--- a/crates/entry/src/machine.rs
+++ b/crates/entry/src/machine.rs
@@ -60,6 +60,8 @@
     /// It was frozen, and has not heard from the store since whether it still plans.
     is_waking: bool,
     next_beat: Duration,
+    /// Heartbeats to other entries so far.
+    beats: u32,
     draining_since: Option<Duration>,
     has_reported_overdue: bool,
     effects: Vec<Effect>,
@@ -74,7 +76,7 @@
         Machine {
             rng: Pcg64::seed_from_u64(options.seed),
             registry: registry::Registry::new(options.silence, &options.region),
-            peers: peers::Peers::new(me, &options.peers, options.silence),
+            peers: peers::Peers::new(me, &options.region, &options.peers, options.silence),
             rulebook: rulebook::Rulebook::default(),
             requests: requests::Requests::new(&options),
             job_calls: job_calls::JobCalls::default(),
@@ -87,6 +89,7 @@
             last_run: Duration::ZERO,
             is_waking: false,
             next_beat: Duration::ZERO,
+            beats: 0,
             draining_since: None,
             has_reported_overdue: false,
             effects: Vec::new(),
@@ -528,7 +531,9 @@
             planner: self.sure_planner().map(|planner| planner.epoch().clone()),
             entries,
         };
-        let others: Vec<Peer> = self.peers.all().map(|entry| entry.peer.clone()).collect();
+        let others: Vec<Peer> =
+            self.peers.due(self.beats).map(|entry| entry.peer.clone()).collect();
+        self.beats = self.beats.wrapping_add(1);
         for other in others {
             let to = peer::new(&other.name, &other.address, 0);
             self.send(&to, frame::Body::EntryBeat(beat.clone()));
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,6 +7,10 @@
 /// Time-outs of silence after which an entry that the settings don't name is forgotten.
 const FORGET_AFTER: u32 = 20;
 
+/// An entry of another region gets one heartbeat in so many: traffic between regions is paid
+/// for by volume, and new rules are sent at once in any case.
+const FAR_EVERY: u32 = 4;
+
 /// One entry, as last heard.
 #[derive(Clone, Debug, Default)]
 pub struct Entry {
@@ -24,6 +28,7 @@
 #[derive(Debug)]
 pub struct Peers {
     me: Peer,
+    region: String,
     seeds: Vec<id::Address>,
     silence: Duration,
     known: BTreeMap<id::Address, Entry>,
@@ -31,9 +36,10 @@
 
 impl Peers {
     /// Starts with the entries of the settings.
-    pub fn new(me: &Peer, seeds: &[id::Address], silence: Duration) -> Self {
+    pub fn new(me: &Peer, region: &str, seeds: &[id::Address], silence: Duration) -> Self {
         let known = BTreeMap::new();
-        let mut peers = Peers { me: me.clone(), seeds: seeds.to_vec(), silence, known };
+        let region = region.to_owned();
+        let mut peers = Peers { me: me.clone(), region, seeds: seeds.to_vec(), silence, known };
         for address in seeds {
             peers.learn(Duration::ZERO, &peer::new("", address, 0));
         }
@@ -57,12 +63,21 @@
     }
 
     fn is_heard(&self, now: Duration, entry: &Entry) -> bool {
-        entry.heard.is_some_and(|heard| now.saturating_sub(heard) <= self.silence)
+        let rate = if self.is_far(entry) { FAR_EVERY } else { 1 };
+        let patience = self.silence * rate;
+        entry.heard.is_some_and(|heard| now.saturating_sub(heard) <= patience)
+    }
+
+    /// Whether an entry is known to be in another region.
+    fn is_far(&self, entry: &Entry) -> bool {
+        !entry.beat.region.is_empty() && entry.beat.region != self.region
     }
 
-    /// Entries to speak to.
-    pub fn all(&self) -> impl Iterator<Item = &Entry> {
-        self.known.values()
+    /// Entries that get this heartbeat, of those sent so far: all of the own region, others
+    /// less often.
+    pub fn due(&self, beats: u32) -> impl Iterator<Item = &Entry> {
+        let is_far_due = beats.is_multiple_of(FAR_EVERY);
+        self.known.values().filter(move |entry| is_far_due || !self.is_far(entry))
     }
 
     /// Entries heard lately.
--- a/crates/rules/tests/rules.rs
+++ b/crates/rules/tests/rules.rs
@@ -1,5 +1,7 @@
 //! A rule file is checked whole: every finding has its line and column.
 
+use std::{fs, path};
+
 use sapphire_rules::{diff, file, finding};
 
 const GOOD: &str = "\
@@ -39,6 +41,16 @@
     insta::assert_snapshot!(finding::report(&findings));
 }
 
+#[test]
+fn the_example_rules_are_good() {
+    let examples = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for member in ["atlantica", "pastizal"] {
+        let text = fs::read_to_string(examples.join(member).join("rules.txt"));
+        let rules = file::File::parse(&text.expect("it can be read")).expect("no findings");
+        assert_eq!(rules.organisations().count(), 4, "{member}");
+    }
+}
+
 #[test]
 fn a_difference_names_both_revisions() {
     let new = GOOD.replace("queue=50", "queue=60");
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -13,7 +13,7 @@
 pub fn read(text: &str) -> Result<Agent, Vec<finding::Finding>> {
     let agent = section::read_file(text, |file| Agent {
         name: file.name("name"),
-        region: file.name("region"),
+        region: file.region("region"),
         zone: file.name("zone"),
         address: file.address("address"),
         entries: file.addresses("entries", 1),
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -16,7 +16,7 @@
 pub fn read(text: &str) -> Result<Entry, Vec<finding::Finding>> {
     section::read_file(text, |file| Entry {
         name: file.name("name"),
-        region: file.name("region"),
+        region: file.region("region"),
         zone: file.name("zone"),
         address: file.address("address"),
         http: file.address("http"),
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -86,6 +86,14 @@
             .unwrap_or_default()
     }
 
+    /// A region: a name without dots, since it is the first part of a job's identifier.
+    pub fn region(&mut self, name: &'static str) -> String {
+        let allowed = "a name of 1 to 63 letters, digits, `-` or `_`";
+        let is_region = |text: &str| is_name(text) && !text.contains('.');
+        self.parsed(name, None, allowed, |text| is_region(text).then(|| text.to_owned()))
+            .unwrap_or_default()
+    }
+
     /// One of several words.
     pub fn word(&mut self, name: &'static str, default: &str, words: &[&str]) -> String {
         let allowed = format!("one of {}", words.join(", "));
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,5 +1,7 @@
 //! A settings file is checked whole: each finding names its line, key and what is allowed.
 
+use std::{fs, path};
+
 use sapphire_settings::{agent, entry, finding};
 
 #[test]
@@ -27,6 +29,35 @@
     insta::assert_snapshot!(finding::report("agent.yaml", &findings));
 }
 
+/// A region with a dot would make job identifiers that name another region.
+#[test]
+fn a_region_has_no_dot() {
+    let text = "name: e1\nregion: north.a\nzone: a\naddress: 127.0.0.1:1\nhttp: 127.0.0.1:2\n\
+                store: 127.0.0.1:3\n";
+    let findings = entry::read(text).expect_err("the region has a dot");
+    assert_eq!(findings.iter().map(|finding| finding.key.as_str()).collect::<Vec<_>>(), ["region"]);
+}
+
+#[test]
+fn the_example_settings_are_good() {
+    let examples = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for member in ["atlantica", "pastizal"] {
+        let files = fs::read_dir(examples.join(member)).expect("the folder is there");
+        let mut read = 0;
+        for file in files.map(|file| file.expect("it can be listed").path()) {
+            let name = file.file_name().expect("it has one").to_string_lossy().into_owned();
+            let text = fs::read_to_string(&file).expect("it can be read");
+            match name.split('-').next() {
+                Some("entry") => assert!(entry::read(&text).is_ok(), "{name}"),
+                Some("agent") => assert!(agent::read(&text).is_ok(), "{name}"),
+                _ => continue,
+            }
+            read += 1;
+        }
+        assert_eq!(read, 14, "{member}");
+    }
+}
+
 #[test]
 fn text_that_is_not_yaml_is_a_finding() {
     for text in ["", "a: [", "- 1", "a: b: c"] {
