--- a/crates/sapphired/src/agent_role.rs
+++ b/crates/sapphired/src/agent_role.rs
@@ -64,12 +64,9 @@
 
     fn effect(&mut self, cx: CX![], effect: Effect) {
         match effect {
-            Effect::Send { to, envelope } => match self.mesh.send(&to.address, *envelope) {
-                mesh::Sent::Queued(bytes) => {
-                    self.metrics.count("frames.sent_bytes", i64::try_from(bytes).unwrap_or(0));
-                }
-                mesh::Sent::Dropped => self.metrics.count("frames.dropped", 1),
-            },
+            Effect::Send { to, envelope } => {
+                self.metrics.sent(self.mesh.send(&to.address, *envelope));
+            }
             Effect::ResetWorker => self.call_worker(worker::Call::Reset),
             Effect::RunTasks(run) => self.call_worker(worker::Call::Run(run)),
             Effect::RenewTasks(attempt, left) => {
--- a/crates/sapphired/src/entry_role.rs
+++ b/crates/sapphired/src/entry_role.rs
@@ -55,12 +55,9 @@
 
     fn effect(&mut self, cx: CX![], effect: Effect) {
         match effect {
-            Effect::Send { to, envelope } => match self.mesh.send(&to.address, *envelope) {
-                mesh::Sent::Queued(bytes) => {
-                    self.metrics.count("frames.sent_bytes", i64::try_from(bytes).unwrap_or(0));
-                }
-                mesh::Sent::Dropped => self.metrics.count("frames.dropped", 1),
-            },
+            Effect::Send { to, envelope } => {
+                self.metrics.sent(self.mesh.send(&to.address, *envelope));
+            }
             Effect::Store(operation, call) => {
                 self.metrics.count("store.calls", 1);
                 self.store.call(operation, call);
--- a/crates/sapphired/src/metrics.rs
+++ b/crates/sapphired/src/metrics.rs
@@ -6,6 +6,8 @@
 use eyre::WrapErr as _;
 use sapphire_settings::Metrics;
 
+use crate::mesh;
+
 /// Prefix of all names.
 const PREFIX: &str = "sapphireline";
 
@@ -36,6 +38,16 @@
         let _ = self.client.count(name, by);
     }
 
+    /// Counts a message handed to the mesh.
+    pub fn sent(&self, sent: mesh::Sent) {
+        match sent {
+            mesh::Sent::Queued(bytes) => {
+                self.count("frames.sent_bytes", i64::try_from(bytes).unwrap_or(i64::MAX));
+            }
+            mesh::Sent::Dropped => self.count("frames.dropped", 1),
+        }
+    }
+
     /// Sets a gauge.
     pub fn gauge(&self, name: &str, value: u64) {
         let _ = self.client.gauge(name, value);
