fix: the agent's log says how a hold stands and how a task group ended

Cause: read as on call, 'ended attempt=' did not say how or why, and states were printed as the code's own names. Two functions of the planner had no caller. Change: words for hold states, how and why for ends; the functions are gone.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -4,8 +4,8 @@
 
 use sapphire_wire::{
     Announce, Answer, AnswerState, Applied, Bar, BarReply, Beat, Decide, Epoch, Evict, GangState,
-    Heartbeat, HoldReply, Lease, Load, Peer, Request, Slice, Stop, TaskState, Welcome, envelope,
-    epoch, frame, id, peer, resource,
+    Heartbeat, HoldReply, HoldState, Lease, Load, Peer, Request, Slice, Stop, TaskState, Welcome,
+    envelope, epoch, frame, id, peer, resource,
 };
 
 use crate::{
@@ -143,7 +143,8 @@
         match change {
             ledger::Change::Reply(attempt, state, reason) => {
                 let Some(planner) = self.planner_of(&attempt) else { return };
-                self.log(format!("hold attempt={attempt} state={state:?} reason=\"{reason}\""));
+                let word = hold_word(state);
+                self.log(format!("hold attempt={attempt} state={word} reason=\"{reason}\""));
                 let mut reply = HoldReply { attempt, reason, ..HoldReply::default() };
                 reply.set_state(state);
                 self.send(&planner, frame::Body::HoldReply(reply));
@@ -155,12 +156,23 @@
             ledger::Change::Evict(attempt, grace) => self.evict(&attempt, grace),
             ledger::Change::Stop(attempt) => self.effects.push(Effect::StopTasks(attempt)),
             ledger::Change::Ended(attempt) => {
-                self.log(format!("ended attempt={attempt}"));
+                self.log_end(&attempt);
                 self.beat(now, &attempt);
             }
         }
     }
 
+    fn log_end(&mut self, attempt: &str) {
+        let Some(member) = self.ledger.members().get(attempt) else { return };
+        let how = match member.state() {
+            TaskState::TaskBarred => "never-started".to_owned(),
+            TaskState::TaskExited => format!("exited code={}", member.exit_code()),
+            _ => "stopped".to_owned(),
+        };
+        let line = format!("ended attempt={attempt} how={how} reason=\"{}\"", member.reason);
+        self.log(line);
+    }
+
     fn planner_of(&self, attempt: &str) -> Option<Peer> {
         let member = self.ledger.members().get(attempt);
         let planner = member.map(|member| member.planner.clone());
@@ -543,3 +555,11 @@
         }
     }
 }
+
+fn hold_word(state: HoldState) -> &'static str {
+    match state {
+        HoldState::HoldGranted => "granted",
+        HoldState::HoldEvicting => "evicting",
+        HoldState::HoldRefused => "refused",
+    }
+}
--- a/crates/entry/src/planner.rs
+++ b/crates/entry/src/planner.rs
@@ -171,11 +171,6 @@
         self.bindings.short()
     }
 
-    /// Whether the store has not answered the last write.
-    pub fn is_store_out(&self) -> bool {
-        self.table.is_failing()
-    }
-
     fn touch(&mut self, job: &str) {
         self.table.touch(job);
         self.needs_schedule = true;
@@ -900,11 +895,6 @@
         }
     }
 
-    /// Term under which it plans.
-    pub fn term(&self) -> Revision {
-        self.epoch.term
-    }
-
     /// One line for operators.
     pub fn summary(&self) -> String {
         format!(
