--- /dev/null
+++ b/crates/front/src/callers.rs
@@ -0,0 +1,294 @@
+//! Callers' requests: what is checked, in which order, and what is answered.
+
+use std::time::Duration;
+
+use prost::Message as _;
+use sapphire_jobs::{Job, Progress, State, Step, catalog::Queue, task::JobId};
+use sapphire_planner::keys;
+use sapphire_store::call::{Call, Reply};
+
+use crate::{
+    answer::{Action, Answer, Handin, Request},
+    effect::Effect,
+    event::{Caller, Operation},
+    handin::What,
+    machine::{Lookup, Machine, Wanted},
+    options,
+};
+
+/// Longest name of a job.
+const MAX_ID: usize = 64;
+/// Longest description of what a job's tasks do, in bytes.
+const MAX_SPEC: usize = 64 << 10;
+/// Most tasks of one job.
+const MAX_TASKS: u64 = 100_000;
+/// Time for which a caller waits when it doesn't say.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+impl Machine {
+    pub(crate) fn request(&mut self, now: Duration, unix: Duration, caller: Caller, ask: Request) {
+        if self.is_leaving && matches!(ask.action, Action::Submit(_)) {
+            // Another entry takes it at once; here it would only be cut short.
+        }
+        let Some(catalog) = self.fresh.catalog.clone() else {
+            self.refuse(caller, "no configuration yet");
+            return;
+        };
+        let age = self.fresh.age(now);
+        let is_recent = age.is_some_and(|age| age < options::REFUSAL_AGE);
+        let Some((queue, rest)) = catalog.route(&ask.host, &ask.path) else {
+            if is_recent {
+                self.answer(caller, Answer::NoQueue);
+            } else {
+                self.refuse(caller, "the configuration may be out of date");
+            }
+            return;
+        };
+        let mut organisation = String::new();
+        if !queue.is_open {
+            // Guards against serving a key that was taken away while this entry was cut off: the
+            // proof that the configuration is the newest runs out before the key has to.
+            let most = self.options.revocation.saturating_sub(options::REVOCATION_MARGIN);
+            if age.is_none_or(|age| age >= most) {
+                self.refuse(caller, "the configuration may be out of date");
+                return;
+            }
+            match catalog.owner(&ask.key) {
+                Some(owner) => organisation.clone_from(&owner.name),
+                None if is_recent => {
+                    self.answer(caller, Answer::NoKey);
+                    return;
+                }
+                None => {
+                    self.refuse(caller, "the configuration may be out of date");
+                    return;
+                }
+            }
+        }
+        let patience = ask.patience.unwrap_or(PATIENCE);
+        match ask.action {
+            Action::Read if rest.is_empty() => self.read_queue(caller, &queue.name),
+            _ if !is_id(rest) => self.answer(caller, Answer::NoJob),
+            Action::Read => self.read(now, caller, rest, patience),
+            Action::Cancel => self.cancel(now, caller, rest, patience),
+            Action::Other => self.answer(caller, Answer::NotOffered),
+            Action::Submit(Err(reason)) => self.answer(caller, Answer::Malformed(reason)),
+            Action::Submit(Ok(handin)) => match check(&handin) {
+                Some(reason) => self.answer(caller, Answer::Malformed(reason)),
+                None => {
+                    let job = self.record(unix, rest, queue, organisation, handin);
+                    self.submit(now, caller, job, patience);
+                }
+            },
+        }
+    }
+
+    fn refuse(&mut self, caller: Caller, reason: &'static str) {
+        self.answer(caller, Answer::NotDone { reason, after: options::COME_AGAIN });
+    }
+
+    fn record(
+        &self,
+        unix: Duration,
+        id: &str,
+        queue: &Queue,
+        organisation: String,
+        handin: Handin,
+    ) -> Job {
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        Job {
+            id: id.to_owned(),
+            queue: queue.name.clone(),
+            organisation,
+            spec: handin.spec,
+            steps: handin.steps,
+            schedule: handin.schedule,
+            accepted_ms: millis(unix),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            max_attempts: queue.max_attempts,
+            slack_milli: (queue.slack * 1_000.0) as u32,
+            target_latency_ms: millis(queue.target_latency),
+            term: self.lead().map_or(0, |lead| lead.term),
+        }
+    }
+
+    fn submit(&mut self, now: Duration, caller: Caller, job: Job, patience: Duration) {
+        if self.view.state(&job.id).is_some() {
+            self.answer(caller, Answer::Accepted);
+            return;
+        }
+        let id = job.id.clone();
+        self.write(now, caller, &id, What::Job(Box::new(job)), patience);
+    }
+
+    fn read_queue(&mut self, caller: Caller, queue: &str) {
+        if self.view.is_fed() {
+            let pending = self.view.pending(queue);
+            self.answer(caller, Answer::Pending(pending));
+        } else {
+            self.refuse(caller, "the jobs are not known yet");
+        }
+    }
+
+    fn read(&mut self, now: Duration, caller: Caller, id: &str, patience: Duration) {
+        match self.view.state(id) {
+            Some(state) => self.answer(caller, Answer::State(state)),
+            None => self.look_up(now, caller, id, Wanted::State, patience),
+        }
+    }
+
+    fn cancel(&mut self, now: Duration, caller: Caller, id: &str, patience: Duration) {
+        match self.view.state(id) {
+            Some(State::Complete | State::Failed | State::Cancelled) => {
+                self.answer(caller, Answer::Cancelled);
+            }
+            Some(_) => self.write(now, caller, id, What::Cancel, patience),
+            None => self.look_up(now, caller, id, Wanted::Cancel, patience),
+        }
+    }
+
+    /// Asks the store about a job that the planner does not show: only a read that can't be
+    /// stale proves that there is none.
+    fn look_up(
+        &mut self,
+        now: Duration,
+        caller: Caller,
+        id: &str,
+        wanted: Wanted,
+        patience: Duration,
+    ) {
+        let deadline = now + patience.min(options::WRITE_PATIENCE);
+        let is_first = !self.lookups.contains_key(id);
+        let waiting = self.lookups.entry(id.to_owned()).or_default();
+        waiting.push(Lookup { caller, wanted, deadline });
+        if is_first {
+            let call = Call::Get { key: keys::job(id) };
+            self.out.push(Effect::Store(Operation::LookUp(id.to_owned()), call));
+        }
+    }
+
+    pub(crate) fn looked_up(&mut self, now: Duration, id: JobId, reply: Reply) {
+        match reply {
+            Reply::Value(value) if value.revision == 0 => {
+                for lookup in self.lookups.remove(&id).unwrap_or_default() {
+                    self.answer(lookup.caller, Answer::NoJob);
+                }
+            }
+            Reply::Value(_) => {
+                let waiting = self.lookups.remove(&id).unwrap_or_default();
+                let (cancels, reads): (Vec<Lookup>, Vec<Lookup>) =
+                    waiting.into_iter().partition(|lookup| lookup.wanted == Wanted::Cancel);
+                for lookup in cancels {
+                    let patience = lookup.deadline.saturating_sub(now);
+                    self.write(now, lookup.caller, &id, What::Cancel, patience);
+                }
+                if !reads.is_empty() {
+                    self.lookups.insert(id.clone(), reads);
+                    let call = Call::Get { key: keys::progress(&id) };
+                    self.out.push(Effect::Store(Operation::LookUpProgress(id), call));
+                }
+            }
+            _ => self.lookup_failed(now, id, Operation::LookUp, keys::job),
+        }
+    }
+
+    pub(crate) fn progress_looked_up(&mut self, now: Duration, id: JobId, reply: Reply) {
+        match reply {
+            Reply::Value(value) => {
+                let state = match Progress::decode(&value.bytes[..]) {
+                    Ok(progress) => progress.state(),
+                    Err(error) => {
+                        self.log(format!("job={id} progress can't be read: {error}"));
+                        State::Queued
+                    }
+                };
+                if matches!(state, State::Complete | State::Failed) {
+                    self.looked_up_state(&id, state);
+                } else {
+                    let call = Call::Get { key: keys::cancel(&id) };
+                    self.out.push(Effect::Store(Operation::LookUpCancel(id), call));
+                }
+            }
+            _ => self.lookup_failed(now, id, Operation::LookUpProgress, keys::progress),
+        }
+    }
+
+    pub(crate) fn cancel_looked_up(&mut self, now: Duration, id: JobId, reply: Reply) {
+        match reply {
+            Reply::Value(value) if value.revision > 0 => {
+                self.looked_up_state(&id, State::Cancelled);
+            }
+            Reply::Value(_) => self.looked_up_state(&id, State::Queued),
+            _ => self.lookup_failed(now, id, Operation::LookUpCancel, keys::cancel),
+        }
+    }
+
+    fn looked_up_state(&mut self, id: &str, state: State) {
+        for lookup in self.lookups.remove(id).unwrap_or_default() {
+            self.answer(lookup.caller, Answer::State(state));
+        }
+    }
+
+    /// Tries a read again while somebody still waits for it.
+    fn lookup_failed(
+        &mut self,
+        now: Duration,
+        id: JobId,
+        operation: fn(JobId) -> Operation,
+        key: fn(&str) -> String,
+    ) {
+        self.give_up_lookups(now);
+        if self.lookups.contains_key(&id) {
+            let call = Call::Get { key: key(&id) };
+            self.out.push(Effect::Store(operation(id), call));
+        }
+    }
+
+    pub(crate) fn give_up_lookups(&mut self, now: Duration) {
+        let mut over = Vec::new();
+        self.lookups.retain(|_, waiting| {
+            waiting.retain(|lookup| {
+                let is_over = now >= lookup.deadline;
+                if is_over {
+                    over.push(lookup.caller);
+                }
+                !is_over
+            });
+            !waiting.is_empty()
+        });
+        for caller in over {
+            self.refuse(caller, "the store can't be reached");
+        }
+    }
+}
+
+fn is_id(text: &str) -> bool {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    !text.is_empty() && text.len() <= MAX_ID && text.chars().all(is_allowed)
+}
+
+/// What is wrong with a job, if anything is.
+fn check(handin: &Handin) -> Option<String> {
+    if handin.spec.len() > MAX_SPEC {
+        return Some(format!("spec is longer than {MAX_SPEC} bytes"));
+    }
+    if handin.steps.is_empty() {
+        return Some("steps: at least one is needed".to_owned());
+    }
+    let tasks: u64 = handin.steps.iter().map(|step| u64::from(step.tasks)).sum();
+    if tasks > MAX_TASKS {
+        return Some(format!("steps: more than {MAX_TASKS} tasks"));
+    }
+    let steps = handin.steps.iter().enumerate();
+    steps.map(|(index, step)| check_step(index, step)).find(Option::is_some).flatten()
+}
+
+fn check_step(index: usize, step: &Step) -> Option<String> {
+    if step.tasks == 0 {
+        return Some(format!("steps[{index}]: at least one task is needed"));
+    }
+    let is_earlier = |other: &u32| (*other as usize) < index;
+    let wrong = step.after.iter().find(|other| !is_earlier(other))?;
+    Some(format!("steps[{index}]: waits for step {wrong}, which is not an earlier one"))
+}
--- /dev/null
+++ b/crates/front/src/freshness.rs
@@ -0,0 +1,168 @@
+//! The configuration in force, and the proof that there is no newer one.
+
+use std::{sync::Arc, time::Duration};
+
+use sapphire_jobs::catalog::Catalog;
+use sapphire_store::call::{Call, Condition, Item, Reply};
+
+use crate::{effect::Effect, event::Operation, machine::Machine, options};
+
+/// What is known of the configuration.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Freshness {
+    pub(crate) catalog: Option<Arc<Catalog>>,
+    /// Time at which this configuration was certainly the newest.
+    pub(crate) proven: Option<Duration>,
+    is_reading: bool,
+    is_proving: bool,
+    is_watching: bool,
+    read_at: Duration,
+    prove_at: Duration,
+    watch_at: Duration,
+    /// The planner knows of a newer one.
+    is_behind: bool,
+}
+
+impl Freshness {
+    /// Revision of the configuration in force; 0 for none.
+    pub(crate) fn revision(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |catalog| catalog.revision)
+    }
+
+    /// Age of the proof.
+    pub(crate) fn age(&self, now: Duration) -> Option<Duration> {
+        self.proven.map(|proven| now.saturating_sub(proven))
+    }
+}
+
+impl Machine {
+    pub(crate) fn drive_freshness(&mut self, now: Duration) {
+        let fresh = &mut self.fresh;
+        let has_catalog = fresh.catalog.is_some();
+        if (!has_catalog || fresh.is_behind) && !fresh.is_reading && now >= fresh.read_at {
+            fresh.is_reading = true;
+            let key = self.options.catalog_key.clone();
+            self.out.push(Effect::Store(Operation::Catalog, Call::Get { key }));
+        }
+        if has_catalog && !fresh.is_watching && now >= fresh.watch_at {
+            fresh.is_watching = true;
+            let prefix = self.options.catalog_key.clone();
+            let (after, wait) = (fresh.revision(), options::WATCH_WAIT);
+            let call = Call::WatchPrefix { prefix, after, wait };
+            self.out.push(Effect::Store(Operation::CatalogWatch, call));
+        }
+        let interval =
+            if self.is_planning { options::PROOF_INTERVAL } else { options::OWN_PROOF_AGE };
+        let is_old = fresh.age(now).is_none_or(|age| age >= interval);
+        if has_catalog && is_old && !fresh.is_proving && now >= fresh.prove_at {
+            fresh.is_proving = true;
+            let revision = fresh.revision();
+            let key = self.options.catalog_key.clone();
+            let conditions = vec![Condition { key, revision }];
+            let call = Call::Commit { conditions, puts: Vec::new(), removes: Vec::new() };
+            self.out.push(Effect::Store(Operation::Proof, call));
+        }
+    }
+
+    /// Takes the configuration as read. The proof's age counts from when the read was sent.
+    pub(crate) fn catalog_read(&mut self, now: Duration, sent: Duration, reply: Reply) {
+        self.fresh.is_reading = false;
+        self.fresh.read_at = now + options::CATALOG_RETRY;
+        if let Reply::Value(value) = reply
+            && value.revision > 0
+        {
+            self.fresh.is_behind = false;
+            let item = Item {
+                key: self.options.catalog_key.clone(),
+                value: Some(value.bytes),
+                revision: value.revision,
+            };
+            self.apply(&item, Some(sent));
+        }
+    }
+
+    /// Takes the answer to whether the configuration is the newest: a write under a condition
+    /// that writes nothing, so that it is cheap however large the configuration is.
+    pub(crate) fn proof_read(&mut self, now: Duration, sent: Duration, reply: Reply) {
+        self.fresh.is_proving = false;
+        self.fresh.prove_at = now + options::CATALOG_RETRY;
+        match reply {
+            Reply::Committed(_) => self.proven(self.fresh.revision(), sent),
+            Reply::Refused(items) => {
+                let key = self.options.catalog_key.clone();
+                match items.iter().find(|item| item.key == key && item.value.is_some()) {
+                    Some(item) => self.apply(item, Some(sent)),
+                    None => self.fresh.is_behind = true,
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn catalog_changed(&mut self, now: Duration, reply: Reply) {
+        self.fresh.is_watching = false;
+        match reply {
+            Reply::Changes { items, .. } => {
+                let key = self.options.catalog_key.clone();
+                for item in items.iter().filter(|item| item.key == key) {
+                    self.apply(item, None);
+                }
+            }
+            Reply::HistoryGone => self.fresh.is_behind = true,
+            _ => self.fresh.watch_at = now + options::WATCH_RETRY,
+        }
+    }
+
+    /// What the planner says of the configuration.
+    pub(crate) fn relayed_proof(&mut self, sent: Duration, revision: u64, age: Duration) {
+        if revision == self.fresh.revision() && revision > 0 {
+            // The age was taken before the answer was sent, so counting it from when the
+            // question was sent makes the proof older than it is, never younger.
+            self.proven(revision, sent.saturating_sub(age));
+        } else if revision > self.fresh.revision() {
+            self.fresh.is_behind = true;
+        }
+    }
+
+    fn proven(&mut self, revision: u64, at: Duration) {
+        let fresh = &mut self.fresh;
+        if fresh.revision() == revision && fresh.proven.is_none_or(|proven| proven < at) {
+            fresh.proven = Some(at);
+            self.out.push(Effect::Fresh { revision, at });
+        }
+    }
+
+    /// Puts a configuration in force unless it is older than the one that is.
+    ///
+    /// Guards against going back: a watch, a read and a relayed copy may come late and out of
+    /// order, and a caller that has been served under a newer one must not be refused again.
+    fn apply(&mut self, item: &Item, proven: Option<Duration>) {
+        let Some(value) = &item.value else { return };
+        if item.revision < self.fresh.revision() {
+            return;
+        }
+        if item.revision > self.fresh.revision() {
+            match (self.options.read_catalog)(value, item.revision) {
+                Ok(catalog) => self.put_in_force(catalog),
+                Err(error) => {
+                    let revision = item.revision;
+                    self.log(format!("configuration revision={revision} can't be read: {error}"));
+                    return;
+                }
+            }
+        }
+        if let Some(at) = proven {
+            self.proven(item.revision, at);
+        }
+    }
+
+    fn put_in_force(&mut self, catalog: Catalog) {
+        let known = self.fresh.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        let (version, revision) = (catalog.version, catalog.revision);
+        self.log(format!("configuration version={version} revision={revision} after={known}"));
+        let catalog = Arc::new(catalog);
+        self.fresh.catalog = Some(catalog.clone());
+        self.fresh.proven = None;
+        self.out.push(Effect::Catalog(catalog));
+    }
+}
--- /dev/null
+++ b/crates/front/src/handin.rs
@@ -0,0 +1,225 @@
+//! Jobs and cancellations on their way into the store.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use prost::Message as _;
+use sapphire_jobs::{Job, task::JobId};
+use sapphire_planner::keys;
+use sapphire_store::call::{Call, Condition, Put, Reply};
+
+use crate::{
+    answer::Answer,
+    effect::Effect,
+    event::{Caller, Operation},
+    machine::Machine,
+    options,
+};
+
+/// What is to be written.
+#[derive(Clone, Debug)]
+pub(crate) enum What {
+    Job(Box<Job>),
+    Cancel,
+}
+
+/// One write and who waits for it.
+#[derive(Clone, Debug)]
+pub(crate) struct Write {
+    pub(crate) what: What,
+    pub(crate) callers: Vec<Caller>,
+    deadline: Duration,
+    is_sent: bool,
+    retry_at: Duration,
+    /// A write got no answer and may be carried out, or has been.
+    is_unsure: bool,
+}
+
+/// Writes by job.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Writes {
+    jobs: BTreeMap<JobId, Write>,
+    cancels: BTreeMap<JobId, Write>,
+    under_way: usize,
+}
+
+impl Writes {
+    fn of(&mut self, operation: &Operation) -> &mut BTreeMap<JobId, Write> {
+        if matches!(operation, Operation::Cancel(_)) { &mut self.cancels } else { &mut self.jobs }
+    }
+
+    /// Jobs that wait to be written.
+    pub(crate) fn len(&self) -> usize {
+        self.jobs.len() + self.cancels.len()
+    }
+}
+
+impl Machine {
+    /// Has something written; the caller is answered when it is durable, or given up.
+    pub(crate) fn write(
+        &mut self,
+        now: Duration,
+        caller: Caller,
+        id: &str,
+        what: What,
+        patience: Duration,
+    ) {
+        let is_cancel = matches!(what, What::Cancel);
+        let writes = if is_cancel { &mut self.writes.cancels } else { &mut self.writes.jobs };
+        let deadline = now + patience.min(options::WRITE_PATIENCE);
+        let write = writes.entry(id.to_owned()).or_insert_with(|| Write {
+            what,
+            callers: Vec::new(),
+            deadline,
+            is_sent: false,
+            retry_at: now,
+            is_unsure: false,
+        });
+        write.callers.push(caller);
+    }
+
+    pub(crate) fn drive_writes(&mut self, now: Duration) {
+        self.give_up_writes(now);
+        let is_due = |write: &Write| !write.is_sent && now >= write.retry_at;
+        while self.writes.under_way < options::WRITES {
+            let due: Vec<JobId> = (self.writes.jobs.iter())
+                .filter(|(_, write)| is_due(write))
+                .take(options::WRITE_JOBS)
+                .map(|(id, _)| id.clone())
+                .collect();
+            if due.is_empty() {
+                break;
+            }
+            self.send_jobs(due);
+        }
+        let due: Vec<JobId> = (self.writes.cancels.iter())
+            .filter(|(_, write)| is_due(write))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.send_cancel(id);
+        }
+    }
+
+    fn send_jobs(&mut self, ids: Vec<JobId>) {
+        let mut conditions = Vec::new();
+        let mut puts = Vec::new();
+        for id in &ids {
+            let Some(write) = self.writes.jobs.get_mut(id) else { continue };
+            write.is_sent = true;
+            let What::Job(job) = &write.what else { continue };
+            let key = keys::job(id);
+            conditions.push(Condition { key: key.clone(), revision: 0 });
+            puts.push(Put { key, value: Bytes::from(job.encode_to_vec()), lease: None });
+        }
+        self.writes.under_way += 1;
+        let call = Call::Commit { conditions, puts, removes: Vec::new() };
+        self.out.push(Effect::Store(Operation::Submit(ids), call));
+    }
+
+    fn send_cancel(&mut self, id: JobId) {
+        if let Some(write) = self.writes.cancels.get_mut(&id) {
+            write.is_sent = true;
+        }
+        self.writes.under_way += 1;
+        let key = keys::cancel(&id);
+        let conditions = vec![Condition { key: key.clone(), revision: 0 }];
+        let puts = vec![Put { key, value: Bytes::from_static(b"1"), lease: None }];
+        let call = Call::Commit { conditions, puts, removes: Vec::new() };
+        self.out.push(Effect::Store(Operation::Cancel(id), call));
+    }
+
+    /// Takes the answer to a write.
+    pub(crate) fn written(&mut self, now: Duration, operation: &Operation, reply: Reply) {
+        self.writes.under_way = self.writes.under_way.saturating_sub(1);
+        let ids = match operation {
+            Operation::Submit(ids) => ids.clone(),
+            Operation::Cancel(id) => vec![id.clone()],
+            _ => return,
+        };
+        match reply {
+            Reply::Committed(_) => {
+                for id in ids {
+                    self.write_done(operation, &id);
+                }
+            }
+            Reply::Refused(items) => {
+                // Written before: by an earlier try of this entry, or through another one.
+                for id in ids {
+                    let is_there = |key: &str| {
+                        items.iter().any(|item| item.key == key && item.value.is_some())
+                    };
+                    if is_there(&keys::job(&id)) || is_there(&keys::cancel(&id)) {
+                        self.write_done(operation, &id);
+                    } else if let Some(write) = self.writes.of(operation).get_mut(&id) {
+                        write.is_sent = false;
+                        write.retry_at = now;
+                    }
+                }
+            }
+            reply => {
+                let is_unsure = !matches!(reply, Reply::NotDone(_));
+                for id in ids {
+                    if let Some(write) = self.writes.of(operation).get_mut(&id) {
+                        write.is_sent = false;
+                        write.retry_at = now + options::WRITE_RETRY;
+                        write.is_unsure |= is_unsure;
+                    }
+                }
+            }
+        }
+    }
+
+    fn write_done(&mut self, operation: &Operation, id: &str) {
+        let Some(write) = self.writes.of(operation).remove(id) else { return };
+        let answer = match write.what {
+            What::Job(job) => {
+                self.log(format!("job={id} accepted queue={} term={}", job.queue, job.term));
+                self.view.written(*job);
+                Answer::Accepted
+            }
+            What::Cancel => {
+                self.log(format!("job={id} cancellation is durable"));
+                self.view.cancelled(id);
+                Answer::Cancelled
+            }
+        };
+        for caller in write.callers {
+            self.answer(caller, answer.clone());
+        }
+    }
+
+    /// Answers callers whose write has taken too long. One that was never sent, or was refused
+    /// by the store each time, is certainly not carried out; any other may be.
+    fn give_up_writes(&mut self, now: Duration) {
+        let mut answers = Vec::new();
+        let writes = &mut self.writes;
+        for (is_cancel, map) in [(false, &mut writes.jobs), (true, &mut writes.cancels)] {
+            map.retain(|id, write| {
+                if now < write.deadline {
+                    return true;
+                }
+                let is_unsure = write.is_unsure || write.is_sent;
+                answers.push((
+                    id.clone(),
+                    is_cancel,
+                    is_unsure,
+                    std::mem::take(&mut write.callers),
+                ));
+                false
+            });
+        }
+        for (id, is_cancel, is_unsure, callers) in answers {
+            self.log(format!("job={id} cancel={is_cancel} given up, unsure={is_unsure}"));
+            let after = options::COME_AGAIN;
+            let answer = if is_unsure {
+                Answer::Unknown { after }
+            } else {
+                Answer::NotDone { reason: "the store can't be reached", after }
+            };
+            for caller in callers {
+                self.answer(caller, answer.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/leader.rs
@@ -0,0 +1,341 @@
+//! Who plans: this entry, while it holds the planner's key, or another.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message as _;
+use sapphire_jobs::{FeedPoll, Lead};
+use sapphire_planner::{keys, options as planner};
+use sapphire_store::{
+    call::{Call, Item, Reply, Revision},
+    lease,
+};
+
+use crate::{effect::Effect, event::Operation, machine::Machine, options};
+
+/// Longest time by which an entry waits before it reaches for the key, so that not all do so at
+/// once.
+const STAGGER: Duration = Duration::from_millis(40);
+/// A pause of the process after which it does not trust its memory as a planner any more.
+const FROZEN: Duration = Duration::from_millis(900);
+
+/// What is known of the planner.
+pub(crate) struct Leadership {
+    holder: lease::Holder,
+    pub(crate) lead: Option<Lead>,
+    /// Nobody holds the key, since then.
+    vacant: Option<Duration>,
+    is_reading: bool,
+    is_watching: bool,
+    watched: Revision,
+    read_at: Duration,
+    watch_at: Duration,
+    ask_at: Duration,
+    next_entry: usize,
+    is_polling: bool,
+    hold_sent: Duration,
+    last_tick: Duration,
+    stagger: Duration,
+    is_leaving: bool,
+}
+
+impl Leadership {
+    pub(crate) fn new(settings: &options::Options) -> Self {
+        let value = Lead {
+            name: settings.name.clone(),
+            address: settings.address.clone(),
+            term: 0,
+            generation: settings.generation,
+        };
+        let value = Bytes::from(value.encode_to_vec());
+        let span = u64::try_from(STAGGER.as_millis()).unwrap_or(1).max(1);
+        Leadership {
+            holder: lease::Holder::new(keys::LEAD, value, settings.lead_lease),
+            lead: None,
+            vacant: None,
+            is_reading: false,
+            is_watching: false,
+            watched: 0,
+            read_at: Duration::ZERO,
+            watch_at: Duration::ZERO,
+            ask_at: Duration::ZERO,
+            next_entry: 0,
+            is_polling: false,
+            hold_sent: Duration::ZERO,
+            last_tick: Duration::ZERO,
+            stagger: Duration::from_millis(settings.seed % span),
+            is_leaving: false,
+        }
+    }
+}
+
+impl Machine {
+    pub(crate) fn drive_leader(&mut self, now: Duration) {
+        self.notice_freeze(now);
+        self.drive_lead_reads(now);
+        self.drive_hold(now);
+        self.drive_feed(now);
+    }
+
+    /// Guards against a planner that was paused and goes on as if no time had passed: another
+    /// may have taken over, and everything it believes of workers is out of date.
+    fn notice_freeze(&mut self, now: Duration) {
+        let paused = now.saturating_sub(self.leader.last_tick);
+        let is_first = self.leader.last_tick.is_zero();
+        self.leader.last_tick = now;
+        if self.is_planning && !is_first && paused >= FROZEN {
+            self.log(format!("paused for {} ms; plans no more", paused.as_millis()));
+            self.resign();
+        }
+    }
+
+    fn drive_lead_reads(&mut self, now: Duration) {
+        let leader = &mut self.leader;
+        if !leader.is_watching && leader.watched > 0 && now >= leader.watch_at {
+            leader.is_watching = true;
+            let prefix = keys::LEAD.to_owned();
+            let (after, wait) = (leader.watched, options::WATCH_WAIT);
+            let call = Call::WatchPrefix { prefix, after, wait };
+            self.out.push(Effect::Store(Operation::LeadWatch, call));
+        }
+        let is_unsure = leader.watched == 0 || !self.view.is_fresh(now);
+        if is_unsure && !self.is_planning && !leader.is_reading && now >= leader.read_at {
+            leader.is_reading = true;
+            let call = Call::Scan {
+                prefix: keys::LEAD.to_owned(),
+                after: String::new(),
+                may_be_stale: false,
+            };
+            self.out.push(Effect::Store(Operation::Lead, call));
+        }
+    }
+
+    pub(crate) fn lead_read(&mut self, now: Duration, reply: Reply) {
+        self.leader.is_reading = false;
+        self.leader.read_at = now + options::LEAD_READ;
+        if let Reply::Items { items, revision, .. } = reply {
+            let held = items.into_iter().find(|item| item.key == keys::LEAD);
+            match held {
+                Some(item) => self.lead_item(now, &item),
+                None => self.vacant(now),
+            }
+            self.leader.watched = self.leader.watched.max(revision);
+        }
+    }
+
+    pub(crate) fn lead_changed(&mut self, now: Duration, reply: Reply) {
+        self.leader.is_watching = false;
+        match reply {
+            Reply::Changes { items, revision } => {
+                self.leader.watched = self.leader.watched.max(revision);
+                for item in items.iter().filter(|item| item.key == keys::LEAD) {
+                    self.lead_item(now, item);
+                }
+            }
+            Reply::HistoryGone => {
+                self.leader.watched = 0;
+                self.leader.read_at = now;
+            }
+            _ => self.leader.watch_at = now + options::WATCH_RETRY,
+        }
+    }
+
+    fn lead_item(&mut self, now: Duration, item: &Item) {
+        let Some(value) = &item.value else {
+            self.vacant(now);
+            return;
+        };
+        match Lead::decode(&value[..]) {
+            Ok(lead) => self.follow(Lead { term: item.revision, ..lead }),
+            Err(error) => self.log(format!("the planner's key can't be read: {error}")),
+        }
+    }
+
+    fn vacant(&mut self, now: Duration) {
+        if self.leader.vacant.is_none() {
+            self.leader.vacant = Some(now);
+            self.log("nobody holds the planner's key".to_owned());
+        }
+    }
+
+    /// Follows whoever has the highest term.
+    pub(crate) fn follow(&mut self, lead: Lead) {
+        let known = self.leader.lead.as_ref().map_or(0, |lead| lead.term);
+        if lead.term < known {
+            return;
+        }
+        if lead.term > known {
+            self.log(format!("term={} planner={} at {}", lead.term, lead.name, lead.address));
+            self.leader.vacant = None;
+            self.leader.is_polling = false;
+            self.view.tell_again();
+            let is_other =
+                lead.name != self.options.name || lead.generation != self.options.generation;
+            if self.is_planning && is_other {
+                self.resign();
+            }
+            self.leader.lead = Some(lead);
+        }
+    }
+
+    /// Who plans, as far as is known.
+    pub fn lead(&self) -> Option<&Lead> {
+        self.leader.lead.as_ref()
+    }
+
+    fn drive_hold(&mut self, now: Duration) {
+        let leader = &mut self.leader;
+        let may_take = !leader.is_leaving
+            && leader.vacant.is_some_and(|vacant| now >= vacant + leader.stagger);
+        if let Some(call) = leader.holder.poll(now, may_take) {
+            leader.hold_sent = now;
+            self.out.push(Effect::Store(Operation::Hold, call));
+        }
+    }
+
+    pub(crate) fn hold_answered(&mut self, now: Duration, sent: Duration, reply: Reply) {
+        if matches!(reply, Reply::Conflict(_)) {
+            self.leader.vacant = None;
+            self.leader.read_at = now;
+            self.leader.watched = 0;
+        }
+        match self.leader.holder.reply(now, sent, reply) {
+            lease::Outcome::Same => {}
+            lease::Outcome::Taken(term) => {
+                self.leader.vacant = None;
+                let lead = Lead {
+                    name: self.options.name.clone(),
+                    address: self.options.address.clone(),
+                    term,
+                    generation: self.options.generation,
+                };
+                self.is_planning = true;
+                self.log(format!("term={term} begins here"));
+                self.follow(lead);
+                self.out.push(Effect::Plan(term));
+            }
+            lease::Outcome::Lapsed => {
+                self.log("the planner's key has lapsed".to_owned());
+                self.resign();
+                self.vacant(now);
+            }
+        }
+    }
+
+    /// Gives up planning and the key.
+    pub(crate) fn resign(&mut self) {
+        if let Some(call) = self.leader.holder.release() {
+            self.out.push(Effect::Store(Operation::Release, call));
+            let value = Lead {
+                name: self.options.name.clone(),
+                address: self.options.address.clone(),
+                term: 0,
+                generation: self.options.generation,
+            };
+            let value = Bytes::from(value.encode_to_vec());
+            self.leader.holder = lease::Holder::new(keys::LEAD, value, self.options.lead_lease);
+        }
+        if self.is_planning {
+            self.is_planning = false;
+            self.out.push(Effect::Resign);
+        }
+    }
+
+    /// Another planner's write has been met.
+    pub fn deposed(&mut self, now: Duration) -> Vec<Effect> {
+        self.leader.watched = 0;
+        self.leader.read_at = now;
+        self.resign();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Whether a planner whose key could not be renewed in time is to stop: at once when others
+    /// reach the store, since one of them has the key then or soon will; otherwise after a while.
+    pub fn check_outage(
+        &mut self,
+        now: Duration,
+        is_store_reached: impl FnOnce(Duration) -> bool,
+    ) -> Vec<Effect> {
+        if !self.is_planning || !self.leader.holder.is_stale(now) {
+            self.stale_since = None;
+            return Vec::new();
+        }
+        let since = *self.stale_since.get_or_insert(now);
+        if is_store_reached(since) || now >= since + planner::OUTAGE {
+            self.log("the planner's key can't be renewed; plans no more".to_owned());
+            self.stale_since = None;
+            self.resign();
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// The process ends: the key is handed back at once, so that nobody waits for it to lapse.
+    pub(crate) fn leave(&mut self) {
+        self.leader.is_leaving = true;
+        self.resign();
+    }
+
+    fn drive_feed(&mut self, now: Duration) {
+        let Some(lead) = &self.leader.lead else {
+            self.ask_lead(now);
+            return;
+        };
+        if !self.leader.is_polling && now >= self.leader.ask_at {
+            self.leader.is_polling = true;
+            let (term, version) = self.view.position();
+            let poll = FeedPoll {
+                entry: self.options.name.clone(),
+                address: self.options.address.clone(),
+                term,
+                version,
+                reaches_store: self.reach.is_straight(),
+            };
+            let address = lead.address.clone();
+            self.out.push(Effect::Feed { address, poll });
+        }
+        if let Some(lead) = &self.leader.lead
+            && let Some(notice) = self.view.notice(now)
+        {
+            let address = lead.address.clone();
+            self.out.push(Effect::Notice { address, notice: Box::new(notice) });
+        }
+        if !self.view.is_fresh(now) {
+            self.ask_lead(now);
+        }
+    }
+
+    fn ask_lead(&mut self, now: Duration) {
+        if now < self.leader.ask_at || self.entries.is_empty() {
+            return;
+        }
+        self.leader.ask_at = now + options::LEAD_PAUSE;
+        self.leader.next_entry += 1;
+        let address = self.entries[self.leader.next_entry % self.entries.len()].clone();
+        if address != self.options.address {
+            self.out.push(Effect::AskLead { address });
+        }
+    }
+
+    pub(crate) fn fed(
+        &mut self,
+        now: Duration,
+        sent: Duration,
+        feed: Option<Box<sapphire_jobs::Feed>>,
+    ) {
+        self.leader.is_polling = false;
+        let Some(feed) = feed else {
+            self.leader.ask_at = now + options::LEAD_PAUSE;
+            return;
+        };
+        if feed.term < self.leader.lead.as_ref().map_or(0, |lead| lead.term) {
+            return;
+        }
+        if !feed.entries.is_empty() {
+            self.entries.clone_from(&feed.entries);
+            self.entries.extend(self.options.entries.iter().cloned());
+        }
+        let age = Duration::from_millis(feed.config_age_ms);
+        self.relayed_proof(sent, feed.config_revision, age);
+        self.view.feed(sent, *feed);
+    }
+}
--- /dev/null
+++ b/crates/front/src/machine.rs
@@ -0,0 +1,166 @@
+//! The entry's state.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphire_jobs::task::JobId;
+use sapphire_planner::{event::Moment, keys};
+use sapphire_store::call::{Call, Reply};
+
+use crate::{
+    answer::Answer,
+    effect::Effect,
+    event::{Caller, Event, Operation},
+    freshness::Freshness,
+    handin::Writes,
+    leader::Leadership,
+    options::Options,
+    reach::{Reach, Way},
+    view::View,
+};
+
+/// Why a job is looked up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Wanted {
+    State,
+    Cancel,
+}
+
+/// A caller that waits for a look-up.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Lookup {
+    pub(crate) caller: Caller,
+    pub(crate) wanted: Wanted,
+    pub(crate) deadline: Duration,
+}
+
+/// The entry.
+pub struct Machine {
+    pub(crate) options: Options,
+    pub(crate) fresh: Freshness,
+    pub(crate) view: View,
+    pub(crate) reach: Reach,
+    pub(crate) leader: Leadership,
+    pub(crate) writes: Writes,
+    pub(crate) lookups: BTreeMap<JobId, Vec<Lookup>>,
+    /// Other entries.
+    pub(crate) entries: Vec<String>,
+    pub(crate) is_planning: bool,
+    pub(crate) stale_since: Option<Duration>,
+    pub(crate) is_leaving: bool,
+    pub(crate) out: Vec<Effect>,
+}
+
+impl Machine {
+    /// An entry that knows of nothing.
+    pub fn new(options: Options) -> Self {
+        Machine {
+            fresh: Freshness::default(),
+            view: View::default(),
+            reach: Reach::default(),
+            leader: Leadership::new(&options),
+            writes: Writes::default(),
+            lookups: BTreeMap::new(),
+            entries: options.entries.clone(),
+            is_planning: false,
+            stale_since: None,
+            is_leaving: false,
+            out: Vec::new(),
+            options,
+        }
+    }
+
+    /// Takes an event; returns what is to be done.
+    pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
+        let steady = now.steady;
+        match event {
+            Event::Request(caller, request) => {
+                self.request(steady, now.unix, caller, *request);
+            }
+            Event::Left(_) => {}
+            Event::Store { operation, sent, reply } => {
+                self.stored(steady, operation, sent, reply);
+            }
+            Event::Feed { sent, feed } => self.fed(steady, sent, feed),
+            Event::Lead(lead) => self.follow(lead),
+            Event::Terminate => {
+                self.is_leaving = true;
+                self.leave();
+            }
+            Event::Tick => self.probe(steady),
+        }
+        self.give_up_lookups(steady);
+        self.drive_freshness(steady);
+        self.drive_writes(steady);
+        self.drive_leader(steady);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes over a changed bound.
+    pub fn set_revocation(&mut self, revocation: Duration) {
+        self.options.revocation = revocation;
+    }
+
+    fn stored(&mut self, now: Duration, operation: Operation, sent: Duration, reply: Reply) {
+        match operation {
+            Operation::Catalog => self.catalog_read(now, sent, reply),
+            Operation::Proof => self.proof_read(now, sent, reply),
+            Operation::CatalogWatch => self.catalog_changed(now, reply),
+            Operation::Lead => self.lead_read(now, reply),
+            Operation::LeadWatch => self.lead_changed(now, reply),
+            Operation::Hold => self.hold_answered(now, sent, reply),
+            Operation::Submit(_) | Operation::Cancel(_) => self.written(now, &operation, reply),
+            Operation::LookUp(id) => self.looked_up(now, id, reply),
+            Operation::LookUpProgress(id) => self.progress_looked_up(now, id, reply),
+            Operation::LookUpCancel(id) => self.cancel_looked_up(now, id, reply),
+            Operation::Probe | Operation::Release => {}
+        }
+    }
+
+    fn probe(&mut self, now: Duration) {
+        if self.reach.is_probe_due(now) {
+            let call = Call::Get { key: keys::FLEET.to_owned() };
+            self.out.push(Effect::Store(Operation::Probe, call));
+        }
+    }
+
+    /// The way that a call to the store takes. Watches and probes go straight: a watch through
+    /// another entry would hold a connection there.
+    pub fn way(&mut self, is_straight_only: bool) -> Way {
+        if is_straight_only {
+            return Way::Straight;
+        }
+        let own = &self.options.address;
+        let others: Vec<String> =
+            self.entries.iter().filter(|entry| *entry != own).cloned().collect();
+        self.reach.way(&others)
+    }
+
+    /// Notes how a straight call to the store ended.
+    pub fn note_straight(&mut self, now: Duration, is_answered: bool) -> Vec<Effect> {
+        if self.reach.note(now, is_answered) {
+            let verb = if is_answered { "reached again" } else { "lost; asking through entries" };
+            self.log(format!("store {verb}"));
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        let most = self.options.revocation;
+        let has_proof = self.fresh.age(now).is_some_and(|age| age < most);
+        !self.is_leaving && has_proof && self.view.is_fed()
+    }
+
+    /// Whether anybody waits for an answer.
+    pub fn is_idle(&self) -> bool {
+        self.writes.len() == 0 && self.lookups.is_empty()
+    }
+
+    pub(crate) fn answer(&mut self, caller: Caller, answer: Answer) {
+        self.out.push(Effect::Answer(caller, answer));
+    }
+
+    pub(crate) fn log(&mut self, text: String) {
+        self.out.push(Effect::Log(text));
+    }
+}
--- /dev/null
+++ b/crates/front/src/options.rs
@@ -0,0 +1,69 @@
+//! Settings of an entry.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use sapphire_jobs::catalog::Catalog;
+
+/// Reads a configuration as the operators wrote it; the text says why it can't be read.
+pub type ReadCatalog = fn(&Bytes, u64) -> Result<Catalog, String>;
+
+/// Names, bounds and where things are.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Its name.
+    pub name: String,
+    /// Where it listens for other processes.
+    pub address: String,
+    /// Start of its process.
+    pub generation: u64,
+    /// Other entries, to begin with.
+    pub entries: Vec<String>,
+    /// Key of the configuration in the store.
+    pub catalog_key: String,
+    /// Reads the configuration.
+    pub read_catalog: ReadCatalog,
+    /// Time after which a key that was taken away must not be served any more.
+    pub revocation: Duration,
+    /// Lease of the planner's key.
+    pub lead_lease: Duration,
+    /// Seed of what is drawn at random.
+    pub seed: u64,
+}
+
+/// Margin of the proof that a key still holds, for timers that fire late.
+pub const REVOCATION_MARGIN: Duration = Duration::from_millis(400);
+/// Age of the proof up to which a caller may be told that its queue or key does not exist.
+pub const REFUSAL_AGE: Duration = Duration::from_millis(2_000);
+/// How often the planner's entry proves its configuration; the others hear of it from there.
+pub const PROOF_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Age of the proof at which an entry proves its configuration by itself.
+pub const OWN_PROOF_AGE: Duration = Duration::from_millis(2_200);
+/// Pause before a failed read of the configuration is repeated.
+pub const CATALOG_RETRY: Duration = Duration::from_millis(150);
+/// How long the store is asked to hold a watch.
+pub const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Pause before a watch that failed is begun again.
+pub const WATCH_RETRY: Duration = Duration::from_millis(300);
+/// How long an entry tries to have a job or a cancellation written. Longer than a store that is
+/// slow takes, shorter than callers wait, so that they can go elsewhere in time.
+pub const WRITE_PATIENCE: Duration = Duration::from_millis(1_600);
+/// Pause before a write that failed is sent again.
+pub const WRITE_RETRY: Duration = Duration::from_millis(60);
+/// Jobs in one write, two rows each of the 32 that the store takes.
+pub const WRITE_JOBS: usize = 12;
+/// Writes under way at once, so that one without an answer doesn't hold up the others.
+pub const WRITES: usize = 8;
+/// When a caller is to come again after the store could not be reached. Outages last seconds;
+/// another entry may reach the store at once.
+pub const COME_AGAIN: Duration = Duration::from_millis(1_000);
+/// Pause before the planner is told again of a job that it does not show yet.
+pub const TELL_AGAIN: Duration = Duration::from_millis(350);
+/// Time for the planner's answer to a feed poll.
+pub const FEED_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Age of the feed up to which it counts as fresh.
+pub const FEED_FRESH: Duration = Duration::from_millis(2_000);
+/// Pause before somebody is asked who plans.
+pub const LEAD_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before the planner's key is read while nobody is known to hold it.
+pub const LEAD_READ: Duration = Duration::from_millis(700);
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,12 @@
+//! Jobs of steps and tasks, what they take, and the configuration of their queues. No I/O.
+
+pub mod catalog;
+pub mod length;
+pub mod room;
+pub mod task;
+
+pub use sapphire_schema::jobs::{
+    Ended, Ending, Feed, FeedPoll, Fleet, Incarnation, Job, Lead, Member, Notice, Orders, Poll,
+    Progress, Rejection, Relay, Relayed, Row, Run, Running, Schedule, Start, State, Step, Tally,
+    Verdict,
+};
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,12 @@
+//! HTTP/1.1 server and client on one event loop, without a thread a connection.
+//!
+//! [`hub::Hub`] owns all sockets of a process. Every call has a time-out and every connection a
+//! bound, so that a peer that goes silent costs one connection and never the process.
+
+pub mod clock;
+pub mod hub;
+pub mod message;
+mod outbound;
+mod parse;
+mod server;
+mod stream;
--- a/crates/plan/src/estimate.rs
+++ b/crates/plan/src/estimate.rs
@@ -11,10 +11,10 @@
 /// Run time of a job that declares none, until something is learned.
 const DEFAULT: Duration = Duration::from_secs(600);
 /// Shortest estimate.
-const LEAST: Duration = Duration::from_secs(1);
+const LEAST: Duration = Duration::from_millis(200);
 
-/// Kind of a job: its organisation and how many accelerators it takes, in powers of two.
-type Kind = (id::Organisation, u32);
+/// Kind of a job: its organisation or queue, and how many accelerators it takes, in powers of two.
+pub type Kind = (id::Organisation, u32);
 
 #[derive(Clone, Debug, Default)]
 struct Learned {
@@ -47,9 +47,14 @@
 impl Estimates {
     /// Notes how long a job ran.
     pub fn observe(&mut self, job: &Job, ran: Duration) {
+        self.observe_kind(kind(job), declared(job), ran);
+    }
+
+    /// Notes how long work of a kind ran that was declared to take so long.
+    pub fn observe_kind(&mut self, kind: Kind, declared: Duration, ran: Duration) {
         let ran = ran.max(LEAST).as_secs_f64().ln();
-        let declared = declared(job).as_secs_f64().ln();
-        let learned = self.learned.entry(kind(job)).or_default();
+        let declared = declared.max(LEAST).as_secs_f64().ln();
+        let learned = self.learned.entry(kind).or_default();
         let newest = if learned.count == 0.0 { 1.0 } else { NEWEST };
         let blend = |mean: &mut f64, new: f64| *mean += newest * (new - *mean);
         if learned.count > 0.0 {
@@ -64,8 +69,13 @@
     /// How long a job is expected to run: the declared time, corrected by the kind's usual
     /// error, blended with the kind's usual time by how well each has foretold so far.
     pub fn expect(&self, job: &Job) -> Duration {
-        let declared = declared(job).as_secs_f64().ln();
-        let Some(learned) = self.learned.get(&kind(job)) else {
+        self.expect_kind(&kind(job), declared(job))
+    }
+
+    /// How long work of a kind is expected to run that is declared to take so long.
+    pub fn expect_kind(&self, kind: &Kind, declared: Duration) -> Duration {
+        let declared = declared.max(LEAST).as_secs_f64().ln();
+        let Some(learned) = self.learned.get(kind) else {
             return Duration::from_secs_f64(declared.exp());
         };
         let trust = learned.count / (learned.count + TRUST);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -2,9 +2,13 @@
 
 pub mod bind;
 pub mod estimate;
+pub mod evict;
 pub mod fleet;
 pub mod health;
 pub mod pass;
 pub mod place;
 pub mod queue;
+pub mod rank;
 pub mod reclaim;
+pub mod seat;
+pub mod suspect;
--- /dev/null
+++ b/crates/plan/src/suspect.rs
@@ -0,0 +1,67 @@
+//! Tells workers that fail, stand still or are slow from tasks that do so anywhere.
+//!
+//! The load this answers: a worker that fails whatever it starts is always free, so that every
+//! waiting task goes there next and burns its attempts. One failure makes a worker the last
+//! choice for a moment, each further one in a row for longer; a success clears it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+/// Time for which one failure makes a worker the last choice. About as long as one urgent task
+/// runs, so that one task of its own bad luck costs little room.
+const FIRST: Duration = Duration::from_secs(3);
+/// Longest time for which a worker is the last choice, after which it is tried again.
+const LONGEST: Duration = Duration::from_secs(24);
+/// Failures in a row after which a worker takes nothing at all for the time.
+const CLOSED_AFTER: u32 = 2;
+
+/// How much a worker is to be avoided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Doubt {
+    /// Not at all.
+    None,
+    /// Taken only when there is no other.
+    Last,
+    /// Takes nothing.
+    Closed,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Record {
+    in_a_row: u32,
+    until: Duration,
+}
+
+/// What has been seen of each worker.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    workers: BTreeMap<String, Record>,
+}
+
+impl Suspects {
+    /// A task was done there.
+    pub fn succeeded(&mut self, worker: &str) {
+        self.workers.remove(worker);
+    }
+
+    /// A task failed there, stood still or fell far behind.
+    pub fn failed(&mut self, worker: &str, now: Duration) {
+        let record = self.workers.entry(worker.to_owned()).or_default();
+        record.in_a_row += 1;
+        let time = FIRST * 2_u32.pow((record.in_a_row - 1).min(8));
+        record.until = now + time.min(LONGEST);
+    }
+
+    /// The worker's minion has been replaced by another.
+    pub fn forget(&mut self, worker: &str) {
+        self.workers.remove(worker);
+    }
+
+    /// How much a worker is to be avoided now.
+    pub fn doubt(&self, worker: &str, now: Duration) -> Doubt {
+        match self.workers.get(worker) {
+            Some(record) if now < record.until && record.in_a_row >= CLOSED_AFTER => Doubt::Closed,
+            Some(record) if now < record.until => Doubt::Last,
+            _ => Doubt::None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/src/commit.rs
@@ -0,0 +1,148 @@
+//! Progress that is made durable, and what waits for it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message as _;
+use sapphire_jobs::task::JobId;
+use sapphire_store::call::{Call, Condition, Item, Put, Reply};
+
+use crate::{
+    effect::Effect,
+    event::{Moment, Operation},
+    keys::{self, Key},
+    options,
+    planner::Planner,
+};
+
+/// Jobs whose progress one write carries, within the 32 rows that the store takes.
+const JOBS_AT_ONCE: usize = 12;
+
+/// Writes under way.
+#[derive(Default)]
+pub(crate) struct Commits {
+    is_writing: bool,
+    retry_at: Duration,
+}
+
+impl Planner {
+    /// Writes progress if somebody waits for it or some has waited long enough.
+    pub(crate) fn write_progress(&mut self, now: Moment) {
+        let is_busy = self.commits.is_writing || now.steady < self.commits.retry_at;
+        if is_busy || !self.startup.is_serving() {
+            return;
+        }
+        let mut dirty: Vec<(bool, Duration, &JobId)> = (self.table.entries.iter())
+            .filter_map(|(id, entry)| entry.dirty.map(|dirty| (!dirty.is_urgent, dirty.since, id)))
+            .collect();
+        dirty.sort_unstable();
+        let is_due = |(is_patient, since, _): &(bool, Duration, &JobId)| {
+            !is_patient || now.steady >= *since + options::GATHER
+        };
+        if !dirty.iter().any(is_due) {
+            return;
+        }
+        let jobs: Vec<JobId> =
+            dirty.into_iter().take(JOBS_AT_ONCE).map(|(_, _, id)| id.clone()).collect();
+        self.commits.is_writing = true;
+        let call = self.progress_call(&jobs);
+        let numbers = jobs.into_iter().map(|id| {
+            let changes = self.table.entries.get(&id).map_or(0, |entry| entry.changes);
+            (id, changes)
+        });
+        let operation = Operation::Progress(numbers.collect());
+        self.out.push(Effect::Store(operation, call));
+    }
+
+    /// The write is bound to the planner's key and to each job's latest revision.
+    ///
+    /// Guards against a write that is carried out late, after its answer was given up: it would
+    /// put older progress over newer, and a done task would start again. And against a planner
+    /// that was replaced without knowing it.
+    fn progress_call(&self, jobs: &[JobId]) -> Call {
+        let mut conditions = vec![Condition { key: keys::LEAD.to_owned(), revision: self.term }];
+        let mut puts = Vec::new();
+        for id in jobs {
+            let Some(entry) = self.table.entries.get(id) else { continue };
+            let key = keys::progress(id);
+            conditions.push(Condition { key: key.clone(), revision: entry.revision });
+            let value = Bytes::from(entry.progress().encode_to_vec());
+            puts.push(Put { key, value, lease: None });
+        }
+        Call::Commit { conditions, puts, removes: Vec::new() }
+    }
+
+    pub(crate) fn progress_written(&mut self, now: Moment, jobs: Vec<(JobId, u64)>, reply: Reply) {
+        self.commits.is_writing = false;
+        match reply {
+            Reply::Committed(revision) => {
+                for (id, changes) in jobs {
+                    self.committed(&id, changes, revision);
+                }
+            }
+            Reply::Refused(items) => {
+                if !self.is_deposed_by(&items) {
+                    self.reread(&jobs, &items);
+                }
+            }
+            _ => self.commits.retry_at = now.steady + options::RETRY,
+        }
+    }
+
+    fn committed(&mut self, id: &str, changes: u64, revision: u64) {
+        let Some(entry) = self.table.entries.get_mut(id) else { return };
+        entry.revision = revision;
+        entry.committed = entry.committed.max(changes);
+        if entry.committed == entry.changes {
+            entry.dirty = None;
+        }
+        let state = entry.state;
+        let is_whole = entry.committed == entry.changes;
+        if is_whole && entry.is_over() {
+            self.log(format!("job={id} state={} is durable", state.as_str_name()));
+            self.table.show(id, state);
+        }
+    }
+
+    /// An earlier write of this term, whose answer was lost, has been carried out.
+    fn reread(&mut self, jobs: &[(JobId, u64)], items: &[Item]) {
+        for (id, _) in jobs {
+            let found = items.iter().find(|item| keys::read(&item.key) == Key::Progress(id));
+            if let Some(entry) = self.table.entries.get_mut(id) {
+                entry.revision = found.map_or(0, |item| item.revision);
+            }
+        }
+    }
+
+    /// Removes what is kept of jobs that ended long ago.
+    pub(crate) fn forget(&mut self, jobs: Vec<JobId>) {
+        if jobs.is_empty() {
+            return;
+        }
+        let removes = (jobs.iter())
+            .flat_map(|id| [keys::job(id), keys::progress(id), keys::cancel(id)])
+            .collect();
+        let conditions = vec![Condition { key: keys::LEAD.to_owned(), revision: self.term }];
+        for id in &jobs {
+            self.table.forget(id);
+        }
+        let call = Call::Commit { conditions, puts: Vec::new(), removes };
+        self.out.push(Effect::Store(Operation::Forget(jobs), call));
+    }
+
+    /// Takes an answer of the store.
+    pub(crate) fn stored(&mut self, now: Moment, operation: Operation, reply: Reply) {
+        match operation {
+            Operation::Scan => self.scanned(now, reply),
+            Operation::Fleet => self.fleet_written(now, reply),
+            Operation::Progress(jobs) => self.progress_written(now, jobs, reply),
+            Operation::Intake => self.intake_read(now, reply),
+            Operation::Forget(jobs) => {
+                if !matches!(reply, Reply::Committed(_)) {
+                    // The next planner finds them and removes them in its turn.
+                    self.log(format!("{} ended jobs were not removed from the store", jobs.len()));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/src/ends.rs
@@ -0,0 +1,174 @@
+//! What the end of a task means for its group and its job.
+
+use sapphire_jobs::{
+    Ending, State, length,
+    task::{GroupKey, JobId, RunNumber, Task, WorkerName},
+};
+
+use crate::{
+    event::Moment,
+    group::Phase,
+    planner::{Planner, estimate_kind},
+};
+
+impl Planner {
+    /// Takes note of the end of a task. Returns the change of its job's progress that must be
+    /// durable before the end may be forgotten, if there is one. The same end may come again.
+    pub(crate) fn ended(
+        &mut self,
+        now: Moment,
+        name: &str,
+        task: &Task,
+        number: RunNumber,
+        ending: Ending,
+        checkpoint: &str,
+    ) -> Option<(JobId, u64)> {
+        let began = self.leave_ledger(name, task, number);
+        self.needs_pass = true;
+        self.log(format!("task={task} run={number} worker={name} ended={}", ending.as_str_name()));
+        let entry = self.table.entries.get_mut(&task.job)?;
+        let step = entry.step(task.step)?.clone();
+        let key = GroupKey::of(task, step.is_gang);
+        let is_over = entry.is_over();
+        let group = entry.groups.get_mut(&key)?;
+        if !checkpoint.is_empty() && !group.is_final() {
+            checkpoint.clone_into(&mut group.checkpoint);
+        }
+        let is_current = group.run == number;
+        match ending {
+            Ending::Done if !group.is_final() && !step.is_long_running => {
+                self.suspects.succeeded(name);
+                if let Some(active) = group.active().filter(|active| is_current && !active.is_far)
+                    && let Some(began) = active.began.or(began)
+                {
+                    let ran = now.steady.saturating_sub(began);
+                    let kind = estimate_kind(entry, &step);
+                    self.estimates.observe_kind(kind, length::declared(&step), ran);
+                }
+                return self.group_done(now, &task.job, &key);
+            }
+            // Also of a run that this planner did not order: a failure that is forgotten would
+            // let the task start more often than its queue allows.
+            Ending::Faulty if !is_over && group.failed_runs.insert(number) => {
+                if group.active().is_none() {
+                    group.run = group.run.max(number);
+                }
+                group.avoid.push(name.to_owned());
+                self.suspects.failed(name, now.steady);
+                entry.touch(now.steady, false);
+            }
+            _ => {}
+        }
+        let changes = self.table.entries.get(&task.job)?.changes;
+        self.member_left(now, task, &key, number);
+        Some((task.job.clone(), changes))
+    }
+
+    /// Takes a run out of its worker's ledger; returns when it began, if it had.
+    fn leave_ledger(
+        &mut self,
+        name: &str,
+        task: &Task,
+        number: RunNumber,
+    ) -> Option<std::time::Duration> {
+        let worker = self.workers.get_mut(name)?;
+        let run = worker.runs.get(task).filter(|run| run.number == number)?;
+        let began = run.began;
+        worker.runs.remove(task);
+        Some(began)
+    }
+
+    fn group_done(&mut self, now: Moment, id: &str, key: &GroupKey) -> Option<(JobId, u64)> {
+        let entry = self.table.entries.get_mut(id)?;
+        let group = entry.groups.get_mut(key)?;
+        group.phase = Phase::Done;
+        group.claim = None;
+        let is_complete = !entry.is_over() && entry.is_all_done();
+        if is_complete {
+            entry.state = State::Complete;
+            entry.ended = Some(now.steady);
+        }
+        let changes = entry.touch(now.steady, is_complete);
+        if is_complete {
+            self.table.open.remove(id);
+            self.log(format!("job={id} all tasks are done"));
+        }
+        Some((id.to_owned(), changes))
+    }
+
+    /// One member of a group's run has ended without being done.
+    fn member_left(&mut self, now: Moment, task: &Task, key: &GroupKey, number: RunNumber) {
+        let Some(entry) = self.table.entries.get_mut(&task.job) else { return };
+        let Some(group) = entry.groups.get_mut(key) else { return };
+        if group.run != number && group.active().is_some() {
+            return;
+        }
+        let Some(active) = group.active_mut() else {
+            self.group_stopped(now, &task.job, key);
+            return;
+        };
+        active.left.remove(&task.index);
+        if active.left.is_empty() {
+            group.phase = Phase::Waiting;
+            group.since = now.steady;
+            self.group_stopped(now, &task.job, key);
+        } else {
+            self.stop_group(&task.job, key);
+        }
+    }
+
+    /// Stops what is left of a group's run.
+    pub(crate) fn stop_group(&mut self, id: &str, key: &GroupKey) {
+        let Some(entry) = self.table.entries.get_mut(id) else { return };
+        let Some(group) = entry.groups.get_mut(key) else { return };
+        let number = group.run;
+        let Some(active) = group.active_mut() else { return };
+        active.is_stopping = true;
+        let left: Vec<(u32, WorkerName)> =
+            active.left.iter().map(|(index, worker)| (*index, worker.clone())).collect();
+        for (index, worker) in left {
+            let task =
+                Task { job: id.to_owned(), occurrence: key.occurrence, step: key.step, index };
+            self.stop(&worker, &task, number);
+        }
+    }
+
+    /// Nothing of a group's run is left: it waits again, or its job has failed.
+    fn group_stopped(&mut self, now: Moment, id: &str, key: &GroupKey) {
+        let Some(entry) = self.table.entries.get(id) else { return };
+        let limit = self.queue(entry).max_attempts;
+        let entry = self.table.entries.get_mut(id).expect("looked up above");
+        let is_long = entry.step(key.step).is_some_and(|step| step.is_long_running);
+        let is_over = entry.is_over();
+        let Some(group) = entry.groups.get_mut(key) else { return };
+        if !group.is_exhausted(limit) || is_long || is_over || group.active().is_some() {
+            return;
+        }
+        let failed = group.failed_runs.len();
+        group.phase = Phase::Failed;
+        entry.state = State::Failed;
+        entry.ended = Some(now.steady);
+        entry.touch(now.steady, true);
+        self.table.open.remove(id);
+        self.log(format!("job={id} step={} failed {failed} times; job fails", key.step));
+        self.stop_job(id);
+    }
+
+    /// A minion runs a task.
+    pub(crate) fn began(&mut self, now: Moment, task: &Task, number: RunNumber) {
+        let Some(entry) = self.table.entries.get_mut(&task.job) else { return };
+        let Some(step) = entry.step(task.step) else { return };
+        let key = GroupKey::of(task, step.is_gang);
+        let Some(group) = entry.groups.get_mut(&key).filter(|group| group.run == number) else {
+            return;
+        };
+        if let Some(active) = group.active_mut() {
+            active.began.get_or_insert(now.steady);
+        }
+        entry.has_begun = true;
+        if entry.state == State::Queued {
+            entry.state = State::Active;
+            self.table.show(&task.job, State::Active);
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/src/feed.rs
@@ -0,0 +1,121 @@
+//! What entries are told: states of jobs, other entries, and how fresh the configuration is.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphire_jobs::{Feed, FeedPoll, Row};
+
+use crate::{
+    effect::Effect,
+    event::{Asker, Moment},
+    options,
+    planner::Planner,
+};
+
+/// Entries that are silent for so long are not named to agents any more.
+const FORGET: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Debug)]
+struct Reader {
+    address: String,
+    heard: Duration,
+    reaches_store: Option<Duration>,
+    held: Option<(Asker, u64)>,
+}
+
+/// Entries that ask for news.
+#[derive(Default)]
+pub(crate) struct Feeds {
+    readers: BTreeMap<String, Reader>,
+}
+
+impl Feeds {
+    /// Addresses of entries heard of lately.
+    pub(crate) fn addresses(&self, now: Duration) -> Vec<String> {
+        let recent = self.readers.values().filter(|reader| now < reader.heard + FORGET);
+        recent.map(|reader| reader.address.clone()).collect()
+    }
+
+    /// Drops the poll of a reader that has left.
+    pub(crate) fn left(&mut self, asker: Asker) {
+        for reader in self.readers.values_mut() {
+            reader.held.take_if(|(held, _)| *held == asker);
+        }
+    }
+}
+
+impl Planner {
+    /// Whether another entry has reached the store since a time.
+    pub fn is_store_reached(&self, since: Duration) -> bool {
+        let reached = |at: Duration| at > since;
+        self.feeds.readers.values().any(|reader| reader.reaches_store.is_some_and(reached))
+    }
+
+    pub(crate) fn feed_poll(&mut self, now: Moment, asker: Asker, poll: FeedPoll) {
+        let term = self.term;
+        let reader = self.feeds.readers.entry(poll.entry).or_insert_with(|| Reader {
+            address: poll.address.clone(),
+            heard: now.steady,
+            reaches_store: None,
+            held: None,
+        });
+        reader.address = poll.address;
+        reader.heard = now.steady;
+        if poll.reaches_store {
+            reader.reaches_store = Some(now.steady);
+        }
+        let known = if poll.term == term { poll.version } else { 0 };
+        if let Some((earlier, _)) = reader.held.replace((asker, known)) {
+            self.out.push(Effect::Decline(earlier));
+        }
+    }
+
+    /// Answers entries for which there is news, or that have waited long enough.
+    pub(crate) fn answer_feeds(&mut self, now: Moment) {
+        if !self.startup.is_serving() {
+            return;
+        }
+        let version = self.table.version;
+        let mut due = Vec::new();
+        for reader in self.feeds.readers.values_mut() {
+            let is_over = now.steady >= reader.heard + options::FEED_HOLD;
+            let held = reader.held.take_if(|(_, known)| *known < version || is_over);
+            due.extend(held);
+        }
+        for (asker, known) in due {
+            let feed = self.feed(now, known);
+            self.out.push(Effect::Feed(asker, Box::new(feed)));
+        }
+    }
+
+    fn feed(&self, now: Moment, known: u64) -> Feed {
+        let news = self.table.entries.iter().filter(|(_, entry)| entry.version > known);
+        let rows = news.map(|(id, entry)| Row {
+            job: id.clone(),
+            queue: entry.job.queue.clone(),
+            state: entry.shown.into(),
+        });
+        let gone = self.table.gone.iter().filter(|(version, _)| *version > known);
+        let age = |at: Duration| now.steady.saturating_sub(at).as_millis();
+        let (config_revision, config_age_ms) = self.proof.map_or((0, 0), |(revision, at)| {
+            (revision, u64::try_from(age(at)).unwrap_or(u64::MAX))
+        });
+        Feed {
+            term: self.term,
+            version: self.table.version,
+            is_whole: known == 0,
+            rows: rows.collect(),
+            gone: gone.map(|(_, id)| id.clone()).collect(),
+            entries: self.feeds.addresses(now.steady),
+            config_revision,
+            config_age_ms,
+        }
+    }
+
+    /// An asker has left.
+    pub(crate) fn left(&mut self, asker: Asker) {
+        self.feeds.left(asker);
+        for worker in self.workers.values_mut() {
+            worker.held.take_if(|held| held.asker == asker);
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/src/group.rs
@@ -0,0 +1,108 @@
+//! A gang, or a task that is no part of one, on its way through its runs.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use sapphire_jobs::task::{RunNumber, WorkerName};
+
+/// Tasks of the group that have not ended in this run, by index, with their workers.
+pub type Seats = BTreeMap<u32, WorkerName>;
+
+/// Where a group stands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Phase {
+    /// Not running.
+    Waiting,
+    /// Ordered or running.
+    Active(Active),
+    /// Ended well; final.
+    Done,
+    /// Failed too often; final.
+    Failed,
+}
+
+/// A run of the group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Active {
+    /// When it was ordered.
+    pub since: Duration,
+    /// When its minions have all started it.
+    pub began: Option<Duration>,
+    /// Tasks that have not ended.
+    pub left: Seats,
+    /// Its tasks have been told to stop, or will be by themselves.
+    pub is_stopping: bool,
+    /// It runs away from its data or on several racks.
+    pub is_far: bool,
+}
+
+/// Room that is being freed for the group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Claim {
+    /// When the stops were decided.
+    pub since: Duration,
+    /// Tasks by worker.
+    pub seats: Vec<(WorkerName, u32)>,
+}
+
+/// The group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Group {
+    /// Where it stands.
+    pub phase: Phase,
+    /// Number of its latest run.
+    pub run: RunNumber,
+    /// Runs that failed.
+    pub failed_runs: BTreeSet<RunNumber>,
+    /// Progress saved; empty for none.
+    pub checkpoint: String,
+    /// Workers on which it failed.
+    pub avoid: Vec<WorkerName>,
+    /// Room that is being freed for it.
+    pub claim: Option<Claim>,
+    /// It waits from then on.
+    pub since: Duration,
+}
+
+impl Group {
+    /// A group that has not run.
+    pub fn new(now: Duration) -> Self {
+        Group {
+            phase: Phase::Waiting,
+            run: 0,
+            failed_runs: BTreeSet::new(),
+            checkpoint: String::new(),
+            avoid: Vec::new(),
+            claim: None,
+            since: now,
+        }
+    }
+
+    /// Whether nothing will happen to it any more.
+    pub fn is_final(&self) -> bool {
+        matches!(self.phase, Phase::Done | Phase::Failed)
+    }
+
+    /// Whether it has failed so often that it is not to run again.
+    pub fn is_exhausted(&self, max_attempts: u32) -> bool {
+        self.failed_runs.len() >= max_attempts.max(1) as usize
+    }
+
+    /// Its run, while it is ordered or running.
+    pub fn active(&self) -> Option<&Active> {
+        match &self.phase {
+            Phase::Active(active) => Some(active),
+            _ => None,
+        }
+    }
+
+    /// Its run, while it is ordered or running.
+    pub fn active_mut(&mut self) -> Option<&mut Active> {
+        match &mut self.phase {
+            Phase::Active(active) => Some(active),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/src/lib.rs
@@ -0,0 +1,22 @@
+//! Decides where and when tasks run: the job table, the workers as their agents report them,
+//! take-over from an earlier planner, and what is made durable. No I/O and no clocks.
+//!
+//! [`planner::Planner`] takes events and returns effects. One entry at a time has one, for the
+//! term for which it holds the planner's key in the store.
+
+mod commit;
+pub mod effect;
+mod ends;
+pub mod event;
+mod feed;
+pub mod group;
+mod intake;
+pub mod keys;
+pub mod options;
+mod pass;
+pub mod planner;
+mod polls;
+mod startup;
+pub mod table;
+mod watchdog;
+pub mod worker;
--- /dev/null
+++ b/crates/planner/src/planner.rs
@@ -0,0 +1,252 @@
+//! The planner of one term.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use sapphire_jobs::{
+    catalog::{Catalog, Queue},
+    length,
+    task::{JobId, Task, WorkerName},
+};
+use sapphire_plan::{estimate, suspect};
+
+use crate::{
+    commit::Commits,
+    effect::Effect,
+    event::{Event, Moment},
+    feed::Feeds,
+    intake::Intake,
+    options::{self, Options},
+    startup::Startup,
+    table::{Entry, Table},
+    worker::{Phase, Worker},
+};
+
+/// A planner.
+pub struct Planner {
+    pub(crate) options: Options,
+    /// Revision of the planner's key.
+    pub(crate) term: u64,
+    pub(crate) startup: Startup,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) table: Table,
+    pub(crate) workers: BTreeMap<WorkerName, Worker>,
+    pub(crate) commits: Commits,
+    pub(crate) intake: Intake,
+    pub(crate) feeds: Feeds,
+    pub(crate) estimates: estimate::Estimates,
+    pub(crate) suspects: suspect::Suspects,
+    /// Jobs cancelled before they were known.
+    pub(crate) early_cancels: BTreeSet<JobId>,
+    /// The newest configuration was this one, then.
+    pub(crate) proof: Option<(u64, Duration)>,
+    /// Something has changed that may let a group start.
+    pub(crate) needs_pass: bool,
+    pub(crate) last_pass: Duration,
+    pub(crate) sessions: u64,
+    pub(crate) out: Vec<Effect>,
+}
+
+/// Longest time between two passes while something waits.
+const PASS_INTERVAL: Duration = Duration::from_millis(100);
+
+impl Planner {
+    /// A planner for a term, which begins by reading the store.
+    pub fn new(options: Options, term: u64, catalog: Arc<Catalog>, now: Moment) -> Self {
+        let mut planner = Planner {
+            options,
+            term,
+            startup: Startup::new(now.steady),
+            catalog,
+            table: Table::default(),
+            workers: BTreeMap::new(),
+            commits: Commits::default(),
+            intake: Intake::default(),
+            feeds: Feeds::default(),
+            estimates: estimate::Estimates::default(),
+            suspects: suspect::Suspects::default(),
+            early_cancels: BTreeSet::new(),
+            proof: None,
+            needs_pass: true,
+            last_pass: Duration::ZERO,
+            sessions: 0,
+            out: Vec::new(),
+        };
+        planner.begin();
+        planner
+    }
+
+    /// Its term.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Takes over changed bounds.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
+    /// Jobs by identifier.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Workers by name.
+    pub fn workers(&self) -> &BTreeMap<WorkerName, Worker> {
+        &self.workers
+    }
+
+    /// Takes an event; returns what is to be done.
+    pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Poll(asker, poll) => self.poll(now, asker, *poll),
+            Event::Feed(asker, poll) => self.feed_poll(now, asker, poll),
+            Event::Notice(notice) => self.notice(now, notice),
+            Event::Left(asker) => self.left(asker),
+            Event::Store(operation, reply) => self.stored(now, operation, reply),
+            Event::Catalog(catalog) => {
+                self.catalog = catalog;
+                self.needs_pass = true;
+            }
+            Event::Fresh { revision, at } => self.proof = Some((revision, at)),
+            Event::Tick => self.tick(now),
+        }
+        self.settle(now);
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.expire_workers(now);
+        self.watch_progress(now);
+        self.materialise(now);
+        self.forget_ended(now);
+        self.ask_intake(now);
+        self.check_settled(now);
+        self.write_fleet();
+        if now.steady >= self.last_pass + PASS_INTERVAL {
+            self.needs_pass |= !self.table.open.is_empty();
+        }
+    }
+
+    /// What follows from any event: a pass, writes, and answers that can be given now.
+    fn settle(&mut self, now: Moment) {
+        if self.needs_pass && self.startup.is_serving() {
+            self.needs_pass = false;
+            self.last_pass = now.steady;
+            self.pass(now);
+        }
+        self.write_progress(now);
+        self.answer_polls(now);
+        self.answer_feeds(now);
+    }
+
+    pub(crate) fn log(&mut self, text: String) {
+        self.out.push(Effect::Log(text));
+    }
+
+    /// The terms of a job's queue: as configured now, else as they were at the acceptance.
+    pub(crate) fn queue(&self, entry: &Entry) -> Queue {
+        self.catalog.queue(&entry.job.queue).cloned().unwrap_or_else(|| Queue {
+            name: entry.job.queue.clone(),
+            service: entry.job.service.clone(),
+            priority: entry.job.priority,
+            max_attempts: entry.job.max_attempts,
+            slack: f64::from(entry.job.slack_milli) / 1_000.0,
+            target_latency: Duration::from_millis(entry.job.target_latency_ms),
+            ..Queue::default()
+        })
+    }
+
+    /// How long a step's tasks are expected to run.
+    pub(crate) fn expect(&self, entry: &Entry, step: &sapphire_jobs::Step) -> Duration {
+        let kind = estimate_kind(entry, step);
+        self.estimates.expect_kind(&kind, length::declared(step))
+    }
+
+    /// Time within which a job's caller wants it.
+    pub(crate) fn objective(&self, entry: &Entry) -> Duration {
+        let queue = self.queue(entry);
+        let chain = length::chain(&entry.job.steps, |step| self.expect(entry, step));
+        chain.mul_f64(queue.slack.max(1.0)) + queue.target_latency
+    }
+
+    /// Time since a job's acceptance.
+    pub(crate) fn age(entry: &Entry, now: Moment) -> Duration {
+        now.unix.saturating_sub(Duration::from_millis(entry.job.accepted_ms))
+    }
+
+    /// Materialises occurrences that have become due.
+    fn materialise(&mut self, now: Moment) {
+        let open: Vec<JobId> = self.table.open.iter().cloned().collect();
+        for id in open {
+            let Some(entry) = self.table.entries.get_mut(&id) else { continue };
+            if entry.next_due().is_some_and(|due| due <= now.unix) && entry.materialise(now) {
+                self.needs_pass = true;
+                self.log(format!("job={id} occurrence due"));
+            }
+        }
+    }
+
+    /// Tells a task's minion to stop it, once it is known where it runs.
+    pub(crate) fn stop(&mut self, worker: &str, task: &Task, number: u32) {
+        let Some(worker) = self.workers.get_mut(worker) else { return };
+        let Some(run) = worker.runs.get_mut(task) else { return };
+        if run.number == number && run.phase != Phase::Stopping {
+            run.phase = Phase::Stopping;
+            run.is_received = false;
+        }
+    }
+
+    /// Stops all of a job that runs.
+    pub(crate) fn stop_job(&mut self, id: &str) {
+        let Some(entry) = self.table.entries.get_mut(id) else { return };
+        let mut stops = Vec::new();
+        for (key, group) in &mut entry.groups {
+            let number = group.run;
+            group.claim = None;
+            let Some(active) = group.active_mut() else { continue };
+            active.is_stopping = true;
+            for (index, worker) in &active.left {
+                let task = Task {
+                    job: id.to_owned(),
+                    occurrence: key.occurrence,
+                    step: key.step,
+                    index: *index,
+                };
+                stops.push((worker.clone(), task, number));
+            }
+        }
+        for (worker, task, number) in stops {
+            self.stop(&worker, &task, number);
+        }
+    }
+
+    /// Forgets jobs that ended long ago.
+    fn forget_ended(&mut self, now: Moment) {
+        let keep = self.options.status + options::FEED_HOLD;
+        let is_old = |entry: &Entry| {
+            entry.ended.is_some_and(|ended| now.steady >= ended + keep) && entry.dirty.is_none()
+        };
+        let runs = |id: &str| {
+            self.workers.values().any(|worker| worker.runs.keys().any(|task| task.job == id))
+        };
+        let old: Vec<JobId> = (self.table.entries.iter())
+            .filter(|(id, entry)| is_old(entry) && !runs(id))
+            .map(|(id, _)| id.clone())
+            .take(FORGOTTEN_AT_ONCE)
+            .collect();
+        self.forget(old);
+    }
+}
+
+/// Jobs whose three keys one write removes, within the 32 rows that the store takes.
+const FORGOTTEN_AT_ONCE: usize = 8;
+
+/// What run times of a step are learned by.
+pub(crate) fn estimate_kind(entry: &Entry, step: &sapphire_jobs::Step) -> estimate::Kind {
+    let accelerators = step.room.as_ref().map_or(0, |room| room.accelerators).max(1);
+    (entry.job.queue.clone(), accelerators.ilog2())
+}
--- /dev/null
+++ b/crates/planner/src/polls.rs
@@ -0,0 +1,376 @@
+//! Agents' polls: sessions, what runs where, and orders.
+
+use sapphire_jobs::{
+    Ending, Incarnation, Orders, Poll, Rejection, Start,
+    room::Room,
+    task::{GroupKey, JobId, Task, WorkerName},
+};
+
+use crate::{
+    effect::Effect,
+    event::{Asker, Moment},
+    group::{Active, Phase as GroupPhase},
+    options,
+    planner::Planner,
+    worker::{self, Held, Phase, Run, Worker},
+};
+
+/// Whether two messages speak of the same life of a minion.
+fn is_same_life(left: &Incarnation, right: &Incarnation) -> bool {
+    left.id == right.id && left.born_ms == right.born_ms
+}
+
+impl Planner {
+    pub(crate) fn poll(&mut self, now: Moment, asker: Asker, poll: Poll) {
+        let name = poll.agent.clone();
+        if !self.workers.contains_key(&name) {
+            self.log(format!("worker={name} address={} joins", poll.address));
+        }
+        let known = self.workers.entry(name.clone()).or_default();
+        let is_stale = poll.generation < known.generation
+            || (poll.generation == known.generation && poll.sequence <= known.sequence);
+        if is_stale {
+            self.out.push(Effect::Decline(asker));
+            return;
+        }
+        let is_new_session = self.follow_lives(now, &name, &poll);
+        let lapse = self.options.lapse();
+        let worker = self.workers.get_mut(&name).expect("inserted above");
+        worker.address.clone_from(&poll.address);
+        worker.sequence = poll.sequence;
+        worker.heard = now.steady;
+        worker.is_leaving = poll.is_leaving;
+        worker.lapse_at = worker.lapse_at.max(now.steady + lapse);
+        let earlier = worker.held.replace(Held { asker, since: now.steady });
+        if let Some(earlier) = earlier {
+            let orders = worker.greeting(self.term, self.options.lease);
+            self.out.push(Effect::Orders(earlier.asker, Box::new(orders)));
+        }
+        let is_fenced = poll.fenced_token == worker.token && poll.incarnation.is_some();
+        if is_new_session {
+            // The token is wanted at once, so that fencing goes on while the store is read.
+            self.greet(&name);
+        } else if is_fenced && self.startup.is_serving() {
+            self.reconcile(now, &name, &poll);
+        }
+    }
+
+    fn greet(&mut self, name: &str) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(held) = worker.held.take() else { return };
+        let mut orders = worker.greeting(self.term, self.options.lease);
+        orders.entries = self.feeds.addresses(worker.heard);
+        self.out.push(Effect::Orders(held.asker, Box::new(orders)));
+    }
+
+    /// Answers polls that came before the store was read, so that their agents report again.
+    pub(crate) fn answer_early_polls(&mut self) {
+        let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.greet(&name);
+        }
+    }
+
+    /// Notes new lives of the agent and of its minion, each of which begins a new session;
+    /// returns whether one has begun.
+    fn follow_lives(&mut self, now: Moment, name: &str, poll: &Poll) -> bool {
+        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        let is_new_agent = poll.generation > worker.generation;
+        let is_new_minion = match (&worker.incarnation, &poll.incarnation) {
+            (Some(known), Some(new)) => !is_same_life(known, new),
+            (Some(_), None) => !is_new_agent,
+            (None, Some(_)) => true,
+            (None, None) => false,
+        };
+        worker.generation = poll.generation;
+        let is_new_session = is_new_agent || is_new_minion || worker.token == 0;
+        if is_new_session {
+            self.sessions += 1;
+            worker.token = self.term * options::SESSIONS_PER_TERM + self.sessions;
+            worker.is_fenced = false;
+        }
+        let had_minion = worker.incarnation.is_some();
+        let was_draining = worker.incarnation.as_ref().is_some_and(|minion| minion.is_draining);
+        if is_new_minion {
+            worker.ended.clear();
+            worker.noted = 0;
+            worker.noted_sent = 0;
+        }
+        if poll.incarnation.is_some() || !is_new_agent {
+            worker.incarnation.clone_from(&poll.incarnation);
+        }
+        let token = worker.token;
+        if is_new_minion {
+            let id = poll.incarnation.as_ref().map_or("none", |minion| minion.id.as_str());
+            self.log(format!("worker={name} minion={id} token={token}"));
+            self.suspects.forget(name);
+            if had_minion {
+                self.lose_runs(now, name, "its minion has ended");
+            }
+        }
+        let is_draining = poll.incarnation.as_ref().is_some_and(|minion| minion.is_draining);
+        if is_draining && !was_draining {
+            self.log(format!("worker={name} drains"));
+        }
+        self.needs_pass |= is_new_session || is_draining != was_draining;
+        is_new_session
+    }
+
+    /// Brings the ledger of a worker in line with what its minion lists.
+    fn reconcile(&mut self, now: Moment, name: &str, poll: &Poll) {
+        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        let is_first = !worker.is_fenced;
+        worker.is_fenced = true;
+        self.enrol(name, &poll.address);
+        for ended in &poll.ended {
+            self.listed_end(now, name, ended);
+        }
+        for running in &poll.running {
+            let Some(run) = &running.run else { continue };
+            let task = Task::read(run);
+            let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+            if worker.listed(&task, running, now.steady) {
+                self.began(now, &task, run.run);
+            } else {
+                self.adopt(now, name, &task, running);
+            }
+        }
+        for verdict in &poll.verdicts {
+            let Some(run) = &verdict.run else { continue };
+            self.verdict(now, name, &Task::read(run), run.run, verdict.rejection());
+        }
+        self.receive(name, poll);
+        if is_first {
+            self.log(format!("worker={name} fenced, running={}", poll.running.len()));
+            self.drop_unlisted(now, name, poll);
+            self.check_settled(now);
+            self.needs_pass = true;
+        }
+    }
+
+    /// Notes which orders the agent has in hand.
+    fn receive(&mut self, name: &str, poll: &Poll) {
+        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        for (task, run) in &mut worker.runs {
+            let is_pending = |pending: &sapphire_jobs::Run| {
+                pending.run == run.number && Task::read(pending) == *task
+            };
+            run.is_received = poll.pending.iter().any(is_pending);
+        }
+    }
+
+    /// At the start of a session the list is the whole truth: an order that is not there was
+    /// made void by the token.
+    fn drop_unlisted(&mut self, now: Moment, name: &str, poll: &Poll) {
+        let is_listed = |task: &Task, number: u32| {
+            let mut runs = poll.running.iter().filter_map(|running| running.run.as_ref());
+            runs.any(|run| run.run == number && Task::read(run) == *task)
+        };
+        let worker = self.workers.get(name).expect("the caller has inserted it");
+        let missing: Vec<(Task, u32)> = (worker.runs.iter())
+            .filter(|(task, run)| !is_listed(task, run.number))
+            .map(|(task, run)| (task.clone(), run.number))
+            .collect();
+        for (task, number) in missing {
+            self.log(format!("task={task} run={number} worker={name} is not there"));
+            self.ended(now, name, &task, number, Ending::Lost, "");
+        }
+    }
+
+    fn listed_end(&mut self, now: Moment, name: &str, ended: &sapphire_jobs::Ended) {
+        let worker = self.workers.get(name).expect("the caller has inserted it");
+        if ended.number <= worker.noted || worker.ended.contains_key(&ended.number) {
+            return;
+        }
+        let Some(run) = &ended.run else { return };
+        let task = Task::read(run);
+        let change = self.ended(now, name, &task, run.run, ended.ending(), &ended.checkpoint);
+        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        worker.ended.insert(ended.number, change);
+    }
+
+    fn verdict(&mut self, now: Moment, name: &str, task: &Task, number: u32, rejection: Rejection) {
+        let worker = self.workers.get(name).expect("the caller has inserted it");
+        let is_known = worker.runs.get(task).is_some_and(|run| run.number == number);
+        if !is_known || !worker::is_settled(rejection) {
+            return;
+        }
+        self.log(format!("task={task} run={number} worker={name} refused={rejection:?}"));
+        if matches!(rejection, Rejection::Unhealthy | Rejection::NoRoom) {
+            self.suspects.failed(name, now.steady);
+        }
+        self.ended(now, name, task, number, Ending::Lost, "");
+    }
+
+    /// Takes over a run that an earlier planner started, or stops one that should not be there.
+    fn adopt(&mut self, now: Moment, name: &str, task: &Task, running: &sapphire_jobs::Running) {
+        let number = running.run.as_ref().map_or(0, |run| run.run);
+        let (room, is_wanted) = self.adoption(now, name, task, number);
+        let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
+        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        worker.runs.insert(
+            task.clone(),
+            Run {
+                number,
+                room,
+                phase,
+                is_received: false,
+                percent: running.percent,
+                moved: now.steady,
+                began: now.steady,
+            },
+        );
+        let verb = if is_wanted { "adopted" } else { "not wanted, stopped" };
+        self.log(format!("task={task} run={number} worker={name} {verb}"));
+        if is_wanted {
+            self.began(now, task, number);
+        }
+    }
+
+    fn adoption(&mut self, now: Moment, name: &str, task: &Task, number: u32) -> (Room, bool) {
+        let Some(entry) = self.table.entries.get_mut(&task.job) else {
+            return (Room::default(), false);
+        };
+        let Some(step) = entry.step(task.step).cloned() else { return (Room::default(), false) };
+        let room = Room::read(step.room.as_ref());
+        let is_over = entry.is_over();
+        let key = GroupKey::of(task, step.is_gang);
+        let Some(group) = entry.groups.get_mut(&key) else { return (room, false) };
+        if is_over || group.is_final() || number < group.run {
+            return (room, false);
+        }
+        match &mut group.phase {
+            GroupPhase::Waiting => {
+                group.run = number;
+                group.claim = None;
+                group.phase = GroupPhase::Active(Active {
+                    since: now.steady,
+                    began: None,
+                    left: [(task.index, name.to_owned())].into(),
+                    is_stopping: false,
+                    is_far: false,
+                });
+                (room, true)
+            }
+            GroupPhase::Active(active) if group.run == number => {
+                let is_wanted = !active.is_stopping;
+                let earlier = active.left.insert(task.index, name.to_owned());
+                (room, is_wanted && earlier.is_none_or(|worker| worker == name))
+            }
+            _ => (room, false),
+        }
+    }
+
+    /// Answers agents for which there are orders, or that have waited long enough.
+    pub(crate) fn answer_polls(&mut self, now: Moment) {
+        let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.advance_noted(&name);
+            let worker = self.workers.get(&name).expect("just listed");
+            let Some(held) = worker.held else { continue };
+            let waited = now.steady.saturating_sub(held.since);
+            let is_over = waited >= options::POLL_HOLD;
+            let has_noted = worker.noted > worker.noted_sent && waited >= options::POLL_HOLD / 3;
+            if worker.has_orders() || has_noted || is_over {
+                self.give_orders(now, &name, held.asker);
+            }
+        }
+    }
+
+    /// Lets ends be forgotten once what they mean is durable.
+    ///
+    /// Guards against a task that was done and runs again: the minion's list is the only other
+    /// record of it until then.
+    fn advance_noted(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).expect("the caller has listed it");
+        while let Some((number, change)) = worker.ended.first_key_value() {
+            let is_durable = change.as_ref().is_none_or(|(job, change)| {
+                let entry = self.table.entries.get(job);
+                entry.is_none_or(|entry| entry.committed >= *change)
+            });
+            if !is_durable {
+                return;
+            }
+            worker.noted = worker.noted.max(*number);
+            worker.ended.pop_first();
+        }
+    }
+
+    fn give_orders(&mut self, now: Moment, name: &str, asker: Asker) {
+        let worker = self.workers.get(name).expect("the caller has listed it");
+        let mut orders = worker.greeting(self.term, self.options.lease);
+        orders.entries = self.feeds.addresses(now.steady);
+        for (task, run) in worker.runs.iter().filter(|(_, run)| !run.is_received) {
+            match run.phase {
+                Phase::Ordered => orders.starts.extend(self.start_order(task, run)),
+                Phase::Stopping => orders.stops.push(task.run(run.number)),
+                Phase::Running => {}
+            }
+        }
+        self.log_orders(name, &orders);
+        let worker = self.workers.get_mut(name).expect("the caller has listed it");
+        worker.held = None;
+        worker.noted_sent = worker.noted;
+        self.out.push(Effect::Orders(asker, Box::new(orders)));
+    }
+
+    fn start_order(&self, task: &Task, run: &Run) -> Option<Start> {
+        let entry = self.table.entries.get(&task.job)?;
+        let is_gang = entry.step(task.step)?.is_gang;
+        let group = entry.groups.get(&GroupKey::of(task, is_gang))?;
+        Some(Start {
+            run: Some(task.run(run.number)),
+            spec: entry.job.spec.clone(),
+            checkpoint: group.checkpoint.clone(),
+            ticket: String::new(),
+        })
+    }
+
+    fn log_orders(&mut self, name: &str, orders: &Orders) {
+        let names = |runs: Vec<&sapphire_jobs::Run>| {
+            let name = |run: &&sapphire_jobs::Run| format!("{}#{}", Task::read(run), run.run);
+            runs.iter().map(name).collect::<Vec<_>>().join(",")
+        };
+        if !orders.starts.is_empty() || !orders.stops.is_empty() {
+            let starts = names(orders.starts.iter().filter_map(|it| it.run.as_ref()).collect());
+            let stops = names(orders.stops.iter().collect());
+            self.log(format!("worker={name} orders start={starts} stop={stops}"));
+        }
+    }
+
+    /// Takes workers as gone whose lease has certainly run out.
+    pub(crate) fn expire_workers(&mut self, now: Moment) {
+        let is_gone = |worker: &Worker| {
+            now.steady >= worker.lapse_at && now.steady >= worker.heard + options::SILENCE
+        };
+        let gone: Vec<WorkerName> = (self.workers.iter())
+            .filter(|(_, worker)| is_gone(worker))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.log(format!("worker={name} silent, its lease has run out; taken as gone"));
+            self.lose_runs(now, &name, "its lease has run out");
+            self.workers.remove(&name);
+            if self.startup.is_settled() {
+                self.strike(&name);
+            }
+            self.needs_pass = true;
+        }
+    }
+
+    fn lose_runs(&mut self, now: Moment, name: &str, why: &str) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let runs: Vec<(Task, u32)> =
+            worker.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
+        for (task, number) in runs {
+            self.log(format!("task={task} run={number} worker={name} lost: {why}"));
+            self.ended(now, name, &task, number, Ending::Lost, "");
+        }
+    }
+
+    /// Identifiers of jobs that have something on a worker.
+    pub fn jobs_on(&self, name: &str) -> Vec<JobId> {
+        let Some(worker) = self.workers.get(name) else { return Vec::new() };
+        worker.runs.keys().map(|task| task.job.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/planner/src/startup.rs
@@ -0,0 +1,347 @@
+//! The beginning of a term: reads the store, writes down the term, and waits until it is known
+//! what earlier planners' orders have come to.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use prost::Message as _;
+use sapphire_jobs::{Fleet, Job, Member, Progress, State, task::WorkerName};
+use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
+
+use crate::{
+    effect::Effect,
+    event::{Moment, Operation},
+    keys::{self, Key},
+    options,
+    planner::Planner,
+    table::Entry,
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Reading,
+    Recording,
+    Serving,
+}
+
+/// How far the beginning has come.
+pub(crate) struct Startup {
+    phase: Phase,
+    began: Duration,
+    items: Vec<Item>,
+    /// Number of this term among all terms.
+    pub(crate) terms: u32,
+    fleet_revision: Revision,
+    /// Workers that the store names.
+    members: BTreeMap<WorkerName, String>,
+    /// Workers that earlier planners gave work to and that have not been heard of since.
+    unheard: Vec<WorkerName>,
+    /// The store's list of workers is out of date.
+    is_fleet_dirty: bool,
+    is_writing_fleet: bool,
+    /// All that earlier planners ordered is accounted for.
+    is_settled: bool,
+}
+
+impl Startup {
+    pub(crate) fn new(now: Duration) -> Self {
+        Startup {
+            phase: Phase::Reading,
+            began: now,
+            items: Vec::new(),
+            terms: 0,
+            fleet_revision: 0,
+            members: BTreeMap::new(),
+            unheard: Vec::new(),
+            is_fleet_dirty: true,
+            is_writing_fleet: false,
+            is_settled: false,
+        }
+    }
+
+    pub(crate) fn is_serving(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    pub(crate) fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
+    pub(crate) fn is_member(&self, worker: &str) -> bool {
+        self.members.contains_key(worker)
+    }
+
+    fn fleet(&self) -> Fleet {
+        let member = |(name, address): (&String, &String)| Member {
+            name: name.clone(),
+            address: address.clone(),
+        };
+        Fleet { terms: self.terms, members: self.members.iter().map(member).collect() }
+    }
+}
+
+impl Planner {
+    pub(crate) fn begin(&mut self) {
+        self.scan(String::new());
+    }
+
+    fn scan(&mut self, after: String) {
+        let prefix = keys::ALL.to_owned();
+        let call = Call::Scan { prefix, after, may_be_stale: false };
+        self.out.push(Effect::Store(Operation::Scan, call));
+    }
+
+    /// Takes a page of what the store holds.
+    pub(crate) fn scanned(&mut self, now: Moment, reply: Reply) {
+        if self.startup.phase != Phase::Reading {
+            return;
+        }
+        let Reply::Items { items, has_more, revision } = reply else {
+            // Nothing else can be done until the store answers.
+            let after = self.startup.items.last().map_or(String::new(), |item| item.key.clone());
+            self.scan(after);
+            return;
+        };
+        let after = items.last().map(|item| item.key.clone());
+        self.startup.items.extend(items);
+        if has_more && let Some(after) = after {
+            self.scan(after);
+            return;
+        }
+        self.intake.start(now.steady, revision);
+        self.load(now);
+    }
+
+    fn load(&mut self, now: Moment) {
+        let items = std::mem::take(&mut self.startup.items);
+        let mut progress = Vec::new();
+        let mut cancelled = Vec::new();
+        for item in &items {
+            let Some(value) = &item.value else { continue };
+            match keys::read(&item.key) {
+                Key::Job(id) => self.load_job(id, value),
+                Key::Progress(id) => progress.push((id, value, item.revision)),
+                Key::Cancel(id) => cancelled.push(id),
+                Key::Fleet => self.load_fleet(value, item.revision),
+                Key::Other => {}
+            }
+        }
+        for (id, value, revision) in progress {
+            match (Progress::decode(&value[..]), self.table.entries.get_mut(id)) {
+                (Ok(progress), Some(entry)) => entry.restore(&progress, revision, now),
+                (Err(error), _) => {
+                    self.log(format!("job={id} progress in the store can't be read: {error}"));
+                }
+                (Ok(_), None) => {}
+            }
+        }
+        for id in cancelled {
+            self.cancel(now, id);
+        }
+        self.open_loaded(now);
+        self.startup.terms += 1;
+        self.startup.phase = Phase::Recording;
+        let (jobs, members) = (self.table.entries.len(), self.startup.members.len());
+        let term = self.term;
+        self.log(format!("term={term} read the store: jobs={jobs} workers={members}"));
+        let addresses = self.startup.members.values().cloned().collect();
+        self.out.push(Effect::Announce(addresses));
+        self.write_fleet();
+    }
+
+    fn load_job(&mut self, id: &str, value: &Bytes) {
+        match Job::decode(&value[..]) {
+            Ok(job) => {
+                self.table.insert(Entry::new(Arc::new(job), true));
+            }
+            Err(error) => self.log(format!("job={id} in the store can't be read: {error}")),
+        }
+    }
+
+    fn load_fleet(&mut self, value: &Bytes, revision: Revision) {
+        self.startup.fleet_revision = revision;
+        match Fleet::decode(&value[..]) {
+            Ok(fleet) => {
+                self.startup.terms = fleet.terms;
+                let members = fleet.members.into_iter().map(|member| (member.name, member.address));
+                self.startup.members = members.collect();
+                self.startup.unheard = self.startup.members.keys().cloned().collect();
+            }
+            Err(error) => self.log(format!("workers in the store can't be read: {error}")),
+        }
+    }
+
+    fn open_loaded(&mut self, now: Moment) {
+        let over = |entry: &Entry| entry.is_over();
+        let ended: Vec<String> = (self.table.entries.iter())
+            .filter(|(_, entry)| over(entry))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.table.open.remove(&id);
+        }
+        for entry in self.table.entries.values_mut().filter(|entry| !entry.is_over()) {
+            entry.materialise(now);
+        }
+    }
+
+    /// Writes the list of workers if it is out of date.
+    pub(crate) fn write_fleet(&mut self) {
+        let startup = &mut self.startup;
+        if !startup.is_fleet_dirty || startup.is_writing_fleet || startup.phase == Phase::Reading {
+            return;
+        }
+        startup.is_fleet_dirty = false;
+        startup.is_writing_fleet = true;
+        let value = Bytes::from(startup.fleet().encode_to_vec());
+        let conditions = vec![
+            Condition { key: keys::LEAD.to_owned(), revision: self.term },
+            Condition { key: keys::FLEET.to_owned(), revision: startup.fleet_revision },
+        ];
+        let puts = vec![Put { key: keys::FLEET.to_owned(), value, lease: None }];
+        let call = Call::Commit { conditions, puts, removes: Vec::new() };
+        self.out.push(Effect::Store(Operation::Fleet, call));
+    }
+
+    /// Takes the answer to a write of the list of workers.
+    pub(crate) fn fleet_written(&mut self, now: Moment, reply: Reply) {
+        self.startup.is_writing_fleet = false;
+        match reply {
+            Reply::Committed(revision) => {
+                self.startup.fleet_revision = revision;
+                if self.startup.phase == Phase::Recording {
+                    self.serve(now);
+                }
+                self.needs_pass = true;
+            }
+            Reply::Refused(items) => {
+                if self.is_deposed_by(&items) {
+                    return;
+                }
+                // A write of this term whose answer was lost has been carried out.
+                let revision = items.iter().find(|item| item.key == keys::FLEET);
+                self.startup.fleet_revision = revision.map_or(0, |item| item.revision);
+                self.startup.is_fleet_dirty = true;
+                self.write_fleet();
+            }
+            _ => self.startup.is_fleet_dirty = true,
+        }
+    }
+
+    /// Whether the items of a refused write say that another planner has taken over.
+    pub(crate) fn is_deposed_by(&mut self, items: &[Item]) -> bool {
+        let lead = items.iter().find(|item| item.key == keys::LEAD);
+        let is_deposed = lead.is_none_or(|item| item.revision != self.term);
+        if is_deposed {
+            let term = self.term;
+            let newer = lead.map_or(0, |item| item.revision);
+            self.log(format!("term={term} is over: the planner's key has revision {newer}"));
+            self.out.push(Effect::Deposed);
+        }
+        is_deposed
+    }
+
+    fn serve(&mut self, now: Moment) {
+        self.startup.phase = Phase::Serving;
+        let (term, took) = (self.term, now.steady.saturating_sub(self.startup.began));
+        self.log(format!("term={term} serves after {} ms", took.as_millis()));
+        self.answer_early_polls();
+        self.check_settled(now);
+    }
+
+    /// Adds a worker to the list in the store before it is given anything.
+    ///
+    /// Guards against a task that runs twice: a successor has to know of every minion that may
+    /// be running something, also of one that it can't reach.
+    pub(crate) fn enrol(&mut self, worker: &str, address: &str) {
+        let known = self.startup.members.get(worker);
+        if known.is_none_or(|known| known != address) {
+            self.startup.members.insert(worker.to_owned(), address.to_owned());
+            self.startup.is_fleet_dirty = true;
+            self.write_fleet();
+        }
+    }
+
+    /// Takes a worker off the list in the store, once nothing can be running there.
+    pub(crate) fn strike(&mut self, worker: &str) {
+        if self.startup.members.remove(worker).is_some() {
+            self.startup.is_fleet_dirty = true;
+        }
+    }
+
+    /// Looks whether everything that earlier planners ordered is accounted for: each worker has
+    /// acknowledged this term's token or its lease has certainly run out.
+    pub(crate) fn check_settled(&mut self, now: Moment) {
+        if self.startup.is_settled || !self.startup.is_serving() {
+            return;
+        }
+        let workers = &self.workers;
+        let is_fenced = |name: &String| workers.get(name).is_some_and(|worker| worker.is_fenced);
+        self.startup.unheard.retain(|name| !is_fenced(name));
+        let wait = self.options.lapse() + options::OUTAGE;
+        if !self.startup.unheard.is_empty() && now.steady < self.startup.began + wait {
+            return;
+        }
+        for worker in std::mem::take(&mut self.startup.unheard) {
+            self.strike(&worker);
+            self.log(format!("worker={worker} not heard of since the term began; taken as gone"));
+        }
+        self.startup.is_settled = true;
+        self.needs_pass = true;
+        let term = self.term;
+        self.log(format!("term={term} knows what earlier orders have come to"));
+        self.stop_partial_gangs();
+    }
+
+    /// Gangs of an earlier term of which some members are missing can't go on.
+    fn stop_partial_gangs(&mut self) {
+        let mut partial = Vec::new();
+        for (id, entry) in &self.table.entries {
+            for (key, group) in &entry.groups {
+                let Some(active) = group.active() else { continue };
+                let Some(step) = entry.step(key.step).filter(|step| step.is_gang) else { continue };
+                if active.left.len() < step.tasks as usize && !active.is_stopping {
+                    partial.push((id.clone(), *key));
+                }
+            }
+        }
+        for (id, key) in partial {
+            self.log(format!("job={id} step={} gang is not whole; stopped", key.step));
+            self.stop_group(&id, &key);
+        }
+    }
+
+    /// Takes a job from its record, written by an entry in this term or an earlier one.
+    pub(crate) fn accept(&mut self, now: Moment, job: Job) {
+        let id = job.id.clone();
+        let is_inherited = job.term < self.term;
+        let mut entry = Entry::new(Arc::new(job), is_inherited);
+        entry.materialise(now);
+        if !self.table.insert(entry) {
+            return;
+        }
+        self.needs_pass = true;
+        if self.early_cancels.remove(&id) {
+            self.cancel(now, &id);
+        }
+    }
+
+    /// Takes a cancellation.
+    pub(crate) fn cancel(&mut self, now: Moment, id: &str) {
+        let Some(entry) = self.table.entries.get_mut(id) else {
+            self.early_cancels.insert(id.to_owned());
+            return;
+        };
+        if entry.is_over() {
+            return;
+        }
+        entry.state = State::Cancelled;
+        entry.ended = Some(now.steady);
+        entry.dirty = None;
+        self.table.open.remove(id);
+        self.table.show(id, State::Cancelled);
+        self.stop_job(id);
+        self.needs_pass = true;
+        self.log(format!("job={id} cancelled"));
+    }
+}
--- /dev/null
+++ b/crates/planner/src/worker.rs
@@ -0,0 +1,143 @@
+//! A worker as its agent reports it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphire_jobs::{
+    Incarnation, Orders, Rejection, Running,
+    room::Room,
+    task::{JobId, RunNumber, Task},
+};
+
+use crate::{event::Asker, options};
+
+/// How far an order has come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    /// To be started; the minion has not said that it has.
+    Ordered,
+    /// Started.
+    Running,
+    /// To be stopped; its room is taken until its end is listed.
+    Stopping,
+}
+
+/// One run of one task that may be on the worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Run {
+    /// Its number.
+    pub number: RunNumber,
+    /// What it takes.
+    pub room: Room,
+    /// How far it has come.
+    pub phase: Phase,
+    /// The agent has the order in hand.
+    pub is_received: bool,
+    /// Progress as last listed, 0 to 100.
+    pub percent: u32,
+    /// When the progress last grew.
+    pub moved: Duration,
+    /// When the minion was first known to run it.
+    pub began: Duration,
+}
+
+/// A poll that waits for orders.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Held {
+    /// Who waits.
+    pub asker: Asker,
+    /// Since when.
+    pub since: Duration,
+}
+
+/// The worker.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Worker {
+    /// Where its agent listens.
+    pub address: String,
+    /// Start of its agent.
+    pub generation: u64,
+    /// Latest poll.
+    pub sequence: u64,
+    /// Its minion.
+    pub incarnation: Option<Incarnation>,
+    /// Token of the session.
+    pub token: u64,
+    /// The minion has acknowledged the token, so that no earlier order can take effect any more
+    /// and its list is the whole truth.
+    pub is_fenced: bool,
+    /// Its agent is about to end.
+    pub is_leaving: bool,
+    /// When its agent last asked.
+    pub heard: Duration,
+    /// When the last lease granted has certainly run out.
+    pub lapse_at: Duration,
+    /// What may be running there.
+    pub runs: BTreeMap<Task, Run>,
+    /// Ends that were listed, by number, with the change that must be durable first.
+    pub ended: BTreeMap<u64, Option<(JobId, u64)>>,
+    /// Ends up to this number need not be listed any more.
+    pub noted: u64,
+    /// What the agent was last told of `noted`.
+    pub noted_sent: u64,
+    /// Its poll that waits.
+    pub held: Option<Held>,
+}
+
+impl Worker {
+    /// What it has.
+    pub fn capacity(&self) -> Room {
+        let room = self.incarnation.as_ref().and_then(|incarnation| incarnation.capacity.as_ref());
+        Room::read(room)
+    }
+
+    /// What runs, is ordered or is being stopped takes together.
+    ///
+    /// Guards against overfilling a minion that does not refuse what doesn't fit: a task that is
+    /// being stopped, or whose start has not been answered, takes its room all the same.
+    pub fn used(&self) -> Room {
+        self.runs.values().fold(Room::default(), |sum, run| sum.plus(run.room))
+    }
+
+    /// Whether it may be given tasks.
+    pub fn is_open(&self, now: Duration) -> bool {
+        let minion = self.incarnation.as_ref();
+        let is_closed = minion.is_none_or(|minion| minion.is_draining || minion.is_silent);
+        let is_heard = now < self.heard + options::SILENCE;
+        self.is_fenced && !is_closed && !self.is_leaving && is_heard
+    }
+
+    /// Whether there is something that the agent must be told at once.
+    pub fn has_orders(&self) -> bool {
+        let is_news = |run: &Run| !run.is_received && run.phase != Phase::Running;
+        self.is_fenced && self.runs.values().any(is_news)
+    }
+
+    /// Notes a listed task; returns whether it is one that is known.
+    pub fn listed(&mut self, task: &Task, running: &Running, now: Duration) -> bool {
+        let number = running.run.as_ref().map_or(0, |run| run.run);
+        let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
+            return false;
+        };
+        if run.phase == Phase::Ordered {
+            run.phase = Phase::Running;
+            run.began = now;
+            run.moved = now;
+        }
+        if running.percent > run.percent {
+            run.percent = running.percent;
+            run.moved = now;
+        }
+        true
+    }
+
+    /// Orders without starts and stops.
+    pub fn greeting(&self, term: u64, lease: Duration) -> Orders {
+        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+        Orders { term, token: self.token, lease_ms, noted: self.noted, ..Orders::default() }
+    }
+}
+
+/// Whether a refused start means that the run is certainly not there and never will be.
+pub fn is_settled(rejection: Rejection) -> bool {
+    !matches!(rejection, Rejection::None)
+}
--- a/crates/proofs/src/store.rs
+++ b/crates/proofs/src/store.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
-use sapphire_store::call::{Call, Lease, Reply, Revision, Value};
+use sapphire_store::call::{Call, Condition, Item, Lease, Put, Reply, Revision, Value};
 
 #[derive(Clone, Debug, Default)]
 struct Entry {
@@ -17,6 +17,12 @@
     revision: Revision,
     entries: BTreeMap<String, Entry>,
     leases: BTreeMap<Lease, (Duration, Duration)>,
+    /// Changes in order, for watches on prefixes.
+    history: Vec<Item>,
+    /// Removals are changes too once somebody watches a prefix.
+    counts_removals: bool,
+    /// Revisions up to which the history is gone.
+    compacted: Revision,
     /// Calls by kind.
     pub counts: BTreeMap<&'static str, u64>,
 }
@@ -41,6 +47,23 @@
                 self.count("put");
                 self.put(key, *expected, value, *lease)
             }
+            Call::Scan { prefix, .. } => {
+                self.count("scan");
+                self.scan(prefix)
+            }
+            Call::WatchPrefix { prefix, after, wait } => {
+                self.counts_removals = true;
+                let reply = self.changes(prefix, *after);
+                let is_empty = matches!(&reply, Reply::Changes { items, .. } if items.is_empty());
+                if is_empty && *wait > Duration::from_millis(1) {
+                    return None;
+                }
+                reply
+            }
+            Call::Commit { conditions, puts, removes } => {
+                self.count("commit");
+                self.commit(conditions, puts, removes)
+            }
             Call::Grant { ttl } => {
                 self.count("lease");
                 self.revision += 1;
@@ -80,11 +103,75 @@
             return Reply::Conflict(current);
         }
         self.revision += 1;
-        let value = Value { revision: self.revision, bytes: value.clone() };
-        self.entries.insert(key.to_owned(), Entry { value, lease });
+        self.set(key, value, lease);
         Reply::Written(self.revision)
     }
 
+    fn set(&mut self, key: &str, bytes: &Bytes, lease: Option<Lease>) {
+        let value = Value { revision: self.revision, bytes: bytes.clone() };
+        self.entries.insert(key.to_owned(), Entry { value, lease });
+        self.history.push(self.item(key));
+    }
+
+    fn item(&self, key: &str) -> Item {
+        let found = self.entries.get(key).map(|entry| &entry.value);
+        Item {
+            key: key.to_owned(),
+            value: found.map(|value| value.bytes.clone()),
+            revision: found.map_or(0, |value| value.revision),
+        }
+    }
+
+    fn scan(&self, prefix: &str) -> Reply {
+        let keys = self.entries.keys().filter(|key| key.starts_with(prefix));
+        let items = keys.map(|key| self.item(key)).collect();
+        Reply::Items { items, has_more: false, revision: self.revision }
+    }
+
+    fn changes(&self, prefix: &str, after: Revision) -> Reply {
+        if after < self.compacted {
+            return Reply::HistoryGone;
+        }
+        let is_later = |item: &&Item| item.revision > after && item.key.starts_with(prefix);
+        let items = self.history.iter().filter(is_later).cloned().collect();
+        Reply::Changes { items, revision: self.revision }
+    }
+
+    fn commit(&mut self, conditions: &[Condition], puts: &[Put], removes: &[String]) -> Reply {
+        let holds =
+            |condition: &Condition| self.value(&condition.key).revision == condition.revision;
+        if !conditions.iter().all(holds) {
+            let items = conditions.iter().map(|condition| self.item(&condition.key));
+            return Reply::Refused(items.collect());
+        }
+        if puts.iter().filter_map(|put| put.lease).any(|lease| !self.leases.contains_key(&lease)) {
+            return Reply::Lapsed;
+        }
+        if !puts.is_empty() || !removes.is_empty() {
+            self.revision += 1;
+        }
+        for put in puts {
+            self.set(&put.key, &put.value, put.lease);
+        }
+        for key in removes {
+            self.remove(key);
+        }
+        Reply::Committed(self.revision)
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            let revision = self.revision;
+            self.history.push(Item { key: key.to_owned(), value: None, revision });
+        }
+    }
+
+    /// Forgets the history of changes.
+    pub fn compact(&mut self) {
+        self.compacted = self.revision;
+        self.history.clear();
+    }
+
     fn lapse(&mut self, now: Duration) {
         let lapsed: Vec<Lease> =
             self.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(id, _)| *id).collect();
@@ -95,6 +182,11 @@
 
     fn drop_lease(&mut self, lease: Lease) {
         self.leases.remove(&lease);
-        self.entries.retain(|_, entry| entry.lease != Some(lease));
+        let bound = self.entries.iter().filter(|(_, entry)| entry.lease == Some(lease));
+        let keys: Vec<String> = bound.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.revision += u64::from(self.counts_removals);
+            self.remove(&key);
+        }
     }
 }
--- /dev/null
+++ b/crates/runner/src/holds.rs
@@ -0,0 +1,131 @@
+//! Holds: they renew the minion's lease, fence earlier orders and list what runs.
+
+use std::time::Duration;
+
+use sapphire_jobs::{Ended, Rejection, Running, task::Task};
+
+use crate::{
+    event::Ticket,
+    machine::{Hold, Machine},
+    minion::{Call, Reply},
+    options,
+};
+
+impl Machine {
+    pub(crate) fn drive_holds(&mut self, now: Duration) {
+        let Some(minion) = &self.minion else { return };
+        if self.session.token == 0 {
+            return;
+        }
+        let is_listing = minion.ended.keys().any(|number| *number > self.session.noted);
+        if self.wants_list && self.quick_hold.is_none() {
+            self.wants_list = false;
+            self.quick_hold = self.hold(now, Duration::ZERO);
+        }
+        if self.waiting_hold.is_none() && now >= self.next_hold {
+            let wait = if is_listing { Duration::ZERO } else { options::HOLD_WAIT };
+            self.waiting_hold = self.hold(now, wait);
+        }
+    }
+
+    fn hold(&mut self, now: Duration, wait: Duration) -> Option<Hold> {
+        let token = self.session.token;
+        let call =
+            Call::Hold { deadline: self.deadline(now), token, noted: self.session.noted, wait };
+        let ticket = self.call(call, wait + options::MINION_TIMEOUT)?;
+        Some(Hold { ticket, sent: now, token })
+    }
+
+    /// Takes an answer of the minion to any call.
+    pub(crate) fn minion_answered(&mut self, now: Duration, ticket: Ticket, reply: Reply) {
+        self.note_presence(now, &reply);
+        let hold = [&mut self.waiting_hold, &mut self.quick_hold]
+            .into_iter()
+            .find_map(|hold| hold.take_if(|hold| hold.ticket == ticket));
+        match hold {
+            Some(hold) => self.held(now, hold, reply),
+            None => self.order_answered(now, ticket, reply),
+        }
+    }
+
+    fn note_presence(&mut self, now: Duration, reply: &Reply) {
+        let Some(minion) = &mut self.minion else { return };
+        match reply {
+            Reply::Unknown => {}
+            Reply::Gone => {
+                minion.refusals += 1;
+                if minion.refusals >= options::REFUSALS {
+                    let id = minion.incarnation.id.clone();
+                    self.log(format!("minion={id} ended: nothing listens at its address"));
+                    self.forget_minion();
+                }
+            }
+            Reply::OtherLife => {
+                let id = minion.incarnation.id.clone();
+                self.log(format!("minion={id} ended: another life answers at its address"));
+                self.forget_minion();
+            }
+            _ => {
+                minion.refusals = 0;
+                minion.answered = now;
+            }
+        }
+    }
+
+    fn held(&mut self, now: Duration, hold: Hold, reply: Reply) {
+        self.next_hold = now + options::LISTED_PAUSE;
+        match reply {
+            Reply::Listed { clock, running, ended } => {
+                self.listed(now, hold, clock, running, ended);
+            }
+            Reply::Refused(Rejection::Fenced) => {
+                let token = hold.token;
+                self.log(format!("token={token} refused: the minion has seen a higher one"));
+                if hold.token == self.session.token {
+                    self.lose_lead(now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn listed(
+        &mut self,
+        now: Duration,
+        hold: Hold,
+        clock: Duration,
+        running: Vec<Running>,
+        ended: Vec<Ended>,
+    ) {
+        let token = self.session.token;
+        let Some(minion) = &mut self.minion else { return };
+        if minion.clock.is_none_or(|(_, read)| read <= now) {
+            minion.clock = Some((clock, now));
+        }
+        if hold.token == token && minion.fenced < token {
+            minion.fenced = token;
+            self.has_news = true;
+        }
+        // Answers on two connections may overtake each other.
+        if hold.sent < minion.listed {
+            return;
+        }
+        minion.listed = hold.sent;
+        minion.started.retain(|_, (_, at)| *at >= hold.sent);
+        minion.running = running
+            .into_iter()
+            .filter_map(|running| Some((Task::read(running.run.as_ref()?), running)))
+            .collect();
+        let noted = self.session.noted;
+        minion.ended.retain(|number, _| *number > noted);
+        let mut has_ended = false;
+        for end in ended.into_iter().filter(|end| end.number > noted) {
+            has_ended |= minion.ended.insert(end.number, end).is_none();
+        }
+        self.has_news |= has_ended;
+        if minion.ended.is_empty() {
+            self.next_hold = now;
+        }
+        self.settle_orders(now, hold.sent);
+    }
+}
--- /dev/null
+++ b/crates/runner/src/lib.rs
@@ -0,0 +1,12 @@
+//! The agent beside a minion that runs tasks: keeps its lease, carries out the planner's
+//! orders, and reports what runs and what has ended. No I/O and no clocks.
+
+pub mod effect;
+pub mod event;
+mod holds;
+mod lead;
+pub mod machine;
+pub mod minion;
+pub mod options;
+mod orders;
+mod polls;
--- /dev/null
+++ b/crates/runner/src/machine.rs
@@ -0,0 +1,278 @@
+//! The agent's state.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphire_jobs::{Ended, Incarnation, Lead, Running, Verdict, task::Task};
+
+use crate::{
+    effect::Effect,
+    event::{Event, Ticket},
+    minion::{Beat, Call},
+    options::{self, Options},
+    orders::Order,
+};
+
+/// The minion beside the agent.
+#[derive(Clone, Debug)]
+pub(crate) struct Minion {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) address: String,
+    pub(crate) sequence: u64,
+    /// Its clock, and when it was read.
+    pub(crate) clock: Option<(Duration, Duration)>,
+    pub(crate) running: BTreeMap<Task, Running>,
+    /// Started after the list was made, with when.
+    pub(crate) started: BTreeMap<Task, (Running, Duration)>,
+    pub(crate) ended: BTreeMap<u64, Ended>,
+    /// When it last answered.
+    pub(crate) answered: Duration,
+    pub(crate) refusals: u32,
+    /// When the hold whose list was taken last was sent.
+    pub(crate) listed: Duration,
+    /// Highest token that it has acknowledged to this process.
+    pub(crate) fenced: u64,
+}
+
+/// A hold under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hold {
+    pub(crate) ticket: Ticket,
+    pub(crate) sent: Duration,
+    pub(crate) token: u64,
+}
+
+/// What the planner has granted.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Session {
+    pub(crate) term: u64,
+    pub(crate) token: u64,
+    pub(crate) noted: u64,
+    /// Until when the minion may run on.
+    pub(crate) lease_until: Duration,
+}
+
+/// A poll under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PollSent {
+    pub(crate) ticket: Ticket,
+    pub(crate) sequence: u64,
+    pub(crate) at: Duration,
+}
+
+/// The agent.
+pub struct Machine {
+    pub(crate) options: Options,
+    pub(crate) minion: Option<Minion>,
+    pub(crate) session: Session,
+    pub(crate) lead: Option<Lead>,
+    pub(crate) entries: Vec<String>,
+    pub(crate) next_entry: usize,
+    pub(crate) ask_lead_at: Duration,
+    pub(crate) failed_polls: u32,
+    /// Orders that the minion has not settled.
+    pub(crate) orders: BTreeMap<Task, Order>,
+    /// Verdicts with the first poll that told of them.
+    pub(crate) verdicts: Vec<(Verdict, Option<u64>)>,
+    pub(crate) polls: Vec<PollSent>,
+    pub(crate) last_poll: Duration,
+    pub(crate) sequence: u64,
+    /// The planner is to hear of something.
+    pub(crate) has_news: bool,
+    pub(crate) waiting_hold: Option<Hold>,
+    pub(crate) quick_hold: Option<Hold>,
+    /// A list is wanted at once.
+    pub(crate) wants_list: bool,
+    pub(crate) next_hold: Duration,
+    pub(crate) is_leaving: Option<Duration>,
+    last_ticket: Ticket,
+    pub(crate) out: Vec<Effect>,
+}
+
+/// Longest time between the request to end and the end, while orders are being settled. Short,
+/// since the agent's next life looks after the minion and its lease goes on meanwhile.
+const LEAVE: Duration = Duration::from_millis(600);
+
+impl Machine {
+    /// An agent that knows of nothing.
+    pub fn new(options: Options) -> Self {
+        let entries = options.entries.clone();
+        Machine {
+            options,
+            minion: None,
+            session: Session::default(),
+            lead: None,
+            entries,
+            next_entry: 0,
+            ask_lead_at: Duration::ZERO,
+            failed_polls: 0,
+            orders: BTreeMap::new(),
+            verdicts: Vec::new(),
+            polls: Vec::new(),
+            last_poll: Duration::ZERO,
+            sequence: 0,
+            has_news: false,
+            waiting_hold: None,
+            quick_hold: None,
+            wants_list: false,
+            next_hold: Duration::ZERO,
+            is_leaving: None,
+            last_ticket: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes an event at a steady time; returns what is to be done.
+    pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Beat(beat) => self.beat(now, *beat),
+            Event::Leaves(id) => self.leaves(&id),
+            Event::Minion(ticket, reply) => self.minion_answered(now, ticket, reply),
+            Event::Orders(ticket, orders) => self.ordered(now, ticket, *orders),
+            Event::NoOrders { ticket, is_declined } => self.no_orders(now, ticket, is_declined),
+            Event::Lead(lead) => self.follow(lead),
+            Event::Terminate => self.terminate(now),
+            Event::Tick => {}
+        }
+        self.go_on(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Makes the calls that are due.
+    fn go_on(&mut self, now: Duration) {
+        self.watch_silence(now);
+        self.drive_orders(now);
+        self.drive_holds(now);
+        self.drive_polls(now);
+        self.drive_lead(now);
+        if let Some(since) = self.is_leaving
+            && (self.orders.is_empty() || now >= since + LEAVE)
+            && now >= since + options::POLL_PAUSE * 4
+        {
+            self.log("stops: asked to end, orders settled or handed back".to_owned());
+            self.out.push(Effect::Exit);
+        }
+    }
+
+    pub(crate) fn log(&mut self, text: String) {
+        self.out.push(Effect::Log(text));
+    }
+
+    pub(crate) fn ticket(&mut self) -> Ticket {
+        self.last_ticket += 1;
+        self.last_ticket
+    }
+
+    pub(crate) fn call(&mut self, call: Call, timeout: Duration) -> Option<Ticket> {
+        let ticket = self.ticket();
+        let minion = self.minion.as_ref()?;
+        let address = minion.address.clone();
+        let life = minion.incarnation.id.clone();
+        self.out.push(Effect::Minion { ticket, address, life, call, timeout });
+        Some(ticket)
+    }
+
+    fn beat(&mut self, now: Duration, beat: Beat) {
+        if let Some(minion) = &mut self.minion {
+            let known = &minion.incarnation;
+            let is_same =
+                known.id == beat.incarnation.id && known.born_ms == beat.incarnation.born_ms;
+            let is_older = !is_same && beat.incarnation.born_ms < known.born_ms;
+            if is_older || (is_same && beat.sequence <= minion.sequence) {
+                // Late: of an earlier life, or overtaken by a newer one.
+                return;
+            }
+            if is_same {
+                let is_silent = known.is_silent;
+                let incarnation = Incarnation { is_silent, ..beat.incarnation };
+                self.has_news |= minion.incarnation.is_draining != incarnation.is_draining
+                    || minion.incarnation.capacity != incarnation.capacity;
+                minion.incarnation = incarnation;
+                minion.sequence = beat.sequence;
+                minion.address = beat.address;
+                return;
+            }
+        }
+        self.meet(now, beat);
+    }
+
+    /// A new life of the minion. Whatever was ordered of the one before is over.
+    fn meet(&mut self, now: Duration, beat: Beat) {
+        let Incarnation { id, born_ms, .. } = &beat.incarnation;
+        self.log(format!("minion={id} born_ms={born_ms} address={} met", beat.address));
+        self.forget_minion();
+        self.minion = Some(Minion {
+            incarnation: beat.incarnation,
+            address: beat.address,
+            sequence: beat.sequence,
+            clock: None,
+            running: BTreeMap::new(),
+            started: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            answered: now,
+            refusals: 0,
+            listed: Duration::ZERO,
+            fenced: 0,
+        });
+        self.wants_list = true;
+    }
+
+    pub(crate) fn forget_minion(&mut self) {
+        self.minion = None;
+        self.orders.clear();
+        self.verdicts.clear();
+        self.session.token = 0;
+        self.session.noted = 0;
+        self.waiting_hold = None;
+        self.quick_hold = None;
+        self.has_news = true;
+    }
+
+    fn leaves(&mut self, id: &str) {
+        if self.minion.as_ref().is_some_and(|minion| minion.incarnation.id == id) {
+            self.log(format!("minion={id} leaves"));
+            self.forget_minion();
+        }
+    }
+
+    /// Tells the planner of a minion that doesn't answer, so that it is given nothing more.
+    fn watch_silence(&mut self, now: Duration) {
+        let Some(minion) = &mut self.minion else { return };
+        let is_silent = now >= minion.answered + options::MINION_SILENCE;
+        if minion.incarnation.is_silent != is_silent {
+            minion.incarnation.is_silent = is_silent;
+            let id = minion.incarnation.id.clone();
+            self.has_news = true;
+            self.log(format!("minion={id} silent={is_silent}"));
+        }
+    }
+
+    fn terminate(&mut self, now: Duration) {
+        if self.is_leaving.is_none() {
+            self.log("asked to end".to_owned());
+            self.is_leaving = Some(now);
+            self.has_news = true;
+        }
+    }
+
+    /// The minion's clock now; a little behind rather than ahead.
+    pub(crate) fn minion_clock(&self, now: Duration) -> Option<Duration> {
+        let (clock, read) = self.minion.as_ref()?.clock?;
+        Some(clock + now.saturating_sub(read))
+    }
+
+    /// End of the lease by the minion's clock, while there is a lease.
+    pub(crate) fn deadline(&self, now: Duration) -> Option<Duration> {
+        let left = self.session.lease_until.checked_sub(now)?;
+        Some(self.minion_clock(now)? + left)
+    }
+
+    /// Takes over a changed bound.
+    pub fn set_stop(&mut self, stop: Duration) {
+        self.options.stop = stop;
+    }
+
+    /// Number of orders that are not settled.
+    pub fn open_orders(&self) -> usize {
+        self.orders.len()
+    }
+}
--- /dev/null
+++ b/crates/runner/src/options.rs
@@ -0,0 +1,40 @@
+//! Settings of the agent.
+
+use std::time::Duration;
+
+/// Names and addresses.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Its name.
+    pub name: String,
+    /// Where it listens for other processes.
+    pub address: String,
+    /// Start of its process; grows from start to start.
+    pub generation: u64,
+    /// Entries to ask who plans, to begin with.
+    pub entries: Vec<String>,
+    /// Longest time that a stopped task may go on.
+    pub stop: Duration,
+}
+
+/// How long the minion waits for an end before it answers a hold. Each answer is a renewal of
+/// the lease, so it stays well below the lease.
+pub const HOLD_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for the minion's answer beyond what it was asked to wait. It is on the same machine; a
+/// busy one has been seen to take tens of milliseconds.
+pub const MINION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without an answer from the minion after which the planner is told.
+pub const MINION_SILENCE: Duration = Duration::from_millis(1_800);
+/// Pause between holds while ends are listed that are not noted yet: the minion answers at once
+/// then, and asking on without a pause would take the processor.
+pub const LISTED_PAUSE: Duration = Duration::from_millis(90);
+/// Time for the planner's answer: the time it holds a poll, and two messages between regions.
+pub const POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Least time between two polls, so that several ends go into one.
+pub const POLL_PAUSE: Duration = Duration::from_millis(8);
+/// Pause before an entry is asked who plans.
+pub const LEAD_PAUSE: Duration = Duration::from_millis(120);
+/// Time for an entry's answer to that.
+pub const LEAD_TIMEOUT: Duration = Duration::from_millis(400);
+/// Connections refused in a row after which the minion's process is taken as ended.
+pub const REFUSALS: u32 = 3;
--- /dev/null
+++ b/crates/runner/src/orders.rs
@@ -0,0 +1,201 @@
+//! Orders on their way to the minion.
+
+use std::time::Duration;
+
+use sapphire_jobs::{Rejection, Run, Running, Start, Verdict, task::Task};
+
+use crate::{
+    event::Ticket,
+    machine::Machine,
+    minion::{Call, Reply},
+    options,
+};
+
+/// Calls with orders under way at once, so that a minion that is slow to answer some does not
+/// need a connection for each.
+const MAX_CALLS: usize = 4;
+
+/// What is ordered.
+#[derive(Clone, Debug)]
+pub(crate) enum Kind {
+    Start(Box<Start>),
+    /// To stop; answered at the time given.
+    Stop(Option<Duration>),
+}
+
+/// An order.
+#[derive(Clone, Debug)]
+pub(crate) struct Order {
+    pub(crate) number: u32,
+    pub(crate) kind: Kind,
+    pub(crate) call: Option<Ticket>,
+    pub(crate) tries: u32,
+}
+
+impl Machine {
+    /// Takes an order to start; one that is known already changes nothing.
+    pub(crate) fn order_start(&mut self, start: Start) {
+        let Some(run) = start.run.clone() else { return };
+        let task = Task::read(&run);
+        let known = self.orders.get(&task).is_some_and(|order| order.number >= run.run);
+        let Some(minion) = &self.minion else { return };
+        let is_there = |running: &Running| running.run.as_ref() == Some(&run);
+        let is_running = minion.running.get(&task).is_some_and(is_there)
+            || minion.started.get(&task).is_some_and(|(running, _)| is_there(running));
+        let has_ended = minion.ended.values().any(|ended| ended.run.as_ref() == Some(&run));
+        if known || is_running || has_ended {
+            return;
+        }
+        if minion.incarnation.is_draining {
+            self.log(format!("task={task} run={} refused: the minion drains", run.run));
+            self.verdict(run, Rejection::Draining);
+            return;
+        }
+        let kind = Kind::Start(Box::new(start));
+        self.orders.insert(task, Order { number: run.run, kind, call: None, tries: 0 });
+    }
+
+    /// Takes an order to stop.
+    pub(crate) fn order_stop(&mut self, run: &Run) {
+        let task = Task::read(run);
+        let is_known = self.orders.get(&task).is_some_and(|order| {
+            order.number > run.run
+                || (order.number == run.run && matches!(order.kind, Kind::Stop(_)))
+        });
+        if !is_known {
+            let kind = Kind::Stop(None);
+            self.orders.insert(task, Order { number: run.run, kind, call: None, tries: 0 });
+        }
+    }
+
+    /// Sends what has not been sent, and again what has got no answer. A repeated order is
+    /// harmless: the minion knows its run.
+    pub(crate) fn drive_orders(&mut self, now: Duration) {
+        let Some(minion) = &self.minion else { return };
+        if minion.fenced != self.session.token || self.session.token == 0 {
+            return;
+        }
+        let mut free = MAX_CALLS
+            .saturating_sub(self.orders.values().filter(|order| order.call.is_some()).count());
+        let tasks: Vec<Task> = self.orders.keys().cloned().collect();
+        for task in tasks {
+            if free == 0 {
+                return;
+            }
+            if self.send_order(now, &task) {
+                free -= 1;
+            }
+        }
+    }
+
+    fn send_order(&mut self, now: Duration, task: &Task) -> bool {
+        let token = self.session.token;
+        let deadline = self.deadline(now);
+        let Some(order) = self.orders.get(task) else { return false };
+        if order.call.is_some() {
+            return false;
+        }
+        let call = match (&order.kind, deadline) {
+            // Without a lease nothing may be started: the planner may have given the task away.
+            (Kind::Start(_), None) | (Kind::Stop(Some(_)), _) => return false,
+            (Kind::Start(start), Some(deadline)) => {
+                Call::Start { start: start.clone(), deadline, token }
+            }
+            (Kind::Stop(None), _) => Call::Stop { task: task.clone(), number: order.number, token },
+        };
+        let ticket = self.call(call, options::MINION_TIMEOUT);
+        if let Some(order) = self.orders.get_mut(task) {
+            order.call = ticket;
+            order.tries += 1;
+        }
+        true
+    }
+
+    pub(crate) fn order_answered(&mut self, now: Duration, ticket: Ticket, reply: Reply) {
+        let mut orders = self.orders.iter_mut();
+        let Some((task, order)) = orders.find(|(_, order)| order.call == Some(ticket)) else {
+            return;
+        };
+        let task = task.clone();
+        order.call = None;
+        let (number, tries) = (order.number, order.tries);
+        let is_start = matches!(order.kind, Kind::Start(_));
+        match reply {
+            Reply::Done if is_start => {
+                self.log(format!("task={task} run={number} started after {tries} tries"));
+                self.orders.remove(&task);
+                self.started(now, &task, number);
+            }
+            Reply::Done => {
+                order.kind = Kind::Stop(Some(now));
+                self.wants_list = true;
+            }
+            Reply::Refused(rejection) if is_start => {
+                self.log(format!("task={task} run={number} start refused: {rejection:?}"));
+                self.orders.remove(&task);
+                self.verdict(task.run(number), rejection);
+            }
+            Reply::Refused(rejection) => {
+                if rejection != Rejection::Fenced {
+                    order.kind = Kind::Stop(Some(now));
+                    self.wants_list = true;
+                }
+                self.log(format!("task={task} run={number} stop refused: {rejection:?}"));
+                if rejection == Rejection::Fenced {
+                    self.lose_lead(now);
+                }
+            }
+            _ => {
+                if tries % 4 == 1 {
+                    self.log(format!("task={task} run={number} no answer to try {tries}"));
+                }
+            }
+        }
+    }
+
+    fn started(&mut self, now: Duration, task: &Task, number: u32) {
+        let run = task.run(number);
+        let running = Running { run: Some(run.clone()), ..Running::default() };
+        if let Some(minion) = &mut self.minion {
+            minion.started.insert(task.clone(), (running, now));
+        }
+        self.verdict(run, Rejection::None);
+    }
+
+    pub(crate) fn verdict(&mut self, run: Run, rejection: Rejection) {
+        let verdict = Verdict { run: Some(run), rejection: rejection.into() };
+        self.verdicts.push((verdict, None));
+        self.has_news = true;
+    }
+
+    /// A list has come: stops whose task is listed as ended, or is not there at all, are settled.
+    pub(crate) fn settle_orders(&mut self, now: Duration, list_sent: Duration) {
+        let Some(minion) = &self.minion else { return };
+        let mut absent = Vec::new();
+        let mut settled = Vec::new();
+        let mut is_waiting = false;
+        for (task, order) in &self.orders {
+            let Kind::Stop(Some(answered)) = order.kind else { continue };
+            let run = task.run(order.number);
+            let is_running =
+                minion.running.get(task).is_some_and(|running| running.run.as_ref() == Some(&run));
+            let has_ended = minion.ended.values().any(|ended| ended.run.as_ref() == Some(&run));
+            if has_ended {
+                settled.push(task.clone());
+            } else if !is_running && list_sent > answered {
+                absent.push((task.clone(), run));
+            } else {
+                is_waiting |= now > answered + self.options.stop;
+            }
+        }
+        for task in settled {
+            self.orders.remove(&task);
+        }
+        for (task, run) in absent {
+            self.orders.remove(&task);
+            self.log(format!("task={task} run={} is not there and can't start any more", run.run));
+            self.verdict(run, Rejection::Old);
+        }
+        self.wants_list |= is_waiting;
+    }
+}
--- /dev/null
+++ b/crates/sapphired/src/jobs_entry.rs
@@ -0,0 +1,605 @@
+//! `sapphired entry` on the users' platform: callers, configuration and, while it holds the
+//! planner's key, the planner, with their I/O.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cadence::{CountedExt as _, Gauged as _, StatsdClient, Timed as _};
+use eyre::WrapErr as _;
+use prost::Message as _;
+use sapphire_front::{self as front, answer::Answer, machine::Machine, reach::Way};
+use sapphire_jobs::{FeedPoll, Lead, Notice, Poll, Relay, Relayed, catalog::Catalog};
+use sapphire_net::{
+    hub::{CallId, CallerId, Event as NetEvent, Failure, Hub, ListenerId},
+    message::{Limits, Request, Response},
+};
+use sapphire_planner::{
+    self as planner,
+    event::{Moment, Operation},
+    planner::Planner,
+};
+use sapphire_platform as platform;
+use sapphire_settings::JobEntry;
+use sapphire_store::call::{Call, Reply};
+use stakker::{CX, Stakker, actor, after, call, ret_shutdown, stop};
+
+use crate::{
+    exposition, inner, logging,
+    reactor::{self, Event, Net},
+    reload,
+};
+
+/// How often time-outs are looked at.
+const TICK: Duration = Duration::from_millis(50);
+/// Time for the store's answer to anything but a watch. Above a store that is sixty times
+/// slower than usual in another region.
+const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for another entry's answer to a relayed call.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for short calls between processes.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time from the request to end during which callers are still served: the platform looks at
+/// readiness once a second and needs two looks.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// Longest graceful shutdown, below the time after which the platform kills the process.
+const LONGEST_SHUTDOWN: Duration = Duration::from_millis(5_200);
+/// Share of the platform's longest lease that minions are given. A longer lease loses less work
+/// to a short cut, a shorter one frees a lost minion's tasks sooner.
+const LEASE_SHARE: f64 = 0.6;
+/// Longest lease that minions are given.
+const MAX_LEASE: Duration = Duration::from_secs(6);
+/// How much slower than true time a minion's clock may be, in parts of a thousand.
+const CLOCK_DRIFT_MILLI: u32 = 20;
+
+/// Whose call to the store it is.
+#[derive(Debug)]
+enum Origin {
+    Front(front::event::Operation),
+    Planner { term: u64, operation: Operation },
+}
+
+/// A call under way.
+#[derive(Debug)]
+enum Pending {
+    Store { origin: Origin, call: Box<Call>, sent: Duration, way: Way },
+    Relay { caller: CallerId },
+    Feed { sent: Duration },
+    Lead,
+    Told,
+}
+
+/// A caller's request that is being served.
+struct Served {
+    since: Duration,
+    text: String,
+}
+
+/// Listening addresses.
+struct Listeners {
+    callers: ListenerId,
+    ready: ListenerId,
+    inner: ListenerId,
+}
+
+/// The actor.
+struct Role {
+    settings: JobEntry,
+    file: reload::File,
+    net: Net,
+    listeners: Listeners,
+    store: SocketAddr,
+    front: Machine,
+    planner: Option<Planner>,
+    catalog: Arc<Catalog>,
+    calls: HashMap<CallId, Pending>,
+    served: HashMap<CallerId, Served>,
+    levels: logging::Levels,
+    registry: exposition::Registry,
+    metrics: StatsdClient,
+    ending: Option<Duration>,
+}
+
+/// An effect of either part that is still to be carried out.
+enum Work {
+    Front(front::effect::Effect),
+    Planner(planner::effect::Effect),
+}
+
+impl Role {
+    fn init(cx: CX![], role: Role) -> Option<Self> {
+        call!([cx], tick());
+        Some(role)
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = reactor::now();
+        self.front_event(now, front::event::Event::Tick);
+        self.planner_event(now, planner::event::Event::Tick);
+        if let Some(planner) = &self.planner {
+            let effects =
+                self.front.check_outage(now.steady, |since| planner.is_store_reached(since));
+            self.perform(now, effects.into_iter().map(Work::Front).collect());
+        }
+        if self.file.is_due(now.steady) {
+            self.reload();
+        }
+        if let Some(since) = self.ending {
+            let is_quiet = self.net.borrow().callers() == 0 && self.front.is_idle();
+            let waited = now.steady.saturating_sub(since);
+            if (is_quiet && waited >= LINGER) || waited >= LONGEST_SHUTDOWN {
+                self.levels.info("member", "stops: asked to end, callers served");
+                stop!(cx);
+            }
+        }
+    }
+
+    fn event(&mut self, _cx: CX![], event: Event) {
+        let now = reactor::now();
+        match event {
+            Event::Net(NetEvent::Request { caller, listener, request }) => {
+                self.request(now, caller, listener, request);
+            }
+            Event::Net(NetEvent::Left(caller)) => {
+                if let Some(served) = self.served.remove(&caller) {
+                    let text = format!("request={caller} {} caller left", served.text);
+                    self.levels.info("front", &text);
+                }
+                self.front_event(now, front::event::Event::Left(caller));
+                self.planner_event(now, planner::event::Event::Left(caller));
+            }
+            Event::Net(NetEvent::Answer { call, result }) => self.answered(now, call, result),
+            Event::Terminate => self.terminate(now),
+            Event::Reload => self.reload(),
+        }
+    }
+
+    fn terminate(&mut self, now: Moment) {
+        if self.ending.is_none() {
+            self.levels.info("member", "asked to end; serves callers, plans no more");
+            self.ending = Some(now.steady);
+            self.net.borrow_mut().close_after_answers();
+            self.front_event(now, front::event::Event::Terminate);
+        }
+    }
+
+    fn reload(&mut self) {
+        match self.file.reload(sapphire_settings::jobs::read_entry) {
+            reload::Outcome::Same => {}
+            reload::Outcome::Changed(settings) => {
+                self.levels.info("member", "settings changed; bounds are in force");
+                let bounds = settings.bounds.unwrap_or_default();
+                self.front.set_revocation(Duration::from_millis(bounds.revocation_ms));
+                if let Some(planner) = &mut self.planner {
+                    planner.set_options(planner_options(&settings));
+                }
+                self.settings = *settings;
+            }
+            reload::Outcome::Refused(findings) => {
+                self.levels.info("member", &format!("settings not taken over: {findings}"));
+            }
+        }
+    }
+
+    fn request(&mut self, now: Moment, caller: CallerId, listener: ListenerId, request: Request) {
+        if listener == self.listeners.callers {
+            let text = format!("{} {}", request.method, request.target);
+            self.served.insert(caller, Served { since: now.steady, text });
+            let request = Box::new(platform::caller::request(&request));
+            self.front_event(now, front::event::Event::Request(caller, request));
+        } else if listener == self.listeners.ready {
+            let status = if self.front.is_ready(now.steady) { 200 } else { 503 };
+            self.net.borrow_mut().answer(caller, &Response::new(status, ""));
+        } else if listener == self.listeners.inner {
+            self.inner_request(now, caller, &request);
+        } else {
+            let text = self.registry.text();
+            self.net.borrow_mut().answer(caller, &Response::new(200, text));
+        }
+    }
+
+    fn inner_request(&mut self, now: Moment, caller: CallerId, request: &Request) {
+        use planner::event::Event as Told;
+        let body = request.body.clone();
+        match (request.method.as_str(), request.path()) {
+            ("POST", inner::POLL) => match Poll::decode(body) {
+                Ok(poll) => self.ask_planner(now, caller, Told::Poll(caller, Box::new(poll))),
+                Err(error) => self.malformed(caller, &error),
+            },
+            ("POST", inner::FEED) => match FeedPoll::decode(body) {
+                Ok(poll) => self.ask_planner(now, caller, Told::Feed(caller, poll)),
+                Err(error) => self.malformed(caller, &error),
+            },
+            ("POST", inner::NOTICE) => match Notice::decode(body) {
+                Ok(notice) => {
+                    let status = if self.planner.is_some() { 200 } else { inner::DECLINED };
+                    self.planner_event(now, Told::Notice(notice));
+                    self.net.borrow_mut().answer(caller, &Response::new(status, ""));
+                }
+                Err(error) => self.malformed(caller, &error),
+            },
+            ("GET", inner::LEAD) => {
+                let response = match self.front.lead() {
+                    Some(lead) => inner::response(lead),
+                    None => Response::new(404, ""),
+                };
+                self.net.borrow_mut().answer(caller, &response);
+            }
+            ("POST", inner::RELAY) => match Relay::decode(body) {
+                Ok(relay) => {
+                    let request = Request::new(&relay.method, &relay.target, relay.body)
+                        .with("Content-Type", "application/json");
+                    let call = self.net.borrow_mut().call(self.store, &request, STORE_TIMEOUT);
+                    self.calls.insert(call, Pending::Relay { caller });
+                }
+                Err(error) => self.malformed(caller, &error),
+            },
+            _ => self.net.borrow_mut().answer(caller, &Response::new(404, "")),
+        }
+    }
+
+    fn malformed(&mut self, caller: CallerId, error: &prost::DecodeError) {
+        self.levels.info("member", &format!("a message can't be read: {error}"));
+        self.net.borrow_mut().answer(caller, &Response::new(400, ""));
+    }
+
+    fn ask_planner(&mut self, now: Moment, caller: CallerId, event: planner::event::Event) {
+        if self.planner.is_some() {
+            self.planner_event(now, event);
+        } else {
+            self.net.borrow_mut().answer(caller, &Response::new(inner::DECLINED, ""));
+        }
+    }
+
+    fn answered(&mut self, now: Moment, call: CallId, result: Result<Response, Failure>) {
+        match self.calls.remove(&call) {
+            Some(Pending::Store { origin, call, sent, way }) => {
+                self.store_answered(now, origin, &call, sent, &way, result);
+            }
+            Some(Pending::Relay { caller }) => {
+                let relayed = match result {
+                    Ok(response) => Relayed { status: response.status.into(), body: response.body },
+                    Err(_) => Relayed::default(),
+                };
+                self.net.borrow_mut().answer(caller, &inner::response(&relayed));
+            }
+            Some(Pending::Feed { sent }) => {
+                let feed = inner::answer(result).map(Box::new);
+                self.front_event(now, front::event::Event::Feed { sent, feed });
+            }
+            Some(Pending::Lead) => {
+                if let Some(lead) = inner::answer::<Lead>(result) {
+                    self.front_event(now, front::event::Event::Lead(lead));
+                }
+            }
+            Some(Pending::Told) | None => {}
+        }
+    }
+
+    fn store_answered(
+        &mut self,
+        now: Moment,
+        origin: Origin,
+        call: &Call,
+        sent: Duration,
+        way: &Way,
+        result: Result<Response, Failure>,
+    ) {
+        let reply = match way {
+            Way::Straight => platform::store::reply(call, result),
+            Way::Through(_) => relayed_reply(call, result),
+        };
+        let is_answered = !matches!(reply, Reply::Unavailable(_) | Reply::NotDone(_));
+        let name = if is_answered { "store.answered" } else { "store.failed" };
+        self.count(name);
+        self.time("store", now.steady.saturating_sub(sent));
+        if *way == Way::Straight && !is_watch(call) {
+            let effects = self.front.note_straight(now.steady, is_answered);
+            self.perform(now, effects.into_iter().map(Work::Front).collect());
+        }
+        match origin {
+            Origin::Front(operation) => {
+                self.front_event(now, front::event::Event::Store { operation, sent, reply });
+            }
+            Origin::Planner { term, operation } => {
+                if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
+                    self.planner_event(now, planner::event::Event::Store(operation, reply));
+                }
+            }
+        }
+    }
+
+    fn store_call(&mut self, now: Moment, origin: Origin, call: Call) {
+        self.count("store.calls");
+        let is_probe = matches!(origin, Origin::Front(front::event::Operation::Probe));
+        let way = self.front.way(is_probe || is_watch(&call));
+        let request = platform::store::request(&call);
+        let id = match &way {
+            Way::Straight => {
+                let timeout = STORE_TIMEOUT + watch_wait(&call);
+                Some(self.net.borrow_mut().call(self.store, &request, timeout))
+            }
+            Way::Through(address) => {
+                let relay =
+                    Relay { method: request.method, target: request.target, body: request.body };
+                let hub = &mut self.net.borrow_mut();
+                inner::call(hub, address, "POST", inner::RELAY, &relay, RELAY_TIMEOUT)
+            }
+        };
+        let sent = now.steady;
+        match id {
+            Some(id) => {
+                let call = Box::new(call);
+                self.calls.insert(id, Pending::Store { origin, call, sent, way });
+            }
+            None => log::warn!(target: "sapphire", "member: a call to the store was not sent"),
+        }
+    }
+
+    fn front_event(&mut self, now: Moment, event: front::event::Event) {
+        let effects = self.front.handle(now, event);
+        self.perform(now, effects.into_iter().map(Work::Front).collect());
+    }
+
+    fn planner_event(&mut self, now: Moment, event: planner::event::Event) {
+        let Some(planner) = &mut self.planner else { return };
+        let effects = planner.handle(now, event);
+        self.perform(now, effects.into_iter().map(Work::Planner).collect());
+    }
+
+    fn perform(&mut self, now: Moment, mut work: VecDeque<Work>) {
+        while let Some(next) = work.pop_front() {
+            match next {
+                Work::Front(effect) => self.front_effect(now, effect, &mut work),
+                Work::Planner(effect) => self.planner_effect(now, effect, &mut work),
+            }
+        }
+    }
+
+    fn front_effect(
+        &mut self,
+        now: Moment,
+        effect: front::effect::Effect,
+        work: &mut VecDeque<Work>,
+    ) {
+        use front::effect::Effect;
+        match effect {
+            Effect::Answer(caller, answer) => self.answer(now, caller, &answer),
+            Effect::Store(operation, call) => {
+                self.store_call(now, Origin::Front(operation), call);
+            }
+            Effect::Feed { address, poll } => {
+                let hub = &mut self.net.borrow_mut();
+                let timeout = front::options::FEED_TIMEOUT;
+                let id = inner::call(hub, &address, "POST", inner::FEED, &poll, timeout);
+                self.calls.extend(id.map(|id| (id, Pending::Feed { sent: now.steady })));
+            }
+            Effect::Notice { address, notice } => {
+                let hub = &mut self.net.borrow_mut();
+                let id = inner::call(hub, &address, "POST", inner::NOTICE, &*notice, SHORT_TIMEOUT);
+                self.calls.extend(id.map(|id| (id, Pending::Told)));
+            }
+            Effect::AskLead { address } => {
+                let hub = &mut self.net.borrow_mut();
+                let id = inner::call(hub, &address, "GET", inner::LEAD, &(), SHORT_TIMEOUT);
+                self.calls.extend(id.map(|id| (id, Pending::Lead)));
+            }
+            Effect::Catalog(catalog) => {
+                self.catalog = catalog.clone();
+                self.tell_planner(now, planner::event::Event::Catalog(catalog), work);
+            }
+            Effect::Fresh { revision, at } => {
+                self.tell_planner(now, planner::event::Event::Fresh { revision, at }, work);
+            }
+            Effect::Plan(term) => {
+                let options = planner_options(&self.settings);
+                self.planner = Some(Planner::new(options, term, self.catalog.clone(), now));
+                self.tell_planner(now, planner::event::Event::Tick, work);
+            }
+            Effect::Resign => self.planner = None,
+            Effect::Log(text) => self.levels.info("front", &text),
+        }
+    }
+
+    fn tell_planner(
+        &mut self,
+        now: Moment,
+        event: planner::event::Event,
+        work: &mut VecDeque<Work>,
+    ) {
+        if let Some(planner) = &mut self.planner {
+            work.extend(planner.handle(now, event).into_iter().map(Work::Planner));
+        }
+    }
+
+    fn planner_effect(
+        &mut self,
+        now: Moment,
+        effect: planner::effect::Effect,
+        work: &mut VecDeque<Work>,
+    ) {
+        use planner::effect::Effect;
+        match effect {
+            Effect::Orders(caller, orders) => {
+                self.net.borrow_mut().answer(caller, &inner::response(&*orders));
+            }
+            Effect::Feed(caller, feed) => {
+                self.net.borrow_mut().answer(caller, &inner::response(&*feed));
+            }
+            Effect::Decline(caller) => {
+                self.net.borrow_mut().answer(caller, &Response::new(inner::DECLINED, ""));
+            }
+            Effect::Store(operation, call) => {
+                let Some(term) = self.planner.as_ref().map(Planner::term) else { return };
+                self.store_call(now, Origin::Planner { term, operation }, call);
+            }
+            Effect::Announce(addresses) => self.announce(&addresses),
+            Effect::Log(text) => self.levels.info("plan", &text),
+            Effect::Deposed => {
+                self.planner = None;
+                work.extend(self.front.deposed(now.steady).into_iter().map(Work::Front));
+            }
+        }
+    }
+
+    fn announce(&mut self, addresses: &[String]) {
+        let Some(lead) = self.front.lead().cloned() else { return };
+        for address in addresses {
+            let hub = &mut self.net.borrow_mut();
+            let id = inner::call(hub, address, "POST", inner::LEAD, &lead, SHORT_TIMEOUT);
+            self.calls.extend(id.map(|id| (id, Pending::Told)));
+        }
+    }
+
+    fn answer(&mut self, now: Moment, caller: CallerId, answer: &Answer) {
+        let response = platform::caller::response(answer);
+        if let Some(served) = self.served.remove(&caller) {
+            let took = now.steady.saturating_sub(served.since);
+            self.time("request", took);
+            self.count(&format!("answers.{}", response.status));
+            let (status, took) = (response.status, took.as_millis());
+            let text = format!("request={caller} {} status={status} ms={took}", served.text);
+            self.levels.info("front", &format!("{text} answer={answer:?}"));
+        }
+        self.net.borrow_mut().answer(caller, &response);
+    }
+
+    /// Counts something. A counter that can't be kept is not worth an error.
+    fn count(&self, name: &str) {
+        let _ = self.metrics.incr(name);
+    }
+
+    fn time(&self, name: &str, took: Duration) {
+        let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        let _ = self.metrics.time(name, millis);
+    }
+}
+
+/// Reads what another entry says of a call that it made.
+fn relayed_reply(call: &Call, result: Result<Response, Failure>) -> Reply {
+    match inner::answer::<Relayed>(result) {
+        Some(relayed) if relayed.status > 0 => {
+            let status = u16::try_from(relayed.status).unwrap_or(502);
+            let response = Response::new(status, relayed.body);
+            platform::store::reply(call, Ok(response))
+        }
+        _ => Reply::Unavailable("another entry has no answer either".to_owned()),
+    }
+}
+
+fn is_watch(call: &Call) -> bool {
+    !watch_wait(call).is_zero()
+}
+
+fn watch_wait(call: &Call) -> Duration {
+    match call {
+        Call::WatchPrefix { wait, .. } if *wait > Duration::from_millis(1) => *wait,
+        _ => Duration::ZERO,
+    }
+}
+
+/// Runs an entry until it has shut down gracefully.
+///
+/// # Errors
+/// When an address can't be listened on or the system refuses what it needs.
+pub fn run(settings: &JobEntry, path: &Path) -> eyre::Result<()> {
+    let levels = logging::start_bounded(&settings.logging.clone().unwrap_or_default())?;
+    let mut hub = Hub::new().wrap_err("event loop")?;
+    let listeners = Listeners {
+        callers: listen(&mut hub, &settings.callers, caller_limits())?,
+        ready: listen(&mut hub, &settings.ready, caller_limits())?,
+        inner: listen(&mut hub, &settings.address, Limits::default())?,
+    };
+    if !settings.metrics.is_empty() {
+        listen(&mut hub, &settings.metrics, caller_limits())?;
+    }
+    let registry = exposition::Registry::default();
+    let started = reactor::now();
+    let net: Net = Rc::new(RefCell::new(hub));
+    let role = Role {
+        settings: settings.clone(),
+        file: reload::File::new(PathBuf::from(path), started.steady),
+        net: net.clone(),
+        listeners,
+        store: settings.store.parse().wrap_err("store")?,
+        front: Machine::new(front_options(settings, started)),
+        planner: None,
+        catalog: Arc::default(),
+        calls: HashMap::new(),
+        served: HashMap::new(),
+        levels: levels.clone(),
+        metrics: registry.client(),
+        registry,
+        ending: None,
+    };
+    let signals = reactor::Signals::catch()?;
+    levels.info("member", &format!("entry={} starts callers={}", settings.name, settings.callers));
+    role.metrics.gauge("starts", 1_u64).wrap_err("metrics")?;
+    let mut stakker = Stakker::new(Instant::now());
+    let actor = actor!(stakker, Role::init(role), ret_shutdown!(stakker));
+    reactor::run(&mut stakker, &actor, &net, &signals, |actor, event| call!([actor], event(event)))
+}
+
+/// Listens at an address of the settings.
+///
+/// # Errors
+/// When the address is taken or not this machine's.
+pub fn listen(hub: &mut Hub, address: &str, limits: Limits) -> eyre::Result<ListenerId> {
+    let parsed: SocketAddr = address.parse().wrap_err_with(|| format!("address {address}"))?;
+    hub.listen(parsed, limits).wrap_err_with(|| format!("listen {address}"))
+}
+
+/// Bounds of what callers may send. Clients that stall give way to others.
+fn caller_limits() -> Limits {
+    Limits {
+        connections: 1_024,
+        head_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        request_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    }
+}
+
+fn front_options(settings: &JobEntry, started: Moment) -> front::options::Options {
+    let bounds = settings.bounds.unwrap_or_default();
+    let generation = u64::try_from(started.unix.as_micros()).unwrap_or(u64::MAX);
+    let seed =
+        settings.name.bytes().fold(generation, |sum, byte| sum * 31 % 65_521 + u64::from(byte));
+    front::options::Options {
+        name: settings.name.clone(),
+        address: settings.address.clone(),
+        generation,
+        entries: settings.entries.clone(),
+        catalog_key: platform::store::CONFIGURATION.to_owned(),
+        read_catalog: platform::config::read,
+        revocation: Duration::from_millis(bounds.revocation_ms),
+        lead_lease: Duration::from_millis(bounds.store_lease_ms).max(LEAD_LEASE),
+        seed,
+    }
+}
+
+/// Lease of the planner's key. A planner that is lost costs about this time of placement; a
+/// store that is slow must not make a planner lose its key.
+const LEAD_LEASE: Duration = Duration::from_millis(1_300);
+
+fn planner_options(settings: &JobEntry) -> planner::options::Options {
+    let bounds = settings.bounds.unwrap_or_default();
+    let millis = Duration::from_millis;
+    planner::options::Options {
+        name: settings.name.clone(),
+        lease: millis(bounds.lease_limit_ms).mul_f64(LEASE_SHARE).min(MAX_LEASE),
+        clock_drift_milli: CLOCK_DRIFT_MILLI,
+        stop: millis(bounds.stop_ms),
+        status: millis(bounds.status_ms),
+        reclaim: millis(bounds.reclaim_ms),
+        remote_factor: bounds.remote_factor,
+        checkpoint: millis(bounds.checkpoint_ms),
+    }
+}
--- a/crates/sapphired/src/logging.rs
+++ b/crates/sapphired/src/logging.rs
@@ -1,9 +1,11 @@
-//! Log lines on standard error: time, level, part, short sentence with key=value pairs.
+//! Log lines on standard error or output: time, level, part, short sentence with key=value pairs.
 
 use eyre::WrapErr as _;
 use log::LevelFilter;
 use sapphire_settings::Logging;
-use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+use simplelog::{ColorChoice, Config, ConfigBuilder, TermLogger, TerminalMode, WriteLogger};
+
+use crate::sink;
 
 /// Levels by part.
 #[derive(Clone, Debug)]
@@ -16,16 +18,28 @@
 /// # Errors
 /// When a logger was already started.
 pub fn start(settings: &Logging) -> eyre::Result<Levels> {
-    let config = ConfigBuilder::new()
+    TermLogger::init(LevelFilter::Trace, config(), TerminalMode::Stderr, ColorChoice::Never)
+        .wrap_err("logging")?;
+    Ok(Levels { settings: settings.clone() })
+}
+
+/// Starts logging to standard output, bounded and without ever waiting for it.
+///
+/// # Errors
+/// When a logger was already started, or the thread that writes can't be.
+pub fn start_bounded(settings: &Logging) -> eyre::Result<Levels> {
+    WriteLogger::init(LevelFilter::Trace, config(), sink::Sink::start()?).wrap_err("logging")?;
+    Ok(Levels { settings: settings.clone() })
+}
+
+fn config() -> Config {
+    ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_target_level(LevelFilter::Error)
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("sapphire")
-        .build();
-    TermLogger::init(LevelFilter::Trace, config, TerminalMode::Stderr, ColorChoice::Never)
-        .wrap_err("logging")?;
-    Ok(Levels { settings: settings.clone() })
+        .build()
 }
 
 impl Levels {
--- a/crates/sapphired/src/main.rs
+++ b/crates/sapphired/src/main.rs
@@ -3,19 +3,30 @@
 mod agent_role;
 mod clock;
 mod entry_role;
+mod exposition;
 mod http;
+mod inner;
+mod jobs_agent;
+mod jobs_entry;
 mod logging;
 mod mesh;
 mod metrics;
 mod minion;
+mod reactor;
+mod reload;
 mod runtime;
+mod sink;
 mod store;
 mod worker;
 
-use std::{fs, path::PathBuf, process};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process,
+};
 
 use eyre::WrapErr as _;
-use sapphire_settings::finding;
+use sapphire_settings::{finding, jobs};
 
 /// Exit code when the settings have findings.
 const EXIT_SETTINGS: i32 = 2;
@@ -61,34 +72,49 @@
     check: bool,
 }
 
-fn main() -> eyre::Result<()> {
-    let args: Args = argh::from_env();
+/// Exit code after a failure.
+const EXIT_FAILURE: i32 = 1;
+
+fn main() {
+    if let Err(error) = run(argh::from_env()) {
+        eprintln!("sapphired: {error:#}");
+        process::exit(EXIT_FAILURE);
+    }
+}
+
+fn run(args: Args) -> eyre::Result<()> {
     match args.role {
-        Role::Entry(entry) => {
-            let settings = read(&entry.settings, sapphire_settings::entry::read)?;
-            if entry.check {
-                return Ok(());
+        Role::Entry(Entry { settings, check }) => {
+            let text = read(&settings)?;
+            if jobs::is_meant(&text) {
+                let parsed = parse(&settings, &text, jobs::read_entry);
+                return if check { Ok(()) } else { jobs_entry::run(&parsed, &settings) };
             }
-            entry_role::run(&settings)
+            let parsed = parse(&settings, &text, sapphire_settings::entry::read);
+            if check { Ok(()) } else { entry_role::run(&parsed) }
         }
-        Role::Agent(agent) => {
-            let settings = read(&agent.settings, sapphire_settings::agent::read)?;
-            if agent.check {
-                return Ok(());
+        Role::Agent(Agent { settings, check }) => {
+            let text = read(&settings)?;
+            if jobs::is_meant(&text) {
+                let parsed = parse(&settings, &text, jobs::read_agent);
+                return if check { Ok(()) } else { jobs_agent::run(&parsed, &settings) };
             }
-            agent_role::run(&settings)
+            let parsed = parse(&settings, &text, sapphire_settings::agent::read);
+            if check { Ok(()) } else { agent_role::run(&parsed) }
         }
     }
 }
 
-/// Reads settings; with findings, prints them all and exits.
-fn read<T>(path: &PathBuf, parse: fn(&str) -> Result<T, Vec<finding::Finding>>) -> eyre::Result<T> {
-    let name = path.display().to_string();
-    let text = fs::read_to_string(path).wrap_err_with(|| format!("settings {name}"))?;
-    match parse(&text) {
-        Ok(settings) => Ok(settings),
+fn read(path: &Path) -> eyre::Result<String> {
+    fs::read_to_string(path).wrap_err_with(|| format!("settings {}", path.display()))
+}
+
+/// Parses settings; with findings, prints them all and exits.
+fn parse<T>(path: &Path, text: &str, parse: fn(&str) -> Result<T, Vec<finding::Finding>>) -> T {
+    match parse(text) {
+        Ok(settings) => settings,
         Err(findings) => {
-            eprint!("{}", finding::report(&name, &findings));
+            eprint!("{}", finding::report(&path.display().to_string(), &findings));
             process::exit(EXIT_SETTINGS);
         }
     }
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -14,3 +14,9 @@
 #[rustfmt::skip]
 #[path = "generated/settings.rs"]
 pub mod settings;
+
+/// Jobs of steps and tasks: their records in the store, and messages about them.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/jobs.rs"]
+pub mod jobs;
--- a/crates/schema/tests/schema.rs
+++ b/crates/schema/tests/schema.rs
@@ -2,9 +2,9 @@
 
 use std::{env, fs, path};
 
-const FILES: [&str; 2] = ["wire", "settings"];
+const FILES: [&str; 3] = ["jobs", "wire", "settings"];
 
-/// Generates both files into a scratch folder and returns their texts.
+/// Generates all files into a scratch folder and returns their texts.
 fn generate() -> Vec<String> {
     let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
     let out = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
--- /dev/null
+++ b/crates/settings/src/jobs.rs
@@ -0,0 +1,95 @@
+//! Settings of both roles on the users' platform.
+
+use std::time::Duration;
+
+use sapphire_schema::settings::{Bounds, JobAgent, JobEntry};
+
+use crate::{finding, section, shared};
+
+/// Whether a settings file is meant for a process on the users' platform.
+pub fn is_meant(text: &str) -> bool {
+    text.lines().any(|line| line.starts_with("platform:"))
+}
+
+/// Reads and checks the settings of an entry.
+///
+/// # Errors
+/// All findings of the file.
+pub fn read_entry(text: &str) -> Result<JobEntry, Vec<finding::Finding>> {
+    section::read_file(text, |file| {
+        file.word("platform", PLATFORMS[0], &PLATFORMS);
+        JobEntry {
+            name: file.name("name"),
+            region: file.name("region"),
+            zone: file.name("zone"),
+            address: file.address("address"),
+            callers: file.address("callers"),
+            ready: file.address("ready"),
+            store: file.address("store"),
+            entries: file.addresses("entries", 0),
+            metrics: file.optional_address("metrics"),
+            bounds: Some(bounds(file)),
+            logging: Some(shared::logging(file)),
+        }
+    })
+}
+
+/// Reads and checks the settings of an agent.
+///
+/// # Errors
+/// All findings of the file.
+pub fn read_agent(text: &str) -> Result<JobAgent, Vec<finding::Finding>> {
+    section::read_file(text, |file| {
+        file.word("platform", PLATFORMS[0], &PLATFORMS);
+        JobAgent {
+            name: file.name("name"),
+            region: file.name("region"),
+            zone: file.name("zone"),
+            address: file.address("address"),
+            minion: file.address("minion"),
+            entries: file.addresses("entries", 0),
+            metrics: file.optional_address("metrics"),
+            bounds: Some(bounds(file)),
+            logging: Some(shared::logging(file)),
+        }
+    })
+}
+
+/// Platforms that there is an adapter for.
+const PLATFORMS: [&str; 1] = ["kv"];
+
+fn bounds(file: &mut section::Section<'_>) -> Bounds {
+    file.optional_section("bounds", read_bounds).unwrap_or_else(default_bounds)
+}
+
+fn read_bounds(section: &mut section::Section<'_>) -> Bounds {
+    let default = default_bounds();
+    let mut millis = |name, default: u64| {
+        let range = Duration::from_millis(1)..=Duration::from_secs(86_400);
+        section.duration(name, Duration::from_millis(default), range)
+    };
+    Bounds {
+        revocation_ms: millis("revocation", default.revocation_ms),
+        lease_limit_ms: millis("lease_limit", default.lease_limit_ms),
+        stop_ms: millis("stop", default.stop_ms),
+        status_ms: millis("status", default.status_ms),
+        reclaim_ms: millis("reclaim", default.reclaim_ms),
+        checkpoint_ms: millis("checkpoint", default.checkpoint_ms),
+        store_lease_ms: millis("store_lease", default.store_lease_ms),
+        remote_factor: section.count("remote_factor", Some(default.remote_factor), 1..=1_000),
+    }
+}
+
+/// Bounds that a file doesn't give, as on the deployments that are known.
+fn default_bounds() -> Bounds {
+    Bounds {
+        revocation_ms: 5_000,
+        lease_limit_ms: 10_000,
+        stop_ms: 400,
+        status_ms: 120_000,
+        reclaim_ms: 2_900,
+        remote_factor: 3,
+        checkpoint_ms: 2_000,
+        store_lease_ms: 1_000,
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod entry;
 pub mod finding;
+pub mod jobs;
 pub mod section;
 mod shared;
 
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -168,9 +168,7 @@
             text(range.start()),
             text(range.end())
         );
-        let parse = |text: &str| {
-            humantime::parse_duration(text).ok().filter(|duration| range.contains(duration))
-        };
+        let parse = |text: &str| parse_duration(text).filter(|time| range.contains(time));
         let duration = self.parsed(name, Some(default), &allowed, parse).unwrap_or(default);
         u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
     }
@@ -267,6 +265,14 @@
     !text.is_empty() && text.len() <= 63 && text.chars().all(allowed)
 }
 
+/// Reads a duration such as `500ms`, `2m 30s` or `1.5s`.
+fn parse_duration(text: &str) -> Option<time::Duration> {
+    let seconds = || text.strip_suffix('s')?.parse().ok();
+    humantime::parse_duration(text)
+        .ok()
+        .or_else(|| time::Duration::try_from_secs_f64(seconds()?).ok())
+}
+
 fn parse_address(text: &str) -> Option<String> {
     let address: net::SocketAddr = text.parse().ok()?;
     Some(address.to_string())
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -76,6 +76,9 @@
                 let value = read_value(response)?;
                 Ok(if is_written { Reply::Written(value.revision) } else { Reply::Conflict(value) })
             }
+            Call::Scan { .. } | Call::WatchPrefix { .. } | Call::Commit { .. } => {
+                Ok(Reply::NotDone("this service has no calls on several keys".to_owned()))
+            }
             Call::Grant { ttl } => {
                 let url = format!("{base}/leases?ttl_ms={}", ttl.as_millis());
                 read_lease(self.calls.post(url).send_empty()?)
