perf: urgent work waits for what ends in time, stands still by lists, two workers spared

Change: the remaining time of a run is told from its progress; runs that end within the urgent job's slack are waited for; work that saves nothing leaves two whole workers alone while it can wait; a run stands still only when two lists in a row say so.

--- a/crates/plan/src/seat.rs
+++ b/crates/plan/src/seat.rs
@@ -155,3 +155,23 @@
     let cores = option.place.free.millicores;
     (doubt, far, shortfall, broken, left, cores)
 }
+
+/// Places for work that can wait and would be lost if it were stopped: without the last `keep`
+/// workers on which nothing runs.
+///
+/// The load this answers: urgent tasks that need a whole worker while long ones have spread over
+/// all of them. Each then stops work that has run for seconds; a worker or two that only work
+/// with nothing to lose may take spares that.
+pub fn spare(places: &[Place], keep: usize) -> Vec<Place> {
+    let is_whole = |place: &Place| place.free == place.capacity && place.doubt == 0;
+    let mut whole = places.iter().filter(|place| is_whole(place)).count();
+    let mut spared = places.to_vec();
+    for place in spared.iter_mut().filter(|place| is_whole(place)) {
+        if whole <= keep {
+            place.free = Room::default();
+        } else {
+            whole -= 1;
+        }
+    }
+    spared
+}
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -27,11 +27,22 @@
 const CLAIM: Duration = Duration::from_millis(1_200);
 /// A run expected to end within this is not worth stopping.
 const NEARLY_DONE: Duration = Duration::from_millis(500);
+/// Time from a decision to the start of a task and from its end to the caller's view of it.
+const OVERHEAD: Duration = Duration::from_millis(300);
+/// Longest wait of an urgent group for work to end by itself.
+const LONGEST_WAIT: Duration = Duration::from_millis(2_500);
+/// The same for one that will be late in any case.
+const LATE_WAIT: Duration = Duration::from_millis(1_000);
 /// Work of a run that saves its progress which a stop costs: its restart and what it waits.
 const RESTART: Duration = Duration::from_millis(400);
 /// Share of the bound for guaranteed jobs after which they start also where they are slower.
 const URGENT_SHARE: f64 = 0.45;
 
+/// Workers on which nothing runs that work with something to lose leaves alone while it can wait.
+const SPARED: usize = 2;
+/// Time before a job would be late from which it does not wait for a better place any more.
+const PATIENCE: Duration = Duration::from_millis(2_000);
+
 /// A group that waits.
 struct Waiting {
     rank: rank::Rank,
@@ -46,6 +57,8 @@
     priority: u32,
     is_guaranteed: bool,
     is_stopping: bool,
+    /// How much longer it will run by itself.
+    remaining: Duration,
     victim: evict::Victim,
 }
 
@@ -187,6 +200,7 @@
                     priority: self.queue(entry).priority,
                     is_guaranteed: guaranteed.contains(id),
                     is_stopping: active.is_stopping,
+                    remaining: self.remaining_run(now, entry, key, active),
                     victim: evict::Victim { cost, seats: seats.collect() },
                 });
             }
@@ -197,7 +211,7 @@
     /// What stopping a group loses, in processor seconds.
     fn stop_cost(&self, now: Moment, entry: &Entry, key: &GroupKey, active: &Active) -> f64 {
         let Some(step) = entry.step(key.step) else { return 0.0 };
-        if active.is_stopping || self.is_nearly_done(now, entry, key, active) {
+        if active.is_stopping {
             return 0.0;
         }
         let ran = now.steady.saturating_sub(active.began.unwrap_or(active.since));
@@ -206,21 +220,27 @@
         Room::read(step.room.as_ref()).weight() * tasks * lost.as_secs_f64()
     }
 
-    fn is_nearly_done(&self, now: Moment, entry: &Entry, key: &GroupKey, active: &Active) -> bool {
-        let Some(step) = entry.step(key.step) else { return false };
-        let ran = now.steady.saturating_sub(active.began.unwrap_or(active.since));
+    /// How much longer a group's run will take.
+    fn remaining_run(
+        &self,
+        now: Moment,
+        entry: &Entry,
+        key: &GroupKey,
+        active: &Active,
+    ) -> Duration {
+        let Some(step) = entry.step(key.step) else { return Duration::MAX };
         let expected = self.expect(entry, step);
-        let percent = active.left.iter().filter_map(|(index, name)| {
+        let of = |(index, name): (&u32, &WorkerName)| {
             let task = Task {
                 job: entry.job.id.clone(),
                 occurrence: key.occurrence,
                 step: key.step,
                 index: *index,
             };
-            self.workers.get(name)?.runs.get(&task).map(|run| run.percent)
-        });
-        let percent = percent.min().unwrap_or(0);
-        percent >= NEARLY_DONE_PERCENT || (ran < expected && ran + NEARLY_DONE >= expected)
+            let run = self.workers.get(name)?.runs.get(&task)?;
+            Some(run.remaining(expected, now.steady))
+        };
+        active.left.iter().filter_map(of).max().unwrap_or(Duration::MAX)
     }
 
     fn ask(&self, entry: &Entry, key: &GroupKey) -> Option<Ask> {
@@ -261,7 +281,12 @@
         let Some(ask) = self.ask(entry, key) else { return };
         let queue = self.queue(entry);
         let reach = self.reach(now, board, entry, key, &ask, is_guaranteed);
-        if let Some(seats) = seat::seat(&board.places, &ask, reach) {
+        let seats = if self.can_wait(now, entry, key) {
+            seat::seat(&seat::spare(&board.places, SPARED), &ask, reach)
+        } else {
+            seat::seat(&board.places, &ask, reach)
+        };
+        if let Some(seats) = seats {
             self.place(now, board, id, key, &ask, &seats);
             return;
         }
@@ -278,6 +303,17 @@
         }
     }
 
+    /// Whether a group would lose work if it were stopped, and has time to wait for a place
+    /// where it is not in the way of urgent ones.
+    fn can_wait(&self, now: Moment, entry: &Entry, key: &GroupKey) -> bool {
+        let saves = entry.step(key.step).is_some_and(|step| step.checkpoints);
+        if self.queue(entry).priority == 0 || saves {
+            return false;
+        }
+        let end = Self::age(entry, now) + entry.remaining(|step| self.expect(entry, step));
+        end + PATIENCE < self.objective(entry)
+    }
+
     /// Whether a group may go where it is slower: when it never fits elsewhere, when it has
     /// waited for as long as the slower run costs, or when its guarantee is about to be missed.
     fn reach(
@@ -361,6 +397,7 @@
                     is_received: false,
                     percent: 0,
                     moved: now.steady,
+                    still: 0,
                     began: now.steady,
                 },
             );
@@ -394,8 +431,14 @@
         };
         let allowed: Vec<usize> =
             (0..board.candidates.len()).filter(|at| may_stop(&board.candidates[*at])).collect();
-        let victims: Vec<evict::Victim> =
-            allowed.iter().map(|at| board.candidates[*at].victim.clone()).collect();
+        let wait = self.wait_for_ends(now, id, key, is_guaranteed);
+        let is_ending = |candidate: &Candidate| candidate.remaining <= wait;
+        let victim = |at: &usize| {
+            let candidate = &board.candidates[*at];
+            let cost = if is_ending(candidate) { 0.0 } else { candidate.victim.cost };
+            evict::Victim { cost, ..candidate.victim.clone() }
+        };
+        let victims: Vec<evict::Victim> = allowed.iter().map(victim).collect();
         let Some(outcome) = evict::choose(&board.places, &victims, ask, reach) else { return };
         let mut seats = Vec::new();
         for seat in &outcome.seats {
@@ -412,8 +455,7 @@
             let candidate = &mut board.candidates[allowed[victim]];
             // Its room is spoken for from now on.
             candidate.victim.seats.clear();
-            let is_ending = candidate.victim.cost == 0.0;
-            if !candidate.is_stopping && !is_ending {
+            if !candidate.is_stopping && candidate.remaining > wait {
                 candidate.is_stopping = true;
                 stopped.push((candidate.job.clone(), candidate.key));
             }
@@ -425,6 +467,28 @@
         }
     }
 
+    /// How long an urgent group can wait for work to end by itself rather than be stopped.
+    fn wait_for_ends(
+        &self,
+        now: Moment,
+        id: &str,
+        key: &GroupKey,
+        is_guaranteed: bool,
+    ) -> Duration {
+        let Some(entry) = self.table.entries.get(id) else { return Duration::ZERO };
+        let Some(step) = entry.step(key.step) else { return Duration::ZERO };
+        let age = Self::age(entry, now);
+        let end = age + self.expect(entry, step) + OVERHEAD;
+        let objective = self.objective(entry);
+        let slack = objective.saturating_sub(end);
+        let limit = if is_guaranteed {
+            self.options.reclaim.saturating_sub(age + self.options.stop + OVERHEAD)
+        } else {
+            LONGEST_WAIT
+        };
+        if slack.is_zero() { limit.min(LATE_WAIT) } else { slack.min(limit) }.max(NEARLY_DONE)
+    }
+
     /// Jobs of which nothing has started, by queue.
     pub fn pending(&self, queue: &str) -> usize {
         let entries = self.table.entries.values();
@@ -432,9 +496,6 @@
     }
 }
 
-/// Progress from which a run counts as nearly done.
-const NEARLY_DONE_PERCENT: u32 = 94;
-
 /// Keeps room for a group that waits for it to be freed.
 fn take_claim(board: &mut Board, claim: &Claim, ask: &Ask) {
     for (name, tasks) in &claim.seats {
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -125,11 +125,14 @@
         for ended in &poll.ended {
             self.listed_end(now, name, ended);
         }
+        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        let is_new_list = poll.lists != worker.lists;
+        worker.lists = poll.lists;
         for running in &poll.running {
             let Some(run) = &running.run else { continue };
             let task = Task::read(run);
             let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-            if worker.listed(&task, running, now.steady) {
+            if worker.listed(&task, running, is_new_list, now.steady) {
                 self.began(now, &task, run.run);
             } else {
                 self.adopt(now, name, &task, running);
@@ -217,6 +220,7 @@
                 is_received: false,
                 percent: running.percent,
                 moved: now.steady,
+                still: 0,
                 began: now.steady,
             },
         );
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{Fleet, Job, Member, Progress, State, task::WorkerName};
+use sapphire_jobs::{Fleet, Job, Member, Progress, State, Step, room::Room, task::WorkerName};
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
 use crate::{
@@ -321,11 +321,26 @@
             return;
         }
         self.needs_pass = true;
+        self.log_accepted(&id);
         if self.early_cancels.remove(&id) {
             self.cancel(now, &id);
         }
     }
 
+    fn log_accepted(&mut self, id: &str) {
+        let Some(entry) = self.table.entries.get(id) else { return };
+        let steps: Vec<String> = entry.job.steps.iter().map(describe).collect();
+        let (queue, objective) = (self.queue(entry), self.objective(entry).as_millis());
+        let text = format!(
+            "job={id} queue={} organisation={} priority={} objective_ms={objective} steps=[{}]",
+            queue.name,
+            entry.job.organisation,
+            queue.priority,
+            steps.join(" ")
+        );
+        self.log(text);
+    }
+
     /// Takes a cancellation.
     pub(crate) fn cancel(&mut self, now: Moment, id: &str) {
         let Some(entry) = self.table.entries.get_mut(id) else {
@@ -345,3 +360,38 @@
         self.log(format!("job={id} cancelled"));
     }
 }
+
+/// A step in one word: tasks, room of each, declared time and what it asks for.
+fn describe(step: &Step) -> String {
+    let room = Room::read(step.room.as_ref());
+    let mut text = format!(
+        "{}x{}m/{}MiB/{}a/{}ms",
+        step.tasks, room.millicores, room.memory_mib, room.accelerators, step.estimate_ms
+    );
+    let flags = [
+        (step.is_gang, "gang"),
+        (step.wants_one_rack, "one-rack"),
+        (step.checkpoints, "saves"),
+        (step.is_long_running, "lasts"),
+        (step.allows_copies, "copies"),
+        (step.is_filler, "fills"),
+    ];
+    for (_, flag) in flags.iter().filter(|(is_set, _)| *is_set) {
+        text.push(',');
+        text.push_str(flag);
+    }
+    for (name, value) in [("label", &step.label), ("near", &step.near_rack)] {
+        if !value.is_empty() {
+            text.push_str(&format!(",{name}={value}"));
+        }
+    }
+    for (name, value) in [("per-worker", step.per_worker), ("away", step.max_unavailable)] {
+        if value > 0 {
+            text.push_str(&format!(",{name}={value}"));
+        }
+    }
+    if !step.after.is_empty() {
+        text.push_str(&format!(",after={:?}", step.after));
+    }
+    text
+}
--- a/crates/planner/src/watchdog.rs
+++ b/crates/planner/src/watchdog.rs
@@ -9,6 +9,8 @@
 /// Least time without progress that counts as standing still. Above the interval of the reports
 /// and the start-up of a task.
 const STILL: Duration = Duration::from_millis(1_500);
+/// Lists in a row without progress that count as standing still. One may be old.
+const STILL_LISTS: u32 = 2;
 /// Share of its expected time without progress that counts as standing still.
 const STILL_SHARE: f64 = 0.3;
 
@@ -24,7 +26,7 @@
                 continue;
             }
             for (task, run) in &worker.runs {
-                if run.phase != Phase::Running || run.percent >= 100 {
+                if run.phase != Phase::Running || run.percent >= 100 || run.still < STILL_LISTS {
                     continue;
                 }
                 let Some(entry) = self.table.entries.get(&task.job) else { continue };
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -36,6 +36,8 @@
     pub percent: u32,
     /// When the progress last grew.
     pub moved: Duration,
+    /// Lists since then in which it had not grown.
+    pub still: u32,
     /// When the minion was first known to run it.
     pub began: Duration,
 }
@@ -79,6 +81,8 @@
     pub noted: u64,
     /// What the agent was last told of `noted`.
     pub noted_sent: u64,
+    /// Lists that its agent has taken from the minion.
+    pub lists: u64,
     /// Its poll that waits.
     pub held: Option<Held>,
 }
@@ -113,7 +117,13 @@
     }
 
     /// Notes a listed task; returns whether it is one that is known.
-    pub fn listed(&mut self, task: &Task, running: &Running, now: Duration) -> bool {
+    pub fn listed(
+        &mut self,
+        task: &Task,
+        running: &Running,
+        is_new_list: bool,
+        now: Duration,
+    ) -> bool {
         let number = running.run.as_ref().map_or(0, |run| run.run);
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return false;
@@ -126,6 +136,9 @@
         if running.percent > run.percent {
             run.percent = running.percent;
             run.moved = now;
+            run.still = 0;
+        } else if is_new_list {
+            run.still += 1;
         }
         true
     }
@@ -137,6 +150,24 @@
     }
 }
 
+impl Run {
+    /// How much longer it will run, from its progress, or from how long it is expected to run
+    /// while it has made too little to tell.
+    pub fn remaining(&self, expected: Duration, now: Duration) -> Duration {
+        let since_moved = now.saturating_sub(self.moved);
+        let whole = if self.percent >= TELLING_PERCENT {
+            self.moved.saturating_sub(self.began).mul_f64(100.0 / f64::from(self.percent))
+        } else {
+            expected
+        };
+        let at_moved = whole.mul_f64(1.0 - f64::from(self.percent.min(100)) / 100.0);
+        at_moved.saturating_sub(since_moved)
+    }
+}
+
+/// Progress from which the run time can be told.
+const TELLING_PERCENT: u32 = 10;
+
 /// Whether a refused start means that the run is certainly not there and never will be.
 pub fn is_settled(rejection: Rejection) -> bool {
     !matches!(rejection, Rejection::None)
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod chaos;
 pub mod check;
+pub mod jobs;
 pub mod store;
 pub mod worker;
 pub mod world;
--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -111,6 +111,7 @@
             return;
         }
         minion.listed = hold.sent;
+        minion.lists += 1;
         minion.started.retain(|_, (_, at)| *at >= hold.sent);
         minion.running = running
             .into_iter()
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -29,6 +29,8 @@
     pub(crate) refusals: u32,
     /// When the hold whose list was taken last was sent.
     pub(crate) listed: Duration,
+    /// Lists taken from it.
+    pub(crate) lists: u64,
     /// Highest token that it has acknowledged to this process.
     pub(crate) fenced: u64,
 }
@@ -211,6 +213,7 @@
             answered: now,
             refusals: 0,
             listed: Duration::ZERO,
+            lists: 0,
             fenced: 0,
         });
         self.wants_list = true;
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -52,6 +52,7 @@
             poll.ended = minion.ended.values().cloned().collect();
             poll.incarnation = Some(minion.incarnation.clone());
             poll.fenced_token = minion.fenced;
+            poll.lists = minion.lists;
         }
         poll
     }
