fix: a task that ended during a hold is not told as running as well

The agent told of the run as ended (from the list) and as running (kept from the accepted start), the planner counted the end and took the run up again, and the job stayed active with nothing running. Change: a started run that the list shows as ended is forgotten; the planner takes up no run that it knows to have ended; a run missing from three lists in a row counts as lost. Test: a_task_that_ended_during_a_hold_is_not_told_as_running failed first. Excluded: an end noted too early (the end was listed again until it was noted).

--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -109,6 +109,7 @@
         };
         active.left.remove(&task.index);
         if active.left.is_empty() {
+            group.ended_run = group.ended_run.max(number);
             group.phase = Phase::Waiting;
             group.since = now.steady;
             self.group_stopped(now, &task.job, key);
--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -56,6 +56,8 @@
     pub run: RunNumber,
     /// Runs that failed.
     pub failed_runs: BTreeSet<RunNumber>,
+    /// Highest run that has come to its end.
+    pub ended_run: RunNumber,
     /// Progress saved; empty for none.
     pub checkpoint: String,
     /// Workers on which it failed.
@@ -73,6 +75,7 @@
             phase: Phase::Waiting,
             run: 0,
             failed_runs: BTreeSet::new(),
+            ended_run: 0,
             checkpoint: String::new(),
             avoid: Vec::new(),
             claim: None,
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -398,6 +398,7 @@
                     percent: 0,
                     moved: now.steady,
                     still: 0,
+                    absent: 0,
                     began: now.steady,
                 },
             );
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -20,6 +20,10 @@
     left.id == right.id && left.born_ms == right.born_ms
 }
 
+/// Lists in a row without a task, and without its end, after which it counts as lost. The first
+/// may have been made before the start was answered.
+const ABSENT_LISTS: u32 = 3;
+
 impl Planner {
     pub(crate) fn poll(&mut self, now: Moment, asker: Asker, poll: Poll) {
         let name = poll.agent.clone();
@@ -143,6 +147,9 @@
             self.verdict(now, name, &Task::read(run), run.run, verdict.rejection());
         }
         self.receive(name, poll);
+        if is_new_list {
+            self.miss_absent(now, name, poll);
+        }
         if is_first {
             self.log(format!("worker={name} fenced, running={}", poll.running.len()));
             self.drop_unlisted(now, name, poll);
@@ -162,6 +169,28 @@
         }
     }
 
+    /// A task that had started and is missing from lists, without an end, is not there.
+    ///
+    /// Guards against a group that waits for ever for an end that was lost.
+    fn miss_absent(&mut self, now: Moment, name: &str, poll: &Poll) {
+        let is_listed = |task: &Task, number: u32| {
+            let mut runs = poll.running.iter().filter_map(|running| running.run.as_ref());
+            runs.any(|run| run.run == number && Task::read(run) == *task)
+        };
+        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        let mut lost = Vec::new();
+        for (task, run) in worker.runs.iter_mut().filter(|(_, run)| run.phase != Phase::Ordered) {
+            run.absent = if is_listed(task, run.number) { 0 } else { run.absent + 1 };
+            if run.absent >= ABSENT_LISTS {
+                lost.push((task.clone(), run.number));
+            }
+        }
+        for (task, number) in lost {
+            self.log(format!("task={task} run={number} worker={name} missing from lists; lost"));
+            self.ended(now, name, &task, number, Ending::Lost, "");
+        }
+    }
+
     /// At the start of a session the list is the whole truth: an order that is not there was
     /// made void by the token.
     fn drop_unlisted(&mut self, now: Moment, name: &str, poll: &Poll) {
@@ -221,6 +250,7 @@
                 percent: running.percent,
                 moved: now.steady,
                 still: 0,
+                absent: 0,
                 began: now.steady,
             },
         );
@@ -240,7 +270,7 @@
         let is_over = entry.is_over();
         let key = GroupKey::of(task, step.is_gang);
         let Some(group) = entry.groups.get_mut(&key) else { return (room, false) };
-        if is_over || group.is_final() || number < group.run {
+        if is_over || group.is_final() || number < group.run || number <= group.ended_run {
             return (room, false);
         }
         match &mut group.phase {
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -38,6 +38,8 @@
     pub moved: Duration,
     /// Lists since then in which it had not grown.
     pub still: u32,
+    /// Lists in a row in which it was missing though it had started.
+    pub absent: u32,
     /// When the minion was first known to run it.
     pub began: Duration,
 }
--- a/crates/proofs/src/jobs/figures.rs
+++ b/crates/proofs/src/jobs/figures.rs
@@ -60,8 +60,7 @@
         let owed = kind.worth.0 * size.min(4.0);
         let chain = arrival.truth[0].work.as_secs_f64();
         let objective = chain * kind.slack.0 + kind.slack.1;
-        let wanted =
-            if arrival.truth[0].always_fails { State::Failed } else { State::Complete };
+        let wanted = if arrival.truth[0].always_fails { State::Failed } else { State::Complete };
         let took = world.shown(&arrival.job.id, wanted).map(|at| at.saturating_sub(arrival.at));
         let share = match took.map(|took| took.as_secs_f64()) {
             Some(took) if took <= objective => 1.0,
--- a/crates/proofs/src/jobs/load.rs
+++ b/crates/proofs/src/jobs/load.rs
@@ -211,7 +211,8 @@
     for (index, kind) in site.kinds.iter().enumerate() {
         let mut at = 0.0;
         loop {
-            let is_burst = index == site.burst.0 && (burst_at..burst_at + site.burst.2).contains(&at);
+            let is_burst =
+                index == site.burst.0 && (burst_at..burst_at + site.burst.2).contains(&at);
             let rate = kind.rate * scale * if is_burst { site.burst.1 } else { 1.0 };
             at += -rng.random_range(1e-9..1.0_f64).ln() / rate;
             if at >= length.as_secs_f64() {
--- a/crates/proofs/src/jobs/minion.rs
+++ b/crates/proofs/src/jobs/minion.rs
@@ -108,7 +108,9 @@
         truth: &BTreeMap<(String, u32), Truth>,
     ) -> Reply {
         let token = match call {
-            Call::Hold { token, .. } | Call::Start { token, .. } | Call::Stop { token, .. } => token,
+            Call::Hold { token, .. } | Call::Start { token, .. } | Call::Stop { token, .. } => {
+                token
+            }
         };
         if *token < self.token {
             return Reply::Refused(Rejection::Fenced);
@@ -120,9 +122,7 @@
                 self.lease = self.lease.max(deadline.unwrap_or_default());
                 self.lists(now, truth)
             }
-            Call::Start { start, deadline, .. } => {
-                self.start(now, start, *deadline, truth)
-            }
+            Call::Start { start, deadline, .. } => self.start(now, start, *deadline, truth),
             Call::Stop { task, number, .. } => {
                 let closed = self.closed.entry(task.clone()).or_default();
                 *closed = (*closed).max(*number);
@@ -157,13 +157,8 @@
         self.lease = self.lease.max(deadline);
         let done = Duration::from_millis(start.checkpoint.parse().unwrap_or(0));
         let since = now;
-        self.active.insert(task, Active {
-            number: run.run,
-            done,
-            began: done,
-            since,
-            stop_at: None,
-        });
+        self.active
+            .insert(task, Active { number: run.run, done, began: done, since, stop_at: None });
         let rooms = self.active.keys().filter_map(|task| truth.get(&(task.job.clone(), task.step)));
         let used = rooms.fold(Room::default(), |sum, truth| sum.plus(truth.room));
         let capacity = Room::read(self.incarnation.capacity.as_ref());
@@ -194,8 +189,7 @@
         let closed = self.closed.entry(task.clone()).or_default();
         *closed = (*closed).max(active.number);
         let saves = truth.is_some_and(|truth| truth.checkpoints) && ending == Ending::Stopped;
-        let checkpoint =
-            if saves { active.done.as_millis().to_string() } else { String::new() };
+        let checkpoint = if saves { active.done.as_millis().to_string() } else { String::new() };
         if ending != Ending::Done && !saves {
             let lost = active.done.saturating_sub(active.began).as_secs_f64();
             self.waste += truth.map_or(0.0, |truth| truth.room.weight()) * lost;
--- a/crates/proofs/src/jobs/world.rs
+++ b/crates/proofs/src/jobs/world.rs
@@ -67,13 +67,7 @@
     Beat(usize),
     Step,
     Front(usize, u64, front::event::Event),
-    Store {
-        entry: usize,
-        life: u64,
-        origin: Origin,
-        call: Call,
-        sent: Duration,
-    },
+    Store { entry: usize, life: u64, origin: Origin, call: Call, sent: Duration },
     Planner(usize, u64, planner::event::Event),
     Poll { entry: usize, agent: usize, life: u64, ticket: u64, poll: Box<sapphire_jobs::Poll> },
     Feed { entry: usize, asker: usize, life: u64, poll: sapphire_jobs::FeedPoll, sent: Duration },
@@ -512,12 +506,7 @@
         self.after(latency, Action::Runner(agent, life, event));
     }
 
-    fn give_feed(
-        &mut self,
-        region: usize,
-        asker: u64,
-        feed: Option<Box<sapphire_jobs::Feed>>,
-    ) {
+    fn give_feed(&mut self, region: usize, asker: u64, feed: Option<Box<sapphire_jobs::Feed>>) {
         let Some(Waiting::Entry { entry, life, sent }) = self.askers.get(&asker).copied() else {
             return;
         };
@@ -606,14 +595,7 @@
         self.after(latency + STORE, Action::Store { entry, life, origin, call, sent });
     }
 
-    fn store_call(
-        &mut self,
-        entry: usize,
-        life: u64,
-        origin: Origin,
-        call: Call,
-        sent: Duration,
-    ) {
+    fn store_call(&mut self, entry: usize, life: u64, origin: Origin, call: Call, sent: Duration) {
         let timeout = Duration::from_millis(700);
         if !self.is_store_up || !self.entries[entry].reaches_store {
             let reply = Reply::Unavailable("no answer".to_owned());
--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -123,6 +123,10 @@
         for end in ended.into_iter().filter(|end| end.number > noted) {
             has_ended |= minion.ended.insert(end.number, end).is_none();
         }
+        // Guards against telling of one run as ended and as running: it may have started and
+        // ended while this hold was waiting, and the planner would take it up again.
+        let ended = &minion.ended;
+        minion.started.retain(|_, (running, _)| !ended.values().any(|end| end.run == running.run));
         self.has_news |= has_ended;
         if minion.ended.is_empty() {
             self.next_hold = now;
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -182,7 +182,7 @@
             let has_ended = minion.ended.values().any(|ended| ended.run.as_ref() == Some(&run));
             if has_ended {
                 settled.push(task.clone());
-            } else if !is_running && list_sent > answered {
+            } else if !is_running && list_sent >= answered {
                 absent.push((task.clone(), run));
             } else {
                 is_waiting |= now > answered + self.options.stop;
--- /dev/null
+++ b/crates/runner/tests/agent/mod.rs
@@ -0,0 +1,231 @@
+//! The agent's machine, told event by event.
+
+use std::time::Duration;
+
+use sapphire_jobs::{
+    Ended, Ending, Incarnation, Lead, Orders, Poll, Rejection, Run, Start, room::Room,
+};
+use sapphire_runner::{
+    effect::Effect,
+    event::{Event, Ticket},
+    machine::Machine,
+    minion::{Beat, Call, Reply},
+    options::Options,
+};
+
+const LEASE: Duration = Duration::from_secs(6);
+const TOKEN: u64 = 7_000_001;
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn run(number: u32) -> Run {
+    Run { job: "j".to_owned(), occurrence: 0, step: 0, index: 0, run: number }
+}
+
+fn start(number: u32) -> Start {
+    Start { run: Some(run(number)), spec: "s".to_owned(), ..Start::default() }
+}
+
+/// An agent with the effects that it has asked for and that are not answered yet.
+struct Bench {
+    machine: Machine,
+    polls: Vec<(Ticket, Poll)>,
+    calls: Vec<(Ticket, Call)>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let machine = Machine::new(Options {
+            name: "a".to_owned(),
+            address: "a:1".to_owned(),
+            generation: 1,
+            entries: vec!["e:1".to_owned()],
+            stop: ms(400),
+        });
+        Bench { machine, polls: Vec::new(), calls: Vec::new() }
+    }
+
+    fn tell(&mut self, now: u64, event: Event) {
+        for effect in self.machine.handle(ms(now), event) {
+            match effect {
+                Effect::Poll { ticket, poll, .. } => self.polls.push((ticket, *poll)),
+                Effect::Minion { ticket, call, .. } => self.calls.push((ticket, call)),
+                _ => {}
+            }
+        }
+    }
+
+    fn beat(&mut self, now: u64, born_ms: u64, sequence: u64, is_draining: bool) {
+        let incarnation = Incarnation {
+            id: "m".to_owned(),
+            born_ms,
+            service: "desk".to_owned(),
+            capacity: Some(Room { accelerators: 8, ..Room::default() }.message()),
+            is_draining,
+            ..Incarnation::default()
+        };
+        let beat = Beat { incarnation, address: "m:1".to_owned(), sequence };
+        self.tell(now, Event::Beat(Box::new(beat)));
+    }
+
+    /// Answers all polls that wait, the latest with orders.
+    fn orders(&mut self, now: u64, starts: Vec<Start>, stops: Vec<Run>) {
+        let mut waiting = std::mem::take(&mut self.polls);
+        let (ticket, _) = waiting.pop().expect("the agent has polled");
+        for (ticket, _) in waiting {
+            let orders = Orders { term: 7, token: TOKEN, ..Orders::default() };
+            self.tell(now, Event::Orders(ticket, Box::new(orders)));
+        }
+        let orders = Orders {
+            term: 7,
+            token: TOKEN,
+            lease_ms: LEASE.as_millis() as u64,
+            starts,
+            stops,
+            ..Orders::default()
+        };
+        self.tell(now, Event::Orders(ticket, Box::new(orders)));
+    }
+
+    /// Takes the first call that a test asks for.
+    fn take(&mut self, wanted: impl Fn(&Call) -> bool) -> Ticket {
+        let at = self.calls.iter().position(|(_, call)| wanted(call)).expect("the call was made");
+        self.calls.remove(at).0
+    }
+
+    fn list(&mut self, now: u64, ticket: Ticket, ended: Vec<Ended>) {
+        let reply = Reply::Listed { clock: ms(now), running: Vec::new(), ended };
+        self.tell(now, Event::Minion(ticket, reply));
+    }
+
+    /// An agent whose minion has acknowledged the session's token.
+    fn fenced() -> Self {
+        let mut bench = Bench::new();
+        bench.beat(0, 1, 1, false);
+        let lead = Lead { name: "e".to_owned(), address: "e:1".to_owned(), term: 7, generation: 1 };
+        bench.tell(10, Event::Lead(lead));
+        bench.orders(20, Vec::new(), Vec::new());
+        let hold = bench.take(|call| matches!(call, Call::Hold { wait, .. } if wait.is_zero()));
+        bench.list(30, hold, Vec::new());
+        bench.tell(40, Event::Tick);
+        bench.orders(60, Vec::new(), Vec::new());
+        bench
+    }
+}
+
+fn is_start(call: &Call) -> bool {
+    matches!(call, Call::Start { .. })
+}
+
+/// A caller's job stays active for ever though nothing of it runs. A task starts and fails while
+/// a hold that was sent before its start is still waiting; the answer lists the end. The agent
+/// told of the same run as ended and as running, so the planner counted the end and took the run
+/// up again, and waited for an end that had already come.
+#[test]
+fn a_task_that_ended_during_a_hold_is_not_told_as_running() {
+    let mut bench = Bench::fenced();
+    let hold = bench.take(|call| matches!(call, Call::Hold { wait, .. } if !wait.is_zero()));
+    bench.orders(100, vec![start(1)], Vec::new());
+    let order = bench.take(is_start);
+    bench.tell(110, Event::Minion(order, Reply::Done));
+    bench.tell(120, Event::Tick);
+    bench.orders(300, Vec::new(), Vec::new());
+    let ended = Ended {
+        number: 1,
+        run: Some(run(1)),
+        ending: Ending::Faulty.into(),
+        checkpoint: String::new(),
+    };
+    bench.list(400, hold, vec![ended]);
+    bench.tell(420, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert_eq!(poll.ended.len(), 1);
+    assert!(poll.running.is_empty(), "told as running: {:?}", poll.running);
+}
+
+/// A farmer is billed twice. An order to start gets no answer; it may be carried out at any time
+/// until its lease has run out. The agent sends it again, with the same run, so that a late one
+/// finds the run already there.
+#[test]
+fn an_order_without_an_answer_is_sent_again_as_the_same_run() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(3)], Vec::new());
+    let first = bench.take(is_start);
+    bench.tell(400, Event::Minion(first, Reply::Unknown));
+    let again = bench.calls.iter().find(|(_, call)| is_start(call)).expect("sent again");
+    let Call::Start { start: order, token, .. } = &again.1 else { unreachable!() };
+    assert_eq!(order.run, Some(run(3)));
+    assert_eq!(*token, TOKEN);
+}
+
+/// Two machines work on the same task. An agent is cut off from the planner, which waits until
+/// the minion's lease has certainly run out and starts the task elsewhere. An order that the
+/// agent still has in hand must not go out after that.
+#[test]
+fn nothing_is_started_without_a_lease() {
+    let mut bench = Bench::fenced();
+    let lapsed = 20 + LEASE.as_millis() as u64 + 10_000;
+    bench.tell(lapsed, Event::Tick);
+    bench.calls.clear();
+    bench.machine.handle(ms(lapsed), Event::Tick);
+    let orders = Orders {
+        term: 7,
+        token: TOKEN,
+        lease_ms: LEASE.as_millis() as u64,
+        starts: vec![start(1)],
+        ..Orders::default()
+    };
+    // The answer to a poll of long ago: the ticket is not known any more.
+    bench.tell(lapsed + 1, Event::Orders(1, Box::new(orders)));
+    bench.tell(lapsed + 200, Event::Tick);
+    assert!(!bench.calls.iter().any(|(_, call)| is_start(call)));
+}
+
+/// A minion that leaves is given new work, which dies with it. The planner's order was under way
+/// when the minion said that it drains; the agent refuses it by itself.
+#[test]
+fn a_draining_minion_is_given_nothing() {
+    let mut bench = Bench::fenced();
+    bench.beat(50, 1, 2, true);
+    bench.orders(100, vec![start(1)], Vec::new());
+    bench.tell(120, Event::Tick);
+    assert!(!bench.calls.iter().any(|(_, call)| is_start(call)));
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert_eq!(poll.verdicts[0].rejection(), Rejection::Draining);
+}
+
+/// A heartbeat that was held up by a cut arrives after its minion has crashed and another life
+/// of it has registered. Taken for news, it would bring back the dead one.
+#[test]
+fn a_late_heartbeat_of_an_earlier_life_changes_nothing() {
+    let mut bench = Bench::fenced();
+    bench.orders(900, Vec::new(), Vec::new());
+    bench.beat(1_000, 9, 1, false);
+    bench.beat(1_100, 1, 5, false);
+    bench.tell(1_200, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert_eq!(poll.incarnation.as_ref().map(|minion| minion.born_ms), Some(9));
+}
+
+/// A job that was cancelled keeps a worker busy. The order to start is still unanswered when the
+/// order to stop comes; the stop settles it, and the planner hears that the run is not there.
+#[test]
+fn a_stop_settles_a_start_without_an_answer() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(1)], Vec::new());
+    let first = bench.take(is_start);
+    bench.tell(110, Event::Tick);
+    bench.orders(150, Vec::new(), vec![run(1)]);
+    bench.tell(400, Event::Minion(first, Reply::Unknown));
+    let stop = bench.take(|call| matches!(call, Call::Stop { .. }));
+    bench.tell(420, Event::Minion(stop, Reply::Done));
+    bench.orders(430, Vec::new(), Vec::new());
+    let hold = bench.take(|call| matches!(call, Call::Hold { wait, .. } if wait.is_zero()));
+    bench.list(440, hold, Vec::new());
+    bench.tell(460, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert!(poll.pending.is_empty());
+    assert_eq!(poll.verdicts.last().map(|verdict| verdict.rejection()), Some(Rejection::Old));
+}
--- /dev/null
+++ b/crates/runner/tests/runner.rs
@@ -0,0 +1,3 @@
+//! Tests of the agent beside a minion.
+
+mod agent;
