fix: an agent that has just started says nothing of its minion's end; a minion may be reborn under its name

Cause, found in the virtual world (tests a_planner..., an_agent_that_restarts_takes_up_what_runs and minions_crash_and_come_back failed first, with tasks running twice): (1) an agent that restarts knows of no minion until the next heartbeat; its second poll was taken to mean that the minion had ended, and what ran there was started elsewhere. (2) A minion that starts again under its old name takes orders before the agent has noticed; the planner took the new life's runs for dead. Change: the agent says expressly that a minion has ended; lists carry the minion's birth, so that a new life is met at once; at a new life the planner waits for its first list. Excluded: late orders (the runs were the agent's own, answered at the first try).

--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -27,6 +27,10 @@
 /// A job later than this many objectives is of no use to its caller any more.
 const USEFUL_OBJECTIVES: u32 = 3;
 
+/// Share of its objective that a job of the lowest priorities may still wait when it begins to
+/// compete with those above. Without it a burst leaves hardly any of them on time.
+const PRESSING: f64 = 0.35;
+
 /// Whether a job can still be of use to its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Hope {
@@ -73,12 +77,19 @@
     }
 }
 
+/// Whether a job that has given way to more urgent ones would soon be late.
+fn is_pressing(job: &Job) -> bool {
+    let slack = job.objective.saturating_sub(job.age + job.remaining);
+    slack < job.objective.mul_f64(PRESSING)
+}
+
 /// Place of a job in the order.
 pub fn rank(job: &Job) -> Rank {
     let hope = hope(job);
     let tier = match (job.priority, job.is_guaranteed, hope) {
         (0, true, _) => 0,
         (0, false, Hope::OnTime | Hope::Late) => 1,
+        (priority, _, Hope::OnTime) if priority > 1 && is_pressing(job) => 3,
         (priority, ..) => 2 + priority,
     };
     let end = job.age + job.remaining;
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -88,7 +88,7 @@
         let is_new_agent = poll.generation > worker.generation;
         let is_new_minion = match (&worker.incarnation, &poll.incarnation) {
             (Some(known), Some(new)) => !is_same_life(known, new),
-            (Some(_), None) => !is_new_agent,
+            (Some(_), None) => poll.is_minion_gone,
             (None, Some(_)) => true,
             (None, None) => false,
         };
@@ -106,7 +106,7 @@
             worker.noted = 0;
             worker.noted_sent = 0;
         }
-        if poll.incarnation.is_some() || !is_new_agent {
+        if poll.incarnation.is_some() || poll.is_minion_gone {
             worker.incarnation.clone_from(&poll.incarnation);
         }
         let token = worker.token;
@@ -114,7 +114,9 @@
             let id = poll.incarnation.as_ref().map_or("none", |minion| minion.id.as_str());
             self.log(format!("worker={name} minion={id} token={token}"));
             self.suspects.forget(name);
-            if had_minion {
+            // A new life may run what was ordered since it started: its first list tells. One
+            // that has ended without a successor runs nothing.
+            if had_minion && poll.incarnation.is_none() {
                 self.lose_runs(now, name, "its minion has ended");
             }
         }
--- a/crates/planner/src/watchdog.rs
+++ b/crates/planner/src/watchdog.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use sapphire_jobs::task::{GroupKey, Task, WorkerName};
+use sapphire_jobs::{
+    length,
+    task::{GroupKey, Task, WorkerName},
+};
 
 use crate::{
     event::Moment,
@@ -18,8 +21,8 @@
 /// Share of its expected time without progress that counts as standing still.
 const STILL_SHARE: f64 = 0.25;
 /// Share of the expected speed below which a run is slow. Declared times are up to half too
-/// short, so a sound worker reaches 0.66 and rarely less than 0.5.
-const SLOW: f64 = 0.35;
+/// short, so a sound worker reaches 0.5 at least; one that is slow is so by four times or more.
+const SLOW: f64 = 0.3;
 /// Least time after which the speed of a run is told.
 const TELLING: Duration = Duration::from_millis(1_000);
 /// A slow run goes elsewhere when what is left of it takes so many times longer than a whole run
@@ -89,8 +92,9 @@
             return Some(Fault::Still);
         }
         let ran = run.moved.saturating_sub(run.began);
+        let longest = expected.max(length::declared(step) * factor);
         let gained = f64::from(run.percent.saturating_sub(run.first_percent)) / 100.0;
-        let speed = gained * expected.as_secs_f64() / ran.as_secs_f64().max(f64::MIN_POSITIVE);
+        let speed = gained * longest.as_secs_f64() / ran.as_secs_f64().max(f64::MIN_POSITIVE);
         if ran < TELLING || speed >= SLOW {
             return None;
         }
--- a/crates/proofs/src/jobs/minion.rs
+++ b/crates/proofs/src/jobs/minion.rs
@@ -177,6 +177,7 @@
             }
         });
         Reply::Listed {
+            born_ms: self.incarnation.born_ms,
             clock: now,
             running: running.collect(),
             ended: self.ended.values().cloned().collect(),
--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphire_jobs::{Ended, Rejection, Running, task::Task};
+use sapphire_jobs::{Ended, Incarnation, Rejection, Running, task::Task};
 
 use crate::{
     event::Ticket,
@@ -77,7 +77,10 @@
     fn held(&mut self, now: Duration, hold: Hold, reply: Reply) {
         self.next_hold = now + options::LISTED_PAUSE;
         match reply {
-            Reply::Listed { clock, running, ended } => {
+            Reply::Listed { born_ms, .. } if self.is_other_life(born_ms) => {
+                self.reborn(now, born_ms);
+            }
+            Reply::Listed { clock, running, ended, .. } => {
                 self.listed(now, hold, clock, running, ended);
             }
             Reply::Refused(Rejection::Fenced) => {
@@ -91,6 +94,28 @@
         }
     }
 
+    fn is_other_life(&self, born_ms: u64) -> bool {
+        let known = self.minion.as_ref().map(|minion| minion.incarnation.born_ms);
+        born_ms > 0 && known.is_some_and(|known| known != born_ms)
+    }
+
+    /// The minion has started again under the name that it had.
+    ///
+    /// Guards against taking the new life for the old one: it has seen no token and runs nothing
+    /// of before, but it may already run what was ordered since it started.
+    fn reborn(&mut self, now: Duration, born_ms: u64) {
+        let Some(minion) = &self.minion else { return };
+        let incarnation = Incarnation { born_ms, ..minion.incarnation.clone() };
+        if born_ms < minion.incarnation.born_ms {
+            // Late, from the life before.
+            return;
+        }
+        let (address, sequence) = (minion.address.clone(), 0);
+        let id = incarnation.id.clone();
+        self.log(format!("minion={id} born_ms={born_ms} answers under the same name"));
+        self.begin_life(now, incarnation, address, sequence);
+    }
+
     fn listed(
         &mut self,
         now: Duration,
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -67,6 +67,8 @@
 pub struct Machine {
     pub(crate) options: Options,
     pub(crate) minion: Option<Minion>,
+    /// It has known a minion.
+    pub(crate) has_met: bool,
     pub(crate) session: Session,
     pub(crate) lead: Option<Lead>,
     pub(crate) entries: Vec<String>,
@@ -103,6 +105,7 @@
         Machine {
             options,
             minion: None,
+            has_met: false,
             session: Session::default(),
             lead: None,
             entries,
@@ -203,11 +206,24 @@
     fn meet(&mut self, now: Duration, beat: Beat) {
         let Incarnation { id, born_ms, .. } = &beat.incarnation;
         self.log(format!("minion={id} born_ms={born_ms} address={} met", beat.address));
+        let Beat { incarnation, address, sequence } = beat;
+        self.begin_life(now, incarnation, address, sequence);
+    }
+
+    /// Begins with a life of the minion of which nothing is known yet.
+    pub(crate) fn begin_life(
+        &mut self,
+        now: Duration,
+        incarnation: Incarnation,
+        address: String,
+        sequence: u64,
+    ) {
         self.forget_minion();
+        self.has_met = true;
         self.minion = Some(Minion {
-            incarnation: beat.incarnation,
-            address: beat.address,
-            sequence: beat.sequence,
+            incarnation,
+            address,
+            sequence,
             clock: None,
             running: BTreeMap::new(),
             started: BTreeMap::new(),
--- a/crates/runner/src/minion.rs
+++ b/crates/runner/src/minion.rs
@@ -54,6 +54,8 @@
 pub enum Reply {
     /// What runs and what has ended.
     Listed {
+        /// Unix time of the start of the life that answers; 0 when it doesn't say.
+        born_ms: u64,
         /// The minion's clock.
         clock: Duration,
         /// Tasks that run.
