feat: a worker's speed is judged apart from its failures

Cause: a task that was done cleared a slow worker, which then took the next task at an eighth of the speed.

--- a/crates/plan/src/suspect.rs
+++ b/crates/plan/src/suspect.rs
@@ -27,8 +27,14 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
+    /// Failures in a row.
     in_a_row: u32,
+    /// It is avoided for its failures until then.
     until: Duration,
+    /// Times that it was found slow since it was last found to be at speed.
+    slow_times: u32,
+    /// It is avoided for its speed until then.
+    slow_until: Duration,
 }
 
 /// What has been seen of each worker.
@@ -38,9 +44,19 @@
 }
 
 impl Suspects {
-    /// A task was done there.
+    /// A task was done there. Its speed is another matter.
     pub fn succeeded(&mut self, worker: &str) {
-        self.workers.remove(worker);
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.in_a_row = 0;
+            record.until = Duration::ZERO;
+        }
+    }
+
+    /// A task there is as fast as it should be.
+    pub fn at_speed(&mut self, worker: &str) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.slow_times = 0;
+        }
     }
 
     /// A task failed there, stood still or fell far behind.
@@ -51,12 +67,15 @@
         record.until = now + time.min(LONGEST);
     }
 
-    /// A task there is far slower than it should be. It is the last choice for a moment, again
-    /// for as long as it is seen to be slow.
+    /// A task there is far slower than it should be. It is the last choice for a moment, for
+    /// longer each time that it is found to be slow again.
     pub fn slowed(&mut self, worker: &str, now: Duration) {
         let record = self.workers.entry(worker.to_owned()).or_default();
-        record.in_a_row = record.in_a_row.max(1);
-        record.until = record.until.max(now + FIRST);
+        if now >= record.slow_until {
+            record.slow_times += 1;
+        }
+        let time = FIRST * 2_u32.pow((record.slow_times - 1).min(8));
+        record.slow_until = record.slow_until.max(now + time.min(LONGEST));
     }
 
     /// The worker's minion has been replaced by another.
@@ -68,7 +87,7 @@
     pub fn doubt(&self, worker: &str, now: Duration) -> Doubt {
         match self.workers.get(worker) {
             Some(record) if now < record.until && record.in_a_row >= CLOSED_AFTER => Doubt::Closed,
-            Some(record) if now < record.until => Doubt::Last,
+            Some(record) if now < record.until.max(record.slow_until) => Doubt::Last,
             _ => Doubt::None,
         }
     }
--- a/crates/planner/src/watchdog.rs
+++ b/crates/planner/src/watchdog.rs
@@ -23,6 +23,8 @@
 /// Share of the expected speed below which a run is slow. Declared times are up to half too
 /// short, so a sound worker reaches 0.5 at least; one that is slow is so by four times or more.
 const SLOW: f64 = 0.3;
+/// Share of the expected speed from which a worker counts as sound.
+const AT_SPEED: f64 = 0.6;
 /// Least time after which the speed of a run is told.
 const TELLING: Duration = Duration::from_millis(1_000);
 /// A slow run goes elsewhere when what is left of it takes so many times longer than a whole run
@@ -42,6 +44,8 @@
     Hopeless,
     /// It is slow.
     Slow,
+    /// It is as fast as it should be.
+    None,
 }
 
 impl Planner {
@@ -62,14 +66,17 @@
             }
         }
         for (name, task, fault) in faults {
-            self.suspects.slowed(&name, now.steady);
             match fault {
-                Fault::Slow => {}
+                Fault::None => self.suspects.at_speed(&name),
+                Fault::Slow => self.suspects.slowed(&name, now.steady),
+                Fault::Hopeless => {
+                    self.suspects.slowed(&name, now.steady);
+                    self.move_away(&name, &task, "is far too slow");
+                }
                 Fault::Still => {
                     self.suspects.failed(&name, now.steady);
                     self.move_away(&name, &task, "stands still");
                 }
-                Fault::Hopeless => self.move_away(&name, &task, "is far too slow"),
             }
         }
     }
@@ -95,9 +102,12 @@
         let longest = expected.max(length::declared(step) * factor);
         let gained = f64::from(run.percent.saturating_sub(run.first_percent)) / 100.0;
         let speed = gained * longest.as_secs_f64() / ran.as_secs_f64().max(f64::MIN_POSITIVE);
-        if ran < TELLING || speed >= SLOW {
+        if ran < TELLING {
             return None;
         }
+        if speed >= SLOW {
+            return (speed >= AT_SPEED).then_some(Fault::None);
+        }
         let elsewhere = self.expect(entry, step) + MOVE;
         let is_hopeless = run.remaining(expected, now.steady) > elsewhere.mul_f64(WORTH_MOVING);
         Some(if is_hopeless { Fault::Hopeless } else { Fault::Slow })
--- a/crates/proofs/tests/jobs/mod.rs
+++ b/crates/proofs/tests/jobs/mod.rs
@@ -237,19 +237,22 @@
     assert!(failed.count() <= 1);
 }
 
-/// A worker is eight times slower than it should be. Its tasks move on when that pays, and new
-/// ones go elsewhere: the day loses little.
+/// Two of eleven workers are eight times slower than they should be. Their tasks move on when
+/// that pays, and new ones go elsewhere, so that most callers notice nothing.
 #[test]
-fn a_slow_worker_is_told_by_its_speed() {
-    let mean = |slow: f64| {
-        let (mut world, arrivals) = world(7, 0.7);
-        world.minion(1).slow = slow;
-        world.minion(5).slow = slow;
+fn slow_workers_are_told_by_their_speed() {
+    let mut sum = 0.0;
+    let seeds = 7..=16;
+    let count = seeds.clone().count() as f64;
+    for seed in seeds {
+        let (mut world, arrivals) = world(seed, 0.7);
+        world.minion(1).slow = 8.0;
+        world.minion(5).slow = 8.0;
         world.run_until(END);
         check(&world, &arrivals);
-        figures::figures(&load::ATLANTICA, &arrivals, &world).mean
-    };
-    assert!(mean(8.0) > mean(1.0) - 0.12);
+        sum += figures::figures(&load::ATLANTICA, &arrivals, &world).mean;
+    }
+    assert!(sum / count > 0.88, "mean worth {:.3}", sum / count);
 }
 
 /// Faults of all kinds, drawn from seeds, together and twice: no promise is broken and every
