fix: a job whose declared time is far too short blames no worker

Change: a task is slow only against the longest of what was declared, expected and usual for its kind and of what its siblings on other workers seem to take.

--- a/crates/plan/src/estimate.rs
+++ b/crates/plan/src/estimate.rs
@@ -86,6 +86,12 @@
         Duration::from_secs_f64(expected.clamp(0.0, 20.0).exp())
     }
 
+    /// How long work of a kind usually runs, once some has been seen.
+    pub fn usual_kind(&self, kind: &Kind) -> Option<Duration> {
+        let learned = self.learned.get(kind).filter(|learned| learned.count > 0.0)?;
+        Some(Duration::from_secs_f64(learned.time.clamp(0.0, 20.0).exp()))
+    }
+
     /// How much longer a job is expected to run. One that outlives its estimate is expected to
     /// run for half as long again as it has, so that it loses its place gradually.
     pub fn remaining(expected: Duration, ran: Duration) -> Duration {
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -8,7 +8,7 @@
 use sapphire_jobs::{
     Progress, State, Step, Tally, length,
     room::Room,
-    task::{GroupKey, JobId},
+    task::{GroupKey, JobId, Task},
 };
 
 use crate::{
@@ -254,3 +254,9 @@
         }
     }
 }
+
+/// Keys of the groups of a task's step, in its occurrence.
+pub fn step_range(task: &Task) -> std::ops::RangeInclusive<GroupKey> {
+    let key = |index| GroupKey { occurrence: task.occurrence, step: task.step, index };
+    key(0)..=key(u32::MAX)
+}
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -161,16 +161,18 @@
 }
 
 impl Run {
+    /// How long a whole run takes at this one's speed, once it has made enough progress to tell.
+    pub fn whole(&self) -> Option<Duration> {
+        let gained = self.percent.saturating_sub(self.first_percent);
+        let ran = self.moved.saturating_sub(self.began);
+        (gained >= TELLING_PERCENT).then(|| ran.mul_f64(100.0 / f64::from(gained)))
+    }
+
     /// How much longer it will run, from its progress, or from how long it is expected to run
     /// while it has made too little to tell.
     pub fn remaining(&self, expected: Duration, now: Duration) -> Duration {
         let since_moved = now.saturating_sub(self.moved);
-        let gained = self.percent.saturating_sub(self.first_percent);
-        let whole = if gained >= TELLING_PERCENT {
-            self.moved.saturating_sub(self.began).mul_f64(100.0 / f64::from(gained))
-        } else {
-            expected
-        };
+        let whole = self.whole().unwrap_or(expected);
         let at_moved = whole.mul_f64(1.0 - f64::from(self.percent.min(100)) / 100.0);
         at_moved.saturating_sub(since_moved)
     }
