fix: an agent without a minion says so, and no successor waits for it

The new planner waited until 47.7 s for the leases of seven minions that were no more, since their agents had just started and could not say; every job accepted before waited with it. Change: an agent that knows of no minion looks whether anything listens where it would; three refused connections say that nothing runs there. The planner strikes such a worker from its list. Tests: an_agent_without_a_minion_says_so and, for the other way, ..._has_not_met_its_minion_says_nothing. Excluded: the lease itself (all other workers had answered within 0.4 s).

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -93,6 +93,7 @@
             (None, None) => false,
         };
         worker.generation = poll.generation;
+        worker.is_vacant = poll.is_minion_gone && poll.incarnation.is_none();
         let is_new_session = is_new_agent || is_new_minion || worker.token == 0;
         if is_new_session {
             self.sessions += 1;
@@ -124,10 +125,20 @@
         if is_draining && !was_draining {
             self.log(format!("worker={name} drains"));
         }
+        if poll.is_minion_gone && poll.incarnation.is_none() {
+            self.strike_vacant(now, name);
+        }
         self.needs_pass |= is_new_session || is_draining != was_draining;
         is_new_session
     }
 
+    /// Nothing runs on a worker without a minion, and a successor need not wait for it.
+    fn strike_vacant(&mut self, now: Moment, name: &str) {
+        self.lose_runs(now, name, "it has no minion");
+        self.strike(name);
+        self.check_settled(now);
+    }
+
     /// Brings the ledger of a worker in line with what its minion lists.
     fn reconcile(&mut self, now: Moment, name: &str, poll: &Poll) {
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -276,8 +276,10 @@
             return;
         }
         let workers = &self.workers;
-        let is_fenced = |name: &String| workers.get(name).is_some_and(|worker| worker.is_fenced);
-        self.startup.unheard.retain(|name| !is_fenced(name));
+        let is_known = |name: &String| {
+            workers.get(name).is_some_and(|worker| worker.is_fenced || worker.is_vacant)
+        };
+        self.startup.unheard.retain(|name| !is_known(name));
         let wait = self.options.lapse() + options::OUTAGE;
         if !self.startup.unheard.is_empty() && now.steady < self.startup.began + wait {
             return;
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -73,6 +73,8 @@
     /// The minion has acknowledged the token, so that no earlier order can take effect any more
     /// and its list is the whole truth.
     pub is_fenced: bool,
+    /// It has no minion, and whatever minion it had has ended.
+    pub is_vacant: bool,
     /// Its agent is about to end.
     pub is_leaving: bool,
     /// When its agent last asked.
--- a/crates/proofs/src/jobs/world.rs
+++ b/crates/proofs/src/jobs/world.rs
@@ -1105,6 +1105,7 @@
         address: format!("a{agent}"),
         generation: life,
         entries: (0..3).map(|entry| format!("e{entry}")).collect(),
+        tasks: format!("m{agent}"),
         stop: Duration::from_millis(400),
     }
 }
--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -5,6 +5,7 @@
 use sapphire_jobs::{Ended, Incarnation, Rejection, Running, task::Task};
 
 use crate::{
+    effect::Effect,
     event::Ticket,
     machine::{Hold, Machine},
     minion::{Call, Reply},
@@ -38,8 +39,49 @@
         Some(Hold { ticket, sent: now, token })
     }
 
+    /// Looks whether a minion is there while none has spoken.
+    ///
+    /// Guards against a planner that waits for the lease of a minion that ended while this
+    /// agent was away: an agent that has just started can't know, but where nothing listens
+    /// nothing runs, and whatever listens there later has started later.
+    pub(crate) fn drive_look(&mut self, now: Duration) {
+        let is_known = self.minion.is_some() || self.is_minion_gone;
+        if is_known || self.options.tasks.is_empty() || self.look.ticket.is_some() {
+            return;
+        }
+        if now < self.look.next {
+            return;
+        }
+        let call = Call::Hold { deadline: None, token: 0, noted: 0, wait: Duration::ZERO };
+        let ticket = self.ticket();
+        self.look.ticket = Some(ticket);
+        let (address, life) = (self.options.tasks.clone(), String::new());
+        let timeout = options::MINION_TIMEOUT;
+        self.out.push(Effect::Minion { ticket, address, life, call, timeout });
+    }
+
+    fn looked(&mut self, now: Duration, reply: &Reply) {
+        self.look.ticket = None;
+        if *reply != Reply::Gone {
+            self.look.refusals = 0;
+            self.look.next = now + options::LOOK_AGAIN;
+            return;
+        }
+        self.look.next = now + options::LOOK_PAUSE;
+        self.look.refusals += 1;
+        if self.look.refusals >= options::REFUSALS && self.minion.is_none() {
+            self.log("no minion: nothing listens where it would".to_owned());
+            self.is_minion_gone = true;
+            self.has_news = true;
+        }
+    }
+
     /// Takes an answer of the minion to any call.
     pub(crate) fn minion_answered(&mut self, now: Duration, ticket: Ticket, reply: Reply) {
+        if self.look.ticket == Some(ticket) {
+            self.looked(now, &reply);
+            return;
+        }
         self.note_presence(now, &reply);
         let hold = [&mut self.waiting_hold, &mut self.quick_hold]
             .into_iter()
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -45,6 +45,14 @@
     pub(crate) token: u64,
 }
 
+/// Whether anything listens where the minion would.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Look {
+    pub(crate) ticket: Option<Ticket>,
+    pub(crate) refusals: u32,
+    pub(crate) next: Duration,
+}
+
 /// What the planner has granted.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Session {
@@ -67,8 +75,9 @@
 pub struct Machine {
     pub(crate) options: Options,
     pub(crate) minion: Option<Minion>,
-    /// It has known a minion.
-    pub(crate) has_met: bool,
+    /// Whatever minion there was has ended.
+    pub(crate) is_minion_gone: bool,
+    pub(crate) look: Look,
     pub(crate) session: Session,
     pub(crate) lead: Option<Lead>,
     pub(crate) entries: Vec<String>,
@@ -105,7 +114,8 @@
         Machine {
             options,
             minion: None,
-            has_met: false,
+            is_minion_gone: false,
+            look: Look::default(),
             session: Session::default(),
             lead: None,
             entries,
@@ -147,6 +157,7 @@
     /// Makes the calls that are due.
     fn go_on(&mut self, now: Duration) {
         self.watch_silence(now);
+        self.drive_look(now);
         self.drive_orders(now);
         self.drive_holds(now);
         self.drive_polls(now);
@@ -219,7 +230,7 @@
         sequence: u64,
     ) {
         self.forget_minion();
-        self.has_met = true;
+        self.is_minion_gone = false;
         self.minion = Some(Minion {
             incarnation,
             address,
@@ -239,6 +250,7 @@
     }
 
     pub(crate) fn forget_minion(&mut self) {
+        self.is_minion_gone |= self.minion.is_some();
         self.minion = None;
         self.orders.clear();
         self.verdicts.clear();
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -13,6 +13,8 @@
     pub generation: u64,
     /// Entries to ask who plans, to begin with.
     pub entries: Vec<String>,
+    /// Where the minion takes orders, if that is known before it speaks; else empty.
+    pub tasks: String,
     /// Longest time that a stopped task may go on.
     pub stop: Duration,
 }
@@ -32,6 +34,10 @@
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Least time between two polls, so that several ends go into one.
 pub const POLL_PAUSE: Duration = Duration::from_millis(8);
+/// Pause between looks at whether a minion is there at all.
+pub const LOOK_PAUSE: Duration = Duration::from_millis(120);
+/// The same once one has answered; its heartbeat says the rest.
+pub const LOOK_AGAIN: Duration = Duration::from_millis(1_000);
 /// Pause before an entry is asked who plans.
 pub const LEAD_PAUSE: Duration = Duration::from_millis(120);
 /// Time for an entry's answer to that.
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -42,7 +42,7 @@
             verdicts: self.verdicts.iter().map(|(verdict, _)| verdict.clone()).collect(),
             pending: pending.collect(),
             is_leaving: self.is_leaving.is_some(),
-            is_minion_gone: self.has_met && self.minion.is_none(),
+            is_minion_gone: self.is_minion_gone && self.minion.is_none(),
             ..Poll::default()
         };
         if let Some(minion) = &self.minion {
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -42,6 +42,7 @@
             address: "a:1".to_owned(),
             generation: 1,
             entries: vec!["e:1".to_owned()],
+            tasks: String::new(),
             stop: ms(400),
         });
         Bench { machine, polls: Vec::new(), calls: Vec::new() }
@@ -236,3 +237,40 @@
     assert!(poll.pending.is_empty());
     assert_eq!(poll.verdicts.last().map(|verdict| verdict.rejection()), Some(Rejection::Old));
 }
+
+/// Every waiting job stands still for eleven seconds. Minions were taken away, then everything
+/// lost power; their agents come back and can't say whether a minion runs beside them, so the new
+/// planner waits until its lease would have run out. Where nothing listens, nothing runs.
+#[test]
+fn an_agent_without_a_minion_says_so() {
+    let options = Options {
+        name: "a".to_owned(),
+        address: "a:1".to_owned(),
+        generation: 2,
+        entries: vec!["e:1".to_owned()],
+        tasks: "m:1".to_owned(),
+        stop: ms(400),
+    };
+    let mut bench = Bench { machine: Machine::new(options), polls: Vec::new(), calls: Vec::new() };
+    for round in 1..=3 {
+        bench.tell(200 * round, Event::Tick);
+        let look = bench.take(|call| matches!(call, Call::Hold { token: 0, .. }));
+        bench.tell(200 * round + 1, Event::Minion(look, Reply::Gone));
+    }
+    let lead = Lead { name: "e".to_owned(), address: "e:1".to_owned(), term: 7, generation: 1 };
+    bench.tell(1_000, Event::Lead(lead));
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert!(poll.is_minion_gone);
+}
+
+/// An agent that has just started beside a minion that runs on must not be taken to say that
+/// the minion has ended.
+#[test]
+fn an_agent_that_has_not_met_its_minion_says_nothing() {
+    let mut bench = Bench::new();
+    let lead = Lead { name: "e".to_owned(), address: "e:1".to_owned(), term: 7, generation: 1 };
+    bench.tell(1_000, Event::Lead(lead));
+    bench.orders(1_500, Vec::new(), Vec::new());
+    bench.tell(1_600, Event::Tick);
+    assert!(bench.polls.iter().all(|(_, poll)| !poll.is_minion_gone));
+}
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -225,6 +225,7 @@
         address: settings.address.clone(),
         generation: u64::try_from(started.unix.as_micros()).unwrap_or(u64::MAX),
         entries: settings.entries.clone(),
+        tasks: settings.tasks.clone(),
         stop: Duration::from_millis(bounds.stop_ms),
     });
     let role = Role {
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -47,6 +47,7 @@
             zone: file.name("zone"),
             address: file.address("address"),
             minion: file.address("minion"),
+            tasks: file.optional_address("tasks"),
             entries: file.addresses("entries", 0),
             metrics: file.optional_address("metrics"),
             bounds: Some(bounds(file)),
