--- a/crates/sapphired/tests/sapphired.rs
+++ b/crates/sapphired/tests/sapphired.rs
@@ -2,4 +2,5 @@
 //! time to pass.
 
 mod fleet;
+mod platform;
 mod processes;
--- /dev/null
+++ b/crates/soak/src/platform.rs
@@ -0,0 +1,262 @@
+//! The platform's side: the store and the minions, spoken to over HTTP.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use sapphire_jobs::{Incarnation, Rejection, Start, room::Room, task::Task};
+use sapphire_net::message::{Request, Response};
+use sapphire_proofs::{
+    jobs::minion::{Minion, Truth},
+    store::Store,
+};
+use sapphire_runner::minion::{Call as Order, Reply as Said};
+use sapphire_store::call::{Call, Condition, Item, Put, Reply};
+use serde_json::{Value, json};
+
+/// What a minion of the stand-in has.
+pub(crate) const CAPACITY: Room = Room { millicores: 8_000, memory_mib: 8_000, accelerators: 4 };
+
+fn text(value: &Value) -> String {
+    value.as_str().unwrap_or_default().to_owned()
+}
+
+fn query(request: &Request, name: &str) -> String {
+    let pairs = request.target.split_once('?').map_or("", |(_, query)| query).split('&');
+    let found = pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name);
+    found.map_or_else(String::new, |(_, value)| value.to_owned())
+}
+
+/// Reads a call to the store.
+pub(crate) fn store_call(request: &Request) -> Option<Call> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+    let path = request.path();
+    let number = |name: &str| query(request, name).parse().unwrap_or(0);
+    if let Some(lease) = path.strip_prefix("/kv-keep/") {
+        return Some(Call::Keep { lease: lease.parse().ok()? });
+    }
+    if let Some(lease) = path.strip_prefix("/kv-lease-end/") {
+        return Some(Call::Revoke { lease: lease.parse().ok()? });
+    }
+    Some(match path {
+        "/kv-key" => Call::Get { key: query(request, "key") },
+        "/kv-range" => Call::Scan {
+            prefix: query(request, "prefix"),
+            after: query(request, "after"),
+            may_be_stale: false,
+        },
+        "/kv-watch" => Call::WatchPrefix {
+            prefix: query(request, "prefix"),
+            after: number("after"),
+            wait: Duration::from_millis(number("wait_ms")),
+        },
+        "/kv-lease" => Call::Grant { ttl: Duration::from_millis(body["ttl_ms"].as_u64()?) },
+        "/kv-txn" => transaction(&body),
+        _ => return None,
+    })
+}
+
+fn transaction(body: &Value) -> Call {
+    let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let condition = |row: &Value| Condition {
+        key: text(&row["key"]),
+        revision: row["revision"].as_u64().unwrap_or(0),
+    };
+    let put = |row: &Value| Put {
+        key: text(&row["key"]),
+        value: Bytes::from(BASE64_STANDARD.decode(text(&row["value"])).unwrap_or_default()),
+        lease: row["lease"].as_u64(),
+    };
+    Call::Commit {
+        conditions: rows("expected_rev").iter().map(condition).collect(),
+        puts: rows("puts").iter().map(put).collect(),
+        removes: rows("remove").iter().map(text).collect(),
+    }
+}
+
+fn item(item: &Item) -> Value {
+    match &item.value {
+        Some(value) => json!({
+            "key": item.key,
+            "value": BASE64_STANDARD.encode(value),
+            "revision": item.revision,
+        }),
+        None => json!({ "key": item.key, "revision": item.revision, "deleted": true }),
+    }
+}
+
+/// Writes an answer of the store.
+pub(crate) fn store_response(call: &Call, reply: &Reply) -> Response {
+    let items = |items: &[Item]| items.iter().map(item).collect::<Vec<_>>();
+    let (status, body) = match reply {
+        Reply::Value(value) if value.revision == 0 => (404, json!({})),
+        Reply::Value(value) => {
+            let bytes = BASE64_STANDARD.encode(&value.bytes);
+            let key = if let Call::Get { key } = call { key.as_str() } else { "" };
+            (200, json!({ "key": key, "value": bytes, "revision": value.revision }))
+        }
+        Reply::Items { items: found, has_more, revision } => {
+            let body = json!({
+                "items": items(found), "has_more": has_more, "store_revision": revision,
+            });
+            (200, body)
+        }
+        Reply::Changes { items: found, revision } => {
+            (200, json!({ "events": items(found), "store_revision": revision }))
+        }
+        Reply::HistoryGone => (410, json!({})),
+        Reply::Committed(revision) => (200, json!({ "revision": revision })),
+        Reply::Refused(found) => (412, json!({ "items": items(found) })),
+        Reply::Leased(lease) => (200, json!({ "lease": lease, "ttl_ms": 1_300 })),
+        Reply::Lapsed => (404, json!({})),
+        _ => (503, json!({})),
+    };
+    Response::new(status, body.to_string())
+}
+
+/// Writes the operators' configuration: one queue, one organisation.
+pub(crate) fn configure(store: &mut Store, now: Duration) {
+    let config = json!({
+        "version": 1,
+        "routes": [{
+            "name": "q", "host": "soak.example", "prefix": "/q/", "service": "desk",
+            "priority": 1, "max_attempts": 3, "slack_factor": 3.0, "target_latency_ms": 500,
+        }],
+        "services": [{ "name": "desk" }],
+        "tenants": [{ "name": "o", "api_keys": ["k"], "guaranteed": { "gpu": 4 } }],
+    });
+    let put = Call::Put {
+        key: "op/config".to_owned(),
+        expected: 0,
+        value: Bytes::from(config.to_string()),
+        lease: None,
+    };
+    store.call(now, &put);
+}
+
+/// A life of a minion.
+pub(crate) fn incarnation(agent: u8, born_ms: u64) -> Incarnation {
+    Incarnation {
+        id: format!("m{agent}"),
+        born_ms,
+        service: "desk".to_owned(),
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        rack: "r1".to_owned(),
+        capacity: Some(CAPACITY.message()),
+        ..Incarnation::default()
+    }
+}
+
+/// A heartbeat of a minion.
+pub(crate) fn beat(minion: &Minion, address: &str, sequence: u64) -> Request {
+    let body = json!({
+        "service": "desk", "address": address, "zone": "z", "version": "v1", "slots": 8,
+        "state": "ready", "labels": minion.incarnation.labels, "call_seq": sequence,
+        "born": minion.incarnation.born_ms,
+        "capacity": {
+            "cpu": CAPACITY.millicores, "mem_mb": CAPACITY.memory_mib,
+            "gpu": CAPACITY.accelerators,
+        },
+    });
+    Request::new("PUT", &format!("/instances/{}", minion.incarnation.id), body.to_string())
+}
+
+fn task(name: &str) -> Option<Task> {
+    let parts: Vec<&str> = name.split('.').collect();
+    let [job, occurrence, step, index] = parts[..] else { return None };
+    Some(Task {
+        job: job.to_owned(),
+        occurrence: occurrence.parse().ok()?,
+        step: step.parse().ok()?,
+        index: index.parse().ok()?,
+    })
+}
+
+/// Reads an order to a minion.
+pub(crate) fn order(request: &Request) -> Option<Order> {
+    let body: Value = serde_json::from_slice(&request.body).ok()?;
+    let number = |name: &str| body[name].as_u64();
+    let token = number("fencing_token").unwrap_or(0);
+    let millis = |name: &str| number(name).map(Duration::from_millis);
+    Some(match request.path() {
+        "/hold" => Order::Hold {
+            deadline: millis("deadline_ms"),
+            token,
+            noted: number("last_seen")?,
+            wait: millis("wait_ms").unwrap_or_default(),
+        },
+        "/run-start" => {
+            let run = task(&text(&body["task"]))?.run(u32::try_from(number("run_id")?).ok()?);
+            let start = Start {
+                run: Some(run),
+                spec: text(&body["spec"]),
+                checkpoint: text(&body["checkpoint"]),
+                ticket: String::new(),
+            };
+            Order::Start { start: Box::new(start), deadline: millis("deadline_ms")?, token }
+        }
+        "/run-stop" => Order::Stop {
+            task: task(&text(&body["task"]))?,
+            number: u32::try_from(number("run_id")?).ok()?,
+            token,
+        },
+        _ => return None,
+    })
+}
+
+/// Carries out an order and writes the answer.
+pub(crate) fn obey(
+    minion: &mut Minion,
+    now: Duration,
+    order: &Order,
+    truth: &BTreeMap<(String, u32), Truth>,
+) -> (Response, bool) {
+    let said = minion.call(now, order, truth);
+    let clock = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+    let is_done = said == Said::Done;
+    let response = match said {
+        Said::Listed { running, ended, .. } => {
+            let running: Vec<Value> = (running.iter())
+                .filter_map(|it| Some((Task::read(it.run.as_ref()?), it)))
+                .map(|(task, it)| {
+                    json!([name(&task), it.run.as_ref().map(|run| run.run), "", it.percent])
+                })
+                .collect();
+            let ended: Vec<Value> = (ended.iter())
+                .filter_map(|it| Some((Task::read(it.run.as_ref()?), it)))
+                .map(|(task, it)| {
+                    let how = match it.ending().as_str_name() {
+                        "DONE" => "done",
+                        "FAULTY" => "failed",
+                        "STOPPED" => "stopped",
+                        "LAPSED" => "lapsed",
+                        "BROKEN" => "broken",
+                        _ => "alone",
+                    };
+                    let run = it.run.as_ref().map(|run| run.run);
+                    json!([it.number, name(&task), run, how, it.checkpoint])
+                })
+                .collect();
+            let body = json!({
+                "clock_ms": clock, "born": minion.incarnation.born_ms,
+                "running": running, "finished": ended,
+            });
+            Response::new(200, body.to_string())
+        }
+        Said::Done => Response::new(200, json!({ "clock_ms": clock }).to_string()),
+        Said::Refused(rejection) => {
+            let reason = match rejection {
+                Rejection::Fenced => "fence",
+                Rejection::Late => "late",
+                _ => "old",
+            };
+            Response::new(409, json!({ "clock_ms": clock, "reason": reason }).to_string())
+        }
+        _ => Response::new(500, ""),
+    };
+    (response, is_done)
+}
+
+fn name(task: &Task) -> String {
+    format!("{}.{}.{}.{}", task.job, task.occurrence, task.step, task.index)
+}
--- /dev/null
+++ b/crates/soak/src/soak.rs
@@ -0,0 +1,461 @@
+//! One seed: a load, faults, and the promises checked from what callers and minions see.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs, io,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use nix::sys::signal::Signal;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg32;
+use sapphire_jobs::{Ending, room::Room, task::Task};
+use sapphire_net::{
+    clock,
+    hub::{CallId, CallerId, Event, Hub, ListenerId},
+    message::{Limits, Request, Response},
+};
+use sapphire_proofs::{
+    jobs::minion::{Minion, Truth},
+    store::Store,
+};
+use sapphire_runner::minion::Call as Order;
+use sapphire_store::call::{Call, Reply};
+use serde_json::{Value, json};
+
+use crate::{
+    fleet::{AGENTS, ENTRIES, Fleet, Net, Who},
+    platform,
+    proxy::{Mode, Proxy},
+};
+
+/// How a seed is played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The daemon.
+    pub program: PathBuf,
+    /// Where settings and logs go.
+    pub folder: PathBuf,
+    /// Seed of load and faults.
+    pub seed: u64,
+    /// Jobs.
+    pub jobs: u32,
+    /// Faults.
+    pub faults: u32,
+    /// Loopback network of the deployment, 1 to 250.
+    pub net: u8,
+}
+
+/// What a seed has shown.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+    /// Jobs that were accepted, and of these complete.
+    pub accepted: usize,
+    /// Jobs that were shown as complete.
+    pub complete: usize,
+    /// Faults, in order.
+    pub faults: Vec<String>,
+}
+
+const TICK: Duration = Duration::from_millis(10);
+const BEAT: Duration = Duration::from_millis(400);
+const ASK: Duration = Duration::from_millis(150);
+const CALLER_TIMEOUT: Duration = Duration::from_millis(3_000);
+const JOB_PAUSE: Duration = Duration::from_millis(90);
+const FAULT_PAUSE: Duration = Duration::from_millis(900);
+const LEAD_IN: Duration = Duration::from_millis(2_500);
+/// Time after the last fault within which every accepted job has to be complete.
+const FINISH: Duration = Duration::from_secs(30);
+
+#[derive(Debug)]
+enum Asked {
+    Submit(String),
+    Look(String),
+    Beat,
+}
+
+#[derive(Default)]
+struct Job {
+    tasks: u32,
+    next: Duration,
+    is_accepted: bool,
+    was_refused: bool,
+    is_complete: bool,
+    entry: u8,
+}
+
+struct Soak {
+    options: Options,
+    hub: Hub,
+    rng: Pcg32,
+    store_listener: ListenerId,
+    minion_listeners: BTreeMap<ListenerId, u8>,
+    store: Store,
+    watches: Vec<(CallerId, Call, Duration)>,
+    holds: Vec<(CallerId, u8, Order, Duration)>,
+    minions: Vec<Minion>,
+    truth: BTreeMap<(String, u32), Truth>,
+    jobs: BTreeMap<String, Job>,
+    asked: BTreeMap<CallId, Asked>,
+    done: BTreeSet<Task>,
+    net: Net,
+    sequence: u64,
+    outcome: Outcome,
+}
+
+/// Plays a seed.
+///
+/// # Errors
+/// When processes, files or sockets are refused by the system.
+pub fn run(options: Options) -> io::Result<Outcome> {
+    let net = Net(options.net);
+    fs::create_dir_all(&options.folder)?;
+    let mut hub = Hub::new()?;
+    let store_listener = hub.listen(net.store(), Limits::default())?;
+    let mut minion_listeners = BTreeMap::new();
+    for agent in 0..AGENTS {
+        minion_listeners.insert(hub.listen(net.minion(agent), Limits::default())?, agent);
+    }
+    let proxies = (0..ENTRIES)
+        .map(|entry| Proxy::start(net.store_proxy(entry), net.store()))
+        .collect::<io::Result<Vec<Proxy>>>()?;
+    let mut store = Store::default();
+    platform::configure(&mut store, clock::now());
+    let minions = (0..AGENTS).map(|agent| Minion::new(platform::incarnation(agent, 1))).collect();
+    let soak = Soak {
+        hub,
+        rng: Pcg32::seed_from_u64(options.seed),
+        store_listener,
+        minion_listeners,
+        store,
+        watches: Vec::new(),
+        holds: Vec::new(),
+        minions,
+        truth: BTreeMap::new(),
+        jobs: BTreeMap::new(),
+        asked: BTreeMap::new(),
+        done: BTreeSet::new(),
+        net,
+        sequence: 0,
+        outcome: Outcome::default(),
+        options,
+    };
+    soak.play(&proxies)
+}
+
+impl Soak {
+    fn play(mut self, proxies: &[Proxy]) -> io::Result<Outcome> {
+        let program = self.options.program.clone();
+        let mut fleet = Fleet::start(self.net, Path::new(&program), &self.options.folder.clone())?;
+        let start = clock::now();
+        let (mut next_job, mut next_fault) = (start + LEAD_IN, start + LEAD_IN + FAULT_PAUSE);
+        let (mut jobs, mut faults) = (self.options.jobs, self.options.faults);
+        let (mut next_beat, mut last) = (start, start);
+        let mut heal: Vec<(Duration, Who, bool)> = Vec::new();
+        let mut quiet_since = None;
+        loop {
+            self.hub.poll(TICK)?;
+            let now = clock::now();
+            while let Some(event) = self.hub.next_event() {
+                self.event(now, event);
+            }
+            self.step(now, now.saturating_sub(last));
+            last = now;
+            if now >= next_beat {
+                next_beat = now + BEAT;
+                self.beat();
+            }
+            if jobs > 0 && now >= next_job {
+                jobs -= 1;
+                next_job = now + JOB_PAUSE;
+                self.new_job(now);
+            }
+            if faults > 0 && now >= next_fault {
+                faults -= 1;
+                next_fault = now + FAULT_PAUSE;
+                heal.push(self.fault(now, &fleet, proxies));
+            }
+            heal.retain(|(at, who, is_frozen)| {
+                if now >= *at {
+                    match (who, is_frozen) {
+                        (who, true) => fleet.signal(*who, Signal::SIGCONT),
+                        (Who::Entry(entry), false) => proxies[usize::from(*entry)].set(Mode::Pass),
+                        (Who::Agent(_), false) => {}
+                    }
+                }
+                now < *at
+            });
+            fleet.restart_ended()?;
+            self.ask(now);
+            if jobs == 0 && faults == 0 && heal.is_empty() {
+                let since = *quiet_since.get_or_insert(now);
+                let waiting = |job: &Job| job.is_accepted && !job.is_complete;
+                let is_over = !self.jobs.values().any(waiting);
+                if is_over || now >= since + FINISH {
+                    return Ok(self.finish());
+                }
+            }
+        }
+    }
+
+    fn finish(mut self) -> Outcome {
+        for (id, job) in &self.jobs {
+            if job.is_accepted && !job.is_complete {
+                self.outcome.broken.push(format!("{id} was accepted and is not complete"));
+            }
+        }
+        self.outcome.accepted = self.jobs.values().filter(|job| job.is_accepted).count();
+        self.outcome.complete = self.jobs.values().filter(|job| job.is_complete).count();
+        self.outcome
+    }
+
+    fn event(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Request { caller, listener, request } if listener == self.store_listener => {
+                self.store_request(now, caller, &request);
+            }
+            Event::Request { caller, listener, request } => {
+                if let Some(agent) = self.minion_listeners.get(&listener).copied() {
+                    self.minion_request(now, caller, agent, &request);
+                }
+            }
+            Event::Left(caller) => {
+                self.watches.retain(|(other, ..)| *other != caller);
+                self.holds.retain(|(other, ..)| *other != caller);
+            }
+            Event::Answer { call, result } => {
+                let asked = self.asked.remove(&call);
+                self.answered(now, asked, result.ok().as_ref());
+            }
+        }
+    }
+
+    fn store_request(&mut self, now: Duration, caller: CallerId, request: &Request) {
+        let Some(call) = platform::store_call(request) else {
+            self.hub.answer(caller, &Response::new(404, ""));
+            return;
+        };
+        match self.store.call(now, &call) {
+            Some(reply) => self.hub.answer(caller, &platform::store_response(&call, &reply)),
+            None => {
+                let until = match &call {
+                    Call::WatchPrefix { wait, .. } => now + *wait,
+                    _ => now,
+                };
+                self.watches.push((caller, call, until));
+            }
+        }
+    }
+
+    fn minion_request(&mut self, now: Duration, caller: CallerId, agent: u8, request: &Request) {
+        let Some(order) = platform::order(request) else {
+            self.hub.answer(caller, &Response::new(400, ""));
+            return;
+        };
+        let is_waiting = matches!(&order, Order::Hold { wait, .. } if !wait.is_zero());
+        if is_waiting && self.minions[usize::from(agent)].ended.is_empty() {
+            let Order::Hold { wait, .. } = &order else { return };
+            let until = now + *wait;
+            self.holds.push((caller, agent, order, until));
+            return;
+        }
+        self.obey(now, caller, agent, &order);
+    }
+
+    fn obey(&mut self, now: Duration, caller: CallerId, agent: u8, order: &Order) {
+        let minion = &mut self.minions[usize::from(agent)];
+        let (response, is_done) = platform::obey(minion, now, order, &self.truth);
+        if let (Order::Start { start, .. }, true) = (order, is_done)
+            && let Some(run) = &start.run
+        {
+            self.check_start(agent, &Task::read(run));
+        }
+        self.hub.answer(caller, &response);
+    }
+
+    fn check_start(&mut self, agent: u8, task: &Task) {
+        let twice =
+            self.minions.iter().enumerate().any(|(other, minion)| {
+                other != usize::from(agent) && minion.active.contains_key(task)
+            });
+        let Some(job) = self.jobs.get(&task.job) else {
+            self.outcome.broken.push(format!("{task} was never handed in"));
+            return;
+        };
+        if twice {
+            self.outcome.broken.push(format!("{task} runs twice at once"));
+        }
+        if job.is_complete || self.done.contains(task) {
+            self.outcome.broken.push(format!("{task} starts again after it was done"));
+        }
+        if job.was_refused && !job.is_accepted {
+            self.outcome.broken.push(format!("{task} starts though its job was refused"));
+        }
+    }
+
+    /// Lets tasks make progress and answers what waits.
+    fn step(&mut self, now: Duration, time: Duration) {
+        for minion in &mut self.minions {
+            let tasks: Vec<Task> = minion.active.keys().cloned().collect();
+            if now >= minion.lease {
+                minion.lapse(&self.truth);
+            }
+            for task in tasks {
+                let truth = self.truth.get(&(task.job.clone(), task.step));
+                let Some(active) = minion.active.get_mut(&task) else { continue };
+                active.done += time;
+                if active.stop_at.is_some_and(|stop| now >= stop) {
+                    minion.end(&task, Ending::Stopped, truth);
+                } else if truth.is_some_and(|truth| active.done >= truth.work) {
+                    minion.end(&task, Ending::Done, truth);
+                }
+            }
+        }
+        for (caller, call, until) in std::mem::take(&mut self.watches) {
+            let call = match call {
+                Call::WatchPrefix { prefix, after, .. } if now >= until => {
+                    Call::WatchPrefix { prefix, after, wait: Duration::ZERO }
+                }
+                call => call,
+            };
+            match self.store.call(now, &call) {
+                Some(reply @ (Reply::Changes { .. } | Reply::HistoryGone)) => {
+                    self.hub.answer(caller, &platform::store_response(&call, &reply));
+                }
+                _ => self.watches.push((caller, call, until)),
+            }
+        }
+        for (caller, agent, order, until) in std::mem::take(&mut self.holds) {
+            if now >= until || !self.minions[usize::from(agent)].ended.is_empty() {
+                self.obey(now, caller, agent, &order);
+            } else {
+                self.holds.push((caller, agent, order, until));
+            }
+        }
+    }
+
+    fn beat(&mut self) {
+        self.sequence += 1;
+        for agent in 0..AGENTS {
+            let minion = &self.minions[usize::from(agent)];
+            let address = self.net.minion(agent).to_string();
+            let request = platform::beat(minion, &address, self.sequence);
+            let call = self.hub.call(self.net.beats(agent), &request, BEAT);
+            self.asked.insert(call, Asked::Beat);
+        }
+    }
+
+    fn new_job(&mut self, now: Duration) {
+        let id = format!("{:016x}", self.jobs.len() as u64 + (self.options.seed << 32));
+        let tasks = self.rng.random_range(1..4);
+        let work = Duration::from_millis(self.rng.random_range(200..1_800));
+        let truth = Truth {
+            work,
+            always_fails: false,
+            fail_share: 0.0,
+            members: 1,
+            wants_one_rack: false,
+            checkpoints: false,
+            room: Room { millicores: 1_000, memory_mib: 1_000, accelerators: 1 },
+        };
+        self.truth.insert((id.clone(), 0), truth);
+        let entry = self.rng.random_range(0..ENTRIES);
+        self.jobs.insert(id, Job { tasks, next: now, entry, ..Job::default() });
+    }
+
+    /// Sends the callers' requests that are due.
+    fn ask(&mut self, now: Duration) {
+        let due: Vec<String> = (self.jobs.iter())
+            .filter(|(_, job)| !job.is_complete && now >= job.next)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.next = now + CALLER_TIMEOUT * 2;
+            let (request, asked) = if job.is_accepted {
+                (Request::new("GET", &format!("/q/{id}"), ""), Asked::Look(id))
+            } else {
+                let body = json!({ "spec": "soak", "steps": [{
+                    "count": job.tasks, "cpu": 1_000, "mem_mb": 1_000, "gpu": 1,
+                    "estimate_ms": 1_000,
+                }] });
+                let request = Request::new("POST", &format!("/q/{id}"), body.to_string());
+                (request, Asked::Submit(id))
+            };
+            let request = request.with("Host", "soak.example").with("X-Key", "k");
+            let call = self.hub.call(self.net.callers(job.entry), &request, CALLER_TIMEOUT);
+            self.asked.insert(call, asked);
+        }
+    }
+
+    fn answered(&mut self, now: Duration, asked: Option<Asked>, response: Option<&Response>) {
+        let (Some(Asked::Submit(id) | Asked::Look(id)), is_look) =
+            (asked.as_ref(), matches!(asked, Some(Asked::Look(_))))
+        else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.next = now + ASK;
+        let status = response.map_or(0, |response| response.status);
+        if status != 200 {
+            job.entry = (job.entry + 1) % ENTRIES;
+            job.was_refused |= !is_look && matches!(status, 429 | 503);
+            if is_look && status == 410 {
+                self.outcome.broken.push(format!("{id} was accepted and is said not to exist"));
+            }
+            return;
+        }
+        if !is_look {
+            job.is_accepted = true;
+            return;
+        }
+        let body: Value =
+            response.and_then(|it| serde_json::from_slice(&it.body).ok()).unwrap_or(Value::Null);
+        match body["state"].as_str() {
+            Some("complete") => job.is_complete = true,
+            Some("failed" | "cancelled") => {
+                self.outcome.broken.push(format!("{id} is shown as {}", body["state"]));
+                job.is_complete = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Causes a fault; returns when and how it is to be undone.
+    fn fault(&mut self, now: Duration, fleet: &Fleet, proxies: &[Proxy]) -> (Duration, Who, bool) {
+        let entry = self.rng.random_range(0..ENTRIES);
+        let agent = self.rng.random_range(0..AGENTS);
+        let time = Duration::from_millis(self.rng.random_range(300..2_600));
+        let who = if self.rng.random_bool(0.5) { Who::Entry(entry) } else { Who::Agent(agent) };
+        let kind = self.rng.random_range(0..7);
+        let text = match kind {
+            0 => "kill",
+            1 => "terminate",
+            2 => "pause",
+            3 => "store delayed",
+            4 => "store silent",
+            5 => "store reset",
+            _ => "minion crashes",
+        };
+        self.outcome.faults.push(format!("{text} {who:?} {} ms", time.as_millis()));
+        let mode = |mode: Mode| proxies[usize::from(entry)].set(mode);
+        match kind {
+            0 => fleet.signal(who, Signal::SIGKILL),
+            1 => fleet.signal(who, Signal::SIGTERM),
+            2 => fleet.signal(who, Signal::SIGSTOP),
+            3 => mode(Mode::Delay),
+            4 => mode(Mode::Silence),
+            5 => mode(Mode::Reset),
+            _ => {
+                let minion = &mut self.minions[usize::from(agent)];
+                let born_ms = minion.incarnation.born_ms + 1;
+                *minion = Minion::new(platform::incarnation(agent, born_ms));
+            }
+        }
+        let undone = if kind == 2 { who } else { Who::Entry(entry) };
+        (now + time, undone, kind == 2)
+    }
+}
