--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -27,9 +27,6 @@
 
 impl Machine {
     pub(crate) fn request(&mut self, now: Duration, unix: Duration, caller: Caller, ask: Request) {
-        if self.is_leaving && matches!(ask.action, Action::Submit(_)) {
-            // Another entry takes it at once; here it would only be cut short.
-        }
         let Some(catalog) = self.fresh.catalog.clone() else {
             self.refuse(caller, "no configuration yet");
             return;
--- /dev/null
+++ b/crates/planner/src/board.rs
@@ -0,0 +1,154 @@
+//! What a pass sees of one service: its workers, and the groups that may be stopped on them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use sapphire_jobs::{
+    room::Room,
+    task::{GroupKey, JobId, Task, WorkerName},
+};
+use sapphire_plan::{
+    evict,
+    seat::{Ask, Place},
+    suspect::Doubt,
+};
+
+use crate::{
+    event::Moment,
+    group::{Active, Claim},
+    planner::Planner,
+    table::Entry,
+};
+
+/// Work of a run that saves its progress which a stop costs: its restart and what it waits.
+const RESTART: Duration = Duration::from_millis(400);
+
+/// A running group that may be stopped.
+pub(crate) struct Candidate {
+    pub(crate) job: JobId,
+    pub(crate) key: GroupKey,
+    pub(crate) priority: u32,
+    pub(crate) is_guaranteed: bool,
+    pub(crate) is_stopping: bool,
+    /// How much longer it will run by itself.
+    pub(crate) remaining: Duration,
+    pub(crate) victim: evict::Victim,
+}
+
+/// Workers of one service, and what may be stopped on them.
+pub(crate) struct Board {
+    pub(crate) places: Vec<Place>,
+    pub(crate) index: BTreeMap<WorkerName, usize>,
+    pub(crate) candidates: Vec<Candidate>,
+}
+
+impl Board {
+    /// Keeps room for a group that waits for it to be freed.
+    pub(crate) fn take_claim(&mut self, claim: &Claim, ask: &Ask) {
+        for (name, tasks) in &claim.seats {
+            if let Some(at) = self.index.get(name) {
+                let place = &mut self.places[*at];
+                place.free = place.free.minus(ask.room.times((*tasks).into()));
+            }
+        }
+    }
+}
+
+impl Planner {
+    pub(crate) fn board(&self, now: Moment, service: &str, guaranteed: &BTreeSet<JobId>) -> Board {
+        let mut places = Vec::new();
+        let mut index = BTreeMap::new();
+        for (name, worker) in &self.workers {
+            let Some(minion) = &worker.incarnation else { continue };
+            let doubt = match self.suspects.doubt(name, now.steady) {
+                Doubt::None => 0,
+                Doubt::Last => 1,
+                Doubt::Closed => continue,
+            };
+            let is_enrolled = self.startup.is_member(name);
+            if minion.service != service || !worker.is_open(now.steady) || !is_enrolled {
+                continue;
+            }
+            index.insert(name.clone(), places.len());
+            places.push(Place {
+                worker: name.clone(),
+                rack: minion.rack.clone(),
+                labels: minion.labels.clone(),
+                free: worker.capacity().minus(worker.used()),
+                capacity: worker.capacity(),
+                doubt,
+            });
+        }
+        let candidates = self.candidates(now, &index, guaranteed);
+        Board { places, index, candidates }
+    }
+
+    /// Running groups that may be stopped for more urgent ones.
+    fn candidates(
+        &self,
+        now: Moment,
+        index: &BTreeMap<WorkerName, usize>,
+        guaranteed: &BTreeSet<JobId>,
+    ) -> Vec<Candidate> {
+        let mut found = Vec::new();
+        for (id, entry) in &self.table.entries {
+            for (key, group) in &entry.groups {
+                let Some(active) = group.active() else { continue };
+                let Some(step) = entry.step(key.step) else { continue };
+                if step.is_long_running {
+                    continue;
+                }
+                let room = Room::read(step.room.as_ref());
+                let seats = active.left.values().filter_map(|name| Some((*index.get(name)?, room)));
+                let cost = self.stop_cost(now, entry, key, active);
+                found.push(Candidate {
+                    job: id.clone(),
+                    key: *key,
+                    priority: self.queue(entry).priority,
+                    is_guaranteed: guaranteed.contains(id),
+                    is_stopping: active.is_stopping,
+                    remaining: self.remaining_run(now, entry, key, active),
+                    victim: evict::Victim { cost, seats: seats.collect() },
+                });
+            }
+        }
+        found
+    }
+
+    /// What stopping a group loses, in processor seconds.
+    fn stop_cost(&self, now: Moment, entry: &Entry, key: &GroupKey, active: &Active) -> f64 {
+        let Some(step) = entry.step(key.step) else { return 0.0 };
+        if active.is_stopping {
+            return 0.0;
+        }
+        let ran = now.steady.saturating_sub(active.began.unwrap_or(active.since));
+        let lost = if step.checkpoints { RESTART } else { ran + RESTART };
+        let tasks = active.left.len() as f64;
+        Room::read(step.room.as_ref()).weight() * tasks * lost.as_secs_f64()
+    }
+
+    /// How much longer a group's run will take.
+    fn remaining_run(
+        &self,
+        now: Moment,
+        entry: &Entry,
+        key: &GroupKey,
+        active: &Active,
+    ) -> Duration {
+        let Some(step) = entry.step(key.step) else { return Duration::MAX };
+        let expected = self.expect(entry, step);
+        let of = |(index, name): (&u32, &WorkerName)| {
+            let task = Task {
+                job: entry.job.id.clone(),
+                occurrence: key.occurrence,
+                step: key.step,
+                index: *index,
+            };
+            let run = self.workers.get(name)?.runs.get(&task)?;
+            Some(run.remaining(expected, now.steady))
+        };
+        active.left.iter().filter_map(of).max().unwrap_or(Duration::MAX)
+    }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`planner::Planner`] takes events and returns effects. One entry at a time has one, for the
 //! term for which it holds the planner's key in the store.
 
+mod board;
 mod commit;
 pub mod effect;
 mod ends;
@@ -12,11 +13,13 @@
 pub mod group;
 mod intake;
 pub mod keys;
+mod ledger;
 pub mod options;
 mod pass;
 pub mod planner;
 mod polls;
 mod startup;
 pub mod table;
+mod urgent;
 mod watchdog;
 pub mod worker;
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -19,8 +19,6 @@
     pub reclaim: Duration,
     /// Factor by which tasks are slower away from their data or their gang's rack.
     pub remote_factor: u32,
-    /// Work after which a task that saves its progress does so.
-    pub checkpoint: Duration,
 }
 
 /// Time without a poll after which a worker is given nothing. Polls come back at least every
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -1,21 +1,23 @@
 //! One pass over the groups that wait: which start now, where, and what is stopped for them.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use sapphire_jobs::{
-    State,
     room::Room,
     task::{GroupKey, JobId, Task, WorkerName},
 };
 use sapphire_plan::{
-    evict, rank,
+    rank,
     seat::{self, Ask, Place, Reach, Seat},
-    suspect::Doubt,
 };
 
 use crate::{
+    board::Board,
     event::Moment,
-    group::{Active, Claim, Phase},
+    group::{Active, Phase},
     options,
     planner::Planner,
     table::Entry,
@@ -25,19 +27,8 @@
 /// Time for which room that is being freed is kept for the group it is freed for. Above the
 /// longest stop plus two messages between regions.
 const CLAIM: Duration = Duration::from_millis(1_200);
-/// A run expected to end within this is not worth stopping.
-const NEARLY_DONE: Duration = Duration::from_millis(500);
-/// Time from a decision to the start of a task and from its end to the caller's view of it.
-const OVERHEAD: Duration = Duration::from_millis(300);
-/// Longest wait of an urgent group for work to end by itself.
-const LONGEST_WAIT: Duration = Duration::from_millis(2_500);
-/// The same for one that will be late in any case.
-const LATE_WAIT: Duration = Duration::from_millis(1_000);
-/// Work of a run that saves its progress which a stop costs: its restart and what it waits.
-const RESTART: Duration = Duration::from_millis(400);
 /// Share of the bound for guaranteed jobs after which they start also where they are slower.
 const URGENT_SHARE: f64 = 0.6;
-
 /// Workers on which nothing runs that work with something to lose leaves alone while it can
 /// wait, at most. One or three gained less at a load 1.3 times the usual one.
 const SPARED: usize = 2;
@@ -55,25 +46,6 @@
     key: GroupKey,
 }
 
-/// A running group that may be stopped.
-struct Candidate {
-    job: JobId,
-    key: GroupKey,
-    priority: u32,
-    is_guaranteed: bool,
-    is_stopping: bool,
-    /// How much longer it will run by itself.
-    remaining: Duration,
-    victim: evict::Victim,
-}
-
-/// Workers of one service, and what may be stopped on them.
-struct Board {
-    places: Vec<Place>,
-    index: BTreeMap<WorkerName, usize>,
-    candidates: Vec<Candidate>,
-}
-
 impl Planner {
     /// Starts what can start.
     pub(crate) fn pass(&mut self, now: Moment) {
@@ -94,14 +66,14 @@
     }
 
     /// Jobs of priority 0 that their organisation's guarantee covers, the earliest first.
-    fn guaranteed_jobs(&self) -> std::collections::BTreeSet<JobId> {
+    fn guaranteed_jobs(&self) -> BTreeSet<JobId> {
         let mut urgent: Vec<&Entry> = (self.table.open.iter())
             .filter_map(|id| self.table.entries.get(id))
             .filter(|entry| self.queue(entry).priority == 0)
             .collect();
         urgent.sort_by_key(|entry| (entry.job.accepted_ms, entry.job.id.clone()));
         let mut taken: BTreeMap<&str, u64> = BTreeMap::new();
-        let mut covered = std::collections::BTreeSet::new();
+        let mut covered = BTreeSet::new();
         for entry in urgent {
             let name = entry.job.organisation.as_str();
             let owned = self.catalog.organisation(name);
@@ -116,7 +88,7 @@
     }
 
     /// Groups that may start, in the order in which they are tried.
-    fn waiting(&self, now: Moment, guaranteed: &std::collections::BTreeSet<JobId>) -> Vec<Waiting> {
+    fn waiting(&self, now: Moment, guaranteed: &BTreeSet<JobId>) -> Vec<Waiting> {
         let mut waiting = Vec::new();
         for id in &self.table.open {
             let Some(entry) = self.table.entries.get(id) else { continue };
@@ -148,106 +120,6 @@
         }
     }
 
-    fn board(
-        &self,
-        now: Moment,
-        service: &str,
-        guaranteed: &std::collections::BTreeSet<JobId>,
-    ) -> Board {
-        let mut places = Vec::new();
-        let mut index = BTreeMap::new();
-        for (name, worker) in &self.workers {
-            let Some(minion) = &worker.incarnation else { continue };
-            let doubt = match self.suspects.doubt(name, now.steady) {
-                Doubt::None => 0,
-                Doubt::Last => 1,
-                Doubt::Closed => continue,
-            };
-            let is_enrolled = self.startup.is_member(name);
-            if minion.service != service || !worker.is_open(now.steady) || !is_enrolled {
-                continue;
-            }
-            index.insert(name.clone(), places.len());
-            places.push(Place {
-                worker: name.clone(),
-                rack: minion.rack.clone(),
-                labels: minion.labels.clone(),
-                free: worker.capacity().minus(worker.used()),
-                capacity: worker.capacity(),
-                doubt,
-            });
-        }
-        let candidates = self.candidates(now, &index, guaranteed);
-        Board { places, index, candidates }
-    }
-
-    /// Running groups that may be stopped for more urgent ones.
-    fn candidates(
-        &self,
-        now: Moment,
-        index: &BTreeMap<WorkerName, usize>,
-        guaranteed: &std::collections::BTreeSet<JobId>,
-    ) -> Vec<Candidate> {
-        let mut found = Vec::new();
-        for (id, entry) in &self.table.entries {
-            for (key, group) in &entry.groups {
-                let Some(active) = group.active() else { continue };
-                let Some(step) = entry.step(key.step) else { continue };
-                if step.is_long_running {
-                    continue;
-                }
-                let room = Room::read(step.room.as_ref());
-                let seats = active.left.values().filter_map(|name| Some((*index.get(name)?, room)));
-                let cost = self.stop_cost(now, entry, key, active);
-                found.push(Candidate {
-                    job: id.clone(),
-                    key: *key,
-                    priority: self.queue(entry).priority,
-                    is_guaranteed: guaranteed.contains(id),
-                    is_stopping: active.is_stopping,
-                    remaining: self.remaining_run(now, entry, key, active),
-                    victim: evict::Victim { cost, seats: seats.collect() },
-                });
-            }
-        }
-        found
-    }
-
-    /// What stopping a group loses, in processor seconds.
-    fn stop_cost(&self, now: Moment, entry: &Entry, key: &GroupKey, active: &Active) -> f64 {
-        let Some(step) = entry.step(key.step) else { return 0.0 };
-        if active.is_stopping {
-            return 0.0;
-        }
-        let ran = now.steady.saturating_sub(active.began.unwrap_or(active.since));
-        let lost = if step.checkpoints { RESTART } else { ran + RESTART };
-        let tasks = active.left.len() as f64;
-        Room::read(step.room.as_ref()).weight() * tasks * lost.as_secs_f64()
-    }
-
-    /// How much longer a group's run will take.
-    fn remaining_run(
-        &self,
-        now: Moment,
-        entry: &Entry,
-        key: &GroupKey,
-        active: &Active,
-    ) -> Duration {
-        let Some(step) = entry.step(key.step) else { return Duration::MAX };
-        let expected = self.expect(entry, step);
-        let of = |(index, name): (&u32, &WorkerName)| {
-            let task = Task {
-                job: entry.job.id.clone(),
-                occurrence: key.occurrence,
-                step: key.step,
-                index: *index,
-            };
-            let run = self.workers.get(name)?.runs.get(&task)?;
-            Some(run.remaining(expected, now.steady))
-        };
-        active.left.iter().filter_map(of).max().unwrap_or(Duration::MAX)
-    }
-
     fn ask(&self, entry: &Entry, key: &GroupKey) -> Option<Ask> {
         let step = entry.step(key.step)?;
         let group = entry.groups.get(key)?;
@@ -301,7 +173,7 @@
             && now.steady < claim.since + CLAIM
         {
             let claim = claim.clone();
-            take_claim(board, &claim, &ask);
+            board.take_claim(&claim, &ask);
             return;
         }
         if queue.priority == 0 {
@@ -422,97 +294,4 @@
             names.join(",")
         ));
     }
-
-    /// Stops the cheapest groups that give room to an urgent one.
-    #[expect(clippy::too_many_arguments, reason = "one decision with all that it looks at")]
-    fn make_room(
-        &mut self,
-        now: Moment,
-        board: &mut Board,
-        id: &str,
-        key: &GroupKey,
-        ask: &Ask,
-        reach: Reach,
-        is_guaranteed: bool,
-    ) {
-        let may_stop = |candidate: &Candidate| {
-            candidate.is_stopping
-                || candidate.priority > 0
-                || (is_guaranteed && !candidate.is_guaranteed)
-        };
-        let allowed: Vec<usize> =
-            (0..board.candidates.len()).filter(|at| may_stop(&board.candidates[*at])).collect();
-        let wait = self.wait_for_ends(now, id, key, is_guaranteed);
-        let is_ending = |candidate: &Candidate| candidate.remaining <= wait;
-        let victim = |at: &usize| {
-            let candidate = &board.candidates[*at];
-            let cost = if is_ending(candidate) { 0.0 } else { candidate.victim.cost };
-            evict::Victim { cost, ..candidate.victim.clone() }
-        };
-        let victims: Vec<evict::Victim> = allowed.iter().map(victim).collect();
-        let Some(outcome) = evict::choose(&board.places, &victims, ask, reach) else { return };
-        let mut seats = Vec::new();
-        for seat in &outcome.seats {
-            seats.push((board.places[seat.place].worker.clone(), seat.tasks));
-        }
-        let claim = Claim { since: now.steady, seats };
-        take_claim(board, &claim, ask);
-        let Some(entry) = self.table.entries.get_mut(id) else { return };
-        if let Some(group) = entry.groups.get_mut(key) {
-            group.claim = Some(claim);
-        }
-        let mut stopped = Vec::new();
-        for victim in outcome.victims {
-            let candidate = &mut board.candidates[allowed[victim]];
-            // Its room is spoken for from now on.
-            candidate.victim.seats.clear();
-            if !candidate.is_stopping && candidate.remaining > wait {
-                candidate.is_stopping = true;
-                stopped.push((candidate.job.clone(), candidate.key));
-            }
-        }
-        let cost = outcome.cost;
-        self.log(format!("job={id} step={} waits for stops={stopped:?} cost={cost:.0}", key.step));
-        for (job, key) in stopped {
-            self.stop_group(&job, &key);
-        }
-    }
-
-    /// How long an urgent group can wait for work to end by itself rather than be stopped.
-    fn wait_for_ends(
-        &self,
-        now: Moment,
-        id: &str,
-        key: &GroupKey,
-        is_guaranteed: bool,
-    ) -> Duration {
-        let Some(entry) = self.table.entries.get(id) else { return Duration::ZERO };
-        let Some(step) = entry.step(key.step) else { return Duration::ZERO };
-        let age = Self::age(entry, now);
-        let end = age + self.expect(entry, step) + OVERHEAD;
-        let objective = self.objective(entry);
-        let slack = objective.saturating_sub(end);
-        let limit = if is_guaranteed {
-            self.options.reclaim.saturating_sub(age + self.options.stop + OVERHEAD)
-        } else {
-            LONGEST_WAIT
-        };
-        if slack.is_zero() { limit.min(LATE_WAIT) } else { slack.min(limit) }.max(NEARLY_DONE)
-    }
-
-    /// Jobs of which nothing has started, by queue.
-    pub fn pending(&self, queue: &str) -> usize {
-        let entries = self.table.entries.values();
-        entries.filter(|entry| entry.job.queue == queue && entry.shown == State::Queued).count()
-    }
-}
-
-/// Keeps room for a group that waits for it to be freed.
-fn take_claim(board: &mut Board, claim: &Claim, ask: &Ask) {
-    for (name, tasks) in &claim.seats {
-        if let Some(at) = board.index.get(name) {
-            let place = &mut board.places[*at];
-            place.free = place.free.minus(ask.room.times((*tasks).into()));
-        }
-    }
 }
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -1,20 +1,16 @@
 //! Agents' polls: sessions, what runs where, and orders.
 
-use std::time::Duration;
-
 use sapphire_jobs::{
-    Ending, Incarnation, Orders, Poll, Rejection, Start,
-    room::Room,
-    task::{GroupKey, JobId, Task, WorkerName},
+    Incarnation, Orders, Poll, Start,
+    task::{GroupKey, Task, WorkerName},
 };
 
 use crate::{
     effect::Effect,
     event::{Asker, Moment},
-    group::{Active, Phase as GroupPhase},
     options,
     planner::Planner,
-    worker::{self, Held, Phase, Run, Worker},
+    worker::{Held, Phase, Run, Worker},
 };
 
 /// Whether two messages speak of the same life of a minion.
@@ -22,12 +18,6 @@
     left.id == right.id && left.born_ms == right.born_ms
 }
 
-/// Lists in a row without a task, and without its end, after which it counts as lost. The first
-/// may have been made before the start was answered.
-const ABSENT_LISTS: u32 = 3;
-/// Least time without it: above the longest stop, during which its room is taken.
-const ABSENT: Duration = Duration::from_millis(1_500);
-
 impl Planner {
     pub(crate) fn poll(&mut self, now: Moment, asker: Asker, poll: Poll) {
         let name = poll.agent.clone();
@@ -139,190 +129,6 @@
         self.check_settled(now);
     }
 
-    /// Brings the ledger of a worker in line with what its minion lists.
-    fn reconcile(&mut self, now: Moment, name: &str, poll: &Poll) {
-        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-        let is_first = !worker.is_fenced;
-        worker.is_fenced = true;
-        self.enrol(name, &poll.address);
-        for ended in &poll.ended {
-            self.listed_end(now, name, ended);
-        }
-        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-        let is_new_list = poll.lists != worker.lists;
-        worker.lists = poll.lists;
-        let age = Duration::from_millis(poll.list_age_ms);
-        let listed_at = now.steady.saturating_sub(age);
-        for running in &poll.running {
-            let Some(run) = &running.run else { continue };
-            let task = Task::read(run);
-            let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-            if worker.listed(&task, running, is_new_list, listed_at) {
-                self.began(now, &task, run.run);
-            } else {
-                self.adopt(now, name, &task, running);
-            }
-        }
-        for verdict in &poll.verdicts {
-            let Some(run) = &verdict.run else { continue };
-            self.verdict(now, name, &Task::read(run), run.run, verdict.rejection());
-        }
-        self.receive(name, poll);
-        if is_new_list {
-            self.miss_absent(now, name, poll);
-        }
-        if is_first {
-            self.log(format!("worker={name} fenced, running={}", poll.running.len()));
-            self.drop_unlisted(now, name, poll);
-            self.check_settled(now);
-            self.needs_pass = true;
-        }
-    }
-
-    /// Notes which orders the agent has in hand.
-    fn receive(&mut self, name: &str, poll: &Poll) {
-        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-        for (task, run) in &mut worker.runs {
-            let is_pending = |pending: &sapphire_jobs::Run| {
-                pending.run == run.number && Task::read(pending) == *task
-            };
-            run.is_received = poll.pending.iter().any(is_pending);
-        }
-    }
-
-    /// A task that had started and is missing from lists, without an end, is not there.
-    ///
-    /// Guards against a group that waits for ever for an end that was lost.
-    fn miss_absent(&mut self, now: Moment, name: &str, poll: &Poll) {
-        let is_listed = |task: &Task, number: u32| {
-            let mut runs = poll.running.iter().filter_map(|running| running.run.as_ref());
-            runs.any(|run| run.run == number && Task::read(run) == *task)
-        };
-        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-        let mut lost = Vec::new();
-        for (task, run) in worker.runs.iter_mut().filter(|(_, run)| run.phase != Phase::Ordered) {
-            if is_listed(task, run.number) {
-                run.absent = 0;
-                run.seen = now.steady;
-            } else {
-                run.absent += 1;
-            }
-            if run.absent >= ABSENT_LISTS && now.steady >= run.seen + ABSENT {
-                lost.push((task.clone(), run.number));
-            }
-        }
-        for (task, number) in lost {
-            self.log(format!("task={task} run={number} worker={name} missing from lists; lost"));
-            self.ended(now, name, &task, number, Ending::Lost, "");
-        }
-    }
-
-    /// At the start of a session the list is the whole truth: an order that is not there was
-    /// made void by the token.
-    fn drop_unlisted(&mut self, now: Moment, name: &str, poll: &Poll) {
-        let is_listed = |task: &Task, number: u32| {
-            let mut runs = poll.running.iter().filter_map(|running| running.run.as_ref());
-            runs.any(|run| run.run == number && Task::read(run) == *task)
-        };
-        let worker = self.workers.get(name).expect("the caller has inserted it");
-        let missing: Vec<(Task, u32)> = (worker.runs.iter())
-            .filter(|(task, run)| !is_listed(task, run.number))
-            .map(|(task, run)| (task.clone(), run.number))
-            .collect();
-        for (task, number) in missing {
-            self.log(format!("task={task} run={number} worker={name} is not there"));
-            self.ended(now, name, &task, number, Ending::Lost, "");
-        }
-    }
-
-    fn listed_end(&mut self, now: Moment, name: &str, ended: &sapphire_jobs::Ended) {
-        let worker = self.workers.get(name).expect("the caller has inserted it");
-        if ended.number <= worker.noted || worker.ended.contains_key(&ended.number) {
-            return;
-        }
-        let Some(run) = &ended.run else { return };
-        let task = Task::read(run);
-        let change = self.ended(now, name, &task, run.run, ended.ending(), &ended.checkpoint);
-        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-        worker.ended.insert(ended.number, change);
-    }
-
-    fn verdict(&mut self, now: Moment, name: &str, task: &Task, number: u32, rejection: Rejection) {
-        let worker = self.workers.get(name).expect("the caller has inserted it");
-        let is_known = worker.runs.get(task).is_some_and(|run| run.number == number);
-        if !is_known || !worker::is_settled(rejection) {
-            return;
-        }
-        self.log(format!("task={task} run={number} worker={name} refused={rejection:?}"));
-        if matches!(rejection, Rejection::Unhealthy | Rejection::NoRoom) {
-            self.suspects.failed(name, now.steady);
-        }
-        self.ended(now, name, task, number, Ending::Lost, "");
-    }
-
-    /// Takes over a run that an earlier planner started, or stops one that should not be there.
-    fn adopt(&mut self, now: Moment, name: &str, task: &Task, running: &sapphire_jobs::Running) {
-        let number = running.run.as_ref().map_or(0, |run| run.run);
-        let (room, is_wanted) = self.adoption(now, name, task, number);
-        let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
-        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-        worker.runs.insert(
-            task.clone(),
-            Run {
-                number,
-                room,
-                phase,
-                is_received: false,
-                percent: running.percent,
-                first_percent: running.percent,
-                moved: now.steady,
-                still: 0,
-                absent: 0,
-                seen: now.steady,
-                began: now.steady,
-            },
-        );
-        let verb = if is_wanted { "adopted" } else { "not wanted, stopped" };
-        self.log(format!("task={task} run={number} worker={name} {verb}"));
-        if is_wanted {
-            self.began(now, task, number);
-        }
-    }
-
-    fn adoption(&mut self, now: Moment, name: &str, task: &Task, number: u32) -> (Room, bool) {
-        let Some(entry) = self.table.entries.get_mut(&task.job) else {
-            return (Room::default(), false);
-        };
-        let Some(step) = entry.step(task.step).cloned() else { return (Room::default(), false) };
-        let room = Room::read(step.room.as_ref());
-        let is_over = entry.is_over();
-        let key = GroupKey::of(task, step.is_gang);
-        let Some(group) = entry.groups.get_mut(&key) else { return (room, false) };
-        if is_over || group.is_final() || number < group.run || number <= group.ended_run {
-            return (room, false);
-        }
-        match &mut group.phase {
-            GroupPhase::Waiting => {
-                group.run = number;
-                group.claim = None;
-                group.phase = GroupPhase::Active(Active {
-                    since: now.steady,
-                    began: None,
-                    left: [(task.index, name.to_owned())].into(),
-                    is_stopping: false,
-                    is_far: false,
-                });
-                (room, true)
-            }
-            GroupPhase::Active(active) if group.run == number => {
-                let is_wanted = !active.is_stopping;
-                let earlier = active.left.insert(task.index, name.to_owned());
-                (room, is_wanted && earlier.is_none_or(|worker| worker == name))
-            }
-            _ => (room, false),
-        }
-    }
-
     /// Answers agents for which there are orders, or that have waited long enough.
     pub(crate) fn answer_polls(&mut self, now: Moment) {
         let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
@@ -419,20 +225,4 @@
             self.needs_pass = true;
         }
     }
-
-    fn lose_runs(&mut self, now: Moment, name: &str, why: &str) {
-        let Some(worker) = self.workers.get(name) else { return };
-        let runs: Vec<(Task, u32)> =
-            worker.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
-        for (task, number) in runs {
-            self.log(format!("task={task} run={number} worker={name} lost: {why}"));
-            self.ended(now, name, &task, number, Ending::Lost, "");
-        }
-    }
-
-    /// Identifiers of jobs that have something on a worker.
-    pub fn jobs_on(&self, name: &str) -> Vec<JobId> {
-        let Some(worker) = self.workers.get(name) else { return Vec::new() };
-        worker.runs.keys().map(|task| task.job.clone()).collect()
-    }
 }
--- a/crates/planner/tests/terms/mod.rs
+++ b/crates/planner/tests/terms/mod.rs
@@ -86,7 +86,6 @@
             status: ms(120_000),
             reclaim: ms(2_900),
             remote_factor: 3,
-            checkpoint: ms(2_000),
         };
         let moment = Moment { steady: ms(START), unix: ms(START) };
         let mut bench = Bench {
--- a/crates/proofs/src/jobs/world.rs
+++ b/crates/proofs/src/jobs/world.rs
@@ -36,7 +36,7 @@
 const AGENT_TICK: Duration = Duration::from_millis(60);
 const BEAT: Duration = Duration::from_millis(1_500);
 /// Key of the configuration.
-const CONFIG: &str = "op/config";
+const CONFIG: &str = "config";
 /// Unix time at the start of the world.
 const EPOCH: Duration = Duration::from_secs(1_790_000_000);
 
@@ -1119,7 +1119,6 @@
         status: Duration::from_secs(120),
         reclaim: Duration::from_millis(2_900),
         remote_factor: 3,
-        checkpoint: Duration::from_secs(2),
     }
 }
 
--- a/crates/sapphired/src/jobs_entry.rs
+++ b/crates/sapphired/src/jobs_entry/mod.rs
@@ -1,9 +1,12 @@
 //! `sapphired entry` on the users' platform: callers, configuration and, while it holds the
 //! planner's key, the planner, with their I/O.
 
+mod effects;
+mod store;
+
 use std::{
     cell::RefCell,
-    collections::{HashMap, VecDeque},
+    collections::HashMap,
     net::SocketAddr,
     path::{Path, PathBuf},
     rc::Rc,
@@ -27,7 +30,7 @@
 };
 use sapphire_platform as platform;
 use sapphire_settings::JobEntry;
-use sapphire_store::call::{Call, Reply};
+use sapphire_store::call::Call;
 use stakker::{CX, Stakker, actor, after, call, ret_shutdown, stop};
 
 use crate::{
@@ -41,10 +44,6 @@
 /// Time for the store's answer to anything but a watch. Above a store that is ninety times
 /// slower than usual (4 ms) in another region; what takes longer goes through another entry.
 const STORE_TIMEOUT: Duration = Duration::from_millis(420);
-/// Time for another entry's answer to a relayed call.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(520);
-/// Time for short calls between processes.
-const SHORT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time from the request to end during which callers are still served: the platform looks at
 /// readiness once a second and needs two looks.
 const LINGER: Duration = Duration::from_millis(2_600);
@@ -283,66 +282,6 @@
         }
     }
 
-    fn store_answered(
-        &mut self,
-        now: Moment,
-        origin: Origin,
-        call: &Call,
-        sent: Duration,
-        way: &Way,
-        result: Result<Response, Failure>,
-    ) {
-        let reply = match way {
-            Way::Straight => platform::store::reply(call, result),
-            Way::Through(_) => relayed_reply(call, result),
-        };
-        let is_answered = !matches!(reply, Reply::Unavailable(_) | Reply::NotDone(_));
-        let name = if is_answered { "store.answered" } else { "store.failed" };
-        self.count(name);
-        self.time("store", now.steady.saturating_sub(sent));
-        if !is_watch(call) {
-            let effects = self.front.note_call(now.steady, way, is_answered);
-            self.perform(now, effects.into_iter().map(Work::Front).collect());
-        }
-        match origin {
-            Origin::Front(operation) => {
-                self.front_event(now, front::event::Event::Store { operation, sent, reply });
-            }
-            Origin::Planner { term, operation } => {
-                if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
-                    self.planner_event(now, planner::event::Event::Store(operation, reply));
-                }
-            }
-        }
-    }
-
-    fn store_call(&mut self, now: Moment, origin: Origin, call: Call) {
-        self.count("store.calls");
-        let is_probe = matches!(origin, Origin::Front(front::event::Operation::Probe));
-        let way = self.front.way(is_probe || is_watch(&call));
-        let request = platform::store::request(&call);
-        let id = match &way {
-            Way::Straight => {
-                let timeout = STORE_TIMEOUT + watch_wait(&call);
-                Some(self.net.borrow_mut().call(self.store, &request, timeout))
-            }
-            Way::Through(address) => {
-                let relay =
-                    Relay { method: request.method, target: request.target, body: request.body };
-                let hub = &mut self.net.borrow_mut();
-                inner::call(hub, address, "POST", inner::RELAY, &relay, RELAY_TIMEOUT)
-            }
-        };
-        let sent = now.steady;
-        match id {
-            Some(id) => {
-                let call = Box::new(call);
-                self.calls.insert(id, Pending::Store { origin, call, sent, way });
-            }
-            None => log::warn!(target: "sapphire", "member: a call to the store was not sent"),
-        }
-    }
-
     fn front_event(&mut self, now: Moment, event: front::event::Event) {
         let effects = self.front.handle(now, event);
         self.perform(now, effects.into_iter().map(Work::Front).collect());
@@ -354,110 +293,6 @@
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
     }
 
-    fn perform(&mut self, now: Moment, mut work: VecDeque<Work>) {
-        while let Some(next) = work.pop_front() {
-            match next {
-                Work::Front(effect) => self.front_effect(now, effect, &mut work),
-                Work::Planner(effect) => self.planner_effect(now, effect, &mut work),
-            }
-        }
-    }
-
-    fn front_effect(
-        &mut self,
-        now: Moment,
-        effect: front::effect::Effect,
-        work: &mut VecDeque<Work>,
-    ) {
-        use front::effect::Effect;
-        match effect {
-            Effect::Answer(caller, answer) => self.answer(now, caller, &answer),
-            Effect::Store(operation, call) => {
-                self.store_call(now, Origin::Front(operation), call);
-            }
-            Effect::Feed { address, poll } => {
-                let hub = &mut self.net.borrow_mut();
-                let timeout = front::options::FEED_TIMEOUT;
-                let id = inner::call(hub, &address, "POST", inner::FEED, &poll, timeout);
-                self.calls.extend(id.map(|id| (id, Pending::Feed { sent: now.steady })));
-            }
-            Effect::Notice { address, notice } => {
-                let hub = &mut self.net.borrow_mut();
-                let id = inner::call(hub, &address, "POST", inner::NOTICE, &*notice, SHORT_TIMEOUT);
-                self.calls.extend(id.map(|id| (id, Pending::Told)));
-            }
-            Effect::AskLead { address } => {
-                let hub = &mut self.net.borrow_mut();
-                let id = inner::call(hub, &address, "GET", inner::LEAD, &(), SHORT_TIMEOUT);
-                self.calls.extend(id.map(|id| (id, Pending::Lead)));
-            }
-            Effect::Catalog(catalog) => {
-                self.catalog = catalog.clone();
-                self.tell_planner(now, planner::event::Event::Catalog(catalog), work);
-            }
-            Effect::Fresh { revision, at } => {
-                self.tell_planner(now, planner::event::Event::Fresh { revision, at }, work);
-            }
-            Effect::Plan(term) => {
-                let options = planner_options(&self.settings);
-                self.planner = Some(Planner::new(options, term, self.catalog.clone(), now));
-                self.tell_planner(now, planner::event::Event::Tick, work);
-            }
-            Effect::Resign => self.planner = None,
-            Effect::Log(text) => self.levels.info("front", &text),
-        }
-    }
-
-    fn tell_planner(
-        &mut self,
-        now: Moment,
-        event: planner::event::Event,
-        work: &mut VecDeque<Work>,
-    ) {
-        if let Some(planner) = &mut self.planner {
-            work.extend(planner.handle(now, event).into_iter().map(Work::Planner));
-        }
-    }
-
-    fn planner_effect(
-        &mut self,
-        now: Moment,
-        effect: planner::effect::Effect,
-        work: &mut VecDeque<Work>,
-    ) {
-        use planner::effect::Effect;
-        match effect {
-            Effect::Orders(caller, orders) => {
-                self.net.borrow_mut().answer(caller, &inner::response(&*orders));
-            }
-            Effect::Feed(caller, feed) => {
-                self.net.borrow_mut().answer(caller, &inner::response(&*feed));
-            }
-            Effect::Decline(caller) => {
-                self.net.borrow_mut().answer(caller, &Response::new(inner::DECLINED, ""));
-            }
-            Effect::Store(operation, call) => {
-                let Some(term) = self.planner.as_ref().map(Planner::term) else { return };
-                self.store_call(now, Origin::Planner { term, operation }, call);
-            }
-            Effect::Announce(addresses) => self.announce(&addresses),
-            Effect::Log(text) => self.levels.info("plan", &text),
-            Effect::Deposed => {
-                self.planner = None;
-                work.extend(self.front.deposed(now.steady).into_iter().map(Work::Front));
-            }
-        }
-    }
-
-    fn announce(&mut self, addresses: &[String]) {
-        let Some(lead) = self.front.lead().cloned() else { return };
-        for address in addresses {
-            let hub = &mut self.net.borrow_mut();
-            let id = inner::call(hub, address, "POST", inner::LEAD, &lead, SHORT_TIMEOUT);
-            self.calls.extend(id.map(|id| (id, Pending::Told)));
-        }
-    }
-
     fn answer(&mut self, now: Moment, caller: CallerId, answer: &Answer) {
         let response = platform::caller::response(answer);
         if let Some(served) = self.served.remove(&caller) {
@@ -482,29 +317,6 @@
     }
 }
 
-/// Reads what another entry says of a call that it made.
-fn relayed_reply(call: &Call, result: Result<Response, Failure>) -> Reply {
-    match inner::answer::<Relayed>(result) {
-        Some(relayed) if relayed.status > 0 => {
-            let status = u16::try_from(relayed.status).unwrap_or(502);
-            let response = Response::new(status, relayed.body);
-            platform::store::reply(call, Ok(response))
-        }
-        _ => Reply::Unavailable("another entry has no answer either".to_owned()),
-    }
-}
-
-fn is_watch(call: &Call) -> bool {
-    !watch_wait(call).is_zero()
-}
-
-fn watch_wait(call: &Call) -> Duration {
-    match call {
-        Call::WatchPrefix { wait, .. } if *wait > Duration::from_millis(1) => *wait,
-        _ => Duration::ZERO,
-    }
-}
-
 /// Runs an entry until it has shut down gracefully.
 ///
 /// # Errors
@@ -600,6 +412,5 @@
         status: millis(bounds.status_ms),
         reclaim: millis(bounds.reclaim_ms),
         remote_factor: bounds.remote_factor,
-        checkpoint: millis(bounds.checkpoint_ms),
     }
 }
--- /dev/null
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -0,0 +1,101 @@
+//! Calls to the store: straight, or through another entry.
+
+use std::time::Duration;
+
+use sapphire_front::{self as front, reach::Way};
+use sapphire_jobs::{Relay, Relayed};
+use sapphire_net::{hub::Failure, message::Response};
+use sapphire_planner::{self as planner, event::Moment};
+use sapphire_platform as platform;
+use sapphire_store::call::{Call, Reply};
+
+use super::{Origin, Pending, Role, STORE_TIMEOUT, Work};
+use crate::inner;
+
+/// Time for another entry's answer to a relayed call.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(520);
+
+impl Role {
+    pub(super) fn store_answered(
+        &mut self,
+        now: Moment,
+        origin: Origin,
+        call: &Call,
+        sent: Duration,
+        way: &Way,
+        result: Result<Response, Failure>,
+    ) {
+        let reply = match way {
+            Way::Straight => platform::store::reply(call, result),
+            Way::Through(_) => relayed_reply(call, result),
+        };
+        let is_answered = !matches!(reply, Reply::Unavailable(_) | Reply::NotDone(_));
+        let name = if is_answered { "store.answered" } else { "store.failed" };
+        self.count(name);
+        self.time("store", now.steady.saturating_sub(sent));
+        if !is_watch(call) {
+            let effects = self.front.note_call(now.steady, way, is_answered);
+            self.perform(now, effects.into_iter().map(Work::Front).collect());
+        }
+        match origin {
+            Origin::Front(operation) => {
+                self.front_event(now, front::event::Event::Store { operation, sent, reply });
+            }
+            Origin::Planner { term, operation } => {
+                if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
+                    self.planner_event(now, planner::event::Event::Store(operation, reply));
+                }
+            }
+        }
+    }
+
+    pub(super) fn store_call(&mut self, now: Moment, origin: Origin, call: Call) {
+        self.count("store.calls");
+        let is_probe = matches!(origin, Origin::Front(front::event::Operation::Probe));
+        let way = self.front.way(is_probe || is_watch(&call));
+        let request = platform::store::request(&call);
+        let id = match &way {
+            Way::Straight => {
+                let timeout = STORE_TIMEOUT + watch_wait(&call);
+                Some(self.net.borrow_mut().call(self.store, &request, timeout))
+            }
+            Way::Through(address) => {
+                let relay =
+                    Relay { method: request.method, target: request.target, body: request.body };
+                let hub = &mut self.net.borrow_mut();
+                inner::call(hub, address, "POST", inner::RELAY, &relay, RELAY_TIMEOUT)
+            }
+        };
+        let sent = now.steady;
+        match id {
+            Some(id) => {
+                let call = Box::new(call);
+                self.calls.insert(id, Pending::Store { origin, call, sent, way });
+            }
+            None => log::warn!(target: "sapphire", "member: a call to the store was not sent"),
+        }
+    }
+}
+
+/// Reads what another entry says of a call that it made.
+fn relayed_reply(call: &Call, result: Result<Response, Failure>) -> Reply {
+    match inner::answer::<Relayed>(result) {
+        Some(relayed) if relayed.status > 0 => {
+            let status = u16::try_from(relayed.status).unwrap_or(502);
+            let response = Response::new(status, relayed.body);
+            platform::store::reply(call, Ok(response))
+        }
+        _ => Reply::Unavailable("another entry has no answer either".to_owned()),
+    }
+}
+
+fn is_watch(call: &Call) -> bool {
+    !watch_wait(call).is_zero()
+}
+
+fn watch_wait(call: &Call) -> Duration {
+    match call {
+        Call::WatchPrefix { wait, .. } if *wait > Duration::from_millis(1) => *wait,
+        _ => Duration::ZERO,
+    }
+}
