--- /dev/null
+++ b/crates/proofs/examples/recovery_jobs.rs
@@ -0,0 +1,45 @@
+//! How long placement stops when a planner is lost: killed, frozen, or cut off from the store.
+
+use std::time::Duration;
+
+use sapphire_proofs::jobs::{
+    load,
+    world::{Options, World},
+};
+
+/// When the planner is lost, from the first arrival.
+const LOST_AT: Duration = Duration::from_secs(8);
+const SEEDS: u64 = 50;
+
+/// What happens to the entry that plans.
+type Fault = fn(&mut World, usize);
+
+/// Time until a planner knows what runs where and starts tasks again; zero when the first one
+/// never stopped.
+fn gap(seed: u64, lose: Fault) -> Duration {
+    let arrivals = load::draw(&load::ATLANTICA, seed, Duration::from_secs(16), 1.0);
+    let mut world = World::new(Options { site: &load::ATLANTICA, arrivals, seed });
+    world.run_until(LOST_AT);
+    let planner = world.planning().expect("somebody plans");
+    lose(&mut world, planner);
+    world.run_until(LOST_AT + Duration::from_secs(12));
+    let ready = |line: &&String| line.contains("knows what earlier orders");
+    let times = world.log.iter().filter(ready).filter_map(|line| line.split(' ').next());
+    let mut times = times.filter_map(|time| time.parse::<f64>().ok());
+    let after = times.find(|time| *time > LOST_AT.as_secs_f64());
+    after.map_or(Duration::ZERO, |time| Duration::from_secs_f64(time - LOST_AT.as_secs_f64()))
+}
+
+fn main() {
+    let faults: [(&str, Fault); 3] = [
+        ("killed", |world, planner| world.kill_entry(planner, Duration::from_secs(3))),
+        ("frozen for 4 s", |world, planner| world.freeze_entry(planner, Duration::from_secs(4))),
+        ("cut off from the store", |world, planner| world.cut_store(planner, false)),
+    ];
+    for (name, lose) in faults {
+        let mut gaps: Vec<Duration> = (1..=SEEDS).map(|seed| gap(seed, lose)).collect();
+        gaps.sort_unstable();
+        let (half, worst) = (gaps[gaps.len() / 2], gaps[gaps.len() - 1]);
+        println!("{name}: p50 {} ms, worst {} ms", half.as_millis(), worst.as_millis());
+    }
+}
--- a/crates/proofs/src/jobs/world.rs
+++ b/crates/proofs/src/jobs/world/mod.rs
@@ -1,21 +1,24 @@
 //! The machines, the store and the minions in virtual time.
 
+mod callers;
+mod faults;
+mod minions;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use bytes::Bytes;
-use rand::{RngExt as _, SeedableRng as _};
+use rand::SeedableRng as _;
 use rand_pcg::Pcg32;
-use sapphire_front::{self as front, answer};
+use sapphire_front as front;
 use sapphire_jobs::{
-    Ending, Incarnation, Job, Lead, Orders, Running, State,
+    Incarnation, Lead, Orders,
     catalog::{Catalog, Organisation, Parts, Queue, Service},
-    task::Task,
 };
 use sapphire_planner::{self as planner, event::Moment, planner::Planner};
-use sapphire_runner::{self as runner, minion::Beat};
+use sapphire_runner as runner;
 use sapphire_store::call::{Call, Reply};
 
 use super::{
@@ -337,8 +340,6 @@
         address.strip_prefix('e')?.parse().ok()
     }
 
-    // Entries.
-
     fn entry_tick(&mut self, entry: usize, life: u64) {
         if self.entries[entry].life != life || !self.entries[entry].is_up {
             return;
@@ -586,8 +587,6 @@
         }
     }
 
-    // The store.
-
     fn send_store(&mut self, entry: usize, origin: Origin, call: Call) {
         let life = self.entries[entry].life;
         let sent = self.now;
@@ -661,8 +660,6 @@
         }
     }
 
-    // Agents and minions.
-
     fn tell_agent(&mut self, agent: usize, life: u64, event: runner::event::Event) {
         let node = &mut self.agents[agent];
         if node.life != life || !node.is_up {
@@ -710,369 +707,6 @@
         }
     }
 
-    fn minion_call(
-        &mut self,
-        agent: usize,
-        life: u64,
-        ticket: u64,
-        call: runner::minion::Call,
-        until: Duration,
-    ) {
-        use runner::minion::{Call as Order, Reply as Said};
-        if !self.minions[agent].is_up {
-            let event = runner::event::Event::Minion(ticket, Said::Gone);
-            self.after(LOCAL, Action::Runner(agent, life, event));
-            return;
-        }
-        let is_order = !matches!(call, Order::Hold { .. });
-        if is_order && self.late_orders > 0.0 && self.rng.random_bool(self.late_orders) {
-            let late = Duration::from_secs_f64(self.rng.random_range(2.0..12.0));
-            let event = runner::event::Event::Minion(ticket, Said::Unknown);
-            self.at(until, Action::Runner(agent, life, event));
-            let (life, until) = (u64::MAX, self.now + late * 2);
-            self.after(late, Action::Minion { agent, life, ticket, call, until });
-            return;
-        }
-        if let Order::Hold { wait, .. } = &call
-            && !wait.is_zero()
-            && self.minions[agent].ended.is_empty()
-            && self.now + LOCAL * 4 + runner::options::MINION_TIMEOUT < until
-        {
-            // Looked at again soon; the minion answers when something has ended.
-            let action = Action::Minion { agent, life, ticket, call, until };
-            self.after(STEP, action);
-            return;
-        }
-        let starts = match &call {
-            Order::Start { start, .. } => start.run.clone(),
-            _ => None,
-        };
-        let reply = self.minions[agent].call(self.now, &call, &self.truth);
-        if let (Some(run), Said::Done) = (starts, &reply) {
-            self.check_start(agent, &Task::read(&run));
-        }
-        let event = runner::event::Event::Minion(ticket, reply);
-        self.after(LOCAL, Action::Runner(agent, life, event));
-    }
-
-    /// What must hold whenever a minion starts a task.
-    fn check_start(&mut self, agent: usize, task: &Task) {
-        self.started.entry(task.job.clone()).or_insert(self.now);
-        let elsewhere = self.minions.iter().enumerate().filter(|(index, minion)| {
-            *index != agent && minion.is_up && minion.active.contains_key(task)
-        });
-        if elsewhere.count() > 0 {
-            self.broken.push(format!("{task} runs twice at once"));
-        }
-        if self.shown.contains_key(&(task.job.clone(), State::Complete.into())) {
-            self.broken.push(format!("{task} starts after its job was shown complete"));
-        }
-        if self.refused.contains(&task.job) && !self.accepted.contains_key(&task.job) {
-            self.broken.push(format!("{task} starts though its job was refused"));
-        }
-        if let Some(at) = self.cancelled.get(&task.job)
-            && self.now > *at + Duration::from_secs(3)
-        {
-            self.broken.push(format!("{task} starts long after its job was cancelled"));
-        }
-        if self.minions[agent].overfilled {
-            self.broken.push(format!("m{agent} is overfilled by {task}"));
-            self.minions[agent].overfilled = false;
-        }
-    }
-
-    fn beat(&mut self, agent: usize) {
-        self.after(BEAT, Action::Beat(agent));
-        let minion = &self.minions[agent];
-        if minion.is_up {
-            let beat = Beat {
-                incarnation: minion.incarnation.clone(),
-                address: format!("m{agent}"),
-                sequence: self.now.as_millis() as u64,
-            };
-            let life = self.agents[agent].life;
-            let event = runner::event::Event::Beat(Box::new(beat));
-            self.after(LOCAL, Action::Runner(agent, life, event));
-        }
-    }
-
-    /// Lets tasks make progress for one step.
-    fn step(&mut self) {
-        self.after(STEP, Action::Step);
-        self.lapse();
-        let mut runs: BTreeMap<(Task, u32), Vec<(usize, Task)>> = BTreeMap::new();
-        for (index, minion) in self.minions.iter().enumerate().filter(|(_, it)| it.is_up) {
-            for (task, active) in &minion.active {
-                let truth = self.truth.get(&(task.job.clone(), task.step));
-                let is_gang = truth.is_some_and(|truth| truth.members > 1);
-                let key = Task { index: if is_gang { 0 } else { task.index }, ..task.clone() };
-                runs.entry((key, active.number)).or_default().push((index, task.clone()));
-            }
-        }
-        for ((task, _), members) in runs {
-            self.step_run(&task, &members);
-        }
-        if self.now.as_millis().is_multiple_of(20) {
-            self.wake_watches();
-        }
-    }
-
-    fn lapse(&mut self) {
-        for minion in &mut self.minions {
-            if minion.is_up && !minion.active.is_empty() && self.now >= minion.lease {
-                minion.lapse(&self.truth);
-            }
-        }
-    }
-
-    fn step_run(&mut self, task: &Task, members: &[(usize, Task)]) {
-        let Some(truth) = self.truth.get(&(task.job.clone(), task.step)).cloned() else { return };
-        let stopped = members.iter().any(|(at, task)| {
-            self.minions[*at].active[task].stop_at.is_some_and(|stop| self.now >= stop)
-        });
-        if stopped {
-            for (at, task) in members {
-                let is_asked = self.minions[*at].active[task].stop_at.is_some();
-                let ending = if is_asked { Ending::Stopped } else { Ending::Broken };
-                self.minions[*at].end(task, ending, Some(&truth));
-            }
-            return;
-        }
-        if members.len() < truth.members as usize {
-            let alone = |(at, task): &(usize, Task)| {
-                self.now >= self.minions[*at].active[task].since + Duration::from_secs(3)
-            };
-            if members.iter().any(alone) {
-                for (at, task) in members {
-                    self.minions[*at].end(task, Ending::Alone, Some(&truth));
-                }
-            }
-            return;
-        }
-        let racks: BTreeSet<&str> =
-            members.iter().map(|(at, _)| self.minions[*at].incarnation.rack.as_str()).collect();
-        let far = if truth.wants_one_rack && racks.len() > 1 { 3.0 } else { 1.0 };
-        let slow = members.iter().map(|(at, _)| self.minions[*at].slow).fold(1.0, f64::max);
-        let hangs = members.iter().any(|(at, _)| self.minions[*at].hangs);
-        let fails = members.iter().any(|(at, _)| self.minions[*at].fails) || truth.always_fails;
-        if hangs {
-            return;
-        }
-        let gain = STEP.div_f64(far * slow);
-        let mut done = Duration::ZERO;
-        for (at, task) in members {
-            let active = self.minions[*at].active.get_mut(task).expect("listed by the caller");
-            active.done += gain;
-            done = done.max(active.done);
-        }
-        let is_early = done < truth.work.mul_f64(0.5);
-        if done >= truth.work {
-            let own = self.rng.random_bool(truth.fail_share);
-            let ending = if fails || own { Ending::Faulty } else { Ending::Done };
-            self.end_run(members, ending, &truth);
-        } else if fails && !is_early {
-            self.end_run(members, Ending::Faulty, &truth);
-        }
-    }
-
-    fn end_run(&mut self, members: &[(usize, Task)], ending: Ending, truth: &Truth) {
-        for (position, (at, task)) in members.iter().enumerate() {
-            let is_first = position == 0 || ending == Ending::Done;
-            let ending = if is_first { ending } else { Ending::Broken };
-            self.minions[*at].end(task, ending, Some(truth));
-        }
-    }
-
-    // Callers.
-
-    fn caller_entry(&mut self) -> usize {
-        let up: Vec<usize> =
-            (0..self.entries.len()).filter(|index| self.entries[*index].is_up).collect();
-        if up.is_empty() { 0 } else { up[self.rng.random_range(0..up.len())] }
-    }
-
-    fn request(&mut self, index: usize, action: answer::Action) {
-        let entry = self.caller_entry();
-        let job = &self.arrivals[index].job;
-        let request = answer::Request {
-            host: "h".to_owned(),
-            path: format!("/{}/{}", job.queue, job.id),
-            key: job.organisation.clone(),
-            patience: Some(Duration::from_secs(3)),
-            action,
-        };
-        let life = self.entries[entry].life;
-        let caller = index as u64;
-        let event = front::event::Event::Request(caller, Box::new(request));
-        self.after(Duration::from_millis(3), Action::Front(entry, life, event));
-    }
-
-    fn submit(&mut self, index: usize) {
-        let job: Job = self.arrivals[index].job.clone();
-        if self.accepted.contains_key(&job.id) {
-            return;
-        }
-        let handin = answer::Handin { spec: job.spec, steps: job.steps, schedule: job.schedule };
-        self.request(index, answer::Action::Submit(Ok(handin)));
-        // Callers ask again when there is no answer.
-        self.after(Duration::from_millis(1_500), Action::Submit(index));
-    }
-
-    fn cancel(&mut self, index: usize) {
-        self.request(index, answer::Action::Cancel);
-    }
-
-    fn look(&mut self, index: usize) {
-        let id = self.arrivals[index].job.id.clone();
-        let is_over = [State::Complete, State::Failed, State::Cancelled]
-            .iter()
-            .any(|state| self.shown.contains_key(&(id.clone(), (*state).into())));
-        if !is_over {
-            self.request(index, answer::Action::Read);
-            self.after(Duration::from_millis(100), Action::Look(index));
-        }
-    }
-
-    fn answered(&mut self, caller: u64, answer: &answer::Answer) {
-        let index = caller as usize;
-        let id = self.arrivals[index].job.id.clone();
-        match answer {
-            answer::Answer::Accepted => {
-                let earlier = self.accepted.insert(id, self.now);
-                if earlier.is_none() {
-                    self.after(Duration::from_millis(50), Action::Look(index));
-                }
-            }
-            answer::Answer::State(state) => {
-                self.shown.entry((id, (*state).into())).or_insert(self.now);
-            }
-            answer::Answer::Cancelled => {
-                self.cancelled.entry(id).or_insert(self.now);
-            }
-            answer::Answer::NotDone { .. } => {
-                self.refused.insert(id);
-            }
-            answer::Answer::NoJob if self.accepted.contains_key(&id) => {
-                self.broken.push(format!("{id} was accepted and is said not to exist"));
-            }
-            _ => {}
-        }
-    }
-
-    /// When a job was first shown in a state, from the first arrival.
-    pub fn shown(&self, id: &str, state: State) -> Option<Duration> {
-        let at = self.shown.get(&(id.to_owned(), state.into()))?;
-        Some(at.saturating_sub(self.offset))
-    }
-
-    /// When a job's first task started, from the first arrival.
-    pub fn started(&self, id: &str) -> Option<Duration> {
-        Some(self.started.get(id)?.saturating_sub(self.offset))
-    }
-
-    /// Whether a job was accepted.
-    pub fn is_accepted(&self, id: &str) -> bool {
-        self.accepted.contains_key(id)
-    }
-
-    /// Work thrown away, in processor seconds.
-    pub fn waste(&self) -> f64 {
-        self.lost_waste + self.minions.iter().map(|minion| minion.waste).sum::<f64>()
-    }
-
-    // Faults.
-
-    /// The entry that plans.
-    pub fn planning(&self) -> Option<usize> {
-        self.entries.iter().position(|entry| entry.is_up && entry.planner.is_some())
-    }
-
-    /// Kills an entry; it comes back after a while.
-    pub fn kill_entry(&mut self, entry: usize, back: Duration) {
-        let node = &mut self.entries[entry];
-        node.is_up = false;
-        node.planner = None;
-        node.life += 1;
-        self.after(back, Action::StartEntry(entry));
-        self.note(&format!("e{entry} is killed"));
-    }
-
-    fn start_entry(&mut self, entry: usize) {
-        let life = self.entries[entry].life;
-        let front = front::machine::Machine::new(self.front_options(entry, life));
-        let node = &mut self.entries[entry];
-        node.front = front;
-        node.is_up = true;
-        self.after(Duration::ZERO, Action::EntryTick(entry, life));
-    }
-
-    /// Kills an agent; its minion runs on, and it comes back after a while.
-    pub fn kill_agent(&mut self, agent: usize, back: Duration) {
-        let node = &mut self.agents[agent];
-        node.is_up = false;
-        node.life += 1;
-        self.after(back, Action::StartAgent(agent));
-        self.note(&format!("a{agent} is killed"));
-    }
-
-    fn start_agent(&mut self, agent: usize) {
-        let life = self.agents[agent].life;
-        let node = &mut self.agents[agent];
-        node.machine = runner::machine::Machine::new(runner_options(agent, life));
-        node.is_up = true;
-        self.after(Duration::ZERO, Action::AgentTick(agent, life));
-    }
-
-    /// Freezes an entry for a while.
-    pub fn freeze_entry(&mut self, entry: usize, time: Duration) {
-        self.entries[entry].frozen_until = self.now + time;
-        self.note(&format!("e{entry} is frozen for {} ms", time.as_millis()));
-    }
-
-    /// Freezes an agent for a while.
-    pub fn freeze_agent(&mut self, agent: usize, time: Duration) {
-        self.agents[agent].frozen_until = self.now + time;
-        self.note(&format!("a{agent} is frozen for {} ms", time.as_millis()));
-    }
-
-    /// Cuts an agent off from everything but its minion, or heals the cut.
-    pub fn cut_agent(&mut self, agent: usize, is_cut: bool) {
-        self.agents[agent].is_cut = is_cut;
-        self.note(&format!("a{agent} cut={is_cut}"));
-    }
-
-    /// Takes the store away from an entry, or gives it back.
-    pub fn cut_store(&mut self, entry: usize, reaches: bool) {
-        self.entries[entry].reaches_store = reaches;
-        self.note(&format!("e{entry} reaches_store={reaches}"));
-    }
-
-    /// Takes the store away from everybody, or gives it back.
-    pub fn set_store(&mut self, is_up: bool) {
-        self.is_store_up = is_up;
-        self.note(&format!("store up={is_up}"));
-    }
-
-    /// Forgets the store's history of changes.
-    pub fn compact_store(&mut self) {
-        self.store.compact();
-    }
-
-    /// Crashes a minion; another life of it starts after a while.
-    pub fn crash_minion(&mut self, agent: usize) {
-        let old = &self.minions[agent];
-        self.lost_waste += old.waste;
-        let born_ms = old.incarnation.born_ms + 1;
-        let incarnation = Incarnation { born_ms, ..old.incarnation.clone() };
-        self.minions[agent] = Minion::new(incarnation);
-        self.note(&format!("m{agent} crashes"));
-    }
-
-    /// A minion, to change its ways.
-    pub fn minion(&mut self, agent: usize) -> &mut Minion {
-        &mut self.minions[agent]
-    }
-
     /// Number of agents.
     pub fn agents(&self) -> usize {
         self.agents.len()
@@ -1083,16 +717,6 @@
         self.entries.len()
     }
 
-    /// What runs on a worker, as its minion has it.
-    pub fn running(&self, agent: usize) -> Vec<Running> {
-        let active = self.minions[agent].active.iter();
-        let running = active.map(|(task, active)| Running {
-            run: Some(task.run(active.number)),
-            ..Running::default()
-        });
-        running.collect()
-    }
-
     fn note(&mut self, text: &str) {
         let time = self.now.as_secs_f64() - self.offset.as_secs_f64();
         self.log.push(format!("{time:.3} {text}"));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,5 @@
 //! [`soak::run`] plays one seed and returns the promises that were broken.
 
 mod fleet;
-mod platform;
 mod proxy;
 pub mod soak;
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -21,12 +21,12 @@
     store::Store,
 };
 use sapphire_runner::minion::Call as Order;
+use sapphire_standins::jobs_platform as platform;
 use sapphire_store::call::{Call, Reply};
 use serde_json::{Value, json};
 
 use crate::{
     fleet::{AGENTS, ENTRIES, Fleet, Net, Who},
-    platform,
     proxy::{Mode, Proxy},
 };
 
--- a/crates/soak/src/platform.rs
+++ b/crates/standins/src/jobs_platform.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 
 /// What a minion of the stand-in has.
-pub(crate) const CAPACITY: Room = Room { millicores: 8_000, memory_mib: 8_000, accelerators: 4 };
+pub const CAPACITY: Room = Room { millicores: 8_000, memory_mib: 8_000, accelerators: 4 };
 
 fn text(value: &Value) -> String {
     value.as_str().unwrap_or_default().to_owned()
@@ -28,7 +28,7 @@
 }
 
 /// Reads a call to the store.
-pub(crate) fn store_call(request: &Request) -> Option<Call> {
+pub fn store_call(request: &Request) -> Option<Call> {
     let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
     let path = request.path();
     let number = |name: &str| query(request, name).parse().unwrap_or(0);
@@ -86,7 +86,7 @@
 }
 
 /// Writes an answer of the store.
-pub(crate) fn store_response(call: &Call, reply: &Reply) -> Response {
+pub fn store_response(call: &Call, reply: &Reply) -> Response {
     let items = |items: &[Item]| items.iter().map(item).collect::<Vec<_>>();
     let (status, body) = match reply {
         Reply::Value(value) if value.revision == 0 => (404, json!({})),
@@ -115,7 +115,7 @@
 }
 
 /// Writes the operators' configuration: one queue, one organisation.
-pub(crate) fn configure(store: &mut Store, now: Duration) {
+pub fn configure(store: &mut Store, now: Duration) {
     let config = json!({
         "version": 1,
         "routes": [{
@@ -135,7 +135,7 @@
 }
 
 /// A life of a minion.
-pub(crate) fn incarnation(agent: u8, born_ms: u64) -> Incarnation {
+pub fn incarnation(agent: u8, born_ms: u64) -> Incarnation {
     Incarnation {
         id: format!("m{agent}"),
         born_ms,
@@ -148,7 +148,7 @@
 }
 
 /// A heartbeat of a minion.
-pub(crate) fn beat(minion: &Minion, address: &str, sequence: u64) -> Request {
+pub fn beat(minion: &Minion, address: &str, sequence: u64) -> Request {
     let body = json!({
         "service": "desk", "address": address, "zone": "z", "version": "v1", "slots": 8,
         "state": "ready", "labels": minion.incarnation.labels, "call_seq": sequence,
@@ -173,7 +173,7 @@
 }
 
 /// Reads an order to a minion.
-pub(crate) fn order(request: &Request) -> Option<Order> {
+pub fn order(request: &Request) -> Option<Order> {
     let body: Value = serde_json::from_slice(&request.body).ok()?;
     let number = |name: &str| body[name].as_u64();
     let token = number("fencing_token").unwrap_or(0);
@@ -205,7 +205,7 @@
 }
 
 /// Carries out an order and writes the answer.
-pub(crate) fn obey(
+pub fn obey(
     minion: &mut Minion,
     now: Duration,
     order: &Order,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each serves HTTP/1.1 on one address: the key-value service, a worker and a minion.
 
+pub mod jobs_platform;
 pub mod minion;
 pub mod serve;
 pub mod store;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,7 +8,7 @@
 
 cargo build --quiet --release --package sapphired --package sapphirectl
 cargo build --quiet --release --package sapphire-standins --examples
-bin=target/release
+bin=${CARGO_TARGET_DIR:-target}/release
 logs=$(mktemp -d)
 processes=()
 
