fix: a silent minion is asked less and less

Change: the first repetition goes at once, further ones after 0.2 s to 1.6 s, doubled each time. Test: a_silent_minion_is_asked_less_and_less. Excluded: the look for a minion after a start (it ends with the third refusal).

--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -117,7 +117,10 @@
     }
 
     fn held(&mut self, now: Duration, hold: Hold, reply: Reply) {
-        self.next_hold = now + options::LISTED_PAUSE;
+        let is_answered = !matches!(reply, Reply::Unknown | Reply::Gone);
+        self.unanswered_holds = if is_answered { 0 } else { self.unanswered_holds + 1 };
+        let pause = options::retry_pause(self.unanswered_holds);
+        self.next_hold = now + options::LISTED_PAUSE.max(pause);
         match reply {
             Reply::Listed { born_ms, .. } if self.is_other_life(born_ms) => {
                 self.reborn(now, born_ms);
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -98,6 +98,8 @@
     /// A list is wanted at once.
     pub(crate) wants_list: bool,
     pub(crate) next_hold: Duration,
+    /// Holds in a row without an answer.
+    pub(crate) unanswered_holds: u32,
     pub(crate) is_leaving: Option<Duration>,
     last_ticket: Ticket,
     pub(crate) out: Vec<Effect>,
@@ -132,6 +134,7 @@
             quick_hold: None,
             wants_list: false,
             next_hold: Duration::ZERO,
+            unanswered_holds: 0,
             is_leaving: None,
             last_ticket: 0,
             out: Vec::new(),
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -25,6 +25,12 @@
 /// Time for the minion's answer beyond what it was asked to wait. It is on the same machine; a
 /// busy one has been seen to take tens of milliseconds.
 pub const MINION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause before a call without an answer is made once more, doubled with each further one. The
+/// first repetition goes at once, since a single order may be lost; a minion that answers nothing
+/// costs a connection a call.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Longest such pause, well below the lease.
+pub const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
 /// Time without an answer from the minion after which the planner is told.
 pub const MINION_SILENCE: Duration = Duration::from_millis(1_800);
 /// Pause between holds while ends are listed that are not noted yet: the minion answers at once
@@ -44,3 +50,11 @@
 pub const LEAD_TIMEOUT: Duration = Duration::from_millis(400);
 /// Connections refused in a row after which the minion's process is taken as ended.
 pub const REFUSALS: u32 = 3;
+
+/// Pause before the next try of a call, after so many in a row without an answer.
+pub(crate) fn retry_pause(tries: u32) -> Duration {
+    match tries {
+        0 | 1 => Duration::ZERO,
+        more => (RETRY_PAUSE * 2_u32.pow((more - 2).min(8))).min(LONGEST_RETRY_PAUSE),
+    }
+}
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -30,6 +30,8 @@
     pub(crate) kind: Kind,
     pub(crate) call: Option<Ticket>,
     pub(crate) tries: u32,
+    /// Not to be sent again before.
+    pub(crate) retry_at: Duration,
 }
 
 impl Machine {
@@ -52,7 +54,10 @@
             return;
         }
         let kind = Kind::Start(Box::new(start));
-        self.orders.insert(task, Order { number: run.run, kind, call: None, tries: 0 });
+        self.orders.insert(
+            task,
+            Order { number: run.run, kind, call: None, tries: 0, retry_at: Duration::ZERO },
+        );
     }
 
     /// Takes an order to stop.
@@ -64,7 +69,10 @@
         });
         if !is_known {
             let kind = Kind::Stop(None);
-            self.orders.insert(task, Order { number: run.run, kind, call: None, tries: 0 });
+            self.orders.insert(
+                task,
+                Order { number: run.run, kind, call: None, tries: 0, retry_at: Duration::ZERO },
+            );
         }
     }
 
@@ -92,7 +100,7 @@
         let token = self.session.token;
         let deadline = self.deadline(now);
         let Some(order) = self.orders.get(task) else { return false };
-        if order.call.is_some() {
+        if order.call.is_some() || now < order.retry_at {
             return false;
         }
         let call = match (&order.kind, deadline) {
@@ -146,6 +154,7 @@
                 }
             }
             _ => {
+                order.retry_at = now + options::retry_pause(tries);
                 if tries % 4 == 1 {
                     self.log(format!("task={task} run={number} no answer to try {tries}"));
                 }
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -274,3 +274,23 @@
     bench.tell(1_600, Event::Tick);
     assert!(bench.polls.iter().all(|(_, poll)| !poll.is_minion_gone));
 }
+
+/// A minion that answers nothing costs a connection a call, thousands in half a minute. The first
+/// repetition goes at once, since a single order may be lost; further ones take longer and longer.
+#[test]
+fn a_silent_minion_is_asked_less_and_less() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(1)], Vec::new());
+    let mut now = 100;
+    let mut tries = 0;
+    while now < 10_100 {
+        now += 50;
+        bench.tell(now, Event::Tick);
+        while let Some(at) = bench.calls.iter().position(|(_, call)| is_start(call)) {
+            let (ticket, _) = bench.calls.remove(at);
+            tries += 1;
+            bench.tell(now, Event::Minion(ticket, Reply::Unknown));
+        }
+    }
+    assert!((3..14).contains(&tries), "{tries} tries in ten seconds");
+}
