fix: orders of an earlier session are not taken up for a new minion

Orders that were under way when a minion was replaced carried the old session's token and the number up to which its ends were noted; the agent, which had dropped its session, took both up for the new minion, which then forgot its first ends before the planner had heard of them. Change: a session begins only with a token above any that the agent has had; a planner gives a new one to an agent that has lost its session. Test: orders_of_an_earlier_session_are_not_taken_up_for_a_new_minion failed first (a hold with noted 57 went to the new minion). Excluded: a record of progress overwritten (each write names its revision), run numbers of two terms (the fleet's record numbers them).

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -84,7 +84,9 @@
         };
         worker.generation = poll.generation;
         worker.is_vacant = poll.is_minion_gone && poll.incarnation.is_none();
-        let is_new_session = is_new_agent || is_new_minion || worker.token == 0;
+        // An agent that has lost its session takes up none that it had before.
+        let has_lost_session = worker.is_fenced && poll.fenced_token < worker.token;
+        let is_new_session = is_new_agent || is_new_minion || worker.token == 0 || has_lost_session;
         if is_new_session {
             self.sessions += 1;
             worker.token = self.term * options::SESSIONS_PER_TERM + self.sessions;
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -97,8 +97,11 @@
 
     /// A new token begins a session: the minion has to acknowledge it before anything else, and
     /// orders of the session before are void.
+    ///
+    /// Guards against orders that were under way when the minion was replaced: they tell which
+    /// ends of the old life are noted, and the new life would forget its own under these numbers.
     fn begin_session(&mut self, orders: &Orders) {
-        if self.minion.is_none() || orders.token <= self.session.token {
+        if self.minion.is_none() || orders.token <= self.session.highest {
             return;
         }
         let is_new_term = orders.term > self.session.term;
@@ -107,6 +110,7 @@
         }
         self.session.term = orders.term;
         self.session.token = orders.token;
+        self.session.highest = orders.token;
         self.session.noted = orders.noted;
         self.orders.clear();
         self.verdicts.clear();
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -294,3 +294,36 @@
     }
     assert!((3..14).contains(&tries), "{tries} tries in ten seconds");
 }
+
+/// A farmer is billed twice. A minion is replaced; orders of the session before, which name the
+/// ends of the old life that are noted, arrive after the new life has been met. Taken up for it,
+/// they made the new life forget its first ends, and the planner, which never heard of them,
+/// started done tasks again.
+#[test]
+fn orders_of_an_earlier_session_are_not_taken_up_for_a_new_minion() {
+    let mut bench = Bench::fenced();
+    bench.tell(100, Event::Tick);
+    let (ticket, _) = bench.polls.last().cloned().expect("the agent has polled");
+    bench.beat(1_000, 9, 1, false);
+    bench.calls.clear();
+    let orders = Orders {
+        term: 7,
+        token: TOKEN,
+        lease_ms: LEASE.as_millis() as u64,
+        noted: 57,
+        ..Orders::default()
+    };
+    bench.tell(1_010, Event::Orders(ticket, Box::new(orders)));
+    bench.tell(1_200, Event::Tick);
+    assert!(bench.calls.is_empty(), "{:?}", bench.calls);
+    let (ticket, _) = bench.polls.last().cloned().expect("the agent has polled");
+    let orders = Orders {
+        term: 7,
+        token: TOKEN + 1,
+        lease_ms: LEASE.as_millis() as u64,
+        ..Orders::default()
+    };
+    bench.tell(1_300, Event::Orders(ticket, Box::new(orders)));
+    let hold = bench.take(|call| matches!(call, Call::Hold { noted: 0, .. }));
+    bench.list(1_310, hold, Vec::new());
+}
