--- a/crates/proofs/examples/policy_jobs.rs
+++ b/crates/proofs/examples/policy_jobs.rs
@@ -20,6 +20,9 @@
     /// load against the sites' usual
     #[argh(option, default = "1.0")]
     scale: f64,
+    /// the deployment once grown instead of today's two
+    #[argh(switch)]
+    grown: bool,
     /// print the log of one seed instead
     #[argh(switch)]
     story: bool,
@@ -50,7 +53,11 @@
 
 fn main() {
     let args: Args = argh::from_env();
-    for site in [&load::ATLANTICA, &load::PASTIZAL] {
+    let sites: &[&Site] = match args.grown {
+        true => &[&load::ATLANTICA_GROWN],
+        false => &[&load::ATLANTICA, &load::PASTIZAL],
+    };
+    for site in sites {
         let seeds: Vec<u64> = (args.first..args.first + args.seeds).collect();
         let share = seeds.len().div_ceil(THREADS as usize).max(1);
         let figures: Vec<figures::Figures> = thread::scope(|scope| {
