--- a/crates/net/src/hub.rs
+++ b/crates/net/src/hub.rs
@@ -33,6 +33,9 @@
 /// Connections to one address; further calls wait. Above the calls that one process has under
 /// way at one peer at once (a long poll, a report, some relayed calls).
 const MAX_OUTBOUND: usize = 16;
+/// Time between two reports of connections that were not taken. Without descriptors each event
+/// would bring one.
+const TELL_AGAIN: Duration = Duration::from_secs(1);
 /// Time after which an unused connection is closed, below what servers usually keep one for.
 const IDLE: Duration = Duration::from_secs(12);
 
@@ -79,6 +82,13 @@
         /// Its outcome.
         result: Result<Response, Failure>,
     },
+    /// A connection was not taken; told once a second at most.
+    NotAccepted {
+        /// Where it came in.
+        listener: ListenerId,
+        /// What the system said.
+        kind: io::ErrorKind,
+    },
 }
 
 enum Socket {
@@ -106,6 +116,8 @@
     last_id: u64,
     inbound: BTreeMap<ListenerId, usize>,
     is_closing: bool,
+    /// When a connection that was not taken was last told of.
+    told_not_accepted: Option<Duration>,
 }
 
 impl Hub {
@@ -124,6 +136,7 @@
             last_id: 0,
             inbound: BTreeMap::new(),
             is_closing: false,
+            told_not_accepted: None,
         })
     }
 
@@ -273,8 +286,12 @@
             let mut socket = match listener.accept() {
                 Ok((socket, _)) => socket,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                // No more for now, or out of descriptors: the next event tries again.
-                Err(_) => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    // Out of descriptors, or the caller has left: the next event tries again.
+                    self.not_accepted(key, &error);
+                    return;
+                }
             };
             if self.inbound.get(&key).is_some_and(|open| *open >= limits.connections) {
                 self.close_oldest(key);
@@ -282,7 +299,8 @@
             let entry = self.sockets.vacant_entry();
             let interest = Interest::READABLE | Interest::WRITABLE;
             let token = Token(entry.key());
-            if self.poll.registry().register(&mut socket, token, interest).is_err() {
+            if let Err(error) = self.poll.registry().register(&mut socket, token, interest) {
+                self.not_accepted(key, &error);
                 continue;
             }
             let stream = Stream::new(socket);
@@ -292,6 +310,14 @@
         }
     }
 
+    fn not_accepted(&mut self, listener: ListenerId, error: &io::Error) {
+        let now = clock::now();
+        if self.told_not_accepted.is_none_or(|told| now >= told + TELL_AGAIN) {
+            self.told_not_accepted = Some(now);
+            self.events.push_back(Event::NotAccepted { listener, kind: error.kind() });
+        }
+    }
+
     /// Makes room for a new connection.
     ///
     /// Guards against callers that open connections and send nothing or only part of a request:
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -37,6 +37,7 @@
                         hub.answer(caller, &Response::new(200, request.body));
                     }
                     Event::Left(_) => left += 1,
+                    Event::NotAccepted { kind, .. } => panic!("not accepted: {kind}"),
                     _ => {}
                 }
             }
--- a/crates/proofs/src/jobs/minion.rs
+++ b/crates/proofs/src/jobs/minion.rs
@@ -181,6 +181,7 @@
             clock: now,
             running: running.collect(),
             ended: self.ended.values().cloned().collect(),
+            unreadable: 0,
         }
     }
 
--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -125,7 +125,8 @@
             Reply::Listed { born_ms, .. } if self.is_other_life(born_ms) => {
                 self.reborn(now, born_ms);
             }
-            Reply::Listed { clock, running, ended, .. } => {
+            Reply::Listed { clock, running, ended, unreadable, .. } => {
+                self.note_unreadable(unreadable);
                 self.listed(now, hold, clock, running, ended);
             }
             Reply::Refused(Rejection::Fenced) => {
@@ -139,6 +140,15 @@
         }
     }
 
+    /// Rows that can't be read name no task that can be kept or noted; their number is told
+    /// whenever it changes, since the same rows come with each list.
+    fn note_unreadable(&mut self, unreadable: usize) {
+        if self.unreadable != unreadable {
+            self.unreadable = unreadable;
+            self.log(format!("lists of the minion: rows that can't be read: {unreadable}"));
+        }
+    }
+
     fn is_other_life(&self, born_ms: u64) -> bool {
         let known = self.minion.as_ref().map(|minion| minion.incarnation.born_ms);
         born_ms > 0 && known.is_some_and(|known| known != born_ms)
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -102,6 +102,8 @@
     pub(crate) next_hold: Duration,
     /// Holds in a row without an answer.
     pub(crate) unanswered_holds: u32,
+    /// Rows of the latest lists that can't be read.
+    pub(crate) unreadable: usize,
     pub(crate) is_leaving: Option<Duration>,
     last_ticket: Ticket,
     pub(crate) out: Vec<Effect>,
@@ -137,6 +139,7 @@
             wants_list: false,
             next_hold: Duration::ZERO,
             unanswered_holds: 0,
+            unreadable: 0,
             is_leaving: None,
             last_ticket: 0,
             out: Vec::new(),
--- a/crates/runner/src/minion.rs
+++ b/crates/runner/src/minion.rs
@@ -62,6 +62,8 @@
         running: Vec<Running>,
         /// Ends that were not noted.
         ended: Vec<Ended>,
+        /// Rows of both lists that can't be read.
+        unreadable: usize,
     },
     /// Done.
     Done,
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -33,6 +33,7 @@
     machine: Machine,
     polls: Vec<(Ticket, Poll)>,
     calls: Vec<(Ticket, Call)>,
+    log: Vec<String>,
 }
 
 impl Bench {
@@ -45,7 +46,7 @@
             tasks: String::new(),
             stop: ms(400),
         });
-        Bench { machine, polls: Vec::new(), calls: Vec::new() }
+        Bench { machine, polls: Vec::new(), calls: Vec::new(), log: Vec::new() }
     }
 
     fn tell(&mut self, now: u64, event: Event) {
@@ -53,6 +54,7 @@
             match effect {
                 Effect::Poll { ticket, poll, .. } => self.polls.push((ticket, *poll)),
                 Effect::Minion { ticket, call, .. } => self.calls.push((ticket, call)),
+                Effect::Log(text) => self.log.push(text),
                 _ => {}
             }
         }
@@ -97,7 +99,8 @@
     }
 
     fn list(&mut self, now: u64, ticket: Ticket, ended: Vec<Ended>) {
-        let reply = Reply::Listed { born_ms: 1, clock: ms(now), running: Vec::new(), ended };
+        let reply =
+            Reply::Listed { born_ms: 1, clock: ms(now), running: Vec::new(), ended, unreadable: 0 };
         self.tell(now, Event::Minion(ticket, reply));
     }
 
@@ -251,7 +254,7 @@
         tasks: "m:1".to_owned(),
         stop: ms(400),
     };
-    let mut bench = Bench { machine: Machine::new(options), polls: Vec::new(), calls: Vec::new() };
+    let mut bench = Bench { machine: Machine::new(options), ..Bench::new() };
     for round in 1..=3 {
         bench.tell(200 * round, Event::Tick);
         let look = bench.take(|call| matches!(call, Call::Hold { token: 0, .. }));
@@ -327,3 +330,31 @@
     let hold = bench.take(|call| matches!(call, Call::Hold { noted: 0, .. }));
     bench.list(1_310, hold, Vec::new());
 }
+
+/// A task is never started again and nothing says why. Its minion lists its end in a row that
+/// can't be read, and the row was passed over without a word; it comes again with every list, so
+/// it is told once.
+#[test]
+fn rows_that_cannot_be_read_are_told_once() {
+    let mut bench = Bench::fenced();
+    let mut list = |now: u64, unreadable| {
+        let hold = bench.take(|call| matches!(call, Call::Hold { .. }));
+        let reply = Reply::Listed {
+            born_ms: 1,
+            clock: ms(now),
+            running: Vec::new(),
+            ended: Vec::new(),
+            unreadable,
+        };
+        bench.tell(now, Event::Minion(hold, reply));
+        bench.tell(now + 2_000, Event::Tick);
+    };
+    list(100, 2);
+    list(2_200, 2);
+    list(4_400, 0);
+    let told: Vec<&String> =
+        bench.log.iter().filter(|line| line.contains("can't be read")).collect();
+    let expected =
+        ["2", "0"].map(|rows| format!("lists of the minion: rows that can't be read: {rows}"));
+    assert_eq!(told, expected.iter().collect::<Vec<_>>());
+}
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -83,6 +83,9 @@
             }
             Event::Net(NetEvent::Answer { call, result }) => self.answered(cx, call, result),
             Event::Net(NetEvent::Left(_)) => {}
+            Event::Net(NetEvent::NotAccepted { kind, .. }) => {
+                self.levels.info("net", &format!("a connection was not accepted: {kind}"));
+            }
             Event::Terminate => self.told(cx, Told::Terminate),
             Event::Reload => self.reload(),
         }
--- a/crates/sapphired/src/jobs_entry/mod.rs
+++ b/crates/sapphired/src/jobs_entry/mod.rs
@@ -155,6 +155,9 @@
                 self.planner_event(now, planner::event::Event::Left(caller));
             }
             Event::Net(NetEvent::Answer { call, result }) => self.answered(now, call, result),
+            Event::Net(NetEvent::NotAccepted { kind, .. }) => {
+                self.levels.info("net", &format!("a connection was not accepted: {kind}"));
+            }
             Event::Terminate => self.terminate(now),
             Event::Reload => self.reload(),
         }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -226,6 +226,7 @@
                 self.watches.retain(|(other, ..)| *other != caller);
                 self.holds.retain(|(other, ..)| *other != caller);
             }
+            Event::NotAccepted { kind, .. } => eprintln!("a connection was not accepted: {kind}"),
             Event::Answer { call, result } => {
                 let asked = self.asked.remove(&call);
                 self.answered(now, asked, result.ok().as_ref());
