fix: an entry that is cut off alone sends its callers on at once, and asks through the entry that answered last

Cause: an entry that reached nobody refused callers with 'come again in 1 s' and called itself ready for 5 s, though other entries served; its calls to the store went through all others in turn, some of them cut off as well, each for 0.5 s. Excluded: a store that is away for all (the planner's news keep coming then; callers still come again after 1 s). Change: Retry-After 0 when neither the store nor the planner answers; ready only with a proof younger than 3 s; the entry that answered last is asked first.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -28,7 +28,7 @@
 impl Machine {
     pub(crate) fn request(&mut self, now: Duration, unix: Duration, caller: Caller, ask: Request) {
         let Some(catalog) = self.fresh.catalog.clone() else {
-            self.refuse(caller, "no configuration yet");
+            self.refuse(now, caller, "no configuration yet");
             return;
         };
         let age = self.fresh.age(now);
@@ -37,7 +37,7 @@
             if is_recent {
                 self.answer(caller, Answer::NoQueue);
             } else {
-                self.refuse(caller, "the configuration may be out of date");
+                self.refuse(now, caller, "the configuration may be out of date");
             }
             return;
         };
@@ -47,7 +47,7 @@
             // proof that the configuration is the newest runs out before the key has to.
             let most = self.options.revocation.saturating_sub(options::REVOCATION_MARGIN);
             if age.is_none_or(|age| age >= most) {
-                self.refuse(caller, "the configuration may be out of date");
+                self.refuse(now, caller, "the configuration may be out of date");
                 return;
             }
             match catalog.owner(&ask.key) {
@@ -57,14 +57,14 @@
                     return;
                 }
                 None => {
-                    self.refuse(caller, "the configuration may be out of date");
+                    self.refuse(now, caller, "the configuration may be out of date");
                     return;
                 }
             }
         }
         let patience = ask.patience.unwrap_or(PATIENCE);
         match ask.action {
-            Action::Read if rest.is_empty() => self.read_queue(caller, &queue.name),
+            Action::Read if rest.is_empty() => self.read_queue(now, caller, &queue.name),
             _ if !is_id(rest) => self.answer(caller, Answer::NoJob),
             Action::Read => self.read(now, caller, rest, patience),
             Action::Cancel => self.cancel(now, caller, rest, patience),
@@ -80,8 +80,19 @@
         }
     }
 
-    fn refuse(&mut self, caller: Caller, reason: &'static str) {
-        self.answer(caller, Answer::NotDone { reason, after: options::COME_AGAIN });
+    fn refuse(&mut self, now: Duration, caller: Caller, reason: &'static str) {
+        let after = self.come_again(now);
+        self.answer(caller, Answer::NotDone { reason, after });
+    }
+
+    /// When a caller that can't be served is to come again.
+    ///
+    /// An entry that reaches neither the store nor the planner is most likely cut off alone: its
+    /// callers are better off at another one at once. While the store is away for all, coming
+    /// again sooner would only use up their tries.
+    pub(crate) fn come_again(&self, now: Duration) -> Duration {
+        let is_alone = self.reach.is_away(now) && !self.view.is_fresh(now);
+        if is_alone { Duration::ZERO } else { options::COME_AGAIN }
     }
 
     fn record(
@@ -119,12 +130,12 @@
         self.write(now, caller, &id, What::Job(Box::new(job)), patience);
     }
 
-    fn read_queue(&mut self, caller: Caller, queue: &str) {
+    fn read_queue(&mut self, now: Duration, caller: Caller, queue: &str) {
         if self.view.is_fed() {
             let pending = self.view.pending(queue);
             self.answer(caller, Answer::Pending(pending));
         } else {
-            self.refuse(caller, "the jobs are not known yet");
+            self.refuse(now, caller, "the jobs are not known yet");
         }
     }
 
@@ -255,7 +266,7 @@
             !waiting.is_empty()
         });
         for caller in over {
-            self.refuse(caller, "the store can't be reached");
+            self.refuse(now, caller, "the store can't be reached");
         }
     }
 }
--- a/crates/front/src/handin.rs
+++ b/crates/front/src/handin.rs
@@ -231,7 +231,7 @@
                 self.writes.unsettled.entry((is_cancel, id.clone())).or_insert(until);
             }
             self.log(format!("job={id} cancel={is_cancel} given up, unsure={is_unsure}"));
-            let after = options::COME_AGAIN;
+            let after = self.come_again(now);
             let answer = if is_unsure {
                 Answer::Unknown { after }
             } else {
--- a/crates/front/src/machine.rs
+++ b/crates/front/src/machine.rs
@@ -13,7 +13,7 @@
     freshness::Freshness,
     handin::Writes,
     leader::Leadership,
-    options::Options,
+    options::{self, Options},
     reach::{Reach, Way},
     reads::Reads,
     view::View,
@@ -148,6 +148,9 @@
     /// Notes how a call to the store ended that was no watch.
     pub fn note_call(&mut self, now: Duration, way: &Way, is_answered: bool) -> Vec<Effect> {
         self.reach.note_any(now, is_answered);
+        if let Way::Through(entry) = way {
+            self.reach.note_through(entry, is_answered);
+        }
         if *way == Way::Straight && self.reach.note(now, is_answered) {
             let verb = if is_answered { "reached again" } else { "lost; asking through entries" };
             self.log(format!("store {verb}"));
@@ -157,7 +160,7 @@
 
     /// Whether callers should be sent here.
     pub fn is_ready(&self, now: Duration) -> bool {
-        let most = self.options.revocation;
+        let most = self.options.revocation.min(options::READY_PROOF);
         let has_proof = self.fresh.age(now).is_some_and(|age| age < most);
         !self.is_leaving && has_proof && self.view.is_fed()
     }
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -35,6 +35,10 @@
 pub const REVOCATION_MARGIN: Duration = Duration::from_millis(400);
 /// Age of the proof up to which a caller may be told that its queue or key does not exist.
 pub const REFUSAL_AGE: Duration = Duration::from_millis(2_000);
+/// Age of the proof up to which callers should be sent to an entry. Above the age at which it
+/// proves its configuration by itself, with a store that is slow: an entry that is cut off alone
+/// is left by new callers 2.5 s sooner than when its keys have to be refused.
+pub const READY_PROOF: Duration = Duration::from_millis(3_000);
 /// How often the planner's entry proves its configuration; the others hear of it from there.
 pub const PROOF_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Age of the proof at which an entry proves its configuration by itself.
--- a/crates/front/src/reach.rs
+++ b/crates/front/src/reach.rs
@@ -37,14 +37,22 @@
     reached: Option<Duration>,
     probe_at: Duration,
     next: usize,
+    /// The entry through which a call was answered last, and none has failed since.
+    proven: Option<String>,
 }
 
 impl Reach {
-    /// The way for a call. Other entries are taken in turn.
+    /// The way for a call: through the entry that answered last, else through the others in turn.
+    ///
+    /// Guards against calls that wait out their time at an entry that is cut off as well: with
+    /// three of eight cut off, an acceptance took 1.1 to 2.4 s.
     pub fn way(&mut self, others: &[String]) -> Way {
         if self.failures < FAILURES || others.is_empty() {
             return Way::Straight;
         }
+        if let Some(proven) = self.proven.as_ref().filter(|proven| others.contains(proven)) {
+            return Way::Through(proven.clone());
+        }
         self.next += 1;
         Way::Through(others[self.next % others.len()].clone())
     }
@@ -62,6 +70,15 @@
         was_straight != (self.failures < FAILURES)
     }
 
+    /// Notes how a call through another entry ended.
+    pub fn note_through(&mut self, entry: &str, is_answered: bool) {
+        if is_answered {
+            self.proven = Some(entry.to_owned());
+        } else if self.proven.as_deref() == Some(entry) {
+            self.proven = None;
+        }
+    }
+
     /// Notes how a call ended, whichever way it took.
     pub fn note_any(&mut self, now: Duration, is_answered: bool) {
         if is_answered {
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use bytes::Bytes;
 use sapphire_front::{
     answer::{Action, Answer, Handin, Request},
@@ -351,3 +352,62 @@
     bench.tell(3_360, Event::Tick);
     assert!(matches!(bench.answer(), Some(Answer::Unknown { .. })), "{:?}", bench.answer());
 }
+
+/// Callers at an entry that is cut off from the store wait a second or two for each acceptance.
+/// Its calls went through the other entries in turn, and each time that one came up which was
+/// cut off as well, the call waited out its time. The entry that answered last is asked first.
+#[test]
+fn calls_go_through_the_entry_that_answered_last() {
+    let mut bench = Bench::configured(1_000);
+    let feed = Feed {
+        term: 2,
+        version: 1,
+        entries: ["a:1", "b:1", "c:1"].map(str::to_owned).to_vec(),
+        ..Feed::default()
+    };
+    bench.tell(1_050, Event::Feed { sent: ms(1_040), feed: Some(Box::new(feed)) });
+    bench.machine.note_call(ms(1_100), &Way::Straight, false);
+    let good = Way::Through("b:1".to_owned());
+    let mut tried = 0;
+    loop {
+        let way = bench.machine.way(false);
+        bench.machine.note_call(ms(1_200), &way, way == good);
+        tried += 1;
+        if way == good {
+            break;
+        }
+        assert!(tried < 3, "an entry was tried twice before all others");
+    }
+    for _ in 0..5 {
+        assert_eq!(bench.machine.way(false), good);
+        bench.machine.note_call(ms(1_300), &good, true);
+    }
+    bench.machine.note_call(ms(1_400), &good, false);
+    assert_ne!(bench.machine.way(false), good);
+}
+
+/// Callers at an entry that is cut off alone wait a second before they try another one, which
+/// would serve them at once. While the store is away for all, each try in vain is one less.
+#[test]
+fn callers_of_an_entry_that_is_cut_off_alone_are_sent_on_at_once() {
+    let cut_off = |feed_at: u64| {
+        let mut bench = Bench::configured(1_000);
+        let feed = Feed { term: 1, version: 2, ..Feed::default() };
+        bench.tell(feed_at, Event::Feed { sent: ms(feed_at), feed: Some(Box::new(feed)) });
+        for time in [3_100, 3_500, 3_900] {
+            bench.machine.note_call(ms(time), &Way::Straight, false);
+        }
+        bench.ask(4_000, "/q/1", "k", submit())
+    };
+    assert_matches!(cut_off(1_500), Some(Answer::NotDone { after: Duration::ZERO, .. }));
+    assert_matches!(cut_off(3_900), Some(Answer::NotDone { after, .. }) if !after.is_zero());
+}
+
+/// Callers are sent to an entry that can't serve them. It is cut off, but calls itself ready for
+/// as long as the keys that it knows may be served.
+#[test]
+fn an_entry_without_news_is_not_ready() {
+    let bench = Bench::configured(1_000);
+    assert!(bench.machine.is_ready(ms(3_900)));
+    assert!(!bench.machine.is_ready(ms(4_100)));
+}
