fix: a new configuration keeps the proof of the one before; a write is tried for under half of its caller's time

Excluded: a late watch (the configuration was in force when callers were refused). Change: the proof stays; a write is tried for 0.45 of the caller's time, 1.05 s at most.

--- a/crates/front/src/freshness.rs
+++ b/crates/front/src/freshness.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Freshness {
     pub(crate) catalog: Option<Arc<Catalog>>,
-    /// Time at which this configuration was certainly the newest.
+    /// Time at which there was certainly none newer than this configuration.
     pub(crate) proven: Option<Duration>,
     is_reading: bool,
     is_proving: bool,
@@ -161,8 +161,8 @@
         let (version, revision) = (catalog.version, catalog.revision);
         self.log(format!("configuration version={version} revision={revision} after={known}"));
         let catalog = Arc::new(catalog);
+        // The proof of the one before holds for this one: what was the newest then is older.
         self.fresh.catalog = Some(catalog.clone());
-        self.fresh.proven = None;
         self.out.push(Effect::Catalog(catalog));
     }
 }
--- a/crates/front/src/handin.rs
+++ b/crates/front/src/handin.rs
@@ -70,7 +70,7 @@
         patience: Duration,
     ) {
         let is_cancel = matches!(what, What::Cancel);
-        let patience = patience.saturating_sub(options::ANSWER_MARGIN);
+        let patience = patience.mul_f64(options::HELD_SHARE);
         let deadline = now + patience.min(options::WRITE_PATIENCE);
         // Guards against a caller that is told "not done" of its second try while the first,
         // which got no answer, may still be carried out.
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -53,8 +53,9 @@
 /// slow takes and than one try each straight and through another entry; shorter than callers
 /// wait, so that they can go elsewhere in time.
 pub const WRITE_PATIENCE: Duration = Duration::from_millis(1_050);
-/// Time before a caller's deadline at which it is answered: one tick of 50 ms, and 3 ms to it.
-pub const ANSWER_MARGIN: Duration = Duration::from_millis(80);
+/// Share of the time that a caller still waits for which its write is tried. Under half, so that
+/// it has time for another entry; with all of it, callers were held to their end in vain.
+pub const HELD_SHARE: f64 = 0.45;
 /// Pause before a write that failed is sent again.
 pub const WRITE_RETRY: Duration = Duration::from_millis(60);
 /// Time after which a write without an answer is certainly carried out or lost. The store may
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -411,3 +411,18 @@
     assert!(bench.machine.is_ready(ms(3_900)));
     assert!(!bench.machine.is_ready(ms(4_100)));
 }
+
+/// Callers are refused for a moment after each change of the configuration, everywhere. A watch
+/// brings the change before the next proof, and the proof of the one before was thrown away.
+/// What was the newest then is older than the one now in force, so the proof still holds, and
+/// runs out when it would have.
+#[test]
+fn a_new_configuration_keeps_the_proof_of_the_one_before() {
+    let mut bench = Bench::configured(1_000);
+    let item = Item { key: CONFIG.to_owned(), value: Some(Bytes::from("k")), revision: 8 };
+    let changes = Reply::Changes { items: vec![item], revision: 8 };
+    bench.store(1_500, 1_400, Operation::CatalogWatch, changes);
+    assert_eq!(bench.ask(1_501, "/q/1", "k", submit()), None);
+    let late = bench.ask(1_000 + REVOCATION - 300, "/q/2", "k", submit());
+    assert!(is_refused(late.as_ref()), "{late:?}");
+}
