feat: jobs that no worker can hold, or whose turn would come too late, are turned away at once

Change: plan::admit decides from what the planner's news say of the workers and of open work; a refusal is given only after a read that the job is not in, and never for priority 0 for want of time. Excluded: a limit on the number of jobs, which says nothing of their size.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use prost::Message as _;
-use sapphire_jobs::{Job, Progress, State, Step, catalog::Queue, task::JobId};
+use sapphire_jobs::{Job, Progress, State, Step, catalog::Queue, length, room::Room, task::JobId};
+use sapphire_plan::admit;
 use sapphire_planner::keys;
 use sapphire_store::call::{Call, Reply};
 
@@ -74,7 +75,8 @@
                 Some(reason) => self.answer(caller, Answer::Malformed(reason)),
                 None => {
                     let job = self.record(unix, rest, queue, organisation, handin);
-                    self.submit(now, caller, job, patience);
+                    let supply = self.view.supply(now, queue);
+                    self.submit(now, caller, job, supply.as_ref(), patience);
                 }
             },
         }
@@ -121,11 +123,32 @@
         }
     }
 
-    fn submit(&mut self, now: Duration, caller: Caller, job: Job, patience: Duration) {
+    fn submit(
+        &mut self,
+        now: Duration,
+        caller: Caller,
+        job: Job,
+        supply: Option<&admit::Supply>,
+        patience: Duration,
+    ) {
         if self.view.state(&job.id).is_some() {
             self.answer(caller, Answer::Accepted);
             return;
         }
+        // A job that an earlier try may have brought in can't be said to be turned away.
+        if !self.is_unsettled(now, &job.id) {
+            let refusal = match admit::admit(&admission(&job), supply) {
+                admit::Outcome::Accept => None,
+                admit::Outcome::TooLarge { after } => Some(("no worker can hold a task", after)),
+                admit::Outcome::Full { after } => Some(("its turn would come too late", after)),
+            };
+            if let Some((reason, after)) = refusal {
+                // Another entry may have taken it in a moment ago, and its answer was lost.
+                let wanted = Wanted::TurnAway { reason, after };
+                self.look_up(now, caller, &job.id, wanted, patience);
+                return;
+            }
+        }
         let id = job.id.clone();
         self.write(now, caller, &id, What::Job(Box::new(job)), patience);
     }
@@ -180,16 +203,24 @@
         match reply {
             Reply::Value(value) if value.revision == 0 => {
                 for lookup in self.lookups.remove(&id).unwrap_or_default() {
-                    self.answer(lookup.caller, Answer::NoJob);
+                    let answer = match lookup.wanted {
+                        Wanted::TurnAway { reason, after } => Answer::NotDone { reason, after },
+                        Wanted::State | Wanted::Cancel => Answer::NoJob,
+                    };
+                    self.answer(lookup.caller, answer);
                 }
             }
             Reply::Value(_) => {
-                let waiting = self.lookups.remove(&id).unwrap_or_default();
-                let (cancels, reads): (Vec<Lookup>, Vec<Lookup>) =
-                    waiting.into_iter().partition(|lookup| lookup.wanted == Wanted::Cancel);
-                for lookup in cancels {
-                    let patience = lookup.deadline.saturating_sub(now);
-                    self.write(now, lookup.caller, &id, What::Cancel, patience);
+                let mut reads = Vec::new();
+                for lookup in self.lookups.remove(&id).unwrap_or_default() {
+                    match lookup.wanted {
+                        Wanted::State => reads.push(lookup),
+                        Wanted::TurnAway { .. } => self.answer(lookup.caller, Answer::Accepted),
+                        Wanted::Cancel => {
+                            let patience = lookup.deadline.saturating_sub(now);
+                            self.write(now, lookup.caller, &id, What::Cancel, patience);
+                        }
+                    }
                 }
                 if !reads.is_empty() {
                     self.lookups.insert(id.clone(), reads);
@@ -271,6 +302,16 @@
     }
 }
 
+/// What decides whether a job is taken in.
+fn admission(job: &Job) -> admit::Job {
+    let chain = length::chain(&job.steps, length::declared);
+    admit::Job {
+        rooms: job.steps.iter().map(|step| Room::read(step.room.as_ref())).collect(),
+        priority: job.priority,
+        objective: length::objective(job, chain),
+    }
+}
+
 fn is_id(text: &str) -> bool {
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
     !text.is_empty() && text.len() <= MAX_ID && text.chars().all(is_allowed)
--- a/crates/front/src/handin.rs
+++ b/crates/front/src/handin.rs
@@ -88,6 +88,13 @@
         write.callers.push(caller);
     }
 
+    /// Whether an earlier try of a job may still be carried out.
+    pub(crate) fn is_unsettled(&self, now: Duration, id: &str) -> bool {
+        let is_under_way = self.writes.jobs.contains_key(id);
+        let until = self.writes.unsettled.get(&(false, id.to_owned()));
+        is_under_way || until.is_some_and(|until| now < *until)
+    }
+
     pub(crate) fn drive_writes(&mut self, now: Duration) {
         self.give_up_writes(now);
         let is_due = |write: &Write| !write.is_sent && now >= write.retry_at;
--- a/crates/front/src/machine.rs
+++ b/crates/front/src/machine.rs
@@ -24,6 +24,11 @@
 pub(crate) enum Wanted {
     State,
     Cancel,
+    /// Whether a job that is to be turned away was taken in by an earlier try.
+    TurnAway {
+        reason: &'static str,
+        after: Duration,
+    },
 }
 
 /// A caller that waits for a look-up.
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use sapphire_jobs::{Feed, Job, Notice, State, task::JobId};
+use sapphire_jobs::{
+    self as jobs, Feed, Job, Notice, State, catalog::Queue, room::Room, task::JobId,
+};
+use sapphire_plan::admit;
 
 use crate::options;
 
@@ -31,6 +34,8 @@
     untold: BTreeMap<JobId, Untold>,
     /// When the poll was sent that brought the latest feed.
     fed: Option<Duration>,
+    /// Workers' room and open work, as of the latest feed.
+    supplies: Vec<jobs::Supply>,
 }
 
 impl View {
@@ -50,6 +55,7 @@
         self.term = feed.term;
         self.version = feed.version;
         self.fed = Some(self.fed.map_or(sent, |fed| fed.max(sent)));
+        self.supplies = feed.supplies;
         for row in feed.rows {
             let state = row.state();
             if let Some(untold) = self.untold.get(&row.job)
@@ -74,6 +80,16 @@
         self.fed.is_some()
     }
 
+    /// What is known of the workers that run a queue's jobs, unless it is old.
+    pub fn supply(&self, now: Duration, queue: &Queue) -> Option<admit::Supply> {
+        let mut supplies = self.supplies.iter().filter(|_| self.is_fresh(now));
+        let supply = supplies.find(|supply| supply.service == queue.service)?;
+        let ahead = supply.backlogs.iter().filter(|backlog| backlog.priority <= queue.priority);
+        let drain_ms = ahead.map(|backlog| backlog.drain_ms).max().unwrap_or(0);
+        let drain = Duration::from_millis(drain_ms);
+        Some(admit::Supply { largest: Room::read(supply.largest.as_ref()), drain })
+    }
+
     /// State of a job, if it is known.
     pub fn state(&self, id: &str) -> Option<State> {
         if let Some(untold) = self.untold.get(id)
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -13,8 +13,9 @@
     reach::Way,
 };
 use sapphire_jobs::{
-    Feed, Row, State, Step,
+    Backlog, Feed, Row, State, Step, Supply,
     catalog::{Catalog, Organisation, Parts, Queue},
+    room::Room,
 };
 use sapphire_planner::event::Moment;
 use sapphire_store::call::{Item, Reply, Value};
@@ -426,3 +427,49 @@
     let late = bench.ask(1_000 + REVOCATION - 300, "/q/2", "k", submit());
     assert!(is_refused(late.as_ref()), "{late:?}");
 }
+
+fn supply(drain_ms: u64) -> Option<Box<Feed>> {
+    let largest = Room { millicores: 64_000, memory_mib: 262_144, accelerators: 8 };
+    let supply = Supply {
+        service: "s".to_owned(),
+        largest: Some(largest.message()),
+        backlogs: vec![Backlog { priority: 0, drain_ms }],
+    };
+    let feed = Feed { term: 1, version: 2, supplies: vec![supply], ..Feed::default() };
+    Some(Box::new(feed))
+}
+
+fn submit_step(accelerators: u64, estimate_ms: u64) -> Action {
+    let room = Room { millicores: 1_000, memory_mib: 1_000, accelerators };
+    let step = Step { tasks: 1, room: Some(room.message()), estimate_ms, ..Step::default() };
+    Action::Submit(Ok(Handin { spec: String::new(), steps: vec![step], schedule: None }))
+}
+
+/// A job that no worker can hold was taken in and waited for ever; its caller asked again and
+/// again. It is turned away at once, but only after a read: an earlier try, whose answer was
+/// lost, may have brought it in.
+#[test]
+fn a_job_that_no_worker_can_hold_is_turned_away_unless_it_is_in() {
+    let mut bench = Bench::configured(1_000);
+    bench.tell(1_100, Event::Feed { sent: ms(1_050), feed: supply(0) });
+    let looked_up = |id: &str| Operation::LookUp(id.to_owned());
+    assert_eq!(bench.ask(1_200, "/q/1", "k", submit_step(9, 1_000)), None);
+    bench.store(1_210, 1_200, looked_up("1"), Reply::Value(Value::default()));
+    assert_matches!(bench.answer(), Some(Answer::NotDone { after, .. }) if after >= ms(1_000));
+    assert_eq!(bench.ask(1_300, "/q/2", "k", submit_step(9, 1_000)), None);
+    let there = Value { revision: 5, bytes: Bytes::from("x") };
+    bench.store(1_310, 1_300, looked_up("2"), Reply::Value(there));
+    assert_eq!(bench.answer(), Some(Answer::Accepted));
+    assert_eq!(bench.ask(1_400, "/q/3", "k", submit_step(8, 1_000)), None);
+    assert_eq!(bench.calls.last(), Some(&Operation::Submit(vec!["3".to_owned()])));
+}
+
+/// What is known of the workers is as old as the planner's last news: with none for seconds,
+/// nothing is turned away for it.
+#[test]
+fn nothing_is_turned_away_by_old_news_of_the_workers() {
+    let mut bench = Bench::configured(1_000);
+    bench.tell(1_100, Event::Feed { sent: ms(1_050), feed: supply(0) });
+    assert_eq!(bench.ask(4_500, "/q/1", "k", submit_step(9, 1_000)), None);
+    assert_eq!(bench.calls.last(), Some(&Operation::Submit(vec!["1".to_owned()])));
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod task;
 
 pub use sapphire_schema::jobs::{
-    Ended, Ending, Feed, FeedPoll, Fleet, Incarnation, Job, Lead, Member, Notice, Orders, Poll,
-    Progress, Rejection, Relay, Relayed, Row, Run, Running, Schedule, Start, State, Step, Tally,
-    Verdict,
+    Backlog, Ended, Ending, Feed, FeedPoll, Fleet, Incarnation, Job, Lead, Member, Notice, Orders,
+    Poll, Progress, Rejection, Relay, Relayed, Row, Run, Running, Schedule, Start, State, Step,
+    Supply, Tally, Verdict,
 };
--- a/crates/jobs/src/room.rs
+++ b/crates/jobs/src/room.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// The larger amount of each resource.
+    #[must_use]
+    pub fn most(self, other: Room) -> Room {
+        Room {
+            millicores: self.millicores.max(other.millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// So many times as much.
     #[must_use]
     pub fn times(self, count: u64) -> Room {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,5 +1,6 @@
 //! Decisions about jobs as pure functions over plain state.
 
+pub mod admit;
 pub mod bind;
 pub mod estimate;
 pub mod evict;
--- a/crates/plan/tests/decisions/mod.rs
+++ b/crates/plan/tests/decisions/mod.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use proptest::{
     prelude::{ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, proptest},
     test_runner::RngSeed,
 };
-use sapphire_plan::{estimate, fleet, health, pass, reclaim, wait};
+use sapphire_jobs::room::Room;
+use sapphire_plan::{admit, estimate, fleet, health, pass, reclaim, wait};
 use sapphire_rules::file;
 use sapphire_wire::{Adjacency, Job, Shape, resource};
 
@@ -233,3 +235,50 @@
     let late = wait::Job { age: Duration::from_secs(9), ..job };
     assert!(!prefers_stop(&late, 10.0));
 }
+
+/// Ten times more batch work than the workers can do comes for minutes. Each job was taken in, and
+/// all but the first waited until their callers had no use for them. Replayed second by second:
+/// what is taken in can still be of use, the others are told when to come, and urgent jobs are
+/// taken in all the time.
+#[test]
+fn an_overload_of_minutes_turns_away_what_would_come_too_late() {
+    let room = Room { millicores: 5_600, memory_mib: 23_000, accelerators: 1 };
+    let largest = Room { millicores: 64_000, memory_mib: 262_144, accelerators: 8 };
+    let objective = Duration::from_secs(33);
+    let batch = admit::Job { rooms: vec![room], priority: 2, objective };
+    let urgent = admit::Job { priority: 0, ..batch.clone() };
+    let mut drain = Duration::ZERO;
+    let mut told = Vec::new();
+    for second in 0..120_u64 {
+        for _ in 0..10 {
+            let supply = admit::Supply { largest, drain };
+            match admit::admit(&batch, Some(&supply)) {
+                admit::Outcome::Accept => drain += Duration::from_secs(1),
+                admit::Outcome::Full { after } => told.push((second, after)),
+                admit::Outcome::TooLarge { .. } => panic!("it fits"),
+            }
+            assert_eq!(admit::admit(&urgent, Some(&supply)), admit::Outcome::Accept);
+        }
+        assert!(drain <= objective * 3 + Duration::from_secs(1), "{drain:?}");
+        drain = drain.saturating_sub(Duration::from_secs(1));
+    }
+    let (first, after) = told[0];
+    assert!((9..=13).contains(&first), "turned away from second {first}");
+    assert!(after >= Duration::from_secs(1));
+}
+
+/// A job with a task larger than any worker waits for ever. Nothing known of the workers, as after
+/// a restart of all, turns nothing away.
+#[test]
+fn a_job_that_fits_no_worker_is_turned_away() {
+    let largest = Room { millicores: 64_000, memory_mib: 262_144, accelerators: 8 };
+    let supply = admit::Supply { largest, drain: Duration::ZERO };
+    let job = |accelerators| admit::Job {
+        rooms: vec![Room { millicores: 1_000, memory_mib: 1_000, accelerators }],
+        priority: 0,
+        objective: Duration::from_secs(10),
+    };
+    assert_eq!(admit::admit(&job(8), Some(&supply)), admit::Outcome::Accept);
+    assert_matches!(admit::admit(&job(9), Some(&supply)), admit::Outcome::TooLarge { .. });
+    assert_eq!(admit::admit(&job(9), None), admit::Outcome::Accept);
+}
--- a/crates/planner/src/feed.rs
+++ b/crates/planner/src/feed.rs
@@ -108,6 +108,7 @@
             entries: self.feeds.addresses(now.steady),
             config_revision,
             config_age_ms,
+            supplies: self.supplies.clone(),
         }
     }
 
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod planner;
 mod polls;
 mod startup;
+mod supply;
 pub mod table;
 mod terms;
 mod urgent;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -7,6 +7,7 @@
 };
 
 use sapphire_jobs::{
+    Supply,
     catalog::Catalog,
     length,
     task::{JobId, Task, WorkerName},
@@ -48,6 +49,9 @@
     pub(crate) needs_pass: bool,
     pub(crate) last_pass: Duration,
     pub(crate) last_watch: Duration,
+    pub(crate) last_supplies: Duration,
+    /// Workers' room and open work, as entries are told.
+    pub(crate) supplies: Vec<Supply>,
     pub(crate) sessions: u64,
     pub(crate) out: Vec<Effect>,
 }
@@ -75,6 +79,8 @@
             needs_pass: true,
             last_pass: Duration::ZERO,
             last_watch: Duration::ZERO,
+            last_supplies: Duration::ZERO,
+            supplies: Vec::new(),
             sessions: 0,
             out: Vec::new(),
         };
@@ -124,6 +130,7 @@
     fn tick(&mut self, now: Moment) {
         self.expire_workers(now);
         self.watch_progress(now);
+        self.sum_supplies(now);
         self.materialise(now);
         self.forget_ended(now);
         self.ask_intake(now);
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -63,6 +63,11 @@
         self.phase == Phase::Serving
     }
 
+    /// When the term began.
+    pub(crate) fn began(&self) -> Duration {
+        self.began
+    }
+
     pub(crate) fn is_settled(&self) -> bool {
         self.is_settled
     }
--- /dev/null
+++ b/crates/planner/src/supply.rs
@@ -0,0 +1,89 @@
+//! What entries are told of the workers' room and of the work that waits for it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphire_jobs::{Backlog, Supply, room::Room};
+
+use crate::{event::Moment, group::Phase, planner::Planner, table::Entry};
+
+/// Time between two sums over all open jobs.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which workers are waited for before their room is told. Until then the largest may
+/// be missing, and jobs that it can hold would be turned away.
+const GATHERING: Duration = Duration::from_secs(5);
+/// Share of a run's expected time that is left of it, on the average.
+const LEFT: f64 = 0.5;
+
+/// Sums for one service.
+#[derive(Default)]
+struct Sums {
+    largest: Room,
+    /// Room of all workers, in processors.
+    capacity: f64,
+    /// Open work in processor seconds, by priority.
+    work: BTreeMap<u32, f64>,
+}
+
+impl Planner {
+    /// Sums up workers and open work from time to time.
+    pub(crate) fn sum_supplies(&mut self, now: Moment) {
+        let is_early = !self.startup.is_settled() || now.steady < self.startup.began() + GATHERING;
+        if is_early || now.steady < self.last_supplies + INTERVAL {
+            return;
+        }
+        self.last_supplies = now.steady;
+        let mut sums: BTreeMap<&str, Sums> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let Some(minion) = &worker.incarnation else { continue };
+            let sum = sums.entry(&minion.service).or_default();
+            let room = worker.capacity();
+            sum.largest = sum.largest.most(room);
+            sum.capacity += if minion.is_draining { 0.0 } else { room.weight() };
+        }
+        for entry in self.table.open.iter().filter_map(|id| self.table.entries.get(id)) {
+            if let Some(sum) = sums.get_mut(self.service(entry)) {
+                let (lasting, work) = self.open_work(entry);
+                sum.capacity -= lasting;
+                *sum.work.entry(self.terms(entry).priority).or_default() += work;
+            }
+        }
+        self.supplies = sums.into_iter().filter_map(|(name, sum)| sum.supply(name)).collect();
+    }
+
+    /// Room of a job's tasks that last, in processors, and its other work that is not done, in
+    /// processor seconds.
+    fn open_work(&self, entry: &Entry) -> (f64, f64) {
+        let (mut lasting, mut work) = (0.0, 0.0);
+        for (key, group) in &entry.groups {
+            let Some(step) = entry.step(key.step) else { continue };
+            let tasks = if step.is_gang { step.tasks } else { 1 };
+            let weight = Room::read(step.room.as_ref()).weight() * f64::from(tasks);
+            let time = self.expect(entry, step).as_secs_f64();
+            match group.phase {
+                Phase::Done | Phase::Failed => {}
+                _ if step.is_long_running => lasting += weight,
+                Phase::Waiting => work += weight * time,
+                Phase::Active(_) => work += weight * time * LEFT,
+            }
+        }
+        (lasting, work)
+    }
+}
+
+impl Sums {
+    fn supply(self, service: &str) -> Option<Supply> {
+        if self.capacity <= 0.0 {
+            return None;
+        }
+        let mut sum = 0.0;
+        let backlogs = self.work.iter().map(|(priority, work)| {
+            sum += work;
+            let drain = Duration::from_secs_f64(sum / self.capacity);
+            let drain_ms = u64::try_from(drain.as_millis()).unwrap_or(u64::MAX);
+            Backlog { priority: *priority, drain_ms }
+        });
+        let backlogs = backlogs.collect();
+        let largest = Some(self.largest.message());
+        Some(Supply { service: service.to_owned(), largest, backlogs })
+    }
+}
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -2,5 +2,6 @@
 
 mod harness;
 mod progress;
+mod supply;
 mod terms;
 mod urgent;
