--- /dev/null
+++ b/crates/proofs/src/jobs/world/store_calls.rs
@@ -0,0 +1,91 @@
+//! Calls to the store, watches, and their answers.
+
+use std::time::Duration;
+
+use sapphire_front as front;
+use sapphire_planner::{self as planner};
+use sapphire_store::call::{Call, Reply};
+
+use super::{Action, Origin, STORE, World};
+
+impl World {
+    pub(super) fn send_store(&mut self, entry: usize, origin: Origin, call: Call) {
+        let life = self.entries[entry].life;
+        let sent = self.now;
+        let latency = self.latency(self.entries[entry].region, 0);
+        self.after(latency + STORE, Action::Store { entry, life, origin, call, sent });
+    }
+
+    pub(super) fn store_call(
+        &mut self,
+        entry: usize,
+        life: u64,
+        origin: Origin,
+        call: Call,
+        sent: Duration,
+    ) {
+        let timeout = Duration::from_millis(700);
+        if !self.is_store_up || !self.entries[entry].reaches_store {
+            let reply = Reply::Unavailable("no answer".to_owned());
+            self.store_answer(entry, life, origin, sent, reply, timeout);
+            return;
+        }
+        let until = match &call {
+            Call::WatchPrefix { wait, .. } => self.now + *wait,
+            _ => self.now,
+        };
+        match self.store.call(self.now, &call) {
+            Some(reply) => {
+                let latency = self.latency(self.entries[entry].region, 0);
+                self.store_answer(entry, life, origin, sent, reply, latency);
+            }
+            None => self.watches.push((entry, life, origin, call, until)),
+        }
+        self.wake_watches();
+    }
+
+    pub(super) fn wake_watches(&mut self) {
+        for (entry, life, origin, call, until) in std::mem::take(&mut self.watches) {
+            let latency = self.latency(self.entries[entry].region, 0);
+            if !self.entries[entry].reaches_store || !self.is_store_up {
+                self.watches.push((entry, life, origin, call, until));
+                continue;
+            }
+            let is_over = self.now >= until;
+            let call = match call {
+                Call::WatchPrefix { prefix, after, .. } if is_over => {
+                    Call::WatchPrefix { prefix, after, wait: Duration::ZERO }
+                }
+                call => call,
+            };
+            match self.store.call(self.now, &call) {
+                Some(reply) => self.store_answer(entry, life, origin, self.now, reply, latency),
+                None => self.watches.push((entry, life, origin, call, until)),
+            }
+        }
+    }
+
+    pub(super) fn store_answer(
+        &mut self,
+        entry: usize,
+        life: u64,
+        origin: Origin,
+        sent: Duration,
+        reply: Reply,
+        after: Duration,
+    ) {
+        match origin {
+            Origin::Front(operation) => {
+                let event = front::event::Event::Store { operation, sent, reply };
+                self.after(after, Action::Front(entry, life, event));
+            }
+            Origin::Planner(term, operation) => {
+                let planner = self.entries[entry].planner.as_ref();
+                if planner.is_some_and(|planner| planner.term() == term) {
+                    let event = planner::event::Event::Store(operation, reply);
+                    self.after(after, Action::Planner(entry, life, event));
+                }
+            }
+        }
+    }
+}
