--- a/crates/planner/tests/urgent/mod.rs
+++ b/crates/planner/tests/urgent/mod.rs
@@ -19,6 +19,13 @@
 }
 
 impl Minions {
+    fn answer_all(&mut self, bench: &mut Bench, names: &[&str]) {
+        for name in names {
+            self.answer(bench, name);
+        }
+        bench.pass(100);
+    }
+
     fn answer(&mut self, bench: &mut Bench, name: &str) {
         let runs: Vec<(Task, Run)> = (bench.planner.workers()[name].runs.iter())
             .map(|(task, run)| (task.clone(), run.clone()))
@@ -41,6 +48,23 @@
     }
 }
 
+/// Workers full of small tasks that are about to end by their progress, eight on each.
+fn full(names: &[&str]) -> (Bench, Minions) {
+    let mut bench = Bench::new(Vec::new());
+    for name in names {
+        bench.join(name, Vec::new(), Vec::new());
+    }
+    let tasks = u32::try_from(names.len() * 8).expect("a few workers");
+    let small = Step { room: Some(room(4).message()), estimate_ms: 20_000, ..step(tasks, false) };
+    let jobs = vec![job("small", TERM, small)];
+    bench.tell(Event::Notice(Notice { jobs, ..Notice::default() }));
+    let mut minions = Minions::default();
+    for _ in 0..15 {
+        minions.answer_all(&mut bench, names);
+    }
+    (bench, minions)
+}
+
 fn urgent(id: &str, accelerators: u64) -> Job {
     let room = Some(room(accelerators).message());
     let task = Step { tasks: 1, room, estimate_ms: 3_000, ..Step::default() };
@@ -53,35 +77,16 @@
 /// again, and as many were stopped on another worker.
 #[test]
 fn room_for_an_urgent_task_is_kept_where_it_was_chosen() {
-    let mut bench = Bench::new(Vec::new());
     let names = ["w1", "w2", "w3", "w4"];
-    for name in names {
-        bench.join(name, Vec::new(), Vec::new());
-    }
-    let mut small = step(32, false);
-    small.room = Some(room(4).message());
-    small.estimate_ms = 20_000;
-    bench
-        .tell(Event::Notice(Notice { jobs: vec![job("small", TERM, small)], ..Notice::default() }));
-    let mut minions = Minions::default();
-    let mut answer = |bench: &mut Bench| {
-        for name in names {
-            minions.answer(bench, name);
-        }
-        bench.pass(100);
-        minions.stopped
-    };
-    for _ in 0..15 {
-        answer(&mut bench);
-    }
+    let (mut bench, mut minions) = full(&names);
     let handed_in = bench.now;
     let accepted_ms = handed_in;
     let whole = Job { accepted_ms, ..urgent("whole", 64) };
     bench.tell(Event::Notice(Notice { jobs: vec![whole], ..Notice::default() }));
-    let mut stopped = 0;
     while bench.placed("whole").is_empty() && bench.now < handed_in + 15_000 {
-        stopped = answer(&mut bench);
+        minions.answer_all(&mut bench, &names);
     }
+    let stopped = minions.stopped;
     let waited = bench.now - handed_in;
     assert!(waited < 4_500, "started after {waited} ms");
     assert!(stopped <= 8, "{stopped} tasks were stopped for one that takes the room of 8");
@@ -91,34 +96,16 @@
 /// same work, since what the first is promised was not counted, and the second waited again.
 #[test]
 fn room_that_is_promised_is_not_promised_again() {
-    let mut bench = Bench::new(Vec::new());
     let names = ["w1", "w2", "w3"];
-    for name in names {
-        bench.join(name, Vec::new(), Vec::new());
-    }
-    let mut small = step(24, false);
-    small.room = Some(room(4).message());
-    small.estimate_ms = 20_000;
-    bench
-        .tell(Event::Notice(Notice { jobs: vec![job("small", TERM, small)], ..Notice::default() }));
-    let mut minions = Minions::default();
-    let mut answer = |bench: &mut Bench| {
-        for name in names {
-            minions.answer(bench, name);
-        }
-        bench.pass(100);
-    };
-    for _ in 0..15 {
-        answer(&mut bench);
-    }
+    let (mut bench, mut minions) = full(&names);
     let handed_in = bench.now;
     let whole = |id| Job { accepted_ms: handed_in, ..urgent(id, 64) };
     let jobs = vec![whole("a")];
     bench.tell(Event::Notice(Notice { jobs, ..Notice::default() }));
-    answer(&mut bench);
+    minions.answer_all(&mut bench, &names);
     bench.tell(Event::Notice(Notice { jobs: vec![whole("b")], ..Notice::default() }));
     while bench.now < handed_in + 4_500 {
-        answer(&mut bench);
+        minions.answer_all(&mut bench, &names);
     }
     let (first, second) = (bench.placed("a"), bench.placed("b"));
     assert!(!first.is_empty() && !second.is_empty(), "placed on {first:?} and {second:?}");
