--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -7,7 +7,7 @@
 use sapphire_jobs::{FeedPoll, Lead};
 use sapphire_planner::{keys, options as planner};
 use sapphire_store::{
-    call::{Call, Item, Reply, Revision},
+    call::{Call, Condition, Item, Reply, Revision},
     lease,
 };
 
@@ -40,6 +40,8 @@
     last_tick: Duration,
     stagger: Duration,
     is_leaving: bool,
+    /// Term of an earlier life that has been given back.
+    given_back: Revision,
 }
 
 impl Leadership {
@@ -68,6 +70,7 @@
             last_tick: Duration::ZERO,
             stagger: Duration::from_millis(settings.seed % span),
             is_leaving: false,
+            given_back: 0,
         }
     }
 }
@@ -154,6 +157,30 @@
         }
     }
 
+    /// Whether the holder of the planner's key was this entry before its process started. Name and
+    /// address are one machine's, on which only one process can listen.
+    fn is_earlier_life(&self, lead: &Lead) -> bool {
+        lead.name == self.options.name
+            && lead.address == self.options.address
+            && lead.generation != self.options.generation
+    }
+
+    /// Frees the key that an earlier life of this entry holds.
+    ///
+    /// Guards against a second without a planner after each loss of power: the lease of a life
+    /// that has ended runs on, up to 1.3 s, though its successor knows that nobody plans.
+    fn give_back(&mut self, term: Revision) {
+        if self.leader.given_back == term {
+            return;
+        }
+        self.leader.given_back = term;
+        self.log(format!("term={term} was held by an earlier life of this entry; given back"));
+        let conditions = vec![Condition { key: keys::LEAD.to_owned(), revision: term }];
+        let removes = vec![keys::LEAD.to_owned()];
+        let call = Call::Commit { conditions, puts: Vec::new(), removes };
+        self.out.push(Effect::Store(Operation::Release, call));
+    }
+
     fn vacant(&mut self, now: Duration) {
         if self.leader.vacant.is_none() {
             self.leader.vacant = Some(now);
@@ -167,6 +194,10 @@
         if lead.term < known {
             return;
         }
+        if self.is_earlier_life(&lead) {
+            self.give_back(lead.term);
+            return;
+        }
         if lead.term > known {
             self.log(format!("term={} planner={} at {}", lead.term, lead.name, lead.address));
             self.leader.vacant = None;
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -4,6 +4,7 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
+use prost::Message as _;
 use sapphire_front::{
     answer::{Action, Answer, Handin, Request},
     effect::Effect,
@@ -13,7 +14,7 @@
     reach::Way,
 };
 use sapphire_jobs::{
-    Backlog, Feed, Row, State, Step, Supply,
+    Backlog, Feed, Lead, Row, State, Step, Supply,
     catalog::{Catalog, Organisation, Parts, Queue},
     room::Room,
 };
@@ -473,3 +474,23 @@
     assert_eq!(bench.ask(4_500, "/q/1", "k", submit_step(9, 1_000)), None);
     assert_eq!(bench.calls.last(), Some(&Operation::Submit(vec!["1".to_owned()])));
 }
+
+/// After a loss of power the jobs wait for over a second until somebody plans. The planner's key is
+/// held by the life before of one of the entries that have just started, and it lapses only later.
+/// That entry knows that its earlier life has ended, and gives the key back.
+#[test]
+fn an_entry_gives_back_the_key_of_its_earlier_life() {
+    let read = |name: &str, address: &str, generation: u64| {
+        let mut bench = Bench::configured(1_000);
+        let lead = Lead { name: name.to_owned(), address: address.to_owned(), term: 0, generation };
+        let value = Some(Bytes::from(lead.encode_to_vec()));
+        let item = Item { key: "lead".to_owned(), value, revision: 40 };
+        let reply = Reply::Items { items: vec![item], has_more: false, revision: 41 };
+        bench.store(1_020, 1_010, Operation::Lead, reply);
+        bench.calls.contains(&Operation::Release)
+    };
+    assert!(read("e", "e:1", 7));
+    assert!(!read("e", "e:1", 1), "it is its own life");
+    assert!(!read("f", "f:1", 7), "another entry holds it");
+    assert!(!read("e", "e:9", 7), "another machine has the name");
+}
