perf: a stop that makes its job late counts as such

Excluded: wrong order of what waits (it was placed as soon as there was room). Change: what a stop costs counts the chance that its job is late for it (plan::wait::stop_lateness).

--- a/crates/plan/src/wait.rs
+++ b/crates/plan/src/wait.rs
@@ -57,3 +57,16 @@
 pub fn cost(job: &Job, wait: Duration, stopped: f64) -> f64 {
     stopped + LATE_COST * chance_late(job, wait)
 }
+
+/// Mean time that stopped work waits for room again at the worst load, from played days.
+const ROOM_AGAIN: f64 = 4.0;
+
+/// What a stop is likely to cost the caller of the stopped job beside the work that is lost, in
+/// processor seconds. `slack` is the time by which the job would be early if it went on.
+///
+/// The load this answers: work that saves its progress costs next to nothing to stop, so a burst
+/// of urgent jobs stops it again and again, until it is late although little of it was lost.
+pub fn stop_lateness(priority: u32, slack: Duration) -> f64 {
+    let chance = if slack.is_zero() { 0.0 } else { (-slack.as_secs_f64() / ROOM_AGAIN).exp() };
+    LATE_COST * chance / f64::from(priority + 1)
+}
--- a/crates/plan/tests/decisions/mod.rs
+++ b/crates/plan/tests/decisions/mod.rs
@@ -282,3 +282,15 @@
     assert_matches!(admit::admit(&job(9), Some(&supply)), admit::Outcome::TooLarge { .. });
     assert_eq!(admit::admit(&job(9), None), admit::Outcome::Accept);
 }
+
+/// A committee's papers were late by 15 s, though nearly no work was lost: the job saves its
+/// progress, so it was the cheapest to stop for three urgent ones in a row, the last time 7 s before
+/// its objective. Work that is early by far is stopped first, and work that is late in any case.
+#[test]
+fn work_that_a_stop_makes_late_is_not_cheap_to_stop() {
+    let cost = |priority, slack| wait::stop_lateness(priority, Duration::from_secs(slack));
+    assert!(cost(1, 2) > 100.0);
+    assert!(cost(1, 20) < 5.0);
+    assert!(cost(2, 2) < cost(1, 2));
+    assert_eq!(cost(1, 0).to_bits(), 0.0_f64.to_bits());
+}
--- a/crates/planner/src/board.rs
+++ b/crates/planner/src/board.rs
@@ -13,6 +13,7 @@
     evict,
     seat::{Ask, Place},
     suspect::Doubt,
+    wait,
 };
 
 use crate::{
@@ -111,6 +112,8 @@
     ) -> Vec<Candidate> {
         let mut found = Vec::new();
         for (id, entry) in &self.table.entries {
+            let active = entry.groups.values().filter(|group| group.active().is_some());
+            let running = active.count().max(1) as f64;
             for (key, group) in &entry.groups {
                 let Some(active) = group.active() else { continue };
                 let Some(step) = entry.step(key.step) else { continue };
@@ -119,14 +122,16 @@
                 }
                 let room = Room::read(step.room.as_ref());
                 let seats = active.left.values().filter_map(|name| Some((*index.get(name)?, room)));
-                let cost = self.stop_cost(now, entry, key, active);
+                let remaining = self.remaining_run(now, entry, key, active);
+                let cost = self.stop_cost(now, entry, key, active)
+                    + self.lateness(now, entry, remaining) / running;
                 found.push(Candidate {
                     job: id.clone(),
                     key: *key,
                     priority: self.terms(entry).priority,
                     is_guaranteed: guaranteed.contains(id),
                     is_stopping: active.is_stopping,
-                    remaining: self.remaining_run(now, entry, key, active),
+                    remaining,
                     victim: evict::Victim { cost, seats: seats.collect() },
                 });
             }
@@ -146,6 +151,13 @@
         Room::read(step.room.as_ref()).weight() * tasks * lost.as_secs_f64()
     }
 
+    /// What it costs a job's caller that one of its groups is stopped, beside the work lost.
+    fn lateness(&self, now: Moment, entry: &Entry, remaining: Duration) -> f64 {
+        let end = Self::age(entry, now).saturating_add(remaining);
+        let slack = self.objective(entry).saturating_sub(end);
+        wait::stop_lateness(self.terms(entry).priority, slack)
+    }
+
     /// How much longer a group's run will take.
     fn remaining_run(
         &self,
