--- a/crates/planner/src/ledger.rs
+++ b/crates/planner/src/ledger.rs
@@ -149,22 +149,8 @@
         let (room, is_wanted) = self.adoption(now, name, task, number);
         let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-        worker.runs.insert(
-            task.clone(),
-            Run {
-                number,
-                room,
-                phase,
-                is_received: false,
-                percent: running.percent,
-                first_percent: running.percent,
-                moved: now.steady,
-                still: 0,
-                absent: 0,
-                seen: now.steady,
-                began: now.steady,
-            },
-        );
+        let run = Run::new(number, room, phase, running.percent, now.steady);
+        worker.runs.insert(task.clone(), run);
         let verb = if is_wanted { "adopted" } else { "not wanted, stopped" };
         self.log(format!("task={task} run={number} worker={name} {verb}"));
         if is_wanted {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -16,6 +16,7 @@
 mod ledger;
 pub mod options;
 mod pass;
+mod placing;
 pub mod planner;
 mod polls;
 mod startup;
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -12,18 +12,11 @@
 };
 use sapphire_plan::{
     rank,
-    seat::{self, Ask, Place, Reach, Seat},
+    seat::{self, Ask, Place, Reach},
 };
 
 use crate::{
-    board::Board,
-    event::Moment,
-    group::{Active, Phase},
-    options,
-    planner::Planner,
-    table::Entry,
-    urgent::Urgent,
-    worker::{self, Run},
+    board::Board, event::Moment, group::Phase, planner::Planner, table::Entry, urgent::Urgent,
 };
 
 /// Share of the bound for guaranteed jobs after which they start also where they are slower.
@@ -316,79 +309,4 @@
         let extra = if self.terms(entry).priority == 0 { extra } else { extra * PATIENT_FAR };
         if waited >= extra || is_urgent || !fits_near() { Reach::Far } else { Reach::Near }
     }
-
-    fn place(
-        &mut self,
-        now: Moment,
-        board: &mut Board,
-        id: &str,
-        key: &GroupKey,
-        ask: &Ask,
-        seats: &[Seat],
-    ) {
-        let first = (self.startup.terms - 1) * options::RUNS_PER_TERM + 1;
-        let Some(entry) = self.table.entries.get_mut(id) else { return };
-        let is_gang = entry.step(key.step).is_some_and(|step| step.is_gang);
-        let Some(group) = entry.groups.get_mut(key) else { return };
-        group.run = first.max(group.run + 1);
-        group.claim = None;
-        let number = group.run;
-        let mut left = BTreeMap::new();
-        let mut index = key.index;
-        let mut racks: Vec<&str> = Vec::new();
-        for seat in seats {
-            let place = &mut board.places[seat.place];
-            place.free = place.free.minus(ask.room.times(seat.tasks.into()));
-            for _ in 0..seat.tasks {
-                left.insert(index, place.worker.to_string());
-                index += 1;
-            }
-        }
-        for seat in seats {
-            racks.push(&board.places[seat.place].rack);
-        }
-        racks.dedup();
-        let is_scattered = ask.wants_one_rack && racks.iter().any(|rack| *rack != racks[0]);
-        let is_away =
-            !ask.near_rack.is_empty() && racks.iter().any(|rack| **rack != *ask.near_rack);
-        let active = Active {
-            since: now.steady,
-            began: None,
-            left: left.clone(),
-            is_stopping: false,
-            is_far: is_scattered || is_away,
-        };
-        group.phase = Phase::Active(active);
-        let waited = now.steady.saturating_sub(group.since).as_millis();
-        for (index, name) in &left {
-            let index = if is_gang { *index } else { key.index };
-            let task =
-                Task { job: id.to_owned(), occurrence: key.occurrence, step: key.step, index };
-            let Some(worker) = self.workers.get_mut(name) else { continue };
-            worker.runs.insert(
-                task,
-                Run {
-                    number,
-                    room: ask.room,
-                    phase: worker::Phase::Ordered,
-                    is_received: false,
-                    percent: 0,
-                    first_percent: 0,
-                    moved: now.steady,
-                    still: 0,
-                    absent: 0,
-                    seen: now.steady,
-                    began: now.steady,
-                },
-            );
-        }
-        let names: Vec<&str> = left.values().map(String::as_str).collect();
-        let far = is_scattered || is_away;
-        self.log(format!(
-            "job={id} step={} index={} run={number} placed on={} waited_ms={waited} far={far}",
-            key.step,
-            key.index,
-            names.join(",")
-        ));
-    }
 }
--- a/crates/planner/src/watchdog.rs
+++ b/crates/planner/src/watchdog.rs
@@ -104,6 +104,7 @@
         }
     }
 
+    /// What is wrong with a run; nothing when that can't be told yet.
     fn fault<'a>(
         &'a self,
         now: Moment,
@@ -120,31 +121,18 @@
             return None;
         }
         let group = entry.groups.get(&GroupKey::of(task, step.is_gang))?;
-        let pace = *paces
-            .entry((&task.job, task.occurrence, task.step))
-            .or_insert_with(|| self.pace(entry, step, task));
-        let is_far = group.active()?.is_far;
-        let factor = if is_far { self.options.remote_factor.max(1) } else { 1 };
+        let factor = if group.active()?.is_far { self.options.remote_factor.max(1) } else { 1 };
         let expected = self.expect(entry, step);
-        let limit = STILL.max((expected * factor).mul_f64(STILL_SHARE));
-        if run.still >= STILL_LISTS && now.steady > run.moved + limit {
+        if is_still(run, now.steady, expected * factor) {
             return Some(Fault::Still);
         }
-        let ran = run.moved.saturating_sub(run.began);
+        let pace = *paces
+            .entry((&task.job, task.occurrence, task.step))
+            .or_insert_with(|| self.pace(entry, step, task));
         let own = group.whole.filter(|_| group.moves >= TELLING_MOVES);
         let seen = pace.max(own).unwrap_or_default();
-        let longest = self.longest(entry, step, expected).max(seen) * factor;
-        let gained = f64::from(run.percent.saturating_sub(run.first_percent)) / 100.0;
-        let speed = gained * longest.as_secs_f64() / ran.as_secs_f64().max(f64::MIN_POSITIVE);
-        if ran < TELLING {
-            return None;
-        }
-        if speed >= SLOW {
-            return (speed >= AT_SPEED).then_some(Fault::None);
-        }
-        let elsewhere = longest / factor + MOVE;
-        let is_hopeless = run.remaining(longest, now.steady) > elsewhere.mul_f64(WORTH_MOVING);
-        Some(if is_hopeless { Fault::Hopeless } else { Fault::Slow })
+        let longest = self.longest(entry, step, expected).max(seen);
+        speed_fault(run, now.steady, longest, factor)
     }
 
     /// The longest that a task may well take on a sound worker: as declared, as expected, or as
@@ -222,3 +210,27 @@
         self.stop_group(&task.job, &key);
     }
 }
+
+/// Whether a run makes no progress though it should have by now.
+fn is_still(run: &Run, now: Duration, expected: Duration) -> bool {
+    let limit = STILL.max(expected.mul_f64(STILL_SHARE));
+    run.still >= STILL_LISTS && now > run.moved + limit
+}
+
+/// What a run's speed says, against the longest that it may well take near its data; `factor` is
+/// how many times longer it takes where it runs.
+fn speed_fault(run: &Run, now: Duration, longest: Duration, factor: u32) -> Option<Fault> {
+    let ran = run.moved.saturating_sub(run.began);
+    if ran < TELLING {
+        return None;
+    }
+    let here = longest * factor;
+    let gained = f64::from(run.percent.saturating_sub(run.first_percent)) / 100.0;
+    let speed = gained * here.as_secs_f64() / ran.as_secs_f64();
+    if speed >= SLOW {
+        return (speed >= AT_SPEED).then_some(Fault::None);
+    }
+    let elsewhere = longest + MOVE;
+    let is_hopeless = run.remaining(here, now) > elsewhere.mul_f64(WORTH_MOVING);
+    Some(if is_hopeless { Fault::Hopeless } else { Fault::Slow })
+}
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -163,6 +163,23 @@
 }
 
 impl Run {
+    /// A run of which is known how far it has come, and no more.
+    pub fn new(number: RunNumber, room: Room, phase: Phase, percent: u32, now: Duration) -> Self {
+        Run {
+            number,
+            room,
+            phase,
+            is_received: false,
+            percent,
+            first_percent: percent,
+            moved: now,
+            still: 0,
+            absent: 0,
+            seen: now,
+            began: now,
+        }
+    }
+
     /// How long a whole run takes at this one's speed, once it has made enough progress to tell.
     pub fn whole(&self) -> Option<Duration> {
         let gained = self.percent.saturating_sub(self.first_percent);
