fix: a task that avoids a worker does not keep its siblings off it

A group that finds no room lets its siblings be passed over; one that avoids a worker on which it failed finds none there although its siblings would. Excluded: other terms that differ between siblings (reach is looked at, room, label and limits are the step's). Change: only a group that avoids nothing speaks for its siblings. Test failed first.

--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -198,12 +198,10 @@
             self.make_room(now, board, &urgent, guaranteed);
             return Outcome::Waits;
         }
-        // Siblings that have waited for longer may reach further.
-        if reach == Reach::Far || ask.near_rack.is_empty() {
-            Outcome::NoRoom
-        } else {
-            Outcome::Waits
-        }
+        // Siblings that have waited for longer may reach further, and others may go where this
+        // one has failed.
+        let is_like_siblings = reach == Reach::Far || ask.near_rack.is_empty();
+        if is_like_siblings && ask.avoid.is_empty() { Outcome::NoRoom } else { Outcome::Waits }
     }
 
     /// Whether some worker may still run a task of a group, from whatever run.
--- a/crates/planner/tests/progress/mod.rs
+++ b/crates/planner/tests/progress/mod.rs
@@ -1,9 +1,9 @@
 //! Runs that are slow, and whose fault that is.
 
-use sapphire_jobs::{Ending, Notice, Running};
+use sapphire_jobs::{Ending, Notice, Running, Step};
 use sapphire_planner::event::Event;
 
-use crate::harness::{Bench, START, TERM, ended, job, run, step};
+use crate::harness::{Bench, START, TERM, ended, job, room, run, step};
 
 /// An urgent job with three tasks is late by far: two tasks end after two seconds, the third is
 /// sound but takes five. Its declared time is one second, so it looks far too slow on the first
@@ -50,3 +50,29 @@
     }
     assert!(moves <= 2, "the task was moved {moves} times");
 }
+
+/// Half of a job waits beside a free worker. Its first task failed there and waits for another
+/// worker; its second, which never ran, was passed over in the belief that it would find no
+/// room either.
+#[test]
+fn a_task_that_avoids_a_worker_does_not_keep_its_siblings_off_it() {
+    let mut bench = Bench::new(Vec::new());
+    for name in ["w1", "w2"] {
+        bench.join(name, Vec::new(), Vec::new());
+    }
+    let whole = |tasks| Step { room: Some(room(64).message()), ..step(tasks, false) };
+    let notice = |jobs| Event::Notice(Notice { jobs, ..Notice::default() });
+    bench.tell(notice(vec![job("other", TERM, whole(1))]));
+    bench.poll("w1", Vec::new(), Vec::new());
+    bench.poll("w2", Vec::new(), Vec::new());
+    let busy = bench.placed("other");
+    let free = if busy == "w1" { "w2" } else { "w1" };
+    bench.tell(notice(vec![job("two", TERM, whole(2))]));
+    bench.poll(free, Vec::new(), Vec::new());
+    bench.poll(free, Vec::new(), vec![ended(1, run("two", 0, 1), Ending::Faulty)]);
+    bench.pass(200);
+    bench.poll(free, Vec::new(), Vec::new());
+    let started: Vec<u32> =
+        bench.starts().iter().filter(|run| run.job == "two").map(|run| run.index).collect();
+    assert_eq!(started, [0, 1]);
+}
