fix: a start refused after one without an answer is settled by a list

Minions' answers were lost then. The agent's second try of a start found the run ended and was refused; the agent told the planner that the run never was, and the planner started the next one. Excluded by reading: a late order (fenced), a lost end (it was listed). Change: a refusal after a try without an answer is settled by a list: ended, running, or absent after the longest stop. Test failed first.

--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -19,10 +19,22 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Kind {
     Start(Box<Start>),
+    /// Refused at the time given, after a try without an answer, which may have been carried out.
+    Unsettled(Duration),
     /// To stop; answered at the time given.
     Stop(Option<Duration>),
 }
 
+impl Kind {
+    /// When the minion gave the answer that only a list can settle.
+    fn answered(&self) -> Option<Duration> {
+        match self {
+            Kind::Unsettled(answered) | Kind::Stop(Some(answered)) => Some(*answered),
+            Kind::Start(_) | Kind::Stop(None) => None,
+        }
+    }
+}
+
 /// An order.
 #[derive(Clone, Debug)]
 pub(crate) struct Order {
@@ -105,7 +117,7 @@
         }
         let call = match (&order.kind, deadline) {
             // Without a lease nothing may be started: the planner may have given the task away.
-            (Kind::Start(_), None) | (Kind::Stop(Some(_)), _) => return false,
+            (Kind::Start(_), None) | (Kind::Stop(Some(_)) | Kind::Unsettled(_), _) => return false,
             (Kind::Start(start), Some(deadline)) => {
                 Call::Start { start: start.clone(), deadline, token }
             }
@@ -138,6 +150,16 @@
                 order.kind = Kind::Stop(Some(now));
                 self.wants_list = true;
             }
+            // Guards against a task that was done and is started again: an earlier try without
+            // an answer may have been carried out, and its run may even have ended, so that this
+            // one is refused. Only a list tells.
+            Reply::Refused(rejection)
+                if is_start && tries > 1 && rejection != Rejection::Fenced =>
+            {
+                order.kind = Kind::Unsettled(now);
+                self.wants_list = true;
+                self.log(format!("task={task} run={number} refused at try {tries}: {rejection:?}"));
+            }
             Reply::Refused(rejection) if is_start => {
                 self.log(format!("task={task} run={number} start refused: {rejection:?}"));
                 self.orders.remove(&task);
@@ -177,7 +199,8 @@
         self.has_news = true;
     }
 
-    /// A list has come: stops whose task is listed as ended, or is not there at all, are settled.
+    /// A list has come: stops whose task is listed as ended, starts without a certain answer whose
+    /// task is listed, and either whose task is not there at all, are settled.
     ///
     /// A list may leave out a task that is being stopped, whose room is still taken, so absence
     /// counts only after the longest stop.
@@ -186,12 +209,13 @@
         let mut absent = Vec::new();
         let mut settled = Vec::new();
         for (task, order) in &self.orders {
-            let Kind::Stop(Some(answered)) = order.kind else { continue };
+            let Some(answered) = order.kind.answered() else { continue };
             let run = task.run(order.number);
             let is_running =
                 minion.running.get(task).is_some_and(|running| running.run.as_ref() == Some(&run));
             let has_ended = minion.ended.values().any(|ended| ended.run.as_ref() == Some(&run));
-            if has_ended {
+            let is_started = is_running && matches!(order.kind, Kind::Unsettled(_));
+            if has_ended || is_started {
                 settled.push(task.clone());
             } else if !is_running && list_sent >= answered + self.options.stop {
                 absent.push((task.clone(), run));
@@ -211,9 +235,8 @@
 impl Machine {
     /// Whether a list would settle a stop that the minion has answered.
     pub(crate) fn awaits_list(&self, now: Duration) -> bool {
-        let is_over = |order: &Order| match order.kind {
-            Kind::Stop(Some(answered)) => now >= answered + self.options.stop,
-            _ => false,
+        let is_over = |order: &Order| {
+            order.kind.answered().is_some_and(|answered| now >= answered + self.options.stop)
         };
         self.orders.values().any(is_over)
     }
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -164,6 +164,43 @@
     assert_eq!(*token, TOKEN);
 }
 
+/// A farmer is billed twice. A start gets no answer, but the minion carries it out, and the task is
+/// done within half a second. The start that is sent again is refused, since the run has ended;
+/// the planner was told that it never ran, and started the task once more. Only a list tells what
+/// came of it.
+#[test]
+fn a_start_refused_after_one_without_an_answer_is_settled_by_a_list() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(4)], Vec::new());
+    let first = bench.take(is_start);
+    bench.tell(400, Event::Minion(first, Reply::Unknown));
+    let again = bench.take(is_start);
+    bench.tell(410, Event::Minion(again, Reply::Refused(Rejection::Old)));
+    bench.tell(450, Event::Tick);
+    assert!(bench.polls.iter().all(|(_, poll)| poll.verdicts.is_empty()), "it may have run");
+    let done =
+        Ended { number: 7, run: Some(run(4)), ending: Ending::Done.into(), ..Ended::default() };
+    let hold = bench.take(|call| matches!(call, Call::Hold { .. }));
+    bench.list(500, hold, vec![done]);
+    bench.tell(550, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert_eq!(poll.ended.first().map(|ended| ended.ending()), Some(Ending::Done));
+    assert!(poll.verdicts.is_empty() && poll.pending.is_empty());
+}
+
+/// A start that is refused at its first try has certainly not been carried out: the planner is
+/// told at once, and the task goes elsewhere without waiting for a list.
+#[test]
+fn a_start_refused_at_once_is_told_at_once() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(4)], Vec::new());
+    let first = bench.take(is_start);
+    bench.tell(110, Event::Minion(first, Reply::Refused(Rejection::NoRoom)));
+    bench.tell(150, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert_eq!(poll.verdicts.last().map(|verdict| verdict.rejection()), Some(Rejection::NoRoom));
+}
+
 /// Two machines work on the same task. An agent is cut off from the planner, which waits until
 /// the minion's lease has certainly run out and starts the task elsewhere. An order that the
 /// agent still has in hand must not go out after that.
