fix: a start turned away after one without an answer is stopped before anything is told

Excluded: refusals as old, which make the run void by themselves; fenced ones, whose session is over. Change: the agent stops the run first, which makes a late start void, and tells the planner by a list. Test failed first.

--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -150,14 +150,17 @@
                 order.kind = Kind::Stop(Some(now));
                 self.wants_list = true;
             }
-            // Guards against a task that was done and is started again: an earlier try without
-            // an answer may have been carried out, and its run may even have ended, so that this
-            // one is refused. Only a list tells.
+            // Guards against a task that runs twice: an earlier try without an answer may have
+            // been carried out, and its run may even have ended, so that this one is refused; or
+            // it may still be carried out seconds later, when the task runs elsewhere. A minion
+            // that has refused the run as old starts it no more; any other is told to stop it,
+            // which makes a late start void. What came of it, only a list tells.
             Reply::Refused(rejection)
                 if is_start && tries > 1 && rejection != Rejection::Fenced =>
             {
-                order.kind = Kind::Unsettled(now);
-                self.wants_list = true;
+                let is_void = rejection == Rejection::Old;
+                order.kind = if is_void { Kind::Unsettled(now) } else { Kind::Stop(None) };
+                self.wants_list |= is_void;
                 self.log(format!("task={task} run={number} refused at try {tries}: {rejection:?}"));
             }
             Reply::Refused(rejection) if is_start => {
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -188,6 +188,34 @@
     assert!(poll.verdicts.is_empty() && poll.pending.is_empty());
 }
 
+/// A farmer is billed twice. A start gets no answer and will be carried out seconds later; the one
+/// that is sent again is turned away, since the minion is not well. The task went elsewhere, and
+/// then ran here as well. A stop makes the late one void before anything is told.
+#[test]
+fn a_start_turned_away_after_one_without_an_answer_is_stopped_first() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(4)], Vec::new());
+    let first = bench.take(is_start);
+    bench.tell(400, Event::Minion(first, Reply::Unknown));
+    let again = bench.take(is_start);
+    bench.tell(410, Event::Minion(again, Reply::Refused(Rejection::Unhealthy)));
+    bench.tell(450, Event::Tick);
+    assert!(bench.polls.iter().all(|(_, poll)| poll.verdicts.is_empty()), "it may run later");
+    let stop = bench.take(|call| matches!(call, Call::Stop { number: 4, .. }));
+    bench.tell(460, Event::Minion(stop, Reply::Done));
+    let mut told = Vec::new();
+    for time in [470, 900, 1_350, 1_800, 2_250] {
+        let hold = bench.take(|call| matches!(call, Call::Hold { .. }));
+        bench.list(time, hold, Vec::new());
+        bench.tell(time + 10, Event::Tick);
+        told.extend(bench.polls.iter().flat_map(|(_, poll)| poll.verdicts.clone()));
+        bench.orders(time + 400, Vec::new(), Vec::new());
+        bench.tell(time + 420, Event::Tick);
+        told.extend(bench.polls.iter().flat_map(|(_, poll)| poll.verdicts.clone()));
+    }
+    assert_eq!(told.first().map(|verdict| verdict.rejection()), Some(Rejection::Old));
+}
+
 /// A start that is refused at its first try has certainly not been carried out: the planner is
 /// told at once, and the task goes elsewhere without waiting for a list.
 #[test]
