--- a/crates/standins/examples/jobs.rs
+++ b/crates/standins/examples/jobs.rs
@@ -1,4 +1,4 @@
-//! Submits jobs one after the other and at once, and times them; for the bench.
+//! Submits jobs one after the other and at once, and times them; for `scripts/bench-fleet.sh`.
 
 use std::{
     thread,
