--- a/crates/front/src/handin.rs
+++ b/crates/front/src/handin.rs
@@ -35,8 +35,19 @@
     is_unsure: bool,
 }
 
-/// What a write is for, with its job.
-type Subject = (bool, JobId);
+/// What a write is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Subject {
+    job: JobId,
+    /// The job's cancellation rather than the job.
+    is_cancel: bool,
+}
+
+impl Subject {
+    fn new(job: &str, is_cancel: bool) -> Self {
+        Subject { job: job.to_owned(), is_cancel }
+    }
+}
 
 /// Writes by job.
 #[derive(Clone, Debug, Default)]
@@ -74,7 +85,7 @@
         let deadline = now + patience.min(options::WRITE_PATIENCE);
         // Guards against a caller that is told "not done" of its second try while the first,
         // which got no answer, may still be carried out.
-        let unsettled = self.writes.unsettled.get(&(is_cancel, id.to_owned()));
+        let unsettled = self.writes.unsettled.get(&Subject::new(id, is_cancel));
         let is_unsure = unsettled.is_some_and(|until| now < *until);
         let writes = if is_cancel { &mut self.writes.cancels } else { &mut self.writes.jobs };
         let write = writes.entry(id.to_owned()).or_insert_with(|| Write {
@@ -91,7 +102,7 @@
     /// Whether an earlier try of a job may still be carried out.
     pub(crate) fn is_unsettled(&self, now: Duration, id: &str) -> bool {
         let is_under_way = self.writes.jobs.contains_key(id);
-        let until = self.writes.unsettled.get(&(false, id.to_owned()));
+        let until = self.writes.unsettled.get(&Subject::new(id, false));
         is_under_way || until.is_some_and(|until| now < *until)
     }
 
@@ -189,7 +200,7 @@
 
     fn write_done(&mut self, operation: &Operation, id: &str) {
         let is_cancel = matches!(operation, Operation::Cancel(_));
-        self.writes.unsettled.remove(&(is_cancel, id.to_owned()));
+        self.writes.unsettled.remove(&Subject::new(id, is_cancel));
         let Some(write) = self.writes.of(operation).remove(id) else { return };
         let answer = match write.what {
             What::Job(job) => {
@@ -235,7 +246,7 @@
         for (id, is_cancel, is_unsure, callers) in answers {
             if is_unsure {
                 let until = now + options::UNSETTLED;
-                self.writes.unsettled.entry((is_cancel, id.clone())).or_insert(until);
+                self.writes.unsettled.entry(Subject::new(&id, is_cancel)).or_insert(until);
             }
             self.log(format!("job={id} cancel={is_cancel} given up, unsure={is_unsure}"));
             let after = self.come_again(now);
--- a/crates/plan/src/evict.rs
+++ b/crates/plan/src/evict.rs
@@ -66,16 +66,16 @@
     let seated = |count: usize| seat::seat(&freed(places, victims, &order[..count]), ask, reach);
     // More victims never seat less, so the fewest that do are found by halving: with 300 of
     // them, 9 trials in place of 300.
-    let mut seats = Some(seated(order.len())?);
-    let (mut too_few, mut enough) = (None, order.len());
-    while enough > too_few.map_or(0, |count: usize| count + 1) {
-        let middle = too_few.map_or(0, |count| count + 1).midpoint(enough);
+    let mut seats = seated(order.len())?;
+    let (mut least, mut enough) = (0, order.len());
+    while least < enough {
+        let middle = least.midpoint(enough);
         match seated(middle) {
-            Some(found) => (enough, seats) = (middle, Some(found)),
-            None => too_few = Some(middle),
+            Some(found) => (enough, seats) = (middle, found),
+            None => least = middle + 1,
         }
     }
-    let touched: Vec<usize> = seats.iter().flatten().map(|seat| seat.place).collect();
+    let touched: Vec<usize> = seats.iter().map(|seat| seat.place).collect();
     let gives_room =
         |index: &usize| victims[*index].seats.iter().any(|(at, _)| touched.contains(at));
     let mut chosen: Vec<usize> = order[..enough].iter().copied().filter(gives_room).collect();
@@ -84,11 +84,11 @@
         fewer.remove(at);
         if let Some(found) = seat::seat(&freed(places, victims, &fewer), ask, reach) {
             chosen = fewer;
-            seats = Some(found);
+            seats = found;
         }
     }
     let cost = chosen.iter().map(|index| victims[*index].cost).sum();
-    Some(Outcome { victims: chosen, seats: seats?, cost })
+    Some(Outcome { victims: chosen, seats, cost })
 }
 
 /// Places once some victims have ended, less what others wait for there.
