feat: calls to the store are counted and logged by what they are for

What was missing: nothing told which of an entry's calls to the store fail, are refused or bring the bytes. Metrics count them now by purpose and outcome, with the bytes of their answers; the log has a line for a call without an answer, for a watch whose history is gone and for a refused proof.

--- a/crates/front/src/freshness.rs
+++ b/crates/front/src/freshness.rs
@@ -62,6 +62,8 @@
             Reply::Committed(_) => self.proven(self.fresh.revision(), sent),
             Reply::Refused(items) => {
                 let key = self.options.catalog_key.clone();
+                let revision = self.fresh.revision();
+                self.log(format!("configuration revision={revision} is not the newest"));
                 match items.iter().find(|item| item.key == key && item.value.is_some()) {
                     Some(item) => self.apply(item, Some(sent)),
                     None => self.fresh.is_behind = true,
@@ -80,7 +82,13 @@
                     self.apply(item, None);
                 }
             }
-            Reply::HistoryGone => self.fresh.is_behind = true,
+            Reply::HistoryGone => {
+                let revision = self.fresh.revision();
+                self.log(format!(
+                    "configuration: no history after revision={revision}; read whole"
+                ));
+                self.fresh.is_behind = true;
+            }
             _ => self.fresh.watch_at = now + options::WATCH_RETRY,
         }
     }
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cadence::Counted as _;
 use sapphire_front::{self as front, reach::Way};
 use sapphire_jobs::{Relay, Relayed};
 use sapphire_net::{hub::Failure, message::Response};
@@ -25,6 +26,7 @@
         way: &Way,
         result: Result<Response, Failure>,
     ) {
+        let bytes = result.as_ref().map_or(0, |response| response.body.len());
         let reply = match way {
             Way::Straight => platform::store::reply(call, result),
             Way::Through(_) => relayed_reply(call, result),
@@ -33,6 +35,12 @@
         let name = if is_answered { "store.answered" } else { "store.failed" };
         self.count(name);
         self.time("store", now.steady.saturating_sub(sent));
+        self.count_purpose(&origin, &reply, bytes);
+        if let Reply::Unavailable(reason) | Reply::NotDone(reason) = &reply {
+            let (purpose, ms) = (purpose(&origin), now.steady.saturating_sub(sent).as_millis());
+            let text = format!("store call={purpose} way={way:?} ms={ms} failed: {reason}");
+            self.levels.info("front", &text);
+        }
         if !is_watch(call) {
             let effects = self.front.note_call(now.steady, way, is_answered);
             self.perform(now, effects.into_iter().map(Work::Front).collect());
@@ -49,6 +57,14 @@
         }
     }
 
+    fn count_purpose(&self, origin: &Origin, reply: &Reply, bytes: usize) {
+        let name = format!("store.{}.{}", purpose(origin), outcome(reply));
+        self.count(&name);
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        // A counter that can't be kept is not worth an error.
+        let _ = self.metrics.count(&format!("store.{}.bytes", purpose(origin)), bytes);
+    }
+
     pub(super) fn store_call(&mut self, now: Moment, origin: Origin, call: Call) {
         self.count("store.calls");
         let is_probe = matches!(origin, Origin::Front(front::event::Operation::Probe));
@@ -77,6 +93,45 @@
     }
 }
 
+/// What a call to the store is for, as the metrics name it.
+fn purpose(origin: &Origin) -> &'static str {
+    use front::event::Operation as Front;
+    use planner::event::Operation as Plan;
+    match origin {
+        Origin::Front(operation) => match operation {
+            Front::Catalog => "catalog",
+            Front::Proof => "proof",
+            Front::CatalogWatch => "catalog_watch",
+            Front::Lead => "lead",
+            Front::LeadWatch => "lead_watch",
+            Front::Hold | Front::Release => "hold",
+            Front::Submit(_) => "submit",
+            Front::Cancel(_) => "cancel",
+            Front::LookUp(_) | Front::LookUpProgress(_) | Front::LookUpCancel(_) => "look_up",
+            Front::Probe => "probe",
+        },
+        Origin::Planner { operation, .. } => match operation {
+            Plan::Scan => "scan",
+            Plan::Fleet => "fleet",
+            Plan::Progress(_) => "progress",
+            Plan::Forget(_) => "forget",
+            Plan::Intake => "intake",
+        },
+    }
+}
+
+/// How a call to the store ended, as the metrics name it.
+fn outcome(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Unavailable(_) => "unanswered",
+        Reply::NotDone(_) => "turned_away",
+        Reply::Conflict(_) | Reply::Refused(_) => "refused",
+        Reply::HistoryGone => "history_gone",
+        Reply::Lapsed => "lapsed",
+        _ => "done",
+    }
+}
+
 /// Reads what another entry says of a call that it made.
 fn relayed_reply(call: &Call, result: Result<Response, Failure>) -> Reply {
     match inner::answer::<Relayed>(result) {
