fix: what is handed in while the store is read in pages is looked up

What callers would see: an accepted job, or a cancellation, that nothing is done about for a whole term. A planner took the revision of the last page as the one up to which it knows everything; what was written into the range of an earlier page meanwhile, by an entry that died before it told, was behind that position for good. After a page without an answer the search went on from the revision of the page before, and the other pages were never read.

Change: the position is the revision of the first page, taken over once the last one is read, at a take-over and when the history is gone; a page without an answer is asked for again.

--- a/crates/planner/src/intake.rs
+++ b/crates/planner/src/intake.rs
@@ -4,7 +4,7 @@
 
 use prost::Message as _;
 use sapphire_jobs::{Job, Notice};
-use sapphire_store::call::{Call, Reply};
+use sapphire_store::call::{Call, Item, Reply, Revision};
 
 use crate::{
     effect::Effect,
@@ -12,6 +12,7 @@
     keys::{self, Key},
     options,
     planner::Planner,
+    state::intake::Scan,
 };
 
 impl Planner {
@@ -37,10 +38,13 @@
             return;
         }
         self.intake.is_asking = true;
-        let call = Call::WatchPrefix {
-            prefix: keys::INTAKE.to_owned(),
-            after: self.intake.revision,
-            wait: Duration::from_millis(1),
+        let prefix = keys::INTAKE.to_owned();
+        let call = match &self.intake.scan {
+            Some(scan) => Call::Scan { prefix, after: scan.after.clone(), may_be_stale: false },
+            None => {
+                let wait = Duration::from_millis(1);
+                Call::WatchPrefix { prefix, after: self.intake.revision, wait }
+            }
         };
         self.out.push(Effect::Store(Operation::Intake, call));
     }
@@ -54,14 +58,14 @@
                 items
             }
             Reply::HistoryGone => {
-                self.rescan();
+                self.log("the store's history is gone; reading all that was handed in".to_owned());
+                self.intake.scan = Some(Scan::default());
+                self.intake.next = now.steady;
+                self.ask_intake(now);
                 return;
             }
             Reply::Items { items, has_more, revision } => {
-                self.intake.revision = revision.max(self.intake.revision);
-                if has_more && let Some(last) = items.last() {
-                    self.rescan_after(last.key.clone());
-                }
+                self.intake_page(now, &items, has_more, revision);
                 items
             }
             _ => return,
@@ -86,15 +90,21 @@
         }
     }
 
-    fn rescan(&mut self) {
-        self.log("the store's history is gone; reading all that was handed in".to_owned());
-        self.rescan_after(String::new());
-    }
-
-    fn rescan_after(&mut self, after: String) {
-        self.intake.is_asking = true;
-        let prefix = keys::INTAKE.to_owned();
-        let call = Call::Scan { prefix, after, may_be_stale: false };
-        self.out.push(Effect::Store(Operation::Intake, call));
+    /// Goes on with the next page, or with watching after the last one.
+    ///
+    /// Pages are no snapshot: what is written into an earlier page's range while later ones are
+    /// read is found only by watching from the revision of the first page.
+    fn intake_page(&mut self, now: Moment, items: &[Item], has_more: bool, revision: Revision) {
+        let Some(mut scan) = self.intake.scan.take() else { return };
+        let first = *scan.first.get_or_insert(revision);
+        match items.last().filter(|_| has_more) {
+            Some(last) => {
+                scan.after.clone_from(&last.key);
+                self.intake.scan = Some(scan);
+                self.intake.next = now.steady;
+                self.ask_intake(now);
+            }
+            None => self.intake.revision = self.intake.revision.max(first),
+        }
     }
 }
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -41,13 +41,15 @@
             self.scan(after);
             return;
         };
+        // Pages are no snapshot: what is handed in meanwhile is looked up from here on.
+        let first = *self.startup.first.get_or_insert(revision);
         let after = items.last().map(|item| item.key.clone());
         self.startup.items.extend(items);
         if has_more && let Some(after) = after {
             self.scan(after);
             return;
         }
-        self.intake.start(now.steady, revision);
+        self.intake.start(now.steady, first);
         self.load(now);
     }
 
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -18,6 +18,8 @@
     pub(crate) phase: Phase,
     pub(crate) began: Duration,
     pub(crate) items: Vec<Item>,
+    /// Revision of the store at the first page; none before it has come.
+    pub(crate) first: Option<Revision>,
     /// Number of this term among all terms.
     pub(crate) terms: u32,
     pub(crate) fleet_revision: Revision,
@@ -38,6 +40,7 @@
             phase: Phase::Reading,
             began: now,
             items: Vec::new(),
+            first: None,
             terms: 0,
             fleet_revision: 0,
             members: BTreeMap::new(),
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -70,6 +70,15 @@
 impl Bench {
     /// A planner whose store holds what is given.
     pub(crate) fn new(items: Vec<Item>) -> Self {
+        let mut bench = Bench::reading();
+        let page = Reply::Items { items, has_more: false, revision: 40 };
+        bench.answer_store(page);
+        bench.answer_store(Reply::Committed(60));
+        bench
+    }
+
+    /// A planner that has asked for the first page of what the store holds.
+    pub(crate) fn reading() -> Self {
         let queue = Queue {
             name: "q".to_owned(),
             service: "desk".to_owned(),
@@ -103,9 +112,6 @@
             asker: 0,
         };
         bench.tell(Event::Tick);
-        let page = Reply::Items { items, has_more: false, revision: 40 };
-        bench.tell(Event::Store(Operation::Scan, page));
-        bench.answer_store(Reply::Committed(60));
         bench
     }
 
