fix: calls that a store turns away are not sent again at once

Cause: the planner's first page and an entry's look-ups were sent again in the same turn. A store that is over its rate, or refuses a machine, answers in milliseconds, so one process could make some 250 calls a second, which are priced, and take the rate that others need. The planner's key was read and watched in turn, too, where the store had no history after the read.

Change: pauses of 100 ms (a page), 60 ms (a look-up) and 300 ms (the key). Watches wait 12 s in place of 25, below the 20 s of history that the store keeps, so that the next one can go on.

Three tests, which failed first: a page asked for 100 times at once, a look-up 4 times in 3 ms, the key read again at once.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -269,7 +269,7 @@
         }
     }
 
-    /// Tries a read again while somebody still waits for it.
+    /// Has a read tried again after a pause: a store that turns calls away answers at once.
     fn lookup_failed(
         &mut self,
         now: Duration,
@@ -277,11 +277,21 @@
         operation: fn(JobId) -> Operation,
         key: fn(&str) -> String,
     ) {
-        self.give_up_lookups(now);
-        if self.lookups.contains_key(&id) {
-            let call = Call::Get { key: key(&id) };
-            self.out.push(Effect::Store(operation(id), call));
-        }
+        let call = Call::Get { key: key(&id) };
+        self.lookups_again.push((now + options::LOOK_UP_RETRY, operation(id), call));
+    }
+
+    /// Sends the reads again that are due and that somebody still waits for.
+    pub(crate) fn look_up_again(&mut self, now: Duration) {
+        let (lookups, out) = (&self.lookups, &mut self.out);
+        self.lookups_again.retain(|(at, operation, call)| {
+            let is_wanted = operation.looked_up().is_some_and(|id| lookups.contains_key(id));
+            let is_due = now >= *at;
+            if is_due && is_wanted {
+                out.push(Effect::Store(operation.clone(), call.clone()));
+            }
+            !is_due && is_wanted
+        });
     }
 
     pub(crate) fn give_up_lookups(&mut self, now: Duration) {
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -84,7 +84,7 @@
             }
             Reply::HistoryGone => {
                 self.leader.watched = 0;
-                self.leader.read_at = now;
+                self.leader.read_at = now + options::WATCH_RETRY;
             }
             _ => self.leader.watch_at = now + options::WATCH_RETRY,
         }
--- a/crates/front/src/machine.rs
+++ b/crates/front/src/machine.rs
@@ -45,6 +45,8 @@
     pub(crate) leader: Leadership,
     pub(crate) writes: Writes,
     pub(crate) lookups: BTreeMap<JobId, Vec<Lookup>>,
+    /// Reads for look-ups that had no answer, with when they are sent again.
+    pub(crate) lookups_again: Vec<(Duration, Operation, Call)>,
     pub(crate) reads: Reads,
     /// Other entries.
     pub(crate) entries: Vec<String>,
@@ -66,6 +68,7 @@
             leader: Leadership::new(&options),
             writes: Writes::default(),
             lookups: BTreeMap::new(),
+            lookups_again: Vec::new(),
             reads: Reads::default(),
             entries: options.entries.clone(),
             is_planning: false,
@@ -97,6 +100,7 @@
             Event::Tick => self.probe(steady),
         }
         self.give_up_lookups(steady);
+        self.look_up_again(steady);
         self.drive_reads(steady);
         self.drive_freshness(steady);
         self.drive_writes(steady);
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -45,8 +45,9 @@
 pub const OWN_PROOF_AGE: Duration = Duration::from_millis(2_200);
 /// Pause before a failed read of the configuration is repeated.
 pub const CATALOG_RETRY: Duration = Duration::from_millis(150);
-/// How long the store is asked to hold a watch.
-pub const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// How long the store is asked to hold a watch: below the time for which it keeps its history, so
+/// that the next watch can go on from the answer.
+pub const WATCH_WAIT: Duration = Duration::from_secs(12);
 /// Pause before a watch that failed is begun again.
 pub const WATCH_RETRY: Duration = Duration::from_millis(300);
 /// How long an entry tries to have a job or a cancellation written. Longer than a store that is
@@ -58,6 +59,8 @@
 pub const HELD_SHARE: f64 = 0.45;
 /// Pause before a write that failed is sent again.
 pub const WRITE_RETRY: Duration = Duration::from_millis(60);
+/// Pause before a read for a look-up that failed is sent again.
+pub const LOOK_UP_RETRY: Duration = Duration::from_millis(60);
 /// Time after which a write without an answer is certainly carried out or lost. The store may
 /// carry one out 6 s late, and a cut of a few seconds may hold it up before.
 pub const UNSETTLED: Duration = Duration::from_secs(15);
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -543,3 +543,39 @@
     assert_eq!(watched_from(&bench).last(), Some(&90));
     assert_eq!(reads(&bench), before);
 }
+
+/// Guards against a store that turns calls away and is asked for the same job thousands of times.
+#[test]
+fn a_look_up_that_is_turned_away_is_sent_again_after_a_pause() {
+    let mut bench = Bench::configured(1_000);
+    assert_eq!(bench.ask(1_100, "/q/1", "k", Action::Read), None);
+    let look_up = || Operation::LookUp("1".to_owned());
+    let mut answered = 0;
+    for time in 1_100..1_200 {
+        let sent = bench.calls.iter().filter(|call| **call == look_up()).count();
+        assert!(sent < 4, "{sent} times by {time} ms");
+        if sent > answered {
+            answered = sent;
+            bench.store(time, time, look_up(), Reply::NotDone("busy".to_owned()));
+        } else {
+            bench.tell(time, Event::Tick);
+        }
+    }
+    bench.store(1_300, 1_290, look_up(), Reply::Value(Value::default()));
+    assert_eq!(bench.answer(), Some(Answer::NoJob));
+}
+
+/// Guards against reading the planner's key and watching it in turn, without a pause, at a store
+/// that keeps no history.
+#[test]
+fn a_watch_of_the_key_whose_history_is_gone_pauses() {
+    let mut bench = Bench::configured(1_000);
+    let nobody = |revision| Reply::Items { items: Vec::new(), has_more: false, revision };
+    bench.store(1_020, 1_010, Operation::Lead, nobody(40));
+    let reads = |bench: &Bench| bench.calls.iter().filter(|it| **it == Operation::Lead).count();
+    let before = reads(&bench);
+    bench.store(1_030, 1_020, Operation::LeadWatch, Reply::HistoryGone);
+    assert_eq!(reads(&bench), before);
+    bench.tell(1_400, Event::Tick);
+    assert_eq!(reads(&bench), before + 1);
+}
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -133,6 +133,7 @@
         self.sum_supplies(now);
         self.materialise(now);
         self.forget_ended(now);
+        self.scan_again(now);
         self.ask_intake(now);
         self.check_settled(now);
         self.write_fleet();
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -30,15 +30,23 @@
         self.out.push(Effect::Store(Operation::Scan, call));
     }
 
+    /// Asks again for a page that had no answer.
+    pub(crate) fn scan_again(&mut self, now: Moment) {
+        if self.startup.again_at.take_if(|at| now.steady >= *at).is_some() {
+            let after = self.startup.items.last().map_or(String::new(), |item| item.key.clone());
+            self.scan(after);
+        }
+    }
+
     /// Takes a page of what the store holds.
     pub(crate) fn scanned(&mut self, now: Moment, reply: Reply) {
         if self.startup.phase != Phase::Reading {
             return;
         }
         let Reply::Items { items, has_more, revision } = reply else {
-            // Nothing else can be done until the store answers.
-            let after = self.startup.items.last().map_or(String::new(), |item| item.key.clone());
-            self.scan(after);
+            // Nothing else can be done until the store answers; one that turns calls away at
+            // once must not be asked again at once.
+            self.startup.again_at = Some(now.steady + options::RETRY);
             return;
         };
         // Pages are no snapshot: what is handed in meanwhile is looked up from here on.
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -20,6 +20,8 @@
     pub(crate) items: Vec<Item>,
     /// Revision of the store at the first page; none before it has come.
     pub(crate) first: Option<Revision>,
+    /// When the page that had no answer is asked for again.
+    pub(crate) again_at: Option<Duration>,
     /// Number of this term among all terms.
     pub(crate) terms: u32,
     pub(crate) fleet_revision: Revision,
@@ -41,6 +43,7 @@
             began: now,
             items: Vec::new(),
             first: None,
+            again_at: None,
             terms: 0,
             fleet_revision: 0,
             members: BTreeMap::new(),
--- a/crates/planner/tests/intake/mod.rs
+++ b/crates/planner/tests/intake/mod.rs
@@ -84,3 +84,19 @@
     answer(&mut bench, page(vec![handed_in("n")], false, 205));
     assert!(is_known(&bench, "m") && is_known(&bench, "n"));
 }
+
+/// Guards against a store that turns calls away and is asked for the first page thousands of times.
+#[test]
+fn a_first_page_that_is_turned_away_is_asked_for_after_a_pause() {
+    let mut bench = Bench::reading();
+    let mut asked = 0;
+    for _ in 0..20 {
+        while let Some((operation, _)) = bench.calls.pop() {
+            asked += 1;
+            bench.tell(Event::Store(operation, Reply::NotDone("busy".to_owned())));
+            assert!(asked < 100, "asked again at once");
+        }
+        bench.pass(50);
+    }
+    assert!((5..=11).contains(&asked), "{asked} times in a second");
+}
