fix: a changed configuration is fetched once at a time

Cause: an entry that hears from the planner of a newer configuration read it although its watch was bringing it; a proof of the one before was sent although it was known to be old, and its refusal brings the new one as well; and that there is a newer one was forgotten only after a read, whichever way it had come. One that can't be read was fetched again every 150 ms. A proof through another entry was given up after 0.52 s, less than the refusal of a large one takes, so that a planner cut off from the store could not learn of the change at all.

Change: the highest revision heard of is kept; while it is not in force nothing is proven, and a watch under way has half a second to bring it before it is read. One that can't be read is asked for every 5 s. A relayed proof may take 1.5 s; that limit has no test of its own.

Three tests, two of which failed first (a second fetch; 16 calls in 4 s for one that can't be read).

--- a/crates/front/src/freshness.rs
+++ b/crates/front/src/freshness.rs
@@ -11,7 +11,7 @@
     pub(crate) fn drive_freshness(&mut self, now: Duration) {
         let fresh = &mut self.fresh;
         let has_catalog = fresh.catalog.is_some();
-        if (!has_catalog || fresh.is_behind) && !fresh.is_reading && now >= fresh.read_at {
+        if (!has_catalog || fresh.is_behind()) && !fresh.is_reading && now >= fresh.read_at {
             fresh.is_reading = true;
             let key = self.options.catalog_key.clone();
             self.out.push(Effect::Store(Operation::Catalog, Call::Get { key }));
@@ -26,7 +26,8 @@
         let interval =
             if self.is_planning { options::PROOF_INTERVAL } else { options::OWN_PROOF_AGE };
         let is_old = fresh.age(now).is_none_or(|age| age >= interval);
-        let is_wanted = is_old || fresh.watched == 0;
+        // A proof of one that is known to be old would be refused, with all of the new one.
+        let is_wanted = (is_old || fresh.watched == 0) && !fresh.is_behind();
         if has_catalog && is_wanted && !fresh.is_proving && now >= fresh.prove_at {
             fresh.is_proving = true;
             let revision = fresh.revision();
@@ -44,13 +45,12 @@
         if let Reply::Value(value) = reply
             && value.revision > 0
         {
-            self.fresh.is_behind = false;
             let item = Item {
                 key: self.options.catalog_key.clone(),
                 value: Some(value.bytes),
                 revision: value.revision,
             };
-            self.apply(&item, Some(sent));
+            self.apply(now, &item, Some(sent));
         }
     }
 
@@ -71,8 +71,8 @@
                 let revision = self.fresh.revision();
                 self.log(format!("configuration revision={revision} is not the newest"));
                 match items.iter().find(|item| item.key == key && item.value.is_some()) {
-                    Some(item) => self.apply(item, Some(sent)),
-                    None => self.fresh.is_behind = true,
+                    Some(item) => self.apply(now, item, Some(sent)),
+                    None => self.fresh.heard = self.fresh.heard.max(revision + 1),
                 }
             }
             _ => {}
@@ -86,7 +86,7 @@
                 self.fresh.watched = self.fresh.watched.max(revision);
                 let key = self.options.catalog_key.clone();
                 for item in items.iter().filter(|item| item.key == key) {
-                    self.apply(item, None);
+                    self.apply(now, item, None);
                 }
             }
             Reply::HistoryGone => {
@@ -100,13 +100,23 @@
     }
 
     /// What the planner says of the configuration.
-    pub(crate) fn relayed_proof(&mut self, sent: Duration, revision: u64, age: Duration) {
+    pub(crate) fn relayed_proof(
+        &mut self,
+        now: Duration,
+        sent: Duration,
+        revision: u64,
+        age: Duration,
+    ) {
         if revision == self.fresh.revision() && revision > 0 {
             // The age was taken before the answer was sent, so counting it from when the
             // question was sent makes the proof older than it is, never younger.
             self.proven(revision, sent.saturating_sub(age));
-        } else if revision > self.fresh.revision() {
-            self.fresh.is_behind = true;
+        } else if revision > self.fresh.heard {
+            self.fresh.heard = revision;
+            if self.fresh.is_watching {
+                // It is on its way; a second transfer would only slow the first one down.
+                self.fresh.read_at = self.fresh.read_at.max(now + options::WATCH_GRACE);
+            }
         }
     }
 
@@ -122,8 +132,9 @@
     ///
     /// Guards against going back: a watch, a read and a relayed copy may come late and out of
     /// order, and a caller that has been served under a newer one must not be refused again.
-    fn apply(&mut self, item: &Item, proven: Option<Duration>) {
+    fn apply(&mut self, now: Duration, item: &Item, proven: Option<Duration>) {
         let Some(value) = &item.value else { return };
+        self.fresh.heard = self.fresh.heard.max(item.revision);
         if item.revision < self.fresh.revision() {
             return;
         }
@@ -133,6 +144,7 @@
                 Err(error) => {
                     let revision = item.revision;
                     self.log(format!("configuration revision={revision} can't be read: {error}"));
+                    self.fresh.read_at = now + options::UNREADABLE_RETRY;
                     return;
                 }
             }
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -314,7 +314,7 @@
             self.entries.extend(self.options.entries.iter().cloned());
         }
         let age = Duration::from_millis(feed.config_age_ms);
-        self.relayed_proof(sent, feed.config_revision, age);
+        self.relayed_proof(now, sent, feed.config_revision, age);
         self.view.feed(sent, *feed);
     }
 }
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -45,6 +45,10 @@
 pub const OWN_PROOF_AGE: Duration = Duration::from_millis(2_200);
 /// Pause before a failed read of the configuration is repeated.
 pub const CATALOG_RETRY: Duration = Duration::from_millis(150);
+/// Pause before a configuration that can't be read is asked for again.
+pub const UNREADABLE_RETRY: Duration = Duration::from_secs(5);
+/// Time for a watch under way to bring a configuration that others have already.
+pub const WATCH_GRACE: Duration = Duration::from_millis(500);
 /// How long the store is asked to hold a watch: below the time for which it keeps its history, so
 /// that the next watch can go on from the answer.
 pub const WATCH_WAIT: Duration = Duration::from_secs(12);
--- a/crates/front/src/state/freshness.rs
+++ b/crates/front/src/state/freshness.rs
@@ -16,8 +16,8 @@
     pub(crate) read_at: Duration,
     pub(crate) prove_at: Duration,
     pub(crate) watch_at: Duration,
-    /// The planner knows of a newer one.
-    pub(crate) is_behind: bool,
+    /// Highest revision that is known to exist.
+    pub(crate) heard: u64,
     /// Revision of the store up to which changes of the configuration are known; 0 when only a
     /// proof can tell.
     pub(crate) watched: u64,
@@ -29,6 +29,11 @@
         self.catalog.as_ref().map_or(0, |catalog| catalog.revision)
     }
 
+    /// Whether there is a newer one than that in force.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.heard > self.revision()
+    }
+
     /// Age of the proof.
     pub(crate) fn age(&self, now: Duration) -> Option<Duration> {
         self.proven.map(|proven| now.saturating_sub(proven))
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -579,3 +579,75 @@
     bench.tell(1_400, Event::Tick);
     assert_eq!(reads(&bench), before + 1);
 }
+
+fn count(bench: &Bench, operation: &Operation) -> usize {
+    bench.calls.iter().filter(|call| *call == operation).count()
+}
+
+/// News from a planner that has proven a revision of the configuration.
+fn proven(version: u64, config_revision: u64) -> Option<Box<Feed>> {
+    Some(Box::new(Feed { term: 1, version, config_revision, ..Feed::default() }))
+}
+
+fn changed(revision: u64) -> Reply {
+    let item = Item { key: CONFIG.to_owned(), value: Some(Bytes::from("k")), revision };
+    Reply::Changes { items: vec![item], revision }
+}
+
+/// Guards against a large configuration that fills a link two or three times at once: by a watch,
+/// by a read, and by a proof of the one before, whose refusal brings the new one.
+#[test]
+fn a_change_that_a_watch_is_bringing_is_not_fetched_as_well() {
+    let mut bench = Bench::configured(1_000);
+    let (reads, proofs) = (count(&bench, &Operation::Catalog), count(&bench, &Operation::Proof));
+    bench.tell(3_000, Event::Feed { sent: ms(2_990), feed: proven(2, 9) });
+    for time in (3_050..3_450).step_by(50) {
+        bench.tell(time, Event::Tick);
+    }
+    bench.store(3_450, 1_000, Operation::CatalogWatch, changed(9));
+    bench.tell(3_600, Event::Tick);
+    assert_eq!(count(&bench, &Operation::Catalog), reads);
+    assert!(count(&bench, &Operation::Proof) <= proofs + 1, "the new one may be proven");
+}
+
+/// Guards against a change that is missed because the watch for it has gone silent.
+#[test]
+fn a_change_that_a_watch_does_not_bring_is_read() {
+    let mut bench = Bench::configured(1_000);
+    let reads = count(&bench, &Operation::Catalog);
+    bench.tell(1_500, Event::Feed { sent: ms(1_490), feed: proven(2, 9) });
+    for time in (1_550..2_050).step_by(50) {
+        bench.tell(time, Event::Tick);
+    }
+    assert_eq!(count(&bench, &Operation::Catalog), reads + 1);
+    bench.config(2_100, 2_000, 9, "k");
+    bench.tell(2_400, Event::Tick);
+    assert_eq!(count(&bench, &Operation::Catalog), reads + 1);
+}
+
+/// Guards against a configuration that can't be read and is fetched again several times a second.
+#[test]
+fn a_configuration_that_cannot_be_read_is_fetched_seldom() {
+    let mut bench = Bench::configured(1_000);
+    let calls = |bench: &Bench| count(bench, &Operation::Catalog) + count(bench, &Operation::Proof);
+    let before = calls(&bench);
+    let value = Some(Bytes::from_static(&[0xff]));
+    let item = || Item { key: CONFIG.to_owned(), value: value.clone(), revision: 9 };
+    bench.store(1_500, 1_400, Operation::Proof, Reply::Refused(vec![item()]));
+    let mut answered = calls(&bench);
+    for time in (1_550..5_550).step_by(50) {
+        bench.tell(time, Event::Tick);
+        if calls(&bench) > answered {
+            answered = calls(&bench);
+            let (operation, reply) = match bench.calls.last() {
+                Some(Operation::Proof) => (Operation::Proof, Reply::Refused(vec![item()])),
+                _ => {
+                    let bytes = value.clone().expect("it has one");
+                    (Operation::Catalog, Reply::Value(Value { revision: 9, bytes }))
+                }
+            };
+            bench.store(time, time, operation, reply);
+        }
+    }
+    assert!(calls(&bench) <= before + 2, "{} calls in 4 s", calls(&bench) - before);
+}
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -18,6 +18,9 @@
 /// The same for an answer that may be as large as the store's values: the other entry has to have
 /// all of it before it passes the first byte on.
 const LARGE_RELAY_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for a proof of the configuration, which is large only when refused: short enough that
+/// callers are served meanwhile by the proof before.
+const PROOF_RELAY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 impl Role {
     pub(super) fn store_answered(
@@ -81,8 +84,7 @@
             Way::Through(address) => {
                 let relay =
                     Relay { method: request.method, target: request.target, body: request.body };
-                let timeout =
-                    if may_be_large(&origin, &call) { LARGE_RELAY_TIMEOUT } else { RELAY_TIMEOUT };
+                let timeout = relay_timeout(&origin, &call);
                 let hub = &mut self.net.borrow_mut();
                 inner::call(hub, address, "POST", inner::RELAY, &relay, timeout)
             }
@@ -125,11 +127,14 @@
     }
 }
 
-/// Whether the answer to a call may be as large as the store's values.
-fn may_be_large(origin: &Origin, call: &Call) -> bool {
+/// Time for another entry's answer to a relayed call.
+fn relay_timeout(origin: &Origin, call: &Call) -> Duration {
+    use front::event::Operation;
     match origin {
-        Origin::Front(operation) => *operation == front::event::Operation::Catalog,
-        Origin::Planner { .. } => matches!(call, Call::Scan { .. }),
+        Origin::Front(Operation::Catalog) => LARGE_RELAY_TIMEOUT,
+        Origin::Front(Operation::Proof) => PROOF_RELAY_TIMEOUT,
+        Origin::Planner { .. } if matches!(call, Call::Scan { .. }) => LARGE_RELAY_TIMEOUT,
+        _ => RELAY_TIMEOUT,
     }
 }
 
