fix: answers are bounded by what passes of them, also those that an entry writes

Cause: an entry that answers another one's relayed read had 3 s for the whole answer, as long as three copies of a configuration take at once on its link; it cut them all off. And the mend of the calls let a long poll wait to its own end, up to 25 s, for the rest of an answer whose connection went silent.

Change: what passes buys time for answers in both directions, 10 s at the most; a pause of a second in the middle of an answer ends the call, whatever time it had for its beginning.

Two tests, which failed first (cut off after 10.5 of 16.8 MB; given up after 10 s). Requests are bounded as before: one of more than some 500 KB on a link of 10 Mbit/s would be given up while it goes out.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,3 +11,4 @@
 mod parse;
 mod server;
 mod stream;
+mod transfer;
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -95,7 +95,7 @@
     pub head_bytes: usize,
     /// Body, in bytes.
     pub body_bytes: usize,
-    /// Time for one whole request from its first byte.
+    /// Time for one whole request from its first byte, and for an answer of which nothing is read.
     pub request_time: Duration,
     /// Time that a connection may stay without a request.
     pub idle_time: Duration,
--- a/crates/net/src/outbound.rs
+++ b/crates/net/src/outbound.rs
@@ -10,13 +10,12 @@
     message::Response,
     parse::{self, Parsed},
     stream::{Fill, Stream},
+    transfer::Transfer,
 };
 
 /// Bounds of what is taken from a server.
 const BOUNDS: parse::Bounds = parse::Bounds { head: 16 << 10, body: 16 << 20 };
 
-/// Rate below which an answer is given up, in bytes a second.
-const LEAST_RATE: f64 = 16_384.0;
 /// Longest pause in the middle of an answer.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
@@ -26,26 +25,18 @@
     pub(crate) bytes: Bytes,
     /// When it is given up.
     pub(crate) deadline: Duration,
-    /// Bytes of its answer so far.
-    received: usize,
-    /// When it is given up if nothing of its answer comes.
-    unanswered: Duration,
+    answer: Transfer,
 }
 
 impl Call {
     pub(crate) fn new(id: CallId, bytes: Bytes, deadline: Duration) -> Self {
-        Call { id, bytes, deadline, received: 0, unanswered: deadline }
+        Call { id, bytes, deadline, answer: Transfer::new(deadline) }
     }
 
-    /// Notes that more of the answer has come.
-    ///
-    /// Guards against a large answer on a slow link that is given up, thrown away and asked for
-    /// again for ever: what arrives buys time, up to a pause that is too long.
+    /// Notes that more of the answer has come. A long poll that was given time to wait for its
+    /// answer is not given it for a pause in the middle.
     fn progress(&mut self, bytes: usize, now: Duration) {
-        self.received += bytes;
-        let bought = Duration::from_secs_f64(self.received as f64 / LEAST_RATE);
-        let deadline = (self.unanswered + bought).min(now + LONGEST_PAUSE);
-        self.deadline = self.deadline.max(deadline);
+        self.deadline = self.answer.pass(bytes).min(now + LONGEST_PAUSE);
     }
 }
 
@@ -118,8 +109,9 @@
     fn read(&mut self) -> Step {
         let before = self.stream.input.len();
         let fill = self.stream.fill(BOUNDS.head + BOUNDS.body);
-        if let Some(call) = &mut self.call {
-            call.progress(self.stream.input.len() - before, clock::now());
+        let received = self.stream.input.len() - before;
+        if let Some(call) = self.call.as_mut().filter(|_| received > 0) {
+            call.progress(received, clock::now());
         }
         if fill == Fill::Failed {
             return self.broken(Failure::Closed);
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -6,6 +6,7 @@
     message::{Limits, Request, Response},
     parse::{self, Parsed},
     stream::{Fill, Stream},
+    transfer::Transfer,
 };
 
 /// What a connection is about.
@@ -40,6 +41,8 @@
     limits: Limits,
     /// When the present phase runs out; none while a request is being served.
     pub(crate) deadline: Option<Duration>,
+    /// The answer that is being written.
+    answer: Transfer,
     /// Bytes that the present request has at least.
     least: usize,
     has_ended: bool,
@@ -49,7 +52,16 @@
     pub(crate) fn new(stream: Stream, listener: usize, limits: Limits, now: Duration) -> Self {
         let deadline = Some(now + limits.idle_time);
         let phase = Phase::Reading;
-        Connection { stream, listener, phase, limits, deadline, least: 0, has_ended: false }
+        Connection {
+            stream,
+            listener,
+            phase,
+            limits,
+            deadline,
+            answer: Transfer::new(now),
+            least: 0,
+            has_ended: false,
+        }
     }
 
     /// Reads what has come.
@@ -112,16 +124,20 @@
         let Phase::Answering { keeps } = self.phase else { return Step::Wait };
         self.stream.push(&parse::write_response(response, keeps));
         self.phase = Phase::Writing { keeps };
-        self.deadline = Some(now + self.limits.request_time);
+        self.answer = Transfer::new(now + self.limits.request_time);
         self.writable(now)
     }
 
     /// Goes on writing.
     pub(crate) fn writable(&mut self, now: Duration) -> Step {
         let Phase::Writing { keeps } = self.phase else { return Step::Wait };
+        let before = self.stream.unwritten();
         match self.stream.flush() {
             Err(_) => Step::Close,
-            Ok(false) => Step::Wait,
+            Ok(false) => {
+                self.deadline = Some(self.answer.pass(before - self.stream.unwritten()));
+                Step::Wait
+            }
             Ok(true) if keeps => {
                 self.phase = Phase::Reading;
                 let has_more = !self.stream.input.is_empty();
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -65,6 +65,11 @@
         self.output.extend_from_slice(bytes);
     }
 
+    /// Bytes that are still to be written.
+    pub(crate) fn unwritten(&self) -> usize {
+        self.output.len() - self.written
+    }
+
     /// Writes what it can; true when nothing is left.
     pub(crate) fn flush(&mut self) -> io::Result<bool> {
         while self.written < self.output.len() {
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -215,6 +215,54 @@
     server.join().expect("the server ends");
 }
 
+/// Guards against a large answer that is cut off because a slow link takes longer to carry it than
+/// one request may take.
+#[test]
+fn an_answer_that_keeps_being_read_is_not_cut_off() {
+    const BODY: usize = 16 << 20;
+    let address = free_address();
+    let limits = Limits {
+        body_bytes: 2 * BODY,
+        request_time: Duration::from_millis(400),
+        ..Limits::default()
+    };
+    let server = serve(address, limits);
+    let mut socket = TcpStream::connect(address).expect("somebody listens");
+    let head = format!("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {BODY}\r\n\r\n");
+    socket.write_all(head.as_bytes()).expect("it takes the head");
+    socket.write_all(&vec![b'x'; BODY]).expect("it takes the body");
+    let mut chunk = vec![0; 256 << 10];
+    let mut received = 0;
+    while received < BODY {
+        let count = socket.read(&mut chunk).expect("it goes on");
+        assert!(count > 0, "cut off after {received} bytes");
+        received += count;
+        thread::sleep(Duration::from_millis(20));
+    }
+    end(address);
+    server.join().expect("the server ends");
+}
+
+/// Guards against a long poll whose connection goes silent in the middle of the answer and that is
+/// waited for to the end of the poll.
+#[test]
+fn an_answer_that_pauses_too_long_is_given_up_before_the_time_out() {
+    let (release, wait) = std::sync::mpsc::channel::<()>();
+    let (address, server) = serve_in_parts(2, move |part| {
+        if part == 1 {
+            // Fails once the test is over.
+            let _ = wait.recv();
+        }
+    });
+    let mut hub = Hub::new().expect("the system gives an event queue");
+    let begun = std::time::Instant::now();
+    hub.call(address, &Request::new("GET", "/", ""), WAIT);
+    assert_eq!(outcome(&mut hub), Err(Failure::Timeout));
+    assert!(begun.elapsed() < WAIT / 2, "after {:?}", begun.elapsed());
+    drop(release);
+    server.join().expect("the server ends");
+}
+
 /// Guards against a server that keeps a call waiting with a byte now and then.
 #[test]
 fn an_answer_that_trickles_is_given_up() {
