test: starts that are carried out late, failing

The tests of draining were written from the rule and the code: an agent goes on sending a start after its minion's leaving was acknowledged.

--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -143,6 +143,11 @@
     }
 
     pub(crate) fn poll(&mut self, name: &str, running: Vec<Running>, ended: Vec<Ended>) {
+        self.report(name, Poll { running, ended, ..Poll::default() });
+    }
+
+    /// Lets an agent report; who it is and what its minion is like are filled in.
+    pub(crate) fn report(&mut self, name: &str, report: Poll) {
         let sequence = self.sequence.entry(name.to_owned()).or_default();
         *sequence += 1;
         let poll = Poll {
@@ -160,9 +165,7 @@
                 ..Incarnation::default()
             }),
             fenced_token: self.tokens.get(name).copied().unwrap_or(0),
-            running,
-            ended,
-            ..Poll::default()
+            ..report
         };
         self.asker += 1;
         let asker = self.asker;
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 mod intake;
+mod late;
 mod progress;
 mod reserve;
 mod supply;
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -468,3 +468,59 @@
         ["2", "0"].map(|rows| format!("lists of the minion: rows that can't be read: {rows}"));
     assert_eq!(told, expected.iter().collect::<Vec<_>>());
 }
+
+/// Guards against a task that starts long after its minion's leaving was acknowledged: a start
+/// without an answer was sent again and again.
+#[test]
+fn a_start_without_an_answer_is_stopped_when_the_minion_drains() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(1)], Vec::new());
+    let order = bench.take(is_start);
+    bench.tell(400, Event::Minion(order, Reply::Unknown));
+    let again = bench.take(is_start);
+    bench.beat(450, 1, 2, true);
+    bench.tell(700, Event::Minion(again, Reply::Unknown));
+    for time in (700..3_000).step_by(50) {
+        bench.tell(time, Event::Tick);
+    }
+    assert!(!bench.calls.iter().any(|(_, call)| is_start(call)), "{:?}", bench.calls);
+    bench.take(|call| matches!(call, Call::Stop { number: 1, .. }));
+}
+
+/// Guards against a start that was never sent and is sent once the minion drains.
+#[test]
+fn a_start_that_was_not_sent_is_refused_when_the_minion_drains() {
+    let mut bench = Bench::fenced();
+    let starts = (0..5).map(|index| {
+        let run = Run { index, ..run(1) };
+        Start { run: Some(run), spec: "s".to_owned(), ..Start::default() }
+    });
+    bench.orders(100, starts.collect(), Vec::new());
+    let sent = bench.calls.iter().filter(|(_, call)| is_start(call)).count();
+    bench.beat(150, 1, 2, true);
+    while let Some(at) = bench.calls.iter().position(|(_, call)| is_start(call)) {
+        let (ticket, _) = bench.calls.remove(at);
+        bench.tell(200, Event::Minion(ticket, Reply::Done));
+    }
+    bench.tell(250, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("it reports");
+    let refused = poll.verdicts.iter().filter(|it| it.rejection() == Rejection::Draining);
+    assert_eq!(refused.count(), 5 - sent);
+    assert!(!bench.calls.iter().any(|(_, call)| is_start(call)));
+}
+
+/// Guards against a planner that takes a stop as being made while the agent still has the start.
+#[test]
+fn polls_tell_starts_and_stops_in_hand_apart() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(1)], Vec::new());
+    bench.tell(150, Event::Tick);
+    let in_hand = |bench: &Bench| {
+        let (_, poll) = bench.polls.last().expect("it reports");
+        (poll.pending.clone(), poll.stopping.clone())
+    };
+    assert_eq!(in_hand(&bench), (vec![run(1)], Vec::new()));
+    bench.orders(200, Vec::new(), vec![run(1)]);
+    bench.tell(250, Event::Tick);
+    assert_eq!(in_hand(&bench), (Vec::new(), vec![run(1)]));
+}
