fix: a start without an answer is settled by its agent, not by its absence from lists

Cause: when a run was to be stopped whose start had no answer, the planner took the agent's having the start in hand for its having the stop, so no stop was sent while the agent went on trying to start it; and a run that had never started counted as ended once three lists had left it out for 1.5 s. Its task and its room were given away, and then one of the starts was carried out. An agent also went on sending starts after its minion's leaving was acknowledged.

Change: polls tell starts and stops in hand apart; absence from lists ends only a run that is known to have started; any other is settled by its agent, which has the minion reject it (a stop that was answered makes a later start void) and says so, by the next session's token, or by the end of the lease. A minion that drains is sent no start: what was never sent is refused, what had no answer is stopped.

Excluded: late starts after a session's new token (refused by it), and refusals at a first try.

--- a/crates/planner/src/ledger.rs
+++ b/crates/planner/src/ledger.rs
@@ -63,20 +63,22 @@
         }
     }
 
-    /// Notes which orders the agent has in hand.
+    /// Notes which orders the agent has in hand. A stop is another order than the start before it,
+    /// which may be in hand for long.
     fn receive(&mut self, name: &str, poll: &Poll) {
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         for (task, run) in &mut worker.runs {
-            let is_pending = |pending: &sapphire_jobs::Run| {
-                pending.run == run.number && Task::read(pending) == *task
-            };
-            run.is_received = poll.pending.iter().any(is_pending);
+            let in_hand = if run.phase == Phase::Stopping { &poll.stopping } else { &poll.pending };
+            let is_it =
+                |order: &sapphire_jobs::Run| order.run == run.number && Task::read(order) == *task;
+            run.is_received = in_hand.iter().any(is_it);
         }
     }
 
     /// A task that had started and is missing from lists, without an end, is not there.
     ///
-    /// Guards against a group that waits for ever for an end that was lost.
+    /// Guards against a group that waits for ever for an end that was lost. Absence says nothing of
+    /// a start without an answer, which may still be carried out: its agent has it barred.
     fn miss_absent(&mut self, now: Moment, name: &str, poll: &Poll) {
         let is_listed = |task: &Task, number: u32| {
             let mut runs = poll.running.iter().filter_map(|running| running.run.as_ref());
@@ -84,7 +86,7 @@
         };
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let mut lost = Vec::new();
-        for (task, run) in worker.runs.iter_mut().filter(|(_, run)| run.phase != Phase::Ordered) {
+        for (task, run) in worker.runs.iter_mut().filter(|(_, run)| run.is_started) {
             if is_listed(task, run.number) {
                 run.absent = 0;
                 run.seen = now.steady;
@@ -153,6 +155,7 @@
         let mut run = Run::new(number, room, phase, running.percent, now.steady);
         let stop = Stop { cause: Cause::Unwanted, since: now.steady };
         run.stop = (!is_wanted).then_some(stop);
+        run.is_started = true;
         worker.runs.insert(task.clone(), run);
         let verb = if is_wanted { "adopted" } else { "not wanted, stopped" };
         self.log(format!("task={task} run={number} worker={name} {verb}"));
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -78,6 +78,8 @@
     pub stop: Option<Stop>,
     /// The agent has the order in hand.
     pub is_received: bool,
+    /// The minion is known to have carried out its start.
+    pub is_started: bool,
     /// Progress as last listed, 0 to 100.
     pub percent: u32,
     /// Progress when it was first listed, above 0 for one that went on from a checkpoint.
@@ -188,6 +190,7 @@
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return false;
         };
+        run.is_started = true;
         if run.phase == Phase::Ordered {
             run.phase = Phase::Running;
             run.began = now;
@@ -231,6 +234,7 @@
             phase,
             stop: None,
             is_received: false,
+            is_started: phase == Phase::Running,
             percent,
             first_percent: percent,
             moved: now,
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -72,6 +72,9 @@
         if minion.fenced != self.session.token || self.session.token == 0 {
             return;
         }
+        if minion.incarnation.is_draining {
+            self.give_up_starts();
+        }
         let mut free = MAX_CALLS
             .saturating_sub(self.orders.values().filter(|order| order.call.is_some()).count());
         let tasks: Vec<Task> = self.orders.keys().cloned().collect();
@@ -85,6 +88,26 @@
         }
     }
 
+    /// Starts nothing more on a minion that drains: what was never sent is refused, and what has
+    /// had no answer is stopped, so that it can't start later.
+    fn give_up_starts(&mut self) {
+        let is_open = |order: &Order| matches!(order.kind, Kind::Start(_)) && order.call.is_none();
+        let unsent: Vec<Run> = (self.orders.iter())
+            .filter(|(_, order)| is_open(order) && order.tries == 0)
+            .map(|(task, order)| task.run(order.number))
+            .collect();
+        for run in unsent {
+            let task = Task::read(&run);
+            self.log(format!("task={task} run={} refused: the minion drains", run.run));
+            self.orders.remove(&task);
+            self.verdict(run, Rejection::Draining);
+        }
+        for order in self.orders.values_mut().filter(|order| is_open(order)) {
+            order.kind = Kind::Stop(None);
+            order.retry_at = Duration::ZERO;
+        }
+    }
+
     fn send_order(&mut self, now: Duration, task: &Task) -> bool {
         let token = self.session.token;
         let deadline = self.deadline(now);
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -9,6 +9,7 @@
     event::Ticket,
     machine::{Machine, PollSent},
     options,
+    order::{Kind, Order},
 };
 
 impl Machine {
@@ -35,14 +36,19 @@
         for (_, told) in &mut self.verdicts {
             told.get_or_insert(self.sequence);
         }
-        let pending = self.orders.iter().map(|(task, order)| task.run(order.number));
+        let (stops, starts): (Vec<_>, Vec<_>) =
+            self.orders.iter().partition(|(_, order)| matches!(order.kind, Kind::Stop(_)));
+        let runs = |orders: Vec<(&Task, &Order)>| {
+            orders.into_iter().map(|(task, order)| task.run(order.number)).collect()
+        };
         let mut poll = Poll {
             agent: self.options.name.clone(),
             address: self.options.address.clone(),
             generation: self.options.generation,
             sequence: self.sequence,
             verdicts: self.verdicts.iter().map(|(verdict, _)| verdict.clone()).collect(),
-            pending: pending.collect(),
+            pending: runs(starts),
+            stopping: runs(stops),
             is_leaving: self.is_leaving.is_some(),
             is_minion_gone: self.is_minion_gone && self.minion.is_none(),
             ..Poll::default()
