--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -651,3 +651,25 @@
     }
     assert!(calls(&bench) <= before + 2, "{} calls in 4 s", calls(&bench) - before);
 }
+
+/// Guards against a caller that is told "not done" of a job that a later one of its tries, which got
+/// no answer either, may still bring in.
+#[test]
+fn each_try_without_an_answer_may_be_carried_out_for_as_long() {
+    let mut bench = Bench::configured(1_000);
+    let operation = || Operation::Submit(vec!["1".to_owned()]);
+    let unanswered = |bench: &mut Bench, at: u64| {
+        bench.store(at, at, Operation::Proof, Reply::Committed(9));
+        assert_eq!(bench.ask(at, "/q/1", "k", submit()), None);
+        bench.store(at + 500, at, operation(), Reply::Unavailable("no answer".to_owned()));
+        bench.tell(at + 1_300, Event::Tick);
+        assert_matches!(bench.answer(), Some(Answer::Unknown { .. }));
+    };
+    unanswered(&mut bench, 2_000);
+    unanswered(&mut bench, 15_000);
+    bench.store(19_900, 19_900, Operation::Proof, Reply::Committed(9));
+    assert_eq!(bench.ask(20_000, "/q/1", "k", submit()), None);
+    bench.store(20_400, 20_000, operation(), Reply::NotDone("busy".to_owned()));
+    bench.tell(21_300, Event::Tick);
+    assert_matches!(bench.answer(), Some(Answer::Unknown { .. }));
+}
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -65,6 +65,8 @@
     pub(crate) sequence: BTreeMap<String, u64>,
     pub(crate) tokens: BTreeMap<String, u64>,
     pub(crate) asker: u64,
+    /// Starts of agents, by name.
+    pub(crate) generations: BTreeMap<String, u64>,
 }
 
 impl Bench {
@@ -110,6 +112,7 @@
             sequence: BTreeMap::new(),
             tokens: BTreeMap::new(),
             asker: 0,
+            generations: BTreeMap::new(),
         };
         bench.tell(Event::Tick);
         bench
@@ -153,7 +156,7 @@
         let poll = Poll {
             agent: name.to_owned(),
             address: format!("{name}:1"),
-            generation: 1,
+            generation: self.generations.get(name).copied().unwrap_or(1),
             sequence: *sequence,
             lists: *sequence,
             incarnation: Some(Incarnation {
@@ -176,6 +179,12 @@
         }
     }
 
+    /// Restarts an agent; its minion runs on.
+    pub(crate) fn restart(&mut self, name: &str) {
+        *self.generations.entry(name.to_owned()).or_insert(1) += 1;
+        self.tokens.remove(name);
+    }
+
     /// Lets a worker join; its minion lists what is given.
     pub(crate) fn join(&mut self, name: &str, running: Vec<Running>, ended: Vec<Ended>) {
         self.poll(name, Vec::new(), Vec::new());
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -1,9 +1,10 @@
-//! Starts that a minion may still carry out.
+//! Orders and writes that may still be carried out.
 
-use sapphire_jobs::{Notice, Poll, Rejection, Run, Verdict};
-use sapphire_planner::event::Event;
+use sapphire_jobs::{Ending, Notice, Poll, Rejection, Run, Running, Verdict};
+use sapphire_planner::event::{Event, Operation};
+use sapphire_store::call::Reply;
 
-use crate::harness::{Bench, TERM, fleet, job, run, step};
+use crate::harness::{Bench, TERM, ended, fleet, job, run, step};
 
 /// A planner whose one worker has been told to start a task and has not answered.
 fn ordered() -> (Bench, Run) {
@@ -54,3 +55,60 @@
     bench.report("a", Poll { verdicts: vec![verdict], ..Poll::default() });
     assert_eq!(bench.placed("j"), "", "its room is kept for ever");
 }
+
+/// Guards against a task that runs twice: a worker was given it before the store named the worker,
+/// the planner was lost, and its successor did not know that it had to hear of that worker.
+#[test]
+fn a_worker_is_given_nothing_before_the_store_names_it() {
+    let mut bench = Bench::new(vec![fleet(1, &[])]);
+    bench.poll("a", Vec::new(), Vec::new());
+    bench.poll("a", Vec::new(), Vec::new());
+    let notice = Notice { jobs: vec![job("j", TERM, step(1, false))], cancelled: Vec::new() };
+    bench.tell(Event::Notice(notice));
+    bench.pass(500);
+    assert_eq!(bench.starts(), Vec::new());
+    let at = bench.calls.iter().position(|(operation, _)| *operation == Operation::Fleet);
+    bench.calls.remove(at.expect("it is being written"));
+    bench.tell(Event::Store(Operation::Fleet, Reply::Committed(61)));
+    bench.poll("a", Vec::new(), Vec::new());
+    bench.pass(100);
+    assert_eq!(bench.starts(), vec![run("j", 0, 1_001)]);
+}
+
+/// Guards against a minion whose ends are never taken note of: a task was done a moment before its
+/// job was cancelled, and what was done was not written any more.
+#[test]
+fn ends_of_a_cancelled_job_are_noted() {
+    let mut bench = Bench::new(vec![fleet(1, &["a"])]);
+    bench.join("a", Vec::new(), Vec::new());
+    let notice = Notice { jobs: vec![job("j", TERM, step(2, false))], cancelled: Vec::new() };
+    bench.tell(Event::Notice(notice));
+    bench.poll("a", Vec::new(), vec![ended(1, run("j", 0, 1_001), Ending::Done)]);
+    cancel(&mut bench);
+    let ends = vec![
+        ended(1, run("j", 0, 1_001), Ending::Done),
+        ended(2, run("j", 1, 1_001), Ending::Stopped),
+    ];
+    bench.poll("a", Vec::new(), ends);
+    bench.pass(700);
+    assert_eq!(bench.orders.last().map(|(_, orders)| orders.noted), Some(2));
+}
+
+/// Guards against a worker that is overfilled, and a task that runs twice: a list may leave out a
+/// task that is being stopped, and a new session's first list was taken for the whole truth.
+#[test]
+fn a_run_that_is_being_stopped_is_not_over_at_the_start_of_a_session() {
+    let (mut bench, run) = ordered();
+    let running = || vec![Running { run: Some(run.clone()), ..Running::default() }];
+    bench.poll("a", running(), Vec::new());
+    cancel(&mut bench);
+    bench.restart("a");
+    bench.poll("a", Vec::new(), Vec::new());
+    bench.poll("a", Vec::new(), Vec::new());
+    assert_eq!(bench.placed("j"), "a", "its room is given away");
+    for _ in 0..8 {
+        bench.pass(300);
+        bench.poll("a", Vec::new(), Vec::new());
+    }
+    assert_eq!(bench.placed("j"), "", "its room is kept for ever");
+}
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -524,3 +524,60 @@
     bench.tell(250, Event::Tick);
     assert_eq!(in_hand(&bench), (Vec::new(), vec![run(1)]));
 }
+
+/// Guards against a living minion that is taken as gone: the word that an earlier life of it ends
+/// was held up.
+#[test]
+fn a_minion_that_does_not_drain_is_asked_before_it_is_taken_as_gone() {
+    let mut bench = Bench::fenced();
+    bench.tell(100, Event::Leaves("m".to_owned()));
+    bench.orders(150, Vec::new(), Vec::new());
+    bench.tell(200, Event::Tick);
+    let incarnation = |bench: &Bench| {
+        let (_, poll) = bench.polls.last().expect("it reports");
+        poll.incarnation.as_ref().map(|incarnation| incarnation.born_ms)
+    };
+    assert_eq!(incarnation(&bench), Some(1));
+    bench.beat(250, 1, 2, true);
+    bench.tell(300, Event::Leaves("m".to_owned()));
+    bench.orders(350, Vec::new(), Vec::new());
+    bench.tell(400, Event::Tick);
+    assert_eq!(incarnation(&bench), None);
+}
+
+/// Guards against a living minion that is taken as gone: an answer to a call that was meant for its
+/// life before came late.
+#[test]
+fn an_answer_to_a_call_of_an_earlier_life_says_nothing_of_the_next() {
+    let mut bench = Bench::fenced();
+    let hold = bench.take(|call| matches!(call, Call::Hold { wait, .. } if !wait.is_zero()));
+    bench.beat(100, 2, 1, false);
+    bench.tell(150, Event::Minion(hold, Reply::OtherLife));
+    bench.tell(200, Event::Tick);
+    bench.orders(250, Vec::new(), Vec::new());
+    bench.tell(300, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("it reports");
+    assert_eq!(poll.incarnation.as_ref().map(|incarnation| incarnation.born_ms), Some(2));
+}
+
+/// Guards against a stop that counts as made although the minion could not read it, and against one
+/// that is sent again at once to a minion that follows a newer planner.
+#[test]
+fn a_stop_that_was_not_made_is_sent_again_after_a_pause() {
+    for rejection in [Rejection::Fenced, Rejection::Malformed] {
+        let mut bench = Bench::fenced();
+        bench.orders(100, Vec::new(), vec![run(1)]);
+        let is_stop = |call: &Call| matches!(call, Call::Stop { .. });
+        let mut sent = 0;
+        for time in 110..1_110 {
+            if let Some(at) = bench.calls.iter().position(|(_, call)| is_stop(call)) {
+                let (ticket, _) = bench.calls.remove(at);
+                sent += 1;
+                bench.tell(time, Event::Minion(ticket, Reply::Refused(rejection)));
+            } else {
+                bench.tell(time, Event::Tick);
+            }
+        }
+        assert!((2..=6).contains(&sent), "{rejection:?}: {sent} times in a second");
+    }
+}
