fix: a worker is given nothing before the store names it

What callers would see: a task that runs twice. A worker was given tasks as soon as it had joined, while the write that names it in the store was under way. Were the planner lost before that write came to pass, or the store away for long, its successor did not know that it had to hear of that worker, or to wait for its lease, and started the tasks elsewhere.

Change: only workers whom the store names for certain are given tasks: as read, as the last answered write has it, or as the record itself says after a refused write. A worker that joins waits for one write (some 5 to 50 ms); while the store is away, those that it names go on.

--- a/crates/planner/src/board.rs
+++ b/crates/planner/src/board.rs
@@ -83,8 +83,8 @@
                 Doubt::Last => 1,
                 Doubt::Closed => continue,
             };
-            let is_enrolled = self.startup.is_member(name);
-            if minion.service != service || !worker.is_open(now.steady) || !is_enrolled {
+            let is_recorded = self.startup.is_recorded(name);
+            if minion.service != service || !worker.is_open(now.steady) || !is_recorded {
                 continue;
             }
             index.insert(name.clone(), places.len());
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -1,11 +1,11 @@
 //! The beginning of a term: reads the store, writes down the term, and waits until it is known
 //! what earlier planners' orders have come to.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{Fleet, Job, Progress, length};
+use sapphire_jobs::{Fleet, Job, Progress, length, task::WorkerName};
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
 use crate::{
@@ -134,6 +134,7 @@
                 self.startup.terms = fleet.terms;
                 let members = fleet.members.into_iter().map(|member| (member.name, member.address));
                 self.startup.members = members.collect();
+                self.startup.recorded = self.startup.members.keys().cloned().collect();
                 self.startup.unheard = self.startup.members.keys().cloned().collect();
             }
             Err(error) => self.log(format!("workers in the store can't be read: {error}")),
@@ -162,6 +163,7 @@
         }
         startup.is_fleet_dirty = false;
         startup.is_writing_fleet = true;
+        startup.recording = startup.members.keys().cloned().collect();
         let value = Bytes::from(startup.fleet().encode_to_vec());
         let conditions = vec![
             Condition { key: keys::LEAD.to_owned(), revision: self.term },
@@ -178,6 +180,7 @@
         match reply {
             Reply::Committed(revision) => {
                 self.startup.fleet_revision = revision;
+                self.startup.recorded = std::mem::take(&mut self.startup.recording);
                 if self.startup.phase == Phase::Recording {
                     self.serve(now);
                 }
@@ -188,8 +191,9 @@
                     return;
                 }
                 // A write of this term whose answer was lost has been carried out.
-                let revision = items.iter().find(|item| item.key == keys::FLEET);
-                self.startup.fleet_revision = revision.map_or(0, |item| item.revision);
+                let found = items.iter().find(|item| item.key == keys::FLEET);
+                self.startup.fleet_revision = found.map_or(0, |item| item.revision);
+                self.startup.recorded = found.map_or_else(BTreeSet::new, recorded);
                 self.startup.is_fleet_dirty = true;
                 self.write_fleet();
             }
@@ -218,7 +222,7 @@
         self.check_settled(now);
     }
 
-    /// Adds a worker to the list in the store before it is given anything.
+    /// Adds a worker to the list in the store, which has to name it before it is given anything.
     ///
     /// Guards against a task that runs twice: a successor has to know of every minion that may
     /// be running something, also of one that it can't reach.
@@ -282,3 +286,9 @@
         }
     }
 }
+
+/// Names of the workers that a record lists; one that can't be read names none.
+fn recorded(item: &Item) -> BTreeSet<WorkerName> {
+    let fleet = item.value.as_ref().and_then(|value| Fleet::decode(&value[..]).ok());
+    fleet.unwrap_or_default().members.into_iter().map(|member| member.name).collect()
+}
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -1,6 +1,9 @@
 //! How far the beginning of a term has come.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use sapphire_jobs::{Fleet, Member, task::WorkerName};
 use sapphire_store::call::{Item, Revision};
@@ -25,8 +28,12 @@
     /// Number of this term among all terms.
     pub(crate) terms: u32,
     pub(crate) fleet_revision: Revision,
-    /// Workers that the store names.
+    /// Workers that the store is to name.
     pub(crate) members: BTreeMap<WorkerName, String>,
+    /// Workers that the store names for certain.
+    pub(crate) recorded: BTreeSet<WorkerName>,
+    /// Workers that the write under way names.
+    pub(crate) recording: BTreeSet<WorkerName>,
     /// Workers that earlier planners gave work to and that have not been heard of since.
     pub(crate) unheard: Vec<WorkerName>,
     /// The store's list of workers is out of date.
@@ -47,6 +54,8 @@
             terms: 0,
             fleet_revision: 0,
             members: BTreeMap::new(),
+            recorded: BTreeSet::new(),
+            recording: BTreeSet::new(),
             unheard: Vec::new(),
             is_fleet_dirty: true,
             is_writing_fleet: false,
@@ -67,8 +76,9 @@
         self.is_settled
     }
 
-    pub(crate) fn is_member(&self, worker: &str) -> bool {
-        self.members.contains_key(worker)
+    /// Whether a successor will know that it has to hear of a worker.
+    pub(crate) fn is_recorded(&self, worker: &str) -> bool {
+        self.recorded.contains(worker)
     }
 
     /// The list of workers as it is stored.
