fix: ends of a cancelled job are noted

What users would see: a minion whose ends stay listed for two minutes, and more of them with each task. Cause: a cancellation drops what is still to be written of its job's progress. A task that was done in the quarter of a second before had its end wait for that write for good, and all later ends of its minion waited behind it, until the job was forgotten.

Change: an end of a job whose cancellation is durable waits for nothing; such a job starts nothing again, whoever plans.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -1,7 +1,7 @@
 //! Agents' polls: sessions, what runs where, and orders.
 
 use sapphire_jobs::{
-    Incarnation, Orders, Poll, Start,
+    Incarnation, Orders, Poll, Start, State,
     task::{GroupKey, Task, WorkerName},
 };
 
@@ -10,6 +10,7 @@
     event::{Asker, Moment},
     options,
     planner::Planner,
+    table::Entry,
     worker::{Held, Phase, Run, Worker},
 };
 
@@ -154,13 +155,15 @@
     /// Lets ends be forgotten once what they mean is durable.
     ///
     /// Guards against a task that was done and runs again: the minion's list is the only other
-    /// record of it until then.
+    /// record of it until then. A job whose cancellation is durable starts nothing again, and its
+    /// progress is not written any more.
     fn advance_noted(&mut self, name: &str) {
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         while let Some((number, change)) = worker.ended.first_key_value() {
             let is_durable = change.as_ref().is_none_or(|(job, change)| {
                 let entry = self.table.entries.get(job);
-                entry.is_none_or(|entry| entry.committed >= *change)
+                let is_over = |entry: &Entry| entry.state == State::Cancelled;
+                entry.is_none_or(|entry| entry.committed >= *change || is_over(entry))
             });
             if !is_durable {
                 return;
