fix: a run that is being stopped is not over at the start of a session

What callers would see: a worker that is overfilled, or a task that runs twice, for the time that a stop takes. A minion's list may leave out a task that is being stopped, whose room is still taken; elsewhere that is waited for, but the first list of a new session (an agent that restarts) was taken for the whole truth.

Change: such a run ends with its listed end, or once later lists have missed it for longer than a stop takes; at once where the session began with a new life of the minion.

--- a/crates/planner/src/ledger.rs
+++ b/crates/planner/src/ledger.rs
@@ -103,16 +103,19 @@
         }
     }
 
-    /// At the start of a session the list is the whole truth: an order that is not there was
-    /// made void by the token.
+    /// At the start of a session the list is the whole truth of starts: one that is not there was
+    /// made void by the token. It may leave out a task that is being stopped, whose end comes, or
+    /// which later lists have to miss for longer than a stop takes.
     fn drop_unlisted(&mut self, now: Moment, name: &str, poll: &Poll) {
         let is_listed = |task: &Task, number: u32| {
             let mut runs = poll.running.iter().filter_map(|running| running.run.as_ref());
             runs.any(|run| run.run == number && Task::read(run) == *task)
         };
         let worker = self.workers.get(name).expect("the caller has inserted it");
+        let may_go_on = !worker.is_new_life;
+        let is_stopping = |run: &Run| may_go_on && run.is_started && run.phase == Phase::Stopping;
         let missing: Vec<(Task, u32)> = (worker.runs.iter())
-            .filter(|(task, run)| !is_listed(task, run.number))
+            .filter(|(task, run)| !is_listed(task, run.number) && !is_stopping(run))
             .map(|(task, run)| (task.clone(), run.number))
             .collect();
         for (task, number) in missing {
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -92,6 +92,7 @@
             self.sessions += 1;
             worker.token = self.term * options::SESSIONS_PER_TERM + self.sessions;
             worker.is_fenced = false;
+            worker.is_new_life = is_new_minion;
         }
         let had_minion = worker.incarnation.is_some();
         let was_draining = worker.incarnation.as_ref().is_some_and(|minion| minion.is_draining);
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -127,6 +127,8 @@
     /// The minion has acknowledged the token, so that no earlier order can take effect any more
     /// and its list is the whole truth.
     pub is_fenced: bool,
+    /// The session began with a new life of the minion, in which nothing of before goes on.
+    pub is_new_life: bool,
     /// It has no minion, and whatever minion it had has ended.
     pub is_vacant: bool,
     /// Its agent is about to end.
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -53,6 +53,18 @@
     Run { job: job.to_owned(), occurrence: 0, step: 0, index, run: number }
 }
 
+/// The minion beside an agent.
+pub(crate) fn minion(name: &str) -> Incarnation {
+    Incarnation {
+        id: format!("m-{name}"),
+        born_ms: 1,
+        service: "desk".to_owned(),
+        rack: "r".to_owned(),
+        capacity: Some(room(8).times(8).message()),
+        ..Incarnation::default()
+    }
+}
+
 /// A planner with what it has asked for.
 pub(crate) struct Bench {
     pub(crate) planner: Planner,
@@ -159,14 +171,7 @@
             generation: self.generations.get(name).copied().unwrap_or(1),
             sequence: *sequence,
             lists: *sequence,
-            incarnation: Some(Incarnation {
-                id: format!("m-{name}"),
-                born_ms: 1,
-                service: "desk".to_owned(),
-                rack: "r".to_owned(),
-                capacity: Some(room(8).times(8).message()),
-                ..Incarnation::default()
-            }),
+            incarnation: report.incarnation.clone().or_else(|| Some(minion(name))),
             fenced_token: self.tokens.get(name).copied().unwrap_or(0),
             ..report
         };
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -1,10 +1,10 @@
 //! Orders and writes that may still be carried out.
 
-use sapphire_jobs::{Ending, Notice, Poll, Rejection, Run, Running, Verdict};
+use sapphire_jobs::{Ending, Incarnation, Notice, Poll, Rejection, Run, Running, Verdict};
 use sapphire_planner::event::{Event, Operation};
 use sapphire_store::call::Reply;
 
-use crate::harness::{Bench, TERM, ended, fleet, job, run, step};
+use crate::harness::{Bench, TERM, ended, fleet, job, minion, run, step};
 
 /// A planner whose one worker has been told to start a task and has not answered.
 fn ordered() -> (Bench, Run) {
@@ -112,3 +112,18 @@
     }
     assert_eq!(bench.placed("j"), "", "its room is kept for ever");
 }
+
+/// Guards against room that is kept for what ended with a minion's earlier life.
+#[test]
+fn a_run_that_was_being_stopped_ends_with_its_minion() {
+    let (mut bench, run) = ordered();
+    bench.poll("a", vec![Running { run: Some(run), ..Running::default() }], Vec::new());
+    cancel(&mut bench);
+    let reborn = || {
+        let incarnation = Incarnation { born_ms: 2, ..minion("a") };
+        Poll { incarnation: Some(incarnation), ..Poll::default() }
+    };
+    bench.report("a", reborn());
+    bench.report("a", reborn());
+    assert_eq!(bench.placed("j"), "");
+}
