--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -168,20 +168,21 @@
                 self.orders.remove(&task);
                 self.verdict(task.run(number), rejection);
             }
-            // Guards against a stop that was never made: an unhealthy minion has done nothing, so
-            // a start without an answer may still be carried out.
-            Reply::Refused(Rejection::Unhealthy) => {
-                order.retry_at = now + options::retry_pause(tries);
-                self.log(format!(
-                    "task={task} run={number} stop refused at try {tries}: Unhealthy"
-                ));
+            // A run that is not above one stopped or ended there can't start any more.
+            Reply::Refused(Rejection::Old) => {
+                order.kind = Kind::Stop(Some(now));
+                self.wants_list = true;
+                self.log(format!("task={task} run={number} stop refused: Old"));
             }
+            // Guards against a stop that was never made: the minion has done nothing, so a start
+            // without an answer may still be carried out.
             Reply::Refused(rejection) => {
-                if rejection != Rejection::Fenced {
-                    order.kind = Kind::Stop(Some(now));
-                    self.wants_list = true;
-                }
-                self.log(format!("task={task} run={number} stop refused: {rejection:?}"));
+                let is_unhealthy = rejection == Rejection::Unhealthy;
+                let counted = if is_unhealthy { tries } else { tries.max(2) };
+                order.retry_at = now + options::retry_pause(counted);
+                self.log(format!(
+                    "task={task} run={number} stop refused at try {tries}: {rejection:?}"
+                ));
                 if rejection == Rejection::Fenced {
                     self.lose_lead(now);
                 }
