fix: words and answers of a minion's earlier life say nothing of the next

What callers would see: a task that runs twice. A minion may start again under the name that it had. A late word that its earlier life ends, or a late answer to a call that was meant for that life, made the agent take the living one as gone; the planner gave its tasks to others while it worked on until its next heartbeat.

Change: answers to calls from before the life began are dropped. A minion that says it ends without having said that it drains is asked, and taken as gone once nothing listens there.

--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -82,6 +82,10 @@
             self.looked(now, &reply);
             return;
         }
+        // An answer to a call that was meant for an earlier life says nothing of this one.
+        if self.minion.as_ref().is_some_and(|minion| ticket < minion.first_ticket) {
+            return;
+        }
         self.note_presence(now, &reply);
         let hold = [&mut self.waiting_hold, &mut self.quick_hold]
             .into_iter()
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -36,6 +36,8 @@
     pub(crate) lists: u64,
     /// Highest token that it has acknowledged to this process.
     pub(crate) fenced: u64,
+    /// First ticket of a call that was meant for this life.
+    pub(crate) first_ticket: Ticket,
 }
 
 /// A hold under way.
@@ -256,6 +258,7 @@
             listed_at: now,
             lists: 0,
             fenced: 0,
+            first_ticket: self.last_ticket + 1,
         });
         self.wants_list = true;
     }
@@ -273,10 +276,21 @@
         self.has_news = true;
     }
 
+    /// A minion says that it ends.
+    ///
+    /// Guards against a living minion that is taken as gone: the word may be of an earlier life
+    /// under the same name, held up on its way. One that did not say before that it drains is
+    /// asked, and gone when nothing listens there.
     fn leaves(&mut self, id: &str) {
-        if self.minion.as_ref().is_some_and(|minion| minion.incarnation.id == id) {
+        let Some(minion) = self.minion.as_ref().filter(|minion| minion.incarnation.id == id) else {
+            return;
+        };
+        if minion.incarnation.is_draining {
             self.log(format!("minion={id} leaves"));
             self.forget_minion();
+        } else {
+            self.log(format!("minion={id} leaves, though it does not drain; asked"));
+            self.wants_list = true;
         }
     }
 
