fix: each try of a write without an answer may be carried out as late

What callers would see: 503, which says that a job has not run, of one that a try without an answer then brings in. The time for which an entry calls a job unknown counted from the first such try only, so the guard was gone seconds after a later one.

Change: it counts from the latest. Found by review.

--- a/crates/front/src/handin.rs
+++ b/crates/front/src/handin.rs
@@ -193,7 +193,8 @@
         for (id, is_cancel, is_unsure, callers) in answers {
             if is_unsure {
                 let until = now + options::UNSETTLED;
-                self.writes.unsettled.entry(Subject::new(&id, is_cancel)).or_insert(until);
+                // Counts from the latest try: each may be carried out as late.
+                self.writes.unsettled.insert(Subject::new(&id, is_cancel), until);
             }
             self.log(format!("job={id} cancel={is_cancel} given up, unsure={is_unsure}"));
             let after = self.come_again(now);
