--- a/crates/proofs/src/jobs/world/agents.rs
+++ b/crates/proofs/src/jobs/world/agents.rs
@@ -2,7 +2,7 @@
 
 use sapphire_runner as runner;
 
-use super::{Action, Asker, LOCAL, World};
+use super::{Action, Asker, LOCAL, Request, World};
 
 impl World {
     pub(super) fn tell_agent(&mut self, agent: usize, life: u64, event: runner::event::Event) {
@@ -17,6 +17,12 @@
             }
             return;
         }
+        if let runner::event::Event::Beat(beat) = &event {
+            let minion = &mut self.minions[agent];
+            if beat.incarnation.is_draining && beat.incarnation == minion.incarnation {
+                minion.told.get_or_insert(self.now);
+            }
+        }
         for effect in node.machine.handle(self.now, event) {
             self.agent_effect(agent, effect);
         }
@@ -26,9 +32,11 @@
         use runner::effect::Effect;
         let (life, region) = (self.agents[agent].life, self.agents[agent].region);
         match effect {
-            Effect::Minion { ticket, call, timeout, .. } => {
-                let until = self.now + timeout;
-                self.after(LOCAL, Action::Minion { agent, life, ticket, call, until });
+            Effect::Minion { ticket, call, timeout, life: target, .. } => {
+                let (life, sent, until) = (Some(life), self.now, self.now + timeout);
+                let born_ms = self.minions[agent].incarnation.born_ms;
+                let request = Request { agent, life, ticket, call, target, born_ms, sent, until };
+                self.after(LOCAL, Action::Minion(Box::new(request)));
             }
             Effect::Poll { ticket, address, poll } => {
                 let Some(entry) = Self::entry_of(&address) else { return };
--- a/crates/proofs/src/jobs/world/mod.rs
+++ b/crates/proofs/src/jobs/world/mod.rs
@@ -17,7 +17,10 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
 use sapphire_front as front;
-use sapphire_jobs::Incarnation;
+use sapphire_jobs::{
+    Incarnation,
+    task::{RunNumber, Task},
+};
 use sapphire_plan::policy::Policy;
 use sapphire_planner::{self as planner, event::Moment, planner::Planner};
 use sapphire_runner as runner;
@@ -37,6 +40,8 @@
 const STORE: Duration = Duration::from_millis(4);
 /// How long the store keeps its history.
 const HISTORY: Duration = Duration::from_secs(20);
+/// Longest lease of a minion, which is what the planner grants.
+const HOLD: Duration = Duration::from_secs(6);
 /// Step of the world, in which tasks make progress.
 const STEP: Duration = Duration::from_millis(5);
 const ENTRY_TICK: Duration = Duration::from_millis(50);
@@ -79,13 +84,32 @@
     Poll { entry: usize, agent: usize, life: u64, ticket: u64, poll: Box<sapphire_jobs::Poll> },
     Feed { entry: usize, asker: usize, life: u64, poll: sapphire_jobs::FeedPoll, sent: Duration },
     Runner(usize, u64, runner::event::Event),
-    Minion { agent: usize, life: u64, ticket: u64, call: runner::minion::Call, until: Duration },
+    Minion(Box<Request>),
     AskLead { entry: usize, asker: Asker, life: u64 },
     Submit(usize),
     Cancel(usize),
     Look(usize),
     StartEntry(usize),
     StartAgent(usize),
+    Leave(usize, String),
+    StartMinion(usize),
+}
+
+/// A call of an agent to its minion.
+#[derive(Clone, Debug)]
+struct Request {
+    agent: usize,
+    /// Life of the agent that takes the answer; none for a call that was carried out late.
+    life: Option<u64>,
+    ticket: u64,
+    call: runner::minion::Call,
+    /// Identifier of the minion's life that is meant; empty for any.
+    target: String,
+    /// Start of the minion's life when it was sent.
+    born_ms: u64,
+    sent: Duration,
+    /// When the agent gives up waiting.
+    until: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -106,6 +130,19 @@
     Entry { entry: usize, life: u64, sent: Duration },
 }
 
+/// A run that has ended `done`.
+#[derive(Clone, Debug)]
+struct Done {
+    agent: usize,
+    /// Start of its minion's life.
+    born_ms: u64,
+    number: RunNumber,
+    at: Duration,
+    is_noted: bool,
+    /// Starts of its task since.
+    starts: Vec<String>,
+}
+
 /// The world.
 pub struct World {
     now: Duration,
@@ -127,6 +164,7 @@
     refused: BTreeSet<String>,
     cancelled: BTreeMap<String, Duration>,
     started: BTreeMap<String, Duration>,
+    done: BTreeMap<Task, Vec<Done>>,
     /// Promises that were broken.
     pub broken: Vec<String>,
     /// Log lines, with time and process.
@@ -184,6 +222,7 @@
             refused: BTreeSet::new(),
             cancelled: BTreeMap::new(),
             started: BTreeMap::new(),
+            done: BTreeMap::new(),
             broken: Vec::new(),
             log: Vec::new(),
             late_orders: 0.0,
@@ -270,7 +309,7 @@
             capacity: Some(site.capacity.message()),
             ..Incarnation::default()
         };
-        self.minions.push(Minion::new(incarnation));
+        self.minions.push(Minion::new(incarnation).begun(Duration::ZERO, HOLD));
         let machine = runner::machine::Machine::new(settings::runner_options(number, 1));
         self.agents.push(AgentNode {
             machine,
@@ -350,15 +389,15 @@
                 self.feed(entry, asker, life, poll, sent);
             }
             Action::Runner(agent, life, event) => self.tell_agent(agent, life, event),
-            Action::Minion { agent, life, ticket, call, until } => {
-                self.minion_call(agent, life, ticket, call, until);
-            }
+            Action::Minion(request) => self.minion_call(*request),
             Action::AskLead { entry, asker, life } => self.ask_lead(entry, asker, life),
             Action::Submit(index) => self.submit(index),
             Action::Cancel(index) => self.cancel(index),
             Action::Look(index) => self.look(index),
             Action::StartEntry(entry) => self.start_entry(entry),
             Action::StartAgent(agent) => self.start_agent(agent),
+            Action::Leave(agent, id) => self.leave(agent, &id),
+            Action::StartMinion(agent) => self.start_minion(agent),
         }
     }
 
--- /dev/null
+++ b/crates/proofs/tests/late/mod.rs
@@ -0,0 +1,195 @@
+//! Orders that get no answer and are carried out seconds later: more than half of all starts and
+//! stops, for the whole of a run.
+
+use std::ops::RangeInclusive;
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg32;
+use sapphire_plan::policy::Policy;
+use sapphire_proofs::jobs::{
+    load::{self, Arrival},
+    sites,
+    world::{Options, World},
+};
+
+use crate::jobs::{secs, verify};
+
+/// Share of the orders that are carried out late.
+const SHARE: f64 = 0.6;
+/// Jobs come until then, in seconds.
+const LENGTH: f64 = 13.0;
+/// Until then orders are late, in seconds.
+const LATE: f64 = 40.0;
+/// Longest time after which one is carried out, in seconds.
+const LATEST: f64 = 12.0;
+/// Longest run, in seconds: time for what was accepted to come to its end.
+const END: f64 = 85.0;
+
+/// Draws a day some of whose steps allow few of their tasks on one worker.
+fn draw(seed: u64) -> Vec<Arrival> {
+    let mut arrivals = load::draw(&sites::ATLANTICA, seed, secs(LENGTH), 1.0);
+    let mut rng = Pcg32::seed_from_u64(seed ^ 0x5eed);
+    for arrival in &mut arrivals {
+        for step in &mut arrival.job.steps {
+            let most = rng.random_range(1..=4);
+            // A gang wider than this could find no place at all.
+            if step.tasks > 1 && (!step.is_gang || step.tasks <= 4) && most < 4 {
+                step.per_worker = most;
+            }
+        }
+    }
+    arrivals
+}
+
+/// Plays days in which orders are late while `faults` happen, and says which broke a promise.
+fn play(
+    seeds: RangeInclusive<u64>,
+    arrivals: fn(u64) -> Vec<Arrival>,
+    faults: fn(&mut World, u64),
+) {
+    let mut stories = Vec::new();
+    let count = seeds.clone().count();
+    for seed in seeds {
+        let arrivals = arrivals(seed);
+        let options = Options {
+            site: &sites::ATLANTICA,
+            arrivals: arrivals.clone(),
+            seed,
+            policy: Policy::default(),
+            speeds: 1.0,
+        };
+        let mut world = World::new(options);
+        world.late_orders = SHARE;
+        faults(&mut world, seed);
+        world.run_until(secs(LATE));
+        world.late_orders = 0.0;
+        world.run_until(secs(LATE + LATEST));
+        for time in (LATE + LATEST) as u32..END as u32 {
+            if world.broken.is_empty() && verify(&world, &arrivals).is_err() {
+                world.run_until(secs(f64::from(time)));
+            }
+        }
+        if let Err(story) = verify(&world, &arrivals) {
+            stories.push((seed, story));
+        }
+    }
+    let first = |story: &String| story.lines().next().unwrap_or_default().to_owned();
+    let broken: Vec<(u64, String)> =
+        stories.iter().map(|(seed, story)| (*seed, first(story))).collect();
+    if let Some((seed, story)) = stories.first() {
+        panic!("{} of {count} days: {broken:#?}\nseed {seed}: {story}", broken.len());
+    }
+}
+
+fn pick(seed: u64, count: usize) -> usize {
+    (seed % count as u64) as usize
+}
+
+/// Guards against a task that is started elsewhere while its earlier start may still take effect.
+#[test]
+fn late_orders_alone_break_no_promise() {
+    play(2_000..=2_019, draw, |_, _| {});
+}
+
+/// Guards against room and tasks given away after a stop, or a start that was to be stopped, which take effect later.
+#[test]
+fn late_stops_of_cancelled_and_displaced_jobs_break_no_promise() {
+    let arrivals = |seed| {
+        let mut arrivals = draw(seed);
+        let mut rng = Pcg32::seed_from_u64(seed ^ 0xca9ce1);
+        for arrival in &mut arrivals {
+            if rng.random_bool(0.4) {
+                arrival.cancel_after = Some(secs(rng.random_range(0.2..8.0)));
+            }
+        }
+        // Urgent jobs come once more, when the workers are full.
+        let urgent = load::draw(&sites::ATLANTICA, seed + 1, secs(LENGTH), 1.0);
+        for (number, mut arrival) in urgent.into_iter().enumerate() {
+            if arrival.job.priority == 0 {
+                arrival.job.id = format!("{:016x}", 0x1000 + number);
+                arrivals.push(arrival);
+            }
+        }
+        arrivals
+    };
+    play(2_100..=2_119, arrivals, |_, _| {});
+}
+
+fn restart_agents(world: &mut World, seed: u64) {
+    for round in 0..16_u64 {
+        world.run_until(secs(2.0 + 1.1 * round as f64));
+        for other in 0..2 {
+            let agent = pick(seed + 3 * round + 5 * other, world.agents());
+            world.kill_agent(agent, secs(0.1 + 0.3 * ((seed + round + other) % 4) as f64));
+        }
+    }
+}
+
+/// Guards against an agent that restarts and takes the orders of its earlier life as settled.
+#[test]
+fn late_orders_of_agents_that_restart_break_no_promise() {
+    play(2_200..=2_219, draw, restart_agents);
+}
+
+fn change_planner(world: &mut World, seed: u64) {
+    for round in 0..4_u64 {
+        world.run_until(secs(3.0 + 5.0 * round as f64));
+        let planner = world.planning().unwrap_or_default();
+        match (seed + round) % 2 {
+            0 => world.kill_entry(planner, secs(1.0)),
+            _ => world.freeze_entry(planner, secs(4.0)),
+        }
+    }
+}
+
+/// Guards against a planner that takes over and takes the orders of the one before as settled.
+#[test]
+fn late_orders_of_planners_that_change_break_no_promise() {
+    play(2_300..=2_319, draw, change_planner);
+}
+
+fn drain_minions(world: &mut World, seed: u64) {
+    for round in 0..9_u64 {
+        world.run_until(secs(2.0 + 2.0 * round as f64));
+        for other in 0..2 {
+            let agent = pick(seed + 4 * round + 7 * other, world.agents());
+            world.drain_minion(agent, secs(5.0 + 2.0 * (round % 4) as f64));
+        }
+    }
+}
+
+/// Guards against starts that go on being sent to a minion that drains, and tasks taken for gone with it.
+#[test]
+fn late_orders_to_minions_that_drain_break_no_promise() {
+    play(2_400..=2_419, draw, drain_minions);
+}
+
+/// Guards against a start meant for an earlier life of a minion that a later one of the same name carries out.
+#[test]
+fn late_orders_to_minions_that_start_again_break_no_promise() {
+    play(2_500..=2_519, draw, |world, seed| {
+        for round in 0..7_u64 {
+            world.run_until(secs(3.0 + 2.5 * round as f64));
+            world.crash_minion(pick(seed + 5 * round, world.agents()));
+        }
+    });
+}
+
+/// Guards against ways of settling a late order that hold for one fault and not for several at once.
+#[test]
+fn late_orders_among_all_faults_break_no_promise() {
+    play(2_600..=2_619, draw, |world, seed| {
+        for round in 0..9_u64 {
+            world.run_until(secs(2.0 + 2.0 * round as f64));
+            let agent = pick(seed + 4 * round, world.agents());
+            let planner = world.planning().unwrap_or_default();
+            match (seed + round) % 5 {
+                0 => world.kill_agent(agent, secs(0.8)),
+                1 => world.drain_minion(agent, secs(5.0)),
+                2 => world.kill_entry(planner, secs(1.0)),
+                3 => world.freeze_entry(planner, secs(4.0)),
+                _ => world.freeze_agent(agent, secs(2.0)),
+            }
+        }
+    });
+}
--- a/crates/proofs/tests/proofs.rs
+++ b/crates/proofs/tests/proofs.rs
@@ -1,6 +1,7 @@
 //! What must hold, under faults, in virtual time.
 
 mod jobs;
+mod late;
 mod promises;
 mod runs;
 mod stories;
