fix: a session gives no orders before its first list

Cause: a poll that had waited long enough was answered with starts also before the worker's session was fenced. Such a start carries the session's own token, so the session's first list, made before it was carried out, shows nothing of it; but it was taken to show that no start outside it could come.

Change: starts and stops are given once the first list of the session has come. A test of it failed first.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -178,7 +178,10 @@
         let worker = self.workers.get(name).expect("the caller has listed it");
         let mut orders = worker.greeting(self.term, self.options.lease);
         orders.entries = self.feeds.addresses(now.steady);
-        for (task, run) in worker.runs.iter().filter(|(_, run)| !run.is_received) {
+        // The first list of a session shows which earlier orders are void; one that carries the
+        // session's own token isn't, whatever the list shows.
+        let to_give = |run: &Run| worker.is_fenced && !run.is_received;
+        for (task, run) in worker.runs.iter().filter(|(_, run)| to_give(run)) {
             match run.phase {
                 Phase::Ordered => orders.starts.extend(self.start_order(task, run)),
                 Phase::Stopping => orders.stops.push(task.run(run.number)),
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -127,3 +127,18 @@
     bench.report("a", reborn());
     assert_eq!(bench.placed("j"), "");
 }
+
+/// Guards against a task that runs twice: a start went out with a new session's token, and the
+/// session's first list, made before it was carried out, was taken to show that it never would be.
+#[test]
+fn a_session_gives_no_orders_before_its_first_list() {
+    let (mut bench, run) = ordered();
+    bench.restart("a");
+    bench.poll("a", Vec::new(), Vec::new());
+    let before = bench.orders.len();
+    bench.tokens.remove("a");
+    bench.poll("a", Vec::new(), Vec::new());
+    bench.pass(700);
+    let given = || bench.orders[before..].iter().flat_map(|(_, orders)| &orders.starts);
+    assert_eq!(given().filter(|start| start.run.as_ref() == Some(&run)).count(), 0);
+}
