--- a/crates/planner/tests/progress/mod.rs
+++ b/crates/planner/tests/progress/mod.rs
@@ -1,6 +1,8 @@
 //! Runs that are slow, and whose fault that is.
 
-use sapphire_jobs::{Ending, Notice, Running, Step};
+use std::collections::BTreeSet;
+
+use sapphire_jobs::{Ending, Notice, Poll, Running, Step};
 use sapphire_planner::event::Event;
 
 use crate::harness::{Bench, START, TERM, ended, job, room, run, step};
@@ -76,3 +78,36 @@
         bench.starts().iter().filter(|run| run.job == "two").map(|run| run.index).collect();
     assert_eq!(started, [0, 1]);
 }
+
+/// Guards against gangs that are stopped, and workers that are doubted, because a member that has
+/// not started yet keeps the others from making progress.
+#[test]
+fn members_that_wait_for_one_another_do_not_stand_still() {
+    let mut bench = Bench::new(Vec::new());
+    bench.join("w1", Vec::new(), Vec::new());
+    let job = job("a", TERM, step(2, true));
+    bench.tell(Event::Notice(Notice { jobs: vec![job], ..Notice::default() }));
+    let number = bench.starts().last().expect("the gang is ordered").run;
+    let there = |index: u32, percent: u32| Running {
+        run: Some(run("a", index, number)),
+        percent,
+        ..Running::default()
+    };
+    let report = |bench: &mut Bench, running: Vec<Running>, pending: Vec<u32>| {
+        let pending = pending.into_iter().map(|index| run("a", index, number)).collect();
+        bench.report("w1", Poll { running, pending, ..Poll::default() });
+        bench.pass(250);
+    };
+    for _ in 0..10 {
+        report(&mut bench, vec![there(0, 0)], vec![1]);
+    }
+    for percent in 0..8 {
+        report(&mut bench, vec![there(0, percent * 12), there(1, percent * 12)], Vec::new());
+    }
+    assert_eq!(bench.stops(), Vec::new());
+    for _ in 0..40 {
+        report(&mut bench, vec![there(0, 84), there(1, 84)], Vec::new());
+    }
+    let stopped: BTreeSet<u32> = bench.stops().iter().map(|run| run.index).collect();
+    assert_eq!(stopped, BTreeSet::from([0, 1]), "a whole gang that stands still is stopped");
+}
