--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -1,3 +1,5 @@
 //! Tests of an entry, told event by event.
 
+mod configuration;
 mod entry;
+mod harness;
--- /dev/null
+++ b/crates/front/tests/harness/mod.rs
@@ -0,0 +1,139 @@
+//! An entry, told event by event.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use sapphire_front::{
+    answer::{Action, Answer, Handin, Request},
+    effect::Effect,
+    event::{Event, Operation},
+    machine::Machine,
+    options::Options,
+};
+use sapphire_jobs::{
+    Feed, Step,
+    catalog::{Catalog, Organisation, Parts, Queue},
+};
+use sapphire_planner::event::Moment;
+use sapphire_store::call::{Call, Reply, Value};
+
+pub(crate) const CONFIG: &str = "op/config";
+
+pub(crate) const REVOCATION: u64 = 5_000;
+
+pub(crate) fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+/// The configuration's text is its list of keys.
+pub(crate) fn read_catalog(bytes: &Bytes, revision: u64) -> Result<Catalog, String> {
+    let text = String::from_utf8(bytes.to_vec()).map_err(|error| error.to_string())?;
+    let queue = Queue {
+        name: "q".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/q/".to_owned(),
+        service: "s".to_owned(),
+        ..Queue::default()
+    };
+    let keys = text.split(' ').map(str::to_owned).collect();
+    let organisation = Organisation { name: "o".to_owned(), keys, guaranteed_accelerators: 1 };
+    Ok(Catalog::new(Parts {
+        version: revision,
+        revision,
+        queues: vec![queue],
+        organisations: vec![organisation],
+        ..Parts::default()
+    }))
+}
+
+pub(crate) struct Bench {
+    pub(crate) machine: Machine,
+    pub(crate) answers: Vec<(u64, Answer)>,
+    pub(crate) calls: Vec<Operation>,
+    pub(crate) sent: Vec<Call>,
+    pub(crate) caller: u64,
+}
+
+impl Bench {
+    pub(crate) fn new() -> Self {
+        let machine = Machine::new(Options {
+            name: "e".to_owned(),
+            address: "e:1".to_owned(),
+            generation: 1,
+            entries: Vec::new(),
+            catalog_key: CONFIG.to_owned(),
+            read_catalog,
+            revocation: ms(REVOCATION),
+            lead_lease: ms(1_300),
+            seed: 1,
+        });
+        Bench { machine, answers: Vec::new(), calls: Vec::new(), sent: Vec::new(), caller: 0 }
+    }
+
+    /// One that knows a configuration with the key `k`, proven at the time given.
+    pub(crate) fn configured(now: u64) -> Self {
+        let mut bench = Bench::new();
+        bench.tell(now, Event::Tick);
+        bench.config(now, now, 7, "k");
+        let feed = Feed { term: 1, version: 1, is_whole: true, ..Feed::default() };
+        bench.tell(now, Event::Feed { sent: ms(now), feed: Some(Box::new(feed)) });
+        bench
+    }
+
+    pub(crate) fn tell(&mut self, now: u64, event: Event) {
+        let moment = Moment { steady: ms(now), unix: ms(now) };
+        for effect in self.machine.handle(moment, event) {
+            match effect {
+                Effect::Answer(caller, answer) => self.answers.push((caller, answer)),
+                Effect::Store(operation, call) => {
+                    self.calls.push(operation);
+                    self.sent.push(call);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub(crate) fn config(&mut self, now: u64, sent: u64, revision: u64, keys: &str) {
+        let value = Value { revision, bytes: Bytes::from(keys.to_owned()) };
+        self.store(now, sent, Operation::Catalog, Reply::Value(value));
+    }
+
+    pub(crate) fn store(&mut self, now: u64, sent: u64, operation: Operation, reply: Reply) {
+        self.tell(now, Event::Store { operation, sent: ms(sent), reply });
+    }
+
+    pub(crate) fn ask(
+        &mut self,
+        now: u64,
+        path: &str,
+        key: &str,
+        action: Action,
+    ) -> Option<Answer> {
+        self.caller += 1;
+        let request = Request {
+            host: "h".to_owned(),
+            path: path.to_owned(),
+            key: key.to_owned(),
+            patience: Some(ms(3_000)),
+            action,
+        };
+        self.tell(now, Event::Request(self.caller, Box::new(request)));
+        self.answer()
+    }
+
+    /// The answer to the latest request, if it has one.
+    pub(crate) fn answer(&self) -> Option<Answer> {
+        let mine = self.answers.iter().rfind(|(caller, _)| *caller == self.caller);
+        mine.map(|(_, answer)| answer.clone())
+    }
+}
+
+pub(crate) fn submit() -> Action {
+    let step = Step { tasks: 1, ..Step::default() };
+    Action::Submit(Ok(Handin { spec: "s".to_owned(), steps: vec![step], schedule: None }))
+}
+
+pub(crate) fn is_refused(answer: Option<&Answer>) -> bool {
+    matches!(answer, Some(Answer::NotDone { .. }))
+}
--- a/crates/runner/tests/runner.rs
+++ b/crates/runner/tests/runner.rs
@@ -1,3 +1,5 @@
 //! Tests of the agent beside a minion.
 
 mod agent;
+mod harness;
+mod orders;
