--- a/crates/front/src/freshness.rs
+++ b/crates/front/src/freshness.rs
@@ -9,33 +9,52 @@
 
 impl Machine {
     pub(crate) fn drive_freshness(&mut self, now: Duration) {
+        self.drive_read(now);
+        self.drive_watch(now);
+        self.drive_proof(now);
+    }
+
+    /// Reads the configuration while there is none, or a newer one than that in force.
+    fn drive_read(&mut self, now: Duration) {
         let fresh = &mut self.fresh;
-        let has_catalog = fresh.catalog.is_some();
-        if (!has_catalog || fresh.is_behind()) && !fresh.is_reading && now >= fresh.read_at {
-            fresh.is_reading = true;
-            let key = self.options.catalog_key.clone();
-            self.out.push(Effect::Store(Operation::Catalog, Call::Get { key }));
+        let is_wanted = fresh.catalog.is_none() || fresh.is_behind();
+        if !is_wanted || fresh.is_reading || now < fresh.read_at {
+            return;
         }
-        if fresh.watched > 0 && !fresh.is_watching && now >= fresh.watch_at {
-            fresh.is_watching = true;
-            let prefix = self.options.catalog_key.clone();
-            let (after, wait) = (fresh.watched, options::WATCH_WAIT);
-            let call = Call::WatchPrefix { prefix, after, wait };
-            self.out.push(Effect::Store(Operation::CatalogWatch, call));
+        fresh.is_reading = true;
+        let key = self.options.catalog_key.clone();
+        self.out.push(Effect::Store(Operation::Catalog, Call::Get { key }));
+    }
+
+    fn drive_watch(&mut self, now: Duration) {
+        let fresh = &mut self.fresh;
+        if fresh.watched == 0 || fresh.is_watching || now < fresh.watch_at {
+            return;
         }
+        fresh.is_watching = true;
+        let prefix = self.options.catalog_key.clone();
+        let (after, wait) = (fresh.watched, options::WATCH_WAIT);
+        let call = Call::WatchPrefix { prefix, after, wait };
+        self.out.push(Effect::Store(Operation::CatalogWatch, call));
+    }
+
+    /// Proves that the configuration in force is the newest, when the last proof is old or the
+    /// next watch needs one. One that is known to be old is not proven: the refusal would bring
+    /// all of the new one, which is being fetched already.
+    fn drive_proof(&mut self, now: Duration) {
         let interval =
             if self.is_planning { options::PROOF_INTERVAL } else { options::OWN_PROOF_AGE };
+        let fresh = &mut self.fresh;
         let is_old = fresh.age(now).is_none_or(|age| age >= interval);
-        // A proof of one that is known to be old would be refused, with all of the new one.
         let is_wanted = (is_old || fresh.watched == 0) && !fresh.is_behind();
-        if has_catalog && is_wanted && !fresh.is_proving && now >= fresh.prove_at {
-            fresh.is_proving = true;
-            let revision = fresh.revision();
-            let key = self.options.catalog_key.clone();
-            let conditions = vec![Condition { key, revision }];
-            let call = Call::Commit { conditions, puts: Vec::new(), removes: Vec::new() };
-            self.out.push(Effect::Store(Operation::Proof, call));
+        if fresh.catalog.is_none() || !is_wanted || fresh.is_proving || now < fresh.prove_at {
+            return;
         }
+        fresh.is_proving = true;
+        let key = self.options.catalog_key.clone();
+        let conditions = vec![Condition { key, revision: fresh.revision() }];
+        let call = Call::Commit { conditions, puts: Vec::new(), removes: Vec::new() };
+        self.out.push(Effect::Store(Operation::Proof, call));
     }
 
     /// Takes the configuration as read. The proof's age counts from when the read was sent.
@@ -55,7 +74,8 @@
     }
 
     /// Takes the answer to whether the configuration is the newest: a write under a condition
-    /// that writes nothing, so that it is cheap however large the configuration is.
+    /// that writes nothing, so that it is cheap however large the configuration is, unless there
+    /// is a newer one, which the refusal brings.
     pub(crate) fn proof_read(&mut self, now: Duration, sent: Duration, reply: Reply) {
         self.fresh.is_proving = false;
         self.fresh.prove_at = now + options::CATALOG_RETRY;
