--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -12,7 +12,7 @@
     answer::{Action, Answer, Handin, Request},
     effect::Effect,
     event::{Caller, Operation},
-    machine::{Lookup, Machine, Wanted},
+    machine::{Lookup, Machine, Retry, Wanted},
     options,
     state::writes::What,
 };
@@ -278,20 +278,16 @@
         key: fn(&str) -> String,
     ) {
         let call = Call::Get { key: key(&id) };
-        self.lookups_again.push((now + options::LOOK_UP_RETRY, operation(id), call));
+        let (at, operation) = (now + options::LOOK_UP_RETRY, operation(id.clone()));
+        self.retries.push(Retry { id, at, operation, call });
     }
 
     /// Sends the reads again that are due and that somebody still waits for.
-    pub(crate) fn look_up_again(&mut self, now: Duration) {
-        let (lookups, out) = (&self.lookups, &mut self.out);
-        self.lookups_again.retain(|(at, operation, call)| {
-            let is_wanted = operation.looked_up().is_some_and(|id| lookups.contains_key(id));
-            let is_due = now >= *at;
-            if is_due && is_wanted {
-                out.push(Effect::Store(operation.clone(), call.clone()));
-            }
-            !is_due && is_wanted
-        });
+    pub(crate) fn drive_retries(&mut self, now: Duration) {
+        let lookups = &self.lookups;
+        self.retries.retain(|retry| lookups.contains_key(&retry.id));
+        let due = self.retries.extract_if(.., |retry| now >= retry.at);
+        self.out.extend(due.map(|retry| Effect::Store(retry.operation, retry.call)));
     }
 
     pub(crate) fn give_up_lookups(&mut self, now: Duration) {
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -41,18 +41,6 @@
     Probe,
 }
 
-impl Operation {
-    /// The job that is looked up, when it is a look-up.
-    pub fn looked_up(&self) -> Option<&JobId> {
-        match self {
-            Operation::LookUp(id) | Operation::LookUpProgress(id) | Operation::LookUpCancel(id) => {
-                Some(id)
-            }
-            _ => None,
-        }
-    }
-}
-
 /// One event.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/front/src/machine.rs
+++ b/crates/front/src/machine.rs
@@ -36,6 +36,15 @@
     pub(crate) deadline: Duration,
 }
 
+/// A read for a look-up that is sent again.
+#[derive(Clone, Debug)]
+pub(crate) struct Retry {
+    pub(crate) id: JobId,
+    pub(crate) at: Duration,
+    pub(crate) operation: Operation,
+    pub(crate) call: Call,
+}
+
 /// The entry.
 pub struct Machine {
     pub(crate) options: Options,
@@ -45,8 +54,8 @@
     pub(crate) leader: Leadership,
     pub(crate) writes: Writes,
     pub(crate) lookups: BTreeMap<JobId, Vec<Lookup>>,
-    /// Reads for look-ups that had no answer, with when they are sent again.
-    pub(crate) lookups_again: Vec<(Duration, Operation, Call)>,
+    /// Reads for look-ups that had no answer.
+    pub(crate) retries: Vec<Retry>,
     pub(crate) reads: Reads,
     /// Other entries.
     pub(crate) entries: Vec<String>,
@@ -68,7 +77,7 @@
             leader: Leadership::new(&options),
             writes: Writes::default(),
             lookups: BTreeMap::new(),
-            lookups_again: Vec::new(),
+            retries: Vec::new(),
             reads: Reads::default(),
             entries: options.entries.clone(),
             is_planning: false,
@@ -100,7 +109,7 @@
             Event::Tick => self.probe(steady),
         }
         self.give_up_lookups(steady);
-        self.look_up_again(steady);
+        self.drive_retries(steady);
         self.drive_reads(steady);
         self.drive_freshness(steady);
         self.drive_writes(steady);
--- a/crates/net/src/call.rs
+++ b/crates/net/src/call.rs
@@ -10,7 +10,8 @@
 pub enum Failure {
     /// Nothing listens there: the call was not made.
     Refused,
-    /// No answer in time, or no more of one that has begun: the call may have been carried out, or may be later.
+    /// No answer in time, or no more of one that has begun: the call may have been carried out,
+    /// or may be later.
     Timeout,
     /// The connection ended first: the call may have been carried out.
     Closed,
