fix: an entry that leaves gives back a planner's key that it takes late

What callers would see: up to 1.3 s in which nothing is placed. An entry that was told to end while its write of the planner's key was under way began a term when the answer came, went on planning until its process ended, and let the key lapse instead of handing it back.

Change: the key is given back at once. Found by the review of calls that take effect late; the test failed first.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -180,6 +180,8 @@
         }
         match self.leader.holder.reply(now, sent, reply) {
             lease::Outcome::Same => {}
+            // The write was under way when the process was told to end.
+            lease::Outcome::Taken(_) if self.leader.is_leaving => self.resign(),
             lease::Outcome::Taken(term) => {
                 self.leader.vacant = None;
                 let lead = Lead {
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -378,3 +378,20 @@
     bench.tell(21_300, Event::Tick);
     assert_matches!(bench.answer(), Some(Answer::Unknown { .. }));
 }
+
+/// Guards against a second without a planner: an entry that was told to end took the planner's key
+/// with a write under way, and kept it until its process ended and the lease lapsed.
+#[test]
+fn an_entry_that_leaves_gives_back_a_key_that_it_takes_late() {
+    let mut bench = Bench::configured(1_000);
+    let nobody = Reply::Items { items: Vec::new(), has_more: false, revision: 41 };
+    bench.store(1_020, 1_010, Operation::Lead, nobody);
+    for time in (1_050..1_300).step_by(10) {
+        bench.tell(time, Event::Tick);
+    }
+    bench.store(1_300, 1_290, Operation::Hold, Reply::Leased(5));
+    bench.tell(1_310, Event::Terminate);
+    bench.store(1_320, 1_300, Operation::Hold, Reply::Written(70));
+    assert_eq!(bench.calls.last(), Some(&Operation::Release));
+    assert_eq!(bench.machine.lead(), None);
+}
