fix: a request whose length is told in two ways is refused

Cause: the first Content-Length counted whatever the others said, `+3` was a length, a Transfer-Encoding silently overruled a Content-Length, and the two bytes behind a chunk were skipped unread. A proxy that counts otherwise sees other requests on the same connection. Seen by a user: a body read at the wrong length, and the rest of it served as a request. Change: differing lengths, signs, both headers, two encodings and a chunk without its line end are 400 (502 in an answer). Test: hub::a_request_whose_length_is_told_in_two_ways_is_refused.

--- a/crates/net/src/parse.rs
+++ b/crates/net/src/parse.rs
@@ -143,6 +143,9 @@
             return trailer(&buffer[at..], at, body);
         }
         let Some(chunk) = buffer.get(at..at + size + 2) else { return Parsed::Partial(0) };
+        if &chunk[size..] != b"\r\n" {
+            return Parsed::Bad(400);
+        }
         body.extend_from_slice(&chunk[..size]);
         at += size + 2;
     }
@@ -168,16 +171,30 @@
     headers.iter().map(copy).collect()
 }
 
+/// None when the end is told in two ways: what stands between may have taken the other.
 fn body_end(headers: &[Header]) -> Option<Body> {
-    if let Some(encoding) = find(headers, "Transfer-Encoding") {
-        return encoding.eq_ignore_ascii_case("chunked").then_some(Body::Chunked);
-    }
-    match find(headers, "Content-Length") {
-        Some(length) => length.parse().ok().map(Body::Length),
-        None => Some(Body::Open),
+    let all = |name: &'static str| {
+        let named = headers.iter().filter(move |header| header.name.eq_ignore_ascii_case(name));
+        named.map(|header| header.value.as_str())
+    };
+    let mut lengths = all("Content-Length");
+    let mut encodings = all("Transfer-Encoding");
+    match (lengths.next(), encodings.next()) {
+        (None, None) => Some(Body::Open),
+        (Some(first), None) if lengths.all(|other| other == first) => length(first),
+        (None, Some(encoding)) if encodings.next().is_none() => {
+            encoding.eq_ignore_ascii_case("chunked").then_some(Body::Chunked)
+        }
+        _ => None,
     }
 }
 
+/// Reads digits and nothing else.
+fn length(text: &str) -> Option<Body> {
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    text.parse().ok().filter(|_| is_number).map(Body::Length)
+}
+
 fn keeps_alive(headers: &[Header], version: u8) -> bool {
     match find(headers, "Connection") {
         Some(value) if value.eq_ignore_ascii_case("close") => false,
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -298,3 +298,26 @@
     drop(release);
     server.join().expect("the server ends");
 }
+
+/// Guards against a message that is taken for two, or two for one, by what stands before the server.
+#[test]
+fn a_request_whose_length_is_told_in_two_ways_is_refused() {
+    let address = free_address();
+    let server = serve(address, Limits::default());
+    let status = |framing: &str| {
+        let answer = ask(address, &format!("POST / HTTP/1.1\r\nHost: x\r\n{framing}"));
+        answer.split(' ').nth(1).unwrap_or_default().to_owned()
+    };
+    for framing in [
+        "Content-Length: 3\r\nContent-Length: 2\r\n\r\nabc",
+        "Content-Length: +3\r\n\r\nabc",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabcde0\r\n\r\n",
+    ] {
+        assert_eq!(status(framing), "400", "{framing}");
+    }
+    assert_eq!(status("Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"), "200");
+    end(address);
+    server.join().expect("it ends");
+}
