fix: what a server sends beyond its answer answers no other call

Cause: bytes behind an answer stayed in the buffer of a connection that was kept, and the next call on it took them for its answer. Seen by a user: a call to a minion or the store that is given another call's answer. Change: a connection is closed when anything follows an answer, or arrives while none is due. What arrives between the last look and the next call is still taken for its answer, as HTTP/1.1 has it. Test: hub::an_answer_that_nobody_asked_for_is_nobodys.

--- a/crates/net/src/outbound.rs
+++ b/crates/net/src/outbound.rs
@@ -117,8 +117,12 @@
             return self.broken(Failure::Closed);
         }
         let has_ended = fill == Fill::Ended;
-        if self.call.is_none() || (self.stream.input.len() < self.least && !has_ended) {
-            return if has_ended { self.broken(Failure::Closed) } else { Step::Wait };
+        if self.call.is_none() {
+            let is_over = has_ended || received > 0;
+            return if is_over { self.broken(Failure::Closed) } else { Step::Wait };
+        }
+        if self.stream.input.len() < self.least && !has_ended {
+            return Step::Wait;
         }
         match parse::response(&self.stream.input, BOUNDS, has_ended) {
             Parsed::Partial(_) if has_ended => self.broken(Failure::Closed),
@@ -129,6 +133,9 @@
             Parsed::Whole { message, used, keeps } => {
                 self.stream.consume(used);
                 let call = self.call.take().expect("checked above").id;
+                // What follows answers nothing; on a connection that is kept, the next call
+                // would take it for its answer.
+                let keeps = keeps && self.stream.input.is_empty();
                 Step::Answered { call, response: message, keeps }
             }
             Parsed::Bad(_) => self.broken(Failure::Malformed),
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -321,3 +321,38 @@
     end(address);
     server.join().expect("it ends");
 }
+
+/// Guards against a call that is given what its server sent too much in answer to the one before.
+#[test]
+fn an_answer_that_nobody_asked_for_is_nobodys() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("it is bound");
+    let serving = thread::spawn(move || {
+        let answer = |text| format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{text}");
+        for answers in [answer("a") + &answer("b"), answer("c")] {
+            let (mut socket, _) = listener.accept().expect("the hub calls");
+            let mut head = [0; 1024];
+            let _ = socket.read(&mut head);
+            socket.write_all(answers.as_bytes()).expect("the hub reads");
+            // Until the hub closes.
+            let _ = socket.read(&mut head);
+        }
+    });
+    let mut hub = Hub::new().expect("the system gives an event queue");
+    let mut body = || {
+        let id = hub.call(address, &Request::new("GET", "/", ""), WAIT);
+        loop {
+            hub.poll(WAIT).expect("the event queue works");
+            while let Some(event) = hub.next_event() {
+                if let Event::Answer { call, result } = event
+                    && call == id
+                {
+                    return result.expect("it is answered").body;
+                }
+            }
+        }
+    };
+    assert_eq!((&body()[..], &body()[..]), (&b"a"[..], &b"c"[..]));
+    drop(hub);
+    serving.join().expect("it has served");
+}
