fix: a log's figures that are no numbers enter no sum

Cause: `NaN` and `inf` parse as floating-point numbers, and `NaN <= 0.0` is false. Seen by a user: one damaged line, and every total of the report is NaN (null in JSON). Change: figures are taken from 0 to 1e15. Test: figures_that_are_no_numbers_are_passed_over.

--- a/crates/ledger/src/event.rs
+++ b/crates/ledger/src/event.rs
@@ -119,6 +119,12 @@
     number(text, key).map(Duration::from_millis)
 }
 
+/// A figure that can be summed up: one that is no number would make every sum it enters none.
+fn figure(text: &str, key: &str) -> Option<f64> {
+    const LARGEST: f64 = 1e15;
+    number(text, key).filter(|figure| (0.0..=LARGEST).contains(figure))
+}
+
 /// Reads what a line tells.
 pub fn read(line: &Line<'_>) -> Event {
     let event = match line.part {
@@ -170,8 +176,8 @@
         worker: field(text, "worker")?.to_owned(),
         ending: ending.to_owned(),
         ran: millis(text, "ran_ms").unwrap_or_default(),
-        cores: number(text, "cores").unwrap_or_default(),
-        lost: number(text, "lost_core_s").unwrap_or_default(),
+        cores: figure(text, "cores").unwrap_or_default(),
+        lost: figure(text, "lost_core_s").unwrap_or_default(),
         cause: field(text, "cause").unwrap_or_default().to_owned(),
         beneficiary: field(text, "for").unwrap_or_default().to_owned(),
     })
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -80,3 +80,16 @@
     let bars = picture.matches("<rect").count();
     assert!(bars > 3, "one for each run beside the background: {bars}");
 }
+
+/// Guards against one line whose figures are no numbers and with which every sum is none.
+#[test]
+fn figures_that_are_no_numbers_are_passed_over() {
+    for (cores, lost) in [("inf", "NaN"), ("1.0", "inf"), ("NaN", "1e308")] {
+        let line = format!(
+            "2026-01-01T00:00:04Z [INFO] sapphire: plan: task=x/0/0/0 run=1 worker=w1 \
+             ended=STOPPED ran_ms=1 cores={cores} lost_core_s={lost} cause=urgent for=big"
+        );
+        let with = Report::new(&Book::read(DAY.lines().chain([line.as_str()])));
+        assert_eq!(with.lost.total, report(DAY).lost.total, "{line}");
+    }
+}
