fix: a settings file that nests without end is refused

Cause: the YAML reader calls itself for each level of blocks; 100,000 times `- ` (200 KB) use up the stack, and the process is aborted. Brackets it limits itself, at 255. Seen by a user: the daemon ends without a word when such a file is loaded, also on SIGHUP. Change: a line with more than 128 columns of indent and marks is a finding with its line. Test: a_file_of_deep_nesting_is_refused.

--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -249,6 +249,9 @@
     read: impl FnOnce(&mut Section<'_>) -> T,
 ) -> Result<T, Vec<finding::Finding>> {
     let fault = |line, message| vec![finding::Finding { line, key: "file".to_owned(), message }];
+    if let Some(line) = too_deep(text) {
+        return Err(fault(line, format!("is nested deeper than {MAX_DEPTH} levels")));
+    }
     let node = marked_yaml::parse_yaml(0, text).map_err(|error| {
         let line = match &error {
             marked_yaml::LoadError::TopLevelMustBeMapping(mark)
@@ -269,6 +272,21 @@
     if findings.is_empty() { Ok(value) } else { Err(findings) }
 }
 
+/// Deepest nesting of a file.
+const MAX_DEPTH: usize = 128;
+
+/// The first line that may nest too deep. The YAML reader calls itself for each level of blocks,
+/// and each of these takes a column or a mark of its own; brackets it counts itself.
+fn too_deep(text: &str) -> Option<usize> {
+    let depth = |line: &str| {
+        let indent = line.len() - line.trim_start().len();
+        let is_mark =
+            |pair: &&[u8]| matches!(pair[0], b'-' | b'?' | b':') && pair[1].is_ascii_whitespace();
+        indent + line.as_bytes().windows(2).filter(is_mark).count()
+    };
+    text.split(['\n', '\r']).position(|line| depth(line) > MAX_DEPTH).map(|index| index + 1)
+}
+
 /// Whether the text can name a process, worker, zone or organisation.
 pub fn is_name(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -85,3 +85,24 @@
         faults.iter().map(|fault| (fault.line, fault.key.as_str())).collect();
     assert_eq!(told, [(10, "policy.move_slow"), (11, "policy.teleport")]);
 }
+
+/// Guards against a file whose nesting uses up the stack and ends the process.
+#[test]
+fn a_file_of_deep_nesting_is_refused() {
+    let depth = 100_000;
+    let files = [
+        format!("peers: {}", "[".repeat(depth)),
+        format!("peers: {}{}", "[".repeat(depth), "]".repeat(depth)),
+        format!("peers: {}", "{a: ".repeat(depth)),
+        format!("peers:\n{}", "- ".repeat(depth)),
+        format!("{}a", "? ".repeat(depth)),
+        format!("peers:\n{}", "- !t ".repeat(depth)),
+        format!("peers:\n{}", "- &a ".repeat(depth)),
+        format!("peers:\n{}", "-\t".repeat(depth)),
+        (0..3_000).map(|depth| format!("{}a:\n", " ".repeat(depth))).collect(),
+    ];
+    for file in files {
+        let findings = entry::read(&file).expect_err("no such setting is nested");
+        assert!(!findings[0].message.is_empty());
+    }
+}
