--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -233,7 +233,8 @@
     pub fn finish(mut self) -> Vec<finding::Finding> {
         let known = self.known.join(", ");
         for (name, node) in std::mem::take(&mut self.unread) {
-            self.fault(line_of(node), &name, format!("is not a setting; known here: {known}"));
+            let name = if name.is_empty() { "\"\"" } else { &name };
+            self.fault(line_of(node), name, format!("is not a setting; known here: {known}"));
         }
         self.findings.sort_by_key(|finding| finding.line);
         self.findings
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -106,3 +106,12 @@
         assert!(!findings[0].message.is_empty());
     }
 }
+
+/// Guards against a finding that names no key.
+#[test]
+fn a_key_without_a_name_is_told() {
+    for text in [": name", "\"\": 1", "limits:\n  : 1"] {
+        let findings = entry::read(text).expect_err("there is no such setting");
+        assert!(findings.iter().any(|finding| finding.key.ends_with("\"\"")), "{findings:?}");
+    }
+}
