fix: a caller's declared times end no entry

Cause: the times of steps that wait for one another are added up unchecked; about a thousand steps of the largest `estimate_ms` (60 KB) have no sum, and the addition panics. Any caller of a queue could send that, to each entry in turn. Seen by a user: every entry that is sent the job ends. Change: an estimate above ten years is 400 with the step's number. Test: entry::a_job_that_would_take_longer_than_time_lasts_is_refused.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -23,6 +23,8 @@
 const MAX_SPEC: usize = 64 << 10;
 /// Most tasks of one job.
 const MAX_TASKS: u64 = 100_000;
+/// Longest declared run time of a task: ten years. Sums of many have a number.
+const MAX_ESTIMATE: Duration = Duration::from_secs(10 * 365 * 86_400);
 /// Time for which a caller waits when it doesn't say.
 const PATIENCE: Duration = Duration::from_secs(3);
 
@@ -347,6 +349,9 @@
     if step.tasks == 0 {
         return Some(format!("steps[{index}]: at least one task is needed"));
     }
+    if length::declared(step) > MAX_ESTIMATE {
+        return Some(format!("steps[{index}]: estimate_ms is above ten years"));
+    }
     let is_earlier = |other: &u32| (*other as usize) < index;
     let wrong = step.after.iter().find(|other| !is_earlier(other))?;
     Some(format!("steps[{index}]: waits for step {wrong}, which is not an earlier one"))
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -14,7 +14,7 @@
     reach::Way,
 };
 use sapphire_jobs::{
-    Backlog, Feed, Lead, Row, State, Step, Supply,
+    Backlog, Feed, Lead, Row, Schedule, State, Step, Supply,
     catalog::{Catalog, Organisation, Parts, Queue},
     room::Room,
 };
@@ -673,3 +673,22 @@
     bench.tell(21_300, Event::Tick);
     assert_matches!(bench.answer(), Some(Answer::Unknown { .. }));
 }
+
+fn submit_steps(steps: Vec<Step>, schedule: Option<Schedule>) -> Action {
+    Action::Submit(Ok(Handin { spec: String::new(), steps, schedule }))
+}
+
+/// Guards against an entry that ends because the sum of a job's declared times has no number.
+#[test]
+fn a_job_that_would_take_longer_than_time_lasts_is_refused() {
+    let mut bench = Bench::configured(1_000);
+    let step = |index: u32| Step {
+        tasks: 1,
+        estimate_ms: u64::MAX,
+        after: index.checked_sub(1).into_iter().collect(),
+        ..Step::default()
+    };
+    let answer = bench.ask(1_100, "/q/1", "k", submit_steps((0..2_000).map(step).collect(), None));
+    let Some(Answer::Malformed(reason)) = answer else { panic!("{answer:?}") };
+    assert!(reason.contains("steps[0]: estimate_ms"), "{reason}");
+}
