fix: a job's occurrences that are due at once count as its tasks

Cause: the bound of 100,000 tasks a job left out repetition, and the planner lays out every occurrence that is due: `repeat_count` with `interval_ms` 0 asks for four thousand million groups. Seen by a user: the planner's memory grows until it is ended, and so does its successor's. Change: such a job is 400. Occurrences that become due one after the other stay unbounded. Test: entry::a_job_of_which_too_much_is_due_at_once_is_refused.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use prost::Message as _;
-use sapphire_jobs::{Job, Progress, State, Step, catalog::Queue, length, room::Room, task::JobId};
+use sapphire_jobs::{
+    Job, Progress, Schedule, State, Step, catalog::Queue, length, room::Room, task::JobId,
+};
 use sapphire_plan::admit;
 use sapphire_planner::keys;
 use sapphire_store::call::{Call, Reply};
@@ -73,7 +75,7 @@
             Action::Cancel => self.cancel(now, caller, rest, patience),
             Action::Other => self.answer(caller, Answer::NotOffered),
             Action::Submit(Err(reason)) => self.answer(caller, Answer::Malformed(reason)),
-            Action::Submit(Ok(handin)) => match check(&handin) {
+            Action::Submit(Ok(handin)) => match check(&handin, unix) {
                 Some(reason) => self.answer(caller, Answer::Malformed(reason)),
                 None => {
                     let job = self.record(unix, rest, queue, organisation, handin);
@@ -330,7 +332,7 @@
 }
 
 /// What is wrong with a job, if anything is.
-fn check(handin: &Handin) -> Option<String> {
+fn check(handin: &Handin, unix: Duration) -> Option<String> {
     if handin.spec.len() > MAX_SPEC {
         return Some(format!("spec is longer than {MAX_SPEC} bytes"));
     }
@@ -341,10 +343,24 @@
     if tasks > MAX_TASKS {
         return Some(format!("steps: more than {MAX_TASKS} tasks"));
     }
+    let at_once = handin.schedule.as_ref().map_or(1, |schedule| due_at_once(schedule, unix));
+    if tasks.saturating_mul(at_once) > MAX_TASKS {
+        return Some(format!("repeat_count: more than {MAX_TASKS} tasks are due at once"));
+    }
     let steps = handin.steps.iter().enumerate();
     steps.map(|(index, step)| check_step(index, step)).find(Option::is_some).flatten()
 }
 
+/// Occurrences that are due when the first of them is, or already.
+fn due_at_once(schedule: &Schedule, unix: Duration) -> u64 {
+    let unix_ms = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
+    let all = u64::from(schedule.times);
+    let late_ms = unix_ms.saturating_sub(schedule.first_ms);
+    late_ms
+        .checked_div(schedule.interval_ms)
+        .map_or(all, |missed| all.min(missed.saturating_add(1)))
+}
+
 fn check_step(index: usize, step: &Step) -> Option<String> {
     if step.tasks == 0 {
         return Some(format!("steps[{index}]: at least one task is needed"));
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -692,3 +692,22 @@
     let Some(Answer::Malformed(reason)) = answer else { panic!("{answer:?}") };
     assert!(reason.contains("steps[0]: estimate_ms"), "{reason}");
 }
+
+/// Guards against a planner that fills its memory with occurrences that are all due at once.
+#[test]
+fn a_job_of_which_too_much_is_due_at_once_is_refused() {
+    let mut bench = Bench::configured(1_000);
+    let mut ask = |first_ms, interval_ms, times| {
+        let schedule = Some(Schedule { first_ms, interval_ms, times });
+        let steps = vec![Step { tasks: 1, ..Step::default() }];
+        bench.ask(1_100, "/q/1", "k", submit_steps(steps, schedule))
+    };
+    for (first_ms, interval_ms, times) in [(0, 0, u32::MAX), (u64::MAX, 0, u32::MAX)] {
+        let answer = ask(first_ms, interval_ms, times);
+        assert!(matches!(answer, Some(Answer::Malformed(_))), "{answer:?}");
+    }
+    for (first_ms, interval_ms, times) in [(0, 1, u32::MAX), (u64::MAX, 1, 9), (0, 0, 100_000)] {
+        let answer = ask(first_ms, interval_ms, times);
+        assert!(!matches!(answer, Some(Answer::Malformed(_))), "{answer:?}");
+    }
+}
