fix: amounts that are too large to add up stay the largest

Cause: plain sums and products of the memory that callers and minions name. They panic where sums are checked and go round where they are not, as in a release; the test panicked. Change: sums and products stop at the largest number, as those of wire::resource do. Test: words::any_amounts_can_be_added_up.

--- a/crates/jobs/src/room.rs
+++ b/crates/jobs/src/room.rs
@@ -36,9 +36,9 @@
     #[must_use]
     pub fn plus(self, other: Room) -> Room {
         Room {
-            millicores: self.millicores + other.millicores,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -66,9 +66,9 @@
     #[must_use]
     pub fn times(self, count: u64) -> Room {
         Room {
-            millicores: self.millicores * count,
-            memory_mib: self.memory_mib * count,
-            accelerators: self.accelerators * count,
+            millicores: self.millicores.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 
