test: whatever others send, drawn

Drawn are any bytes, any JSON, and good documents with one mutation.

Properties: no panic; what is read is no larger than what was sent (counted: texts, rows, values, messages written anew); a reason that isn't empty, short where it goes to others, with a place where there is one; what is written is read back; a minion's rows that can't be read leave the others; a page of the store is whole or refused, since a job that is passed over would count as absent.

--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -2,6 +2,8 @@
 
 use sapphire_ledger::{book::Book, chart, report::Report, text};
 
+mod fuzz;
+
 /// A day in short: an urgent job stops a task of a small one, which is then late; a gang waits for
 /// a member; the planner is lost for a while.
 const DAY: &str = "\
--- a/crates/net/tests/net.rs
+++ b/crates/net/tests/net.rs
@@ -1,3 +1,4 @@
 //! Tests of the event loop over loopback.
 
+mod fuzz;
 mod hub;
--- a/crates/rules/tests/rules.rs
+++ b/crates/rules/tests/rules.rs
@@ -4,6 +4,8 @@
 
 use sapphire_rules::{diff, file, finding};
 
+mod fuzz;
+
 const GOOD: &str = "\
 # Rules of the graduate offices.
 organisation grad-office weight=2 priority=5   # Ines Prata, 2026-11-02
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -4,6 +4,8 @@
 
 use sapphire_settings::{agent, entry, finding};
 
+mod fuzz;
+
 #[test]
 fn a_good_entry_file_is_read() {
     let text = "name: e1\nregion: norte\nzone: norte-a\naddress: 127.0.0.1:7000\n\
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -4,6 +4,8 @@
 use bytes::Bytes;
 use sapphire_wire::{Beat, Epoch, envelope, epoch, frame, peer};
 
+mod fuzz;
+
 fn beat() -> envelope::Envelope {
     envelope::Envelope {
         from: peer::new("a1", "127.0.0.1:1", 7),
