fix: a chart's and a rule file's time grows with their length

Cause: for each job and each of 400 points, the chart went through the ends of all jobs, as did the account of late jobs; each rule went through all organisations. Change: ends of one job are a range of the book; names are in a set. The property of logs compares the range with a search; the goldens are unchanged.

--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    event::{self, Event, Run},
+    event::{self, Event, Run, Task},
     line,
 };
 
@@ -171,6 +171,13 @@
         }
     }
 
+    /// Ends of a job's runs.
+    pub fn ends_of<'a>(&'a self, job: &'a str) -> impl Iterator<Item = (&'a Run, &'a End)> {
+        let task = Task { job: job.to_owned(), place: String::new() };
+        let first = Run { task, number: 0 };
+        self.ends.range(first..).take_while(move |(run, _)| run.task.job == job)
+    }
+
     /// Zone of a worker; `-` when no log names it.
     pub fn zone(&self, worker: &str) -> &str {
         self.zones.get(worker).map_or("-", String::as_str)
--- a/crates/ledger/src/chart.rs
+++ b/crates/ledger/src/chart.rs
@@ -91,10 +91,8 @@
             && end.is_none_or(|end| at < end)
             && !job.is_cancelled
     };
-    let runs = |id: &str| {
-        let mut ends = book.ends.iter().filter(|(run, _)| run.task.job == id);
-        ends.any(|(run, end)| book.began(run, end) <= at && at < end.at)
-    };
+    let runs =
+        |id: &str| book.ends_of(id).any(|(run, end)| book.began(run, end) <= at && at < end.at);
     let open = book.jobs.iter().filter(|(id, job)| is_open(job) && !runs(id));
     open.count() as f64
 }
--- a/crates/ledger/src/delay.rs
+++ b/crates/ledger/src/delay.rs
@@ -75,7 +75,7 @@
 /// Runs of a job that came to their end, and those that came to nothing.
 fn runs(book: &Book, id: &str) -> (Vec<Span>, Vec<Span>) {
     let (mut done, mut vain) = (Vec::new(), Vec::new());
-    for (run, end) in book.ends.iter().filter(|(run, _)| run.task.job == id) {
+    for (run, end) in book.ends_of(id) {
         let span = Span { from: book.began(run, end), to: end.at };
         if end.ending == "DONE" { &mut done } else { &mut vain }.push(span);
     }
--- a/crates/ledger/tests/fuzz/mod.rs
+++ b/crates/ledger/tests/fuzz/mod.rs
@@ -71,6 +71,11 @@
         prop_assert!(book.unreadable <= book.lines && book.lines <= lines.len() as u64);
         let events = book.starts.len() + book.ends.len() + book.jobs.len() + book.zones.len();
         prop_assert!(events + book.gaps.len() + book.terms.len() <= lines.len());
+        for run in book.ends.keys() {
+            let job = &run.task.job;
+            let all = book.ends.iter().filter(|(run, _)| run.task.job == *job);
+            prop_assert!(book.ends_of(job).eq(all));
+        }
         let report = Report::new(&book);
         prop_assert!(report.lost.total.is_finite());
         prop_assert!(report.lost.with_worker.is_finite() && report.lost.failed.is_finite());
--- a/crates/rules/src/file.rs
+++ b/crates/rules/src/file.rs
@@ -1,6 +1,9 @@
 //! A whole rule file, parsed and checked.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use sapphire_wire::{Adjacency, id};
 
@@ -65,13 +68,15 @@
     fn check(&self) -> Vec<finding::Finding> {
         let mut findings = Vec::new();
         let mut seen: BTreeMap<String, usize> = BTreeMap::new();
+        let declared: BTreeSet<&str> =
+            self.organisations().map(|organisation| organisation.name.as_str()).collect();
         for entry in &self.entries {
             let mut fault = |message| {
                 findings.push(finding::Finding { line: entry.line, column: 1, message });
             };
             if let Some(name) = organisation_of(&entry.rule)
                 && !name.is_empty()
-                && self.organisation(name).is_none()
+                && !declared.contains(name.as_str())
             {
                 fault(format!("organisation `{name}` is not declared in this file"));
             }
