--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -10,7 +10,7 @@
     event::{Event, Operation},
     reach::Way,
 };
-use sapphire_jobs::{Backlog, Feed, Lead, Row, State, Step, Supply, room::Room};
+use sapphire_jobs::{Backlog, Feed, Lead, Row, Schedule, State, Step, Supply, room::Room};
 use sapphire_store::call::{Item, Reply, Value};
 
 use crate::harness::{Bench, is_refused, ms, submit};
@@ -395,3 +395,41 @@
     assert_eq!(bench.calls.last(), Some(&Operation::Release));
     assert_eq!(bench.machine.lead(), None);
 }
+
+fn submit_steps(steps: Vec<Step>, schedule: Option<Schedule>) -> Action {
+    Action::Submit(Ok(Handin { spec: String::new(), steps, schedule }))
+}
+
+/// Guards against an entry that ends because the sum of a job's declared times has no number.
+#[test]
+fn a_job_that_would_take_longer_than_time_lasts_is_refused() {
+    let mut bench = Bench::configured(1_000);
+    let step = |index: u32| Step {
+        tasks: 1,
+        estimate_ms: u64::MAX,
+        after: index.checked_sub(1).into_iter().collect(),
+        ..Step::default()
+    };
+    let answer = bench.ask(1_100, "/q/1", "k", submit_steps((0..2_000).map(step).collect(), None));
+    let Some(Answer::Malformed(reason)) = answer else { panic!("{answer:?}") };
+    assert!(reason.contains("steps[0]: estimate_ms"), "{reason}");
+}
+
+/// Guards against a planner that fills its memory with occurrences that are all due at once.
+#[test]
+fn a_job_of_which_too_much_is_due_at_once_is_refused() {
+    let mut bench = Bench::configured(1_000);
+    let mut ask = |first_ms, interval_ms, times| {
+        let schedule = Some(Schedule { first_ms, interval_ms, times });
+        let steps = vec![Step { tasks: 1, ..Step::default() }];
+        bench.ask(1_100, "/q/1", "k", submit_steps(steps, schedule))
+    };
+    for (first_ms, interval_ms, times) in [(0, 0, u32::MAX), (u64::MAX, 0, u32::MAX)] {
+        let answer = ask(first_ms, interval_ms, times);
+        assert!(matches!(answer, Some(Answer::Malformed(_))), "{answer:?}");
+    }
+    for (first_ms, interval_ms, times) in [(0, 1, u32::MAX), (u64::MAX, 1, 9), (0, 0, 100_000)] {
+        let answer = ask(first_ms, interval_ms, times);
+        assert!(!matches!(answer, Some(Answer::Malformed(_))), "{answer:?}");
+    }
+}
--- a/crates/net/src/outbound.rs
+++ b/crates/net/src/outbound.rs
@@ -59,6 +59,7 @@
     pub(crate) idle_since: Duration,
     is_connected: bool,
     least: usize,
+    chunks: parse::Chunks,
 }
 
 impl Connection {
@@ -70,6 +71,7 @@
             idle_since: Duration::ZERO,
             is_connected: false,
             least: 0,
+            chunks: parse::Chunks::default(),
         }
     }
 
@@ -78,6 +80,7 @@
         self.stream.push(&call.bytes);
         self.call = Some(call);
         self.least = 0;
+        self.chunks = parse::Chunks::default();
         if self.is_connected { self.write() } else { Step::Wait }
     }
 
@@ -117,10 +120,14 @@
             return self.broken(Failure::Closed);
         }
         let has_ended = fill == Fill::Ended;
-        if self.call.is_none() || (self.stream.input.len() < self.least && !has_ended) {
-            return if has_ended { self.broken(Failure::Closed) } else { Step::Wait };
+        if self.call.is_none() {
+            let is_over = has_ended || received > 0;
+            return if is_over { self.broken(Failure::Closed) } else { Step::Wait };
         }
-        match parse::response(&self.stream.input, BOUNDS, has_ended) {
+        if self.stream.input.len() < self.least && !has_ended {
+            return Step::Wait;
+        }
+        match parse::response(&self.stream.input, BOUNDS, has_ended, &mut self.chunks) {
             Parsed::Partial(_) if has_ended => self.broken(Failure::Closed),
             Parsed::Partial(least) => {
                 self.least = least;
@@ -129,6 +136,9 @@
             Parsed::Whole { message, used, keeps } => {
                 self.stream.consume(used);
                 let call = self.call.take().expect("checked above").id;
+                // What follows answers nothing; on a connection that is kept, the next call
+                // would take it for its answer.
+                let keeps = keeps && self.stream.input.is_empty();
                 Step::Answered { call, response: message, keeps }
             }
             Parsed::Bad(_) => self.broken(Failure::Malformed),
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use nix::time::{ClockId, clock_gettime};
 use sapphire_net::{
     hub::{Event, Failure, Hub},
     message::{Limits, Request, Response},
@@ -298,3 +299,97 @@
     drop(release);
     server.join().expect("the server ends");
 }
+
+/// Guards against a message that is taken for two, or two for one, by what stands before the server.
+#[test]
+fn a_request_whose_length_is_told_in_two_ways_is_refused() {
+    let address = free_address();
+    let server = serve(address, Limits::default());
+    let status = |framing: &str| {
+        let answer = ask(address, &format!("POST / HTTP/1.1\r\nHost: x\r\n{framing}"));
+        answer.split(' ').nth(1).unwrap_or_default().to_owned()
+    };
+    for framing in [
+        "Content-Length: 3\r\nContent-Length: 2\r\n\r\nabc",
+        "Content-Length: +3\r\n\r\nabc",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabcde0\r\n\r\n",
+    ] {
+        assert_eq!(status(framing), "400", "{framing}");
+    }
+    assert_eq!(status("Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"), "200");
+    end(address);
+    server.join().expect("it ends");
+}
+
+/// Guards against a call that is given what its server sent too much in answer to the one before.
+#[test]
+fn an_answer_that_nobody_asked_for_is_nobodys() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("it is bound");
+    let serving = thread::spawn(move || {
+        let answer = |text| format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{text}");
+        for answers in [answer("a") + &answer("b"), answer("c")] {
+            let (mut socket, _) = listener.accept().expect("the hub calls");
+            let mut head = [0; 1024];
+            let _ = socket.read(&mut head);
+            socket.write_all(answers.as_bytes()).expect("the hub reads");
+            // Until the hub closes.
+            let _ = socket.read(&mut head);
+        }
+    });
+    let mut hub = Hub::new().expect("the system gives an event queue");
+    let mut body = || {
+        let id = hub.call(address, &Request::new("GET", "/", ""), WAIT);
+        loop {
+            hub.poll(WAIT).expect("the event queue works");
+            while let Some(event) = hub.next_event() {
+                if let Event::Answer { call, result } = event
+                    && call == id
+                {
+                    return result.expect("it is answered").body;
+                }
+            }
+        }
+    };
+    assert_eq!((&body()[..], &body()[..]), (&b"a"[..], &b"c"[..]));
+    drop(hub);
+    serving.join().expect("it has served");
+}
+
+/// Processor time of this thread for a body that comes a byte a chunk, each chunk on its own.
+fn time_of_small_chunks(count: usize) -> Duration {
+    let address = free_address();
+    let mut hub = Hub::new().expect("the system gives an event queue");
+    let limits = Limits { request_time: Duration::from_secs(60), ..Limits::default() };
+    hub.listen(address, limits).expect("the port is free");
+    let mut socket = TcpStream::connect(address).expect("the hub listens");
+    socket.set_nodelay(true).expect("it is an option of every socket");
+    let head = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    socket.write_all(head.as_bytes()).expect("it takes the head");
+    let now = || clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).expect("Linux has this clock");
+    let before = now();
+    for _ in 0..count {
+        socket.write_all(b"1\r\nx\r\n").expect("it takes a chunk");
+        hub.poll(Duration::from_millis(1)).expect("the event queue works");
+        assert!(hub.next_event().is_none());
+    }
+    let time = Duration::from(now()) - Duration::from(before);
+    socket.write_all(b"0\r\n\r\n").expect("it takes the end");
+    loop {
+        hub.poll(WAIT).expect("the event queue works");
+        if let Some(Event::Request { request, .. }) = hub.next_event() {
+            assert_eq!(request.body.len(), count);
+            return time;
+        }
+    }
+}
+
+/// Guards against a caller that keeps the loop busy: a body that is read from its start with each
+/// part of it that comes.
+#[test]
+fn a_body_in_small_chunks_takes_time_in_proportion() {
+    let (one, two) = (time_of_small_chunks(8_000), time_of_small_chunks(16_000));
+    assert!(two < one * 3, "{one:?} for half of it, {two:?} for all");
+}
