--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -386,8 +386,7 @@
     }
 }
 
-/// Guards against a caller that keeps the loop busy: a body that is read from its start with each
-/// part of it that comes.
+/// Guards against a caller that keeps the loop busy with a body that is read anew with each part.
 #[test]
 fn a_body_in_small_chunks_takes_time_in_proportion() {
     let (one, two) = (time_of_small_chunks(8_000), time_of_small_chunks(16_000));
