fix: tests of the event loop don't depend on scheduling or on others' ports

An answer that keeps arriving came in parts of 1 KB every 30 ms against a time-out of 150 ms, and such parts buy 62 ms each: a pause of the sender's thread ended the call, as it should. Now parts of 64 KB come for 2 s against a time-out of 0.8 s: the answer takes 2.5 times as long as its time-out (four times before), and pauses of up to a second are allowed, as the code says. A port found free on a shared host could be another test's a moment later, whose first caller this test then was; each test has a loopback host of its own now.

--- a/crates/net/tests/fuzz/mod.rs
+++ b/crates/net/tests/fuzz/mod.rs
@@ -23,6 +23,8 @@
     message::{Header, Limits, Request, Response},
 };
 
+use crate::hub::free_address;
+
 /// The same cases each time, or as many others as `PROPTEST_CASES` says.
 fn cases(count: u32) -> ProptestConfig {
     let kept = FileFailurePersistence::WithSource("proptest-regressions");
@@ -38,11 +40,6 @@
 /// Largest body that the servers here take, in bytes.
 const BODY: usize = 4 << 10;
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("it is bound")
-}
-
 fn limits() -> Limits {
     Limits { body_bytes: BODY, ..Limits::default() }
 }
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -2,7 +2,9 @@
 
 use std::{
     io::{Read as _, Write as _},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    process,
+    sync::atomic::{AtomicU8, Ordering},
     thread,
     time::Duration,
 };
@@ -15,9 +17,14 @@
 
 const WAIT: Duration = Duration::from_secs(10);
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("it is bound")
+/// An address at which nothing listens, on a loopback host that no other test uses: a port of a
+/// shared host could be another test's by the time that it is used.
+pub(crate) fn free_address() -> SocketAddr {
+    static HOSTS: AtomicU8 = AtomicU8::new(1);
+    let host = HOSTS.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = process::id().to_be_bytes();
+    let listener = TcpListener::bind((Ipv4Addr::new(127, high | 1, low, host), 0));
+    listener.and_then(|it| it.local_addr()).expect("loopback has free ports")
 }
 
 /// Serves until a caller asks for `/end`; returns how many callers left before their answer.
@@ -177,12 +184,15 @@
     assert_eq!(outcome(&mut hub), Err(Failure::Refused));
 }
 
+/// Bytes of one part of an answer.
+const PART_BYTES: usize = 64 << 10;
+
 /// Serves one call with an answer in parts; the closure is called between them.
 fn serve_in_parts(
     parts: usize,
     mut between: impl FnMut(usize) + Send + 'static,
 ) -> (SocketAddr, thread::JoinHandle<()>) {
-    const PART: [u8; 1024] = [b'x'; 1024];
+    static PART: [u8; PART_BYTES] = [b'x'; PART_BYTES];
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
     let address = listener.local_addr().expect("it is bound");
     let server = thread::spawn(move || {
@@ -207,12 +217,13 @@
 /// takes longer to carry it than the call may wait for an answer to begin.
 #[test]
 fn an_answer_that_keeps_arriving_is_not_given_up() {
-    let time_out = Duration::from_millis(150);
-    let (address, server) = serve_in_parts(20, move |_| thread::sleep(time_out / 5));
+    const PARTS: usize = 40;
+    let time_out = Duration::from_millis(800);
+    let (address, server) = serve_in_parts(PARTS, move |_| thread::sleep(time_out / 16));
     let mut hub = Hub::new().expect("the system gives an event queue");
     hub.call(address, &Request::new("GET", "/", ""), time_out);
     let length = outcome(&mut hub).map(|response| response.body.len());
-    assert_eq!(length, Ok(20 * 1024));
+    assert_eq!(length, Ok(PARTS * PART_BYTES));
     server.join().expect("the server ends");
 }
 
