soak: late orders, gangs, and a proxy between the system's own processes

Cause: the soak had no orders that are carried out late, no gangs and no trouble between our own processes; its set of tasks that were done was never filled, so that "starts again after it was done" was only looked at once the job was shown as complete.

Change: `Trouble` names three kinds, all off for the seeds that were there. - Late orders: for 3 to 8 s a share (drawn, up to 0.6) of starts and stops gets no answer and is carried out 2 to 6 s later with its own token, deadline and named instance. A minion that crashes then comes back under its id or a new one. - Gangs: half of the jobs of 2 or 3 tasks. A member that has waited 3 s ends `alone`, the others of its run `broken`; all end `done` together. - Links: a proxy before each entry's inner address with delay, silence, reset and cuts one way, named in the others' `entries`. A process announces the address at which it listens, so what goes to the planner's announced address can't be led through it without a change of the product: agents' polls and entries' feeds go straight. Checks added for all seeds: room (what is being stopped counts), a second run on the same minion, a start after a run that had ended done (noted before or later), a job shown as complete whose tasks have not all ended done, a gang's run that ends alone with no fault near, a named instance that is another one (421). Leases that have run out end tasks before orders are carried out. The order of draws of seeds 251 to 253 is unchanged: what is new draws from a generator of its own.

--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -2,9 +2,9 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use sapphire_soak::{conditions::Conditions, soak};
+use sapphire_soak::{conditions::Conditions, soak, trouble::Trouble};
 
-fn play(seed: u64, faults: u32, conditions: Conditions) -> soak::Outcome {
+fn play(seed: u64, faults: u32, conditions: Conditions, trouble: Trouble) -> soak::Outcome {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{seed}"));
     let options = soak::Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_sapphired")),
@@ -14,6 +14,7 @@
         faults,
         net: seed as u8,
         conditions,
+        trouble,
     };
     soak::run(options).expect("processes can be started on loopback")
 }
@@ -21,7 +22,7 @@
 /// The whole path: callers' jobs through entries, store, planner and agents to minions and back.
 #[test]
 fn jobs_are_served() {
-    let outcome = play(251, 0, Conditions::default());
+    let outcome = play(251, 0, Conditions::default(), Trouble::default());
     assert_eq!(outcome.broken, Vec::<String>::new());
     assert_eq!((outcome.accepted, outcome.complete), (20, 20));
 }
@@ -30,7 +31,16 @@
 /// reset, minions crash: no promise is broken and every accepted job is complete in the end.
 #[test]
 fn faults_break_no_promise() {
-    let outcome = play(252, 5, Conditions::default());
+    let outcome = play(252, 5, Conditions::default(), Trouble::default());
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
+/// Guards against tasks and room given away, or members of gangs left alone, while a start or a stop may still take effect.
+#[test]
+fn late_orders_and_gangs_break_no_promise() {
+    let trouble = Trouble { late_orders: true, gangs: true, links: false };
+    let outcome = play(254, 2, Conditions::default(), trouble);
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
 }
@@ -49,7 +59,7 @@
         history: Some(Duration::from_millis(300)),
         watch: Duration::from_millis(600),
     };
-    let outcome = play(253, 0, conditions);
+    let outcome = play(253, 0, conditions, Trouble::default());
     assert_eq!(outcome.broken, Vec::<String>::new());
     assert_eq!((outcome.accepted, outcome.complete), (20, 20));
 }
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -2,7 +2,7 @@
 
 use std::{env, path::PathBuf, process};
 
-use sapphire_soak::{conditions::Conditions, soak};
+use sapphire_soak::{conditions::Conditions, soak, trouble::Trouble};
 
 /// Runs the real programs under faults from outside, a seed after the other.
 #[derive(argh::FromArgs)]
@@ -37,6 +37,7 @@
             faults: args.faults,
             net: (seed % 250) as u8 + 1,
             conditions: Conditions::default(),
+            trouble: Trouble::ALL,
         })?;
         println!(
             "seed={seed} accepted={} complete={} faults={} broken={}",
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -49,6 +49,12 @@
         self.at(20 + entry, 3)
     }
 
+    /// Where the other processes are told that an entry is, if they reach it through a proxy. The
+    /// planner's own word, which follows, names `inner`: a process says where it listens.
+    pub(crate) fn inner_proxy(self, entry: u8) -> SocketAddr {
+        self.at(20 + entry, 4)
+    }
+
     pub(crate) fn minion(self, agent: u8) -> SocketAddr {
         self.at(100 + agent, 0)
     }
@@ -79,15 +85,23 @@
     net: Net,
     program: PathBuf,
     folder: PathBuf,
+    has_proxies: bool,
     processes: Vec<Process>,
 }
 
 impl Fleet {
-    pub(crate) fn start(net: Net, program: &Path, folder: &Path) -> io::Result<Self> {
+    /// Starts all; `has_proxies` between them.
+    pub(crate) fn start(
+        net: Net,
+        program: &Path,
+        folder: &Path,
+        has_proxies: bool,
+    ) -> io::Result<Self> {
         let mut fleet = Fleet {
             net,
             program: program.to_owned(),
             folder: folder.to_owned(),
+            has_proxies,
             processes: Vec::new(),
         };
         let entries = (0..ENTRIES).map(Who::Entry);
@@ -118,8 +132,13 @@
 
     fn settings(&self, who: Who) -> (&'static str, String, String) {
         let net = self.net;
+        let found = |entry: u8| match who {
+            Who::Entry(own) if own == entry => net.inner(entry),
+            _ if self.has_proxies => net.inner_proxy(entry),
+            _ => net.inner(entry),
+        };
         let entries: Vec<String> =
-            (0..ENTRIES).map(|entry| format!("\"{}\"", net.inner(entry))).collect();
+            (0..ENTRIES).map(|entry| format!("\"{}\"", found(entry))).collect();
         let entries = entries.join(", ");
         match who {
             Who::Entry(entry) => {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,3 +8,4 @@
 mod fleet;
 mod proxy;
 pub mod soak;
+pub mod trouble;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy whose connections can be delayed, silenced and reset.
+//! A loopback proxy whose connections can be delayed, silenced, cut one way and reset.
 
 use std::{
     io::{self, Read as _, Write as _},
@@ -22,6 +22,10 @@
     Silence,
     /// Connections are ended.
     Reset,
+    /// Nothing gets to the server.
+    CutRequests,
+    /// Nothing comes back from the server.
+    CutAnswers,
 }
 
 const DELAY: Duration = Duration::from_millis(120);
@@ -71,13 +75,13 @@
             for client in listener.incoming().flatten() {
                 let Ok(upstream) = TcpStream::connect(server) else { continue };
                 let pairs = [
-                    (client.try_clone(), upstream.try_clone(), None),
-                    (Ok(upstream), Ok(client), link.clone()),
+                    (client.try_clone(), upstream.try_clone(), None, Mode::CutRequests),
+                    (Ok(upstream), Ok(client), link.clone(), Mode::CutAnswers),
                 ];
                 for pair in pairs {
-                    if let (Ok(from), Ok(to), link) = pair {
+                    if let (Ok(from), Ok(to), link, cut) = pair {
                         let mode = shared.clone();
-                        thread::spawn(move || copy(from, to, &mode, link.as_deref()));
+                        thread::spawn(move || copy(from, to, &mode, link.as_deref(), cut));
                     }
                 }
             }
@@ -90,11 +94,11 @@
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, mode: &AtomicU8, link: Option<&Link>) {
+fn copy(mut from: TcpStream, mut to: TcpStream, mode: &AtomicU8, link: Option<&Link>, cut: Mode) {
     let mut chunk = [0; SLICE];
     let is = |wanted: Mode| mode.load(Ordering::Relaxed) == wanted as u8;
     while let Ok(count) = from.read(&mut chunk) {
-        while is(Mode::Silence) {
+        while is(Mode::Silence) || is(cut) {
             thread::sleep(LOOK);
         }
         if is(Mode::Delay) {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -10,7 +10,7 @@
 use nix::sys::signal::Signal;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
-use sapphire_jobs::{Ending, room::Room, task::Task};
+use sapphire_jobs::task::{RunNumber, Task};
 use sapphire_net::{
     clock,
     hub::{CallId, CallerId, Event, Hub, ListenerId},
@@ -20,7 +20,6 @@
     jobs::minion::{Minion, Truth},
     store::Store,
 };
-use sapphire_runner::minion::Call as Order;
 use sapphire_standins::jobs_platform as platform;
 use sapphire_store::call::{Call, Reply};
 use serde_json::{Value, json};
@@ -29,8 +28,11 @@
     conditions::Conditions,
     fleet::{AGENTS, ENTRIES, Fleet, Net, Who},
     proxy::{Mode, Proxy},
+    trouble::Trouble,
 };
 
+mod minions;
+
 /// How a seed is played.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -48,6 +50,8 @@
     pub net: u8,
     /// What the store is like.
     pub conditions: Conditions,
+    /// Further trouble.
+    pub trouble: Trouble,
 }
 
 /// What a seed has shown.
@@ -83,6 +87,7 @@
 #[derive(Default)]
 struct Job {
     tasks: u32,
+    is_gang: bool,
     next: Duration,
     is_accepted: bool,
     was_refused: bool,
@@ -94,16 +99,28 @@
     options: Options,
     hub: Hub,
     rng: Pcg32,
+    /// Draws what only some runs have, so that the others draw as they do without it.
+    extra: Pcg32,
     store_listener: ListenerId,
     minion_listeners: BTreeMap<ListenerId, u8>,
     store: Store,
     watches: Vec<(CallerId, Call, Duration)>,
-    holds: Vec<(CallerId, u8, Order, Duration)>,
+    holds: Vec<minions::Hold>,
+    /// Orders to carry out, and when.
+    late: Vec<(Duration, minions::Sent)>,
+    late_share: f64,
+    late_from: Duration,
+    late_until: Duration,
+    /// End of the latest fault.
+    trouble_until: Duration,
+    /// Members of each run that have been there.
+    seen: BTreeMap<(Task, RunNumber), BTreeSet<u32>>,
     minions: Vec<Minion>,
     truth: BTreeMap<(String, u32), Truth>,
     jobs: BTreeMap<String, Job>,
     asked: BTreeMap<CallId, Asked>,
-    done: BTreeSet<Task>,
+    done: BTreeMap<Task, Vec<minions::Done>>,
+    log: fs::File,
     net: Net,
     sequence: u64,
     outcome: Outcome,
@@ -122,25 +139,35 @@
     for agent in 0..AGENTS {
         minion_listeners.insert(hub.listen(net.minion(agent), Limits::default())?, agent);
     }
-    let proxies = (0..ENTRIES)
-        .map(|entry| Proxy::start(net.store_proxy(entry), net.store(), conditions.link))
-        .collect::<io::Result<Vec<Proxy>>>()?;
+    let proxies = Proxies::start(net, &options)?;
     let mut store = conditions.history.map_or_else(Store::default, Store::with_history);
     platform::configure(&mut store, clock::now(), conditions.idle_routes);
     let minions = (0..AGENTS).map(|agent| Minion::new(platform::incarnation(agent, 1))).collect();
+    let log = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(options.folder.join("minions.log"))?;
     let soak = Soak {
         hub,
         rng: Pcg32::seed_from_u64(options.seed),
+        extra: Pcg32::seed_from_u64(options.seed ^ 0x1a7e),
         store_listener,
         minion_listeners,
         store,
         watches: Vec::new(),
         holds: Vec::new(),
+        late: Vec::new(),
+        late_share: 0.0,
+        late_from: Duration::MAX,
+        late_until: Duration::ZERO,
+        trouble_until: Duration::ZERO,
+        seen: BTreeMap::new(),
         minions,
         truth: BTreeMap::new(),
         jobs: BTreeMap::new(),
         asked: BTreeMap::new(),
-        done: BTreeSet::new(),
+        done: BTreeMap::new(),
+        log,
         net,
         sequence: 0,
         outcome: Outcome::default(),
@@ -149,23 +176,55 @@
     soak.play(&proxies)
 }
 
+/// Proxies before the store and the entries, one an entry each.
+struct Proxies {
+    store: Vec<Proxy>,
+    inner: Vec<Proxy>,
+}
+
+impl Proxies {
+    fn start(net: Net, options: &Options) -> io::Result<Self> {
+        let link = options.conditions.link;
+        let store = |entry| Proxy::start(net.store_proxy(entry), net.store(), link);
+        let inner = |entry| Proxy::start(net.inner_proxy(entry), net.inner(entry), None);
+        let inner_count = if options.trouble.links { ENTRIES } else { 0 };
+        Ok(Proxies {
+            store: (0..ENTRIES).map(store).collect::<io::Result<_>>()?,
+            inner: (0..inner_count).map(inner).collect::<io::Result<_>>()?,
+        })
+    }
+}
+
+/// How a fault is undone.
+#[derive(Clone, Copy, Debug)]
+enum Undo {
+    Resume(Who),
+    Store(u8),
+    Inner(u8),
+}
+
 impl Soak {
-    fn play(mut self, proxies: &[Proxy]) -> io::Result<Outcome> {
+    fn play(mut self, proxies: &Proxies) -> io::Result<Outcome> {
         let program = self.options.program.clone();
-        let mut fleet = Fleet::start(self.net, Path::new(&program), &self.options.folder.clone())?;
+        let folder = self.options.folder.clone();
+        let links = self.options.trouble.links;
+        let mut fleet = Fleet::start(self.net, Path::new(&program), &folder, links)?;
         let start = clock::now();
         let (mut next_job, mut next_fault) = (start + LEAD_IN, start + LEAD_IN + FAULT_PAUSE);
         let (mut jobs, mut faults) = (self.options.jobs, self.options.faults);
         let (mut next_beat, mut last) = (start, start);
-        let mut heal: Vec<(Duration, Who, bool)> = Vec::new();
+        self.draw_late(start);
+        let mut heal: Vec<(Duration, Undo)> = Vec::new();
         let mut quiet_since = None;
         loop {
             self.hub.poll(TICK)?;
             let now = clock::now();
+            self.lapse(now);
             while let Some(event) = self.hub.next_event() {
                 self.event(now, event);
             }
-            self.step(now, now.saturating_sub(last));
+            self.step_watches(now);
+            self.step_minions(now, now.saturating_sub(last));
             last = now;
             if now >= next_beat {
                 next_beat = now + BEAT;
@@ -181,19 +240,20 @@
                 next_fault = now + FAULT_PAUSE;
                 heal.push(self.fault(now, &fleet, proxies));
             }
-            heal.retain(|(at, who, is_frozen)| {
+            heal.retain(|(at, undo)| {
                 if now >= *at {
-                    match (who, is_frozen) {
-                        (who, true) => fleet.signal(*who, Signal::SIGCONT),
-                        (Who::Entry(entry), false) => proxies[usize::from(*entry)].set(Mode::Pass),
-                        (Who::Agent(_), false) => {}
+                    match undo {
+                        Undo::Resume(who) => fleet.signal(*who, Signal::SIGCONT),
+                        Undo::Store(entry) => proxies.store[usize::from(*entry)].set(Mode::Pass),
+                        Undo::Inner(entry) => proxies.inner[usize::from(*entry)].set(Mode::Pass),
                     }
                 }
                 now < *at
             });
             fleet.restart_ended()?;
             self.ask(now);
-            if jobs == 0 && faults == 0 && heal.is_empty() {
+            let is_late = now < self.late_until || !self.late.is_empty();
+            if jobs == 0 && faults == 0 && heal.is_empty() && !is_late {
                 let since = *quiet_since.get_or_insert(now);
                 let waiting = |job: &Job| job.is_accepted && !job.is_complete;
                 let is_over = !self.jobs.values().any(waiting);
@@ -204,6 +264,19 @@
         }
     }
 
+    /// Draws when orders are late, and how many of them.
+    fn draw_late(&mut self, start: Duration) {
+        if self.options.trouble.late_orders {
+            self.late_share = self.extra.random_range(0.0..0.6);
+            let wait = Duration::from_millis(self.extra.random_range(0..2_000));
+            let length = Duration::from_millis(self.extra.random_range(3_000..8_000));
+            self.late_from = start + LEAD_IN + wait;
+            self.late_until = self.late_from + length;
+            self.trouble_until = self.late_until;
+            self.write(&format!("{:.2} of the orders late for {length:?}", self.late_share));
+        }
+    }
+
     fn finish(mut self) -> Outcome {
         for (id, job) in &self.jobs {
             if job.is_accepted && !job.is_complete {
@@ -227,7 +300,7 @@
             }
             Event::Left(caller) => {
                 self.watches.retain(|(other, ..)| *other != caller);
-                self.holds.retain(|(other, ..)| *other != caller);
+                self.holds.retain(|hold| hold.caller != caller);
             }
             Event::NotAccepted { kind, .. } => eprintln!("a connection was not accepted: {kind}"),
             Event::Answer { call, result } => {
@@ -256,70 +329,8 @@
         }
     }
 
-    fn minion_request(&mut self, now: Duration, caller: CallerId, agent: u8, request: &Request) {
-        let Some(order) = platform::order(request) else {
-            self.hub.answer(caller, &Response::new(400, ""));
-            return;
-        };
-        let is_waiting = matches!(&order, Order::Hold { wait, .. } if !wait.is_zero());
-        if is_waiting && self.minions[usize::from(agent)].ended.is_empty() {
-            let Order::Hold { wait, .. } = &order else { return };
-            let until = now + *wait;
-            self.holds.push((caller, agent, order, until));
-            return;
-        }
-        self.obey(now, caller, agent, &order);
-    }
-
-    fn obey(&mut self, now: Duration, caller: CallerId, agent: u8, order: &Order) {
-        let minion = &mut self.minions[usize::from(agent)];
-        let (response, is_done) = platform::obey(minion, now, order, &self.truth);
-        if let (Order::Start { start, .. }, true) = (order, is_done)
-            && let Some(run) = &start.run
-        {
-            self.check_start(agent, &Task::read(run));
-        }
-        self.hub.answer(caller, &response);
-    }
-
-    fn check_start(&mut self, agent: u8, task: &Task) {
-        let twice =
-            self.minions.iter().enumerate().any(|(other, minion)| {
-                other != usize::from(agent) && minion.active.contains_key(task)
-            });
-        let Some(job) = self.jobs.get(&task.job) else {
-            self.outcome.broken.push(format!("{task} was never handed in"));
-            return;
-        };
-        if twice {
-            self.outcome.broken.push(format!("{task} runs twice at once"));
-        }
-        if job.is_complete || self.done.contains(task) {
-            self.outcome.broken.push(format!("{task} starts again after it was done"));
-        }
-        if job.was_refused && !job.is_accepted {
-            self.outcome.broken.push(format!("{task} starts though its job was refused"));
-        }
-    }
-
-    /// Lets tasks make progress and answers what waits.
-    fn step(&mut self, now: Duration, time: Duration) {
-        for minion in &mut self.minions {
-            let tasks: Vec<Task> = minion.active.keys().cloned().collect();
-            if now >= minion.lease {
-                minion.lapse(&self.truth);
-            }
-            for task in tasks {
-                let truth = self.truth.get(&(task.job.clone(), task.step));
-                let Some(active) = minion.active.get_mut(&task) else { continue };
-                active.done += time;
-                if active.stop_at.is_some_and(|stop| now >= stop) {
-                    minion.end(&task, Ending::Stopped, truth);
-                } else if truth.is_some_and(|truth| active.done >= truth.work) {
-                    minion.end(&task, Ending::Done, truth);
-                }
-            }
-        }
+    /// Answers watches that are due.
+    fn step_watches(&mut self, now: Duration) {
         for (caller, call, until) in std::mem::take(&mut self.watches) {
             let call = match call {
                 Call::WatchPrefix { prefix, after, .. } if now >= until => {
@@ -334,13 +345,6 @@
                 _ => self.watches.push((caller, call, until)),
             }
         }
-        for (caller, agent, order, until) in std::mem::take(&mut self.holds) {
-            if now >= until || !self.minions[usize::from(agent)].ended.is_empty() {
-                self.obey(now, caller, agent, &order);
-            } else {
-                self.holds.push((caller, agent, order, until));
-            }
-        }
     }
 
     fn beat(&mut self) {
@@ -358,18 +362,11 @@
         let id = format!("{:016x}", self.jobs.len() as u64 + (self.options.seed << 32));
         let tasks = self.rng.random_range(1..4);
         let work = Duration::from_millis(self.rng.random_range(200..1_800));
-        let truth = Truth {
-            work,
-            always_fails: false,
-            fail_share: 0.0,
-            members: 1,
-            wants_one_rack: false,
-            checkpoints: false,
-            room: Room { millicores: 1_000, memory_mib: 1_000, accelerators: 1 },
-        };
+        let is_gang = self.options.trouble.gangs && tasks > 1 && self.extra.random_bool(0.5);
+        let truth = Soak::truth(work, if is_gang { tasks } else { 1 });
         self.truth.insert((id.clone(), 0), truth);
         let entry = self.rng.random_range(0..ENTRIES);
-        self.jobs.insert(id, Job { tasks, next: now, entry, ..Job::default() });
+        self.jobs.insert(id, Job { tasks, is_gang, next: now, entry, ..Job::default() });
     }
 
     /// Sends the callers' requests that are due.
@@ -384,10 +381,14 @@
             let (request, asked) = if job.is_accepted {
                 (Request::new("GET", &format!("/q/{id}"), ""), Asked::Look(id))
             } else {
-                let body = json!({ "spec": "soak", "steps": [{
+                let mut step = json!({
                     "count": job.tasks, "cpu": 1_000, "mem_mb": 1_000, "gpu": 1,
                     "estimate_ms": 1_000,
-                }] });
+                });
+                if job.is_gang {
+                    step["gang"] = true.into();
+                }
+                let body = json!({ "spec": "soak", "steps": [step] });
                 let request = Request::new("POST", &format!("/q/{id}"), body.to_string());
                 (request, Asked::Submit(id))
             };
@@ -421,7 +422,11 @@
         let body: Value =
             response.and_then(|it| serde_json::from_slice(&it.body).ok()).unwrap_or(Value::Null);
         match body["state"].as_str() {
-            Some("complete") => job.is_complete = true,
+            Some("complete") => {
+                job.is_complete = true;
+                let (id, tasks) = (id.clone(), job.tasks);
+                self.check_complete(&id, tasks);
+            }
             Some("failed" | "cancelled") => {
                 self.outcome.broken.push(format!("{id} is shown as {}", body["state"]));
                 job.is_complete = true;
@@ -431,12 +436,21 @@
     }
 
     /// Causes a fault; returns when and how it is to be undone.
-    fn fault(&mut self, now: Duration, fleet: &Fleet, proxies: &[Proxy]) -> (Duration, Who, bool) {
+    fn fault(&mut self, now: Duration, fleet: &Fleet, proxies: &Proxies) -> (Duration, Undo) {
         let entry = self.rng.random_range(0..ENTRIES);
         let agent = self.rng.random_range(0..AGENTS);
         let time = Duration::from_millis(self.rng.random_range(300..2_600));
         let who = if self.rng.random_bool(0.5) { Who::Entry(entry) } else { Who::Agent(agent) };
         let kind = self.rng.random_range(0..7);
+        self.trouble_until = self.trouble_until.max(now + time);
+        if self.options.trouble.links && self.extra.random_bool(0.4) {
+            let modes =
+                [Mode::Delay, Mode::Silence, Mode::Reset, Mode::CutRequests, Mode::CutAnswers];
+            let mode = modes[self.extra.random_range(0..modes.len())];
+            self.tell_fault(&format!("link {mode:?} {:?}", Who::Entry(entry)), time);
+            proxies.inner[usize::from(entry)].set(mode);
+            return (now + time, Undo::Inner(entry));
+        }
         let text = match kind {
             0 => "kill",
             1 => "terminate",
@@ -446,8 +460,8 @@
             5 => "store reset",
             _ => "minion crashes",
         };
-        self.outcome.faults.push(format!("{text} {who:?} {} ms", time.as_millis()));
-        let mode = |mode: Mode| proxies[usize::from(entry)].set(mode);
+        self.tell_fault(&format!("{text} {who:?}"), time);
+        let mode = |mode: Mode| proxies.store[usize::from(entry)].set(mode);
         match kind {
             0 => fleet.signal(who, Signal::SIGKILL),
             1 => fleet.signal(who, Signal::SIGTERM),
@@ -455,13 +469,15 @@
             3 => mode(Mode::Delay),
             4 => mode(Mode::Silence),
             5 => mode(Mode::Reset),
-            _ => {
-                let minion = &mut self.minions[usize::from(agent)];
-                let born_ms = minion.incarnation.born_ms + 1;
-                *minion = Minion::new(platform::incarnation(agent, born_ms));
-            }
+            _ => self.crash(agent),
         }
-        let undone = if kind == 2 { who } else { Who::Entry(entry) };
-        (now + time, undone, kind == 2)
+        let undo = if kind == 2 { Undo::Resume(who) } else { Undo::Store(entry) };
+        (now + time, undo)
+    }
+
+    fn tell_fault(&mut self, text: &str, time: Duration) {
+        let text = format!("{text} {} ms", time.as_millis());
+        self.write(&format!("fault: {text}"));
+        self.outcome.faults.push(text);
     }
 }
--- a/crates/standins/src/jobs_platform.rs
+++ b/crates/standins/src/jobs_platform.rs
@@ -176,6 +176,11 @@
     })
 }
 
+/// Life of a minion that an order names; empty for any.
+pub fn life(request: &Request) -> String {
+    request.header("X-Expect-Instance").unwrap_or_default().to_owned()
+}
+
 /// Reads an order to a minion.
 pub fn order(request: &Request) -> Option<Order> {
     let body: Value = serde_json::from_slice(&request.body).ok()?;
