fix: an earlier run that is listed does not replace a later one

What callers saw: a job that never ends. A start without an answer was carried out late by the next life of its minion. Its list showed that earlier run of the task; the planner took it into its ledger, to be stopped, in place of the later run that it had there, whose end was then never noted: the job waited for it for ever.

Change: the later run keeps its place until its own end is known, by its end, its agent's word or lists that miss it; what is listed is taken in, and stopped, only then.

The test failed first.

--- a/crates/planner/src/ledger.rs
+++ b/crates/planner/src/ledger.rs
@@ -36,6 +36,7 @@
         worker.lists = poll.lists;
         let age = Duration::from_millis(poll.list_age_ms);
         let listed_at = now.steady.saturating_sub(age);
+        let mut outdated = Vec::new();
         for running in &poll.running {
             let Some(run) = &running.run else { continue };
             let task = Task::read(run);
@@ -43,6 +44,8 @@
             if worker.listed(&task, running, is_new_list, listed_at) {
                 self.began(now, &task, run.run);
                 self.note_checkpoint(now, &task, run.run, &running.checkpoint);
+            } else if worker.holds_later(&task, run.run) {
+                outdated.push((task, running));
             } else {
                 self.adopt(now, name, &task, running);
             }
@@ -58,6 +61,16 @@
         if is_first {
             self.log(format!("worker={name} fenced, running={}", poll.running.len()));
             self.drop_unlisted(now, name, poll);
+        }
+        // A later run of the same task keeps its place until its own end is known: replaced, it
+        // would never end.
+        for (task, running) in outdated {
+            let number = running.run.as_ref().map_or(0, |run| run.run);
+            if !self.workers.get(name).is_some_and(|worker| worker.holds_later(&task, number)) {
+                self.adopt(now, name, &task, running);
+            }
+        }
+        if is_first {
             self.check_settled(now);
             self.needs_pass = true;
         }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -180,6 +180,11 @@
         self.is_fenced && self.runs.values().any(is_news)
     }
 
+    /// Whether a later run of the task than that of `number` is in the ledger.
+    pub fn holds_later(&self, task: &Task, number: RunNumber) -> bool {
+        self.runs.get(task).is_some_and(|run| run.number > number)
+    }
+
     /// Notes a task as listed at a time; returns whether it is one that is known.
     pub fn listed(
         &mut self,
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -56,6 +56,24 @@
     assert_eq!(bench.placed("j"), "", "its room is kept for ever");
 }
 
+/// Guards against a job that never ends: a minion's next life carries out a start of an earlier
+/// run, which takes the place of the later one whose end is still to come.
+#[test]
+fn an_earlier_run_that_is_listed_does_not_replace_a_later_one() {
+    let (mut bench, later) = ordered();
+    let running = |run: &Run| Running { run: Some(run.clone()), ..Running::default() };
+    bench.poll("a", vec![running(&later)], Vec::new());
+    let earlier = run("j", 0, 900);
+    for _ in 0..5 {
+        bench.poll("a", vec![running(&earlier)], Vec::new());
+        bench.pass(500);
+    }
+    assert_eq!(bench.stops().last(), Some(&earlier));
+    bench.poll("a", Vec::new(), vec![ended(1, earlier, Ending::Stopped)]);
+    bench.pass(500);
+    assert_eq!(bench.starts().last(), Some(&run("j", 0, 1_002)));
+}
+
 /// Guards against a task that runs twice: a worker was given it before the store named the worker,
 /// the planner was lost, and its successor did not know that it had to hear of that worker.
 #[test]
