--- a/crates/plan/src/clear.rs
+++ b/crates/plan/src/clear.rs
@@ -114,13 +114,13 @@
     };
     let allowed: Vec<usize> =
         (0..candidates.len()).filter(|at| may_stop(&candidates[*at])).collect();
-    let victim = |at: &usize| {
+    let offer = |at: &usize| {
         let candidate = &candidates[*at];
-        let cost = if candidate.remaining <= wait { 0.0 } else { candidate.victim.cost };
-        evict::Victim { cost, ..candidate.victim.clone() }
+        let is_free = candidate.remaining <= wait;
+        candidate.victim.at_cost(if is_free { 0.0 } else { candidate.victim.cost })
     };
-    let victims: Vec<evict::Victim> = allowed.iter().map(victim).collect();
-    let outcome = evict::choose(places, &victims, urgent.ask, urgent.reach)?;
+    let offers: Vec<evict::Offer<'_>> = allowed.iter().map(offer).collect();
+    let outcome = evict::choose(places, &offers, urgent.ask, urgent.reach)?;
     let chosen: Vec<usize> = outcome.victims.iter().map(|at| allowed[*at]).collect();
     let ends_by_itself = |candidate: &Candidate| candidate.remaining <= wait;
     let end = |at: &usize| {
--- a/crates/plan/src/reserve.rs
+++ b/crates/plan/src/reserve.rs
@@ -18,12 +18,12 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
 
 /// A group that runs.
-#[derive(Clone, Debug)]
-pub struct Running {
+#[derive(Clone, Copy, Debug)]
+pub struct Running<'a> {
     /// How much longer it will run.
     pub remaining: Duration,
     /// What it gives back, by index of the place.
-    pub seats: Vec<(usize, Room)>,
+    pub seats: &'a [(usize, Room)],
 }
 
 /// Room that is kept.
@@ -38,12 +38,12 @@
 impl Reservation {
     /// Keeps room for a group where all that it needs comes free soonest, and takes what is free
     /// of it already from the places. Keeps nothing when the group would not fit even then.
-    pub fn new(places: &mut [Place], running: Vec<Running>, ask: &Ask, reach: Reach) -> Self {
-        let until_free = |run: Running| {
+    pub fn new<'a>(places: &mut [Place], running: &[Running<'a>], ask: &Ask, reach: Reach) -> Self {
+        let until_free = |run: &'_ Running<'a>| {
             let cost = run.remaining.min(LONGEST_WAIT).as_secs_f64();
-            evict::Victim { cost, seats: run.seats }
+            evict::Offer { cost, seats: run.seats }
         };
-        let ends: Vec<evict::Victim> = running.into_iter().map(until_free).collect();
+        let ends: Vec<evict::Offer<'_>> = running.iter().map(until_free).collect();
         let Some(outcome) = evict::choose(places, &ends, ask, reach) else {
             return Reservation::default();
         };
--- a/crates/plan/src/seat.rs
+++ b/crates/plan/src/seat.rs
@@ -4,7 +4,7 @@
 //! no whole rack, is left for a gang of eight-accelerator tasks. So a group goes where it leaves
 //! the least free, and breaks a whole worker only when nothing smaller holds it.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, rc::Rc};
 
 use sapphire_jobs::room::Room;
 
@@ -13,11 +13,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Place {
     /// Its name.
-    pub worker: Arc<str>,
+    pub worker: Rc<str>,
     /// Its rack.
-    pub rack: Arc<str>,
+    pub rack: Rc<str>,
     /// What steps may require of it.
-    pub labels: Arc<[String]>,
+    pub labels: Rc<[String]>,
     /// What is free.
     pub free: Room,
     /// What is to become free here and is promised to groups that wait for it.
--- a/crates/planner/src/board.rs
+++ b/crates/planner/src/board.rs
@@ -6,6 +6,7 @@
 };
 
 use sapphire_jobs::{
+    Step,
     room::Room,
     task::{GroupKey, JobId, Task, WorkerName},
 };
@@ -24,12 +25,14 @@
     table::Entry,
 };
 
-/// A running group that may be stopped.
-pub(crate) struct Candidate {
-    pub(crate) job: JobId,
-    pub(crate) key: GroupKey,
-    /// What decides about it.
-    pub(crate) of_plan: clear::Candidate,
+/// Running groups that may be stopped.
+#[derive(Default)]
+struct Candidates {
+    /// What decides about each.
+    of_plan: Vec<clear::Candidate>,
+    /// Index of each one's job, and its key there.
+    keys: Vec<(usize, GroupKey)>,
+    jobs: Vec<JobId>,
 }
 
 /// Workers of one service, and what may be stopped on them.
@@ -37,16 +40,21 @@
     pub(crate) places: Vec<Place>,
     pub(crate) index: BTreeMap<WorkerName, usize>,
     /// Looked up when an urgent group first finds no room, which most passes never see.
-    pub(crate) candidates: Vec<Candidate>,
+    pub(crate) candidates: Vec<clear::Candidate>,
+    /// Index of each candidate's job, and its key there.
+    keys: Vec<(usize, GroupKey)>,
+    /// Jobs of the candidates.
+    jobs: Vec<JobId>,
     has_candidates: bool,
     /// Room that is kept for the first group that waits.
     pub(crate) reservation: Option<Reservation>,
 }
 
 impl Board {
-    /// What decides about each group that may be stopped, by index.
-    pub(crate) fn stoppable(&self) -> Vec<clear::Candidate> {
-        self.candidates.iter().map(|candidate| candidate.of_plan.clone()).collect()
+    /// Job and key of a candidate.
+    pub(crate) fn candidate(&self, at: usize) -> (JobId, GroupKey) {
+        let (job, key) = self.keys[at];
+        (self.jobs[job].clone(), key)
     }
 
     /// Takes room on a worker, of what is free there and else of what is kept there.
@@ -98,7 +106,15 @@
                 doubt,
             });
         }
-        Board { places, index, candidates: Vec::new(), has_candidates: false, reservation: None }
+        Board {
+            places,
+            index,
+            candidates: Vec::new(),
+            keys: Vec::new(),
+            jobs: Vec::new(),
+            has_candidates: false,
+            reservation: None,
+        }
     }
 
     fn doubt(&self, name: &str, now: Duration) -> Doubt {
@@ -113,7 +129,8 @@
         guaranteed: &BTreeSet<JobId>,
     ) {
         if !board.has_candidates {
-            board.candidates = self.candidates(now, &board.index, guaranteed);
+            let found = self.candidates(now, &board.index, guaranteed);
+            (board.candidates, board.keys, board.jobs) = (found.of_plan, found.keys, found.jobs);
             board.has_candidates = true;
         }
     }
@@ -124,11 +141,18 @@
         now: Moment,
         index: &BTreeMap<WorkerName, usize>,
         guaranteed: &BTreeSet<JobId>,
-    ) -> Vec<Candidate> {
-        let mut found = Vec::new();
+    ) -> Candidates {
+        let mut found = Candidates::default();
         for (id, entry) in &self.table.entries {
-            let active = entry.groups.values().filter(|group| group.active().is_some());
-            let running = active.count().max(1) as f64;
+            let running = entry.groups.values().filter(|group| group.active().is_some()).count();
+            if running == 0 {
+                continue;
+            }
+            let job = found.jobs.len();
+            found.jobs.push(id.clone());
+            let priority = self.terms(entry).priority;
+            let objective = self.objective(entry);
+            let is_guaranteed = guaranteed.contains(id);
             for (key, group) in &entry.groups {
                 let Some(active) = group.active() else { continue };
                 let Some(step) = entry.step(key.step) else { continue };
@@ -138,18 +162,18 @@
                 let room = Room::read(step.room.as_ref());
                 let seats = active.left.values().filter_map(|name| Some((*index.get(name)?, room)));
                 let remaining = self.remaining_run(now, entry, key, active);
-                let cost = self.stop_cost(now, entry, key, active)
-                    + self.lateness(now, entry, remaining) / running;
-                found.push(Candidate {
-                    job: id.clone(),
-                    key: *key,
-                    of_plan: clear::Candidate {
-                        priority: self.terms(entry).priority,
-                        is_guaranteed: guaranteed.contains(id),
-                        is_stopping: active.is_stopping,
-                        remaining,
-                        victim: evict::Victim { cost, seats: seats.collect() },
-                    },
+                let end = Self::age(entry, now).saturating_add(remaining);
+                let lateness = self.lateness(priority, objective.saturating_sub(end));
+                let cost = self.stop_cost(now, step, active) + lateness / running as f64;
+                let victim = evict::Victim { cost, seats: seats.collect() };
+                let is_stopping = active.is_stopping;
+                found.keys.push((job, *key));
+                found.of_plan.push(clear::Candidate {
+                    priority,
+                    is_guaranteed,
+                    is_stopping,
+                    remaining,
+                    victim,
                 });
             }
         }
@@ -157,8 +181,7 @@
     }
 
     /// What stopping a group loses, in processor seconds.
-    fn stop_cost(&self, now: Moment, entry: &Entry, key: &GroupKey, active: &Active) -> f64 {
-        let Some(step) = entry.step(key.step) else { return 0.0 };
+    fn stop_cost(&self, now: Moment, step: &Step, active: &Active) -> f64 {
         if active.is_stopping {
             return 0.0;
         }
@@ -168,13 +191,9 @@
     }
 
     /// What it costs a job's caller that one of its groups is stopped, beside the work lost.
-    fn lateness(&self, now: Moment, entry: &Entry, remaining: Duration) -> f64 {
-        if !self.options.policy.weigh_lateness {
-            return 0.0;
-        }
-        let end = Self::age(entry, now).saturating_add(remaining);
-        let slack = self.objective(entry).saturating_sub(end);
-        wait::stop_lateness(self.terms(entry).priority, slack)
+    /// `slack` is the time by which the job would be early if it went on.
+    fn lateness(&self, priority: u32, slack: Duration) -> f64 {
+        if self.options.policy.weigh_lateness { wait::stop_lateness(priority, slack) } else { 0.0 }
     }
 
     /// How much longer a group's run will take.
@@ -187,13 +206,14 @@
     ) -> Duration {
         let own = entry.groups.get(key).and_then(Group::known);
         let expected = own.map_or_else(|| self.expect(entry, key.step), |shown| shown.whole);
+        let mut task = Task {
+            job: entry.job.id.clone(),
+            occurrence: key.occurrence,
+            step: key.step,
+            index: key.index,
+        };
         let of = |(index, name): (&u32, &WorkerName)| {
-            let task = Task {
-                job: entry.job.id.clone(),
-                occurrence: key.occurrence,
-                step: key.step,
-                index: *index,
-            };
+            task.index = *index;
             let run = self.workers.get(name)?.runs.get(&task)?;
             Some(run.remaining(expected, now.steady))
         };
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -3,6 +3,7 @@
 use std::{
     borrow::Cow,
     collections::{BTreeMap, BTreeSet},
+    rc::Rc,
     time::Duration,
 };
 
@@ -33,8 +34,7 @@
 
 /// A group that waits.
 struct Waiting {
-    rank: rank::Rank,
-    job: JobId,
+    job: Rc<str>,
     key: GroupKey,
 }
 
@@ -63,6 +63,7 @@
     pub(crate) fn pass(&mut self, now: Moment) {
         let guaranteed = self.guaranteed_jobs();
         let waiting = self.waiting(now, &guaranteed);
+        self.load.waiting = waiting.len();
         let mut boards: BTreeMap<String, Board> = BTreeMap::new();
         let mut stuck: Option<&Waiting> = None;
         for group in &waiting {
@@ -70,12 +71,13 @@
                 // Room only shrinks within a pass: a step's tasks that wait cost one search.
                 continue;
             }
-            let Some(entry) = self.table.entries.get(&group.job) else { continue };
+            let Some(entry) = self.table.entries.get(&*group.job) else { continue };
             let service = self.service(entry);
             if !boards.contains_key(service) {
                 boards.insert(service.to_owned(), self.board(now, service));
             }
             let board = boards.get_mut(service).expect("inserted above");
+            self.load.tried += 1;
             let outcome = self.try_group(now, board, group, &guaranteed);
             stuck = (outcome == Outcome::NoRoom).then_some(group);
         }
@@ -105,24 +107,28 @@
 
     /// Groups that may start, in the order in which they are tried.
     fn waiting(&self, now: Moment, guaranteed: &BTreeSet<JobId>) -> Vec<Waiting> {
-        let mut waiting = Vec::new();
+        let mut jobs = Vec::new();
         for id in &self.table.open {
             let Some(entry) = self.table.entries.get(id) else { continue };
             if entry.is_inherited && !self.startup.is_settled() {
                 // Something that an earlier planner ordered may still begin.
                 continue;
             }
-            let rank = rank::rank(&self.job_rank(now, entry, guaranteed.contains(id)));
-            let ready = entry
-                .groups
-                .iter()
-                .filter(|(key, group)| group.phase == Phase::Waiting && entry.is_unblocked(key));
-            waiting.extend(ready.map(|(key, _)| Waiting { rank, job: id.clone(), key: *key }));
+            let mut ready = (entry.groups.iter())
+                .filter(|(key, group)| group.phase == Phase::Waiting && entry.is_unblocked(key))
+                .map(|(key, _)| *key)
+                .peekable();
+            if ready.peek().is_some() {
+                let rank = rank::rank(&self.job_rank(now, entry, guaranteed.contains(id)));
+                jobs.push((rank, id, ready.collect::<Vec<GroupKey>>()));
+            }
         }
-        waiting.sort_by(|left, right| {
-            (left.rank, &left.job, left.key).cmp(&(right.rank, &right.job, right.key))
+        jobs.sort_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
+        let groups = jobs.into_iter().flat_map(|(_, id, keys)| {
+            let job: Rc<str> = id.as_str().into();
+            keys.into_iter().map(move |key| Waiting { job: job.clone(), key })
         });
-        waiting
+        groups.collect()
     }
 
     fn job_rank(&self, now: Moment, entry: &Entry, is_guaranteed: bool) -> rank::Job {
@@ -170,7 +176,8 @@
         waiting: &Waiting,
         guaranteed: &BTreeSet<JobId>,
     ) -> Outcome {
-        let Waiting { job: id, key, .. } = waiting;
+        let Waiting { job: id, key } = waiting;
+        let id: &str = id;
         let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
         let Some(ask) = self.ask(entry, key) else { return Outcome::Waits };
         let is_guaranteed = guaranteed.contains(id);
--- a/crates/planner/src/reserve.rs
+++ b/crates/planner/src/reserve.rs
@@ -4,17 +4,12 @@
 
 use sapphire_jobs::task::{GroupKey, JobId};
 use sapphire_plan::{
+    clear,
     reserve::{Reservation, Running},
     seat::{Ask, Reach},
 };
 
-use crate::{
-    board::{Board, Candidate},
-    event::Moment,
-    group::Group,
-    planner::Planner,
-    table::Entry,
-};
+use crate::{board::Board, event::Moment, group::Group, planner::Planner, table::Entry};
 
 impl Planner {
     /// Keeps room for a group that finds none, unless some is kept for another.
@@ -32,14 +27,13 @@
             return;
         }
         self.look_up_candidates(now, board, guaranteed);
-        let running = |candidate: &Candidate| {
-            let of_plan = &candidate.of_plan;
-            let is_stopping = of_plan.is_stopping;
-            let remaining = if is_stopping { self.options.stop } else { of_plan.remaining };
-            Running { remaining, seats: of_plan.victim.seats.clone() }
+        let remaining = |candidate: &clear::Candidate| {
+            if candidate.is_stopping { self.options.stop } else { candidate.remaining }
         };
-        let running = board.candidates.iter().map(running).collect();
-        let reservation = Reservation::new(&mut board.places, running, ask, reach);
+        let running: Vec<Running<'_>> = (board.candidates.iter())
+            .map(|it| Running { remaining: remaining(it), seats: &it.victim.seats })
+            .collect();
+        let reservation = Reservation::new(&mut board.places, &running, ask, reach);
         board.reservation = Some(reservation);
     }
 
--- a/crates/planner/src/urgent.rs
+++ b/crates/planner/src/urgent.rs
@@ -55,11 +55,12 @@
         guaranteed: &BTreeSet<JobId>,
     ) {
         self.look_up_candidates(now, board, guaranteed);
+        self.load.searches += 1;
         let Some((job, limit)) = self.wait_terms(now, urgent) else { return };
         let limit = if self.options.policy.weigh_waits { limit } else { Duration::ZERO };
         let stop = self.options.stop;
-        let candidates = board.stoppable();
-        let choice = clear::weigh(&board.places, &candidates, urgent.of_plan(), &job, limit, stop);
+        let Board { places, candidates, .. } = &*board;
+        let choice = clear::weigh(places, candidates, urgent.of_plan(), &job, limit, stop);
         if let Some(choice) = choice {
             self.claim(now, board, urgent, choice, false);
         }
@@ -98,11 +99,11 @@
         guaranteed: &BTreeSet<JobId>,
     ) {
         self.look_up_candidates(now, board, guaranteed);
+        self.load.searches += 1;
         // What is free already needs no stop, so the place that was chosen first is mostly kept.
-        let (stop, candidates) = (self.options.stop, board.stoppable());
-        let now_or_never = Duration::ZERO;
-        let choice =
-            clear::choose(&board.places, &candidates, urgent.of_plan(), now_or_never, stop);
+        let (stop, now_or_never) = (self.options.stop, Duration::ZERO);
+        let Board { places, candidates, .. } = &*board;
+        let choice = clear::choose(places, candidates, urgent.of_plan(), now_or_never, stop);
         if let Some(choice) = choice {
             self.claim(now, board, urgent, choice, true);
         }
@@ -130,9 +131,8 @@
         }
         let mut stopped = Vec::new();
         for at in stops {
-            let candidate = &mut board.candidates[at];
-            candidate.of_plan.is_stopping = true;
-            stopped.push((candidate.job.clone(), candidate.key));
+            board.candidates[at].is_stopping = true;
+            stopped.push(board.candidate(at));
         }
         let names: Vec<String> = stopped.iter().take(NAMED_STOPS).map(describe).collect();
         self.log(format!(
--- a/crates/proofs/examples/policy_jobs.rs
+++ b/crates/proofs/examples/policy_jobs.rs
@@ -43,6 +43,9 @@
     /// the deployment once grown instead of today's
     #[argh(switch)]
     grown: bool,
+    /// the deployment of hundreds of machines instead of today's
+    #[argh(switch)]
+    large: bool,
     /// print the log of one seed instead
     #[argh(switch)]
     story: bool,
@@ -163,9 +166,10 @@
 
 fn main() {
     let args: Args = argh::from_env();
-    let sites: &[&Site] = match args.grown {
-        true => &[&sites::ATLANTICA_GROWN],
-        false => &[&sites::ATLANTICA, &sites::PASTIZAL, &sites::MAVUNO],
+    let sites: &[&Site] = match (args.large, args.grown) {
+        (true, _) => &[&sites::ATLANTICA_LARGE],
+        (false, true) => &[&sites::ATLANTICA_GROWN],
+        (false, false) => &[&sites::ATLANTICA, &sites::PASTIZAL, &sites::MAVUNO],
     };
     let errors: Vec<Option<f64>> = match args.error.is_empty() {
         true => vec![None],
--- a/crates/proofs/src/jobs/sites.rs
+++ b/crates/proofs/src/jobs/sites.rs
@@ -194,6 +194,68 @@
     ],
 };
 
+/// Atlântica's large deployment: hundreds of machines, and more work than they can do in bursts.
+pub const ATLANTICA_LARGE: Site = Site {
+    name: "atlantica-large",
+    workers: &[54, 53, 53],
+    rack: 8,
+    capacity: room(64_000, 131_072, 8),
+    burst: (2, 2.6, 4.0),
+    kinds: &[
+        Kind {
+            name: "committee",
+            priority: 1,
+            rate: 1.02,
+            worth: (3.0, 0.3),
+            width: (13.0, 76.0),
+            work: (8.5, 0.3, 11.0),
+            room: room(26_000, 53_000, 0),
+            accelerators: &[1, 2, 4, 8, 8],
+            tight: 0.6,
+            saves: 0.45,
+            error: 0.5,
+            slack: (3.0, 1.2),
+            attempts: 3,
+            faults: (0.02, 0.01),
+            cancelled: 0.05,
+        },
+        Kind {
+            name: "check",
+            priority: 0,
+            rate: 3.26,
+            worth: (4.0, 0.8),
+            width: (5.3, 32.0),
+            work: (2.5, 0.5, 8.0),
+            room: room(7_500, 15_000, 0),
+            accelerators: &[1, 2, 4, 8, 8],
+            tight: 0.8,
+            saves: 0.0,
+            error: 0.2,
+            slack: (1.5, 0.5),
+            attempts: 4,
+            faults: (0.05, 0.0),
+            cancelled: 0.0,
+        },
+        Kind {
+            name: "dossier",
+            priority: 2,
+            rate: 0.80,
+            worth: (1.0, 0.1),
+            width: (38.0, 230.0),
+            work: (9.5, 0.3, 11.0),
+            room: room(5_600, 11_000, 0),
+            accelerators: &[1],
+            tight: 0.0,
+            saves: 0.45,
+            error: 0.5,
+            slack: (3.0, 3.0),
+            attempts: 4,
+            faults: (0.02, 0.01),
+            cancelled: 0.15,
+        },
+    ],
+};
+
 /// Mavuno's vouchers: declared times that are off by far, either way.
 pub const MAVUNO: Site = Site {
     name: "mavuno",
