planner: events that come together cost one pass

Cause: each message made a pass over all that waits, some 700 a second at 160 workers; polls and callers waited behind them. Change: the event loop tells when it has told all that has happened; the planner decides then. After a pass it pauses for twice the time the pass took. One log line a second while planning says how many events, turns and passes there were and how long they took; the length of passes is a histogram of the metrics.

--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -15,6 +15,7 @@
 mod intake;
 pub mod keys;
 mod ledger;
+pub mod load;
 pub mod options;
 mod pass;
 mod placing;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -20,6 +20,7 @@
 use crate::{
     effect::Effect,
     event::{Event, Moment},
+    load::Load,
     options::{self, Options},
     state::{commits::Commits, feeds::Feeds, intake::Intake, startup::Startup},
     table::{Entry, Table},
@@ -48,6 +49,9 @@
     /// Something has changed that may let a group start.
     pub(crate) needs_pass: bool,
     pub(crate) last_pass: Duration,
+    /// No pass begins before then.
+    pub(crate) next_pass: Duration,
+    pub(crate) load: Load,
     pub(crate) last_watch: Duration,
     pub(crate) last_supplies: Duration,
     /// Workers' room and open work, as entries are told.
@@ -58,6 +62,8 @@
 
 /// Longest time between two passes while something waits.
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
+/// Least pause after a pass, in multiples of the time that it took.
+const PASS_PAUSE: u32 = 2;
 
 impl Planner {
     /// A planner for a term, which begins by reading the store.
@@ -78,6 +84,8 @@
             proof: None,
             needs_pass: true,
             last_pass: Duration::ZERO,
+            next_pass: Duration::ZERO,
+            load: Load::default(),
             last_watch: Duration::ZERO,
             last_supplies: Duration::ZERO,
             supplies: Vec::new(),
@@ -108,8 +116,21 @@
         &self.workers
     }
 
+    /// What it has had to do so far.
+    pub fn load(&self) -> Load {
+        self.load
+    }
+
     /// Takes an event; returns what is to be done.
     pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
+        self.take(now, event);
+        self.settle(now)
+    }
+
+    /// Takes an event. What follows from it is done by the next [`Planner::settle`], so that
+    /// events that have come together cost one pass.
+    pub fn take(&mut self, now: Moment, event: Event) {
+        self.load.events += 1;
         match event {
             Event::Poll(asker, poll) => self.poll(now, asker, *poll),
             Event::Feed(asker, poll) => self.feed_poll(now, asker, poll),
@@ -123,8 +144,12 @@
             Event::Fresh { revision, at } => self.proof = Some((revision, at)),
             Event::Tick => self.tick(now),
         }
-        self.settle(now);
-        std::mem::take(&mut self.out)
+    }
+
+    /// Notes how long the latest pass took, up to a time. On a processor that is too slow for a
+    /// pass with each event, passes leave time for polls and callers.
+    pub fn pass_took(&mut self, until: Duration, took: Duration) {
+        self.next_pass = until + took * PASS_PAUSE;
     }
 
     fn tick(&mut self, now: Moment) {
@@ -142,16 +167,19 @@
         }
     }
 
-    /// What follows from any event: a pass, writes, and answers that can be given now.
-    fn settle(&mut self, now: Moment) {
-        if self.needs_pass && self.startup.is_serving() {
+    /// Does what follows from the events taken, a pass, writes, and answers that can be given now;
+    /// returns what is to be done.
+    pub fn settle(&mut self, now: Moment) -> Vec<Effect> {
+        if self.needs_pass && self.startup.is_serving() && now.steady >= self.next_pass {
             self.needs_pass = false;
+            self.load.passes += 1;
             self.last_pass = now.steady;
             self.pass(now);
         }
         self.write_progress(now);
         self.answer_polls(now);
         self.answer_feeds(now);
+        std::mem::take(&mut self.out)
     }
 
     pub(crate) fn log(&mut self, text: String) {
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -58,10 +58,10 @@
             return;
         }
         self.intake.start(now.steady, first);
-        self.load(now);
+        self.take_up(now);
     }
 
-    fn load(&mut self, now: Moment) {
+    fn take_up(&mut self, now: Moment) {
         let items = std::mem::take(&mut self.startup.items);
         let mut progress = Vec::new();
         let mut cancelled = Vec::new();
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -3,6 +3,7 @@
 mod harness;
 mod intake;
 mod late;
+mod load;
 mod progress;
 mod reserve;
 mod supply;
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -88,6 +88,7 @@
             }
             Event::Terminate => self.told(cx, Told::Terminate),
             Event::Reload => self.reload(),
+            Event::Settle => {}
         }
     }
 
--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -16,18 +16,13 @@
     pub(super) fn perform(&mut self, now: Moment, mut work: VecDeque<Work>) {
         while let Some(next) = work.pop_front() {
             match next {
-                Work::Front(effect) => self.front_effect(now, effect, &mut work),
+                Work::Front(effect) => self.front_effect(now, effect),
                 Work::Planner(effect) => self.planner_effect(now, effect, &mut work),
             }
         }
     }
 
-    fn front_effect(
-        &mut self,
-        now: Moment,
-        effect: front::effect::Effect,
-        work: &mut VecDeque<Work>,
-    ) {
+    fn front_effect(&mut self, now: Moment, effect: front::effect::Effect) {
         use front::effect::Effect;
         match effect {
             Effect::Answer(caller, answer) => self.answer(now, caller, &answer),
@@ -52,32 +47,21 @@
             }
             Effect::Catalog(catalog) => {
                 self.catalog = catalog.clone();
-                self.tell_planner(now, planner::event::Event::Catalog(catalog), work);
+                self.planner_event(now, planner::event::Event::Catalog(catalog));
             }
             Effect::Fresh { revision, at } => {
-                self.tell_planner(now, planner::event::Event::Fresh { revision, at }, work);
+                self.planner_event(now, planner::event::Event::Fresh { revision, at });
             }
             Effect::Plan(term) => {
                 let options = planner_options(&self.settings);
                 self.planner = Some(Planner::new(options, term, self.catalog.clone(), now));
-                self.tell_planner(now, planner::event::Event::Tick, work);
+                self.planner_event(now, planner::event::Event::Tick);
             }
             Effect::Resign => self.planner = None,
             Effect::Log(text) => self.levels.info("front", &text),
         }
     }
 
-    fn tell_planner(
-        &mut self,
-        now: Moment,
-        event: planner::event::Event,
-        work: &mut VecDeque<Work>,
-    ) {
-        if let Some(planner) = &mut self.planner {
-            work.extend(planner.handle(now, event).into_iter().map(Work::Planner));
-        }
-    }
-
     fn planner_effect(
         &mut self,
         now: Moment,
--- a/crates/sapphired/src/jobs_entry/mod.rs
+++ b/crates/sapphired/src/jobs_entry/mod.rs
@@ -2,6 +2,7 @@
 //! planner's key, the planner, with their I/O.
 
 mod effects;
+mod meter;
 mod store;
 
 use std::{
@@ -20,6 +21,7 @@
 use sapphire_front::{self as front, answer::Answer, machine::Machine, reach::Way};
 use sapphire_jobs::{FeedPoll, Lead, Notice, Poll, Relay, Relayed, catalog::Catalog};
 use sapphire_net::{
+    clock,
     hub::{CallId, CallerId, Event as NetEvent, Failure, Hub, ListenerId},
     message::{Limits, Request, Response},
 };
@@ -104,6 +106,7 @@
     registry: exposition::Registry,
     metrics: StatsdClient,
     ending: Option<Duration>,
+    meter: meter::Meter,
 }
 
 /// An effect of either part that is still to be carried out.
@@ -123,6 +126,7 @@
         let now = reactor::now();
         self.front_event(now, front::event::Event::Tick);
         self.planner_event(now, planner::event::Event::Tick);
+        self.settle();
         if let Some(planner) = &self.planner {
             let effects =
                 self.front.check_outage(now.steady, |since| planner.is_store_reached(since));
@@ -159,6 +163,7 @@
             Event::Net(NetEvent::NotAccepted { kind, .. }) => {
                 self.levels.info("net", &format!("a connection was not accepted: {kind}"));
             }
+            Event::Settle => self.settle(),
             Event::Terminate => self.terminate(now),
             Event::Reload => self.reload(),
         }
@@ -292,8 +297,33 @@
     }
 
     fn planner_event(&mut self, now: Moment, event: planner::event::Event) {
+        if let Some(planner) = &mut self.planner {
+            let began = clock::now();
+            planner.take(now, event);
+            self.meter.event(clock::now().saturating_sub(began));
+        }
+    }
+
+    /// Has the planner do what follows from the events that it was told.
+    fn settle(&mut self) {
+        let now = reactor::now();
         let Some(planner) = &mut self.planner else { return };
-        let effects = planner.handle(now, event);
+        let passes = planner.load().passes;
+        let effects = planner.settle(now);
+        let load = planner.load();
+        let end = clock::now();
+        let took = end.saturating_sub(now.steady);
+        let is_pass = load.passes > passes;
+        if is_pass {
+            planner.pass_took(end, took);
+        }
+        self.meter.turn(took, is_pass);
+        if is_pass {
+            self.time("pass", took);
+        }
+        if let Some(line) = self.meter.line(end, load) {
+            self.levels.info("plan", &line);
+        }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
     }
 
@@ -354,6 +384,7 @@
         metrics: registry.client(),
         registry,
         ending: None,
+        meter: meter::Meter::default(),
     };
     let signals = reactor::Signals::catch()?;
     levels.info("member", &format!("entry={} starts callers={}", settings.name, settings.callers));
--- a/crates/sapphired/src/reactor.rs
+++ b/crates/sapphired/src/reactor.rs
@@ -27,6 +27,8 @@
 pub enum Event {
     /// Something has happened on a socket.
     Net(hub::Event),
+    /// All that has happened so far has been told.
+    Settle,
     /// The process is asked to end.
     Terminate,
     /// The settings may have changed.
@@ -75,11 +77,16 @@
     while stakker.not_shutdown() {
         let wait = stakker.next_wait_max(Instant::now(), MAX_SLEEP, false);
         net.borrow_mut().poll(wait).wrap_err("event loop")?;
+        let mut has_news = false;
         loop {
             let Some(event) = net.borrow_mut().next_event() else { break };
+            has_news = true;
             deliver(actor, Event::Net(event));
             stakker.run(Instant::now(), false);
         }
+        if has_news {
+            deliver(actor, Event::Settle);
+        }
         if signals.terminate.swap(false, Ordering::Relaxed) {
             deliver(actor, Event::Terminate);
         }
