plan: racks are left to urgent work that keeps coming, and room is kept for more groups

Change: work that would be lost if it were stopped leaves whole racks alone, as many as urgent work fills by what has come in the last seconds (mean and one deviation); urgent work, and what saves its progress, goes there first. Room is kept for one waiting group for each ten workers, one at least, and not promised twice.

--- a/crates/plan/src/reserve.rs
+++ b/crates/plan/src/reserve.rs
@@ -1,4 +1,4 @@
-//! Room that is kept for the first group that waits without being urgent.
+//! Room that is kept for the first groups that wait without being urgent.
 //!
 //! The load this answers: a gang that takes a whole worker for each of its tasks, while smaller
 //! tasks keep coming. Whatever comes free goes to one of these at once, so that the gang waits
@@ -10,7 +10,7 @@
 use sapphire_jobs::room::Room;
 
 use crate::{
-    evict,
+    evict, headroom,
     seat::{Ask, Place, Reach},
 };
 
@@ -44,40 +44,51 @@
             evict::Offer { cost, seats: run.seats }
         };
         let ends: Vec<evict::Offer<'_>> = running.iter().map(until_free).collect();
-        let Some(outcome) = evict::choose(places, &ends, ask, reach) else {
+        let open = headroom::open(places, ask);
+        let outcome = evict::choose(open.as_deref().unwrap_or(places), &ends, ask, reach);
+        let Some(outcome) = outcome else {
             return Reservation::default();
         };
         let wait = outcome.victims.iter().map(|at| ends[*at].cost).fold(0.0, f64::max);
         let mut held = BTreeMap::new();
         for seat in &outcome.seats {
             let place = &mut places[seat.place];
-            let left = place.free.minus(ask.room.times(seat.tasks.into()));
+            let kept = ask.room.times(seat.tasks.into());
+            let left = place.free.minus(kept);
             held.insert(seat.place, place.free.minus(left));
+            place.owed = place.owed.plus(kept.minus(place.free));
             place.free = left;
         }
         Reservation { wait: Duration::from_secs_f64(wait), held }
     }
 
-    /// Places as they are for work that takes so long, given those without the room that is kept;
-    /// nothing when they are the same.
-    pub fn open(&self, places: &[Place], time: Duration) -> Option<Vec<Place>> {
-        if self.held.is_empty() || time > self.wait {
-            return None;
-        }
-        let mut places = places.to_vec();
+    /// Time until all of it is expected to be free.
+    pub fn wait(&self) -> Duration {
+        self.wait
+    }
+
+    /// Whether anything that is free is kept from work that takes so long.
+    pub fn is_open(&self, time: Duration) -> bool {
+        time <= self.wait && !self.held.is_empty()
+    }
+
+    /// Puts back what is kept, for work that will have ended in time.
+    pub fn open(&self, places: &mut [Place]) {
         for (at, room) in &self.held {
             places[*at].free = places[*at].free.plus(*room);
         }
-        Some(places)
     }
 
     /// Gives some of the room that is kept to other work.
     ///
     /// Guards against overfilling a worker: what short work takes of the room that is kept must
     /// not be given to the next.
-    pub fn give(&mut self, at: usize, room: Room) {
-        if let Some(held) = self.held.get_mut(&at) {
-            *held = held.minus(room);
-        }
+    ///
+    /// Returns what it can't give.
+    pub fn give(&mut self, at: usize, room: Room) -> Room {
+        let Some(held) = self.held.get_mut(&at) else { return room };
+        let left = room.minus(*held);
+        *held = held.minus(room);
+        left
     }
 }
--- a/crates/plan/tests/decisions/mod.rs
+++ b/crates/plan/tests/decisions/mod.rs
@@ -9,7 +9,8 @@
 };
 use sapphire_jobs::room::Room;
 use sapphire_plan::{
-    admit, clear, estimate, evict, fleet, health, pace, pass, reclaim, seat, wait, waves,
+    admit, clear, estimate, evict, fleet, headroom, health, pace, pass, reclaim, reserve, seat,
+    wait, waves,
 };
 use sapphire_rules::file;
 use sapphire_wire::{Adjacency, Job, Shape, resource};
@@ -432,3 +433,97 @@
     let whole = clear::Candidate { priority: 0, ..candidates[0].clone() };
     assert_eq!(clear::choose(&places[..1], &[whole], urgent, Duration::ZERO, stop), None);
 }
+
+fn place(worker: &str, rack: &str, capacity: u64, free: u64) -> seat::Place {
+    let room = |accelerators| Room { millicores: 1_000, memory_mib: 1_000, accelerators };
+    seat::Place {
+        worker: worker.into(),
+        rack: rack.into(),
+        capacity: room(capacity),
+        free: if free == 0 { Room::default() } else { room(free) },
+        ..seat::Place::default()
+    }
+}
+
+/// Guards against room that is kept for two groups at once: the second would find it taken, and
+/// what comes free elsewhere meanwhile would go to others.
+#[test]
+fn room_is_kept_for_each_of_several_groups_apart() {
+    let whole = Room { millicores: 1_000, memory_mib: 1_000, accelerators: 8 };
+    let mut places = vec![place("w1", "r1", 8, 0), place("w2", "r1", 8, 0)];
+    let seats = [[(0, whole)], [(1, whole)]];
+    let running: Vec<reserve::Running<'_>> = [3, 6]
+        .into_iter()
+        .zip(&seats)
+        .map(|(seconds, seats)| reserve::Running { remaining: Duration::from_secs(seconds), seats })
+        .collect();
+    let ask = seat::Ask { tasks: 1, room: whole, ..seat::Ask::default() };
+    let mut keep = || reserve::Reservation::new(&mut places, &running, &ask, seat::Reach::Far);
+    let (first, second, third) = (keep(), keep(), keep());
+    assert_eq!(first.wait(), Duration::from_secs(3));
+    assert_eq!(second.wait(), Duration::from_secs(6));
+    assert_eq!(third, reserve::Reservation::default(), "nothing is left to keep");
+}
+
+/// A gang that wants one rack is to stop the cheapest work that makes room in one rack, whatever
+/// runs in the others: the racks are searched one by one, and each finds the same as alone.
+#[test]
+fn a_rack_is_searched_as_if_there_were_no_other() {
+    let room = |accelerators| Room { millicores: 0, memory_mib: 0, accelerators };
+    let places: Vec<seat::Place> = (0..6)
+        .map(|at| seat::Place {
+            worker: format!("w{at}").into(),
+            rack: format!("r{}", at / 2).into(),
+            capacity: room(8),
+            ..seat::Place::default()
+        })
+        .collect();
+    let victims: Vec<evict::Victim> = (0..24)
+        .map(|at: usize| evict::Victim {
+            cost: ((at * 7) % 24) as f64,
+            seats: vec![(at % 6, room(2))],
+        })
+        .collect();
+    let ask = seat::Ask { tasks: 2, room: room(6), wants_one_rack: true, ..seat::Ask::default() };
+    let offers: Vec<evict::Offer<'_>> =
+        victims.iter().map(|victim| victim.at_cost(victim.cost)).collect();
+    let all = evict::choose(&places, &offers, &ask, seat::Reach::Near).expect("three racks");
+    let alone = (0..3).map(|rack: usize| {
+        let is_here = |at: usize| at / 2 == rack;
+        let offers: Vec<evict::Offer<'_>> = (victims.iter())
+            .filter(|victim| is_here(victim.seats[0].0))
+            .map(|victim| victim.at_cost(victim.cost))
+            .collect();
+        evict::choose(&places, &offers, &ask, seat::Reach::Near).expect("one rack").cost
+    });
+    let least = alone.fold(f64::MAX, f64::min);
+    assert_eq!(all.cost.to_bits(), least.to_bits());
+    assert_eq!(all.victims.len(), 6);
+}
+
+/// Urgent work that comes at a steady rate needs its mean and a little more; a while after the
+/// last of it, it needs next to nothing. Only whole racks are left to it.
+#[test]
+fn room_for_urgent_work_follows_what_has_come_lately() {
+    let second = Duration::from_secs(1);
+    let mut arrivals = headroom::Arrivals::default();
+    assert_eq!(arrivals.demand(second).to_bits(), 0.0_f64.to_bits());
+    for at in 0..40 {
+        arrivals.note(second * at, 16.0, second * 2);
+    }
+    let demand = arrivals.demand(second * 40);
+    assert!((40.0..60.0).contains(&demand), "two of 16 at a time, and one deviation: {demand}");
+    assert!(arrivals.demand(second * 80) < 10.0);
+    let mut places: Vec<seat::Place> =
+        (0..8).map(|at| place(&format!("w{at}"), &format!("r{}", at / 2), 2, 2)).collect();
+    let marked = |places: &[seat::Place]| places.iter().filter(|it| it.is_for_urgent).count();
+    headroom::mark(&mut places, 33.9);
+    assert_eq!(marked(&places), 0, "a rack is 34 processors");
+    headroom::mark(&mut places, demand);
+    assert_eq!(marked(&places), 2);
+    let long = seat::Ask::default();
+    let open = headroom::open(&places, &long).expect("some are closed");
+    assert_eq!(open.iter().filter(|it| it.free == Room::default()).count(), 2);
+    let urgent = seat::Ask { may_use_urgent: true, ..long };
+    assert!(headroom::open(&places, &urgent).is_none());
+}
--- a/crates/planner/src/board.rs
+++ b/crates/planner/src/board.rs
@@ -11,7 +11,7 @@
     task::{GroupKey, JobId, Task, WorkerName},
 };
 use sapphire_plan::{
-    clear, evict,
+    clear, evict, headroom,
     reserve::Reservation,
     seat::{Ask, Place},
     suspect::Doubt,
@@ -47,7 +47,7 @@
     jobs: Vec<JobId>,
     has_candidates: bool,
     /// Room that is kept for the first group that waits.
-    pub(crate) reservation: Option<Reservation>,
+    pub(crate) reservations: Vec<Reservation>,
 }
 
 impl Board {
@@ -60,13 +60,23 @@
     /// Takes room on a worker, of what is free there and else of what is kept there.
     pub(crate) fn take_room(&mut self, at: usize, room: Room) {
         let place = &mut self.places[at];
-        let of_kept = room.minus(place.free);
+        let mut of_kept = room.minus(place.free);
         place.free = place.free.minus(room);
-        if let Some(reservation) = &mut self.reservation {
-            reservation.give(at, of_kept);
+        for reservation in &mut self.reservations {
+            of_kept = reservation.give(at, of_kept);
         }
     }
 
+    /// Places as they are for work that takes so long, with the room that is kept until later;
+    /// nothing when none is.
+    pub(crate) fn open(&self, time: Duration) -> Option<Vec<Place>> {
+        let mut open = self.reservations.iter().filter(|kept| kept.is_open(time)).peekable();
+        open.peek()?;
+        let mut places = self.places.clone();
+        open.for_each(|kept| kept.open(&mut places));
+        Some(places)
+    }
+
     /// Keeps room for a group that waits for it to be freed.
     pub(crate) fn take_claim(&mut self, claim: &Claim, ask: &Ask) {
         for (name, tasks) in &claim.seats {
@@ -104,8 +114,13 @@
                 owed: Room::default(),
                 capacity: worker.capacity(),
                 doubt,
+                is_for_urgent: false,
             });
         }
+        let arrivals = self.urgent.get(service).filter(|_| self.options.policy.leave_racks);
+        if let Some(arrivals) = arrivals {
+            headroom::mark(&mut places, arrivals.demand(now.steady));
+        }
         Board {
             places,
             index,
@@ -113,7 +128,7 @@
             keys: Vec::new(),
             jobs: Vec::new(),
             has_candidates: false,
-            reservation: None,
+            reservations: Vec::new(),
         }
     }
 
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -12,7 +12,7 @@
     task::{GroupKey, JobId, Task, WorkerName},
 };
 use sapphire_plan::{
-    rank,
+    headroom, rank,
     seat::{self, Ask, Place, Reach},
 };
 
@@ -166,6 +166,7 @@
             per_worker: step.per_worker,
             present,
             avoid: group.avoid.clone(),
+            may_use_urgent: self.terms(entry).priority == 0 || step.checkpoints,
         })
     }
 
@@ -183,7 +184,10 @@
         let is_guaranteed = guaranteed.contains(id);
         let priority = self.terms(entry).priority;
         let reach = self.reach(now, board, entry, key, &ask, is_guaranteed);
-        let places = self.open_places(now, board, entry, key, &ask);
+        let mut places = self.open_places(now, board, entry, key, &ask);
+        if let Some(open) = headroom::open(&places, &ask) {
+            places = Cow::Owned(open);
+        }
         let seats = seat::seat(&places, &ask, reach);
         if let Some(seats) = seats {
             if self.is_still_there(id, key, ask.tasks) {
@@ -243,8 +247,7 @@
             return Cow::Owned(others);
         }
         if self.terms(entry).priority > 0
-            && let Some(reservation) = &board.reservation
-            && let Some(open) = reservation.open(&board.places, self.longest_run(entry, key))
+            && let Some(open) = board.open(self.longest_run(entry, key))
         {
             return Cow::Owned(open);
         }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -14,7 +14,7 @@
 };
 use sapphire_plan::{
     estimate::{self, Estimate},
-    suspect,
+    headroom, suspect,
 };
 
 use crate::{
@@ -42,6 +42,8 @@
     pub(crate) feeds: Feeds,
     pub(crate) estimates: estimate::Estimates,
     pub(crate) suspects: suspect::Suspects,
+    /// Urgent work that has come lately, by service.
+    pub(crate) urgent: BTreeMap<String, headroom::Arrivals>,
     /// Jobs cancelled before they were known.
     pub(crate) early_cancels: BTreeSet<JobId>,
     /// The newest configuration was this one, then.
@@ -80,6 +82,7 @@
             feeds: Feeds::default(),
             estimates: estimate::Estimates::default(),
             suspects: suspect::Suspects::default(),
+            urgent: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
             proof: None,
             needs_pass: true,
--- a/crates/planner/src/reserve.rs
+++ b/crates/planner/src/reserve.rs
@@ -11,6 +11,9 @@
 
 use crate::{board::Board, event::Moment, group::Group, planner::Planner, table::Entry};
 
+/// Room is kept for one group for each so many workers, and for one at least.
+const RESERVED_OF: usize = 10;
+
 impl Planner {
     /// Keeps room for a group that finds none, unless some is kept for another.
     pub(crate) fn reserve(
@@ -23,7 +26,8 @@
     ) {
         // A group that avoids workers waits for others, and its siblings may use those meanwhile.
         let is_off = !self.options.policy.reserve_room || !ask.avoid.is_empty();
-        if is_off || board.reservation.is_some() {
+        let most = (board.places.len() / RESERVED_OF).max(1);
+        if is_off || board.reservations.len() >= most {
             return;
         }
         self.look_up_candidates(now, board, guaranteed);
@@ -34,7 +38,7 @@
             .map(|it| Running { remaining: remaining(it), seats: &it.victim.seats })
             .collect();
         let reservation = Reservation::new(&mut board.places, &running, ask, reach);
-        board.reservation = Some(reservation);
+        board.reservations.push(reservation);
     }
 
     /// The longest time that a group's run may well take.
--- a/crates/planner/src/supply.rs
+++ b/crates/planner/src/supply.rs
@@ -14,14 +14,48 @@
 /// Share of a run's expected time that is left of it, on the average.
 const LEFT: f64 = 0.5;
 
+/// A sum of rooms, or of rooms times seconds, by resource.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Amount {
+    millicores: f64,
+    memory_mib: f64,
+    accelerators: f64,
+}
+
+impl Amount {
+    fn of(room: Room, times: f64) -> Self {
+        Amount {
+            millicores: room.millicores as f64 * times,
+            memory_mib: room.memory_mib as f64 * times,
+            accelerators: room.accelerators as f64 * times,
+        }
+    }
+
+    fn add(&mut self, other: Amount) {
+        self.millicores += other.millicores;
+        self.memory_mib += other.memory_mib;
+        self.accelerators += other.accelerators;
+    }
+
+    /// How many times as much as another amount it is, of the scarcest resource.
+    fn share(&self, of: &Amount) -> f64 {
+        let ratio = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 0.0 };
+        let cores = ratio(self.millicores, of.millicores);
+        let memory = ratio(self.memory_mib, of.memory_mib);
+        cores.max(memory).max(ratio(self.accelerators, of.accelerators))
+    }
+}
+
 /// Sums for one service.
 #[derive(Default)]
 struct Sums {
     largest: Room,
-    /// Room of all workers, in processors.
-    capacity: f64,
-    /// Open work in processor seconds, by priority.
-    work: BTreeMap<u32, f64>,
+    /// Room of all workers.
+    capacity: Amount,
+    /// Room of tasks that last.
+    lasting: Amount,
+    /// Open work by priority: room times seconds.
+    work: BTreeMap<u32, Amount>,
 }
 
 impl Planner {
@@ -39,13 +73,15 @@
             let sum = sums.entry(&minion.service).or_default();
             let room = worker.capacity();
             sum.largest = sum.largest.most(room);
-            sum.capacity += if minion.is_draining { 0.0 } else { room.weight() };
+            if !minion.is_draining {
+                sum.capacity.add(Amount::of(room, 1.0));
+            }
         }
         for entry in self.table.open.iter().filter_map(|id| self.table.entries.get(id)) {
             if let Some(sum) = sums.get_mut(self.service(entry)) {
                 let (lasting, work) = self.open_work(entry);
-                sum.capacity -= lasting;
-                *sum.work.entry(self.terms(entry).priority).or_default() += work;
+                sum.lasting.add(lasting);
+                sum.work.entry(self.terms(entry).priority).or_default().add(work);
             }
         }
         self.supplies = sums.into_iter().filter_map(|(name, sum)| sum.supply(name)).collect();
@@ -79,20 +115,19 @@
         }
     }
 
-    /// Room of a job's tasks that last, in processors, and its other work that is not done, in
-    /// processor seconds.
-    fn open_work(&self, entry: &Entry) -> (f64, f64) {
-        let (mut lasting, mut work) = (0.0, 0.0);
+    /// Room of a job's tasks that last, and its other work that is not done.
+    fn open_work(&self, entry: &Entry) -> (Amount, Amount) {
+        let (mut lasting, mut work) = (Amount::default(), Amount::default());
         for (key, group) in &entry.groups {
             let Some(step) = entry.step(key.step) else { continue };
-            let tasks = if step.is_gang { step.tasks } else { 1 };
-            let weight = Room::read(step.room.as_ref()).weight() * f64::from(tasks);
+            let tasks = f64::from(if step.is_gang { step.tasks } else { 1 });
+            let room = Room::read(step.room.as_ref());
             let time = self.expect(entry, key.step).as_secs_f64();
             match group.phase {
                 Phase::Done | Phase::Failed => {}
-                _ if step.is_long_running => lasting += weight,
-                Phase::Waiting => work += weight * time,
-                Phase::Active(_) => work += weight * time * LEFT,
+                _ if step.is_long_running => lasting.add(Amount::of(room, tasks)),
+                Phase::Waiting => work.add(Amount::of(room, tasks * time)),
+                Phase::Active(_) => work.add(Amount::of(room, tasks * time * LEFT)),
             }
         }
         (lasting, work)
@@ -101,13 +136,14 @@
 
 impl Sums {
     fn supply(self, service: &str) -> Option<Supply> {
-        if self.capacity <= 0.0 {
+        let left = 1.0 - self.lasting.share(&self.capacity);
+        if self.largest == Room::default() || left <= 0.0 {
             return None;
         }
-        let mut sum = 0.0;
+        let mut sum = Amount::default();
         let backlogs = self.work.iter().map(|(priority, work)| {
-            sum += work;
-            let drain = Duration::from_secs_f64(sum / self.capacity);
+            sum.add(*work);
+            let drain = Duration::from_secs_f64(sum.share(&self.capacity) / left);
             let drain_ms = u64::try_from(drain.as_millis()).unwrap_or(u64::MAX);
             Backlog { priority: *priority, drain_ms }
         });
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner, told event by event.
 
 mod harness;
+mod headroom;
 mod intake;
 mod late;
 mod load;
--- a/crates/proofs/examples/policy_jobs.rs
+++ b/crates/proofs/examples/policy_jobs.rs
@@ -53,6 +53,8 @@
 
 const LENGTH: Duration = Duration::from_secs(34);
 const FINISH: Duration = Duration::from_secs(60);
+/// How often callers come again with a job that was not taken in.
+const RETRIES: u32 = 4;
 const THREADS: u64 = 5;
 /// What each thrown-away processor second takes from a day's worth; worth is 0 to 1.
 const WASTE_PRICE: f64 = 2.1e-5;
@@ -90,6 +92,7 @@
     let options =
         world::Options { site, arrivals: arrivals.clone(), seed, policy, speeds: day.speeds };
     let mut world = world::World::new(options);
+    world.retries = RETRIES;
     world.run_until(FINISH);
     if story {
         for line in &world.log {
--- a/crates/proofs/src/jobs/world/callers.rs
+++ b/crates/proofs/src/jobs/world/callers.rs
@@ -36,6 +36,14 @@
         if self.accepted.contains_key(&job.id) {
             return;
         }
+        let refusal = self.refusals.get(&index).copied().unwrap_or_default();
+        if refusal.count > self.retries {
+            return;
+        }
+        if self.now < refusal.until {
+            self.at(refusal.until, Action::Submit(index));
+            return;
+        }
         let handin = answer::Handin { spec: job.spec, steps: job.steps, schedule: job.schedule };
         self.request(index, answer::Action::Submit(Ok(handin)));
         // Callers ask again when there is no answer.
@@ -73,8 +81,11 @@
             answer::Answer::Cancelled => {
                 self.cancelled.entry(id).or_insert(self.now);
             }
-            answer::Answer::NotDone { .. } => {
+            answer::Answer::NotDone { after, .. } => {
                 self.refused.insert(id);
+                let refusal = self.refusals.entry(index).or_default();
+                refusal.count += 1;
+                refusal.until = self.now + *after;
             }
             answer::Answer::NoJob if self.accepted.contains_key(&id) => {
                 self.broken.push(format!("{id} was accepted and is said not to exist"));
--- a/crates/proofs/src/jobs/world/mod.rs
+++ b/crates/proofs/src/jobs/world/mod.rs
@@ -143,6 +143,14 @@
     starts: Vec<String>,
 }
 
+/// How often a caller was told that its job was not taken in.
+#[derive(Clone, Copy, Debug, Default)]
+struct Refusal {
+    count: u32,
+    /// When it may come again.
+    until: Duration,
+}
+
 /// The world.
 pub struct World {
     now: Duration,
@@ -162,6 +170,7 @@
     shown: BTreeMap<(String, i32), Duration>,
     accepted: BTreeMap<String, Duration>,
     refused: BTreeSet<String>,
+    refusals: BTreeMap<usize, Refusal>,
     cancelled: BTreeMap<String, Duration>,
     started: BTreeMap<String, Duration>,
     done: BTreeMap<Task, Vec<Done>>,
@@ -173,6 +182,8 @@
     pub late_orders: f64,
     /// Share of orders that minions refuse because they are unhealthy, without doing anything.
     pub refused_orders: f64,
+    /// How often a caller comes again with a job that was not taken in.
+    pub retries: u32,
     lost_waste: f64,
     policy: Policy,
     /// Reads of the whole configuration.
@@ -220,6 +231,8 @@
             shown: BTreeMap::new(),
             accepted: BTreeMap::new(),
             refused: BTreeSet::new(),
+            refusals: BTreeMap::new(),
+            retries: u32::MAX,
             cancelled: BTreeMap::new(),
             started: BTreeMap::new(),
             done: BTreeMap::new(),
