planner: a job's age is counted by the steady clock

Cause: a job's age was the planner's time of day less that of the entry that took it in. Change: a job that an entry tells of in this term was handed in when it is told; the record's time counts only for jobs of earlier terms and for those found in the store. Half of the room is left to urgent work at most, so that the rest goes on. Seen failing first: a_clock_that_is_far_behind_makes_no_job_late.

--- a/crates/plan/src/headroom.rs
+++ b/crates/plan/src/headroom.rs
@@ -14,6 +14,10 @@
 /// Time constant with which earlier arrivals count less.
 const MEMORY: Duration = Duration::from_secs(8);
 
+/// Most of the room that is left to urgent work. What else waits is to go on, however much of
+/// that comes.
+const MOST: f64 = 0.5;
+
 /// Work that has come lately.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Arrivals {
@@ -60,7 +64,8 @@
     for place in places.iter() {
         *racks.entry(place.rack.clone()).or_default() += place.capacity.weight();
     }
-    let mut left = demand;
+    let all: f64 = racks.values().sum();
+    let mut left = demand.min(all * MOST);
     racks.retain(|_, capacity| {
         left -= *capacity;
         left >= 0.0
--- a/crates/plan/tests/decisions/mod.rs
+++ b/crates/plan/tests/decisions/mod.rs
@@ -521,7 +521,10 @@
     assert_eq!(marked(&places), 0, "a rack is 34 processors");
     headroom::mark(&mut places, demand);
     assert_eq!(marked(&places), 2);
+    headroom::mark(&mut places, 1_000.0);
+    assert_eq!(marked(&places), 4, "half of the room at most, so that other work goes on");
     let long = seat::Ask::default();
+    headroom::mark(&mut places, demand);
     let open = headroom::open(&places, &long).expect("some are closed");
     assert_eq!(open.iter().filter(|it| it.free == Room::default()).count(), 2);
     let urgent = seat::Ask { may_use_urgent: true, ..long };
--- a/crates/planner/src/accept.rs
+++ b/crates/planner/src/accept.rs
@@ -7,11 +7,19 @@
 use crate::{event::Moment, planner::Planner, table::Entry, worker::Cause};
 
 impl Planner {
+    /// Takes a job from an entry, which tells of what it writes at once, or again to the next
+    /// planner.
+    pub(crate) fn told(&mut self, now: Moment, job: Job) {
+        let is_new = job.term == self.term;
+        let handed_in = if is_new { now.steady } else { handed_in(now, &job) };
+        self.accept(now, job, handed_in);
+    }
+
     /// Takes a job from its record, written by an entry in this term or an earlier one.
-    pub(crate) fn accept(&mut self, now: Moment, job: Job) {
+    pub(crate) fn accept(&mut self, now: Moment, job: Job, handed_in: Duration) {
         let id = job.id.clone();
         let is_inherited = job.term < self.term;
-        let mut entry = Entry::new(Arc::new(job), is_inherited);
+        let mut entry = Entry::new(Arc::new(job), is_inherited, handed_in);
         entry.materialise(now);
         if !self.table.insert(entry) {
             return;
@@ -77,6 +85,15 @@
     }
 }
 
+/// When a job was handed in by its record, as a time of the steady clock.
+///
+/// Clocks of day differ between machines and may jump, so this is for jobs of which it is not known
+/// otherwise.
+pub(crate) fn handed_in(now: Moment, job: &Job) -> Duration {
+    let age = now.unix.saturating_sub(Duration::from_millis(job.accepted_ms));
+    now.steady.saturating_sub(age)
+}
+
 /// A step in one word: tasks, room of each, declared time and what it asks for.
 fn describe(step: &Step) -> String {
     let room = Room::read(step.room.as_ref());
--- a/crates/planner/src/intake.rs
+++ b/crates/planner/src/intake.rs
@@ -7,6 +7,7 @@
 use sapphire_store::call::{Call, Item, Reply, Revision};
 
 use crate::{
+    accept,
     effect::Effect,
     event::{Moment, Operation},
     keys::{self, Key},
@@ -22,7 +23,7 @@
             return;
         }
         for job in notice.jobs {
-            self.accept(now, job);
+            self.told(now, job);
         }
         for id in notice.cancelled {
             self.cancel(now, &id);
@@ -77,7 +78,8 @@
                     match Job::decode(&value[..]) {
                         Ok(job) => {
                             self.log(format!("job={id} found in the store; no entry told of it"));
-                            self.accept(now, job);
+                            let handed_in = accept::handed_in(now, &job);
+                            self.accept(now, job, handed_in);
                         }
                         Err(error) => {
                             self.log(format!("job={id} in the store can't be read: {error}"));
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -229,7 +229,7 @@
 
     /// Time since a job's acceptance.
     pub(crate) fn age(entry: &Entry, now: Moment) -> Duration {
-        now.unix.saturating_sub(Duration::from_millis(entry.job.accepted_ms))
+        now.steady.saturating_sub(entry.handed_in)
     }
 
     /// Materialises occurrences that have become due.
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -9,6 +9,7 @@
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
 use crate::{
+    accept,
     effect::Effect,
     event::{Moment, Operation},
     keys::{self, Key},
@@ -68,7 +69,7 @@
         for item in &items {
             let Some(value) = &item.value else { continue };
             match keys::read(&item.key) {
-                Key::Job(id) => self.load_job(id, value),
+                Key::Job(id) => self.load_job(now, id, value),
                 Key::Progress(id) => progress.push((id, value, item.revision)),
                 Key::Cancel(id) => cancelled.push(id),
                 Key::Fleet => self.load_fleet(value, item.revision),
@@ -118,10 +119,11 @@
         }
     }
 
-    fn load_job(&mut self, id: &str, value: &Bytes) {
+    fn load_job(&mut self, now: Moment, id: &str, value: &Bytes) {
         match Job::decode(&value[..]) {
             Ok(job) => {
-                self.table.insert(Entry::new(Arc::new(job), true));
+                let handed_in = accept::handed_in(now, &job);
+                self.table.insert(Entry::new(Arc::new(job), true, handed_in));
             }
             Err(error) => self.log(format!("job={id} in the store can't be read: {error}")),
         }
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -70,6 +70,8 @@
     pub version: u64,
     /// An earlier planner may have started it.
     pub is_inherited: bool,
+    /// When it was handed in, by this planner's steady clock.
+    pub handed_in: Duration,
     /// When it came to its end, by this planner's clock.
     pub ended: Option<Duration>,
     /// Tasks of each step that its service's workers hold together; 0 while that isn't known.
@@ -80,9 +82,10 @@
 
 impl Entry {
     /// A job of which nothing is known but its record.
-    pub fn new(job: Record, is_inherited: bool) -> Self {
+    pub fn new(job: Record, is_inherited: bool, handed_in: Duration) -> Self {
         Entry {
             job,
+            handed_in,
             groups: BTreeMap::new(),
             occurrences: 0,
             state: State::Queued,
--- a/crates/planner/tests/urgent/mod.rs
+++ b/crates/planner/tests/urgent/mod.rs
@@ -131,3 +131,19 @@
     assert!(!bench.placed("wide").is_empty(), "it has begun");
     assert_eq!(minions.stopped, 8, "one worker is enough for six waves");
 }
+
+/// Guards against an urgent job that nothing makes room for, since the clock of the entry that took
+/// it in is far behind the planner's: it seemed to have come long ago, and to be of no use any more.
+#[test]
+fn a_clock_that_is_far_behind_makes_no_job_late() {
+    const BEHIND: u64 = 40_000;
+    let names = ["w1", "w2"];
+    let (mut bench, mut minions) = full(&names);
+    let accepted_ms = bench.now - BEHIND;
+    let jobs = vec![Job { accepted_ms, ..urgent("urgent", 32) }];
+    bench.tell(Event::Notice(Notice { jobs, ..Notice::default() }));
+    for _ in 0..40 {
+        minions.answer_all(&mut bench, &names);
+    }
+    assert_ne!(bench.placed("urgent"), "", "room was made for it");
+}
