--- a/crates/proofs/examples/policy_jobs.rs
+++ b/crates/proofs/examples/policy_jobs.rs
@@ -20,9 +20,9 @@
     /// seeds
     #[argh(option, default = "40")]
     seeds: u64,
-    /// load against the sites' usual
-    #[argh(option, default = "1.0")]
-    scale: f64,
+    /// load against the sites' usual; may be given more than once
+    #[argh(option)]
+    scale: Vec<f64>,
     /// logarithm of the factor by which declared times are off; may be given more than once;
     /// without it they are as usual at each site
     #[argh(option)]
@@ -135,12 +135,14 @@
     let square = mean(&|it: &Figures| (worth(it) - whole).powi(2));
     let error = day.error.map_or("usual".to_owned(), |error| format!("{error:.1}"));
     println!(
-        "{:15} {:18} error {error:5} speeds {:.1} worth {whole:.4} +- {:.4} mean {:.3} windows {:.3} kinds {:.3} {:.3} {:.3} waste {:.0}",
+        "{:15} {:18} load {:.1} error {error:5} speeds {:.1} worth {whole:.4} +- {:.4} mean {:.3} earned {:.3} windows {:.3} kinds {:.3} {:.3} {:.3} waste {:.0}",
         site.name,
         setting.name(),
+        day.scale,
         day.speeds,
         (square / count).sqrt(),
         mean(&|it| it.mean),
+        mean(&|it| it.mean) * day.scale,
         mean(&|it| it.windows),
         mean(&|it| it.kinds[0]),
         mean(&|it| it.kinds[1]),
@@ -178,16 +180,20 @@
         true => vec![None],
         false => args.error.iter().copied().map(Some).collect(),
     };
+    let scales = if args.scale.is_empty() { vec![1.0] } else { args.scale.clone() };
     let speeds = if args.speeds.is_empty() { vec![1.0] } else { args.speeds.clone() };
     let settings = settings(&args);
     let wanted = |site: &&&Site| args.site.as_ref().is_none_or(|name| name == site.name);
-    for site in sites.iter().filter(wanted) {
+    let mut days = Vec::new();
+    for scale in scales {
         for error in &errors {
-            for speeds in &speeds {
-                let day = Day { scale: args.scale, error: *error, speeds: *speeds };
-                for setting in &settings {
-                    show(site, day, setting, &play_all(&args, site, day, setting));
-                }
+            days.extend(speeds.iter().map(|speeds| Day { scale, error: *error, speeds: *speeds }));
+        }
+    }
+    for site in sites.iter().filter(wanted) {
+        for day in &days {
+            for setting in &settings {
+                show(site, *day, setting, &play_all(&args, site, *day, setting));
             }
         }
     }
--- a/crates/proofs/src/jobs/world/faults.rs
+++ b/crates/proofs/src/jobs/world/faults.rs
@@ -7,7 +7,7 @@
 use sapphire_runner as runner;
 
 use super::{Action, HOLD, LOCAL, World, settings::runner_options};
-use crate::jobs::minion::Minion;
+use crate::jobs::{load::Site, minion::Minion};
 
 /// Time between the end of a minion that leaves and the start of the next one.
 const AWAY: Duration = Duration::from_secs(2);
@@ -102,6 +102,14 @@
         self.note(&format!("m{agent} crashes"));
     }
 
+    /// Adds an empty worker; returns its number.
+    pub fn join(&mut self, site: &Site, region: usize) -> usize {
+        let agent = self.agents.len();
+        self.add_worker(site, region, agent, Duration::ZERO);
+        self.note(&format!("m{agent} joins"));
+        agent
+    }
+
     /// Tells a minion to drain: it says so at once and with every beat, leaves after a while, and
     /// another one with a name of its own starts in its place.
     pub fn drain_minion(&mut self, agent: usize, leaves_after: Duration) {
--- a/crates/proofs/src/jobs/world/mod.rs
+++ b/crates/proofs/src/jobs/world/mod.rs
@@ -251,7 +251,8 @@
         }
         for (region, count) in options.site.workers.iter().enumerate() {
             for index in 0..*count {
-                world.add_worker(options.site, region, index);
+                let beat = Duration::from_millis(100 * world.agents.len() as u64);
+                world.add_worker(options.site, region, index, beat);
             }
         }
         world.draw_speeds(options.speeds);
@@ -311,7 +312,7 @@
         }
     }
 
-    fn add_worker(&mut self, site: &Site, region: usize, index: usize) {
+    fn add_worker(&mut self, site: &Site, region: usize, index: usize, beat: Duration) {
         let number = self.agents.len();
         let incarnation = Incarnation {
             id: format!("m{number}"),
@@ -333,7 +334,6 @@
             frozen_until: Duration::ZERO,
         });
         self.after(Duration::from_millis(number as u64), Action::AgentTick(number, 1));
-        let beat = Duration::from_millis(100 * number as u64);
         self.after(beat, Action::Beat(number));
     }
 
--- /dev/null
+++ b/crates/proofs/tests/overload/mod.rs
@@ -0,0 +1,64 @@
+//! Days with more work than the workers can do, in virtual time.
+
+use std::time::Duration;
+
+use sapphire_plan::policy::Policy;
+use sapphire_proofs::jobs::{
+    figures,
+    load::{self, Arrival, Site},
+    sites,
+    world::{Options, World},
+};
+
+use crate::jobs::secs;
+
+const LENGTH: Duration = Duration::from_secs(20);
+
+fn world(site: &'static Site, seed: u64, scale: f64) -> (World, Vec<Arrival>) {
+    let arrivals = load::draw(site, seed, LENGTH, scale);
+    let policy = Policy::default();
+    let options = Options { site, arrivals: arrivals.clone(), seed, policy, speeds: 1.0 };
+    let mut world = World::new(options);
+    world.retries = 4;
+    (world, arrivals)
+}
+
+/// What callers have earned of a day, against what they would of a day of the usual load that is
+/// served whole, and the runs that were done and stopped.
+fn play(seed: u64, scale: f64) -> (f64, usize, usize) {
+    let (mut world, arrivals) = world(&sites::ATLANTICA_GROWN, seed, scale);
+    world.run_until(secs(80.0));
+    assert_eq!(world.broken, Vec::<String>::new(), "seed {seed} load {scale}");
+    let count = |what: &str| world.log.iter().filter(|line| line.contains(what)).count();
+    let figures = figures::figures(&sites::ATLANTICA_GROWN, &arrivals, &world);
+    (figures.mean * scale, count(" ended=DONE"), count(" ended=STOPPED"))
+}
+
+/// Guards against a fleet that serves less the more it is asked for, or that stops what it starts.
+#[test]
+fn what_callers_earn_does_not_fall_as_load_grows() {
+    let mut before = 0.0;
+    for scale in [1.0, 2.0, 3.0, 4.0] {
+        let days: Vec<(f64, usize, usize)> = (1..=3).map(|seed| play(seed, scale)).collect();
+        let earned = days.iter().map(|(earned, ..)| earned).sum::<f64>() / days.len() as f64;
+        let done: usize = days.iter().map(|(_, done, _)| done).sum();
+        let stopped: usize = days.iter().map(|(.., stopped)| stopped).sum();
+        assert!(earned >= before, "earned {earned:.3} at load {scale}, {before:.3} at less");
+        assert!(3 * stopped <= done, "{stopped} runs stopped, {done} done at load {scale}");
+        before = earned;
+    }
+}
+
+/// Guards against workers that stand idle after they have joined while jobs wait.
+#[test]
+fn new_workers_receive_work_within_a_second() {
+    let site = &sites::ATLANTICA;
+    let (mut world, _) = world(site, 3, 3.0);
+    world.run_until(secs(10.0));
+    let joined: Vec<usize> = (0..3).map(|region| world.join(site, region)).collect();
+    world.run_until(secs(11.0));
+    for agent in joined {
+        assert!(!world.running(agent).is_empty(), "m{agent} stands idle");
+    }
+    assert_eq!(world.broken, Vec::<String>::new());
+}
--- a/crates/proofs/tests/proofs.rs
+++ b/crates/proofs/tests/proofs.rs
@@ -2,6 +2,7 @@
 
 mod jobs;
 mod late;
+mod overload;
 mod promises;
 mod runs;
 mod stories;
