--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -6,7 +6,7 @@
 use sapphire_net::message::Response;
 use sapphire_planner::{self as planner, event::Moment, planner::Planner};
 
-use super::{Origin, Pending, Role, Work, planner_options};
+use super::{Origin, Pending, Role, Work, options};
 use crate::inner;
 
 /// Time for short calls between processes.
@@ -53,7 +53,7 @@
                 self.planner_event(now, planner::event::Event::Fresh { revision, at });
             }
             Effect::Plan(term) => {
-                let options = planner_options(&self.settings);
+                let options = options::planner(&self.settings);
                 self.planner = Some(Planner::new(options, term, self.catalog.clone(), now));
                 self.planner_event(now, planner::event::Event::Tick);
             }
--- /dev/null
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -0,0 +1,87 @@
+//! Options of the entry's parts, from its settings.
+
+use std::time::Duration;
+
+use sapphire_front as front;
+use sapphire_net::message::Limits;
+use sapphire_plan::policy::Policy;
+use sapphire_planner::{self as planner, event::Moment};
+use sapphire_platform as platform;
+use sapphire_settings::JobEntry;
+
+/// Share of the platform's longest lease that minions are given. A longer lease loses less work
+/// to a short cut, a shorter one frees a lost minion's tasks sooner.
+const LEASE_SHARE: f64 = 0.6;
+/// Longest lease that minions are given.
+const MAX_LEASE: Duration = Duration::from_secs(6);
+/// How much slower than true time a minion's clock may be, in parts of a thousand.
+const CLOCK_DRIFT_MILLI: u32 = 20;
+
+/// Bounds of what callers may send. Clients that stall give way to others.
+pub(super) fn callers() -> Limits {
+    Limits {
+        connections: 1_024,
+        head_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        request_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    }
+}
+
+pub(super) fn front(settings: &JobEntry, started: Moment) -> front::options::Options {
+    let bounds = settings.bounds.unwrap_or_default();
+    let generation = u64::try_from(started.unix.as_micros()).unwrap_or(u64::MAX);
+    let seed =
+        settings.name.bytes().fold(generation, |sum, byte| sum * 31 % 65_521 + u64::from(byte));
+    front::options::Options {
+        name: settings.name.clone(),
+        address: settings.address.clone(),
+        generation,
+        entries: settings.entries.clone(),
+        catalog_key: platform::store::CONFIGURATION.to_owned(),
+        read_catalog: platform::config::read,
+        revocation: Duration::from_millis(bounds.revocation_ms),
+        lead_lease: Duration::from_millis(bounds.store_lease_ms).max(LEAD_LEASE),
+        seed,
+    }
+}
+
+/// Lease of the planner's key. A planner that is lost costs about this time of placement; a
+/// store that is slow must not make a planner lose its key.
+const LEAD_LEASE: Duration = Duration::from_millis(1_300);
+
+pub(super) fn planner(settings: &JobEntry) -> planner::options::Options {
+    let bounds = settings.bounds.unwrap_or_default();
+    let millis = Duration::from_millis;
+    planner::options::Options {
+        name: settings.name.clone(),
+        lease: millis(bounds.lease_limit_ms).mul_f64(LEASE_SHARE).min(MAX_LEASE),
+        clock_drift_milli: CLOCK_DRIFT_MILLI,
+        stop: millis(bounds.stop_ms),
+        status: millis(bounds.status_ms),
+        reclaim: millis(bounds.reclaim_ms),
+        remote_factor: bounds.remote_factor,
+        policy: settings.policy.map_or_else(Policy::default, policy),
+    }
+}
+
+fn policy(settings: sapphire_settings::Policy) -> Policy {
+    Policy {
+        learn_times: settings.learn_times,
+        learn_siblings: settings.learn_siblings,
+        keep_checkpoints: settings.keep_checkpoints,
+        keep_times: settings.keep_times,
+        reserve_room: settings.reserve_room,
+        count_waves: settings.count_waves,
+        limit_urgent: settings.limit_urgent,
+        weigh_waits: settings.weigh_waits,
+        weigh_lateness: settings.weigh_lateness,
+        spare_workers: settings.spare_workers,
+        leave_racks: settings.leave_racks,
+        wait_for_rack: settings.wait_for_rack,
+        prefer_pressing: settings.prefer_pressing,
+        move_slow: settings.move_slow,
+        move_still: settings.move_still,
+        doubt_workers: settings.doubt_workers,
+    }
+}
