runner: a new life of a minion is barred at once from what was ordered before

Cause: an order that got no answer may be carried out seconds later, by the minion's next life under the same name, as long as that has seen no token. The agent left it without one until a planner had begun a session, which takes seconds while none can be reached. Change: as soon as it knows of the new life the agent has it acknowledge a token one above that of the sessions before; the next session's token is that one or higher.

--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -14,10 +14,11 @@
 
 impl Machine {
     pub(crate) fn drive_holds(&mut self, now: Duration) {
-        let Some(minion) = &self.minion else { return };
         if self.session.token == 0 {
+            self.drive_bar(now);
             return;
         }
+        let Some(minion) = &self.minion else { return };
         let is_listing = minion.ended.keys().any(|number| *number > self.session.noted);
         let is_paused = now < minion.listed + options::LISTED_PAUSE;
         self.wants_list |= !is_paused && self.awaits_list(now);
@@ -31,6 +32,37 @@
         }
     }
 
+    /// Has a new life of the minion acknowledge a token above that of the sessions before.
+    ///
+    /// Guards against an order for the life before that is carried out late by this one, which has
+    /// seen no token yet: while no planner can be reached, that may go on for seconds. The next
+    /// session's token is this one or a higher one.
+    fn drive_bar(&mut self, now: Duration) {
+        let is_needed = self.minion.as_ref().is_some_and(|minion| !minion.is_barred);
+        if !is_needed || self.session.highest == 0 || self.bar.is_some() || now < self.next_hold {
+            return;
+        }
+        let token = self.session.highest + 1;
+        let call = Call::Hold { deadline: None, token, noted: 0, wait: Duration::ZERO };
+        self.bar = self.call(call, options::MINION_TIMEOUT);
+    }
+
+    fn barred(&mut self, now: Duration, reply: &Reply) {
+        self.bar = None;
+        self.next_hold = now + options::LISTED_PAUSE;
+        match reply {
+            Reply::Listed { born_ms, .. } if self.is_other_life(*born_ms) => {
+                self.reborn(now, *born_ms);
+            }
+            Reply::Listed { .. } | Reply::Refused(_) => {
+                if let Some(minion) = &mut self.minion {
+                    minion.is_barred = true;
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn hold(&mut self, now: Duration, wait: Duration) -> Option<Hold> {
         let token = self.session.token;
         let call =
@@ -87,6 +119,10 @@
             return;
         }
         self.note_presence(now, &reply);
+        if self.bar == Some(ticket) {
+            self.barred(now, &reply);
+            return;
+        }
         let hold = [&mut self.waiting_hold, &mut self.quick_hold]
             .into_iter()
             .find_map(|hold| hold.take_if(|hold| hold.ticket == ticket));
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -36,6 +36,8 @@
     pub(crate) lists: u64,
     /// Highest token that it has acknowledged to this process.
     pub(crate) fenced: u64,
+    /// It refuses what was ordered in sessions before its life.
+    pub(crate) is_barred: bool,
     /// First ticket of a call that was meant for this life.
     pub(crate) first_ticket: Ticket,
 }
@@ -101,6 +103,8 @@
     pub(crate) has_news: bool,
     pub(crate) waiting_hold: Option<Hold>,
     pub(crate) quick_hold: Option<Hold>,
+    /// The hold that bars what earlier sessions ordered, before there is a session.
+    pub(crate) bar: Option<Ticket>,
     /// A list is wanted at once.
     pub(crate) wants_list: bool,
     pub(crate) next_hold: Duration,
@@ -141,6 +145,7 @@
             has_news: false,
             waiting_hold: None,
             quick_hold: None,
+            bar: None,
             wants_list: false,
             next_hold: Duration::ZERO,
             unanswered_holds: 0,
@@ -258,9 +263,11 @@
             listed_at: now,
             lists: 0,
             fenced: 0,
+            is_barred: false,
             first_ticket: self.last_ticket + 1,
         });
         self.wants_list = true;
+        self.next_hold = now;
     }
 
     pub(crate) fn forget_minion(&mut self) {
@@ -273,6 +280,7 @@
         self.session.noted = 0;
         self.waiting_hold = None;
         self.quick_hold = None;
+        self.bar = None;
         self.has_news = true;
     }
 
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -214,3 +214,24 @@
     let (_, poll) = bench.polls.last().expect("it reports");
     assert_eq!(poll.incarnation.as_ref().map(|incarnation| incarnation.born_ms), Some(2));
 }
+
+/// Guards against an order for a minion's earlier life that its next one carries out late: until a
+/// planner has begun a session with it, it has seen no token.
+#[test]
+fn a_new_life_refuses_earlier_orders_before_a_planner_is_reached() {
+    let mut bench = Bench::fenced();
+    bench.calls.clear();
+    bench.beat(1_000, 2, 1, false);
+    bench.tell(1_050, Event::Tick);
+    let is_bar = |call: &Call| matches!(call, Call::Hold { token, .. } if *token > TOKEN);
+    let bar = bench.take(is_bar);
+    // Without an answer it is asked again, and once it has answered no more.
+    bench.tell(1_400, Event::Minion(bar, Reply::Unknown));
+    bench.tell(2_000, Event::Tick);
+    let bar = bench.take(is_bar);
+    let listed =
+        Reply::Listed { born_ms: 2, clock: ms(9), running: vec![], ended: vec![], unreadable: 0 };
+    bench.tell(2_050, Event::Minion(bar, listed));
+    bench.tell(3_000, Event::Tick);
+    assert!(!bench.calls.iter().any(|(_, call)| is_bar(call)));
+}
