plan: no racks are left to urgent work; planner: entries are listed when there is news

Cause: with racks left to urgent work three tests of the virtual world failed that had held (everything_restarts_at_once, slow_workers_are_told_by_their_speed, late_orders_to_minions_that_start_again_break_no_promise): the whole suite had not been run since that change. Change: it is taken out with its switch and its own tests; room kept for more groups stays. Change: the list is told when it has changed, and every five seconds.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod estimate;
 pub mod evict;
 pub mod fleet;
-pub mod headroom;
 pub mod health;
 pub mod pace;
 pub mod pass;
--- a/crates/plan/src/policy.rs
+++ b/crates/plan/src/policy.rs
@@ -23,8 +23,6 @@
     pub weigh_lateness: bool,
     /// Some workers are left to work that loses nothing when it is stopped.
     pub spare_workers: bool,
-    /// Some racks are left to urgent work that is likely to come.
-    pub leave_racks: bool,
     /// Work waits for a while for a place near its data, or on one rack.
     pub wait_for_rack: bool,
     /// Work of low priority that would soon be late competes with that above.
@@ -51,7 +49,6 @@
             "weigh_waits" => &mut self.weigh_waits,
             "weigh_lateness" => &mut self.weigh_lateness,
             "spare_workers" => &mut self.spare_workers,
-            "leave_racks" => &mut self.leave_racks,
             "wait_for_rack" => &mut self.wait_for_rack,
             "prefer_pressing" => &mut self.prefer_pressing,
             "move_slow" => &mut self.move_slow,
@@ -77,7 +74,6 @@
             weigh_waits: true,
             weigh_lateness: true,
             spare_workers: true,
-            leave_racks: true,
             wait_for_rack: true,
             prefer_pressing: true,
             move_slow: true,
--- a/crates/plan/src/reserve.rs
+++ b/crates/plan/src/reserve.rs
@@ -10,7 +10,7 @@
 use sapphire_jobs::room::Room;
 
 use crate::{
-    evict, headroom,
+    evict,
     seat::{Ask, Place, Reach},
 };
 
@@ -44,9 +44,7 @@
             evict::Offer { cost, seats: run.seats }
         };
         let ends: Vec<evict::Offer<'_>> = running.iter().map(until_free).collect();
-        let open = headroom::open(places, ask);
-        let outcome = evict::choose(open.as_deref().unwrap_or(places), &ends, ask, reach);
-        let Some(outcome) = outcome else {
+        let Some(outcome) = evict::choose(places, &ends, ask, reach) else {
             return Reservation::default();
         };
         let wait = outcome.victims.iter().map(|at| ends[*at].cost).fold(0.0, f64::max);
--- a/crates/plan/src/seat.rs
+++ b/crates/plan/src/seat.rs
@@ -26,8 +26,6 @@
     pub capacity: Room,
     /// How far it is to be avoided; 0 for a sound worker.
     pub doubt: u32,
-    /// It is left to urgent work.
-    pub is_for_urgent: bool,
 }
 
 /// What a group needs.
@@ -49,9 +47,6 @@
     pub present: BTreeMap<String, u32>,
     /// Workers on which it failed before; taken only when there is no other.
     pub avoid: Vec<String>,
-    /// It may go where room is left to urgent work, and goes there first: it is urgent, or loses
-    /// little when it is stopped.
-    pub may_use_urgent: bool,
 }
 
 /// Where the group may go.
@@ -124,9 +119,8 @@
     racks
 }
 
-/// Lower is better: doubt, distance from the data, workers not meant for it, whole workers broken,
-/// what is left free.
-type Cost = (u32, u32, u32, u32, u64);
+/// Lower is better: doubt, distance from the data, whole workers broken, what is left free.
+type Cost = (u32, u32, u32, u64);
 
 /// Seats the group on as few workers as can be, the tightest first.
 fn fill(options: &[Candidate<'_>], ask: &Ask) -> Option<(Cost, Vec<Seat>)> {
@@ -136,16 +130,15 @@
     }
     let mut left: Vec<Candidate<'_>> = options.to_vec();
     let mut missing = ask.tasks;
-    let mut cost: Cost = (0, 0, 0, 0, 0);
+    let mut cost: Cost = (0, 0, 0, 0);
     let mut seats = Vec::new();
     while missing > 0 {
         let best = (0..left.len()).min_by_key(|at| preference(&left[*at], ask, missing))?;
         let option = left.swap_remove(best);
         let tasks = option.tasks.min(missing);
         missing -= tasks;
-        let step = step_cost(&option, ask, tasks);
-        cost =
-            (cost.0 + step.0, cost.1 + step.1, cost.2 + step.2, cost.3 + step.3, cost.4 + step.4);
+        let (doubt, far, broken, free) = step_cost(&option, ask, tasks);
+        cost = (cost.0 + doubt, cost.1 + far, cost.2 + broken, cost.3 + free);
         seats.push(Seat { place: option.index, tasks });
     }
     Some((cost, seats))
@@ -155,22 +148,16 @@
     let is_whole = option.place.free == option.place.capacity;
     let left = option.place.free.minus(ask.room.times(tasks.into())).accelerators;
     let broken = u32::from(is_whole && left > 0);
-    let is_misplaced = option.place.is_for_urgent != ask.may_use_urgent;
-    let far = u32::from(!is_near(option.place, ask));
-    (option.doubt, far, u32::from(is_misplaced), broken, left)
+    (option.doubt, u32::from(!is_near(option.place, ask)), broken, left)
 }
 
 /// Order in which workers are taken: sound ones, near ones, those that hold all that is missing
 /// and leave the least; otherwise those that hold the most.
-fn preference(
-    option: &Candidate<'_>,
-    ask: &Ask,
-    missing: u32,
-) -> (u32, u32, u32, u32, u32, u64, u64) {
-    let (doubt, far, misplaced, broken, left) = step_cost(option, ask, option.tasks.min(missing));
+fn preference(option: &Candidate<'_>, ask: &Ask, missing: u32) -> (u32, u32, u32, u32, u64, u64) {
+    let (doubt, far, broken, left) = step_cost(option, ask, option.tasks.min(missing));
     let shortfall = missing.saturating_sub(option.tasks);
     let cores = option.place.free.millicores;
-    (doubt, far, misplaced, shortfall, broken, left, cores)
+    (doubt, far, shortfall, broken, left, cores)
 }
 
 /// Places for work that can wait and would be lost if it were stopped: without the last `keep`
--- a/crates/planner/src/board.rs
+++ b/crates/planner/src/board.rs
@@ -11,7 +11,7 @@
     task::{GroupKey, JobId, Task, WorkerName},
 };
 use sapphire_plan::{
-    clear, evict, headroom,
+    clear, evict,
     reserve::Reservation,
     seat::{Ask, Place},
     suspect::Doubt,
@@ -114,13 +114,8 @@
                 owed: Room::default(),
                 capacity: worker.capacity(),
                 doubt,
-                is_for_urgent: false,
             });
         }
-        let arrivals = self.urgent.get(service).filter(|_| self.options.policy.leave_racks);
-        if let Some(arrivals) = arrivals {
-            headroom::mark(&mut places, arrivals.demand(now.steady));
-        }
         Board {
             places,
             index,
--- a/crates/planner/src/feed.rs
+++ b/crates/planner/src/feed.rs
@@ -9,7 +9,7 @@
     event::{Asker, Moment},
     options,
     planner::Planner,
-    state::feeds::Reader,
+    state::feeds::{Feeds, Reader, Told},
 };
 
 impl Planner {
@@ -26,6 +26,7 @@
             heard: now.steady,
             store_reached: None,
             held: None,
+            told: Told::default(),
         });
         reader.address = poll.address;
         reader.heard = now.steady;
@@ -35,6 +36,7 @@
         if let Some((earlier, _)) = reader.held.replace((asker, known)) {
             self.out.push(Effect::Decline(earlier));
         }
+        self.feeds.refresh(now.steady);
     }
 
     /// Answers entries for which there is news, or that have waited long enough.
@@ -44,13 +46,18 @@
         }
         let version = self.table.version;
         let mut due = Vec::new();
-        for reader in self.feeds.readers.values_mut() {
+        let Feeds { readers, addresses } = &mut self.feeds;
+        for reader in readers.values_mut() {
             let is_over = now.steady >= reader.heard + options::FEED_HOLD;
             let held = reader.held.take_if(|(_, known)| *known < version || is_over);
-            due.extend(held);
+            let Some((asker, known)) = held else { continue };
+            if known == 0 {
+                reader.told = Told::default();
+            }
+            due.push((asker, known, addresses.news(now.steady, &mut reader.told)));
         }
-        for (asker, known) in due {
-            let feed = self.feed(now, known);
+        for (asker, known, entries) in due {
+            let feed = Feed { entries, ..self.feed(now, known) };
             self.out.push(Effect::Feed(asker, Box::new(feed)));
         }
     }
@@ -73,7 +80,7 @@
             is_whole: known == 0,
             rows: rows.collect(),
             gone: gone.map(|(_, id)| id.clone()).collect(),
-            entries: self.feeds.addresses(now.steady),
+            entries: Vec::new(),
             config_revision,
             config_age_ms,
             supplies: self.supplies.clone(),
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -12,7 +12,7 @@
     task::{GroupKey, JobId, Task, WorkerName},
 };
 use sapphire_plan::{
-    headroom, rank,
+    rank,
     seat::{self, Ask, Place, Reach},
 };
 
@@ -166,7 +166,6 @@
             per_worker: step.per_worker,
             present,
             avoid: group.avoid.clone(),
-            may_use_urgent: self.terms(entry).priority == 0 || step.checkpoints,
         })
     }
 
@@ -184,10 +183,7 @@
         let is_guaranteed = guaranteed.contains(id);
         let priority = self.terms(entry).priority;
         let reach = self.reach(now, board, entry, key, &ask, is_guaranteed);
-        let mut places = self.open_places(now, board, entry, key, &ask);
-        if let Some(open) = headroom::open(&places, &ask) {
-            places = Cow::Owned(open);
-        }
+        let places = self.open_places(now, board, entry, key, &ask);
         let seats = seat::seat(&places, &ask, reach);
         if let Some(seats) = seats {
             if self.is_still_there(id, key, ask.tasks) {
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -14,7 +14,7 @@
 };
 use sapphire_plan::{
     estimate::{self, Estimate},
-    headroom, suspect,
+    suspect,
 };
 
 use crate::{
@@ -42,8 +42,6 @@
     pub(crate) feeds: Feeds,
     pub(crate) estimates: estimate::Estimates,
     pub(crate) suspects: suspect::Suspects,
-    /// Urgent work that has come lately, by service.
-    pub(crate) urgent: BTreeMap<String, headroom::Arrivals>,
     /// Jobs cancelled before they were known.
     pub(crate) early_cancels: BTreeSet<JobId>,
     /// The newest configuration was this one, then.
@@ -82,7 +80,6 @@
             feeds: Feeds::default(),
             estimates: estimate::Estimates::default(),
             suspects: suspect::Suspects::default(),
-            urgent: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
             proof: None,
             needs_pass: true,
@@ -156,6 +153,7 @@
     }
 
     fn tick(&mut self, now: Moment) {
+        self.feeds.refresh(now.steady);
         self.expire_workers(now);
         self.watch_progress(now);
         self.sum_supplies(now);
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -10,6 +10,7 @@
     event::{Asker, Moment},
     options,
     planner::Planner,
+    state::feeds::Told,
     table::Entry,
     worker::{Held, Phase, Run, Worker},
 };
@@ -60,7 +61,8 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(held) = worker.held.take() else { return };
         let mut orders = worker.greeting(self.term, self.options.lease);
-        orders.entries = self.feeds.addresses(worker.heard);
+        worker.entries_told = Told::default();
+        orders.entries = self.feeds.addresses.news(worker.heard, &mut worker.entries_told);
         self.out.push(Effect::Orders(held.asker, Box::new(orders)));
     }
 
@@ -177,7 +179,6 @@
     fn give_orders(&mut self, now: Moment, name: &str, asker: Asker) {
         let worker = self.workers.get(name).expect("the caller has listed it");
         let mut orders = worker.greeting(self.term, self.options.lease);
-        orders.entries = self.feeds.addresses(now.steady);
         // The first list of a session shows which earlier orders are void; one that carries the
         // session's own token isn't, whatever the list shows.
         let to_give = |run: &Run| worker.is_fenced && !run.is_received;
@@ -192,6 +193,7 @@
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         worker.held = None;
         worker.noted_sent = worker.noted;
+        orders.entries = self.feeds.addresses.news(now.steady, &mut worker.entries_told);
         self.out.push(Effect::Orders(asker, Box::new(orders)));
     }
 
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -10,7 +10,7 @@
 
 use sapphire_plan::pace;
 
-use crate::{event::Asker, options};
+use crate::{event::Asker, options, state::feeds::Told};
 
 /// How far an order has come.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -149,6 +149,8 @@
     pub lists: u64,
     /// Its poll that waits.
     pub held: Option<Held>,
+    /// What its agent was last told of the entries.
+    pub(crate) entries_told: Told,
 }
 
 impl Worker {
--- a/crates/planner/tests/load/mod.rs
+++ b/crates/planner/tests/load/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphire_jobs::{Notice, Poll};
+use sapphire_jobs::{FeedPoll, Notice, Poll};
 use sapphire_planner::event::{Event, Moment};
 
 use crate::harness::{Bench, TERM, job, minion, ms, step};
@@ -64,3 +64,37 @@
     bench.report("a1", poll);
     assert!(bench.orders.len() > answers, "a poll is answered although no pass is due");
 }
+
+fn hear(bench: &mut Bench, entry: &str) -> Vec<String> {
+    let poll =
+        FeedPoll { entry: entry.to_owned(), address: entry.to_owned(), ..FeedPoll::default() };
+    let poll = FeedPoll { term: TERM, version: 1, ..poll };
+    bench.tell(Event::Feed(900, poll));
+    bench.pass(1_000);
+    bench.feeds.pop().map_or(Vec::new(), |feed| feed.entries)
+}
+
+/// Guards against messages that each carry a list that grows with the entries: together they would
+/// grow with the square of the machines.
+#[test]
+fn agents_and_entries_are_told_of_others_when_there_is_news() {
+    let mut bench = Bench::new(vec![]);
+    bench.join("a1", vec![], vec![]);
+    let listed = |bench: &mut Bench| {
+        let before = bench.orders.len();
+        bench.poll("a1", vec![], vec![]);
+        bench.pass(700);
+        let lists = bench.orders[before..].iter().map(|(_, orders)| orders.entries.clone());
+        lists.filter(|list| !list.is_empty()).collect::<Vec<_>>()
+    };
+    assert_eq!(hear(&mut bench, "e1"), ["e1"]);
+    let told: Vec<&Vec<String>> = bench.orders.iter().map(|(_, orders)| &orders.entries).collect();
+    assert_eq!(told.last(), Some(&&vec!["e1".to_owned()]));
+    assert!(listed(&mut bench).is_empty(), "it has been told");
+    assert!(hear(&mut bench, "e1").is_empty(), "it has been told");
+    assert_eq!(hear(&mut bench, "e2"), ["e1", "e2"]);
+    assert_eq!(listed(&mut bench), [["e1", "e2"]]);
+    assert!(listed(&mut bench).is_empty());
+    bench.pass(5_000);
+    assert!(!listed(&mut bench).is_empty(), "an answer may have been lost");
+}
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -77,7 +77,6 @@
         weigh_waits: settings.weigh_waits,
         weigh_lateness: settings.weigh_lateness,
         spare_workers: settings.spare_workers,
-        leave_racks: settings.leave_racks,
         wait_for_rack: settings.wait_for_rack,
         prefer_pressing: settings.prefer_pressing,
         move_slow: settings.move_slow,
