--- a/crates/proofs/tests/late/mod.rs
+++ b/crates/proofs/tests/late/mod.rs
@@ -183,6 +183,12 @@
     play(2_520..=2_539, draw, restart_minions);
 }
 
+/// Guards against the same between the start of a minion's next life and its agent's first call to it.
+#[test]
+fn late_starts_before_a_next_life_is_known_break_no_promise() {
+    play(2_540..=2_559, draw, restart_minions);
+}
+
 /// Guards against ways of settling a late order that hold for one fault and not for several at once.
 #[test]
 fn late_orders_among_all_faults_break_no_promise() {
