runner: the ends of a minion that leaves are told before it is gone

By reading: an agent that hears that its minion leaves forgets what it has listed, also ends that no poll has told of yet, and the planner takes these runs as lost and starts them elsewhere. Change: the agent tells of the ends first, and then that the minion is gone, after 0.6 s at the latest. Seen failing first: ends_are_told_before_a_minion_is_gone.

--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -133,6 +133,9 @@
     }
 
     fn note_presence(&mut self, now: Duration, reply: &Reply) {
+        if self.farewell.is_some() {
+            return;
+        }
         let Some(minion) = &mut self.minion else { return };
         match reply {
             Reply::Unknown => {}
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -58,6 +58,17 @@
     pub(crate) next: Duration,
 }
 
+/// A minion that has left, some of whose ends the planner may not know.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Farewell {
+    since: Duration,
+    /// First poll that tells of all its ends.
+    pub(crate) told: Option<u64>,
+}
+
+/// Longest time for which a minion that has left is not told of as gone while its ends are.
+const FAREWELL: Duration = Duration::from_millis(600);
+
 /// What the planner has granted.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Session {
@@ -85,6 +96,7 @@
     /// Whatever minion there was has ended.
     pub(crate) is_minion_gone: bool,
     pub(crate) look: Look,
+    pub(crate) farewell: Option<Farewell>,
     pub(crate) session: Session,
     pub(crate) lead: Option<Lead>,
     pub(crate) entries: Vec<String>,
@@ -146,6 +158,7 @@
             waiting_hold: None,
             quick_hold: None,
             bar: None,
+            farewell: None,
             wants_list: false,
             next_hold: Duration::ZERO,
             unanswered_holds: 0,
@@ -160,7 +173,7 @@
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         match event {
             Event::Beat(beat) => self.beat(now, *beat),
-            Event::Leaves(id) => self.leaves(&id),
+            Event::Leaves(id) => self.leaves(now, &id),
             Event::Minion(ticket, reply) => self.minion_answered(now, ticket, reply),
             Event::Orders(ticket, orders) => self.ordered(now, ticket, *orders),
             Event::NoOrders { ticket, is_declined } => self.no_orders(now, ticket, is_declined),
@@ -174,10 +187,15 @@
 
     /// Makes the calls that are due.
     fn go_on(&mut self, now: Duration) {
-        self.watch_silence(now);
-        self.drive_look(now);
-        self.drive_orders(now);
-        self.drive_holds(now);
+        if self.farewell.is_some_and(|farewell| now >= farewell.since + FAREWELL) {
+            self.forget_minion();
+        }
+        if self.farewell.is_none() {
+            self.watch_silence(now);
+            self.drive_look(now);
+            self.drive_orders(now);
+            self.drive_holds(now);
+        }
         self.drive_polls(now);
         self.drive_lead(now);
         if let Some(since) = self.is_leaving
@@ -281,6 +299,7 @@
         self.waiting_hold = None;
         self.quick_hold = None;
         self.bar = None;
+        self.farewell = None;
         self.has_news = true;
     }
 
@@ -289,13 +308,23 @@
     /// Guards against a living minion that is taken as gone: the word may be of an earlier life
     /// under the same name, held up on its way. One that did not say before that it drains is
     /// asked, and gone when nothing listens there.
-    fn leaves(&mut self, id: &str) {
+    ///
+    /// Guards against work that was done and is done again: the planner takes all that it has not
+    /// heard the end of as lost with the minion, so it is told of the ends first.
+    fn leaves(&mut self, now: Duration, id: &str) {
         let Some(minion) = self.minion.as_ref().filter(|minion| minion.incarnation.id == id) else {
             return;
         };
         if minion.incarnation.is_draining {
+            let has_ended = !minion.ended.is_empty();
             self.log(format!("minion={id} leaves"));
-            self.forget_minion();
+            if has_ended {
+                let farewell = Farewell { since: now, told: None };
+                self.farewell.get_or_insert(farewell);
+                self.has_news = true;
+            } else {
+                self.forget_minion();
+            }
         } else {
             self.log(format!("minion={id} leaves, though it does not drain; asked"));
             self.wants_list = true;
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -24,6 +24,9 @@
         self.has_news = false;
         self.sequence += 1;
         self.last_poll = now;
+        if let Some(farewell) = &mut self.farewell {
+            farewell.told.get_or_insert(self.sequence);
+        }
         let poll = Box::new(self.report(now));
         let ticket = self.ticket();
         self.polls.push(PollSent { ticket, sequence: self.sequence, at: now });
@@ -73,6 +76,10 @@
         let Some(at) = self.polls.iter().position(|poll| poll.ticket == ticket) else { return };
         let poll = self.polls.remove(at);
         self.failed_polls = 0;
+        let told = self.farewell.and_then(|farewell| farewell.told);
+        if told.is_some_and(|told| poll.sequence >= told) {
+            self.forget_minion();
+        }
         if orders.term < self.session.term {
             // A planner that has been replaced.
             return;
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -235,3 +235,28 @@
     bench.tell(3_000, Event::Tick);
     assert!(!bench.calls.iter().any(|(_, call)| is_bar(call)));
 }
+
+/// Guards against work that was done and is done again elsewhere: a minion leaves right after its last
+/// end was listed, and the planner took the run as lost with it.
+#[test]
+fn ends_are_told_before_a_minion_is_gone() {
+    let mut bench = Bench::fenced();
+    bench.beat(70, 1, 2, true);
+    let hold = bench.take(|call| matches!(call, Call::Hold { wait, .. } if !wait.is_zero()));
+    let ended = Ended {
+        number: 1,
+        run: Some(run(1)),
+        ending: Ending::Done.into(),
+        checkpoint: String::new(),
+    };
+    bench.list(80, hold, vec![ended]);
+    bench.tell(81, Event::Leaves("m".to_owned()));
+    bench.orders(85, vec![], vec![]);
+    bench.tell(200, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert!(!poll.ended.is_empty() && !poll.is_minion_gone, "its ends come first");
+    bench.orders(300, vec![], vec![]);
+    bench.tell(400, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("the agent has polled");
+    assert!(poll.is_minion_gone);
+}
