runner: a start that a list shows is settled

A list that shows the run as running or ended proves that some try was carried out, so it settles the order, as it already did for starts that were refused after a try without an answer. The same holds for a stop whose run is listed as ended.

--- a/crates/runner/src/order.rs
+++ b/crates/runner/src/order.rs
@@ -17,6 +17,11 @@
 }
 
 impl Kind {
+    /// Whether it is to start something, whatever came of its tries.
+    pub(crate) fn is_start(&self) -> bool {
+        matches!(self, Kind::Start(_) | Kind::Unsettled(_))
+    }
+
     /// When the minion gave the answer that only a list can settle.
     pub(crate) fn answered(&self) -> Option<Duration> {
         match self {
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -214,8 +214,11 @@
         self.has_news = true;
     }
 
-    /// A list has come: stops whose task is listed as ended, starts without a certain answer whose
-    /// task is listed, and either whose task is not there at all, are settled.
+    /// A list has come: orders whose run is listed as ended, starts whose run is listed as running,
+    /// and orders with an answer whose run is not there at all, are settled.
+    ///
+    /// Guards against a start that goes on being sent after an earlier try of it was carried out
+    /// late: the minion's next life would carry it out again.
     ///
     /// A list may leave out a task that is being stopped, whose room is still taken, so absence
     /// counts only after the longest stop.
@@ -224,20 +227,24 @@
         let mut absent = Vec::new();
         let mut settled = Vec::new();
         for (task, order) in &self.orders {
-            let Some(answered) = order.kind.answered() else { continue };
             let run = task.run(order.number);
             let is_running =
                 minion.running.get(task).is_some_and(|running| running.run.as_ref() == Some(&run));
             let has_ended = minion.ended.values().any(|ended| ended.run.as_ref() == Some(&run));
-            let is_started = is_running && matches!(order.kind, Kind::Unsettled(_));
-            if has_ended || is_started {
-                settled.push(task.clone());
-            } else if !is_running && list_sent >= answered + self.options.stop {
+            let answered = order.kind.answered();
+            if has_ended || (is_running && order.kind.is_start()) {
+                settled.push((task.clone(), run));
+            } else if !is_running
+                && answered.is_some_and(|answered| list_sent >= answered + self.options.stop)
+            {
                 absent.push((task.clone(), run));
             }
         }
-        for task in settled {
-            self.orders.remove(&task);
+        for (task, run) in settled {
+            let order = self.orders.remove(&task);
+            if order.is_some_and(|order| matches!(order.kind, Kind::Start(_))) {
+                self.log(format!("task={task} run={} is listed, though unanswered", run.run));
+            }
         }
         for (task, run) in absent {
             self.orders.remove(&task);
--- a/crates/runner/tests/orders/mod.rs
+++ b/crates/runner/tests/orders/mod.rs
@@ -1,6 +1,6 @@
 //! Orders to start and to stop, and what settles them.
 
-use sapphire_jobs::{Ended, Ending, Orders, Rejection, Run, Start};
+use sapphire_jobs::{Ended, Ending, Orders, Rejection, Run, Running, Start};
 use sapphire_runner::{
     event::Event,
     minion::{Call, Reply},
@@ -224,6 +224,33 @@
     assert!(!bench.calls.iter().any(|(_, call)| is_start(call)));
 }
 
+/// Guards against a task that starts again after it was done: a late try is carried out, and the
+/// order goes on being sent until the minion's next life takes it.
+#[test]
+fn a_start_that_a_list_shows_is_not_sent_again() {
+    let done =
+        Ended { number: 1, run: Some(run(1)), ending: Ending::Done.into(), ..Ended::default() };
+    let running = Running { run: Some(run(1)), ..Running::default() };
+    for (running, ended) in [(vec![running], Vec::new()), (Vec::new(), vec![done])] {
+        let mut bench = Bench::fenced();
+        bench.orders(100, vec![start(1)], Vec::new());
+        let first = bench.take(is_start);
+        bench.tell(400, Event::Minion(first, Reply::Unknown));
+        let second = bench.take(is_start);
+        bench.tell(700, Event::Minion(second, Reply::Unknown));
+        let hold = bench.take(|call| matches!(call, Call::Hold { .. }));
+        let clock = ms(710);
+        let list = Reply::Listed { born_ms: 1, clock, running, ended, unreadable: 0 };
+        bench.tell(710, Event::Minion(hold, list));
+        for time in (720..4_000).step_by(60) {
+            bench.tell(time, Event::Tick);
+        }
+        assert!(!bench.calls.iter().any(|(_, call)| is_start(call)), "{:?}", bench.calls);
+        let (_, poll) = bench.polls.last().expect("it reports");
+        assert!(poll.pending.is_empty());
+    }
+}
+
 /// Guards against a planner that takes a stop as being made while the agent still has the start.
 #[test]
 fn polls_tell_starts_and_stops_in_hand_apart() {
