runner: ends are noted once, and by no hold that waits

A minion started again under its name 2 ms before its agent sent it a start; the run took up a checkpoint and was done 50 ms later. The agent's hold, sent to the life before and waiting, was answered by the new one. It said which ends of the life before were noted, and the new life, whose ends are numbered anew, forgot its own end under that number: the next list had neither a run nor an end ('first token=3000020 after 0 ms, running=0 ended=0'), the planner took the run for lost and ordered it elsewhere.

Every hold told of the ends that were noted, and most holds wait. Now ends are noted by a hold that asks for an answer at once, until this life of the minion has answered one; holds that wait note nothing. What is left is the time of one call on the same machine.

--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -20,6 +20,7 @@
         }
         let Some(minion) = &self.minion else { return };
         let is_listing = minion.ended.keys().any(|number| *number > self.session.noted);
+        let is_noting = minion.noted < self.session.noted;
         let is_paused = now < minion.listed + options::LISTED_PAUSE;
         self.wants_list |= !is_paused && self.awaits_list(now);
         if self.wants_list && self.quick_hold.is_none() {
@@ -27,7 +28,8 @@
             self.quick_hold = self.hold(now, Duration::ZERO);
         }
         if self.waiting_hold.is_none() && now >= self.next_hold {
-            let wait = if is_listing { Duration::ZERO } else { options::HOLD_WAIT };
+            let is_prompt = is_listing || is_noting;
+            let wait = if is_prompt { Duration::ZERO } else { options::HOLD_WAIT };
             self.waiting_hold = self.hold(now, wait);
         }
     }
@@ -75,12 +77,17 @@
         self.log(text);
     }
 
+    /// Asks for a list; tells of the ends that are noted unless this life of the minion knows.
+    ///
+    /// Guards against a next life of the minion that answers instead and forgets its own ends
+    /// under these numbers: a hold that waits is sent only once there is nothing to tell.
     fn hold(&mut self, now: Duration, wait: Duration) -> Option<Hold> {
         let token = self.session.token;
-        let call =
-            Call::Hold { deadline: self.deadline(now), token, noted: self.session.noted, wait };
+        let known = self.minion.as_ref()?.noted;
+        let noted = if known < self.session.noted { self.session.noted } else { 0 };
+        let call = Call::Hold { deadline: self.deadline(now), token, noted, wait };
         let ticket = self.call(call, wait + options::MINION_TIMEOUT)?;
-        Some(Hold { ticket, sent: now, token })
+        Some(Hold { ticket, sent: now, token, noted })
     }
 
     /// Looks whether a minion is there while none has spoken.
@@ -239,6 +246,7 @@
         if minion.clock.is_none_or(|(_, read)| read <= now) {
             minion.clock = Some((clock, now));
         }
+        minion.noted = minion.noted.max(hold.noted);
         if hold.token == token && minion.fenced < token {
             minion.fenced = token;
             self.has_news = true;
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -38,6 +38,8 @@
     pub(crate) lists: u64,
     /// Highest token that it has acknowledged to this process.
     pub(crate) fenced: u64,
+    /// Ends up to this number are known to be forgotten by this life.
+    pub(crate) noted: u64,
     /// It refuses what was ordered in sessions before its life.
     pub(crate) is_barred: bool,
     /// First ticket of a call that was meant for this life.
@@ -50,6 +52,8 @@
     pub(crate) ticket: Ticket,
     pub(crate) sent: Duration,
     pub(crate) token: u64,
+    /// Ends that it has noted; 0 when it tells of none.
+    pub(crate) noted: u64,
 }
 
 /// Whether anything listens where the minion would.
@@ -284,6 +288,7 @@
             listed_at: now,
             lists: 0,
             fenced: 0,
+            noted: 0,
             is_barred: false,
             first_ticket: self.last_ticket + 1,
         });
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -260,3 +260,35 @@
     let (_, poll) = bench.polls.last().expect("the agent has polled");
     assert!(poll.is_minion_gone);
 }
+
+/// Guards against a task that runs again after it was done: a hold that waits while its minion
+/// starts again under the same name would have the next life forget its own ends.
+#[test]
+fn ends_are_noted_once_and_by_no_hold_that_waits() {
+    let mut bench = Bench::fenced();
+    let ended = Ended { number: 3, run: Some(run(1)), ..Ended::default() };
+    let hold = bench.take(|call| matches!(call, Call::Hold { .. }));
+    bench.list(80, hold, vec![ended]);
+    bench.tell(90, Event::Tick);
+    let (ticket, _) = bench.polls.pop().expect("the agent has polled");
+    let lease_ms = LEASE.as_millis() as u64;
+    let orders = Orders { term: 7, token: TOKEN, lease_ms, noted: 3, ..Orders::default() };
+    bench.tell(100, Event::Orders(ticket, Box::new(orders)));
+    let mut holds = Vec::new();
+    for time in (110..1_200).step_by(10) {
+        bench.tell(time, Event::Tick);
+        let is_hold = |(_, call): &(_, Call)| matches!(call, Call::Hold { .. });
+        let Some(at) = bench.calls.iter().position(is_hold) else { continue };
+        let (ticket, call) = bench.calls.remove(at);
+        let Call::Hold { noted, wait, .. } = call else { unreachable!() };
+        let is_first = noted > 0 && holds.iter().all(|(noted, _)| *noted == 0);
+        holds.push((noted, wait.is_zero()));
+        if is_first {
+            bench.tell(time, Event::Minion(ticket, Reply::Unknown));
+        } else {
+            bench.list(time, ticket, Vec::new());
+        }
+    }
+    assert!(holds.iter().all(|(noted, is_prompt)| *noted == 0 || *is_prompt), "{holds:?}");
+    assert_eq!(holds.iter().filter(|(noted, _)| *noted > 0).count(), 2, "{holds:?}");
+}
