runner: holds wait for a moment only while a start may still be carried out

A crash that breaks no connection, as the platform allows, shows itself by nothing else before the next heartbeat.

While an agent has starts that may still be carried out, its holds wait 20 ms. Counting the room of such starts as taken for twelve seconds would be exact, but it would block workers after each lost answer, and urgent work could free none of it; it was not built.

--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -29,11 +29,20 @@
         }
         if self.waiting_hold.is_none() && now >= self.next_hold {
             let is_prompt = is_listing || is_noting;
-            let wait = if is_prompt { Duration::ZERO } else { options::HOLD_WAIT };
+            let wait = if is_prompt { Duration::ZERO } else { self.hold_wait(now) };
             self.waiting_hold = self.hold(now, wait);
         }
     }
 
+    /// How long the minion is to wait for an end.
+    ///
+    /// Guards against starts that were meant for one life of the minion and are carried out by the
+    /// next, while a hold waits for an answer of the one before.
+    fn hold_wait(&self, now: Duration) -> Duration {
+        let is_open = self.unanswered.is_open(now);
+        if is_open { options::SHORT_HOLD_WAIT } else { options::HOLD_WAIT }
+    }
+
     /// Has a new life of the minion acknowledge a token above that of the sessions before.
     ///
     /// Guards against an order for the life before that is carried out late by this one, which has
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -22,6 +22,9 @@
 /// How long the minion waits for an end before it answers a hold. Each answer is a renewal of
 /// the lease and shows how far tasks have come; it stays on the machine and costs little.
 pub const HOLD_WAIT: Duration = Duration::from_millis(400);
+/// The same while starts without an answer may be carried out, by a next life of the minion above
+/// all: the first hold that this one answers has it refuse them.
+pub const SHORT_HOLD_WAIT: Duration = Duration::from_millis(20);
 /// Time for the minion's answer beyond what it was asked to wait. It is on the same machine; a
 /// busy one has been seen to take tens of milliseconds.
 pub const MINION_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/runner/src/unanswered.rs
+++ b/crates/runner/src/unanswered.rs
@@ -62,6 +62,12 @@
         self.tries.values_mut().for_each(|sent| sent.is_given_up = true);
     }
 
+    /// Whether something may still be carried out.
+    pub(crate) fn is_open(&self, now: Duration) -> bool {
+        let is_open = |sent: &Try| sent.is_given_up && now < sent.sent + options::LATEST_CALL;
+        self.tries.values().any(is_open)
+    }
+
     /// Runs whose start may still be carried out, with the age of their latest try.
     pub(crate) fn report(&mut self, now: Duration) -> Vec<Unanswered> {
         self.tries.retain(|_, sent| now < sent.sent + options::LATEST_CALL);
--- a/crates/runner/tests/orders/mod.rs
+++ b/crates/runner/tests/orders/mod.rs
@@ -333,3 +333,32 @@
     let (_, poll) = bench.polls.last().expect("the agent has polled");
     assert_eq!(poll.unanswered, []);
 }
+
+/// Guards against a next life of the minion that carries out late starts while its agent waits
+/// for an answer of the life before.
+#[test]
+fn holds_wait_for_a_moment_while_a_start_may_still_be_carried_out() {
+    let mut bench = Bench::fenced();
+    let waits = |bench: &mut Bench, from: u64, to: u64| {
+        let mut longest = 0;
+        for time in (from..to).step_by(10) {
+            bench.tell(time, Event::Tick);
+            let waits = |(_, call): &(_, Call)| matches!(call, Call::Hold { .. });
+            let Some(at) = bench.calls.iter().position(waits) else { continue };
+            let (ticket, call) = bench.calls.remove(at);
+            let Call::Hold { wait, .. } = call else { unreachable!() };
+            longest = wait.as_millis().max(longest);
+            bench.list(time, ticket, Vec::new());
+        }
+        longest
+    };
+    assert_eq!(waits(&mut bench, 90, 100), 400);
+    bench.orders(100, vec![start(1)], Vec::new());
+    let first = bench.take(is_start);
+    bench.tell(400, Event::Minion(first, Reply::Unknown));
+    let second = bench.take(is_start);
+    bench.tell(410, Event::Minion(second, Reply::Done));
+    waits(&mut bench, 420, 440);
+    assert_eq!(waits(&mut bench, 440, 12_080), 20);
+    assert_eq!(waits(&mut bench, 12_110, 12_200), 400);
+}
