--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     board::Board, event::Moment, group::Phase, planner::Planner, table::Entry, urgent::Urgent,
+    worker::Worker,
 };
 
 /// Share of the bound for guaranteed jobs after which they start also where they are slower.
@@ -146,17 +147,6 @@
     fn ask(&self, entry: &Entry, key: &GroupKey) -> Option<Ask> {
         let step = entry.step(key.step)?;
         let group = entry.groups.get(key)?;
-        let mut present: BTreeMap<WorkerName, u32> = BTreeMap::new();
-        if step.per_worker > 0 {
-            let same = entry
-                .groups
-                .iter()
-                .filter(|(other, _)| other.occurrence == key.occurrence && other.step == key.step);
-            for name in same.filter_map(|(_, group)| group.active()).flat_map(|it| it.left.values())
-            {
-                *present.entry(name.clone()).or_default() += 1;
-            }
-        }
         Some(Ask {
             tasks: if step.is_gang { step.tasks } else { 1 },
             room: Room::read(step.room.as_ref()),
@@ -164,12 +154,26 @@
             near_rack: step.near_rack.clone(),
             wants_one_rack: step.is_gang && step.wants_one_rack,
             per_worker: step.per_worker,
-            present,
+            present: if step.per_worker > 0 { self.present(entry, key) } else { BTreeMap::new() },
             bound: BTreeMap::new(),
             avoid: group.avoid.clone(),
         })
     }
 
+    /// Tasks of a step, in one occurrence, that may run on each worker.
+    ///
+    /// Guards against more of them on a worker than their job allows: one that is being stopped, or
+    /// that no planner wanted there, is there all the same.
+    fn present(&self, entry: &Entry, key: &GroupKey) -> BTreeMap<WorkerName, u32> {
+        let first = GroupKey { index: 0, ..*key };
+        let tasks = members(&entry.job.id, &first, u32::MAX);
+        let count = |(name, worker): (&WorkerName, &Worker)| {
+            let count = worker.runs.range(tasks.clone()).count();
+            (count > 0).then(|| (name.clone(), u32::try_from(count).unwrap_or(u32::MAX)))
+        };
+        self.workers.iter().filter_map(count).collect()
+    }
+
     fn try_group(
         &mut self,
         now: Moment,
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -1,7 +1,7 @@
 //! Orders and writes that may still be carried out.
 
 use sapphire_jobs::{
-    Ending, Incarnation, Notice, Poll, Rejection, Run, Running, Unanswered, Verdict,
+    Ending, Incarnation, Notice, Poll, Rejection, Run, Running, Step, Unanswered, Verdict,
 };
 use sapphire_planner::event::{Event, Operation};
 use sapphire_store::call::Reply;
@@ -272,3 +272,26 @@
 fn draining(name: &str) -> Incarnation {
     Incarnation { is_draining: true, ..minion(name) }
 }
+
+/// Guards against more tasks of a step on a worker than its job allows: one that no group owns is
+/// being stopped there, and still counts.
+#[test]
+fn a_run_that_is_not_wanted_counts_towards_the_tasks_of_its_step() {
+    let mut bench = Bench::new(vec![fleet(1, &["a"])]);
+    bench.join("a", Vec::new(), Vec::new());
+    let step = Step { per_worker: 1, ..step(2, false) };
+    let notice = Notice { jobs: vec![job("j", TERM, step)], cancelled: Vec::new() };
+    bench.tell(Event::Notice(notice));
+    let [first, second] = [run("j", 0, 1_001), run("j", 1, 1_001)];
+    assert_eq!(bench.starts(), vec![first.clone()]);
+    let running = |run: &Run| Running { run: Some(run.clone()), ..Running::default() };
+    bench.poll("a", vec![running(&first)], Vec::new());
+    let earlier = run("j", 0, 900);
+    let done = ended(1, first.clone(), Ending::Done);
+    bench.poll("a", vec![running(&earlier)], vec![done.clone()]);
+    bench.pass(500);
+    assert_eq!(bench.starts(), vec![first.clone()], "the earlier run is still there");
+    bench.poll("a", Vec::new(), vec![done, ended(2, earlier, Ending::Stopped)]);
+    bench.pass(500);
+    assert_eq!(bench.starts(), vec![first, second]);
+}
