planner: a task waits until its unanswered start is void, also on the worker where that went

Two runs of it were ordered on the worker one after the other, tries of both had no answer, and the minion's next life carried out both.

A task with such a start is now ordered nowhere until the start is void: by its age, by an answer, or because the worker's minion has another name. Seating members of a gang where their earlier starts went is not needed any more and is taken out.

--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ops::Range,
     time::Duration,
 };
 
@@ -94,12 +95,9 @@
         }
     }
 
-    /// Starts of the tasks in a range, by worker.
-    pub(crate) fn range(
-        &self,
-        tasks: std::ops::Range<Task>,
-    ) -> impl Iterator<Item = (&Task, &BTreeMap<WorkerName, Start>)> {
-        self.by_task.range(tasks)
+    /// Whether a start of a task in a range may still be carried out.
+    pub(crate) fn holds_any(&self, tasks: Range<Task>) -> bool {
+        self.by_task.range(tasks).next().is_some()
     }
 
     fn start(&mut self, worker: &str, task: Task) -> &mut Start {
