--- a/crates/plan/src/seat.rs
+++ b/crates/plan/src/seat.rs
@@ -47,6 +47,8 @@
     pub present: BTreeMap<String, u32>,
     /// Workers on which it failed before; taken only when there is no other.
     pub avoid: Vec<String>,
+    /// Tasks, by their number in the group, that may go to one worker only.
+    pub bound: BTreeMap<u32, String>,
 }
 
 /// Where the group may go.
@@ -132,10 +134,18 @@
     let mut missing = ask.tasks;
     let mut cost: Cost = (0, 0, 0, 0);
     let mut seats = Vec::new();
+    let mut bound = bound(ask);
     while missing > 0 {
-        let best = (0..left.len()).min_by_key(|at| preference(&left[*at], ask, missing))?;
+        let best = match bound.pop_first() {
+            Some((worker, tasks)) => {
+                let at = left.iter().position(|option| *option.place.worker == *worker)?;
+                (left[at].tasks >= tasks).then_some(at)?
+            }
+            None => (0..left.len()).min_by_key(|at| preference(&left[*at], ask, missing))?,
+        };
         let option = left.swap_remove(best);
-        let tasks = option.tasks.min(missing);
+        let own = bound.values().sum::<u32>();
+        let tasks = option.tasks.min(missing - own.min(missing));
         missing -= tasks;
         let (doubt, far, broken, free) = step_cost(&option, ask, tasks);
         cost = (cost.0 + doubt, cost.1 + far, cost.2 + broken, cost.3 + free);
@@ -144,6 +154,15 @@
     Some((cost, seats))
 }
 
+/// Tasks that may go to one worker only, by worker.
+fn bound(ask: &Ask) -> BTreeMap<&str, u32> {
+    let mut bound: BTreeMap<&str, u32> = BTreeMap::new();
+    for worker in ask.bound.values() {
+        *bound.entry(worker).or_default() += 1;
+    }
+    bound
+}
+
 fn step_cost(option: &Candidate<'_>, ask: &Ask, tasks: u32) -> Cost {
     let is_whole = option.place.free == option.place.capacity;
     let left = option.place.free.minus(ask.room.times(tasks.into())).accelerators;
--- a/crates/plan/tests/decisions/mod.rs
+++ b/crates/plan/tests/decisions/mod.rs
@@ -499,3 +499,35 @@
     assert_eq!(all.cost.to_bits(), least.to_bits());
     assert_eq!(all.victims.len(), 6);
 }
+
+/// Guards against a member of a gang that goes elsewhere than where an earlier start of it may
+/// still be carried out.
+#[test]
+fn tasks_that_may_go_to_one_worker_only_go_there() {
+    let places = [place("w1", "r1", 8, 8), place("w2", "r1", 8, 8), place("w3", "r2", 8, 4)];
+    let bound = |pairs: &[(u32, &str)]| seat::Ask {
+        tasks: 3,
+        room: Room { accelerators: 4, ..Room::default() },
+        bound: pairs.iter().map(|(task, worker)| (*task, (*worker).to_owned())).collect(),
+        ..seat::Ask::default()
+    };
+    let seat = |ask: &seat::Ask, reach| {
+        let seats = seat::seat(&places, ask, reach)?;
+        let named = |seat: &seat::Seat| (places[seat.place].worker.to_string(), seat.tasks);
+        Some(seats.iter().map(named).collect::<Vec<_>>())
+    };
+    let one = bound(&[(2, "w3")]);
+    insta::assert_snapshot!(
+        format!("{:?}", seat(&one, seat::Reach::Far)),
+        @r#"Some([("w3", 1), ("w1", 2)])"#
+    );
+    let two = bound(&[(0, "w2"), (1, "w1")]);
+    let seats = seat(&two, seat::Reach::Far).expect("there is room");
+    assert!(
+        seats.iter().any(|(name, _)| name == "w1") && seats.iter().any(|(name, _)| name == "w2")
+    );
+    assert_eq!(seat(&bound(&[(0, "w3"), (1, "w3")]), seat::Reach::Far), None, "one has room there");
+    assert_eq!(seat(&bound(&[(0, "w9")]), seat::Reach::Far), None, "it is not there");
+    let in_one_rack = seat::Ask { wants_one_rack: true, ..one };
+    assert_eq!(seat(&in_one_rack, seat::Reach::Near), None, "its rack has room for one");
+}
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -155,6 +155,7 @@
             wants_one_rack: step.is_gang && step.wants_one_rack,
             per_worker: step.per_worker,
             present: if step.per_worker > 0 { self.present(entry, key) } else { BTreeMap::new() },
+            bound: BTreeMap::new(),
             avoid: group.avoid.clone(),
         })
     }
@@ -183,10 +184,13 @@
         let Waiting { job: id, key } = waiting;
         let id: &str = id;
         let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
-        let Some(ask) = self.ask(entry, key) else { return Outcome::Waits };
-        if self.unanswered.holds_any(members(id, key, ask.tasks)) {
-            self.hold_back(now, id, key);
-            return Outcome::Waits;
+        let Some(mut ask) = self.ask(entry, key) else { return Outcome::Waits };
+        match self.bound(id, key, ask.tasks) {
+            Some(bound) => ask.bound = bound,
+            None => {
+                self.hold_back(now, id, key);
+                return Outcome::Waits;
+            }
         }
         let is_guaranteed = guaranteed.contains(id);
         let priority = self.terms(entry).priority;
@@ -200,6 +204,12 @@
             self.place(now, board, id, key, &ask, &seats);
             return Outcome::Served;
         }
+        // Room is freed only for urgent work, and only where it may go.
+        let is_closed = ask.bound.values().any(|name| !board.index.contains_key(name));
+        if is_closed || (priority > 0 && !ask.bound.is_empty()) {
+            self.hold_back(now, id, key);
+            return Outcome::Waits;
+        }
         let group = entry.groups.get(key).expect("asked for above");
         let urgent = Urgent { id, key, ask: &ask, reach, is_guaranteed };
         if let Some(claim) = group.claim.clone() {
@@ -224,7 +234,20 @@
         if is_like_siblings && ask.avoid.is_empty() { Outcome::NoRoom } else { Outcome::Waits }
     }
 
-    /// A group waits until earlier starts of it are void.
+    /// Where tasks of a group have to go, by their number in it, since a worker may still carry
+    /// out an earlier start of them; nothing when two may.
+    fn bound(&self, id: &str, key: &GroupKey, tasks: u32) -> Option<BTreeMap<u32, WorkerName>> {
+        let mut bound = BTreeMap::new();
+        for (task, mut names) in self.unanswered.range(members(id, key, tasks)) {
+            bound.extend(names.next().map(|name| (task.index - key.index, name.clone())));
+            if names.next().is_some() {
+                return None;
+            }
+        }
+        Some(bound)
+    }
+
+    /// A group waits until earlier starts of it are void, or there is room where they went.
     fn hold_back(&mut self, now: Moment, id: &str, key: &GroupKey) {
         let entry = self.table.entries.get_mut(id);
         let Some(group) = entry.and_then(|entry| entry.groups.get_mut(key)) else { return };
--- a/crates/planner/src/placing.rs
+++ b/crates/planner/src/placing.rs
@@ -88,13 +88,17 @@
 /// Takes the room of a group's tasks, which are numbered from `first`.
 fn take(board: &mut Board, first: u32, ask: &Ask, seats: &[Seat]) -> Seats {
     let mut left = BTreeMap::new();
-    let mut index = first;
+    let mut bound = ask.bound.clone();
+    let mut free = (0..ask.tasks).filter(|offset| !ask.bound.contains_key(offset));
     for seat in seats {
         board.take_room(seat.place, ask.room.times(seat.tasks.into()));
         let place = &board.places[seat.place];
         for _ in 0..seat.tasks {
-            left.insert(index, place.worker.to_string());
-            index += 1;
+            let own = bound.iter().find(|(_, worker)| **worker == *place.worker);
+            let own = own.map(|(offset, _)| *offset);
+            let Some(offset) = own.or_else(|| free.next()) else { continue };
+            bound.remove(&offset);
+            left.insert(first + offset, place.worker.to_string());
         }
     }
     left
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -48,8 +48,8 @@
 ///
 /// Guards against a task that runs twice: a stop that was answered, a later run or a token bars
 /// an earlier start in one life of a minion. When that life ends, the next one carries the start
-/// out unless it has seen a token by then. So a task with such a start is ordered nowhere until the
-/// start is void.
+/// out unless it has seen a token by then. So a task with such a start goes nowhere else until the
+/// start is void: where its worker's minion ends, what it ran there ends as well.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Starts {
     by_task: BTreeMap<Task, BTreeMap<WorkerName, Start>>,
@@ -161,9 +161,12 @@
         }
     }
 
-    /// Whether a start of a task in a range may still be carried out.
-    pub(crate) fn holds_any(&self, tasks: Range<Task>) -> bool {
-        self.by_task.range(tasks).next().is_some()
+    /// Workers that may still carry out a start, for each task in a range that has one.
+    pub(crate) fn range(
+        &self,
+        tasks: Range<Task>,
+    ) -> impl Iterator<Item = (&Task, impl Iterator<Item = &WorkerName>)> {
+        self.by_task.range(tasks).map(|(task, starts)| (task, starts.keys()))
     }
 
     fn start(&mut self, worker: &str, task: Task) -> &mut Start {
--- a/crates/proofs/tests/late/mod.rs
+++ b/crates/proofs/tests/late/mod.rs
@@ -232,6 +232,13 @@
     play(71_000..=71_019, draw, restart_all);
 }
 
+/// Guards against starts of two runs of a task that a minion's next life carries out while its
+/// agent is away.
+#[test]
+fn late_starts_while_agents_are_away_break_no_promise() {
+    play([72_031, 72_221, 72_222, 72_277].into_iter(), draw, restart_all);
+}
+
 /// Guards against ways of settling a late order that hold for one fault and not for several at once.
 #[test]
 fn late_orders_among_all_faults_break_no_promise() {
