runner: a minion that has not spoken is shown a token

An agent that starts looks whether something listens where its minion would, but with no token; it polls without a minion and ignored the token that the planner granted it then.

It keeps that token for its look, which repeats as soon as it has one. Sessions are as before: the minion's heartbeat still begins one.

--- a/crates/proofs/tests/late/mod.rs
+++ b/crates/proofs/tests/late/mod.rs
@@ -239,6 +239,13 @@
     play([72_031, 72_221, 72_222, 72_277].into_iter(), draw, restart_all);
 }
 
+/// Guards against a caller that is told that its job has not run, after a try through another entry
+/// that had no answer and brought it in.
+#[test]
+fn a_job_that_is_said_not_to_have_run_does_not_run() {
+    play([72_004, 72_228, 72_326].into_iter(), draw, restart_all);
+}
+
 /// Guards against ways of settling a late order that hold for one fault and not for several at once.
 #[test]
 fn late_orders_among_all_faults_break_no_promise() {
--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -7,7 +7,7 @@
 use crate::{
     effect::Effect,
     event::Ticket,
-    machine::{Hold, Machine},
+    machine::{Hold, Machine, Session},
     minion::{Call, Reply},
     options,
 };
@@ -50,14 +50,21 @@
     /// session's token is this one or a higher one.
     fn drive_bar(&mut self, now: Duration) {
         let is_needed = self.minion.as_ref().is_some_and(|minion| !minion.is_barred);
-        if !is_needed || self.session.highest == 0 || self.bar.is_some() || now < self.next_hold {
+        let token = self.bar_token();
+        if !is_needed || token == 0 || self.bar.is_some() || now < self.next_hold {
             return;
         }
-        let token = self.session.highest + 1;
         let call = Call::Hold { deadline: None, token, noted: 0, wait: Duration::ZERO };
         self.bar = self.call(call, options::MINION_TIMEOUT);
     }
 
+    /// A token above those of earlier sessions; 0 when none is known.
+    fn bar_token(&self) -> u64 {
+        let Session { highest, offered, .. } = self.session;
+        let next = if highest > 0 { highest + 1 } else { 0 };
+        next.max(offered)
+    }
+
     fn barred(&mut self, now: Duration, reply: &Reply) {
         self.bar = None;
         self.next_hold = now + options::LISTED_PAUSE;
@@ -75,7 +82,7 @@
     }
 
     fn note_barred(&mut self, now: Duration, outcome: &str) {
-        let token = self.session.highest + 1;
+        let token = self.bar_token();
         let Some(minion) = &mut self.minion else { return };
         minion.is_barred = true;
         let (id, born_ms) = (&minion.incarnation.id, minion.incarnation.born_ms);
@@ -112,7 +119,8 @@
         if now < self.look.next {
             return;
         }
-        let call = Call::Hold { deadline: None, token: 0, noted: 0, wait: Duration::ZERO };
+        let token = self.session.offered;
+        let call = Call::Hold { deadline: None, token, noted: 0, wait: Duration::ZERO };
         let ticket = self.ticket();
         self.look.ticket = Some(ticket);
         let (address, life) = (self.options.tasks.clone(), String::new());
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -83,6 +83,8 @@
     pub(crate) token: u64,
     /// Highest token of any session so far, also of one that is over.
     pub(crate) highest: u64,
+    /// Highest token that was granted while no minion was known.
+    pub(crate) offered: u64,
     pub(crate) noted: u64,
     /// Until when the minion may run on.
     pub(crate) lease_until: Duration,
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -117,7 +117,11 @@
     /// Guards against orders that were under way when the minion was replaced: they tell which
     /// ends of the old life are noted, and the new life would forget its own under these numbers.
     fn begin_session(&mut self, orders: &Orders) {
-        if self.minion.is_none() || orders.token <= self.session.highest {
+        if self.minion.is_none() {
+            self.offer(orders.token);
+            return;
+        }
+        if orders.token <= self.session.highest {
             return;
         }
         let is_new_term = orders.term > self.session.term;
@@ -133,6 +137,17 @@
         self.quick_hold = None;
     }
 
+    /// A token for a minion that has not spoken yet.
+    ///
+    /// Guards against a minion that started while this agent's process was away: until its first
+    /// heartbeat it would carry out what the life before was ordered.
+    fn offer(&mut self, token: u64) {
+        if token > self.session.offered {
+            self.session.offered = token;
+            self.look.next = Duration::ZERO;
+        }
+    }
+
     /// A poll has failed.
     pub(crate) fn no_orders(&mut self, now: Duration, ticket: Ticket, is_declined: bool) {
         let Some(at) = self.polls.iter().position(|poll| poll.ticket == ticket) else { return };
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -2,6 +2,7 @@
 
 use sapphire_jobs::{Ended, Ending, Lead, Orders, Rejection};
 use sapphire_runner::{
+    effect::Effect,
     event::Event,
     machine::Machine,
     minion::{Call, Reply},
@@ -292,3 +293,47 @@
     assert!(holds.iter().all(|(noted, is_prompt)| *noted == 0 || *is_prompt), "{holds:?}");
     assert_eq!(holds.iter().filter(|(noted, _)| *noted > 0).count(), 2, "{holds:?}");
 }
+
+/// Guards against a minion that started while its agent's process was away, and carries out what
+/// the life before was ordered until its first heartbeat.
+#[test]
+fn a_minion_that_has_not_spoken_is_shown_a_token() {
+    let mut machine = Machine::new(Options {
+        name: "a".to_owned(),
+        address: "a:1".to_owned(),
+        generation: 2,
+        entries: vec!["e:1".to_owned()],
+        tasks: "m:1".to_owned(),
+        stop: ms(400),
+    });
+    let lead = Lead { name: "e".to_owned(), address: "e:1".to_owned(), term: 7, generation: 1 };
+    let mut effects = machine.handle(ms(10), Event::Lead(lead));
+    let token_of = |effects: &[Effect]| {
+        let call = effects.iter().find_map(|effect| match effect {
+            Effect::Minion { ticket, life, call: Call::Hold { token, .. }, .. } => {
+                assert_eq!(life, "", "its name is not known");
+                Some((*ticket, *token))
+            }
+            _ => None,
+        });
+        call.expect("it looks whether a minion is there")
+    };
+    let (look, token) = token_of(&effects);
+    assert_eq!(token, 0);
+    let list = Reply::Listed {
+        born_ms: 1,
+        clock: ms(1),
+        running: Vec::new(),
+        ended: Vec::new(),
+        unreadable: 0,
+    };
+    effects.extend(machine.handle(ms(11), Event::Minion(look, list)));
+    let poll = effects.iter().find_map(|effect| match effect {
+        Effect::Poll { ticket, .. } => Some(*ticket),
+        _ => None,
+    });
+    let orders = Orders { term: 7, token: TOKEN, lease_ms: 6_000, ..Orders::default() };
+    let poll = poll.expect("it polls without a minion");
+    let effects = machine.handle(ms(50), Event::Orders(poll, Box::new(orders)));
+    assert_eq!(token_of(&effects).1, TOKEN);
+}
