test: a refusal is untrue if the job was in hand when it was given

The check compares the time of the refusal with that of the job's record: a job that was in hand by then must not start.

--- a/crates/proofs/src/jobs/world/callers.rs
+++ b/crates/proofs/src/jobs/world/callers.rs
@@ -44,6 +44,7 @@
             self.at(refusal.until, Action::Submit(index));
             return;
         }
+        self.note(&format!("job={} is handed in", job.id));
         let handin = answer::Handin { spec: job.spec, steps: job.steps, schedule: job.schedule };
         self.request(index, answer::Action::Submit(Ok(handin)));
         // Callers ask again when there is no answer.
@@ -81,8 +82,9 @@
             answer::Answer::Cancelled => {
                 self.cancelled.entry(id).or_insert(self.now);
             }
-            answer::Answer::NotDone { after, .. } => {
-                self.refused.insert(id);
+            answer::Answer::NotDone { reason, after } => {
+                self.note(&format!("job={id} is said not to be done: {reason}"));
+                self.refused.insert(id, self.now);
                 let refusal = self.refusals.entry(index).or_default();
                 refusal.count += 1;
                 refusal.until = self.now + *after;
