runner: an agent asks for a list before it notes ends

The new life forgot its own end, the first list had neither the run nor an end ('running=0 ended=0'), and the planner ordered the task once more.

Ends are noted only in the 20 ms after a list of the same life has arrived; an agent that has had none for longer asks for one first, and notes them in the same turn.

--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -96,11 +96,15 @@
     /// Asks for a list; tells of the ends that are noted unless this life of the minion knows.
     ///
     /// Guards against a next life of the minion that answers instead and forgets its own ends
-    /// under these numbers: a hold that waits is sent only once there is nothing to tell.
+    /// under these numbers: a hold that waits is sent only once there is nothing to tell, and one
+    /// that tells something only right after a list of this life. An agent that has been frozen
+    /// asks for a list first.
     fn hold(&mut self, now: Duration, wait: Duration) -> Option<Hold> {
         let token = self.session.token;
-        let known = self.minion.as_ref()?.noted;
-        let noted = if known < self.session.noted { self.session.noted } else { 0 };
+        let minion = self.minion.as_ref()?;
+        let is_noting = minion.noted < self.session.noted;
+        let is_recent = minion.lists > 0 && now < minion.listed_at + options::NOTED_AFTER;
+        let noted = if is_noting && is_recent { self.session.noted } else { 0 };
         let call = Call::Hold { deadline: self.deadline(now), token, noted, wait };
         let ticket = self.call(call, wait + options::MINION_TIMEOUT)?;
         Some(Hold { ticket, sent: now, token, noted })
@@ -295,7 +299,7 @@
         let ended = &minion.ended;
         minion.started.retain(|_, (running, _)| !ended.values().any(|end| end.run == running.run));
         self.has_news |= has_ended;
-        if minion.ended.is_empty() {
+        if minion.ended.is_empty() || minion.noted < self.session.noted {
             self.next_hold = now;
         }
         self.settle_orders(hold.sent);
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -42,6 +42,9 @@
 /// Pause between holds while ends are listed that are not noted yet: the minion answers at once
 /// then, and asking on without a pause would take the processor.
 pub const LISTED_PAUSE: Duration = Duration::from_millis(90);
+/// Time after a list in which its minion is told of the ends that are noted: the hold that tells of
+/// them goes out in the same turn, or as soon as another one on its way is answered.
+pub const NOTED_AFTER: Duration = Duration::from_millis(20);
 /// Time for the planner's answer: the time it holds a poll, and two messages between regions.
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Least time between two polls, so that several ends go into one.
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -294,6 +294,30 @@
     assert_eq!(holds.iter().filter(|(noted, _)| *noted > 0).count(), 2, "{holds:?}");
 }
 
+/// Guards against a task that runs again after it was done: an agent that was frozen while its
+/// minion started again would have the new life forget its ends.
+#[test]
+fn an_agent_that_was_frozen_asks_for_a_list_before_it_notes_ends() {
+    let mut bench = Bench::fenced();
+    let ended = Ended { number: 3, run: Some(run(1)), ..Ended::default() };
+    let hold = bench.take(|call| matches!(call, Call::Hold { .. }));
+    bench.list(80, hold, vec![ended]);
+    bench.tell(90, Event::Tick);
+    let (ticket, _) = bench.polls.pop().expect("the agent has polled");
+    bench.calls.clear();
+    let lease_ms = LEASE.as_millis() as u64;
+    let orders = Orders { term: 7, token: TOKEN, lease_ms, noted: 3, ..Orders::default() };
+    bench.tell(2_000, Event::Orders(ticket, Box::new(orders)));
+    let noted_by = |call: &Call| match call {
+        Call::Hold { noted, wait, .. } if wait.is_zero() => Some(*noted),
+        _ => None,
+    };
+    let hold = bench.take(|call| noted_by(call) == Some(0));
+    assert!(!bench.calls.iter().any(|(_, call)| noted_by(call) == Some(3)));
+    bench.list(2_001, hold, Vec::new());
+    bench.take(|call| noted_by(call) == Some(3));
+}
+
 /// Guards against a minion that started while its agent's process was away, and carries out what
 /// the life before was ordered until its first heartbeat.
 #[test]
