planner, runner: absence from a list that is cut off shows nothing

A minion lists 500 ends at a time. With more that are not noted, a run that is missing from its list may have ended beyond them; the planner took it for lost after three lists, or at once at the start of a session, and ordered the task again; an agent took a stop as settled.

Such a list now settles no absence. Its ends count, and are noted once they are durable, so that the minion lists the others; a session begins with the first list that is not cut off.

Tests of the planner and of the agent failed before.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,3 +10,7 @@
     Poll, Progress, Rejection, Relay, Relayed, Row, Run, Running, Schedule, Start, State, Step,
     Supply, Tally, Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask, Verdict,
 };
+
+/// Ends that a minion lists at a time. Of a run that is missing from a list with as many, the end
+/// may be among the others.
+pub const LISTED_ENDS: usize = 500;
--- a/crates/planner/src/ledger.rs
+++ b/crates/planner/src/ledger.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphire_jobs::{
-    Ending, Poll, Rejection,
+    Ending, LISTED_ENDS, Poll, Rejection,
     room::Room,
     task::{GroupKey, Task},
 };
@@ -23,14 +23,22 @@
 
 impl Planner {
     /// Brings the ledger of a worker in line with what its minion lists.
+    ///
+    /// Guards against a task that was done and starts again: where there are more ends than one
+    /// list holds, absence from it shows nothing.
     pub(crate) fn reconcile(&mut self, now: Moment, name: &str, poll: &Poll) {
+        for ended in &poll.ended {
+            self.listed_end(now, name, ended);
+        }
+        let is_cut_off = poll.ended.len() >= LISTED_ENDS;
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        if is_cut_off && !worker.is_fenced {
+            // Once these ends are noted, the minion lists the others.
+            return;
+        }
         let is_first = !worker.is_fenced;
         worker.is_fenced = true;
         self.enrol(name, &poll.address);
-        for ended in &poll.ended {
-            self.listed_end(now, name, ended);
-        }
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let is_new_list = poll.lists != worker.lists;
         worker.lists = poll.lists;
@@ -55,7 +63,7 @@
             self.verdict(now, name, &Task::read(run), run.run, verdict.rejection());
         }
         self.receive(name, poll);
-        if is_new_list {
+        if is_new_list && !is_cut_off {
             self.miss_absent(now, name, poll);
         }
         if is_first {
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -2,7 +2,7 @@
 
 use prost::Message as _;
 use sapphire_jobs::{
-    Ending, Incarnation, Notice, Poll, Rejection, Run, Running, Step, Unanswered, Verdict,
+    Ended, Ending, Incarnation, Notice, Poll, Rejection, Run, Running, Step, Unanswered, Verdict,
 };
 use sapphire_planner::{
     event::{Event, Operation},
@@ -325,3 +325,43 @@
     wait(&mut next, names, &Poll::default(), true, 3_500);
     assert_eq!(next.placed("j"), names[1]);
 }
+
+/// Five hundred ends of runs that nobody knows, as many as one list holds.
+fn many_ends() -> Vec<Ended> {
+    (1..=500).map(|number| ended(number, run("other", 0, 1), Ending::Stopped)).collect()
+}
+
+/// Guards against a task that was done and starts again: its end is beyond those of one list.
+#[test]
+fn a_run_that_is_missing_from_a_list_that_is_cut_off_is_not_lost() {
+    let (mut bench, run) = ordered();
+    bench.poll("a", vec![Running { run: Some(run.clone()), ..Running::default() }], Vec::new());
+    for _ in 0..10 {
+        bench.poll("a", Vec::new(), many_ends());
+        bench.pass(500);
+    }
+    assert_eq!(bench.starts(), vec![run.clone()]);
+    bench.poll("a", Vec::new(), vec![ended(501, run.clone(), Ending::Done)]);
+    bench.pass(500);
+    assert_eq!(bench.starts(), vec![run]);
+    assert_eq!(bench.placed("j"), "");
+}
+
+/// Guards against the same at the start of a session.
+#[test]
+fn a_session_does_not_begin_with_a_list_that_is_cut_off() {
+    let (mut bench, run) = ordered();
+    bench.poll("a", vec![Running { run: Some(run.clone()), ..Running::default() }], Vec::new());
+    bench.restart("a");
+    bench.poll("a", Vec::new(), Vec::new());
+    for _ in 0..4 {
+        bench.poll("a", Vec::new(), many_ends());
+        bench.pass(500);
+    }
+    assert_eq!(bench.starts(), vec![run.clone()]);
+    let noted = bench.orders.iter().map(|(_, orders)| orders.noted).max();
+    assert_eq!(noted, Some(500), "the minion is to list the others");
+    bench.poll("a", Vec::new(), vec![ended(501, run.clone(), Ending::Done)]);
+    bench.pass(500);
+    assert_eq!(bench.starts(), vec![run]);
+}
--- a/crates/runner/src/holds.rs
+++ b/crates/runner/src/holds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphire_jobs::{Ended, Incarnation, Rejection, Running, task::Task};
+use sapphire_jobs::{Ended, Incarnation, LISTED_ENDS, Rejection, Running, task::Task};
 
 use crate::{
     effect::Effect,
@@ -280,6 +280,7 @@
         if hold.sent < minion.listed {
             return;
         }
+        let is_cut_off = ended.len() >= LISTED_ENDS;
         minion.listed = hold.sent;
         minion.listed_at = now;
         minion.lists += 1;
@@ -302,6 +303,6 @@
         if minion.ended.is_empty() || minion.noted < self.session.noted {
             self.next_hold = now;
         }
-        self.settle_orders(hold.sent);
+        self.settle_orders(hold.sent, is_cut_off);
     }
 }
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -225,8 +225,8 @@
     /// late: the minion's next life would carry it out again.
     ///
     /// A list may leave out a task that is being stopped, whose room is still taken, so absence
-    /// counts only after the longest stop.
-    pub(crate) fn settle_orders(&mut self, list_sent: Duration) {
+    /// counts only after the longest stop; of one that is cut off, it shows nothing.
+    pub(crate) fn settle_orders(&mut self, list_sent: Duration, is_cut_off: bool) {
         let Some(minion) = &self.minion else { return };
         let mut absent = Vec::new();
         let mut settled = Vec::new();
@@ -239,6 +239,7 @@
             if has_ended || (is_running && order.kind.is_start()) {
                 settled.push((task.clone(), run));
             } else if !is_running
+                && !is_cut_off
                 && answered.is_some_and(|answered| list_sent >= answered + self.options.stop)
             {
                 absent.push((task.clone(), run));
--- a/crates/runner/tests/orders/mod.rs
+++ b/crates/runner/tests/orders/mod.rs
@@ -362,3 +362,27 @@
     assert_eq!(waits(&mut bench, 440, 12_080), 20);
     assert_eq!(waits(&mut bench, 12_110, 12_200), 400);
 }
+
+/// Guards against a task that was done and starts again: a stop counts as settled though the end of
+/// its run is beyond those of one list.
+#[test]
+fn a_run_that_is_missing_from_a_list_that_is_cut_off_may_have_ended() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, Vec::new(), vec![run(1)]);
+    let stop = bench.take(|call| matches!(call, Call::Stop { .. }));
+    bench.tell(110, Event::Minion(stop, Reply::Done));
+    let other = |number| Ended { number, run: Some(run(9)), ..Ended::default() };
+    for time in (600..2_000).step_by(100) {
+        bench.tell(time, Event::Tick);
+        let is_hold = |(_, call): &(_, Call)| matches!(call, Call::Hold { .. });
+        let Some(at) = bench.calls.iter().position(is_hold) else { continue };
+        let (ticket, _) = bench.calls.remove(at);
+        bench.list(time, ticket, (1..=500).map(other).collect());
+        bench.tell(time + 10, Event::Tick);
+        assert!(bench.polls.iter().all(|(_, poll)| poll.verdicts.is_empty()), "at {time}");
+        bench.orders(time + 20, Vec::new(), Vec::new());
+    }
+    bench.tell(2_100, Event::Tick);
+    let (_, poll) = bench.polls.last().expect("it reports");
+    assert_eq!(poll.stopping, [run(1)]);
+}
