planner: looking for unanswered starts copies no names; a record of another minion is left out

A pass looked up each waiting group's tasks by copies of their names, also when there is nothing to find, and the tasks of a step on a worker likewise for each worker. A planner that has met a minion of another name while it read the store does not take over what was recorded for the one before.

--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -3,6 +3,7 @@
 use std::{
     borrow::Cow,
     collections::{BTreeMap, BTreeSet},
+    ops::Range,
     rc::Rc,
     time::Duration,
 };
@@ -168,7 +169,7 @@
         let first = GroupKey { index: 0, ..*key };
         let tasks = members(&entry.job.id, &first, u32::MAX);
         let count = |(name, worker): (&WorkerName, &Worker)| {
-            let count = worker.runs.range(tasks.clone()).count();
+            let count = worker.runs.range::<Task, _>(&tasks.start..&tasks.end).count();
             (count > 0).then(|| (name.clone(), u32::try_from(count).unwrap_or(u32::MAX)))
         };
         self.workers.iter().filter_map(count).collect()
@@ -238,7 +239,11 @@
     /// out an earlier start of them; nothing when two may.
     fn bound(&self, id: &str, key: &GroupKey, tasks: u32) -> Option<BTreeMap<u32, WorkerName>> {
         let mut bound = BTreeMap::new();
-        for (task, mut names) in self.unanswered.range(members(id, key, tasks)) {
+        if self.unanswered.is_empty() {
+            return Some(bound);
+        }
+        let members = members(id, key, tasks);
+        for (task, mut names) in self.unanswered.range(&members.start..&members.end) {
             bound.extend(names.next().map(|name| (task.index - key.index, name.clone())));
             if names.next().is_some() {
                 return None;
@@ -265,7 +270,9 @@
     /// last is still being stopped when the gang would start again.
     fn is_still_there(&self, id: &str, key: &GroupKey, tasks: u32) -> bool {
         let members = members(id, key, tasks);
-        self.workers.values().any(|worker| worker.runs.range(members.clone()).next().is_some())
+        self.workers.values().any(|worker| {
+            worker.runs.range::<Task, _>(&members.start..&members.end).next().is_some()
+        })
     }
 
     /// Places that a group may take now.
@@ -368,7 +375,7 @@
 }
 
 /// The tasks of a group.
-fn members(id: &str, key: &GroupKey, tasks: u32) -> std::ops::Range<Task> {
+fn members(id: &str, key: &GroupKey, tasks: u32) -> Range<Task> {
     let task =
         |index| Task { job: id.to_owned(), occurrence: key.occurrence, step: key.step, index };
     task(key.index)..task(key.index.saturating_add(tasks))
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -79,9 +79,11 @@
 
     /// A worker has a minion of this name: it turns away what names another.
     pub(crate) fn meet(&mut self, worker: &str, minion: &str) {
+        if self.minion(worker) == Some(minion) {
+            return;
+        }
         let record = self.by_worker.entry(worker.to_owned()).or_default();
-        let known = record.minion.replace(minion.to_owned());
-        if known.is_some_and(|known| known != minion) {
+        if record.minion.replace(minion.to_owned()).is_some() {
             self.each(worker, |start| *start = Start::default());
             self.prune(worker);
         }
@@ -145,6 +147,10 @@
     /// Takes over the record of an earlier planner, whose clock may differ.
     pub(crate) fn restore(&mut self, now: Moment, starts: UnansweredStarts) {
         for UnansweredOn { worker, minion, tasks } in starts.workers {
+            let is_other = self.minion(&worker).is_some_and(|known| known != minion);
+            if is_other && !minion.is_empty() {
+                continue;
+            }
             for task in tasks {
                 let until = Duration::from_millis(task.until_ms) + options::CLOCK_SKEW;
                 let left = until.saturating_sub(now.unix).min(options::LATEST_START);
@@ -155,18 +161,29 @@
                 start.recorded = start.kept;
             }
             self.prune(&worker);
-            if let Some(record) = self.by_worker.get_mut(&worker) {
-                record.minion = (!minion.is_empty()).then_some(minion);
+            if let Some(record) = self.by_worker.get_mut(&worker)
+                && !minion.is_empty()
+            {
+                record.minion = Some(minion);
             }
         }
     }
 
+    /// Whether there are none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_task.is_empty()
+    }
+
     /// Workers that may still carry out a start, for each task in a range that has one.
     pub(crate) fn range(
         &self,
-        tasks: Range<Task>,
+        tasks: Range<&Task>,
     ) -> impl Iterator<Item = (&Task, impl Iterator<Item = &WorkerName>)> {
-        self.by_task.range(tasks).map(|(task, starts)| (task, starts.keys()))
+        self.by_task.range::<Task, _>(tasks).map(|(task, starts)| (task, starts.keys()))
+    }
+
+    fn minion(&self, worker: &str) -> Option<&str> {
+        self.by_worker.get(worker)?.minion.as_deref()
     }
 
     fn start(&mut self, worker: &str, task: Task) -> &mut Start {
