planner: a minion that has started again may have the longest lease

A hold or a start that was meant for one life of a minion and is answered by the next carries a deadline by the earlier clock. The next life's clock starts anew, so its lease becomes the longest that it grants, 10 s, while the planner takes the worker as gone 6.4 s after its last poll at most: after a cut within those seconds a task would run twice.

The planner counts with the longest lease from when it hears of a new life under the same name. The unit test failed before.

--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -11,6 +11,8 @@
     pub name: String,
     /// How long a minion may run on after its agent last asked.
     pub lease: Duration,
+    /// Longest lease that a minion grants, whatever it is asked for.
+    pub longest_lease: Duration,
     /// How much slower than true time a minion's clock may be, in parts of a thousand.
     pub clock_drift_milli: u32,
     /// Longest time that a stopped task may go on.
@@ -62,6 +64,15 @@
 impl Options {
     /// Time after an agent's poll at which its minion's lease has certainly run out.
     pub fn lapse(&self) -> Duration {
-        self.lease + self.lease * self.clock_drift_milli / 1_000 + MARGIN
+        self.lapse_of(self.lease)
+    }
+
+    /// Time from now at which any lease that a minion has been given by now has certainly run out.
+    pub fn longest_lapse(&self) -> Duration {
+        self.lapse_of(self.longest_lease.max(self.lease))
+    }
+
+    fn lapse_of(&self, lease: Duration) -> Duration {
+        lease + lease * self.clock_drift_milli / 1_000 + MARGIN
     }
 }
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -108,6 +108,16 @@
             worker.is_fenced = false;
             worker.is_new_life = is_new_minion;
         }
+        let is_reborn = match (&worker.incarnation, &poll.incarnation) {
+            (Some(known), Some(new)) => is_new_minion && known.id == new.id,
+            _ => false,
+        };
+        if is_reborn {
+            // Guards against work that goes on elsewhere while this life still runs it: what was
+            // meant for the life before has given it a lease by that one's clock.
+            let longest = now.steady + self.options.longest_lapse();
+            worker.lapse_at = worker.lapse_at.max(longest);
+        }
         let had_minion = worker.incarnation.is_some();
         let was_draining = worker.incarnation.as_ref().is_some_and(|minion| minion.is_draining);
         if is_new_minion {
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -105,6 +105,7 @@
         let options = Options {
             name: "e".to_owned(),
             lease: ms(6_000),
+            longest_lease: ms(10_000),
             clock_drift_milli: 20,
             stop: ms(400),
             status: ms(120_000),
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -365,3 +365,20 @@
     bench.pass(500);
     assert_eq!(bench.starts(), vec![run]);
 }
+
+/// Guards against a task that runs twice: a minion's next life has a lease by the clock of the life
+/// before, longer than was granted, and is cut off.
+#[test]
+fn a_minion_that_has_started_again_may_have_the_longest_lease() {
+    let (mut bench, run) = ordered();
+    let born = |born_ms| Incarnation { born_ms, ..minion("a") };
+    let running = Running { run: Some(run), ..Running::default() };
+    for _ in 0..2 {
+        let running = vec![running.clone()];
+        bench.report("a", Poll { incarnation: Some(born(2)), running, ..Poll::default() });
+    }
+    bench.pass(10_000);
+    assert!(bench.planner.workers().contains_key("a"), "it may be running the task");
+    bench.pass(600);
+    assert!(!bench.planner.workers().contains_key("a"));
+}
--- a/crates/proofs/src/jobs/world/settings.rs
+++ b/crates/proofs/src/jobs/world/settings.rs
@@ -25,6 +25,7 @@
     planner::options::Options {
         name: format!("e{entry}"),
         lease: Duration::from_secs(6),
+        longest_lease: super::HOLD,
         clock_drift_milli: 20,
         stop: Duration::from_millis(400),
         status: Duration::from_secs(120),
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -56,6 +56,7 @@
     planner::options::Options {
         name: settings.name.clone(),
         lease: millis(bounds.lease_limit_ms).mul_f64(LEASE_SHARE).min(MAX_LEASE),
+        longest_lease: millis(bounds.lease_limit_ms),
         clock_drift_milli: CLOCK_DRIFT_MILLI,
         stop: millis(bounds.stop_ms),
         status: millis(bounds.status_ms),
