runner: an agent that was paused asks for a list before it sends orders

An agent that was told nothing for 700 ms, though it has ticks every 60, was paused: it sends no orders until a list has come that it asked for since.

--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -136,6 +136,10 @@
     /// Rows of the latest lists that can't be read.
     pub(crate) unreadable: usize,
     pub(crate) is_leaving: Option<Duration>,
+    /// When it was last told something.
+    last: Duration,
+    /// When it last woke from a pause.
+    pub(crate) woke: Duration,
     last_ticket: Ticket,
     pub(crate) out: Vec<Effect>,
 }
@@ -176,6 +180,8 @@
             unanswered_holds: 0,
             unreadable: 0,
             is_leaving: None,
+            last: Duration::ZERO,
+            woke: Duration::ZERO,
             last_ticket: 0,
             out: Vec::new(),
         }
@@ -183,6 +189,7 @@
 
     /// Takes an event at a steady time; returns what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.note_pause(now);
         match event {
             Event::Beat(beat) => self.beat(now, *beat),
             Event::Leaves(id) => self.leaves(now, &id),
@@ -197,6 +204,17 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Notes that this process stood still for a while, as one that is frozen does.
+    fn note_pause(&mut self, now: Duration) {
+        let pause = now.saturating_sub(self.last);
+        if !self.last.is_zero() && pause >= options::PAUSE {
+            self.log(format!("paused for {} ms; asks for a list first", pause.as_millis()));
+            self.woke = now;
+            self.wants_list = true;
+        }
+        self.last = now;
+    }
+
     /// Makes the calls that are due.
     fn go_on(&mut self, now: Duration) {
         if self.farewell.is_some_and(|farewell| now >= farewell.since + FAREWELL) {
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -49,6 +49,9 @@
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Least time between two polls, so that several ends go into one.
 pub const POLL_PAUSE: Duration = Duration::from_millis(8);
+/// Time between two events after which the process was paused: far above the time between ticks, and
+/// below that in which a minion may end and start again.
+pub const PAUSE: Duration = Duration::from_millis(700);
 /// Pause between looks at whether a minion is there at all.
 pub const LOOK_PAUSE: Duration = Duration::from_millis(120);
 /// The same once one has answered; its heartbeat says the rest.
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -67,8 +67,14 @@
 
     /// Sends what has not been sent, and again what has got no answer. A repeated order is
     /// harmless: the minion knows its run.
+    ///
+    /// Guards against a task that runs twice: while this process was paused, the minion may have
+    /// started again and carried out a late start of an earlier run. A list shows that life.
     pub(crate) fn drive_orders(&mut self, now: Duration) {
         let Some(minion) = &self.minion else { return };
+        if minion.listed < self.woke {
+            return;
+        }
         if minion.fenced != self.session.token || self.session.token == 0 {
             return;
         }
--- a/crates/runner/tests/orders/mod.rs
+++ b/crates/runner/tests/orders/mod.rs
@@ -253,6 +253,20 @@
     }
 }
 
+/// Guards against a task that runs twice: while the agent was frozen its minion started again, and
+/// runs what an earlier run of the task was ordered.
+#[test]
+fn an_agent_that_was_frozen_asks_for_a_list_before_it_sends_orders() {
+    let mut bench = Bench::fenced();
+    bench.orders(100, vec![start(2)], Vec::new());
+    let first = bench.take(is_start);
+    bench.tell(2_000, Event::Minion(first, Reply::Unknown));
+    assert!(!bench.calls.iter().any(|(_, call)| is_start(call)), "another life may be there");
+    let hold = bench.take(|call| matches!(call, Call::Hold { wait, .. } if wait.is_zero()));
+    bench.list(2_001, hold, Vec::new());
+    bench.take(is_start);
+}
+
 /// Guards against a planner that takes a stop as being made while the agent still has the start.
 #[test]
 fn polls_tell_starts_and_stops_in_hand_apart() {
