runner: report attempts in flight, refuse another run of a task

What callers saw: nothing yet; in the worst order of events a task runs twice at once. Cause: an attempt to start a run, whose answer is still waited for, was reported neither as an open order nor as an unanswered start once a list had shown its run. If the agent was killed then, the planner waited until the attempt before it expired, up to 1.9 s too short. And an agent that had an unanswered start of a run accepted another run of the task, so that a planner which does not know of the first would have both carried out by the next incarnation of the minion. Change: such an attempt gives its run's row in the report its age, and the agent refuses the other run as `Old` until the first has expired. Rows of runs whose order is open stay as they were.

--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -18,7 +18,10 @@
 
 impl Machine {
     /// Accepts an order to start a run. An order for a run that is known already changes nothing.
-    pub(crate) fn order_start(&mut self, start: Start) {
+    ///
+    /// Guards against a task that runs twice: the next incarnation of the minion may carry out the
+    /// unanswered starts of both runs. The planner orders no such run once it knows of the first.
+    pub(crate) fn order_start(&mut self, now: Duration, start: Start) {
         let Some(run) = start.run.clone() else { return };
         let task = Task::read(&run);
         if self.refusals.covers(&task, run.run) {
@@ -42,6 +45,14 @@
             self.verdict(run, Rejection::Draining);
             return;
         }
+        if self.unanswered.has_other_run(now, &task, run.run) {
+            self.log(format!(
+                "task={task} run={} refused: an earlier start is unanswered",
+                run.run
+            ));
+            self.verdict(run, Rejection::Old);
+            return;
+        }
         let kind = Kind::Start(Box::new(start));
         self.orders.insert(
             task,
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphire_jobs::{Orders, Poll, Running, task::Task};
+use sapphire_jobs::{Orders, Poll, Run, Running, task::Task};
 
 use crate::{
     effect::Effect,
@@ -47,15 +47,18 @@
         let runs = |orders: Vec<(&Task, &Order)>| {
             orders.into_iter().map(|(task, order)| task.run(order.number)).collect()
         };
+        let pending: Vec<Run> = runs(starts);
+        let stopping = runs(stops);
+        let unanswered = self.unanswered.report(now, &pending);
         let mut poll = Poll {
             agent: self.options.name.clone(),
             address: self.options.address.clone(),
             generation: self.options.generation,
             sequence: self.sequence,
             verdicts: self.verdicts.iter().map(|(verdict, _)| verdict.clone()).collect(),
-            pending: runs(starts),
-            stopping: runs(stops),
-            unanswered: self.unanswered.report(now),
+            pending,
+            stopping,
+            unanswered,
             is_leaving: self.terminating_since.is_some(),
             is_minion_gone: self.is_minion_gone && self.minion.is_none(),
             ..Poll::default()
@@ -111,7 +114,7 @@
             self.order_stop(run);
         }
         for start in orders.starts {
-            self.order_start(start);
+            self.order_start(now, start);
         }
     }
 
--- a/crates/runner/src/unanswered.rs
+++ b/crates/runner/src/unanswered.rs
@@ -19,6 +19,13 @@
     is_abandoned: bool,
 }
 
+impl Attempt {
+    /// Whether the attempt is abandoned, but the minion may still carry it out.
+    fn is_open(&self, now: Duration) -> bool {
+        self.is_abandoned && now < self.sent_at + options::MAX_CALL_DELAY
+    }
+}
+
 /// Attempts to start runs on minions of one name.
 ///
 /// Guards against a task that runs twice: a stop that was answered, a later run or a token
@@ -65,18 +72,33 @@
 
     /// Whether the minion may still carry out an abandoned attempt.
     pub(crate) fn is_open(&self, now: Duration) -> bool {
-        let is_open = |it: &Attempt| it.is_abandoned && now < it.sent_at + options::MAX_CALL_DELAY;
-        self.attempts.values().any(is_open)
+        self.attempts.values().any(|attempt| attempt.is_open(now))
+    }
+
+    /// Whether the minion may still carry out an abandoned attempt to start another run of a task.
+    pub(crate) fn has_other_run(&self, now: Duration, task: &Task, number: RunNumber) -> bool {
+        let is_other = |it: &Attempt| it.task == *task && it.number != number && it.is_open(now);
+        self.attempts.values().any(is_other)
     }
 
     /// Returns the runs whose start may still be carried out, with the age of the latest attempt.
-    pub(crate) fn report(&mut self, now: Duration) -> Vec<Unanswered> {
+    ///
+    /// The latest attempt may be one whose answer is still waited for. It counts unless the run is
+    /// `pending`, that is, unless the poll reports its order as outstanding. If it is never
+    /// answered, and this process is lost, the planner has to wait until it expires.
+    pub(crate) fn report(&mut self, now: Duration, pending: &[Run]) -> Vec<Unanswered> {
         self.attempts.retain(|_, attempt| now < attempt.sent_at + options::MAX_CALL_DELAY);
         let mut latest: BTreeMap<(&Task, RunNumber), Duration> = BTreeMap::new();
         for attempt in self.attempts.values().filter(|attempt| attempt.is_abandoned) {
             let known = latest.entry((&attempt.task, attempt.number)).or_default();
             *known = attempt.sent_at.max(*known);
         }
+        let is_pending = |it: &Attempt| pending.contains(&it.task.run(it.number));
+        for attempt in self.attempts.values().filter(|attempt| !is_pending(attempt)) {
+            if let Some(known) = latest.get_mut(&(&attempt.task, attempt.number)) {
+                *known = attempt.sent_at.max(*known);
+            }
+        }
         let row = |((task, number), sent_at): ((&Task, RunNumber), Duration)| {
             let run: Run = task.run(number);
             let age = now.saturating_sub(sent_at).as_millis();
--- a/crates/runner/tests/orders/mod.rs
+++ b/crates/runner/tests/orders/mod.rs
@@ -407,3 +407,63 @@
     let (_, poll) = fixture.polls.last().expect("the agent has polled");
     assert_eq!(poll.stopping, [run(1)]);
 }
+
+/// Guards against two runs of a task in the minion's next incarnation: the start of the first had
+/// no answer and was stopped, and the start of the second is sent while the first may still be
+/// carried out.
+#[test]
+fn starts_of_two_runs_of_a_task_are_not_open_at_once() {
+    let mut fixture = Fixture::fenced();
+    fixture.answer_polls(100, vec![start(1)], Vec::new());
+    let first = fixture.take_call(is_start);
+    fixture.answer_polls(150, Vec::new(), vec![run(1)]);
+    fixture.handle(400, Event::MinionReply(first, Reply::Unknown));
+    let stop = fixture.take_call(|call| matches!(call, Call::Stop { .. }));
+    fixture.handle(420, Event::MinionReply(stop, Reply::Done));
+    for time in (440..1_400).step_by(20) {
+        fixture.handle(time, Event::Tick);
+        let is_long_poll = |(_, call): &(_, Call)| matches!(call, Call::LongPoll { .. });
+        let Some(at) = fixture.calls.iter().position(is_long_poll) else { continue };
+        let (ticket, _) = fixture.calls.remove(at);
+        fixture.send_list(time, ticket, Vec::new());
+    }
+    let (_, poll) = fixture.polls.last().expect("the agent has polled");
+    assert_eq!(poll.verdicts.last().map(|it| it.rejection()), Some(Rejection::Old));
+    assert_eq!(
+        poll.unanswered.iter().filter_map(|it| it.run.clone()).collect::<Vec<_>>(),
+        [run(1)]
+    );
+    fixture.answer_polls(1_410, vec![start(2)], Vec::new());
+    fixture.handle(1_430, Event::Tick);
+    assert!(!fixture.calls.iter().any(|(_, call)| is_start(call)), "run 1 may start until 12100");
+}
+
+/// Guards against a planner that waits too briefly after this agent is killed: an earlier attempt
+/// was carried out late and is listed while the latest one is still in flight.
+#[test]
+fn polls_report_attempts_in_flight_of_runs_that_are_listed() {
+    let mut fixture = Fixture::fenced();
+    fixture.answer_polls(100, vec![start(1)], Vec::new());
+    let mut time = 100;
+    for _ in 0..4 {
+        let attempt = fixture.take_call(is_start);
+        time += 300;
+        fixture.handle(time, Event::MinionReply(attempt, Reply::Unknown));
+        while !fixture.calls.iter().any(|(_, call)| is_start(call)) {
+            time += 20;
+            fixture.handle(time, Event::Tick);
+        }
+    }
+    let sent_at = time;
+    let long_poll = fixture.take_call(|call| matches!(call, Call::LongPoll { .. }));
+    let running = vec![Running { run: Some(run(1)), ..Running::default() }];
+    let list =
+        Reply::Listed { born_ms: 1, clock: ms(time), running, ended: Vec::new(), unreadable: 0 };
+    fixture.handle(time + 20, Event::MinionReply(long_poll, list));
+    fixture.answer_polls(time + 30, Vec::new(), Vec::new());
+    fixture.handle(time + 50, Event::Tick);
+    let (_, poll) = fixture.polls.last().expect("the agent has polled");
+    let ages: Vec<u64> = poll.unanswered.iter().map(|row| row.age_ms).collect();
+    let is_known = !poll.pending.is_empty() || ages.iter().any(|age| *age <= time + 50 - sent_at);
+    assert!(is_known, "an attempt was sent 50 ms ago; reported ages: {ages:?}");
+}
