fix: the starts that are pending on a worker are a valid placement

Cause: the planner knew of each such start and allowed the next one. It preferred the same worker for a later run of the task, and gave resources and places of the step away once the run was resolved in the present incarnation of the minion. The next incarnation has seen no stop, no later run and no token, and carries out all of them. Change: the starts that are pending on a worker, whoever sent them, have to be a valid placement by themselves: one run of a task over all workers, within the capacity, within the limit of the step. A start that was answered counts until a later list shows it. A run whose starts are pending may be ordered again on its worker under its number. A search for work to stop, a reservation, and the idle workers that are left to urgent work take pending starts into account. Why it works: a next incarnation can run nothing but such starts before it has a token, so no process has to be there. The field that tied tasks to workers in `plan::assignment` has no use left and goes with its test.

--- a/crates/plan/src/assignment.rs
+++ b/crates/plan/src/assignment.rs
@@ -24,10 +24,42 @@
     pub promised: Resources,
     /// Total resources.
     pub capacity: Resources,
+    /// Resources of the starts that the worker's minion may still carry out. Together with those of
+    /// new starts they must not exceed the capacity.
+    ///
+    /// Guards against overloading the next incarnation of the minion: everything that runs ends
+    /// with the present one, but the next one may carry out any of these starts.
+    pub pending: Resources,
     /// How far the worker is to be avoided; 0 for a healthy worker.
     pub suspicion: u32,
 }
 
+impl Place {
+    /// Returns the place as if nothing ran there and no start were pending.
+    pub fn emptied(&self) -> Self {
+        Place { free: self.capacity, ..self.without_pending() }
+    }
+
+    /// Returns the place as if no start were pending.
+    pub fn without_pending(&self) -> Self {
+        Place { pending: Resources::default(), ..self.clone() }
+    }
+
+    /// Adds the resources of tasks that will be started there to the pending ones. Without pending
+    /// ones, the free resources are limit enough: all starts are of what runs there.
+    pub fn add_pending(&mut self, resources: Resources) {
+        if self.pending != Resources::default() {
+            self.pending = self.pending.plus(resources);
+        }
+    }
+
+    /// Returns how many tasks with the given resources may be started there.
+    fn count_fitting(&self, resources: Resources) -> u32 {
+        let startable = self.capacity.minus(self.pending);
+        self.free.count_fitting(resources).min(startable.count_fitting(resources))
+    }
+}
+
 /// Requirements of a group.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
@@ -47,8 +79,6 @@
     pub present: BTreeMap<String, u32>,
     /// Workers on which the group failed before. They are used only if there is no other.
     pub avoid: Vec<String>,
-    /// Tasks that may only go to one particular worker, by their index in the group.
-    pub bound: BTreeMap<u32, String>,
 }
 
 /// Which workers a group may be assigned to.
@@ -97,7 +127,7 @@
 /// A place as a candidate for a group; none if it can't hold any of its tasks.
 fn candidate<'a>(index: usize, place: &'a Place, demand: &Demand) -> Option<Candidate<'a>> {
     let has_label = demand.label.is_empty() || place.labels.contains(&demand.label);
-    let mut tasks = place.free.count_fitting(demand.resources);
+    let mut tasks = place.count_fitting(demand.resources);
     if demand.per_worker > 0 {
         let present = demand.present.get(&*place.worker).copied().unwrap_or(0);
         tasks = tasks.min(demand.per_worker.saturating_sub(present));
@@ -137,18 +167,10 @@
     let mut missing = demand.tasks;
     let mut cost: Cost = (0, 0, 0, 0);
     let mut assignments = Vec::new();
-    let mut bound = bound(demand);
     while missing > 0 {
-        let best = match bound.pop_first() {
-            Some((worker, tasks)) => {
-                let at = unused.iter().position(|candidate| *candidate.place.worker == *worker)?;
-                (unused[at].tasks >= tasks).then_some(at)?
-            }
-            None => (0..unused.len()).min_by_key(|at| preference(&unused[*at], demand, missing))?,
-        };
+        let best = (0..unused.len()).min_by_key(|at| preference(&unused[*at], demand, missing))?;
         let candidate = unused.swap_remove(best);
-        let bound_elsewhere = bound.values().sum::<u32>();
-        let tasks = candidate.tasks.min(missing - bound_elsewhere.min(missing));
+        let tasks = candidate.tasks.min(missing);
         missing -= tasks;
         let (suspicion, remote, broken, free) = candidate_cost(&candidate, demand, tasks);
         cost = (cost.0 + suspicion, cost.1 + remote, cost.2 + broken, cost.3 + free);
@@ -157,15 +179,6 @@
     Some((cost, assignments))
 }
 
-/// Number of tasks that may only go to one particular worker, by worker.
-fn bound(demand: &Demand) -> BTreeMap<&str, u32> {
-    let mut bound: BTreeMap<&str, u32> = BTreeMap::new();
-    for worker in demand.bound.values() {
-        *bound.entry(worker).or_default() += 1;
-    }
-    bound
-}
-
 /// Cost of assigning some tasks to one candidate.
 fn candidate_cost(candidate: &Candidate<'_>, demand: &Demand, tasks: u32) -> Cost {
     let is_idle = candidate.place.free == candidate.place.capacity;
@@ -195,8 +208,15 @@
 /// Guards against urgent tasks, each of which needs a complete worker, having to stop work that has
 /// run for seconds because long tasks have spread over all workers. The reserved workers stay
 /// available to work that loses nothing when it is stopped.
+///
+/// Idle workers with pending starts are reserved first, since they take little other work: while
+/// many starts are unanswered, most workers are idle, and the others have to do all the work.
 pub fn without_reserved(places: &[Place], keep: usize) -> Vec<Place> {
-    let is_idle = |place: &Place| place.free == place.capacity && place.suspicion == 0;
+    let is_healthy = |place: &Place| place.free == place.capacity && place.suspicion == 0;
+    let has_pending = |place: &Place| place.pending != Resources::default();
+    let pending = places.iter().filter(|place| is_healthy(place) && has_pending(place)).count();
+    let keep = keep.saturating_sub(pending);
+    let is_idle = |place: &Place| is_healthy(place) && !has_pending(place);
     let mut idle = places.iter().filter(|place| is_idle(place)).count();
     let mut unreserved = places.to_vec();
     for place in unreserved.iter_mut().filter(|place| is_idle(place)) {
--- a/crates/plan/src/reserve.rs
+++ b/crates/plan/src/reserve.rs
@@ -51,7 +51,9 @@
             evict::Release { cost, released: run.released }
         };
         let releases: Vec<evict::Release<'_>> = running.iter().map(release_of).collect();
-        let Some(outcome) = evict::choose(places, &releases, demand, reach) else {
+        // Pending starts expire while the group waits.
+        let without_pending: Vec<Place> = places.iter().map(Place::without_pending).collect();
+        let Some(outcome) = evict::choose(&without_pending, &releases, demand, reach) else {
             return Reservation::default();
         };
         let wait = outcome.victims.iter().map(|at| releases[*at].cost).fold(0.0, f64::max);
@@ -63,6 +65,8 @@
             reserved.insert(assignment.place, place.free.minus(remaining_free));
             place.promised = place.promised.plus(needed.minus(place.free));
             place.free = remaining_free;
+            // Otherwise other starts would take the place of those that expire.
+            place.add_pending(needed);
         }
         Reservation { wait: Duration::from_secs_f64(wait), reserved }
     }
--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -160,6 +160,15 @@
         Some(self.expected_run_time(self.table.entries.get(&task.job)?, task.step))
     }
 
+    /// Records that a run will not be started again by its minion.
+    pub(crate) fn close_run(&mut self, task: &Task, number: RunNumber) {
+        let Some(entry) = self.table.entries.get_mut(&task.job) else { return };
+        let is_gang = entry.step(task.step).is_some_and(|step| step.is_gang);
+        if let Some(group) = entry.groups.get_mut(&GroupKey::of(task, is_gang)) {
+            group.closed_run = group.closed_run.max(number);
+        }
+    }
+
     /// Removes a run from its worker.
     fn remove_run(&mut self, name: &str, task: &Task, number: RunNumber) -> Option<Run> {
         let worker = self.workers.get_mut(name)?;
@@ -236,6 +245,8 @@
         let number = group.run;
         let Some(active) = group.active_mut() else { return };
         active.is_stopping = true;
+        group.closed_run = group.closed_run.max(number);
+        let Some(active) = group.active() else { return };
         let unfinished: Vec<(u32, WorkerName)> =
             active.unfinished.iter().map(|(index, worker)| (*index, worker.clone())).collect();
         for (index, worker) in unfinished {
--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -83,6 +83,9 @@
     pub failed_runs: BTreeSet<RunNumber>,
     /// Highest number of a run that has ended.
     pub ended_run: RunNumber,
+    /// Highest number of a run that was stopped or refused or has ended, and that its minion will
+    /// therefore not start again.
+    pub closed_run: RunNumber,
     /// Latest checkpoint; empty for none.
     pub checkpoint: String,
     /// Workers on which the group failed or was too slow.
@@ -105,6 +108,7 @@
             run: 0,
             failed_runs: BTreeSet::new(),
             ended_run: 0,
+            closed_run: 0,
             checkpoint: String::new(),
             avoid: Vec::new(),
             claim: None,
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -11,7 +11,7 @@
 
 use sapphire_jobs::{
     resources::Resources,
-    task::{GroupKey, JobId, Task, WorkerName},
+    task::{GroupKey, JobId, RunNumber, Task, WorkerName},
 };
 use sapphire_plan::{
     assignment::{self, Demand, Place, Reach},
@@ -19,7 +19,14 @@
 };
 
 use crate::{
-    event::Moment, group::Phase, planner::Planner, pool::Pool, table::Entry, urgent::Urgent,
+    event::Moment,
+    group::{Group, Phase},
+    placement::Placement,
+    planner::Planner,
+    pool::Pool,
+    table::Entry,
+    unanswered::Standing,
+    urgent::Urgent,
     worker::Worker,
 };
 
@@ -151,8 +158,9 @@
         }
     }
 
-    /// Returns what a group needs from the workers.
-    fn demand(&self, entry: &Entry, key: &GroupKey) -> Option<Demand> {
+    /// Returns what a group needs from the workers. `repeated` is its task whose run is ordered
+    /// again, and whose unanswered starts therefore do not count.
+    fn demand(&self, entry: &Entry, key: &GroupKey, repeated: Option<&Task>) -> Option<Demand> {
         let step = entry.step(key.step)?;
         let group = entry.groups.get(key)?;
         Some(Demand {
@@ -163,24 +171,33 @@
             wants_one_rack: step.is_gang && step.wants_one_rack,
             per_worker: step.per_worker,
             present: if step.per_worker > 0 {
-                self.count_present(entry, key)
+                self.count_present(entry, key, repeated)
             } else {
                 BTreeMap::new()
             },
-            bound: BTreeMap::new(),
             avoid: group.avoid.clone(),
         })
     }
 
-    /// Counts the tasks of a step and occurrence that may be running on each worker.
+    /// Counts the tasks of a step and occurrence that may be running on each worker, or of which
+    /// the next incarnation of its minion may carry out a start, whichever are more.
     ///
     /// Guards against more tasks of a step on a worker than its job allows: a task that is being
     /// stopped, or that no planner wanted there, is still present.
-    fn count_present(&self, entry: &Entry, key: &GroupKey) -> BTreeMap<WorkerName, u32> {
+    fn count_present(
+        &self,
+        entry: &Entry,
+        key: &GroupKey,
+        repeated: Option<&Task>,
+    ) -> BTreeMap<WorkerName, u32> {
         let first = GroupKey { index: 0, ..*key };
         let tasks = group_tasks(&entry.job.id, &first, u32::MAX);
+        let is_other =
+            |task: &&Task| (&tasks.start..&tasks.end).contains(task) && Some(*task) != repeated;
         let count = |(name, worker): (&WorkerName, &Worker)| {
-            let count = worker.runs.range::<Task, _>(&tasks.start..&tasks.end).count();
+            let running = worker.runs.range::<Task, _>(&tasks.start..&tasks.end).count();
+            let pending = self.pending_tasks(name, worker).into_iter().filter(is_other).count();
+            let count = running.max(pending);
             (count > 0).then(|| (name.clone(), u32::try_from(count).unwrap_or(u32::MAX)))
         };
         self.workers.iter().filter_map(count).collect()
@@ -197,10 +214,16 @@
         let Waiting { job: id, key } = waiting;
         let id: &str = id;
         let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
-        let Some(mut demand) = self.demand(entry, key) else { return Outcome::Waits };
-        match self.bound_workers(id, key, demand.tasks) {
-            Some(bound) => demand.bound = bound,
-            None => {
+        let Some(demand) = self.demand(entry, key, None) else { return Outcome::Waits };
+        let group = entry.groups.get(key).expect("the demand is that of a known group");
+        match self.standing(id, key, group, demand.tasks) {
+            Standing::Free => {}
+            Standing::Repeatable(worker, number)
+                if self.repeat(now, pool, waiting, &worker, number) =>
+            {
+                return Outcome::Served;
+            }
+            Standing::Repeatable(..) | Standing::Blocked => {
                 self.mark_blocked(now, id, key);
                 return Outcome::Waits;
             }
@@ -214,15 +237,16 @@
             if self.may_still_run(id, key, demand.tasks) {
                 return Outcome::Waits;
             }
-            self.place(now, pool, id, key, &demand, &assignments);
+            let placement =
+                Placement { demand: &demand, assignments: &assignments, repeated: None };
+            self.place(now, pool, id, key, &placement);
             return Outcome::Served;
         }
-        // Resources are released only for urgent work, and only on workers that the group may use.
-        let is_closed = demand.bound.values().any(|name| !pool.index.contains_key(name));
-        if is_closed || (priority > 0 && !demand.bound.is_empty()) {
-            self.mark_blocked(now, id, key);
-            return Outcome::Waits;
-        }
+        let has_pending = places.iter().any(|place| place.pending != Resources::default());
+        let is_held = has_pending && {
+            let without_pending: Vec<Place> = places.iter().map(Place::without_pending).collect();
+            assignment::assign(&without_pending, &demand, reach).is_some()
+        };
         let group = entry.groups.get(key).expect("looked up above");
         let urgent = Urgent { id, key, demand: &demand, reach, is_guaranteed };
         if let Some(claim) = group.claim.clone() {
@@ -241,6 +265,9 @@
             return Outcome::Waits;
         }
         self.reserve(now, pool, &demand, reach, guaranteed);
+        if let Some(entry) = self.table.entries.get_mut(id) {
+            entry.is_held |= is_held;
+        }
         // Other groups of the step that have waited longer may also run where they are slower, and
         // they may use workers that this one avoids because it failed there.
         let is_like_its_step = reach == Reach::Remote || demand.near_rack.is_empty();
@@ -251,30 +278,55 @@
         }
     }
 
-    /// Returns the workers that tasks of a group are bound to, by index in the group, because those
-    /// workers may still carry out an earlier start of the task. Returns `None` if two workers may.
-    fn bound_workers(
-        &self,
-        id: &str,
-        key: &GroupKey,
-        tasks: u32,
-    ) -> Option<BTreeMap<u32, WorkerName>> {
-        let mut bound = BTreeMap::new();
-        if self.unanswered.is_empty() {
-            return Some(bound);
-        }
+    /// Returns what the unanswered starts of a group's tasks allow. A run that its minion will not
+    /// start again is not repeated, and neither is one of a gang, all of whose members would have
+    /// to return to their workers.
+    ///
+    /// Guards against two simultaneous runs of one task: the next incarnation of a minion may carry
+    /// out an unanswered start whatever has become of it in the present one. This holds for a later
+    /// run on the same worker as well, whose start may be unanswered too.
+    fn standing(&self, id: &str, key: &GroupKey, group: &Group, tasks: u32) -> Standing {
         let tasks_of_group = group_tasks(id, key, tasks);
-        for (task, mut names) in self.unanswered.range(&tasks_of_group.start..&tasks_of_group.end) {
-            bound.extend(names.next().map(|name| (task.index - key.index, name.clone())));
-            if names.next().is_some() {
-                return None;
+        match self.unanswered.standing(&tasks_of_group.start..&tasks_of_group.end) {
+            Standing::Repeatable(_, number) if tasks > 1 || number <= group.closed_run => {
+                Standing::Blocked
             }
+            standing => standing,
+        }
+    }
+
+    /// Orders the run of a task again that has unanswered starts on a worker. Returns whether the
+    /// worker has the resources for it.
+    fn repeat(
+        &mut self,
+        now: Moment,
+        pool: &mut Pool,
+        waiting: &Waiting,
+        worker: &str,
+        number: RunNumber,
+    ) -> bool {
+        let Waiting { job: id, key } = waiting;
+        let Some(entry) = self.table.entries.get(&**id) else { return false };
+        let task = group_tasks(id, key, 1).start;
+        let Some(demand) = self.demand(entry, key, Some(&task)) else { return false };
+        let Some(at) = pool.index.get(worker).copied() else { return false };
+        // The pending starts of a place contain those of this run.
+        let place = &pool.places[at];
+        let place = Place { pending: place.pending.minus(demand.resources), ..place.clone() };
+        let Some(mut assignments) = assignment::assign(&[place], &demand, Reach::Remote) else {
+            return false;
+        };
+        if self.may_still_run(id, key, 1) {
+            return false;
         }
-        Some(bound)
+        assignments.iter_mut().for_each(|assignment| assignment.place = at);
+        let placement =
+            Placement { demand: &demand, assignments: &assignments, repeated: Some(number) };
+        self.place(now, pool, id, key, &placement);
+        true
     }
 
-    /// Records that a group waits until earlier starts of it expire, or until the workers that they
-    /// were sent to have free resources.
+    /// Records that a group waits until earlier starts of it expire.
     fn mark_blocked(&mut self, now: Moment, id: &str, key: &GroupKey) {
         let entry = self.table.entries.get_mut(id);
         let Some(group) = entry.and_then(|entry| entry.groups.get_mut(key)) else { return };
@@ -346,9 +398,8 @@
             return None;
         }
         let is_avoided = |place: &Place| group.avoid.iter().any(|name| **name == *place.worker);
-        let others = || pool.places.iter().filter(|place| !is_avoided(place)).cloned();
-        let empty: Vec<Place> =
-            others().map(|place| Place { free: place.capacity, ..place }).collect();
+        let others = pool.places.iter().filter(|place| !is_avoided(place));
+        let empty: Vec<Place> = others.map(Place::emptied).collect();
         assignment::assign(&empty, demand, Reach::Remote)?;
         let closed = |place: &Place| {
             let free = if is_avoided(place) { Resources::default() } else { place.free };
@@ -358,10 +409,10 @@
     }
 
     /// Returns whether a group would lose work if it were stopped, and has time to wait for a place
-    /// where urgent work will not need to stop it.
+    /// where urgent work will not need to stop it. One that pending starts have held up has not.
     fn can_wait(&self, now: Moment, entry: &Entry, key: &GroupKey) -> bool {
         let saves = entry.step(key.step).is_some_and(|step| step.checkpoints);
-        if self.queue_settings(entry).priority == 0 || saves {
+        if self.queue_settings(entry).priority == 0 || saves || entry.is_held {
             return false;
         }
         let end = Self::age(entry, now)
@@ -391,8 +442,7 @@
         let is_urgent = is_guaranteed
             && Self::age(entry, now) >= self.options.reclaim_deadline.mul_f64(REMOTE_START_SHARE);
         let fits_near = || {
-            let emptied = |place: &Place| Place { free: place.capacity, ..place.clone() };
-            let places: Vec<Place> = pool.places.iter().map(emptied).collect();
+            let places: Vec<Place> = pool.places.iter().map(Place::emptied).collect();
             assignment::assign(&places, demand, Reach::Near).is_some()
         };
         // A slower run takes resources from everybody for longer, which only urgent work justifies.
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -14,6 +14,14 @@
     worker::{self, Run},
 };
 
+/// The workers chosen for a group.
+pub(crate) struct Placement<'a> {
+    pub(crate) demand: &'a Demand,
+    pub(crate) assignments: &'a [Assignment],
+    /// Number of an earlier run that is ordered again; `None` for a new run.
+    pub(crate) repeated: Option<RunNumber>,
+}
+
 impl Planner {
     /// Orders the tasks of a group on their assigned workers.
     pub(crate) fn place(
@@ -22,15 +30,16 @@
         pool: &mut Pool,
         id: &str,
         key: &GroupKey,
-        demand: &Demand,
-        assignments: &[Assignment],
+        placement: &Placement<'_>,
     ) {
+        let Placement { demand, assignments, repeated } = *placement;
         let first = (self.startup.term_number - 1) * options::RUNS_PER_TERM + 1;
         let Some(entry) = self.table.entries.get_mut(id) else { return };
         let Some(group) = entry.groups.get_mut(key) else { return };
         let unfinished = allocate(pool, key.index, demand, assignments);
         let is_remote = is_remote(pool, demand, assignments);
-        let number = first.max(group.run + 1);
+        let number = repeated.unwrap_or_else(|| first.max(group.run + 1));
+        group.ended_run = group.ended_run.min(number - 1);
         let waited = now.steady.saturating_sub(group.waiting_since).as_millis();
         group.run = number;
         group.claim = None;
@@ -95,17 +104,13 @@
     assignments: &[Assignment],
 ) -> Assignments {
     let mut unfinished = BTreeMap::new();
-    let mut bound = demand.bound.clone();
-    let mut free = (0..demand.tasks).filter(|offset| !demand.bound.contains_key(offset));
+    let mut next = first;
     for assignment in assignments {
         pool.allocate(assignment.place, demand.resources.times(assignment.tasks.into()));
         let place = &pool.places[assignment.place];
         for _ in 0..assignment.tasks {
-            let own = bound.iter().find(|(_, worker)| **worker == *place.worker);
-            let own = own.map(|(offset, _)| *offset);
-            let Some(offset) = own.or_else(|| free.next()) else { continue };
-            bound.remove(&offset);
-            unfinished.insert(first + offset, place.worker.to_string());
+            unfinished.insert(next, place.worker.to_string());
+            next += 1;
         }
     }
     unfinished
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -23,6 +23,7 @@
     group::{Active, Claim, Group},
     planner::Planner,
     table::Entry,
+    worker::Worker,
 };
 
 /// Running groups that may be stopped.
@@ -64,6 +65,7 @@
         let place = &mut self.places[at];
         let mut from_reserved = resources.minus(place.free);
         place.free = place.free.minus(resources);
+        place.add_pending(resources);
         for reservation in &mut self.reservations {
             from_reserved = reservation.give(at, from_reserved);
         }
@@ -88,6 +90,7 @@
                 let claimed = demand.resources.times((*tasks).into());
                 place.promised = place.promised.plus(claimed.minus(place.free));
                 place.free = place.free.minus(claimed);
+                place.add_pending(claimed);
             }
         }
     }
@@ -117,6 +120,7 @@
                 free: worker.capacity().minus(worker.used()),
                 promised: Resources::default(),
                 capacity: worker.capacity(),
+                pending: self.pending_resources(name, worker),
                 suspicion,
             });
         }
@@ -131,6 +135,34 @@
         }
     }
 
+    /// Returns the tasks whose starts the next incarnation of a worker's minion may carry out: those
+    /// that are unanswered, and those whose run no list has confirmed.
+    ///
+    /// A start that was answered counts until then because the next incarnation may have answered
+    /// it, before its agent and the planner knew of that incarnation.
+    pub(crate) fn pending_tasks<'a>(
+        &'a self,
+        name: &str,
+        worker: &'a Worker,
+    ) -> BTreeSet<&'a Task> {
+        let mut tasks: BTreeSet<&Task> = self.unanswered.tasks_on(name).collect();
+        if !tasks.is_empty() {
+            tasks.extend(worker.unconfirmed_tasks());
+        }
+        tasks
+    }
+
+    /// Returns the resources of the starts that the next incarnation of a worker's minion may carry
+    /// out; nothing if all of them have been answered.
+    fn pending_resources(&self, name: &str, worker: &Worker) -> Resources {
+        let resources = |task: &Task| match worker.runs.get(task) {
+            Some(run) => run.resources,
+            None => self.table.resources(task),
+        };
+        let tasks = self.pending_tasks(name, worker);
+        tasks.into_iter().fold(Resources::default(), |sum, task| sum.plus(resources(task)))
+    }
+
     /// Returns how much a worker is to be avoided.
     fn suspicion(&self, name: &str, now: Duration) -> Suspicion {
         if self.options.policy.doubt_workers {
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -158,6 +158,7 @@
         }
         let Some(run) = &ended.run else { return };
         let task = Task::read(run);
+        self.close_run(&task, run.run);
         let change = self.run_ended(now, name, &task, run.run, ended.ending(), &ended.checkpoint);
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         worker.pending_ends.insert(ended.number, change);
@@ -181,6 +182,7 @@
         if matches!(rejection, Rejection::Unhealthy | Rejection::NoRoom) {
             self.suspects.failed(name, now.steady);
         }
+        self.close_run(task, number);
         self.run_ended(now, name, task, number, Ending::Lost, "");
     }
 
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -56,6 +56,8 @@
     pub reported_state: State,
     /// A task has started.
     pub has_begun: bool,
+    /// A group had to wait only because starts of others were pending on the workers.
+    pub is_held: bool,
     /// Revision of the job's progress in the store.
     pub revision: u64,
     /// Number of the latest change of its progress.
@@ -92,6 +94,7 @@
             state: State::Queued,
             reported_state: State::Queued,
             has_begun: false,
+            is_held: false,
             revision: 0,
             last_change: 0,
             last_critical_change: 0,
@@ -323,6 +326,12 @@
         true
     }
 
+    /// Returns the resources of a task; nothing if its job is not known.
+    pub fn resources(&self, task: &Task) -> Resources {
+        let step = self.entries.get(&task.job).and_then(|entry| entry.step(task.step));
+        Resources::read(step.and_then(|step| step.room.as_ref()))
+    }
+
     /// Sets the state of a job that callers are shown.
     pub fn report_state(&mut self, id: &str, state: State) {
         let Some(entry) = self.entries.get_mut(id) else { return };
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -9,7 +9,7 @@
 
 use sapphire_jobs::{
     Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask,
-    task::{Task, WorkerName},
+    task::{RunNumber, Task, WorkerName},
 };
 
 use crate::{event::Moment, options, worker::Worker};
@@ -17,6 +17,8 @@
 /// An unanswered start of a task on a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Start {
+    /// Number of the run; 0 if it is unknown, or if there are several.
+    number: RunNumber,
     /// Time at which it expires, as reported by the current process of its agent.
     reported: Option<Duration>,
     /// Time at which it expires, as reported by an earlier process of its agent, or as that process
@@ -26,6 +28,18 @@
     recorded: Option<Duration>,
 }
 
+/// What the unanswered starts of a task allow.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Standing {
+    /// There are none: the task may start anywhere.
+    Free,
+    /// All are starts of one run on one worker. That run may be ordered there again: a minion
+    /// carries out one of several starts of the same run.
+    Repeatable(WorkerName, RunNumber),
+    /// The task may not start until they expire.
+    Blocked,
+}
+
 impl Start {
     /// Returns the time at which it expires; `None` if it cannot be carried out any more.
     fn expires_at(&self) -> Option<Duration> {
@@ -48,11 +62,13 @@
 
 /// Unanswered starts on all workers.
 ///
-/// Guards against a task that runs twice. A stop that was answered, a later run or a token
-/// fences an earlier start in one incarnation of a minion only. The next incarnation carries the
-/// start out unless it has seen a token by then. So a task with such a start is placed on no
-/// other worker until the start has expired. On the same worker it may be placed, since its runs
-/// there end with the minion's incarnation.
+/// Guards against a task that runs twice and against a worker that is overloaded. A stop that was
+/// answered, a later run or a token fences an earlier start in one incarnation of a minion only.
+/// The next incarnation carries the start out unless it has seen a token by then. All that runs ends
+/// with the present incarnation, so that the next one can run nothing but such starts. No process
+/// need be there to prevent this as long as the starts that are pending on a worker are by
+/// themselves a valid placement: no task has two of them, on whatever workers, they fit into the
+/// worker's capacity, and they respect the limit of each step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Starts {
     by_task: BTreeMap<Task, BTreeMap<WorkerName, Start>>,
@@ -66,7 +82,7 @@
         for row in rows {
             let Some(run) = &row.run else { continue };
             let left = options::START_EXPIRY.saturating_sub(Duration::from_millis(row.age_ms));
-            let start = self.start(worker, Task::read(run));
+            let start = self.start(worker, Task::read(run), run.run);
             start.reported = start.reported.max(Some(now + left));
         }
         self.prune(worker);
@@ -76,8 +92,8 @@
     /// knew of them.
     pub(crate) fn retain_lost(&mut self, now: Duration, name: &str, worker: &Worker) {
         self.for_each_start(name, |start| start.retained = start.expires_at());
-        for (task, _) in worker.runs.iter().filter(|(_, run)| !run.is_started) {
-            self.start(name, task.clone()).retained = Some(now + options::START_EXPIRY);
+        for (task, run) in worker.runs.iter().filter(|(_, run)| !run.is_started) {
+            self.start(name, task.clone(), run.number).retained = Some(now + options::START_EXPIRY);
         }
     }
 
@@ -161,7 +177,7 @@
                 let left = until.saturating_sub(now.unix).min(options::START_EXPIRY);
                 let UnansweredTask { job, occurrence, step, index, .. } = task;
                 let task = Task { job, occurrence, step, index };
-                let start = self.start(&worker, task);
+                let start = self.start(&worker, task, 0);
                 start.retained = (!left.is_zero()).then_some(now.steady + left);
                 start.recorded = start.retained;
             }
@@ -174,18 +190,21 @@
         }
     }
 
-    /// Returns whether there are no unanswered starts.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.by_task.is_empty()
+    /// Returns what the unanswered starts of the tasks in a range allow.
+    pub(crate) fn standing(&self, tasks: Range<&Task>) -> Standing {
+        let mut found = self.by_task.range::<Task, _>(tasks).flat_map(|(_, starts)| starts);
+        match (found.next(), found.next()) {
+            (None, _) => Standing::Free,
+            (Some((worker, start)), None) if start.number > 0 => {
+                Standing::Repeatable(worker.clone(), start.number)
+            }
+            _ => Standing::Blocked,
+        }
     }
 
-    /// Returns the tasks in a range that have unanswered starts, with the workers that may still
-    /// carry them out.
-    pub(crate) fn range(
-        &self,
-        tasks: Range<&Task>,
-    ) -> impl Iterator<Item = (&Task, impl Iterator<Item = &WorkerName>)> {
-        self.by_task.range::<Task, _>(tasks).map(|(task, starts)| (task, starts.keys()))
+    /// Returns the tasks with unanswered starts on a worker.
+    pub(crate) fn tasks_on(&self, worker: &str) -> impl Iterator<Item = &Task> {
+        self.by_worker.get(worker).into_iter().flat_map(|record| &record.tasks)
     }
 
     /// Returns the name of a worker's minion, if known.
@@ -194,10 +213,17 @@
     }
 
     /// Returns the start of a task on a worker; adds it if there is none.
-    fn start(&mut self, worker: &str, task: Task) -> &mut Start {
+    fn start(&mut self, worker: &str, task: Task, number: RunNumber) -> &mut Start {
         let record = self.by_worker.entry(worker.to_owned()).or_default();
         record.tasks.insert(task.clone());
-        self.by_task.entry(task).or_default().entry(worker.to_owned()).or_default()
+        let starts = self.by_task.entry(task).or_default();
+        let start = starts.entry(worker.to_owned()).or_default();
+        if start.expires_at().is_none() {
+            start.number = number;
+        } else if start.number != number {
+            start.number = 0;
+        }
+        start
     }
 
     /// Applies a change to all starts of a worker.
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -95,6 +95,8 @@
     /// Time at which that checkpoint was first listed; without one, the time at which the run
     /// began.
     pub checkpointed_at: Duration,
+    /// Number of the minion's latest list when the run was first reported as started.
+    pub first_list: Option<u64>,
     /// Number of successive lists in which the run was missing although it had started.
     pub missing_lists: u32,
     /// Time at which the run was last listed.
@@ -171,6 +173,12 @@
         self.runs.values().fold(Resources::default(), |sum, run| sum.plus(run.resources))
     }
 
+    /// Returns the tasks whose runs no list has confirmed since their start was answered.
+    pub fn unconfirmed_tasks(&self) -> impl Iterator<Item = &Task> {
+        let is_unconfirmed = |run: &Run| !run.is_confirmed(self.list_number);
+        self.runs.iter().filter(move |(_, run)| is_unconfirmed(run)).map(|(task, _)| task)
+    }
+
     /// Returns whether the worker may be given tasks.
     pub fn is_open(&self, now: Duration) -> bool {
         let minion = self.incarnation.as_ref();
@@ -199,10 +207,13 @@
         now: Duration,
     ) -> bool {
         let number = running.run.as_ref().map_or(0, |run| run.run);
+        let list_number = self.list_number;
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return false;
         };
         run.is_started = true;
+        // Lists are numbered anew for each incarnation and each process of the agent.
+        run.first_list = Some(run.first_list.map_or(list_number, |first| first.min(list_number)));
         if run.phase == Phase::Ordered {
             run.phase = Phase::Running;
             run.began = now;
@@ -260,12 +271,19 @@
             stalled_lists: 0,
             checkpoint: String::new(),
             checkpointed_at: now,
+            first_list: None,
             missing_lists: 0,
             last_listed: now,
             began: now,
         }
     }
 
+    /// Returns whether the run has been listed, up to the list of the given number, by a list that
+    /// was requested after its start.
+    fn is_confirmed(&self, list_number: u64) -> bool {
+        self.first_list.is_some_and(|first| list_number >= first + CONFIRMING_LISTS)
+    }
+
     /// Returns the total run time at the average pace of this run, once it has made enough progress
     /// to tell.
     pub fn total_run_time(&self) -> Option<Duration> {
@@ -320,6 +338,10 @@
     }
 }
 
+/// Number of further lists after which one of them was certainly requested after the start of a run.
+/// When the start is answered, an agent may be waiting for two lists that it requested before.
+const CONFIRMING_LISTS: u64 = 3;
+
 /// Progress, in per cent, that is needed to infer the run time.
 const MIN_GAINED_PERCENT: u32 = 10;
 
--- a/crates/proofs/tests/late/mod.rs
+++ b/crates/proofs/tests/late/mod.rs
@@ -272,3 +272,68 @@
         }
     });
 }
+
+/// Time for which agents are paused while their minions restart: below the lease.
+const AWAY: f64 = 4.0;
+
+/// Makes all orders late, has `lose` lose processes, so that starts are ordered again, and then
+/// restarts all minions; their agents are paused meanwhile for `away` seconds.
+fn restart_minions_after(sim: &mut Simulation, away: f64, lose: impl Fn(&mut Simulation)) {
+    sim.run_until(secs(3.0));
+    sim.late_orders = 1.0;
+    sim.run_until(secs(4.5));
+    lose(sim);
+    sim.run_until(secs(7.5));
+    sim.late_orders = 0.0;
+    for agent in 0..sim.agents() {
+        sim.crash_minion(agent);
+        if away > 0.0 {
+            sim.pause_agent(agent, secs(away));
+        }
+    }
+    sim.run_until(secs(12.0));
+}
+
+/// Guards against starts of two terms that a minion's next incarnation carries out while its agent
+/// is paused.
+#[test]
+fn late_starts_of_two_terms_break_no_promise_in_a_next_incarnation() {
+    assert_invariants(73_000..=73_049, draw, |sim, _| {
+        restart_minions_after(sim, AWAY, |sim| {
+            let planner = sim.planner_entry().unwrap_or_default();
+            sim.kill_entry(planner, secs(1.0));
+        });
+    });
+}
+
+/// Guards against starts of two processes of an agent that a minion's next incarnation carries out
+/// while the agent is paused.
+#[test]
+fn late_starts_of_two_agent_processes_break_no_promise_in_a_next_incarnation() {
+    assert_invariants(73_000..=73_049, draw, |sim, _| {
+        restart_minions_after(sim, AWAY, |sim| {
+            for agent in 0..sim.agents() {
+                sim.kill_agent(agent, secs(0.1));
+            }
+        });
+    });
+}
+
+/// Guards against starts of one term that a minion's next incarnation carries out while its agent
+/// is paused. No process is lost before.
+#[test]
+fn late_starts_of_one_term_break_no_promise_in_a_next_incarnation() {
+    assert_invariants(73_000..=73_049, draw, |sim, _| restart_minions_after(sim, AWAY, |_| {}));
+}
+
+/// Guards against starts of two terms that a minion's next incarnation carries out although its
+/// agent is not paused.
+#[test]
+fn late_starts_of_two_terms_break_no_promise_beside_an_agent() {
+    assert_invariants(73_000..=73_049, draw, |sim, _| {
+        restart_minions_after(sim, 0.0, |sim| {
+            let planner = sim.planner_entry().unwrap_or_default();
+            sim.kill_entry(planner, secs(1.0));
+        });
+    });
+}
