fix: a successor forgets no start that is waited for, and repeats no failed run

Cause: (1) an agent's first poll may arrive before the successor has read the store. A start whose answer it still waits for is not among its unanswered ones then, but its process made the successor drop the row of the handover record. (2) A successor does not know which runs were stopped or have ended, so that it ordered a run again, or took one up from a list, that had failed before; the second failure of one number is not counted. Change: a row is dropped only once the agent is in a session of this planner, when it has given up the answers of earlier ones. A run is repeated only if it is the group's latest and has not failed, and only on a worker that the group does not avoid; one that has failed is not taken up either. Tests: `a_start_that_is_waited_for_during_a_change_of_planners_is_not_forgotten` and `a_successor_repeats_no_run_that_has_failed` failed before ("b" for none; run 1001 ordered).

--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -154,6 +154,12 @@
         self.failed_runs.len() >= max_attempts.max(1) as usize
     }
 
+    /// Returns whether a run may be ordered again: it is the latest one, and nothing is known to
+    /// have stopped, refused or ended it.
+    pub fn may_repeat(&self, number: RunNumber) -> bool {
+        number >= self.run && number > self.closed_run && !self.failed_runs.contains(&number)
+    }
+
     /// Returns the current run while it is ordered or running.
     pub fn active(&self) -> Option<&Active> {
         match &self.phase {
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -288,7 +288,7 @@
     fn standing(&self, id: &str, key: &GroupKey, group: &Group, tasks: u32) -> Standing {
         let tasks_of_group = group_tasks(id, key, tasks);
         match self.unanswered.standing(&tasks_of_group.start..&tasks_of_group.end) {
-            Standing::Repeatable(_, number) if tasks > 1 || number <= group.closed_run => {
+            Standing::Repeatable(_, number) if tasks > 1 || !group.may_repeat(number) => {
                 Standing::Blocked
             }
             standing => standing,
@@ -309,6 +309,9 @@
         let Some(entry) = self.table.entries.get(&**id) else { return false };
         let task = group_tasks(id, key, 1).start;
         let Some(demand) = self.demand(entry, key, Some(&task)) else { return false };
+        if demand.avoid.iter().any(|name| name == worker) {
+            return false;
+        }
         let Some(at) = pool.index.get(worker).copied() else { return false };
         // The pending starts of a place contain those of this run.
         let place = &pool.places[at];
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -12,6 +12,7 @@
     planner::Planner,
     state::feeds::Delivery,
     table::Entry,
+    unanswered::Sender,
     worker::{LongPoll, Phase, Run, Worker},
 };
 
@@ -65,7 +66,10 @@
         if let Some(minion) = &poll.incarnation {
             self.unanswered.set_minion(name, &minion.id);
         }
-        self.unanswered.report(now.steady, name, poll.generation, &poll.unanswered);
+        let token = self.workers.get(name).map_or(0, |worker| worker.token);
+        let is_in_session = token > 0 && poll.fenced_token == token;
+        let sender = Sender { generation: poll.generation, is_in_session };
+        self.unanswered.report(now.steady, name, sender, &poll.unanswered);
     }
 
     /// Answers a worker's poll with the session's token, without starts and stops.
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -218,7 +218,8 @@
         let is_over = job.is_over();
         let key = GroupKey::of(task, step.is_gang);
         let Some(group) = job.groups.get_mut(&key) else { return (resources, false) };
-        if is_over || group.is_final() || number < group.run || number <= group.ended_run {
+        let has_ended = number <= group.ended_run || group.failed_runs.contains(&number);
+        if is_over || group.is_final() || number < group.run || has_ended {
             return (resources, false);
         }
         match &mut group.phase {
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -38,6 +38,14 @@
     generation: u64,
 }
 
+/// The process of an agent that reports.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sender {
+    pub(crate) generation: u64,
+    /// It is in the latest session that this planner has granted.
+    pub(crate) is_in_session: bool,
+}
+
 /// What the unanswered starts of a task allow.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Standing {
@@ -57,13 +65,17 @@
         self.reported.max(self.retained).max(inherited)
     }
 
-    /// Settles what an earlier planner has recorded, once a process of the agent has reported. The
-    /// process that sent the start reports it itself as long as it may be carried out. If another
-    /// process has taken its place, it may have sent the start until then.
-    fn settle_inherited(&mut self, now: Duration, generation: u64) {
-        let inherited = self.inherited.take();
-        if inherited.is_some_and(|inherited| inherited.generation != generation) {
+    /// Settles what an earlier planner has recorded, once a process of the agent has reported. If
+    /// it has taken the place of the one that sent the start, that one may have sent it until now.
+    /// Otherwise it reports the start itself as long as it may be carried out, provided that it has
+    /// dropped the orders of earlier sessions, so that it no longer waits for an answer.
+    fn settle_inherited(&mut self, now: Duration, sender: Sender) {
+        let Some(inherited) = self.inherited else { return };
+        if inherited.generation != sender.generation {
             self.retained = self.retained.max(Some(now + options::START_EXPIRY));
+            self.inherited = None;
+        } else if sender.is_in_session {
+            self.inherited = None;
         }
     }
 
@@ -102,12 +114,12 @@
         &mut self,
         now: Duration,
         worker: &str,
-        generation: u64,
+        sender: Sender,
         rows: &[Unanswered],
     ) {
         self.for_each_start(worker, |start| {
             start.reported = None;
-            start.settle_inherited(now, generation);
+            start.settle_inherited(now, sender);
         });
         for row in rows {
             let Some(run) = &row.run else { continue };
@@ -237,10 +249,8 @@
                 start.recorded = start.expires_at();
             }
             if let Some(known) = fleet.get(&worker) {
-                let settle = |start: &mut Start| {
-                    start.settle_inherited(now.steady, known.generation);
-                };
-                self.for_each_start(&worker, settle);
+                let sender = Sender { generation: known.generation, is_in_session: false };
+                self.for_each_start(&worker, |start| start.settle_inherited(now.steady, sender));
             }
             self.prune(&worker);
             if let Some(record) = self.by_worker.get_mut(&worker)
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -741,6 +741,49 @@
     assert_eq!(next.worker_of("j"), names[1]);
 }
 
+/// Guards against a task that runs twice: the agent's first poll arrives before the successor has
+/// read the store, while the agent still waits for the answer to a start, and the agent is lost.
+#[test]
+fn a_start_that_is_waited_for_during_a_change_of_planners_is_not_forgotten() {
+    let (mut fixture, start, names) = ordered_on_one_of_two();
+    fixture.report(names[1], Poll::default());
+    fixture.advance(200);
+    let record = written_record(&mut fixture).expect("the start has no answer yet");
+    let entry = &fixture.planner.table().entries["j"];
+    let stored = item(keys::job("j"), entry.job.encode_to_vec());
+    let record = item(keys::UNANSWERED.to_owned(), record);
+    let items = vec![fleet(2, &["a", "b"]), record, stored];
+    let mut next = Fixture::reading();
+    next.report(names[0], Poll { pending: vec![start], ..Poll::default() });
+    next.reply(Reply::Items { items, has_more: false, revision: 40 });
+    next.reply(Reply::Committed(60));
+    next.restart_agent(names[0]);
+    assert_goes_nowhere_else(&mut next, names, &Poll::default());
+}
+
+/// Guards against a task that starts more often than it may fail: a successor does not know that the
+/// run of an unanswered start was stopped or has ended, but it knows those that have failed.
+#[test]
+fn a_successor_repeats_no_run_that_has_failed() {
+    let (mut fixture, run, report) = started(&step(1, false));
+    fixture.report("a", after_end(&report, &run, Ending::Faulty));
+    fixture.advance(1_000);
+    let record = written_record(&mut fixture);
+    let entry = &fixture.planner.table().entries["j"];
+    let progress = item(keys::progress("j"), entry.progress().encode_to_vec());
+    let mut items = vec![fleet(2, &["a"]), item(keys::job("j"), entry.job.encode_to_vec())];
+    items.extend([progress, item(keys::UNANSWERED.to_owned(), record.unwrap_or_default())]);
+    let mut next = Fixture::new(items);
+    let incarnation = Some(Incarnation { born_ms: 2, ..minion("a") });
+    let unanswered = vec![Unanswered { run: Some(run), age_ms: 1_400 }];
+    for _ in 0..3 {
+        let (incarnation, unanswered) = (incarnation.clone(), unanswered.clone());
+        next.report("a", Poll { incarnation, unanswered, ..Poll::default() });
+        next.advance(200);
+    }
+    assert_eq!(next.starts(), []);
+}
+
 /// Guards against a task that runs twice: the agent is killed before it reports its start, the
 /// planner sees its next process, and is lost after it has written the handover record.
 #[test]
