fix: an expired start counts until a list shows what it has come to

Cause: an entry for an unanswered start fell by time alone. While its agent is away, the next incarnation may carry the start out just before it expires and run the task for the longest lease; the planner placed the task elsewhere. It also waited no longer for an agent that it does not reach, which goes on sending a start until its lease has expired. Change: an entry counts until a list made after its expiry, or for the longest lease more; one that an earlier planner has recorded, for the agent's lease as well. Tests: `an_expired_start_counts_until_a_list_shows_what_it_has_come_to` and `a_successor_waits_for_an_agent_that_it_does_not_reach` failed before ("b" for none). `an_unanswered_start_is_known_when_its_worker_is_declared_lost` expected the placement while the minion may still run the task; it now holds for that time too, and the task goes elsewhere after it.

--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -163,7 +163,7 @@
     fn tick(&mut self, now: Moment) {
         self.feeds.refresh(now.steady);
         self.expire_workers(now);
-        self.unanswered.expire(now.steady);
+        self.expire_unanswered(now);
         self.check_ordered(now);
         self.watch_progress(now);
         self.update_supplies(now);
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -12,7 +12,7 @@
     planner::Planner,
     state::feeds::Delivery,
     table::Entry,
-    unanswered::Sender,
+    unanswered::{Grace, Sender},
     worker::{LongPoll, Phase, Run, Worker},
 };
 
@@ -72,6 +72,13 @@
         self.unanswered.report(now.steady, name, sender, &poll.unanswered);
     }
 
+    /// Removes the unanswered starts that have expired.
+    pub(crate) fn expire_unanswered(&mut self, now: Moment) {
+        let grace =
+            Grace { run: self.options.longest_lease_expiry(), agent: self.options.lease_expiry() };
+        self.unanswered.expire(now.steady, grace, &self.workers);
+    }
+
     /// Answers a worker's poll with the session's token, without starts and stops.
     fn send_empty_orders(&mut self, name: &str) {
         let Some(worker) = self.workers.get_mut(name) else { return };
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -45,6 +45,7 @@
         worker.list_number = poll.lists;
         let age = Duration::from_millis(poll.list_age_ms);
         let listed_at = now.steady.saturating_sub(age);
+        worker.listed_at = listed_at;
         let mut outdated = Vec::new();
         for running in &poll.running {
             let Some(run) = &running.run else { continue };
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -46,6 +46,15 @@
     pub(crate) is_in_session: bool,
 }
 
+/// How much longer starts count of which no list has shown what they have come to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Grace {
+    /// Time for which a run may go on that nobody renews the lease of.
+    pub(crate) run: Duration,
+    /// Time for which an agent that hears of no planner goes on sending starts.
+    pub(crate) agent: Duration,
+}
+
 /// What the unanswered starts of a task allow.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Standing {
@@ -117,10 +126,7 @@
         sender: Sender,
         rows: &[Unanswered],
     ) {
-        self.for_each_start(worker, |start| {
-            start.reported = None;
-            start.settle_inherited(now, sender);
-        });
+        self.for_each_start(worker, |start| start.settle_inherited(now, sender));
         for row in rows {
             let Some(run) = &row.run else { continue };
             let left = options::START_EXPIRY.saturating_sub(Duration::from_millis(row.age_ms));
@@ -152,17 +158,31 @@
         }
     }
 
-    /// Removes starts that have expired.
-    pub(crate) fn expire(&mut self, now: Duration) {
+    /// Removes starts that have expired, once a later list of the minion has shown what they have
+    /// come to, or after a further time without such a list.
+    ///
+    /// Guards against a task that runs twice: while an agent is away, the next incarnation of its
+    /// minion may have carried the start out just before it expired, and run the task since.
+    pub(crate) fn expire(
+        &mut self,
+        now: Duration,
+        grace: Grace,
+        fleet: &BTreeMap<WorkerName, Worker>,
+    ) {
         if self.by_task.is_empty() {
             return;
         }
         let workers: Vec<WorkerName> = self.by_worker.keys().cloned().collect();
         for worker in workers {
+            let known = fleet.get(&worker).filter(|worker| worker.is_fenced);
+            let listed_at = known.map_or(Duration::ZERO, |worker| worker.listed_at);
+            let is_shown = |until: Duration| listed_at + options::TIMING_MARGIN >= until;
+            let is_kept = |until: &Duration| now < *until + grace.run && !is_shown(*until);
             self.for_each_start(&worker, |start| {
-                start.reported = start.reported.filter(|until| now < *until);
-                start.retained = start.retained.filter(|until| now < *until);
-                start.inherited = start.inherited.filter(|it| now < it.expires_at);
+                start.reported = start.reported.filter(is_kept);
+                start.retained = start.retained.filter(is_kept);
+                start.inherited =
+                    start.inherited.filter(|it| is_kept(&(it.expires_at + grace.agent)));
             });
             self.prune(&worker);
         }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -151,6 +151,8 @@
     pub acknowledged_sent: u64,
     /// Number of the latest list that the agent has received from the minion.
     pub list_number: u64,
+    /// Time of that list.
+    pub listed_at: Duration,
     /// The agent's poll that waits for an answer.
     pub long_poll: Option<LongPoll>,
     /// The list of entries that the agent was last sent.
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -271,8 +271,10 @@
         fixture.advance(250);
         assert_eq!(fixture.worker_of("j"), "", "its start may still be carried out");
     }
-    fixture.report("a", Poll::default());
-    fixture.advance(250);
+    for _ in 0..2 {
+        fixture.report("a", Poll::default());
+        fixture.advance(250);
+    }
     assert_eq!(fixture.worker_of("j"), "a");
 }
 
@@ -306,6 +308,8 @@
     assert!(!fixture.planner.workers().contains_key(names[0]));
     assert_eq!(fixture.worker_of("j"), "", "its start may still be carried out");
     other(&mut fixture, 12_500);
+    assert_eq!(fixture.worker_of("j"), "", "the minion may run the task that it started last");
+    other(&mut fixture, 10_500);
     assert_eq!(fixture.worker_of("j"), names[1]);
 }
 
@@ -741,6 +745,43 @@
     assert_eq!(next.worker_of("j"), names[1]);
 }
 
+/// Guards against a task that runs twice: the agent of an unanswered start is away, and the minion's
+/// next incarnation has carried the start out just before it expired.
+#[test]
+fn an_expired_start_counts_until_a_list_shows_what_it_has_come_to() {
+    let (mut fixture, start, names) = ordered_on_one_of_two();
+    let report = stopped(&start);
+    fixture.report(names[0], Poll { incarnation: Some(draining(names[0])), ..report.clone() });
+    wait(&mut fixture, names, &report, true, 9_000);
+    let other = |fixture: &mut Fixture, time: u64| {
+        for _ in 0..time / 250 {
+            fixture.report(names[1], Poll::default());
+            fixture.advance(250);
+        }
+    };
+    // The start may be carried out until 11.7 s and run for the longest lease of 10 s.
+    other(&mut fixture, 12_500);
+    assert_eq!(fixture.worker_of("j"), "", "the minion may run the task");
+    other(&mut fixture, 2_000);
+    assert_eq!(fixture.worker_of("j"), names[1]);
+}
+
+/// Guards against a task that runs twice: an agent that the successor does not reach goes on sending
+/// the start that an earlier planner has ordered until its lease has expired.
+#[test]
+fn a_successor_waits_for_an_agent_that_it_does_not_reach() {
+    let (mut fixture, _, names) = ordered_on_one_of_two();
+    fixture.report(names[1], Poll::default());
+    fixture.advance(200);
+    let record = written_record(&mut fixture);
+    let mut next = successor(&fixture, &["a", "b"], record);
+    for _ in 0..18_000 / 250 {
+        next.report(names[1], Poll::default());
+        next.advance(250);
+        assert_eq!(next.worker_of("j"), "", "the start may still be carried out");
+    }
+}
+
 /// Guards against a task that runs twice: the agent's first poll arrives before the successor has
 /// read the store, while the agent still waits for the answer to a start, and the agent is lost.
 #[test]
