--- a/crates/plan/tests/decisions/mod.rs
+++ b/crates/plan/tests/decisions/mod.rs
@@ -499,6 +499,24 @@
     assert!(choose(&[pending(0), place("w2", "r1", 8, 4)]).is_some_and(|it| it.cost < 1.0));
 }
 
+/// Guards against work that waits although workers are idle: those with pending starts, which can't
+/// take it, count as the idle workers that are left to urgent work.
+#[test]
+fn idle_workers_with_pending_starts_are_reserved_first() {
+    let pending = Resources { accelerators: 8, ..Resources::default() };
+    let mut places =
+        vec![place("w1", "r1", 8, 8), place("w2", "r1", 8, 8), place("w3", "r1", 8, 8)];
+    let idle = |places: &[assignment::Place]| {
+        let unreserved = assignment::without_reserved(places, 2);
+        unreserved.iter().filter(|place| place.free == place.capacity).count()
+    };
+    assert_eq!(idle(&places), 1);
+    places[0].pending = pending;
+    assert_eq!(idle(&places), 2);
+    places[1].pending = pending;
+    assert_eq!(idle(&places), 3);
+}
+
 /// Guards against a gang that starves: while it waits, the starts of other work take the place of
 /// those that expire.
 #[test]
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -242,6 +242,7 @@
             self.place(now, pool, id, key, &placement);
             return Outcome::Served;
         }
+        // Whether only pending starts of others keep the group waiting.
         let has_pending = places.iter().any(|place| place.pending != Resources::default());
         let is_held = has_pending && {
             let without_pending: Vec<Place> = places.iter().map(Place::without_pending).collect();
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -118,7 +118,8 @@
 }
 
 impl Starts {
-    /// Handles an agent's report on the unanswered starts that it sent to minions of one name.
+    /// Handles an agent's report on the unanswered starts that it sent to minions of one name. Those
+    /// that it does not report any more count until [`Self::expire`] removes them.
     pub(crate) fn report(
         &mut self,
         now: Duration,
@@ -176,6 +177,7 @@
         for worker in workers {
             let known = fleet.get(&worker).filter(|worker| worker.is_fenced);
             let listed_at = known.map_or(Duration::ZERO, |worker| worker.listed_at);
+            // The expiry contains this margin.
             let is_shown = |until: Duration| listed_at + options::TIMING_MARGIN >= until;
             let is_kept = |until: &Duration| now < *until + grace.run && !is_shown(*until);
             self.for_each_start(&worker, |start| {
