fix: a planner that may have been replaced starts nothing

Callers saw work done twice: the zone of the planner was cut off, its calls to the store timed out, straight and through other entries, and it took that for an outage of the store. Another entry took over, learned of tasks that were done and acknowledged their ends; the cut-off planner declared all workers elsewhere lost and started their tasks again in its own zone.

An outage and a partition differ in the other entries: in an outage they go on polling, and report that the store does not answer them either. Past the end of its lease a planner now starts tasks only while a majority of the entries does so (plan::quorum). While the lease is in doubt it answers their polls sooner, so that the reports are recent.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -229,6 +229,17 @@
         }
     }
 
+    /// End of the lease on the leader key; zero if this entry does not hold it.
+    pub fn lease_expires_at(&self) -> Duration {
+        self.leadership.holder.expires_at()
+    }
+
+    /// Addresses of the other known entries.
+    pub fn other_entries(&self) -> impl Iterator<Item = String> {
+        let own = &self.options.address;
+        self.entries.iter().filter(move |entry| *entry != own).cloned()
+    }
+
     /// Stops planning because the planner has found a write of a newer leader.
     pub fn deposed(&mut self, now: Duration) -> Vec<Effect> {
         self.leadership.watch_from = 0;
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod place;
 pub mod policy;
 pub mod preempt;
+pub mod quorum;
 pub mod rank;
 pub mod reclaim;
 pub mod reserve;
--- a/crates/planner/src/feed.rs
+++ b/crates/planner/src/feed.rs
@@ -51,10 +51,13 @@
             return;
         }
         let version = self.table.version;
+        // While the lease is in doubt, what the entries report of the store must be recent.
+        let is_in_doubt = now.steady + options::LEASE_DOUBT >= self.lease_expires_at;
+        let timeout = if is_in_doubt { options::DOUBT_FEED_TIMEOUT } else { options::FEED_TIMEOUT };
         let mut due = Vec::new();
-        let Feeds { subscribers, addresses } = &mut self.feeds;
+        let Feeds { subscribers, addresses, .. } = &mut self.feeds;
         for subscriber in subscribers.values_mut() {
-            let is_over = now.steady >= subscriber.last_contact + options::FEED_TIMEOUT;
+            let is_over = now.steady >= subscriber.last_contact + timeout;
             let long_poll = subscriber.long_poll.take_if(|(_, known)| *known < version || is_over);
             let Some((requester, known)) = long_poll else { continue };
             if known == 0 {
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -36,6 +36,10 @@
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum time for which an entry's poll is left unanswered.
 pub const FEED_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same while the lease on the leader key is about to expire, or has expired.
+pub const DOUBT_FEED_TIMEOUT: Duration = Duration::from_millis(200);
+/// Remaining time of the lease on the leader key at which two keep-alives have failed.
+pub const LEASE_DOUBT: Duration = Duration::from_millis(500);
 /// Allowance for message latency and for timers that fire late.
 pub const TIMING_MARGIN: Duration = Duration::from_millis(300);
 /// Maximum time for which a planner goes on after its leader lease has expired while no entry
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -14,6 +14,7 @@
 };
 use sapphire_plan::{
     estimate::{self, Estimate},
+    quorum::{self, Standing},
     suspect,
 };
 
@@ -57,6 +58,10 @@
     /// Time before which no pass begins.
     pub(crate) next_pass: Duration,
     pub(crate) load: Load,
+    /// End of the lease on the leader key.
+    pub(crate) lease_expires_at: Duration,
+    /// Whether the planner may start tasks, as far as the leader key is concerned.
+    pub(crate) standing: Standing,
     pub(crate) last_check: Duration,
     pub(crate) last_supplies: Duration,
     /// Resources of the workers and open work, as reported to entries.
@@ -93,6 +98,8 @@
             last_pass: Duration::ZERO,
             next_pass: Duration::ZERO,
             load: Load::default(),
+            lease_expires_at: Duration::MAX,
+            standing: Standing::Leader,
             last_check: Duration::ZERO,
             last_supplies: Duration::ZERO,
             supplies: Vec::new(),
@@ -103,6 +110,16 @@
         planner
     }
 
+    /// Sets the end of the lease on the leader key.
+    pub fn set_lease_expiry(&mut self, expires_at: Duration) {
+        self.lease_expires_at = expires_at;
+    }
+
+    /// Sets the addresses of the other entries that are known when the term begins.
+    pub fn expect_entries(&mut self, addresses: impl IntoIterator<Item = String>) {
+        self.feeds.expected = addresses.into_iter().collect();
+    }
+
     /// Returns the term.
     pub fn term(&self) -> u64 {
         self.term
@@ -181,7 +198,8 @@
     /// Does what has become due after the applied events: a pass, writes, and answers to polls.
     /// Returns the effects to carry out.
     pub fn advance(&mut self, now: Moment) -> Vec<Effect> {
-        if self.needs_pass && self.startup.is_serving() && now.steady >= self.next_pass {
+        self.update_standing(now);
+        if self.needs_pass && self.may_start() && now.steady >= self.next_pass {
             self.needs_pass = false;
             self.load.passes += 1;
             self.last_pass = now.steady;
@@ -194,6 +212,30 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Updates whether another entry may have replaced this planner.
+    fn update_standing(&mut self, now: Moment) {
+        if now.steady < self.lease_expires_at && self.standing == Standing::Leader {
+            return;
+        }
+        let (entries, reports) = self.feeds.reports(now.steady, &self.options.name, &self.startup);
+        let standing = quorum::standing(now.steady, self.lease_expires_at, entries, reports);
+        if standing != self.standing {
+            self.standing = standing;
+            self.needs_pass = true;
+            let effect = match standing {
+                Standing::Leader => "starts tasks: the lease on the leader key is valid",
+                Standing::Outage => "starts tasks: the other entries do not reach the store either",
+                Standing::Isolated => "starts no tasks: another entry may have taken over",
+            };
+            self.log(format!("term={} entries={entries} {effect}", self.term));
+        }
+    }
+
+    /// Returns whether tasks may be started now.
+    pub(crate) fn may_start(&self) -> bool {
+        self.startup.is_serving() && self.standing != Standing::Isolated
+    }
+
     /// Adds a log line to the effects.
     pub(crate) fn log(&mut self, text: String) {
         self.effects.push(Effect::Log(text));
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -178,6 +178,7 @@
     pub(crate) fn answer_polls(&mut self, now: Moment) {
         let may_have_changes =
             |worker: &Worker| worker.long_poll.is_some() || !worker.pending_ends.is_empty();
+        let may_start = self.may_start();
         let names: Vec<WorkerName> = (self.workers.iter())
             .filter(|(_, worker)| may_have_changes(worker))
             .map(|(name, _)| name.clone())
@@ -190,7 +191,7 @@
             let is_over = waited >= options::POLL_TIMEOUT;
             let has_acknowledged = worker.acknowledged > worker.acknowledged_sent
                 && waited >= options::POLL_TIMEOUT / 3;
-            if worker.has_orders() || has_acknowledged || is_over {
+            if worker.has_orders(may_start) || has_acknowledged || is_over {
                 self.send_orders(now, &name, long_poll.requester);
             }
         }
@@ -221,15 +222,16 @@
     fn send_orders(&mut self, now: Moment, name: &str, requester: Requester) {
         let worker = self.workers.get(name).expect("the caller has listed it");
         let mut orders = worker.empty_orders(self.term, self.options.lease);
+        let may_start = self.may_start();
         // No order is sent before the first list of a session, which shows the earlier orders that
         // are invalid. An order with the session's own token would remain valid whatever that list
         // shows.
         let is_outstanding = |run: &Run| worker.is_fenced && !run.is_received;
         for (task, run) in worker.runs.iter().filter(|(_, run)| is_outstanding(run)) {
             match run.phase {
-                Phase::Ordered => orders.starts.extend(self.start_order(task, run)),
+                Phase::Ordered if may_start => orders.starts.extend(self.start_order(task, run)),
                 Phase::Stopping => orders.stops.push(task.run(run.number)),
-                Phase::Running => {}
+                Phase::Ordered | Phase::Running => {}
             }
         }
         self.log_orders(name, &orders);
--- a/crates/planner/src/state/feeds.rs
+++ b/crates/planner/src/state/feeds.rs
@@ -1,8 +1,13 @@
 //! Entries that poll for changes.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use crate::event::Requester;
+use sapphire_plan::quorum::Report;
+
+use crate::{event::Requester, state::startup::Startup};
 
 /// Time without a poll after which an entry is no longer listed to agents and entries.
 const SUBSCRIBER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -55,9 +60,36 @@
 pub(crate) struct Feeds {
     pub(crate) subscribers: BTreeMap<String, Subscriber>,
     pub(crate) addresses: Addresses,
+    /// Addresses of the other entries that were known when the term began.
+    pub(crate) expected: BTreeSet<String>,
 }
 
 impl Feeds {
+    /// Returns the number of other entries that should be polling, and the latest poll of each that
+    /// has polled. `own` is the name of the entry that plans.
+    pub(crate) fn reports(
+        &self,
+        now: Duration,
+        own: &str,
+        startup: &Startup,
+    ) -> (usize, Vec<Report>) {
+        let is_recent = |at: Duration| now < at + SUBSCRIBER_TIMEOUT;
+        let others: Vec<&Subscriber> = (self.subscribers.iter())
+            .filter(|(name, subscriber)| *name != own && is_recent(subscriber.last_contact))
+            .map(|(_, subscriber)| subscriber)
+            .collect();
+        let mut addresses: BTreeSet<&str> =
+            others.iter().map(|subscriber| subscriber.address.as_str()).collect();
+        if is_recent(startup.began()) {
+            addresses.extend(self.expected.iter().map(String::as_str));
+        }
+        let report = |subscriber: &&Subscriber| Report {
+            received_at: subscriber.last_contact,
+            store_answered_at: subscriber.store_reached,
+        };
+        (addresses.len(), others.iter().map(report).collect())
+    }
+
     /// Updates the list of entries that have polled recently.
     pub(crate) fn refresh(&mut self, now: Duration) {
         let recent = self
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -189,10 +189,15 @@
         self.is_fenced && !is_closed && !self.is_leaving && is_in_contact
     }
 
-    /// Returns whether there are orders that the agent has not received.
-    pub fn has_orders(&self) -> bool {
-        let is_new = |run: &Run| !run.is_received && run.phase != Phase::Running;
-        self.is_fenced && self.runs.values().any(is_new)
+    /// Returns whether there are orders that the agent has not received; starts only if they may be
+    /// sent now.
+    pub fn has_orders(&self, may_start: bool) -> bool {
+        let is_due = |run: &Run| match run.phase {
+            Phase::Ordered => may_start,
+            Phase::Stopping => true,
+            Phase::Running => false,
+        };
+        self.is_fenced && self.runs.values().any(|run| !run.is_received && is_due(run))
     }
 
     /// Returns whether the worker has a later run of the task than `number`.
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use prost::Message as _;
 use sapphire_jobs::{
-    Ended, Ending, Feed, Fleet, Incarnation, Job, Member, Orders, Poll, Run, Running, Step,
+    Ended, Ending, Feed, FeedPoll, Fleet, Incarnation, Job, Member, Orders, Poll, Run, Running,
+    Step,
     catalog::{Catalog, Parts, Queue},
     resources::Resources,
 };
@@ -151,6 +152,19 @@
         }
     }
 
+    /// Sends a poll for the feed of an entry that last had an answer of the store `store_age` ms
+    /// ago.
+    pub(crate) fn feed(&mut self, entry: &str, store_age: u64) {
+        self.requester += 1;
+        let poll = FeedPoll {
+            entry: entry.to_owned(),
+            address: format!("{entry}:1"),
+            store_age_ms: store_age,
+            ..FeedPoll::default()
+        };
+        self.handle(Event::Feed(self.requester, poll));
+    }
+
     pub(crate) fn advance(&mut self, time: u64) {
         for _ in 0..time / 50 {
             self.now += 50;
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 mod intake;
+mod isolation;
 mod late;
 mod load;
 mod progress;
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -100,7 +100,8 @@
                     let catalog = std::sync::Arc::new(
                         read_catalog(&Bytes::new(), 1).expect("the fake configuration is valid"),
                     );
-                    let planner = Planner::new(options, term, catalog, self.moment());
+                    let mut planner = Planner::new(options, term, catalog, self.moment());
+                    planner.expect_entries(self.entries[entry].front.other_entries());
                     self.entries[entry].planner = Some(planner);
                     self.planner_event(entry, generation, planner::event::Event::Tick);
                 }
@@ -129,6 +130,7 @@
             return;
         }
         let Some(planner) = &mut node.planner else { return };
+        planner.set_lease_expiry(node.front.lease_expires_at());
         let effects = planner.handle(now, event);
         self.planner_effects(entry, effects);
     }
--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -59,7 +59,9 @@
             }
             Effect::Plan(term) => {
                 let options = options::planner(&self.settings);
-                self.planner = Some(Planner::new(options, term, self.catalog.clone(), now));
+                let mut planner = Planner::new(options, term, self.catalog.clone(), now);
+                planner.expect_entries(self.front.other_entries());
+                self.planner = Some(planner);
                 self.handle_planner_event(now, planner::event::Event::Tick);
             }
             Effect::Resign => self.planner = None,
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -22,6 +22,7 @@
     pub(super) fn advance_planner(&mut self) {
         let now = reactor::now();
         let Some(planner) = &mut self.planner else { return };
+        planner.set_lease_expiry(self.front.lease_expires_at());
         let passes_before = planner.load().passes;
         let effects = planner.advance(now);
         let load = planner.load();
--- a/crates/store/src/lease.rs
+++ b/crates/store/src/lease.rs
@@ -152,6 +152,14 @@
         Outcome::Acquired(term)
     }
 
+    /// End of the lease by this process's own clock; zero if the key is not held.
+    pub fn expires_at(&self) -> Duration {
+        match self.phase {
+            Phase::Held { expires_at, .. } => expires_at,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Whether the lease has expired by this process's own clock, while the store has not reported
     /// that it has expired.
     pub fn is_stale(&self, now: Duration) -> bool {
