planner, runner: cordoned zones get no new work

The planner reads the list of cordons before its first order, watches it, and reads it every 1.5 s in any case: a watch may miss changes while the store drops its history, and a connection may fall silent. Cordoned workers get no tasks, and claims of waiting groups there are dropped. Orders that were given before are refused by the agent, which learns of the cordon with each answer to a poll, and go elsewhere. Each answer also says for how long starts may be sent: the bound on a cordon, less the age of the planner's list and a margin. So neither a planner whose reads fail nor an agent that is cut off starts anything past the bound. What runs in the zone goes on, and successors adopt it. While the store is down for all, operators can't reach it either, and the last list remains valid.

Ways weighed: a freshness check that also names the keys of all zones (no further call, but a change transfers the whole configuration, and 32 rows limit the zones); reads alone (a second's delay, two times the calls); a watch as the source of truth (misses changes). Chosen: the watch causes a read.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -2,6 +2,7 @@
 //! the configuration of queues, services and organisations. This crate does no I/O.
 
 pub mod catalog;
+pub mod cordon;
 pub mod length;
 pub mod resources;
 pub mod task;
--- a/crates/planner/src/commit.rs
+++ b/crates/planner/src/commit.rs
@@ -133,6 +133,8 @@
             Operation::Progress(jobs) => self.progress_written(now, jobs, reply),
             Operation::Unanswered => self.unanswered_written(now, reply),
             Operation::Intake => self.handle_intake(now, reply),
+            Operation::Cordons => self.handle_cordons(now, reply),
+            Operation::CordonWatch => self.handle_cordon_watch(now, reply),
             Operation::Forget(jobs) => {
                 if !matches!(reply, Reply::Committed(_)) {
                     // The next planner finds these jobs and removes them.
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -32,6 +32,10 @@
     Forget(Vec<JobId>),
     /// Read of jobs that no entry has notified the planner of.
     Intake,
+    /// Read of the list of cordons.
+    Cordons,
+    /// Watch of the list of cordons.
+    CordonWatch,
 }
 
 /// An event.
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod commit;
+mod cordons;
 pub mod effect;
 mod ends;
 pub mod event;
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sapphire_jobs::cordon;
 use sapphire_plan::policy::Policy;
 
 /// Options of a planner.
@@ -25,6 +26,12 @@
     pub remote_factor: u32,
     /// Mechanisms that are switched on.
     pub policy: Policy,
+    /// Prefix of the keys of cordons in the store.
+    pub cordon_prefix: String,
+    /// Decodes a cordon.
+    pub read_cordon: cordon::Read,
+    /// Time after the cordon of a zone from which on nothing may be started there.
+    pub cordon_deadline: Duration,
 }
 
 /// Time without a poll after which a worker gets no new tasks. Agents poll at least every
@@ -61,6 +68,8 @@
 pub const MAX_CLOCK_SKEW: Duration = Duration::from_millis(2_000);
 /// Delay before a failed write is retried.
 pub const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay before a failed watch is restarted.
+pub const WATCH_RETRY: Duration = Duration::from_millis(300);
 /// Interval at which the store is read for jobs that no entry has notified the planner of. This is
 /// rare: their entry died between the write and the notice.
 pub const INTAKE_INTERVAL: Duration = Duration::from_millis(2_500);
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -248,6 +248,16 @@
             let without_pending: Vec<Place> = places.iter().map(Place::without_pending).collect();
             assignment::assign(&without_pending, &demand, reach).is_some()
         };
+        let is_cordoned = !entry.is_cordon_logged && !pool.cordoned.is_empty() && {
+            let all: Vec<Place> = places.iter().chain(&pool.cordoned).cloned().collect();
+            assignment::assign(&all, &demand, reach).is_some()
+        };
+        if is_cordoned {
+            let entry = self.table.entries.get_mut(id).expect("looked up above");
+            entry.is_cordon_logged = true;
+            self.log(format!("job={id} step={} waits: free workers are cordoned", key.step));
+        }
+        let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
         let group = entry.groups.get(key).expect("looked up above");
         let urgent = Urgent { id, key, demand: &demand, reach, is_guaranteed };
         if let Some(claim) = group.claim.clone() {
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    cordons::Cordons,
     effect::Effect,
     event::{Event, Moment},
     load::Load,
@@ -58,6 +59,7 @@
     /// Time before which no pass begins.
     pub(crate) next_pass: Duration,
     pub(crate) load: Load,
+    pub(crate) cordons: Cordons,
     /// End of the lease on the leader key.
     pub(crate) lease_expires_at: Duration,
     /// Whether the planner may start tasks, as far as the leader key is concerned.
@@ -98,6 +100,7 @@
             last_pass: Duration::ZERO,
             next_pass: Duration::ZERO,
             load: Load::default(),
+            cordons: Cordons::default(),
             lease_expires_at: Duration::MAX,
             standing: Standing::Leader,
             last_check: Duration::ZERO,
@@ -106,6 +109,7 @@
             sessions: 0,
             effects: Vec::new(),
         };
+        planner.follow_cordons(now);
         planner.begin();
         planner
     }
@@ -120,6 +124,11 @@
         self.feeds.expected = addresses.into_iter().collect();
     }
 
+    /// Returns the number of cordoned zones.
+    pub fn cordoned_zones(&self) -> usize {
+        self.cordons.count()
+    }
+
     /// Returns the term.
     pub fn term(&self) -> u64 {
         self.term
@@ -187,6 +196,7 @@
         self.add_due_occurrences(now);
         self.remove_ended(now);
         self.retry_scan(now);
+        self.follow_cordons(now);
         self.read_intake(now);
         self.check_recovered(now);
         self.write_fleet();
@@ -199,7 +209,7 @@
     /// Returns the effects to carry out.
     pub fn advance(&mut self, now: Moment) -> Vec<Effect> {
         self.update_standing(now);
-        if self.needs_pass && self.may_start() && now.steady >= self.next_pass {
+        if self.needs_pass && self.may_start(now) && now.steady >= self.next_pass {
             self.needs_pass = false;
             self.load.passes += 1;
             self.last_pass = now.steady;
@@ -231,11 +241,6 @@
         }
     }
 
-    /// Returns whether tasks may be started now.
-    pub(crate) fn may_start(&self) -> bool {
-        self.startup.is_serving() && self.standing != Standing::Isolated
-    }
-
     /// Adds a log line to the effects.
     pub(crate) fn log(&mut self, text: String) {
         self.effects.push(Effect::Log(text));
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -34,7 +34,9 @@
         if is_stale {
             // A newer poll has overtaken this one. Its content is ignored, but its sender learns
             // that it has found the planner.
-            let orders = Orders { term: self.term, token: known.token, ..Orders::default() };
+            let is_cordoned = self.cordons.contains(known);
+            let token = known.token;
+            let orders = Orders { term: self.term, token, is_cordoned, ..Orders::default() };
             self.effects.push(Effect::Orders(requester, Box::new(orders)));
             return;
         }
@@ -49,7 +51,8 @@
         worker.lease_expires_at = worker.lease_expires_at.max(now.steady + lease_expiry);
         let earlier = worker.long_poll.replace(LongPoll { requester, since: now.steady });
         if let Some(earlier) = earlier {
-            let orders = worker.empty_orders(self.term, self.options.lease);
+            let mut orders = worker.empty_orders(self.term, self.options.lease);
+            orders.is_cordoned = self.cordons.contains(worker);
             self.effects.push(Effect::Orders(earlier.requester, Box::new(orders)));
         }
         let is_fenced = poll.fenced_token == worker.token && poll.incarnation.is_some();
@@ -84,6 +87,8 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(long_poll) = worker.long_poll.take() else { return };
         let mut orders = worker.empty_orders(self.term, self.options.lease);
+        orders.is_cordoned = self.cordons.contains(worker);
+        worker.is_cordon_sent = orders.is_cordoned;
         worker.entries_sent = Delivery::default();
         orders.entries =
             self.feeds.addresses.update_for(worker.last_contact, &mut worker.entries_sent);
@@ -178,7 +183,7 @@
     pub(crate) fn answer_polls(&mut self, now: Moment) {
         let may_have_changes =
             |worker: &Worker| worker.long_poll.is_some() || !worker.pending_ends.is_empty();
-        let may_start = self.may_start();
+        let may_start = self.may_start(now);
         let names: Vec<WorkerName> = (self.workers.iter())
             .filter(|(_, worker)| may_have_changes(worker))
             .map(|(name, _)| name.clone())
@@ -191,7 +196,8 @@
             let is_over = waited >= options::POLL_TIMEOUT;
             let has_acknowledged = worker.acknowledged > worker.acknowledged_sent
                 && waited >= options::POLL_TIMEOUT / 3;
-            if worker.has_orders(may_start) || has_acknowledged || is_over {
+            let is_cordon_new = self.cordons.contains(worker) != worker.is_cordon_sent;
+            if worker.has_orders(may_start) || has_acknowledged || is_cordon_new || is_over {
                 self.send_orders(now, &name, long_poll.requester);
             }
         }
@@ -222,7 +228,12 @@
     fn send_orders(&mut self, now: Moment, name: &str, requester: Requester) {
         let worker = self.workers.get(name).expect("the caller has listed it");
         let mut orders = worker.empty_orders(self.term, self.options.lease);
-        let may_start = self.may_start();
+        // The agent refuses the starts that it has for a cordoned zone, so that their outcome is
+        // known and they can go elsewhere.
+        orders.is_cordoned = self.cordons.contains(worker);
+        let window = self.start_window(now);
+        let may_start = !window.is_zero();
+        orders.starts_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
         // No order is sent before the first list of a session, which shows the earlier orders that
         // are invalid. An order with the session's own token would remain valid whatever that list
         // shows.
@@ -236,6 +247,7 @@
         }
         self.log_orders(name, &orders);
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
+        worker.is_cordon_sent = orders.is_cordoned;
         worker.long_poll = None;
         worker.acknowledged_sent = worker.acknowledged;
         orders.entries = self.feeds.addresses.update_for(now.steady, &mut worker.entries_sent);
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -40,6 +40,8 @@
 /// may be stopped on them.
 pub(crate) struct Pool {
     pub(crate) places: Vec<Place>,
+    /// Workers that could be used if their zones were not cordoned.
+    pub(crate) cordoned: Vec<Place>,
     pub(crate) index: BTreeMap<WorkerName, usize>,
     /// Groups that may be stopped. Looked up when an urgent group first finds no free resources,
     /// which happens in few passes.
@@ -99,7 +101,7 @@
 impl Planner {
     /// Returns the workers of a service that may be given tasks now.
     pub(crate) fn pool(&self, now: Moment, service: &str) -> Pool {
-        let mut places = Vec::new();
+        let (mut places, mut cordoned) = (Vec::new(), Vec::new());
         let mut index = BTreeMap::new();
         for (name, worker) in &self.workers {
             let Some(minion) = &worker.incarnation else { continue };
@@ -112,8 +114,12 @@
             if minion.service != service || !worker.is_open(now.steady) || !is_recorded {
                 continue;
             }
-            index.insert(name.clone(), places.len());
-            places.push(Place {
+            let is_cordoned = self.cordons.contains(worker);
+            if !is_cordoned {
+                index.insert(name.clone(), places.len());
+            }
+            let list = if is_cordoned { &mut cordoned } else { &mut places };
+            list.push(Place {
                 worker: name.as_str().into(),
                 rack: minion.rack.as_str().into(),
                 labels: minion.labels.as_slice().into(),
@@ -126,6 +132,7 @@
         }
         Pool {
             places,
+            cordoned,
             index,
             candidates: Vec::new(),
             keys: Vec::new(),
--- a/crates/planner/src/supply.rs
+++ b/crates/planner/src/supply.rs
@@ -74,7 +74,7 @@
             let sum = totals.entry(&minion.service).or_default();
             let resources = worker.capacity();
             sum.largest = sum.largest.component_max(resources);
-            if !minion.is_draining {
+            if !minion.is_draining && !self.cordons.contains(worker) {
                 sum.capacity.add(Amount::of(resources, 1.0));
             }
         }
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -58,6 +58,8 @@
     pub has_begun: bool,
     /// A group had to wait only because starts of others were pending on the workers.
     pub is_held: bool,
+    /// The log says that a group waits because free workers are in cordoned zones.
+    pub is_cordon_logged: bool,
     /// Revision of the job's progress in the store.
     pub revision: u64,
     /// Number of the latest change of its progress.
@@ -95,6 +97,7 @@
             reported_state: State::Queued,
             has_begun: false,
             is_held: false,
+            is_cordon_logged: false,
             revision: 0,
             last_change: 0,
             last_critical_change: 0,
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -157,6 +157,8 @@
     pub long_poll: Option<LongPoll>,
     /// The list of entries that the agent was last sent.
     pub(crate) entries_sent: Delivery,
+    /// The agent was last told that its zone is cordoned.
+    pub(crate) is_cordon_sent: bool,
 }
 
 impl Worker {
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -8,6 +8,7 @@
     Ended, Ending, Feed, FeedPoll, Fleet, Incarnation, Job, Member, Orders, Poll, Run, Running,
     Step,
     catalog::{Catalog, Parts, Queue},
+    cordon,
     resources::Resources,
 };
 use sapphire_plan::policy;
@@ -22,6 +23,15 @@
 
 pub(crate) const TERM: u64 = 50;
 pub(crate) const START: u64 = 100_000;
+/// Prefix of the keys of cordons.
+pub(crate) const CORDONS: &str = "cordons/";
+
+/// Decodes a cordon: the value `bad` is invalid, and a key without a zone names none.
+pub(crate) fn read_cordon(key: &str, value: &Bytes) -> cordon::Record {
+    let zone = key.strip_prefix(CORDONS).filter(|zone| !zone.is_empty()).map(str::to_owned);
+    let is_valid = zone.is_some() && &value[..] != b"bad";
+    cordon::Record { zone, fault: (!is_valid).then(|| "invalid".to_owned()) }
+}
 
 pub(crate) fn ms(time: u64) -> Duration {
     Duration::from_millis(time)
@@ -68,6 +78,7 @@
         service: "desk".to_owned(),
         rack: "r".to_owned(),
         capacity: Some(resources(8).times(8).message()),
+        zone: format!("z-{name}"),
         ..Incarnation::default()
     }
 }
@@ -86,6 +97,12 @@
     pub(crate) requester: u64,
     /// Generations of the agents' processes, by worker.
     pub(crate) generations: BTreeMap<String, u64>,
+    /// Cordoned zones, as the store lists them; `None` if it does not answer.
+    pub(crate) cordoned: Option<Vec<&'static str>>,
+    /// Requests for the list of cordons that were not answered.
+    pub(crate) unread_cordons: usize,
+    /// Further records in the list of cordons.
+    pub(crate) bad_cordons: Vec<Item>,
 }
 
 impl Fixture {
@@ -100,6 +117,15 @@
 
     /// Returns a planner that has requested the first page of records from the store.
     pub(crate) fn reading() -> Self {
+        Fixture::begin(Some(Vec::new()))
+    }
+
+    /// The same, but the store does not answer requests for the list of cordons.
+    pub(crate) fn reading_without_cordons() -> Self {
+        Fixture::begin(None)
+    }
+
+    fn begin(cordoned: Option<Vec<&'static str>>) -> Self {
         let queue = Queue {
             name: "q".to_owned(),
             service: "desk".to_owned(),
@@ -119,6 +145,9 @@
             reclaim_deadline: ms(2_900),
             remote_factor: 3,
             policy: policy::Policy::default(),
+            cordon_prefix: CORDONS.to_owned(),
+            read_cordon,
+            cordon_deadline: ms(5_000),
         };
         let moment = Moment { steady: ms(START), unix: ms(START) };
         let mut fixture = Fixture {
@@ -133,6 +162,9 @@
             tokens: BTreeMap::new(),
             requester: 0,
             generations: BTreeMap::new(),
+            cordoned,
+            unread_cordons: 0,
+            bad_cordons: Vec::new(),
         };
         fixture.handle(Event::Tick);
         fixture
@@ -140,16 +172,47 @@
 
     pub(crate) fn handle(&mut self, event: Event) {
         let moment = Moment { steady: ms(self.now), unix: ms(self.now) };
+        let mut is_read = false;
         for effect in self.planner.handle(moment, event) {
             match effect {
                 Effect::Orders(requester, orders) => self.orders.push((requester, *orders)),
                 Effect::Feed(_, feed) => self.feeds.push(*feed),
+                Effect::Store(Operation::Cordons, _) => is_read = true,
+                Effect::Store(Operation::CordonWatch, _) => {}
                 Effect::Store(operation, call) => self.calls.push((operation, call)),
                 Effect::Deposed => self.is_deposed = true,
                 Effect::Log(text) => self.log.push(text),
                 _ => {}
             }
         }
+        if is_read {
+            match self.cordoned.clone() {
+                Some(zones) => self.cordon_page(&zones, false),
+                None => self.unread_cordons += 1,
+            }
+        }
+    }
+
+    /// Answers a request for the list of cordons with a page of these zones.
+    pub(crate) fn cordon_page(&mut self, zones: &[&'static str], has_more: bool) {
+        let cordon = |zone: &&str| item(format!("{CORDONS}{zone}"), b"{}".to_vec());
+        let items = zones.iter().map(cordon).chain(self.bad_cordons.clone()).collect();
+        let page = Reply::Items { items, has_more, revision: 45 };
+        self.handle(Event::Store(Operation::Cordons, page));
+    }
+
+    /// Answers a request for the list of cordons that was not answered, and later ones.
+    pub(crate) fn list_cordons(&mut self, zones: &[&'static str]) {
+        self.cordoned = Some(zones.to_vec());
+        self.cordon_page(zones, false);
+    }
+
+    /// Cordons exactly these zones; the watch reports that there is a change.
+    pub(crate) fn cordon(&mut self, zones: &[&'static str]) {
+        self.cordoned = Some(zones.to_vec());
+        let items = vec![item(format!("{CORDONS}changed"), b"{}".to_vec())];
+        let changes = Reply::Changes { items, revision: 46 };
+        self.handle(Event::Store(Operation::CordonWatch, changes));
     }
 
     /// Sends a poll for the feed of an entry that last had an answer of the store `store_age` ms
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -1,5 +1,6 @@
 //! Tests of the planner, driven event by event.
 
+mod cordons;
 mod harness;
 mod intake;
 mod isolation;
--- a/crates/proofs/src/jobs/simulation/agents.rs
+++ b/crates/proofs/src/jobs/simulation/agents.rs
@@ -48,14 +48,17 @@
             Effect::Poll { ticket, address, poll } => {
                 let Some(entry) = Self::entry_of(&address) else { return };
                 let latency = self.latency(region, self.entries[entry].region);
-                self.after(latency, Action::Poll { entry, agent, generation, ticket, poll });
+                if self.is_connected(region, self.entries[entry].region) {
+                    self.after(latency, Action::Poll { entry, agent, generation, ticket, poll });
+                }
                 let lost = runner::event::Event::PollFailed { ticket, is_declined: false };
                 let timeout = runner::options::POLL_TIMEOUT;
                 self.after(timeout, Action::Runner(agent, generation, lost));
             }
             Effect::QueryLeader { address } => {
                 let Some(entry) = Self::entry_of(&address) else { return };
-                if self.agents[agent].is_isolated {
+                let is_connected = self.is_connected(region, self.entries[entry].region);
+                if self.agents[agent].is_isolated || !is_connected {
                     return;
                 }
                 let latency = self.latency(region, self.entries[entry].region);
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -71,7 +71,9 @@
                     let timeout = front::options::FEED_TIMEOUT;
                     let action =
                         Action::Feed { entry: other, requester: entry, generation, poll, sent };
-                    self.after(latency, action);
+                    if self.is_connected(region, self.entries[other].region) {
+                        self.after(latency, action);
+                    }
                     let lost = front::event::Event::Feed { sent, feed: None };
                     self.after(timeout, Action::Front(entry, generation, lost));
                 }
@@ -80,13 +82,17 @@
                     let latency = self.latency(region, self.entries[other].region);
                     let generation = self.entries[other].generation;
                     let event = planner::event::Event::Notice(*notice);
-                    self.after(latency, Action::Planner(other, generation, event));
+                    if self.is_connected(region, self.entries[other].region) {
+                        self.after(latency, Action::Planner(other, generation, event));
+                    }
                 }
                 Effect::QueryLeader { address } => {
                     let Some(other) = Self::entry_of(&address) else { continue };
                     let latency = self.latency(region, self.entries[other].region);
                     let from = Requester::Entry(entry);
-                    self.after(latency, Action::QueryLeader { entry: other, from, generation });
+                    if self.is_connected(region, self.entries[other].region) {
+                        self.after(latency, Action::QueryLeader { entry: other, from, generation });
+                    }
                 }
                 Effect::Catalog(catalog) => {
                     self.planner_event(entry, generation, planner::event::Event::Catalog(catalog));
@@ -173,7 +179,8 @@
             let latency = self.latency(self.entries[entry].region, node.region);
             let event = runner::event::Event::Leader(leader.clone());
             let generation = node.generation;
-            if !node.is_isolated {
+            let is_connected = self.is_connected(self.entries[entry].region, node.region);
+            if !node.is_isolated && is_connected {
                 self.after(latency, Action::Runner(agent, generation, event));
             }
         }
@@ -186,7 +193,8 @@
             return;
         };
         self.pending_polls.remove(&poll_id);
-        if self.agents[agent].is_isolated {
+        let is_connected = self.is_connected(region, self.agents[agent].region);
+        if self.agents[agent].is_isolated || !is_connected {
             return;
         }
         let latency = self.latency(region, self.agents[agent].region);
@@ -209,6 +217,9 @@
             return;
         };
         self.pending_polls.remove(&poll_id);
+        if !self.is_connected(region, self.entries[entry].region) {
+            return;
+        }
         let latency = self.latency(region, self.entries[entry].region);
         let event = front::event::Event::Feed { sent, feed };
         self.after(latency, Action::Front(entry, generation, event));
@@ -274,12 +285,15 @@
             Requester::Entry(requesting) => {
                 let latency = self.latency(node.region, self.entries[requesting].region);
                 let event = front::event::Event::Leader(leader);
-                self.after(latency, Action::Front(requesting, generation, event));
+                if self.is_connected(node.region, self.entries[requesting].region) {
+                    self.after(latency, Action::Front(requesting, generation, event));
+                }
             }
             Requester::Agent(agent) => {
                 let latency = self.latency(node.region, self.agents[agent].region);
                 let event = runner::event::Event::Leader(leader);
-                if !self.agents[agent].is_isolated {
+                let is_connected = self.is_connected(node.region, self.agents[agent].region);
+                if !self.agents[agent].is_isolated && is_connected {
                     self.after(latency, Action::Runner(agent, generation, event));
                 }
             }
--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -2,11 +2,17 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use sapphire_front as front;
 use sapphire_jobs::Incarnation;
 use sapphire_runner as runner;
+use sapphire_store::call::{Call, Put};
 
-use super::{Action, LOCAL_LATENCY, MAX_LEASE, Simulation, settings::runner_options};
+use super::{
+    Action, LOCAL_LATENCY, MAX_LEASE, Simulation,
+    settings::{CORDONS, runner_options},
+    zone,
+};
 use crate::jobs::{load::Site, minion::Minion};
 
 /// Time between the departure of a drained minion and the start of its replacement.
@@ -84,6 +90,53 @@
         self.log_line(&format!("store up={is_up}"));
     }
 
+    /// Partitions a region from the others and from the store, or reconnects it.
+    pub fn set_region_partitioned(&mut self, region: usize, is_partitioned: bool) {
+        if is_partitioned {
+            self.partitioned.insert(region);
+        } else {
+            self.partitioned.remove(&region);
+        }
+        self.log_line(&format!("z{region} partitioned={is_partitioned}"));
+    }
+
+    /// Takes the power from everything in a region; it starts again after `restart_after`.
+    pub fn lose_region(&mut self, region: usize, restart_after: Duration) {
+        for entry in 0..self.entries.len() {
+            if self.entries[entry].region == region {
+                self.kill_entry(entry, restart_after);
+            }
+        }
+        for agent in 0..self.agents.len() {
+            if self.agents[agent].region == region {
+                self.kill_agent(agent, restart_after);
+                self.minions[agent].is_up = false;
+                self.after(restart_after, Action::StartMinion(agent));
+            }
+        }
+    }
+
+    /// Cordons a region, or lifts the cordon. The store must be up.
+    pub fn set_region_cordoned(&mut self, region: usize, is_cordoned: bool) {
+        let key = format!("{CORDONS}{}", zone(region));
+        let (mut puts, mut removes) = (Vec::new(), Vec::new());
+        if is_cordoned {
+            puts.push(Put { key, value: Bytes::from_static(b"{}"), lease: None });
+            self.cordons.entry(region).or_insert(self.now);
+        } else {
+            removes.push(key);
+            self.cordons.remove(&region);
+        }
+        self.store.call(self.now, &Call::Commit { conditions: Vec::new(), puts, removes });
+        self.poll_watches();
+        self.log_line(&format!("z{region} cordoned={is_cordoned}"));
+    }
+
+    /// Region of an entry.
+    pub fn region_of(&self, entry: usize) -> usize {
+        self.entries[entry].region
+    }
+
     /// Drops the store's history of changes.
     pub fn compact_store(&mut self) {
         self.store.compact();
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -18,6 +18,7 @@
 
 use super::{
     Action, Completion, EPOCH, HEARTBEAT_INTERVAL, LOCAL_LATENCY, Request, STEP, Simulation,
+    settings::CORDON_DEADLINE,
 };
 use crate::jobs::minion::Truth;
 
@@ -187,6 +188,12 @@
         {
             self.report_violation(task, "starts on a worker that drains", agent);
         }
+        let region = self.agents[agent].region;
+        if let Some(at) = self.cordons.get(&region)
+            && request.sent > *at + CORDON_DEADLINE
+        {
+            self.report_violation(task, "starts in a cordoned zone", agent);
+        }
         self.check_tasks_per_worker(agent, task);
         self.check_done(agent, task, number, is_inherited);
     }
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -9,7 +9,10 @@
 mod settings;
 mod store_calls;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use rand::{RngExt as _, SeedableRng as _};
@@ -192,6 +195,11 @@
     entries: Vec<EntryNode>,
     agents: Vec<AgentNode>,
     minions: Vec<Minion>,
+    /// Regions that are partitioned from the others and from the store. Each region is one
+    /// availability zone, `z` and its number.
+    partitioned: BTreeSet<usize>,
+    /// When each cordoned region was cordoned.
+    cordons: BTreeMap<usize, Duration>,
     /// Polls that a planner has not answered yet.
     pending_polls: BTreeMap<u64, PendingPoll>,
     /// Actual behaviour of the tasks, by job and step.
@@ -266,6 +274,8 @@
             entries: Vec::new(),
             agents: Vec::new(),
             minions: Vec::new(),
+            partitioned: BTreeSet::new(),
+            cordons: BTreeMap::new(),
             pending_polls: BTreeMap::new(),
             truth: BTreeMap::new(),
             load_start: Duration::ZERO,
@@ -362,6 +372,7 @@
             labels: vec!["a".to_owned(), format!("r{region}-{}", index / site.workers_per_rack)],
             rack: format!("r{region}-{}", index / site.workers_per_rack),
             capacity: Some(site.capacity.message()),
+            zone: zone(region),
             ..Incarnation::default()
         };
         self.minions.push(Minion::new(incarnation).with_clock(Duration::ZERO, MAX_LEASE));
@@ -459,6 +470,11 @@
         if from == to { REGION_LATENCY } else { REMOTE_LATENCY }
     }
 
+    /// Whether messages between processes in two regions arrive.
+    fn is_connected(&self, from: usize, to: usize) -> bool {
+        from == to || !(self.partitioned.contains(&from) || self.partitioned.contains(&to))
+    }
+
     fn entry_of(address: &str) -> Option<usize> {
         address.strip_prefix('e')?.parse().ok()
     }
@@ -478,3 +494,8 @@
         self.log.push(format!("{time:.3} {text}"));
     }
 }
+
+/// Name of a region's availability zone.
+fn zone(region: usize) -> String {
+    format!("z{region}")
+}
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use sapphire_jobs::catalog::{Catalog, Organisation, Parts, Queue, Service};
+use sapphire_jobs::{
+    catalog::{Catalog, Organisation, Parts, Queue, Service},
+    cordon,
+};
 use sapphire_plan::policy::Policy;
 use sapphire_planner as planner;
 use sapphire_runner as runner;
@@ -32,9 +35,22 @@
         reclaim_deadline: Duration::from_millis(2_900),
         remote_factor: 3,
         policy,
+        cordon_prefix: CORDONS.to_owned(),
+        read_cordon,
+        cordon_deadline: CORDON_DEADLINE,
     }
 }
 
+/// Prefix of the store's keys of cordons.
+pub(super) const CORDONS: &str = "cordons/";
+/// Time after the cordon of a zone from which on nothing may be started there.
+pub(super) const CORDON_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Decodes a cordon, whose key names the zone.
+fn read_cordon(key: &str, _value: &Bytes) -> cordon::Record {
+    cordon::Record { zone: key.strip_prefix(CORDONS).map(str::to_owned), fault: None }
+}
+
 /// Fake configuration, whatever the bytes: the queues of all sites, and four organisations whose
 /// API key is their name.
 pub(super) fn read_catalog(_bytes: &Bytes, revision: u64) -> Result<Catalog, String> {
--- a/crates/proofs/src/jobs/simulation/store_calls.rs
+++ b/crates/proofs/src/jobs/simulation/store_calls.rs
@@ -34,7 +34,7 @@
         sent: Duration,
     ) {
         let timeout = Duration::from_millis(700);
-        if !self.is_store_up || !self.entries[entry].reaches_store {
+        if !self.reaches_store(entry) {
             let reply = Reply::Unavailable("no answer".to_owned());
             self.deliver(entry, generation, origin, sent, reply, timeout);
             return;
@@ -53,10 +53,15 @@
         self.poll_watches();
     }
 
+    fn reaches_store(&self, entry: usize) -> bool {
+        let node = &self.entries[entry];
+        self.is_store_up && node.reaches_store && !self.partitioned.contains(&node.region)
+    }
+
     pub(super) fn poll_watches(&mut self) {
         for (entry, generation, origin, call, until) in std::mem::take(&mut self.watches) {
             let latency = self.latency(self.entries[entry].region, 0);
-            if !self.entries[entry].reaches_store || !self.is_store_up {
+            if !self.reaches_store(entry) {
                 self.watches.push((entry, generation, origin, call, until));
                 continue;
             }
--- a/crates/proofs/tests/proofs.rs
+++ b/crates/proofs/tests/proofs.rs
@@ -6,3 +6,4 @@
 mod promises;
 mod runs;
 mod scenarios;
+mod zones;
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -100,6 +100,12 @@
     pub(crate) acknowledged: u64,
     /// End of the lease, up to which the minion may run tasks.
     pub(crate) lease_until: Duration,
+    /// Time until which starts may be sent to the minion.
+    pub(crate) starts_until: Duration,
+    /// Whether the zone is cordoned, so that no start is sent at all.
+    pub(crate) is_cordoned: bool,
+    /// Sequence of the latest poll whose answer has arrived.
+    pub(crate) latest_answer: u64,
 }
 
 /// A poll in flight.
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -40,9 +40,9 @@
         if known || is_running || has_ended {
             return;
         }
-        if minion.incarnation.is_draining {
-            self.log(format!("task={task} run={} refused: the minion is draining", run.run));
-            self.verdict(run, Rejection::Draining);
+        if let Some((rejection, why)) = self.closed() {
+            self.log(format!("task={task} run={} refused: {why}", run.run));
+            self.verdict(run, rejection);
             return;
         }
         if self.unanswered.has_other_run(now, &task, run.run) {
@@ -90,8 +90,8 @@
         if minion.fenced_token != self.session.token || self.session.token == 0 {
             return;
         }
-        if minion.incarnation.is_draining {
-            self.withdraw_starts();
+        if let Some((rejection, why)) = self.closed() {
+            self.withdraw_starts(rejection, why);
         }
         let mut free = MAX_CALLS
             .saturating_sub(self.orders.values().filter(|order| order.call.is_some()).count());
@@ -106,9 +106,21 @@
         }
     }
 
-    /// Withdraws the starts for a minion that drains. Those that were never sent are refused, and
-    /// those without an answer become stops, so that they can't be carried out later.
-    fn withdraw_starts(&mut self) {
+    /// Why nothing may be started on the minion, if so.
+    fn closed(&self) -> Option<(Rejection, &'static str)> {
+        if self.minion.as_ref().is_some_and(|minion| minion.incarnation.is_draining) {
+            Some((Rejection::Draining, "the minion is draining"))
+        } else if self.session.is_cordoned {
+            Some((Rejection::Cordoned, "the zone is cordoned"))
+        } else {
+            None
+        }
+    }
+
+    /// Withdraws the starts for a minion on which nothing may be started. Those that were never
+    /// sent are refused, and those without an answer become stops, so that they can't be carried
+    /// out later.
+    fn withdraw_starts(&mut self, rejection: Rejection, why: &str) {
         let is_open = |order: &Order| matches!(order.kind, Kind::Start(_)) && order.call.is_none();
         let unsent: Vec<Run> = (self.orders.iter())
             .filter(|(_, order)| is_open(order) && order.attempts == 0)
@@ -116,9 +128,9 @@
             .collect();
         for run in unsent {
             let task = Task::read(&run);
-            self.log(format!("task={task} run={} refused: the minion is draining", run.run));
+            self.log(format!("task={task} run={} refused: {why}", run.run));
             self.orders.remove(&task);
-            self.verdict(run, Rejection::Draining);
+            self.verdict(run, rejection);
         }
         for order in self.orders.values_mut().filter(|order| is_open(order)) {
             order.kind = Kind::Stop(None);
@@ -138,6 +150,8 @@
             // Without a lease nothing may be started: the planner may have placed the task
             // elsewhere.
             (Kind::Start(_), None) | (Kind::Stop(Some(_)) | Kind::Refused(_), _) => return false,
+            // The zone may have been cordoned since the planner's latest answer.
+            (Kind::Start(_), _) if now >= self.session.starts_until => return false,
             (Kind::Start(start), Some(deadline)) => {
                 Call::Start { start: start.clone(), deadline, token }
             }
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -97,12 +97,15 @@
             self.entries.clone_from(&orders.entries);
         }
         self.begin_session(&orders);
+        self.update_cordon(poll.sequence, orders.is_cordoned);
         if orders.token != self.session.token {
             return;
         }
         // The lease counts from the sending of the poll, so that a late answer does not extend it.
         let until = poll.sent_at + Duration::from_millis(orders.lease_ms);
         self.session.lease_until = self.session.lease_until.max(until);
+        let starts_until = poll.sent_at + Duration::from_millis(orders.starts_ms);
+        self.session.starts_until = self.session.starts_until.max(starts_until);
         if orders.noted > self.session.acknowledged {
             self.session.acknowledged = orders.noted;
             if let Some(minion) = &mut self.minion {
@@ -118,6 +121,19 @@
         }
     }
 
+    /// Records whether the zone is cordoned, unless the answer to a later poll has arrived before.
+    fn update_cordon(&mut self, sequence: u64, is_cordoned: bool) {
+        if sequence < self.session.latest_answer {
+            return;
+        }
+        self.session.latest_answer = sequence;
+        if self.session.is_cordoned != is_cordoned {
+            self.session.is_cordoned = is_cordoned;
+            let effect = if is_cordoned { "cordoned; nothing is started" } else { "open again" };
+            self.log(format!("the zone is {effect}"));
+        }
+    }
+
     /// Begins a session if the orders carry a new token. The minion has to acknowledge the token
     /// before anything else, and orders of the previous session are invalid.
     ///
--- a/crates/runner/tests/harness/mod.rs
+++ b/crates/runner/tests/harness/mod.rs
@@ -33,6 +33,8 @@
     pub(crate) polls: Vec<(Ticket, Poll)>,
     pub(crate) calls: Vec<(Ticket, Call)>,
     pub(crate) log: Vec<String>,
+    /// Time for which the planner's answers allow starts, in ms.
+    pub(crate) starts_ms: u64,
 }
 
 impl Fixture {
@@ -45,7 +47,8 @@
             minion_address: String::new(),
             stop_timeout: ms(400),
         });
-        Fixture { machine, polls: Vec::new(), calls: Vec::new(), log: Vec::new() }
+        let starts_ms = LEASE.as_millis() as u64;
+        Fixture { machine, polls: Vec::new(), calls: Vec::new(), log: Vec::new(), starts_ms }
     }
 
     /// Has the agent handle an event at a time in ms, and collects the effects.
@@ -86,6 +89,7 @@
             term: 7,
             token: TOKEN,
             lease_ms: LEASE.as_millis() as u64,
+            starts_ms: self.starts_ms,
             starts,
             stops,
             ..Orders::default()
@@ -109,7 +113,12 @@
 
     /// An agent in a session, whose minion has acknowledged the token.
     pub(crate) fn fenced() -> Self {
-        let mut fixture = Fixture::new();
+        Fixture::new().into_session()
+    }
+
+    /// The agent in a session, whose minion has acknowledged the token.
+    pub(crate) fn into_session(self) -> Self {
+        let mut fixture = self;
         fixture.heartbeat(0, 1, 1, false);
         let lead = Lead { name: "e".to_owned(), address: "e:1".to_owned(), term: 7, generation: 1 };
         fixture.handle(10, Event::Leader(lead));
--- a/crates/runner/tests/runner.rs
+++ b/crates/runner/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Tests of the agent beside a minion.
 
 mod agent;
+mod cordons;
 mod harness;
 mod orders;
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -67,6 +67,9 @@
         reclaim_deadline: millis(bounds.reclaim_ms),
         remote_factor: bounds.remote_factor,
         policy: settings.policy.map_or_else(Policy::default, policy),
+        cordon_prefix: platform::cordon::PREFIX.to_owned(),
+        read_cordon: platform::cordon::read,
+        cordon_deadline: millis(bounds.cordon_ms),
     }
 }
 
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -1,5 +1,6 @@
 //! Passes events to the planner while this entry plans, and runs its turns.
 
+use cadence::Gauged as _;
 use sapphire_net::clock;
 use sapphire_planner::{self as planner, event::Moment};
 
@@ -33,8 +34,11 @@
             planner.record_pass_duration(end, took);
         }
         self.meter.record_turn(took, is_pass);
+        let cordoned_zones = planner.cordoned_zones() as u64;
         if is_pass {
             self.record_time("pass", took);
+            // A metric that can't be recorded is not worth an error.
+            let _ = self.metrics.gauge("cordoned_zones", cordoned_zones);
         }
         if let Some(line) = self.meter.report(end, load) {
             self.logger.info("plan", &line);
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -129,6 +129,8 @@
             Plan::Forget(_) => "forget",
             Plan::Intake => "intake",
             Plan::Unanswered => "unanswered",
+            Plan::Cordons => "cordons",
+            Plan::CordonWatch => "cordon_watch",
         },
     }
 }
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -78,6 +78,7 @@
         reclaim_ms: millis("reclaim", default.reclaim_ms),
         checkpoint_ms: millis("checkpoint", default.checkpoint_ms),
         store_lease_ms: millis("store_lease", default.store_lease_ms),
+        cordon_ms: millis("cordon", default.cordon_ms),
         remote_factor: section.count("remote_factor", Some(default.remote_factor), 1..=1_000),
     }
 }
@@ -93,6 +94,7 @@
         remote_factor: 3,
         checkpoint_ms: 2_000,
         store_lease_ms: 1_000,
+        cordon_ms: 5_000,
     }
 }
 
