fix: a guaranteed job does not wait into its deadline

The limit of such a wait left no time for finding out: the report of an end and the next pass. `a_guaranteed_job_does_not_wait_into_its_deadline` failed before (its start was ordered after 2,400 ms of 2,900, before stops and messages).

--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -73,7 +73,7 @@
 }
 
 /// Maximum interval between two passes while groups wait.
-const PASS_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const PASS_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum delay after a pass, in multiples of its duration.
 const PASS_DELAY_FACTOR: u32 = 2;
 
--- a/crates/planner/src/urgent.rs
+++ b/crates/planner/src/urgent.rs
@@ -12,7 +12,7 @@
 use crate::{
     event::Moment,
     group::{Claim, Group},
-    planner::Planner,
+    planner::{PASS_INTERVAL, Planner},
     pool::Pool,
     table::step_groups,
     worker::Cause,
@@ -172,7 +172,10 @@
             latency: settings.target_latency,
         };
         let limit = if urgent.is_guaranteed {
-            self.options.reclaim_deadline.saturating_sub(age + self.options.stop_timeout + OVERHEAD)
+            // Work that does not end within the wait is stopped after it.
+            let noticed = END_REPORT_DELAY + PASS_INTERVAL;
+            let stopped = self.options.stop_timeout + OVERHEAD;
+            self.options.reclaim_deadline.saturating_sub(age + noticed + stopped)
         } else {
             preempt::LONGEST_WAIT
         };
--- a/crates/planner/tests/urgent/mod.rs
+++ b/crates/planner/tests/urgent/mod.rs
@@ -1,8 +1,12 @@
 //! Tests of the resources that are released for urgent groups.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use sapphire_jobs::{Ending, Job, Notice, Running, Step, task::Task};
+use sapphire_jobs::{
+    Ending, Job, Notice, Running, Step,
+    catalog::{Catalog, Organisation, Parts, Queue},
+    task::Task,
+};
 use sapphire_planner::{
     event::Event,
     worker::{Phase, Run},
@@ -15,6 +19,8 @@
 struct Minions {
     ends: BTreeMap<String, u64>,
     stopped: usize,
+    /// Progress that all tasks report; `None` for tasks that are about to end.
+    percent: Option<u32>,
 }
 
 impl Minions {
@@ -39,8 +45,9 @@
                 self.stopped += 1;
                 finished.push(ended(*number, task.run(run.number), Ending::Stopped));
             } else {
-                let percent =
+                let near_end =
                     90 + u32::try_from((fixture.now - START) / 4_000).expect("a short run");
+                let percent = self.percent.unwrap_or(near_end);
                 running.push(Running { run: listed, percent, ..Running::default() });
             }
         }
@@ -154,6 +161,56 @@
     assert_ne!(fixture.worker_of("urgent"), "", "resources were released for it");
 }
 
+/// Guards against a guaranteed job that starts after its deadline: it waited for work that should
+/// have ended by itself, and the rest of the time was too short to have that work stopped.
+#[test]
+fn a_guaranteed_job_does_not_wait_into_its_deadline() {
+    const STOP_AND_START: u64 = 400 + 300;
+    let names = ["w1", "w2"];
+    let mut fixture = Fixture::new(Vec::new());
+    for name in names {
+        fixture.join(name, Vec::new(), Vec::new());
+    }
+    let organisation = Organisation {
+        name: "o".to_owned(),
+        guaranteed_accelerators: 64,
+        ..Organisation::default()
+    };
+    let queue = |name: &str, priority| Queue {
+        name: name.to_owned(),
+        service: "desk".to_owned(),
+        max_attempts: 2,
+        slack: 3.0,
+        target_latency: Duration::from_secs(20),
+        priority,
+        ..Queue::default()
+    };
+    let parts = Parts {
+        queues: vec![queue("q", 1), queue("urgent", 0)],
+        organisations: vec![organisation],
+        ..Parts::default()
+    };
+    fixture.handle(Event::Catalog(Arc::new(Catalog::new(parts))));
+    let small = Step { room: Some(resources(4).message()), estimate_ms: 9_500, ..step(16, false) };
+    let jobs = vec![job("small", TERM, small)];
+    fixture.handle(Event::Notice(Notice { jobs, ..Notice::default() }));
+    let mut minions = Minions::default();
+    // By their progress, all tasks will take 9.5 s, of which 1.9 s are left. Then they stall.
+    for round in 0..=76 {
+        minions.percent = Some(round * 100 / 95);
+        minions.answer_all(&mut fixture, &names);
+    }
+    let accepted_ms = fixture.now;
+    let whole = Job { accepted_ms, organisation: "o".to_owned(), ..urgent("whole", 64) };
+    fixture.handle(Event::Notice(Notice { jobs: vec![whole], ..Notice::default() }));
+    while fixture.worker_of("whole").is_empty() && fixture.now < accepted_ms + 4_000 {
+        minions.answer_all(&mut fixture, &names);
+    }
+    let waited = fixture.now - accepted_ms;
+    // In this test a stop takes 100 ms, and messages take no time.
+    assert!(waited - 100 + STOP_AND_START <= 2_900, "its start was ordered after {waited} ms");
+}
+
 /// Guards against an urgent job that waits again and again for work that should have ended: its
 /// remaining time is zero, so that it was taken for work that ends by itself even when the wait was
 /// over.
