front: the key of a planner whose process has ended is released at once

After a planner's process was killed no entry planned until its lease had expired. The machine of a process that has ended refuses connections; one that is partitioned or without power does not answer. An entry whose poll of the feed is refused now releases the leader key of that term, under the condition that it still has that revision. Ways weighed: a shorter lease (lost whenever the store is slow); a standby that plans on suspicion (two planners).

--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -64,6 +64,8 @@
         /// The feed; none when the poll has failed.
         feed: Option<Box<Feed>>,
     },
+    /// The leader's machine has refused a connection to this address.
+    LeaderRefused(String),
     /// Another process has reported who the leader is.
     Leader(Lead),
     /// The process is asked to terminate.
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -111,18 +111,28 @@
             && leader.generation != self.options.generation
     }
 
-    /// Releases the leader key that a previous process of this entry holds.
+    /// Releases the leader key of a leader whose machine refuses connections: nothing listens at
+    /// its address, so its process has ended. A machine that is partitioned or without power does
+    /// not answer at all.
+    ///
+    /// Without this, no entry plans until the lease of the process has expired.
+    pub(crate) fn leader_refused(&mut self, address: &str) {
+        let Some(leader) = &self.leadership.leader else { return };
+        if leader.address == address && !self.is_planning {
+            self.release_ended(leader.term, "its machine refuses connections");
+        }
+    }
+
+    /// Releases the leader key whose holder has ended.
     ///
     /// Without this, no entry plans for about a second after each loss of power: the lease of the
     /// process that has ended remains valid for up to 1.3 s.
-    fn release_previous(&mut self, term: Revision) {
+    fn release_ended(&mut self, term: Revision, why: &str) {
         if self.leadership.released_term == term {
             return;
         }
         self.leadership.released_term = term;
-        self.log(format!(
-            "term={term} was held by a previous process of this entry; releasing the leader key"
-        ));
+        self.log(format!("the planner of term={term} has ended ({why}); releasing the leader key"));
         let conditions = vec![Condition { key: keys::LEAD.to_owned(), revision: term }];
         let removes = vec![keys::LEAD.to_owned()];
         let call = Call::Commit { conditions, puts: Vec::new(), removes };
@@ -143,7 +153,7 @@
             return;
         }
         if self.is_previous_process(&leader) {
-            self.release_previous(leader.term);
+            self.release_ended(leader.term, "it was a previous process of this entry");
             return;
         }
         if leader.term > known {
--- a/crates/front/src/machine.rs
+++ b/crates/front/src/machine.rs
@@ -108,6 +108,7 @@
                 self.store_replied(steady, operation, sent, reply);
             }
             Event::Feed { sent, feed } => self.feed_received(steady, sent, feed),
+            Event::LeaderRefused(address) => self.leader_refused(&address),
             Event::Leader(leader) => self.follow(leader),
             Event::Terminate => {
                 self.is_terminating = true;
--- a/crates/front/src/state/leadership.rs
+++ b/crates/front/src/state/leadership.rs
@@ -47,7 +47,7 @@
     pub(crate) stagger: Duration,
     /// The process is terminating and must not become the leader again.
     pub(crate) is_terminating: bool,
-    /// Term of a previous process of this entry that has been released already.
+    /// Term whose holder has ended and whose key this entry has released already.
     pub(crate) released_term: Revision,
 }
 
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -13,7 +13,7 @@
 use sapphire_jobs::{
     Backlog, Feed, Lead, Row, Schedule, State, Step, Supply, resources::Resources,
 };
-use sapphire_store::call::{Item, Reply, Value};
+use sapphire_store::call::{Call, Condition, Item, Reply, Value};
 
 use crate::harness::{Fixture, is_refused, ms, submit_one_step};
 
@@ -358,6 +358,28 @@
     assert!(!read("e", "e:9", 7), "an entry on another machine has the same name");
 }
 
+/// Guards against jobs that wait for over a second after the planner's process has been killed: its
+/// machine refuses connections, which shows at once that it has ended.
+#[test]
+fn an_entry_releases_the_leader_key_of_a_process_that_has_ended() {
+    let mut fixture = Fixture::configured(1_000);
+    let leader = Lead { name: "f".to_owned(), address: "f:1".to_owned(), term: 40, generation: 7 };
+    fixture.handle(1_010, Event::Leader(leader));
+    fixture.handle(1_020, Event::LeaderRefused("g:1".to_owned()));
+    assert!(!fixture.calls.contains(&Operation::LeaderRelease), "an earlier leader's address");
+    for _ in 0..3 {
+        fixture.handle(1_030, Event::LeaderRefused("f:1".to_owned()));
+    }
+    let releases = fixture.sent.iter().filter(|call| match call {
+        Call::Commit { conditions, removes, .. } => {
+            let held = Condition { key: "lead".to_owned(), revision: 40 };
+            *conditions == [held] && removes[..] == ["lead".to_owned()]
+        }
+        _ => false,
+    });
+    assert_eq!(releases.count(), 1, "only the key of that term");
+}
+
 /// Guards against a store that rejects calls and gets thousands of look-ups of the same job.
 #[test]
 fn a_look_up_that_the_store_rejects_is_sent_again_after_a_delay() {
--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -34,7 +34,8 @@
                 let hub = &mut self.net.borrow_mut();
                 let timeout = front::options::FEED_TIMEOUT;
                 let id = internal::call(hub, &address, "POST", internal::FEED, &poll, timeout);
-                self.calls.extend(id.map(|id| (id, Pending::Feed { sent: now.steady })));
+                let pending = Pending::Feed { sent: now.steady, address };
+                self.calls.extend(id.map(|id| (id, pending)));
             }
             Effect::Notice { address, notice } => {
                 let hub = &mut self.net.borrow_mut();
--- a/crates/sapphired/src/jobs_entry/mod.rs
+++ b/crates/sapphired/src/jobs_entry/mod.rs
@@ -79,8 +79,10 @@
     Relay {
         caller: CallerId,
     },
+    /// Poll of the feed of the leader at this address.
     Feed {
         sent: Duration,
+        address: String,
     },
     LeaderQuery,
     /// Call whose answer is not used.
--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -124,7 +124,11 @@
                 };
                 self.net.borrow_mut().answer(caller, &internal::response(&relayed));
             }
-            Some(Pending::Feed { sent }) => {
+            Some(Pending::Feed { sent, address }) => {
+                if matches!(result, Err(Failure::Refused)) {
+                    let event = front::event::Event::LeaderRefused(address);
+                    self.handle_front_event(now, event);
+                }
                 let feed = internal::answer(result).map(Box::new);
                 self.handle_front_event(now, front::event::Event::Feed { sent, feed });
             }
