--- a/crates/proofs/tests/promises/mod.rs
+++ b/crates/proofs/tests/promises/mod.rs
@@ -121,6 +121,37 @@
     assert_eq!(sim.agents["a3"].worker.in_use(), 1, "the task was interrupted");
 }
 
+/// An availability zone is drained by a rule. What runs there goes on, nothing new is started there,
+/// and the zone is used again once the rule is gone.
+#[test]
+fn a_drained_zone_gets_no_new_work() {
+    let mut sim = scenarios::simulation();
+    let in_use = |sim: &sapphire_proofs::simulation::Simulation, names: [&str; 3]| {
+        names.map(|name| sim.agents[name].worker.in_use()).iter().sum::<u32>()
+    };
+    let drained = ["a4", "a5", "a6"];
+    for key in ["1", "2", "3", "4", "5", "6"] {
+        sim.submit("e1", &scenarios::borrower(key, 8, 1, "sleep 9000ms"));
+    }
+    sim.run(SECOND * 3);
+    let before = in_use(&sim, drained);
+    assert!(before > 0);
+    let rules = format!("{}drain zone=norte-b # Ines\n", chaos::RULES);
+    let caller = sim.apply("e1", 1, &rules);
+    assert!(sim.run_until_answer(caller, SECOND));
+    sim.run(SECOND * 3);
+    assert_eq!(in_use(&sim, drained), before, "what runs there goes on");
+    for key in ["7", "8", "9", "10", "11", "12"] {
+        sim.submit("e1", &scenarios::borrower(key, 8, 1, "sleep 60000ms"));
+    }
+    sim.run(SECOND * 15);
+    assert_eq!(in_use(&sim, drained), 0);
+    let caller = sim.apply("e1", 2, chaos::RULES);
+    assert!(sim.run_until_answer(caller, SECOND));
+    sim.run(SECOND * 3);
+    assert!(in_use(&sim, drained) > 0);
+}
+
 /// An entry drains while a caller waits. It reports at once that it is not ready, and it exits only
 /// after the caller has its answer.
 #[test]
