planner: overdue work is waited for while the urgent job has time

Now it is stopped if one more round of waiting would make the urgent job late, and always for a guaranteed job; otherwise it is waited for. So the job's own slack decides.

--- a/crates/planner/src/urgent.rs
+++ b/crates/planner/src/urgent.rs
@@ -111,13 +111,24 @@
         self.load.searches += 1;
         // Free resources need no stop, so the place that was chosen first is usually kept.
         let stop = self.options.stop_timeout;
+        let wait = (!self.is_last_chance(now, urgent)).then_some(Duration::ZERO);
         let Pool { places, candidates, .. } = &*pool;
-        let choice = preempt::choose(places, candidates, urgent.to_plan(), None, stop);
+        let choice = preempt::choose(places, candidates, urgent.to_plan(), wait, stop);
         if let Some(choice) = choice {
             self.claim(now, pool, urgent, choice, true);
         }
     }
 
+    /// Returns whether an urgent group that waits once more, for work that should have ended by now,
+    /// can't end in time any more.
+    fn is_last_chance(&self, now: Moment, urgent: &Urgent<'_>) -> bool {
+        let Some(entry) = self.table.entries.get(urgent.id) else { return true };
+        let round = self.options.stop_timeout + END_REPORT_DELAY + PASS_INTERVAL;
+        let run_time = entry.remaining_path(|step| self.expected_run_time(entry, step));
+        let end = Self::age(entry, now) + round * 2 + OVERHEAD + run_time;
+        urgent.is_guaranteed || end > self.objective(entry)
+    }
+
     /// Claims resources for an urgent group, and stops the work that occupies them.
     fn claim(
         &mut self,
