soak: zones are cordoned, and entries are cut off from store and processes at once

Minions are in two zones; one is cordoned from time to time, and no order to start a task may arrive there later than 5 s after that. With faulty links, an entry's proxies before the store and before its own address fall silent together. Drawn by a generator of their own, so that seeds without them stay what they were.

--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -41,12 +41,22 @@
 /// abandoned, while a start or a stop may still take effect.
 #[test]
 fn late_orders_and_gangs_break_no_promise() {
-    let trouble = Trouble { late_orders: true, gangs: true, links: false };
+    let trouble = Trouble { late_orders: true, gangs: true, links: false, zones: false };
     let outcome = run_soak(254, 2, Conditions::default(), trouble);
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
 }
 
+/// Guards against starts in a cordoned zone, and against two planners at once: zones are cordoned, and
+/// entries are cut off from the store and from the other processes.
+#[test]
+fn cordons_and_partitions_break_no_promise() {
+    let trouble = Trouble { late_orders: false, gangs: true, links: true, zones: true };
+    let outcome = run_soak(255, 6, Conditions::default(), trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
 /// Guards against entries that reject all callers for good with 503 because their configuration may
 /// be out of date. It happened with a configuration of 820 KB, which takes 0.66 s on a link of
 /// 1.25 MB/s: calls to the store timed out after 0.42 s although the answer was arriving, the part
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -117,6 +117,12 @@
     /// Draws what only optional kinds of faults and load need, so that the draws of `rng` are the
     /// same with and without them.
     trouble_rng: Pcg32,
+    /// Draws cordons and partitions of zones.
+    zone_rng: Pcg32,
+    /// When each cordoned zone was cordoned.
+    cordons: BTreeMap<String, Duration>,
+    /// When the next zone is cordoned, or the present cordon is lifted.
+    next_cordon: Duration,
     store_listener: ListenerId,
     minion_listeners: BTreeMap<ListenerId, u8>,
     store: Store,
@@ -173,6 +179,9 @@
         hub,
         rng: Pcg32::seed_from_u64(options.seed),
         trouble_rng: Pcg32::seed_from_u64(options.seed ^ 0x1a7e),
+        zone_rng: Pcg32::seed_from_u64(options.seed ^ 0x20e5),
+        cordons: BTreeMap::new(),
+        next_cordon: clock::now() + STARTUP_DELAY,
         store_listener,
         minion_listeners,
         store,
@@ -228,6 +237,8 @@
     Store(u8),
     /// The entry's proxy before its internal address forwards everything again.
     Link(u8),
+    /// Both proxies of the entry forward everything again.
+    Partition(u8),
 }
 
 impl Soak {
@@ -275,11 +286,18 @@
                         Undo::Resume(node) => fleet.signal(*node, Signal::SIGCONT),
                         Undo::Store(entry) => proxies.store[usize::from(*entry)].set(Mode::Pass),
                         Undo::Link(entry) => proxies.internal[usize::from(*entry)].set(Mode::Pass),
+                        Undo::Partition(entry) => {
+                            proxies.store[usize::from(*entry)].set(Mode::Pass);
+                            proxies.internal[usize::from(*entry)].set(Mode::Pass);
+                        }
                     }
                 }
                 now < *at
             });
             fleet.restart_ended()?;
+            if self.options.trouble.zones {
+                self.drive_cordons(now, jobs > 0 || faults > 0);
+            }
             self.send_requests(now);
             let has_late_orders = now < self.late_until || !self.late_orders.is_empty();
             if jobs == 0 && faults == 0 && undos.is_empty() && !has_late_orders {
@@ -309,6 +327,27 @@
         }
     }
 
+    /// Cordons a zone from time to time, and lifts the cordon again. None remains once the faults
+    /// are over.
+    fn drive_cordons(&mut self, now: Duration, goes_on: bool) {
+        if goes_on && now < self.next_cordon {
+            return;
+        }
+        let millis = |range| Duration::from_millis(range);
+        if let Some((zone, _)) = self.cordons.pop_first() {
+            platform::set_cordoned(&mut self.store, now, &zone, false);
+            self.write_log(&format!("zone={zone} is no longer cordoned"));
+            self.next_cordon = now + millis(self.zone_rng.random_range(200..2_000));
+        } else if goes_on {
+            let zone = format!("z{}", self.zone_rng.random_range(0..platform::ZONES));
+            let time = millis(self.zone_rng.random_range(500..9_000));
+            platform::set_cordoned(&mut self.store, now, &zone, true);
+            self.record_fault(&format!("cordon {zone}"), time);
+            self.cordons.insert(zone, now);
+            self.next_cordon = now + time;
+        }
+    }
+
     /// Checks that no accepted job is left over and counts the jobs.
     fn finish(mut self) -> Outcome {
         for (id, job) in &self.jobs {
@@ -497,6 +536,13 @@
             proxies.internal[usize::from(entry)].set(mode);
             return (now + time, Undo::Link(entry));
         }
+        let has_partitions = self.options.trouble.zones && self.options.trouble.links;
+        if has_partitions && self.zone_rng.random_bool(0.2) {
+            self.record_fault(&format!("partition {:?}", Node::Entry(entry)), time);
+            proxies.store[usize::from(entry)].set(Mode::Silence);
+            proxies.internal[usize::from(entry)].set(Mode::Silence);
+            return (now + time, Undo::Partition(entry));
+        }
         let text = match kind {
             0 => "kill",
             1 => "terminate",
--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -29,6 +29,9 @@
 /// Time after the end of a fault within which it may still have effects.
 const FAULT_AFTERMATH: Duration = Duration::from_secs(5);
 
+/// Time after the cordon of a zone from which on no order to start a task may arrive there.
+const CORDON_DEADLINE: Duration = Duration::from_secs(5);
+
 /// Delays of late orders, in milliseconds.
 const LATE_DELAY_MS: std::ops::Range<u64> = 2_000..6_000;
 
@@ -197,6 +200,11 @@
             }
             Some(_) => {}
         }
+        let zone = &self.minions[agent].incarnation.zone;
+        let cordoned_at = self.cordons.get(zone).copied();
+        if cordoned_at.is_some_and(|at| received.at > at + CORDON_DEADLINE) {
+            broken.push("starts in a cordoned zone");
+        }
         let start = format!("{task} run {number} starts on m{agent}{origin}");
         let mut is_acknowledged = false;
         for completion in self.completions.get_mut(task).into_iter().flatten() {
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -10,9 +10,12 @@
     pub gangs: bool,
     /// Connections between the system's own processes are delayed, silenced, reset and cut one way.
     pub links: bool,
+    /// Zones of minions are cordoned. With faulty links, an entry is also cut off from the store and
+    /// from the other processes at the same time, as if its zone were partitioned.
+    pub zones: bool,
 }
 
 impl Trouble {
     /// All kinds enabled.
-    pub const ALL: Trouble = Trouble { late_orders: true, gangs: true, links: true };
+    pub const ALL: Trouble = Trouble { late_orders: true, gangs: true, links: true, zones: true };
 }
--- a/crates/standins/src/jobs_platform.rs
+++ b/crates/standins/src/jobs_platform.rs
@@ -149,15 +149,36 @@
         labels: vec!["a".to_owned(), "r1".to_owned()],
         rack: "r1".to_owned(),
         capacity: Some(CAPACITY.message()),
+        zone: zone(agent),
         ..Incarnation::default()
     }
 }
 
+/// Availability zone of an agent's minion, one of [`ZONES`].
+pub fn zone(agent: u8) -> String {
+    format!("z{}", agent % ZONES)
+}
+
+/// Number of availability zones of minions, `z0` and so on.
+pub const ZONES: u8 = 2;
+
+/// Cordons a zone, or lifts its cordon, as an operator does.
+pub fn set_cordoned(store: &mut Store, now: Duration, zone: &str, is_cordoned: bool) {
+    let key = format!("op/evacuate/{zone}");
+    let (mut puts, mut removes) = (Vec::new(), Vec::new());
+    if is_cordoned {
+        puts.push(Put { key, value: Bytes::from_static(b"{}"), lease: None });
+    } else {
+        removes.push(key);
+    }
+    store.call(now, &Call::Commit { conditions: Vec::new(), puts, removes });
+}
+
 /// Heartbeat that a minion sends to its agent; `address` is where the minion takes orders, and
 /// `sequence` increases from one heartbeat to the next.
 pub fn heartbeat(minion: &Minion, address: &str, sequence: u64) -> Request {
     let body = json!({
-        "service": "desk", "address": address, "zone": "z", "version": "v1", "slots": 8,
+        "service": "desk", "address": address, "zone": minion.incarnation.zone, "version": "v1", "slots": 8,
         "state": "ready", "labels": minion.incarnation.labels, "call_seq": sequence,
         "born": minion.incarnation.born_ms,
         "capacity": {
