--- a/crates/planner/tests/isolation/mod.rs
+++ b/crates/planner/tests/isolation/mod.rs
@@ -1,8 +1,6 @@
 //! Tests of a planner whose lease on the leader key may have expired. It has seven other entries,
 //! `e1` to `e7`.
 
-use std::time::Duration;
-
 use sapphire_jobs::Notice;
 use sapphire_planner::event::Event;
 
@@ -131,6 +129,4 @@
     assert_eq!(fixture.feeds.len(), before, "nothing has changed");
     fixture.advance(200);
     assert!(fixture.feeds.len() > before);
-    let limit = Duration::from_millis(LEASE);
-    assert!(ms(fixture.now) < ms(fixture.now) + limit);
 }
