--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -90,6 +90,25 @@
         self.log_line(&format!("store up={is_up}"));
     }
 
+    /// Makes the store reject all calls at once, or accept them again.
+    pub fn set_store_refusing(&mut self, is_refusing: bool) {
+        self.is_store_refusing = is_refusing;
+        self.log_line(&format!("store refusing={is_refusing}"));
+    }
+
+    /// Makes the store lose its replies to the calls that it carries out, or send them again.
+    pub fn set_store_mute(&mut self, is_mute: bool) {
+        self.is_store_mute = is_mute;
+        self.log_line(&format!("store mute={is_mute}"));
+    }
+
+    /// Makes the store take this much longer for each call, half of it before the call is carried
+    /// out and half before the reply is sent.
+    pub fn set_store_latency(&mut self, latency: Duration) {
+        self.store_latency = latency;
+        self.log_line(&format!("store latency={} ms", latency.as_millis()));
+    }
+
     /// Partitions a region from the others and from the store, or reconnects it.
     pub fn set_region_partitioned(&mut self, region: usize, is_partitioned: bool) {
         if is_partitioned {
@@ -137,6 +156,11 @@
         self.entries[entry].region
     }
 
+    /// Region of an agent.
+    pub fn region_of_agent(&self, agent: usize) -> usize {
+        self.agents[agent].region
+    }
+
     /// Drops the store's history of changes.
     pub fn compact_store(&mut self) {
         self.store.compact();
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -190,6 +190,12 @@
     rng: Pcg32,
     store: store::Store,
     is_store_up: bool,
+    /// Whether the store rejects all calls at once.
+    is_store_refusing: bool,
+    /// Whether the store carries out calls but its replies are lost.
+    is_store_mute: bool,
+    /// Time that the store takes for a call, half of it before the call is carried out.
+    store_latency: Duration,
     /// Watches that the store has not answered yet: entry, its generation, origin, call, deadline.
     watches: Vec<(usize, u64, Origin, Call, Duration)>,
     entries: Vec<EntryNode>,
@@ -270,6 +276,9 @@
             catalog_reads: 0,
             catalog_watches: 0,
             is_store_up: true,
+            is_store_refusing: false,
+            is_store_mute: false,
+            store_latency: Duration::ZERO,
             watches: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
--- a/crates/proofs/src/jobs/simulation/store_calls.rs
+++ b/crates/proofs/src/jobs/simulation/store_calls.rs
@@ -20,7 +20,7 @@
         }
         let latency = self.latency(self.entries[entry].region, 0);
         self.after(
-            latency + STORE_LATENCY,
+            latency + STORE_LATENCY + self.store_latency / 2,
             Action::Store { entry, generation, origin, call, sent },
         );
     }
@@ -39,14 +39,27 @@
             self.deliver(entry, generation, origin, sent, reply, timeout);
             return;
         }
+        let latency = self.latency(self.entries[entry].region, 0);
+        if self.is_store_refusing {
+            let reply = Reply::Unavailable("refused".to_owned());
+            self.deliver(entry, generation, origin, sent, reply, latency);
+            return;
+        }
         let until = match &call {
             Call::WatchPrefix { wait, .. } => self.now + *wait,
             _ => self.now,
         };
         match self.store.call(self.now, &call) {
             Some(reply) => {
-                let latency = self.latency(self.entries[entry].region, 0);
-                self.deliver(entry, generation, origin, sent, reply, latency);
+                let elapsed = self.now.saturating_sub(sent);
+                let after = latency + self.store_latency / 2;
+                if self.is_store_mute || elapsed + after > timeout {
+                    let reply = Reply::Unavailable("no answer".to_owned());
+                    let after = timeout.saturating_sub(elapsed);
+                    self.deliver(entry, generation, origin, sent, reply, after);
+                } else {
+                    self.deliver(entry, generation, origin, sent, reply, after);
+                }
             }
             None => self.watches.push((entry, generation, origin, call, until)),
         }
@@ -61,7 +74,7 @@
     pub(super) fn poll_watches(&mut self) {
         for (entry, generation, origin, call, until) in std::mem::take(&mut self.watches) {
             let latency = self.latency(self.entries[entry].region, 0);
-            if !self.reaches_store(entry) {
+            if !self.reaches_store(entry) || self.is_store_mute || self.is_store_refusing {
                 self.watches.push((entry, generation, origin, call, until));
                 continue;
             }
