runner: only a list requested since the latest pause allows acknowledgements

What callers see: a task that is done runs again. Its agent is paused while the minion restarts under its name and carries out a late start. The reply to a long poll of before the pause is delivered when the agent resumes; it counts as a recent list, and the acknowledgement of the earlier incarnation's ends makes the next one forget its own.

The new test failed before.

Why it works: a list that was requested after the process resumed comes from the incarnation that answers now, up to the time of one call on the same machine.

--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -108,8 +108,9 @@
         let token = self.session.token;
         let minion = self.minion.as_ref()?;
         let is_acknowledging = minion.acknowledged < self.session.acknowledged;
-        let is_recent =
-            minion.lists > 0 && now < minion.list_received_at + options::ACKNOWLEDGE_WINDOW;
+        let is_recent = minion.lists > 0
+            && minion.list_requested_at >= self.resumed_at
+            && now < minion.list_received_at + options::ACKNOWLEDGE_WINDOW;
         let acknowledged =
             if is_acknowledging && is_recent { self.session.acknowledged } else { 0 };
         let call = Call::LongPoll { deadline: self.lease_deadline(now), token, acknowledged, wait };
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -333,6 +333,36 @@
     fixture.take_call(|call| acknowledged_by(call) == Some(3));
 }
 
+/// Guards against the same when the agent resumes with a list that it requested before the pause.
+#[test]
+fn a_list_that_was_requested_before_a_pause_allows_no_acknowledgement() {
+    let mut fixture = Fixture::fenced();
+    let ended = Ended { number: 3, run: Some(run(1)), ..Ended::default() };
+    let long_poll = fixture.take_call(|call| matches!(call, Call::LongPoll { .. }));
+    fixture.send_list(80, long_poll, vec![ended.clone()]);
+    fixture.handle(90, Event::Tick);
+    let (ticket, _) = fixture.polls.pop().expect("the agent has polled");
+    (2..6).for_each(|tick| fixture.handle(60 * tick, Event::Tick));
+    let before_pause = fixture.take_call(|call| matches!(call, Call::LongPoll { .. }));
+    fixture.calls.clear();
+    fixture.send_list(2_000, before_pause, vec![ended]);
+    let lease_ms = LEASE.as_millis() as u64;
+    let orders = Orders { term: 7, token: TOKEN, lease_ms, noted: 3, ..Orders::default() };
+    fixture.handle(2_001, Event::Orders(ticket, Box::new(orders)));
+    let acknowledged_by = |call: &Call| match call {
+        Call::LongPoll { acknowledged, wait, .. } if wait.is_zero() => Some(*acknowledged),
+        _ => None,
+    };
+    assert!(!fixture.calls.iter().any(|(_, call)| acknowledged_by(call) == Some(3)));
+    while let Some((after_pause, _)) = fixture.calls.pop() {
+        fixture.send_list(2_002, after_pause, Vec::new());
+        if fixture.calls.iter().any(|(_, call)| acknowledged_by(call) == Some(3)) {
+            return;
+        }
+    }
+    panic!("the ends are never acknowledged");
+}
+
 /// Guards against a minion that started while its agent's process was down, and that carries out
 /// late orders for the previous incarnation until its first heartbeat.
 #[test]
