runner: the age of a list that waited during a pause counts from its request

What callers see: a task runs twice at once. Its agent is paused while a start without an answer expires; the minion restarts under its name and carries the start out just before. A list that the agent had requested before the pause is read when it resumes and reported as new, so the planner takes it for evidence that the start has expired without a run, and places the task elsewhere.

The new test failed before with an age of 2 ms after a pause of about 4 s.

Lists that were requested after the process resumed are reported as before: a long poll is answered long after it was requested, and the list is as old as the answer.

--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -72,7 +72,10 @@
             poll.incarnation = Some(minion.incarnation.clone());
             poll.fenced_token = minion.fenced_token;
             poll.lists = minion.lists;
-            let age = now.saturating_sub(minion.list_received_at).as_millis();
+            // A list of before a pause may have waited to be read until the process resumed.
+            let is_old = minion.list_requested_at < self.resumed_at;
+            let listed_at = if is_old { minion.list_requested_at } else { minion.list_received_at };
+            let age = now.saturating_sub(listed_at).as_millis();
             poll.list_age_ms = u64::try_from(age).unwrap_or(u64::MAX);
         }
         poll
--- a/crates/runner/tests/orders/mod.rs
+++ b/crates/runner/tests/orders/mod.rs
@@ -467,3 +467,18 @@
     let is_known = !poll.pending.is_empty() || ages.iter().any(|age| *age <= time + 50 - sent_at);
     assert!(is_known, "an attempt was sent 50 ms ago; reported ages: {ages:?}");
 }
+
+/// Guards against a task that runs twice: while this process was paused, the minion restarted and
+/// carried out a late start. A list that was sent before the pause is read after it, and must not
+/// show the planner that the start has expired without a run.
+#[test]
+fn a_list_from_before_a_pause_is_not_reported_as_new() {
+    let mut fixture = Fixture::fenced();
+    fixture.handle(200, Event::Tick);
+    let long_poll = fixture.take_call(|call| matches!(call, Call::LongPoll { .. }));
+    fixture.send_list(4_000, long_poll, Vec::new());
+    fixture.answer_polls(4_002, Vec::new(), Vec::new());
+    fixture.handle(4_020, Event::Tick);
+    let (_, poll) = fixture.polls.last().expect("the agent has polled");
+    assert!(poll.list_age_ms >= 3_000, "reported age: {} ms", poll.list_age_ms);
+}
