runner: unanswered starts are kept while a minion of another name is there

What callers could see: a task runs twice. A start to a minion has no answer; a minion of another name appears, and the first name returns within the time in which the start may be carried out. The agent had dropped the start with the change of name.

The new test failed before. Starts are now kept apart by name, so those for another one still prevent nothing. The planner drops them with the change of name as before, and takes them up again from the agent's report.

--- a/crates/runner/src/unanswered.rs
+++ b/crates/runner/src/unanswered.rs
@@ -12,6 +12,8 @@
 /// One attempt to start a run.
 #[derive(Clone, Debug)]
 struct Attempt {
+    /// Name of the minion that it was sent to.
+    minion: String,
     task: Task,
     number: RunNumber,
     sent_at: Duration,
@@ -26,7 +28,8 @@
     }
 }
 
-/// Attempts to start runs on minions of one name.
+/// Attempts to start runs. Those that were sent to a minion of another name than the present one can't
+/// be carried out until that name returns: a minion refuses calls that are addressed to another one.
 ///
 /// Guards against a task that runs twice: a stop that was answered, a later run or a token
 /// invalidates such a start, but only the incarnation that received it knows of it. The next
@@ -38,18 +41,20 @@
 }
 
 impl Starts {
-    /// Sets the name of the minion. Attempts for another name are dropped: a minion refuses calls
-    /// that are addressed to another one.
+    /// Sets the name of the minion.
     pub(crate) fn set_minion(&mut self, minion: &str) {
-        if self.minion != minion {
-            self.attempts.clear();
-            minion.clone_into(&mut self.minion);
-        }
+        minion.clone_into(&mut self.minion);
     }
 
     /// Records an attempt that is being sent.
     pub(crate) fn sent(&mut self, now: Duration, ticket: Ticket, task: &Task, number: RunNumber) {
-        let attempt = Attempt { task: task.clone(), number, sent_at: now, is_abandoned: false };
+        let attempt = Attempt {
+            minion: self.minion.clone(),
+            task: task.clone(),
+            number,
+            sent_at: now,
+            is_abandoned: false,
+        };
         self.attempts.insert(ticket, attempt);
     }
 
@@ -72,13 +77,18 @@
 
     /// Whether the minion may still carry out an abandoned attempt.
     pub(crate) fn is_open(&self, now: Duration) -> bool {
-        self.attempts.values().any(|attempt| attempt.is_open(now))
+        self.present().any(|attempt| attempt.is_open(now))
     }
 
     /// Whether the minion may still carry out an abandoned attempt to start another run of a task.
     pub(crate) fn has_other_run(&self, now: Duration, task: &Task, number: RunNumber) -> bool {
         let is_other = |it: &Attempt| it.task == *task && it.number != number && it.is_open(now);
-        self.attempts.values().any(is_other)
+        self.present().any(is_other)
+    }
+
+    /// Returns the attempts that were sent to the present name of the minion.
+    fn present(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.values().filter(|attempt| attempt.minion == self.minion)
     }
 
     /// Returns the runs whose start may still be carried out, with the age of the latest attempt.
@@ -89,12 +99,12 @@
     pub(crate) fn report(&mut self, now: Duration, pending: &[Run]) -> Vec<Unanswered> {
         self.attempts.retain(|_, attempt| now < attempt.sent_at + options::MAX_CALL_DELAY);
         let mut latest: BTreeMap<(&Task, RunNumber), Duration> = BTreeMap::new();
-        for attempt in self.attempts.values().filter(|attempt| attempt.is_abandoned) {
+        for attempt in self.present().filter(|attempt| attempt.is_abandoned) {
             let known = latest.entry((&attempt.task, attempt.number)).or_default();
             *known = attempt.sent_at.max(*known);
         }
         let is_pending = |it: &Attempt| pending.contains(&it.task.run(it.number));
-        for attempt in self.attempts.values().filter(|attempt| !is_pending(attempt)) {
+        for attempt in self.present().filter(|attempt| !is_pending(attempt)) {
             if let Some(known) = latest.get_mut(&(&attempt.task, attempt.number)) {
                 *known = attempt.sent_at.max(*known);
             }
--- a/crates/runner/tests/orders/mod.rs
+++ b/crates/runner/tests/orders/mod.rs
@@ -468,6 +468,25 @@
     assert!(is_known, "an attempt was sent 50 ms ago; reported ages: {ages:?}");
 }
 
+/// Guards against a task that runs twice: a minion's name returns after one of another name was
+/// there, while a start that was sent to it may still be carried out.
+#[test]
+fn a_minion_whose_name_returns_may_carry_out_an_earlier_start() {
+    let mut fixture = Fixture::fenced();
+    fixture.answer_polls(100, vec![start(1)], Vec::new());
+    let first = fixture.take_call(is_start);
+    fixture.handle(400, Event::MinionReply(first, Reply::Unknown));
+    let incarnation = Incarnation { id: "n".to_owned(), born_ms: 2, ..Incarnation::default() };
+    let heartbeat = Heartbeat { incarnation, address: "n:1".to_owned(), sequence: 1 };
+    fixture.handle(410, Event::Heartbeat(Box::new(heartbeat)));
+    fixture.heartbeat(900, 3, 1, false);
+    fixture.answer_polls(910, Vec::new(), Vec::new());
+    fixture.handle(930, Event::Tick);
+    let (_, poll) = fixture.polls.last().expect("the agent has polled");
+    let runs: Vec<Option<Run>> = poll.unanswered.iter().map(|row| row.run.clone()).collect();
+    assert_eq!(runs, [Some(run(1))]);
+}
+
 /// Guards against a task that runs twice: while this process was paused, the minion restarted and
 /// carried out a late start. A list that was sent before the pause is read after it, and must not
 /// show the planner that the start has expired without a run.
