--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -24,8 +24,8 @@
     Scan,
     /// Write of the list of workers.
     Fleet,
-    /// Write of the starts that may still be carried out.
-    Unanswered,
+    /// Write of the starts that may still be carried out, with its number in this term.
+    Unanswered(u64),
     /// Write of progress: the jobs, with the number of the latest change that the write contains.
     Progress(Vec<(JobId, u64)>),
     /// Removal of the records of ended jobs.
--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -1,86 +1,184 @@
-//! Handover record: unanswered starts that a planner leaves to its successor.
+//! Handover record: starts that a planner leaves to its successor.
+//!
+//! Only an agent and the planner know of a start, and the processes of both may be lost before it
+//! expires. So the record in the store contains each start before its order is sent. A successor
+//! that finds a record which may lack starts waits until all of them have expired.
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::UnansweredStarts;
-use sapphire_store::call::{Call, Condition, Put, Reply, Revision};
+use sapphire_jobs::{UnansweredStarts, UnansweredTask};
+use sapphire_plan::quorum::Standing;
+use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
 use crate::{
     effect::Effect,
     event::{Moment, Operation},
     keys, options,
     planner::Planner,
-    worker::Run,
+    state::handover::{Slot, Write},
+    worker::{Run, Worker},
 };
 
 impl Planner {
-    /// Writes the starts that may still be carried out to the store if there are changes.
-    ///
-    /// Guards against a task that runs twice: only an agent and the planner know of its start, and
-    /// the processes of both may be lost before the start expires.
+    /// Writes the handover record if orders wait for it, or if it is out of date.
     pub(crate) fn write_unanswered(&mut self, now: Moment) {
-        let is_busy = self.handover.is_writing || now.steady < self.handover.next_write;
-        let is_dirty = self.handover.is_outdated || self.unanswered.is_dirty();
-        if is_busy || !self.startup.is_serving() || !is_dirty {
+        let (has_additions, has_removals) = self.unanswered.changes();
+        let is_due = self.handover.is_due(now.steady, has_additions, has_removals);
+        if !self.startup.is_serving() || !is_due {
             return;
         }
-        self.handover.is_outdated = false;
-        self.handover.last_write = now.steady;
-        self.handover.is_writing = true;
-        self.handover.next_write = now.steady + options::WRITE_DELAY;
-        let conditions = vec![
-            Condition { key: keys::LEAD.to_owned(), revision: self.term },
-            Condition { key: keys::UNANSWERED.to_owned(), revision: self.handover.revision },
-        ];
-        let value = Bytes::from(self.unanswered.record(now, &self.workers).encode_to_vec());
-        let puts = vec![Put { key: keys::UNANSWERED.to_owned(), value, lease: None }];
-        let call = Call::Commit { conditions, puts, removes: Vec::new() };
-        self.effects.push(Effect::Store(Operation::Unanswered, call));
+        let Some((condition, put)) = self.begin_record(now) else { return };
+        let lead = Condition { key: keys::LEAD.to_owned(), revision: self.term };
+        let conditions = vec![lead, condition];
+        let call = Call::Commit { conditions, puts: vec![put], removes: Vec::new() };
+        let operation = Operation::Unanswered(self.handover.latest);
+        self.effects.push(Effect::Store(operation, call));
     }
 
-    /// Has the record written if it lacks a start that was ordered some time ago and is not known to
-    /// be answered.
-    pub(crate) fn check_ordered(&mut self, now: Moment) {
-        let last_write = self.handover.last_write;
-        let is_missing = |run: &Run| {
-            let due = run.began + options::ANSWER_DELAY;
-            !run.is_started && now.steady >= due && last_write < due
+    /// Begins a write of the record. Returns its condition and what it writes.
+    pub(crate) fn begin_record(&mut self, now: Moment) -> Option<(Condition, Put)> {
+        let slot = self.handover.begin_write(now.steady)?;
+        let record = UnansweredStarts {
+            term: self.startup.term_number,
+            write: self.handover.latest,
+            is_incomplete: self.handover.is_incomplete,
+            ..self.unanswered.record(now, &self.workers)
         };
-        let mut runs = self.workers.values().flat_map(|worker| worker.runs.values());
-        self.handover.is_outdated |= runs.any(is_missing);
+        let (key, value) = (keys::unanswered(slot), Bytes::from(record.encode_to_vec()));
+        let condition = Condition { key: key.clone(), revision: self.handover.revisions[slot] };
+        Some((condition, Put { key, value, lease: None }))
+    }
+
+    /// Returns whether groups may be placed now.
+    ///
+    /// Guards against a task that runs twice: starts of earlier terms that this planner does not
+    /// know of may still be carried out, and while the store is unreachable no start can be
+    /// recorded.
+    pub(crate) fn may_place(&self, now: Moment) -> bool {
+        self.may_start(now) && self.standing == Standing::Leader && !self.handover.is_incomplete
     }
 
     /// Returns whether the record contains a start that was not known to be answered.
     pub(crate) fn is_recorded(&self, run: &Run) -> bool {
-        !run.is_started && self.handover.last_write >= run.began
+        !run.is_started && self.handover.latest >= run.recorded_in
     }
 
     /// Handles the reply to a write of the handover record.
-    pub(crate) fn unanswered_written(&mut self, now: Moment, reply: Reply) {
-        self.handover.is_writing = false;
-        if let Reply::Committed(revision) = reply {
-            self.handover.revision = revision;
-            return;
+    pub(crate) fn unanswered_written(&mut self, now: Moment, write: Write, reply: Reply) {
+        match reply {
+            Reply::Committed(revision) => self.handover.written(write, revision),
+            Reply::Refused(items) => {
+                let slot = self.handover.in_flight.remove(&write);
+                self.unanswered.invalidate_record();
+                if let Some(slot) = slot.filter(|_| !self.is_deposed_by(&items)) {
+                    self.adopt_record(slot, &items);
+                }
+            }
+            reply => {
+                self.handover.in_flight.remove(&write);
+                self.unanswered.invalidate_record();
+                self.handover.retry_at = now.steady + options::RETRY_DELAY;
+                let waiting = self.unrecorded_starts();
+                self.log(format!(
+                    "handover record not written: {reply:?}; starts that wait for it: {waiting}"
+                ));
+            }
         }
-        self.unanswered.invalidate_record();
+    }
+
+    /// Adopts what a slot contains after a refused write: an earlier write of this term, whose reply
+    /// was lost, has been carried out.
+    pub(crate) fn adopt_record(&mut self, slot: Slot, items: &[Item]) {
+        let key = keys::unanswered(slot);
+        let found = items.iter().find(|item| item.key == key);
+        self.handover.revisions[slot] = found.map_or(0, |item| item.revision);
+        let value = found.and_then(|item| item.value.as_ref());
+        let record = value.and_then(|value| UnansweredStarts::decode(&value[..]).ok());
+        let own = record.filter(|record| record.term == self.startup.term_number);
+        let write = own.map_or(0, |record| record.write);
+        self.handover.durable = self.handover.durable.max(write);
         self.handover.is_outdated = true;
-        if let Reply::Refused(items) = reply {
-            // An earlier write of this term, whose reply was lost, has been carried out.
-            if !self.is_deposed_by(&items) {
-                let found = items.iter().find(|item| item.key == keys::UNANSWERED);
-                self.handover.revision = found.map_or(0, |item| item.revision);
+    }
+
+    /// Returns the number of ordered starts that the record does not contain yet.
+    fn unrecorded_starts(&self) -> usize {
+        let runs = self.workers.values().flat_map(|worker| worker.runs.values());
+        runs.filter(|run| run.recorded_in > self.handover.durable).count()
+    }
+
+    /// Loads the handover record of the previous planner from the slots that were found. The term
+    /// number is still that of the previous planner.
+    pub(crate) fn load_unanswered(&mut self, now: Moment, found: &[(Slot, &Bytes, Revision)]) {
+        let previous = self.startup.term_number;
+        let mut latest: Option<UnansweredStarts> = None;
+        let mut fault = None;
+        // Terms are counted anew if the list of workers was lost, so that a higher number than that
+        // of the previous term may be older.
+        let order =
+            |record: &UnansweredStarts| (record.term == previous, record.term, record.write);
+        for (slot, value, revision) in found {
+            self.handover.revisions[*slot] = *revision;
+            match UnansweredStarts::decode(&value[..]) {
+                Err(error) => fault = Some(format!("can't be decoded: {error}")),
+                Ok(record) => {
+                    if latest.as_ref().is_none_or(|latest| order(latest) < order(&record)) {
+                        latest = Some(record);
+                    }
+                }
+            }
+        }
+        let fault = fault.or_else(|| match &latest {
+            None => Some("is missing".to_owned()),
+            Some(record) if record.term != previous => {
+                Some(format!("is of term number {}, not of {previous}", record.term))
             }
-        } else {
-            self.handover.next_write = now.steady + options::WRITE_DELAY;
+            Some(record) if record.is_incomplete => Some("is incomplete".to_owned()),
+            Some(_) => None,
+        });
+        if let Some(fault) = fault.filter(|_| self.startup.fleet_revision > 0) {
+            self.handover.is_incomplete = true;
+            self.log(format!(
+                "handover record {fault}: nothing is started until all starts of earlier terms have \
+                 expired"
+            ));
+        }
+        if let Some(record) = latest {
+            self.log_recorded(&record);
+            self.unanswered.restore(now, record, &self.workers);
         }
     }
 
-    /// Loads the handover record of the previous planner.
-    pub(crate) fn load_unanswered(&mut self, now: Moment, value: &Bytes, revision: Revision) {
-        self.handover.revision = revision;
-        match UnansweredStarts::decode(&value[..]) {
-            Ok(starts) => self.unanswered.restore(now, starts, &self.workers),
-            Err(error) => self.log(format!("unanswered starts can't be decoded: {error}")),
+    /// Logs the starts of a loaded record, each with the generation of its agent's process.
+    fn log_recorded(&mut self, record: &UnansweredStarts) {
+        for on in &record.workers {
+            let runs = on.tasks.iter().map(|task| {
+                let UnansweredTask { job, occurrence, step, index, run, generation, .. } = task;
+                format!("{job}/{occurrence}/{step}/{index}#{run}@{generation}")
+            });
+            let runs: Vec<String> = runs.collect();
+            self.log(format!("worker={} recorded starts={}", on.worker, runs.join(",")));
+        }
+    }
+
+    /// Ends the wait for starts that the record of the previous planner may lack, once all of them
+    /// have expired and lists have shown what they have come to.
+    pub(crate) fn check_expired(&mut self, now: Moment) {
+        let Some(recovered_at) = self.startup.recovered_at else { return };
+        if !self.handover.is_incomplete {
+            return;
+        }
+        let until = recovered_at + options::START_EXPIRY;
+        let is_shown = |worker: &Worker| {
+            let is_listed = worker.is_fenced && worker.listed_at + options::TIMING_MARGIN >= until;
+            worker.is_vacant || is_listed
+        };
+        let are_shown = !self.startup.has_lost_workers && self.workers.values().all(is_shown);
+        let grace = self.options.longest_lease_expiry();
+        if now.steady >= until && (are_shown || now.steady >= until + grace) {
+            self.handover.is_incomplete = false;
+            self.handover.is_outdated = true;
+            self.needs_pass = true;
+            self.log("all starts of earlier terms have expired".to_owned());
         }
     }
 }
--- a/crates/planner/src/keys.rs
+++ b/crates/planner/src/keys.rs
@@ -8,8 +8,11 @@
 pub const LEAD: &str = "lead";
 /// List of the workers that may be running tasks.
 pub const FLEET: &str = "s/fleet";
-/// Starts that may still be carried out.
+/// Handover record: starts that may still be carried out. The first of its slots.
 pub const UNANSWERED: &str = "s/unanswered";
+/// Number of slots of the handover record. A write goes to a slot that no other write is on its way
+/// to; the latest write counts.
+pub const SLOTS: usize = 4;
 
 const JOB: &str = "s/in/job/";
 const CANCEL: &str = "s/in/cancel/";
@@ -25,6 +28,11 @@
     format!("{CANCEL}{id}")
 }
 
+/// Returns the key of a slot of the handover record.
+pub fn unanswered(slot: usize) -> String {
+    if slot == 0 { UNANSWERED.to_owned() } else { format!("{UNANSWERED}/{slot}") }
+}
+
 /// Returns the key of a job's progress.
 pub fn progress(id: &str) -> String {
     format!("{PROGRESS}{id}")
@@ -41,8 +49,8 @@
     Progress(&'a str),
     /// The list of workers.
     Fleet,
-    /// Starts that may still be carried out.
-    Unanswered,
+    /// A slot of the handover record.
+    Unanswered(usize),
     /// A key that the planner does not use.
     Other,
 }
@@ -57,9 +65,8 @@
         Key::Progress(id)
     } else if key == FLEET {
         Key::Fleet
-    } else if key == UNANSWERED {
-        Key::Unanswered
     } else {
-        Key::Other
+        let slot = (0..SLOTS).find(|slot| key == unanswered(*slot));
+        slot.map_or(Key::Other, Key::Unanswered)
     }
 }
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -56,8 +56,14 @@
 /// Time for which progress may wait to be written together with other progress, unless it completes
 /// a job.
 pub const WRITE_DELAY: Duration = Duration::from_millis(250);
-/// Time within which most starts are answered. Those that take longer are recorded for a successor.
-pub const ANSWER_DELAY: Duration = Duration::from_millis(150);
+/// Time for which starts are gathered for the next write of the handover record while another has had
+/// no answer.
+pub const GATHER_DELAY: Duration = Duration::from_millis(10);
+/// Time without an answer after which a write of the handover record that orders wait for is repeated.
+pub const REPEAT_DELAY: Duration = Duration::from_millis(200);
+/// Time for which starts that are over may stay in the handover record. They cost a successor little:
+/// it waits for those alone whose agents were lost as well.
+pub const CLEANUP_DELAY: Duration = Duration::from_millis(1_000);
 /// Time for which checkpoints may wait to be written together. A loss of power costs at most this
 /// much work in addition.
 pub const CHECKPOINT_WRITE_DELAY: Duration = Duration::from_millis(2_000);
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -224,7 +224,7 @@
                 return Outcome::Served;
             }
             Standing::Repeatable(..) | Standing::Blocked => {
-                self.mark_blocked(now, id, key);
+                self.mark_blocked(now, id, key, demand.tasks);
                 return Outcome::Waits;
             }
         }
@@ -341,13 +341,19 @@
     }
 
     /// Records that a group waits until earlier starts of it expire.
-    fn mark_blocked(&mut self, now: Moment, id: &str, key: &GroupKey) {
+    fn mark_blocked(&mut self, now: Moment, id: &str, key: &GroupKey, tasks: u32) {
         let entry = self.table.entries.get_mut(id);
         let Some(group) = entry.and_then(|entry| entry.groups.get_mut(key)) else { return };
         if group.blocked_since.is_none() {
             group.blocked_since = Some(now.steady);
             let GroupKey { step, index, .. } = key;
-            self.log(format!("job={id} step={step} index={index} waits for unanswered starts"));
+            let tasks = group_tasks(id, key, tasks);
+            let workers = self.unanswered.workers(&tasks.start..&tasks.end);
+            let names: Vec<&str> = workers.into_iter().map(String::as_str).collect();
+            self.log(format!(
+                "job={id} step={step} index={index} waits for unanswered starts on={}",
+                names.join(",")
+            ));
         }
     }
 
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -76,7 +76,7 @@
     }
 
     /// Adds a run's tasks to the runs of their workers. Their agents get the orders with the
-    /// answers to their polls.
+    /// answers to their polls, once the handover record contains the starts.
     fn order(
         &mut self,
         now: Moment,
@@ -86,12 +86,13 @@
         number: RunNumber,
         unfinished: &Assignments,
     ) {
+        let recorded_in = self.handover.require();
         for (index, name) in unfinished {
             let (occurrence, step) = (key.occurrence, key.step);
             let task = Task { job: id.to_owned(), occurrence, step, index: *index };
             let Some(worker) = self.workers.get_mut(name) else { continue };
             let run = Run::new(number, demand.resources, worker::Phase::Ordered, 0, now.steady);
-            worker.runs.insert(task, run);
+            worker.runs.insert(task, Run { recorded_in, ..run });
         }
     }
 }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -190,7 +190,6 @@
         self.feeds.refresh(now.steady);
         self.expire_workers(now);
         self.expire_unanswered(now);
-        self.check_ordered(now);
         self.watch_progress(now);
         self.update_supplies(now);
         self.add_due_occurrences(now);
@@ -199,7 +198,8 @@
         self.follow_cordons(now);
         self.read_intake(now);
         self.check_recovered(now);
-        self.write_fleet();
+        self.check_expired(now);
+        self.write_fleet(now);
         if now.steady >= self.last_pass + PASS_INTERVAL {
             self.needs_pass |= !self.table.open.is_empty();
         }
@@ -209,7 +209,7 @@
     /// Returns the effects to carry out.
     pub fn advance(&mut self, now: Moment) -> Vec<Effect> {
         self.update_standing(now);
-        if self.needs_pass && self.may_start(now) && now.steady >= self.next_pass {
+        if self.needs_pass && self.may_place(now) && now.steady >= self.next_pass {
             self.needs_pass = false;
             self.load.passes += 1;
             self.last_pass = now.steady;
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -109,7 +109,7 @@
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let is_new_agent = poll.generation > worker.generation;
         if is_new_agent {
-            self.unanswered.retain_lost(now.steady, name, worker);
+            self.unanswered.retain_lost(now.steady, name, worker, self.handover.durable);
         }
         let is_new_minion = match (&worker.incarnation, &poll.incarnation) {
             (Some(known), Some(new)) => !is_same_incarnation(known, new),
@@ -183,7 +183,7 @@
     pub(crate) fn answer_polls(&mut self, now: Moment) {
         let may_have_changes =
             |worker: &Worker| worker.long_poll.is_some() || !worker.pending_ends.is_empty();
-        let may_start = self.may_start(now);
+        let (may_start, durable) = (self.may_start(now), self.handover.durable);
         let names: Vec<WorkerName> = (self.workers.iter())
             .filter(|(_, worker)| may_have_changes(worker))
             .map(|(name, _)| name.clone())
@@ -197,7 +197,8 @@
             let has_acknowledged = worker.acknowledged > worker.acknowledged_sent
                 && waited >= options::POLL_TIMEOUT / 3;
             let is_cordon_new = self.cordons.contains(worker) != worker.is_cordon_sent;
-            if worker.has_orders(may_start) || has_acknowledged || is_cordon_new || is_over {
+            if worker.has_orders(may_start, durable) || has_acknowledged || is_cordon_new || is_over
+            {
                 self.send_orders(now, &name, long_poll.requester);
             }
         }
@@ -240,7 +241,9 @@
         let is_outstanding = |run: &Run| worker.is_fenced && !run.is_received;
         for (task, run) in worker.runs.iter().filter(|(_, run)| is_outstanding(run)) {
             match run.phase {
-                Phase::Ordered if may_start => orders.starts.extend(self.start_order(task, run)),
+                Phase::Ordered if may_start && run.recorded_in <= self.handover.durable => {
+                    orders.starts.extend(self.start_order(task, run));
+                }
                 Phase::Stopping => orders.stops.push(task.run(run.number)),
                 Phase::Ordered | Phase::Running => {}
             }
@@ -293,10 +296,11 @@
         for name in lost {
             self.log(format!("worker={name} silent, lease expired; declared lost"));
             if let Some(worker) = self.workers.get(&name) {
-                self.unanswered.retain_lost(now.steady, &name, worker);
+                self.unanswered.retain_lost(now.steady, &name, worker, self.handover.durable);
             }
             self.lose_runs(now, &name, "lease expired");
             self.workers.remove(&name);
+            self.startup.has_lost_workers |= self.handover.is_incomplete;
             if self.startup.is_recovered() {
                 self.remove_member(&name);
             }
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -39,7 +39,7 @@
         }
         let is_first = !worker.is_fenced;
         worker.is_fenced = true;
-        self.add_member(name, &poll.address);
+        self.add_member(now, name, &poll.address);
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let is_new_list = poll.lists != worker.list_number;
         worker.list_number = poll.lists;
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -69,6 +69,7 @@
         let items = std::mem::take(&mut self.startup.items);
         let mut progress = Vec::new();
         let mut cancelled = Vec::new();
+        let mut handover = Vec::new();
         for item in &items {
             let Some(value) = &item.value else { continue };
             match keys::parse(&item.key) {
@@ -76,10 +77,11 @@
                 Key::Progress(id) => progress.push((id, value, item.revision)),
                 Key::Cancel(id) => cancelled.push(id),
                 Key::Fleet => self.load_fleet(value, item.revision),
-                Key::Unanswered => self.load_unanswered(now, value, item.revision),
+                Key::Unanswered(slot) => handover.push((slot, value, item.revision)),
                 Key::Other => {}
             }
         }
+        self.load_unanswered(now, &handover);
         for (id, value, revision) in progress {
             match (Progress::decode(&value[..]), self.table.entries.get_mut(id)) {
                 (Ok(progress), Some(entry)) => entry.restore(&progress, revision, now),
@@ -101,7 +103,7 @@
         self.log(format!("term={term} read the store: jobs={jobs} workers={members}"));
         let addresses = self.startup.members.values().cloned().collect();
         self.effects.push(Effect::Announce(addresses));
-        self.write_fleet();
+        self.write_fleet(now);
     }
 
     /// Learns run times from the tasks that were completed under earlier planners, the earliest
@@ -146,7 +148,12 @@
                 self.startup.recorded = self.startup.members.keys().cloned().collect();
                 self.startup.unaccounted = self.startup.members.keys().cloned().collect();
             }
-            Err(error) => self.log(format!("list of workers can't be decoded: {error}")),
+            Err(error) => {
+                // The number of the previous term is unknown, and with it whether the handover
+                // record is that term's.
+                self.handover.is_incomplete = true;
+                self.log(format!("list of workers can't be decoded: {error}"));
+            }
         }
     }
 
@@ -165,8 +172,9 @@
         }
     }
 
-    /// Writes the list of workers if the stored one is out of date.
-    pub(crate) fn write_fleet(&mut self) {
+    /// Writes the list of workers if the stored one is out of date. The first write of a term also
+    /// contains the handover record, so that it is always known whether the latest term has one.
+    pub(crate) fn write_fleet(&mut self, now: Moment) {
         let startup = &mut self.startup;
         if !startup.is_fleet_dirty || startup.is_writing_fleet || startup.phase == Phase::Reading {
             return;
@@ -175,11 +183,18 @@
         startup.is_writing_fleet = true;
         startup.recording = startup.members.keys().cloned().collect();
         let value = Bytes::from(startup.fleet().encode_to_vec());
-        let conditions = vec![
+        let mut conditions = vec![
             Condition { key: keys::LEAD.to_owned(), revision: self.term },
             Condition { key: keys::FLEET.to_owned(), revision: startup.fleet_revision },
         ];
-        let puts = vec![Put { key: keys::FLEET.to_owned(), value, lease: None }];
+        let mut puts = vec![Put { key: keys::FLEET.to_owned(), value, lease: None }];
+        if startup.phase == Phase::Recording {
+            // No other write of the record is on its way.
+            if let Some((condition, put)) = self.begin_record(now) {
+                conditions.push(condition);
+                puts.push(put);
+            }
+        }
         let call = Call::Commit { conditions, puts, removes: Vec::new() };
         self.effects.push(Effect::Store(Operation::Fleet, call));
     }
@@ -192,6 +207,7 @@
                 self.startup.fleet_revision = revision;
                 self.startup.recorded = std::mem::take(&mut self.startup.recording);
                 if self.startup.phase == Phase::Recording {
+                    self.handover.written(self.handover.latest, revision);
                     self.serve(now);
                 }
                 self.needs_pass = true;
@@ -205,9 +221,19 @@
                 self.startup.fleet_revision = found.map_or(0, |item| item.revision);
                 self.startup.recorded = found.map_or_else(BTreeSet::new, recorded);
                 self.startup.is_fleet_dirty = true;
-                self.write_fleet();
+                if self.startup.phase == Phase::Recording
+                    && let Some(slot) = self.handover.in_flight.remove(&self.handover.latest)
+                {
+                    self.adopt_record(slot, &items);
+                }
+                self.write_fleet(now);
+            }
+            _ => {
+                self.startup.is_fleet_dirty = true;
+                if self.startup.phase == Phase::Recording {
+                    self.handover.in_flight.clear();
+                }
             }
-            _ => self.startup.is_fleet_dirty = true,
         }
     }
 
@@ -238,12 +264,12 @@
     ///
     /// Guards against a task that runs twice: a successor must know every minion that may be
     /// running tasks, including those that it cannot reach.
-    pub(crate) fn add_member(&mut self, worker: &str, address: &str) {
+    pub(crate) fn add_member(&mut self, now: Moment, worker: &str, address: &str) {
         let known = self.startup.members.get(worker);
         if known.is_none_or(|known| known != address) {
             self.startup.members.insert(worker.to_owned(), address.to_owned());
             self.startup.is_fleet_dirty = true;
-            self.write_fleet();
+            self.write_fleet(now);
         }
     }
 
@@ -257,7 +283,7 @@
     /// Checks whether all orders of earlier planners are accounted for: each worker has
     /// acknowledged this term's token, has no minion, or its lease has certainly expired.
     pub(crate) fn check_recovered(&mut self, now: Moment) {
-        if self.startup.is_recovered || !self.startup.is_serving() {
+        if self.startup.is_recovered() || !self.startup.is_serving() {
             return;
         }
         let workers = &self.workers;
@@ -269,11 +295,12 @@
         if !self.startup.unaccounted.is_empty() && now.steady < self.startup.began + wait {
             return;
         }
+        self.startup.has_lost_workers |= !self.startup.unaccounted.is_empty();
         for worker in std::mem::take(&mut self.startup.unaccounted) {
             self.remove_member(&worker);
             self.log(format!("worker={worker} no contact since the term began; declared lost"));
         }
-        self.startup.is_recovered = true;
+        self.startup.recovered_at = Some(now.steady);
         self.needs_pass = true;
         let term = self.term;
         self.log(format!("term={term} knows what earlier orders have come to"));
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -39,8 +39,11 @@
     /// The stored list of workers is out of date.
     pub(crate) is_fleet_dirty: bool,
     pub(crate) is_writing_fleet: bool,
-    /// All orders of earlier planners are accounted for.
-    pub(crate) is_recovered: bool,
+    /// Time since which all orders of earlier planners are accounted for.
+    pub(crate) recovered_at: Option<Duration>,
+    /// Workers were declared lost while starts of earlier terms may still have been carried out there
+    /// without being known.
+    pub(crate) has_lost_workers: bool,
 }
 
 impl Startup {
@@ -59,7 +62,8 @@
             unaccounted: Vec::new(),
             is_fleet_dirty: true,
             is_writing_fleet: false,
-            is_recovered: false,
+            recovered_at: None,
+            has_lost_workers: false,
         }
     }
 
@@ -73,7 +77,7 @@
     }
 
     pub(crate) fn is_recovered(&self) -> bool {
-        self.is_recovered
+        self.recovered_at.is_some()
     }
 
     /// Returns whether a successor would know that it has to account for a worker.
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -8,11 +8,16 @@
 };
 
 use sapphire_jobs::{
-    Run, Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask,
+    Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask,
     task::{RunNumber, Task, WorkerName},
 };
 
-use crate::{event::Moment, options, worker::Worker};
+use crate::{
+    event::Moment,
+    options,
+    state::handover::Write,
+    worker::{Run, Worker},
+};
 
 /// An unanswered start of a task on a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -26,8 +31,8 @@
     retained: Option<Duration>,
     /// The same according to the record of an earlier planner, until its agent has reported.
     inherited: Option<Inherited>,
-    /// Time at which it expires according to the handover record.
-    recorded: Option<Duration>,
+    /// It is in the handover record.
+    is_recorded: bool,
 }
 
 /// An unanswered start as recorded by an earlier planner.
@@ -87,11 +92,6 @@
             self.inherited = None;
         }
     }
-
-    /// Returns whether a successor would not wait for as long as necessary.
-    fn has_changes(&self) -> bool {
-        self.expires_at() > self.recorded.map(|until| until + options::TIMING_MARGIN)
-    }
 }
 
 /// Unanswered starts of one worker.
@@ -115,6 +115,8 @@
 pub(crate) struct Starts {
     by_task: BTreeMap<Task, BTreeMap<WorkerName, Start>>,
     by_worker: BTreeMap<WorkerName, Record>,
+    /// The handover record contains starts that have been removed since.
+    has_removals: bool,
 }
 
 impl Starts {
@@ -138,10 +140,18 @@
     }
 
     /// Keeps the starts of a worker whose agent's process is lost, along with what that process
-    /// knew of them.
-    pub(crate) fn retain_lost(&mut self, now: Duration, name: &str, worker: &Worker) {
+    /// knew of them. `durable` is the latest write of the handover record that was carried out; a
+    /// start that it does not contain was never sent.
+    pub(crate) fn retain_lost(
+        &mut self,
+        now: Duration,
+        name: &str,
+        worker: &Worker,
+        durable: Write,
+    ) {
         self.for_each_start(name, |start| start.retained = start.retained.max(start.reported));
-        for (task, run) in worker.runs.iter().filter(|(_, run)| !run.is_started) {
+        let may_be_sent = |run: &Run| !run.is_started && run.recorded_in <= durable;
+        for (task, run) in worker.runs.iter().filter(|(_, run)| may_be_sent(run)) {
             self.start(name, task.clone(), run.number).retained = Some(now + options::START_EXPIRY);
         }
     }
@@ -190,9 +200,10 @@
         }
     }
 
-    /// Returns whether the handover record is out of date.
-    pub(crate) fn is_dirty(&self) -> bool {
-        self.by_task.values().flat_map(BTreeMap::values).any(Start::has_changes)
+    /// Returns whether the handover record lacks starts, and whether it contains some that are over.
+    pub(crate) fn changes(&self) -> (bool, bool) {
+        let mut starts = self.by_task.values().flat_map(BTreeMap::values);
+        (starts.any(|start| !start.is_recorded), self.has_removals)
     }
 
     /// Returns the handover record for a successor: the unanswered starts, and those that were
@@ -203,9 +214,10 @@
         fleet: &BTreeMap<WorkerName, Worker>,
     ) -> UnansweredStarts {
         let mut record: BTreeMap<&WorkerName, UnansweredOn> = BTreeMap::new();
+        self.has_removals = false;
         for (task, starts) in &mut self.by_task {
             for (worker, start) in starts {
-                start.recorded = start.expires_at();
+                start.is_recorded = true;
                 let sender = fleet.get(worker).map_or(0, |worker| worker.generation);
                 let inherited = start.inherited.map(|it| (it.expires_at, it.generation));
                 let reported = start.reported.map(|expires_at| (expires_at, sender));
@@ -234,13 +246,13 @@
             let minion = minion.cloned().unwrap_or_default();
             UnansweredOn { worker: name.clone(), minion, ..on }
         });
-        UnansweredStarts { workers: workers.collect() }
+        UnansweredStarts { workers: workers.collect(), ..UnansweredStarts::default() }
     }
 
     /// Marks the stored record as unknown, so that it is written again.
     pub(crate) fn invalidate_record(&mut self) {
         let starts = self.by_task.values_mut().flat_map(BTreeMap::values_mut);
-        starts.for_each(|start| start.recorded = None);
+        starts.for_each(|start| start.is_recorded = false);
     }
 
     /// Restores the handover record of an earlier planner, whose clock may differ. `fleet` holds the
@@ -268,7 +280,7 @@
                     start.inherited =
                         expires_at.map(|expires_at| Inherited { expires_at, generation });
                 }
-                start.recorded = start.expires_at();
+                start.is_recorded = true;
             }
             if let Some(known) = fleet.get(&worker) {
                 let sender = Sender { generation: known.generation, is_in_session: false };
@@ -295,6 +307,11 @@
         }
     }
 
+    /// Returns the workers on which the tasks in a range have unanswered starts.
+    pub(crate) fn workers(&self, tasks: Range<&Task>) -> BTreeSet<&WorkerName> {
+        self.by_task.range::<Task, _>(tasks).flat_map(|(_, starts)| starts.keys()).collect()
+    }
+
     /// Returns the tasks with unanswered starts on a worker.
     pub(crate) fn tasks_on(&self, worker: &str) -> impl Iterator<Item = &Task> {
         self.by_worker.get(worker).into_iter().flat_map(|record| &record.tasks)
@@ -315,6 +332,7 @@
             start.number = number;
         } else if start.number != number {
             start.number = 0;
+            start.is_recorded = false;
         }
         start
     }
@@ -337,7 +355,7 @@
             if starts.get(worker).is_some_and(|start| start.expires_at().is_some()) {
                 return true;
             }
-            starts.remove(worker);
+            self.has_removals |= starts.remove(worker).is_some_and(|start| start.is_recorded);
             if starts.is_empty() {
                 by_task.remove(task);
             }
@@ -347,7 +365,12 @@
 }
 
 /// Returns a row of the handover record.
-fn recorded_task(now: Moment, run: &Run, until: Duration, generation: u64) -> UnansweredTask {
+fn recorded_task(
+    now: Moment,
+    run: &sapphire_jobs::Run,
+    until: Duration,
+    generation: u64,
+) -> UnansweredTask {
     let until = now.unix + until.saturating_sub(now.steady);
     UnansweredTask {
         job: run.job.clone(),
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -78,6 +78,9 @@
     pub stop: Option<Stop>,
     /// The agent has received the latest order for the run.
     pub is_received: bool,
+    /// First write of the handover record that contains the start; it is sent once that write has
+    /// been carried out. 0 for a run that this planner has not ordered.
+    pub recorded_in: u64,
     /// The minion is known to have carried out the start.
     pub is_started: bool,
     /// Progress as last listed, from 0 to 100.
@@ -192,10 +195,11 @@
     }
 
     /// Returns whether there are orders that the agent has not received; starts only if they may be
-    /// sent now.
-    pub fn has_orders(&self, may_start: bool) -> bool {
+    /// sent now, and if the handover record contains them. `durable` is the latest write of that
+    /// record that was carried out.
+    pub fn has_orders(&self, may_start: bool, durable: u64) -> bool {
         let is_due = |run: &Run| match run.phase {
-            Phase::Ordered => may_start,
+            Phase::Ordered => may_start && run.recorded_in <= durable,
             Phase::Stopping => true,
             Phase::Running => false,
         };
@@ -272,6 +276,7 @@
             phase,
             stop: None,
             is_received: false,
+            recorded_in: 0,
             is_started: phase == Phase::Running,
             percent,
             first_percent: percent,
--- a/crates/planner/tests/cordons/mod.rs
+++ b/crates/planner/tests/cordons/mod.rs
@@ -8,7 +8,9 @@
 use sapphire_planner::{event::Event, keys};
 use sapphire_store::call::Reply;
 
-use crate::harness::{Fixture, START, TERM, ended, fleet, item, job, resources, run, step};
+use crate::harness::{
+    Fixture, START, TERM, ended, fleet, item, job, no_starts, resources, run, step,
+};
 
 /// Time after its cordon from which on nothing may be started in a zone, in ms.
 const DEADLINE: u64 = 5_000;
@@ -72,6 +74,7 @@
     fixture.reply(Reply::Items {
         items: vec![
             fleet(1, &["a"]),
+            no_starts(1),
             item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()),
         ],
         has_more: false,
--- /dev/null
+++ b/crates/planner/tests/handover/world.rs
@@ -0,0 +1,535 @@
+//! Planners, agents and a store whose processes can be lost at any time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use prost::Message as _;
+use sapphire_jobs::{
+    Ended, Ending, Incarnation, Notice, Orders, Poll, Run, Running, Step, Unanswered,
+    resources::Resources, task::Task,
+};
+use sapphire_planner::{
+    event::{Event, Operation},
+    keys,
+};
+use sapphire_store::call::{Call, Item, Reply};
+
+use crate::harness::{Fixture, START, TERM, ended, fleet, job, minion, ms, no_starts};
+
+/// Time for which a minion may carry out a start after it was sent.
+const MAX_CALL_DELAY: u64 = 12_000;
+/// Time after which an agent repeats a call that had no answer.
+const CALL_TIMEOUT: u64 = 400;
+/// Time after which a call to the store has failed.
+const STORE_TIMEOUT: u64 = 1_000;
+/// Time that a task takes.
+const RUN_TIME: u64 = 2_000;
+/// Time between two events.
+const TICK: u64 = 10;
+
+/// What becomes of a write of the handover record.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Outcome {
+    /// It is carried out and answered after this time.
+    Answered(u64),
+    /// It is carried out at once, and its answer is lost.
+    Unanswered,
+    /// It is not carried out, and the planner is told so.
+    Refused,
+    /// It never arrives.
+    Lost,
+}
+
+/// A call on its way to the store, or its reply on the way back.
+struct InFlight {
+    due: u64,
+    term: u64,
+    operation: Operation,
+    call: Call,
+    outcome: Outcome,
+}
+
+/// A start that was sent to a minion.
+pub(super) struct Sent {
+    pub(super) run: Run,
+    pub(super) worker: String,
+    /// Time from which on it cannot be carried out; none while its agent may repeat it.
+    expires_at: Option<u64>,
+}
+
+/// An agent with its minion.
+#[derive(Default)]
+pub(super) struct Agent {
+    is_up: bool,
+    /// The minion does not answer starts.
+    pub(super) is_mute: bool,
+    pub(super) is_draining: bool,
+    /// Runs with the time at which they have begun.
+    running: Vec<(Run, u64)>,
+    ended: Vec<Ended>,
+    last_end: u64,
+    born_ms: u64,
+    requester: Option<u64>,
+    token: u64,
+    /// Starts without an answer, with the time at which the agent got the order.
+    pending: Vec<(Run, u64)>,
+    /// Starts that the agent no longer waits for, with the time at which they were last sent.
+    abandoned: Vec<(Run, u64)>,
+}
+
+/// All processes, and what the store has durably committed.
+pub(super) struct World {
+    pub(super) now: u64,
+    pub(super) agents: BTreeMap<String, Agent>,
+    pub(super) items: BTreeMap<String, Item>,
+    pub(super) record_outcome: Outcome,
+    pub(super) is_store_away: bool,
+    /// Difference between the wall clock of the next planner and those before.
+    pub(super) skew: i64,
+    /// Other entries, none of which reaches the store while it is away.
+    pub(super) entries: Vec<&'static str>,
+    pub(super) sent: Vec<Sent>,
+    /// Starts that conflict with one that could still be carried out.
+    pub(super) conflicts: Vec<String>,
+    /// Jobs of which a task is done.
+    pub(super) done: BTreeSet<String>,
+    /// Orders, writes and losses, in order.
+    pub(super) history: Vec<String>,
+    planner: Option<Fixture>,
+    term: u64,
+    revision: u64,
+    calls: Vec<InFlight>,
+    seen: usize,
+    generations: BTreeMap<String, u64>,
+    steps: BTreeMap<String, Step>,
+    away_since: Option<u64>,
+}
+
+impl Agent {
+    /// Ends a run, if it is there.
+    fn end(&mut self, run: &Run, ending: Ending) {
+        let before = self.running.len();
+        self.running.retain(|(other, _)| other != run);
+        if self.running.len() < before {
+            self.last_end += 1;
+            self.ended.push(ended(self.last_end, run.clone(), ending));
+        }
+    }
+}
+
+impl World {
+    /// Returns a world with a planner that serves idle workers of these names.
+    pub(super) fn new(names: &[&str]) -> Self {
+        let mut world = World {
+            now: START,
+            agents: BTreeMap::new(),
+            items: BTreeMap::new(),
+            record_outcome: Outcome::Answered(10),
+            is_store_away: false,
+            skew: 0,
+            entries: Vec::new(),
+            sent: Vec::new(),
+            conflicts: Vec::new(),
+            done: BTreeSet::new(),
+            history: Vec::new(),
+            planner: None,
+            term: TERM - 1,
+            revision: TERM,
+            calls: Vec::new(),
+            seen: 0,
+            generations: BTreeMap::new(),
+            steps: BTreeMap::new(),
+            away_since: None,
+        };
+        for item in [fleet(1, names), no_starts(1)] {
+            world.write(&item.key, item.value.unwrap_or_default().to_vec());
+        }
+        for name in names {
+            world.agents.insert((*name).to_owned(), Agent { born_ms: 1, ..Agent::default() });
+            world.start_agent(name);
+        }
+        world.take_over();
+        world.run(1_000);
+        world
+    }
+
+    /// Writes a record.
+    pub(super) fn write(&mut self, key: &str, value: Vec<u8>) {
+        self.revision += 1;
+        let (key, value) = (key.to_owned(), Some(Bytes::from(value)));
+        let item = Item { key: key.clone(), value, revision: self.revision };
+        self.items.insert(key, item);
+    }
+
+    /// Submits a job through an entry that has written it and notifies the planner.
+    pub(super) fn submit(&mut self, id: &str, step: &Step) {
+        let job = job(id, self.term, step.clone());
+        self.steps.insert(id.to_owned(), step.clone());
+        self.write(&keys::job(id), job.encode_to_vec());
+        let notice = Notice { jobs: vec![job], ..Notice::default() };
+        self.with_planner(|planner| planner.handle(Event::Notice(notice)));
+    }
+
+    /// Sets the remaining time of the planner's lease on the leader key.
+    pub(super) fn expire_lease(&mut self, time: u64) {
+        let expires_at = ms(self.now + time);
+        self.with_planner(|planner| planner.planner.set_lease_expiry(expires_at));
+    }
+
+    pub(super) fn lose_planner(&mut self) {
+        self.note("the planner is lost");
+        self.planner = None;
+        self.agents.values_mut().for_each(|agent| agent.requester = None);
+    }
+
+    /// Begins the next term with what the store contains now.
+    pub(super) fn take_over(&mut self) {
+        self.term += 1;
+        self.seen = 0;
+        let recorded = self.items.get(keys::UNANSWERED).map(|item| item.revision);
+        self.note(&format!("term {} begins, record={recorded:?}", self.term));
+        let mut planner = Fixture::term(self.term, self.now, self.skew);
+        planner.generations.clone_from(&self.generations);
+        self.planner = Some(planner);
+    }
+
+    /// Has the planner that has just taken over read a changed store instead.
+    pub(super) fn restart_term(&mut self, change: impl FnOnce(&mut World)) {
+        self.lose_planner();
+        change(self);
+        self.take_over();
+    }
+
+    /// Loses an agent. It may have sent its outstanding starts until now.
+    pub(super) fn lose_agent(&mut self, name: &str) {
+        let until = self.now + MAX_CALL_DELAY;
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        agent.is_up = false;
+        agent.pending.clear();
+        agent.abandoned.clear();
+        for sent in self.sent.iter_mut().filter(|sent| sent.worker == name) {
+            sent.expires_at.get_or_insert(until);
+        }
+        let requester = agent.requester.take();
+        self.note(&format!("agent {name} is lost"));
+        if let Some(requester) = requester {
+            self.with_planner(|planner| planner.handle(Event::Disconnected(requester)));
+        }
+    }
+
+    /// Starts the next process of an agent.
+    pub(super) fn start_agent(&mut self, name: &str) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        agent.is_up = true;
+        agent.token = 0;
+        self.generations.insert(name.to_owned(), self.now * 1_000);
+        let generations = self.generations.clone();
+        self.with_planner(|planner| {
+            planner.generations = generations;
+            planner.tokens.remove(name);
+        });
+        self.note(&format!("agent {name} starts"));
+    }
+
+    /// Starts the next incarnation of a minion.
+    pub(super) fn restart_minion(&mut self, name: &str) {
+        let now = self.now;
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        agent.born_ms += 1;
+        agent.running.clear();
+        agent.ended.clear();
+        self.abandon(name, now);
+        self.note(&format!("minion {name} starts again"));
+    }
+
+    /// Lets a minion answer the latest attempts of its starts. Earlier attempts have no answer.
+    pub(super) fn answer(&mut self, name: &str) {
+        let now = self.now;
+        let attempts = self.agents[name].pending.clone();
+        self.abandon(name, now - CALL_TIMEOUT);
+        let agent = self.agents.get_mut(name).expect("looked up above");
+        agent.is_mute = false;
+        agent.running.extend(attempts.into_iter().map(|(run, _)| (run, now)));
+        self.note(&format!("minion {name} answers"));
+    }
+
+    /// Returns the number of starts of a job that were sent.
+    pub(super) fn orders_of(&self, id: &str) -> usize {
+        let prefix = format!("start {id}/");
+        self.history.iter().filter(|line| line.contains(&prefix)).count()
+    }
+
+    pub(super) fn run_until_sent(&mut self, id: &str, limit: u64) {
+        let until = self.now + limit;
+        while self.now < until && self.orders_of(id) == 0 {
+            self.tick();
+        }
+    }
+
+    pub(super) fn run(&mut self, time: u64) {
+        for _ in 0..time / TICK {
+            self.tick();
+        }
+    }
+
+    fn note(&mut self, text: &str) {
+        self.history.push(format!("{:>6} {text}", self.now - START));
+    }
+
+    fn with_planner(&mut self, act: impl FnOnce(&mut Fixture)) {
+        if let Some(planner) = &mut self.planner {
+            planner.now = self.now;
+            act(planner);
+        }
+        self.collect();
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        self.away_since = self.is_store_away.then(|| self.away_since.unwrap_or(self.now));
+        self.deliver();
+        self.with_planner(|planner| planner.handle(Event::Tick));
+        for agent in self.agents.values_mut() {
+            let is_over = |(_, began): &&(Run, u64)| self.now >= began + RUN_TIME;
+            let over: Vec<Run> =
+                agent.running.iter().filter(is_over).map(|(run, _)| run.clone()).collect();
+            for run in over {
+                agent.end(&run, Ending::Done);
+                self.done.insert(run.job);
+            }
+        }
+        let names: Vec<String> = self.agents.keys().cloned().collect();
+        for name in names {
+            self.poll(&name);
+        }
+        if self.now.is_multiple_of(200) {
+            let store_age = self.away_since.map_or(0, |since| self.now - since + 200);
+            for entry in self.entries.clone() {
+                self.with_planner(|planner| planner.feed(entry, store_age));
+            }
+        }
+    }
+
+    /// Sends an agent's poll unless one is waiting for its answer.
+    fn poll(&mut self, name: &str) {
+        let now = self.now;
+        let Some(agent) = self.agents.get(name) else { return };
+        if !agent.is_up || agent.requester.is_some() || self.planner.is_none() {
+            return;
+        }
+        let row = |run: &Run, age_ms| Unanswered { run: Some(run.clone()), age_ms };
+        let timed_out = agent.pending.iter().filter(|(_, at)| now - at >= CALL_TIMEOUT);
+        let timed_out =
+            timed_out.map(|(run, at)| row(run, CALL_TIMEOUT + (now - at) % CALL_TIMEOUT));
+        let abandoned = agent.abandoned.iter().filter(|(_, at)| now - at < MAX_CALL_DELAY);
+        let abandoned = abandoned.map(|(run, at)| row(run, now - at));
+        let running = |(run, began): &(Run, u64)| {
+            let percent = u32::try_from((now - began) * 99 / RUN_TIME).unwrap_or(99).min(99);
+            Running { run: Some(run.clone()), percent, ..Running::default() }
+        };
+        let report = Poll {
+            incarnation: Some(Incarnation {
+                is_draining: agent.is_draining,
+                born_ms: agent.born_ms,
+                ..minion(name)
+            }),
+            running: agent.running.iter().map(running).collect(),
+            ended: agent.ended.clone(),
+            pending: agent.pending.iter().map(|(run, _)| run.clone()).collect(),
+            unanswered: timed_out.chain(abandoned).collect(),
+            ..Poll::default()
+        };
+        if let Some(planner) = &mut self.planner {
+            planner.now = now;
+            planner.report(name, report);
+            self.agents.get_mut(name).expect("looked up above").requester = Some(planner.requester);
+        }
+        self.collect();
+    }
+
+    /// Hands out what the planner has asked for.
+    fn collect(&mut self) {
+        let Some(planner) = &mut self.planner else { return };
+        let orders: Vec<(u64, Orders)> = planner.orders[self.seen..].to_vec();
+        self.seen = planner.orders.len();
+        let calls = std::mem::take(&mut planner.calls);
+        for (operation, call) in calls {
+            self.send(operation, call);
+        }
+        for (requester, orders) in orders {
+            let mut agents = self.agents.iter();
+            let found = agents.find(|(_, agent)| agent.requester == Some(requester));
+            if let Some(name) = found.map(|(name, _)| name.clone()) {
+                self.receive(&name, orders);
+            }
+        }
+    }
+
+    /// Handles the answer to an agent's poll.
+    fn receive(&mut self, name: &str, orders: Orders) {
+        let now = self.now;
+        if let Some(planner) = &mut self.planner {
+            planner.tokens.insert(name.to_owned(), orders.token);
+        }
+        let agent = self.agents.get_mut(name).expect("it has polled");
+        agent.requester = None;
+        let is_new_session = agent.token != orders.token;
+        agent.token = orders.token;
+        agent.ended.retain(|it| it.number > orders.noted);
+        if is_new_session {
+            self.abandon(name, now);
+        }
+        for run in orders.starts.iter().filter_map(|start| start.run.clone()) {
+            self.receive_start(name, run);
+        }
+        let agent = self.agents.get_mut(name).expect("it has polled");
+        for run in orders.stops {
+            agent.end(&run, Ending::Stopped);
+        }
+    }
+
+    fn receive_start(&mut self, name: &str, run: Run) {
+        let agent = &self.agents[name];
+        let is_this = |(other, _): &(Run, u64)| *other == run;
+        if agent.running.iter().any(is_this) || agent.pending.iter().any(is_this) {
+            return;
+        }
+        self.note(&format!("start {}#{} on {name}", Task::read(&run), run.run));
+        self.check(name, &run);
+        let now = self.now;
+        let agent = self.agents.get_mut(name).expect("looked up above");
+        if agent.is_mute {
+            agent.pending.push((run.clone(), now));
+            self.sent.push(Sent { run, worker: name.to_owned(), expires_at: None });
+        } else {
+            agent.running.push((run, now));
+        }
+    }
+
+    /// Notes a conflict of a start with those that may still be carried out: all of them must be a
+    /// valid placement.
+    fn check(&mut self, name: &str, run: &Run) {
+        let task = Task::read(run);
+        let is_open = |sent: &&Sent| sent.expires_at.is_none_or(|at| self.now < at);
+        let open: Vec<&Sent> = self.sent.iter().filter(is_open).collect();
+        let mut found = Vec::new();
+        for sent in &open {
+            let is_same = sent.worker == name && sent.run.run == run.run;
+            if Task::read(&sent.run) == task && !is_same {
+                let other = sent.run.run;
+                found.push(format!("{task}#{other} on {} may start as well", sent.worker));
+            }
+        }
+        let here = open.iter().filter(|sent| sent.worker == name).map(|sent| Task::read(&sent.run));
+        let here: BTreeSet<Task> = here.chain([task.clone()]).collect();
+        let step_of = |task: &Task| self.steps[&task.job].clone();
+        let needed = here.iter().fold(Resources::default(), |sum, task| {
+            sum.plus(Resources::read(step_of(task).room.as_ref()))
+        });
+        if Resources::read(minion(name).capacity.as_ref()).count_fitting(needed) == 0 {
+            found.push(format!("starts on {name} exceed its capacity: {here:?}"));
+        }
+        let limit = step_of(&task).per_worker;
+        let is_sibling = |it: &&Task| it.job == task.job && it.step == task.step;
+        if limit > 0 && here.iter().filter(is_sibling).count() > limit as usize {
+            found.push(format!("starts on {name} exceed the limit of the step: {here:?}"));
+        }
+        let at = self.now - START;
+        let prefix = format!("{at} {task}#{} on {name}", run.run);
+        self.conflicts.extend(found.into_iter().map(|text| format!("{prefix}: {text}")));
+    }
+
+    /// Lets an agent drop its outstanding starts, as at the beginning of a session.
+    fn abandon(&mut self, name: &str, now: u64) {
+        let agent = self.agents.get_mut(name).expect("the caller knows it");
+        for (run, at) in std::mem::take(&mut agent.pending) {
+            let sent_at = now - now.saturating_sub(at) % CALL_TIMEOUT;
+            let is_this = |sent: &&mut Sent| sent.worker == name && sent.run == run;
+            if let Some(sent) = self.sent.iter_mut().find(is_this) {
+                sent.expires_at = Some(sent_at + MAX_CALL_DELAY);
+            }
+            agent.abandoned.push((run, sent_at));
+        }
+    }
+
+    /// Takes a call of the planner.
+    fn send(&mut self, operation: Operation, call: Call) {
+        let outcome = match operation {
+            _ if self.is_store_away => Outcome::Lost,
+            Operation::Unanswered(_) => self.record_outcome,
+            _ => Outcome::Answered(TICK),
+        };
+        if matches!(operation, Operation::Unanswered(_)) {
+            self.note(&format!("the record is sent: {outcome:?}"));
+        }
+        let delay = match outcome {
+            Outcome::Answered(delay) => delay,
+            Outcome::Refused => TICK,
+            Outcome::Unanswered | Outcome::Lost => STORE_TIMEOUT,
+        };
+        if outcome == Outcome::Unanswered {
+            self.apply(&operation, &call, self.term);
+        }
+        let (due, term) = (self.now + delay, self.term);
+        self.calls.push(InFlight { due, term, operation, call, outcome });
+    }
+
+    /// Carries out the calls that are due, and delivers their replies.
+    fn deliver(&mut self) {
+        let (due, later): (Vec<InFlight>, Vec<InFlight>) =
+            std::mem::take(&mut self.calls).into_iter().partition(|it| it.due <= self.now);
+        self.calls = later;
+        for InFlight { term, operation, call, outcome, .. } in due {
+            let reply = match outcome {
+                Outcome::Answered(_) => self.apply(&operation, &call, term),
+                Outcome::Refused => Reply::NotDone("refused".to_owned()),
+                Outcome::Unanswered | Outcome::Lost => Reply::Unavailable("timeout".to_owned()),
+            };
+            if term == self.term {
+                self.with_planner(|planner| planner.handle(Event::Store(operation, reply)));
+            }
+        }
+    }
+
+    /// Carries out a call of the planner of a term.
+    fn apply(&mut self, operation: &Operation, call: &Call, term: u64) -> Reply {
+        match call {
+            Call::Scan { prefix, after, .. } => {
+                let is_listed = |key: &String| key.starts_with(prefix.as_str()) && key > after;
+                let items = self.items.iter().filter(|(key, _)| is_listed(key));
+                let items = items.map(|(_, item)| item.clone()).collect();
+                Reply::Items { items, has_more: false, revision: self.revision }
+            }
+            Call::WatchPrefix { prefix, after, .. } => {
+                let is_new = |it: &&Item| it.key.starts_with(prefix) && it.revision > *after;
+                let items = self.items.values().filter(is_new).cloned().collect();
+                Reply::Changes { items, revision: self.revision }
+            }
+            Call::Commit { conditions, puts, removes } => {
+                let revision_of = |key: &String| match key.as_str() {
+                    keys::LEAD => self.term,
+                    _ => self.items.get(key).map_or(0, |item| item.revision),
+                };
+                if conditions.iter().any(|it| revision_of(&it.key) != it.revision) {
+                    let item = |key: &String| Item {
+                        key: key.clone(),
+                        value: self.items.get(key).and_then(|item| item.value.clone()),
+                        revision: revision_of(key),
+                    };
+                    return Reply::Refused(conditions.iter().map(|it| item(&it.key)).collect());
+                }
+                for put in puts {
+                    self.write(&put.key, put.value.to_vec());
+                }
+                for key in removes {
+                    self.items.remove(key);
+                }
+                if matches!(operation, Operation::Unanswered(_)) {
+                    self.note(&format!("the record of term {term} is durable"));
+                }
+                Reply::Committed(self.revision)
+            }
+            _ => Reply::Unavailable("not simulated".to_owned()),
+        }
+    }
+}
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -6,7 +6,7 @@
 use prost::Message as _;
 use sapphire_jobs::{
     Ended, Ending, Feed, FeedPoll, Fleet, Incarnation, Job, Member, Orders, Poll, Run, Running,
-    Step,
+    Step, UnansweredStarts,
     catalog::{Catalog, Parts, Queue},
     cordon,
     resources::Resources,
@@ -103,11 +103,24 @@
     pub(crate) unread_cordons: usize,
     /// Further records in the list of cordons.
     pub(crate) bad_cordons: Vec<Item>,
+    /// Whether the store answers writes of the handover record. Otherwise they are added to `calls`.
+    pub(crate) answers_records: bool,
+    /// Writes of the handover record that the store has answered.
+    pub(crate) records: Vec<Call>,
+    /// Difference between the planner's wall clock and its steady clock, in ms.
+    pub(crate) skew: i64,
 }
 
 impl Fixture {
-    /// Returns a planner that has read the given records from the store.
-    pub(crate) fn new(items: Vec<Item>) -> Self {
+    /// Returns a planner that has read the given records from the store. If there is no job of an
+    /// earlier term among them, the handover record of that term is empty.
+    pub(crate) fn new(mut items: Vec<Item>) -> Self {
+        let is_job = |item: &Item| matches!(keys::parse(&item.key), keys::Key::Job(_));
+        if !items.iter().any(is_job) {
+            let fleet = items.iter().find(|item| item.key == keys::FLEET);
+            let fleet = fleet.and_then(|item| Fleet::decode(item.value.clone()?).ok());
+            items.push(no_starts(fleet.unwrap_or_default().terms));
+        }
         let mut fixture = Fixture::reading();
         let page = Reply::Items { items, has_more: false, revision: 40 };
         fixture.reply(page);
@@ -126,6 +139,18 @@
     }
 
     fn begin(cordoned: Option<Vec<&'static str>>) -> Self {
+        Fixture::begin_term(TERM, START, 0, cordoned)
+    }
+
+    /// Returns the planner of a term that begins at `now` and has requested the first page of records
+    /// from the store. Its wall clock is ahead by `skew` ms. The store answers no writes of the
+    /// handover record.
+    pub(crate) fn term(term: u64, now: u64, skew: i64) -> Self {
+        let fixture = Fixture::begin_term(term, now, skew, Some(Vec::new()));
+        Fixture { answers_records: false, ..fixture }
+    }
+
+    fn begin_term(term: u64, now: u64, skew: i64, cordoned: Option<Vec<&'static str>>) -> Self {
         let queue = Queue {
             name: "q".to_owned(),
             service: "desk".to_owned(),
@@ -149,10 +174,10 @@
             read_cordon,
             cordon_deadline: ms(5_000),
         };
-        let moment = Moment { steady: ms(START), unix: ms(START) };
+        let moment = Moment { steady: ms(now), unix: ms(now.saturating_add_signed(skew)) };
         let mut fixture = Fixture {
-            planner: Planner::new(options, TERM, Arc::new(catalog), moment),
-            now: START,
+            planner: Planner::new(options, term, Arc::new(catalog), moment),
+            now,
             orders: Vec::new(),
             feeds: Vec::new(),
             calls: Vec::new(),
@@ -165,20 +190,28 @@
             cordoned,
             unread_cordons: 0,
             bad_cordons: Vec::new(),
+            answers_records: true,
+            records: Vec::new(),
+            skew,
         };
         fixture.handle(Event::Tick);
         fixture
     }
 
     pub(crate) fn handle(&mut self, event: Event) {
-        let moment = Moment { steady: ms(self.now), unix: ms(self.now) };
-        let mut is_read = false;
+        let unix = ms(self.now.saturating_add_signed(self.skew));
+        let moment = Moment { steady: ms(self.now), unix };
+        let (mut is_read, mut recorded) = (false, None);
         for effect in self.planner.handle(moment, event) {
             match effect {
                 Effect::Orders(requester, orders) => self.orders.push((requester, *orders)),
                 Effect::Feed(_, feed) => self.feeds.push(*feed),
                 Effect::Store(Operation::Cordons, _) => is_read = true,
                 Effect::Store(Operation::CordonWatch, _) => {}
+                Effect::Store(Operation::Unanswered(write), call) if self.answers_records => {
+                    self.records.push(call);
+                    recorded = Some(write);
+                }
                 Effect::Store(operation, call) => self.calls.push((operation, call)),
                 Effect::Deposed => self.is_deposed = true,
                 Effect::Log(text) => self.log.push(text),
@@ -191,6 +224,9 @@
                 None => self.unread_cordons += 1,
             }
         }
+        if let Some(write) = recorded {
+            self.handle(Event::Store(Operation::Unanswered(write), Reply::Committed(70)));
+        }
     }
 
     /// Answers a request for the list of cordons with a page of these zones.
@@ -317,6 +353,19 @@
     Item { key, value: Some(Bytes::from(value)), revision: 30 }
 }
 
+/// Returns the handover record of a term that has left no starts.
+pub(crate) fn no_starts(term: u32) -> Item {
+    let record = UnansweredStarts { term, ..UnansweredStarts::default() };
+    item(keys::UNANSWERED.to_owned(), record.encode_to_vec())
+}
+
+/// Returns the handover record that a call writes.
+pub(crate) fn record_of(call: &Call) -> Vec<u8> {
+    let Call::Commit { puts, .. } = call else { panic!("the record is committed") };
+    let put = puts.iter().find(|put| put.key == keys::UNANSWERED);
+    put.expect("the call writes the record").value.to_vec()
+}
+
 pub(crate) fn fleet(terms: u32, members: &[&str]) -> Item {
     let member = |name: &&str| Member { name: (*name).to_owned(), address: format!("{name}:1") };
     let fleet = Fleet { terms, members: members.iter().map(member).collect() };
--- a/crates/planner/tests/isolation/mod.rs
+++ b/crates/planner/tests/isolation/mod.rs
@@ -43,21 +43,59 @@
     fixture.starts().len()
 }
 
+/// Returns the number of starts that are sent after the end of the lease, while these entries poll, of
+/// which some have reached the store since. The only start was recorded before, and no poll of its
+/// agent was waiting then.
+fn recorded_starts_sent(polling: &[&str], reaching: &[&str]) -> usize {
+    let mut fixture = planning();
+    fixture.advance(700);
+    let jobs = vec![job("j", TERM, step(1, false))];
+    fixture.handle(Event::Notice(Notice { jobs, ..Notice::default() }));
+    assert_eq!(fixture.starts().len(), 0);
+    fixture.answers_records = false;
+    for round in 0..3 {
+        for entry in polling {
+            fixture.feed(entry, 500 + round * 250);
+        }
+        fixture.advance(250);
+    }
+    for entry in reaching {
+        fixture.feed(entry, 10);
+    }
+    fixture.poll("a", Vec::new(), Vec::new());
+    fixture.advance(50);
+    fixture.starts().len()
+}
+
 /// Guards against callers who wait during an outage of the store: no other entry reaches it either,
 /// so none can have taken over.
 #[test]
 fn a_planner_goes_on_while_the_store_is_down_for_all() {
-    let mut fixture = planning();
-    pass_lease(&mut fixture, &ENTRIES);
-    assert_eq!(submit(&mut fixture), 1);
+    assert_eq!(recorded_starts_sent(&ENTRIES, &[]), 1);
 }
 
 /// Guards against planning that ends in an outage of the store because an entry has failed.
 #[test]
 fn a_majority_of_the_entries_is_enough() {
+    assert_eq!(recorded_starts_sent(&ENTRIES[..4], &[]), 1);
+    assert_eq!(recorded_starts_sent(&ENTRIES[..3], &[]), 0);
+}
+
+/// Guards against a task that runs twice: a planner that goes on in an outage of the store can't
+/// record a start, and a successor would not know of it.
+#[test]
+fn nothing_is_placed_in_an_outage() {
     let mut fixture = planning();
-    pass_lease(&mut fixture, &ENTRIES[..4]);
-    assert_eq!(submit(&mut fixture), 1);
+    fixture.answers_records = false;
+    pass_lease(&mut fixture, &ENTRIES);
+    assert_eq!(submit(&mut fixture), 0);
+    assert_eq!(fixture.worker_of("j"), "");
+    fixture.answers_records = true;
+    let expiry = ms(fixture.now + LEASE);
+    fixture.planner.set_lease_expiry(expiry);
+    fixture.poll("a", Vec::new(), Vec::new());
+    fixture.advance(100);
+    assert_eq!(fixture.starts().len(), 1, "the store is back");
 }
 
 /// Guards against a task that runs twice: the planner is cut off with its zone, and another entry
@@ -87,6 +125,7 @@
     }
     assert_eq!(submit(&mut fixture), 0);
     assert!(fixture.planner.is_store_reached(ms(fixture.now - 500)));
+    assert_eq!(recorded_starts_sent(&ENTRIES, &ENTRIES[..4]), 0);
 }
 
 /// Guards against a planner that is cut off right after its term has begun, before any entry has
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -13,7 +13,9 @@
 };
 use sapphire_store::call::{Call, Reply};
 
-use crate::harness::{Fixture, TERM, ended, fleet, item, job, minion, resources, run, step};
+use crate::harness::{
+    Fixture, TERM, ended, fleet, item, job, minion, record_of, resources, run, step,
+};
 
 /// Returns a planner that has ordered the start of a task on its only worker and has had no answer,
 /// with the run.
@@ -363,10 +365,11 @@
     let report = stopped(&start);
     fixture.report(names[0], Poll { incarnation: Some(draining(names[0])), ..report.clone() });
     wait(&mut fixture, names, &report, true, 1_000);
-    let write = fixture.calls.iter().find(|(operation, _)| *operation == Operation::Unanswered);
-    let Some((_, Call::Commit { puts, conditions, .. })) = write else { panic!("nothing written") };
+    let write = fixture.records.first().cloned();
+    let Some(Call::Commit { puts, conditions, .. }) = write else { panic!("nothing written") };
     let names_of = conditions.iter().map(|it| (it.key.as_str(), it.revision)).collect::<Vec<_>>();
-    assert_eq!(names_of, [(keys::LEAD, TERM), (keys::UNANSWERED, 0)]);
+    // The first write of the term, with the list of workers, has this revision.
+    assert_eq!(names_of, [(keys::LEAD, TERM), (keys::UNANSWERED, 60)]);
     let record = item(keys::UNANSWERED.to_owned(), puts[0].value.to_vec());
     let job = job("j", TERM, step(1, false));
     let stored = item(keys::job("j"), job.encode_to_vec());
@@ -650,17 +653,9 @@
     assert_next_incarnation_breaks_no_promise(&fixture.starts(), &step);
 }
 
-/// Answers the writes of the handover record; returns the latest record.
+/// Returns the handover record that the store has, if the planner has written one since.
 fn written_record(fixture: &mut Fixture) -> Option<Vec<u8>> {
-    let mut record = None;
-    let is_write = |(operation, _): &(Operation, Call)| *operation == Operation::Unanswered;
-    while let Some(at) = fixture.calls.iter().position(is_write) {
-        let (operation, call) = fixture.calls.remove(at);
-        let Call::Commit { puts, .. } = call else { panic!("the record is committed") };
-        record = Some(puts[0].value.to_vec());
-        fixture.handle(Event::Store(operation, Reply::Committed(70)));
-    }
-    record
+    fixture.records.drain(..).last().map(|call| record_of(&call))
 }
 
 /// Returns a planner that takes over from another, with the job `j` of it and the record, if one was
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner, driven event by event.
 
 mod cordons;
+mod handover;
 mod harness;
 mod intake;
 mod isolation;
--- a/crates/planner/tests/terms/mod.rs
+++ b/crates/planner/tests/terms/mod.rs
@@ -6,7 +6,7 @@
 use sapphire_planner::{event::Event, keys};
 use sapphire_store::call::{Call, Item, Reply};
 
-use crate::harness::{Fixture, TERM, ended, fleet, item, job, run, step};
+use crate::harness::{Fixture, TERM, ended, fleet, item, job, no_starts, run, step};
 
 /// Guards against a task that is started more often than its queue allows. It failed once according
 /// to the store and once more during a change of planners; only its minion lists the second
@@ -19,6 +19,7 @@
     };
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a"]),
+        no_starts(1),
         item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()),
         item(keys::progress("j"), progress.encode_to_vec()),
     ]);
@@ -37,6 +38,7 @@
 fn a_task_that_an_unaccounted_worker_may_run_is_not_started() {
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a", "b"]),
+        no_starts(1),
         item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()),
     ]);
     fixture.join("a", Vec::new(), Vec::new());
@@ -71,6 +73,7 @@
 fn an_incomplete_gang_is_stopped() {
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a"]),
+        no_starts(1),
         item(keys::job("j"), job("j", 10, step(2, true)).encode_to_vec()),
     ]);
     let part = Running { run: Some(run("j", 0, 1)), ..Running::default() };
@@ -142,6 +145,7 @@
 fn unreadable_records_are_skipped() {
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a"]),
+        no_starts(1),
         item(keys::job("bad"), b"\xff\xff\xff".to_vec()),
         item("s/else".to_owned(), b"?".to_vec()),
         item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()),
@@ -157,8 +161,11 @@
 #[test]
 fn a_gang_does_not_start_while_a_member_of_an_earlier_run_is_there() {
     let gang = job("g", TERM - 1, step(2, true));
-    let mut fixture =
-        Fixture::new(vec![fleet(1, &["a", "b"]), item(keys::job("g"), gang.encode_to_vec())]);
+    let mut fixture = Fixture::new(vec![
+        fleet(1, &["a", "b"]),
+        no_starts(1),
+        item(keys::job("g"), gang.encode_to_vec()),
+    ]);
     let running = |index| Running { run: Some(run("g", index, 1)), ..Running::default() };
     fixture.join("c", Vec::new(), Vec::new());
     fixture.join("a", vec![running(1)], Vec::new());
@@ -202,6 +209,7 @@
     let value = written.expect("the checkpoint is made durable").value.to_vec();
     let mut next = Fixture::new(vec![
         fleet(1, &["a"]),
+        no_starts(1),
         item(keys::job("j"), job("j", 10, saving).encode_to_vec()),
         item(keys::progress("j"), value),
     ]);
@@ -219,6 +227,7 @@
     let progress = Progress { tallies: (0..6).map(tally).collect(), state: State::Active.into() };
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a"]),
+        no_starts(1),
         item(keys::job("j"), job("j", 10, step(7, false)).encode_to_vec()),
         item(keys::progress("j"), progress.encode_to_vec()),
     ]);
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -128,7 +128,7 @@
             Plan::Progress(_) => "progress",
             Plan::Forget(_) => "forget",
             Plan::Intake => "intake",
-            Plan::Unanswered => "unanswered",
+            Plan::Unanswered(_) => "unanswered",
             Plan::Cordons => "cordons",
             Plan::CordonWatch => "cordon_watch",
         },
