planner: recorded starts count anew from when a planner takes over

What callers see: a task runs twice. The same happens to a start that its agent has sent again since the record was written.

A recorded start now counts for the whole time from the take-over. It costs a wait only where the agent was lost as well: an agent that is still there speaks for itself.

--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -70,8 +70,6 @@
 /// Time after which an unanswered start can no longer be carried out: 12 seconds after it was sent,
 /// as the platform specifies, and a margin.
 pub const START_EXPIRY: Duration = Duration::from_millis(12_300);
-/// Assumed maximum difference between the wall clocks of two machines.
-pub const MAX_CLOCK_SKEW: Duration = Duration::from_millis(2_000);
 /// Delay before a failed write is retried.
 pub const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay before a failed watch is restarted.
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -255,8 +255,11 @@
         starts.for_each(|start| start.is_recorded = false);
     }
 
-    /// Restores the handover record of an earlier planner, whose clock may differ. `fleet` holds the
-    /// workers whose agents have reported already.
+    /// Restores the handover record of an earlier planner. `fleet` holds the workers whose agents
+    /// have reported already.
+    ///
+    /// Each start counts for the whole time from now on: clocks of day may differ by any amount, and
+    /// an agent may have sent a start again since the record was written.
     pub(crate) fn restore(
         &mut self,
         now: Moment,
@@ -268,17 +271,14 @@
             if is_other && !minion.is_empty() {
                 continue;
             }
+            let expires_at = now.steady + options::START_EXPIRY;
             for task in tasks {
-                let until = Duration::from_millis(task.until_ms) + options::MAX_CLOCK_SKEW;
-                let left = until.saturating_sub(now.unix).min(options::START_EXPIRY);
-                let expires_at = (!left.is_zero()).then_some(now.steady + left);
                 let UnansweredTask { job, occurrence, step, index, run, generation, .. } = task;
                 let start = self.start(&worker, Task { job, occurrence, step, index }, run);
                 if generation == 0 {
-                    start.retained = start.retained.max(expires_at);
+                    start.retained = start.retained.max(Some(expires_at));
                 } else {
-                    start.inherited =
-                        expires_at.map(|expires_at| Inherited { expires_at, generation });
+                    start.inherited = Some(Inherited { expires_at, generation });
                 }
                 start.is_recorded = true;
             }
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -189,6 +189,29 @@
     assert_no_conflict(&mut world, "j");
 }
 
+/// Loses planner and agent after the record was written; the successor's wall clock differs.
+fn lose_with_skew(skew: i64) {
+    let (mut world, worker) = ordered();
+    world.run(RECORDED);
+    world.skew = skew;
+    lose(&mut world, &worker, Lost::Both);
+    assert_no_conflict(&mut world, "j");
+}
+
+/// Guards against a task that runs twice: the times in the record are an hour behind the clock of the
+/// successor.
+#[test]
+fn both_lost_and_the_record_is_an_hour_behind() {
+    lose_with_skew(3_600_000);
+}
+
+/// Guards against a task that waits for an hour: the times in the record are ahead of the clock of
+/// the successor.
+#[test]
+fn both_lost_and_the_record_is_an_hour_ahead() {
+    lose_with_skew(-3_600_000);
+}
+
 /// Loses planner and agent, and the successor right after it has taken over. Agents return under the
 /// third planner.
 fn lose_two_planners(time: u64) {
