planner: the pace of a resumed run is measured from its first progress

Cause: the progress of a run that continues from a checkpoint jumps once it is restored, and so does that of a run that a new planner adopts meanwhile. The jump counted as work done since the start, so that a step's tasks seem to need a second instead of thirty, and every other run of it is stopped as far too slow, again and again. Change: such a run is measured from the first progress after it was listed.

--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -22,6 +22,14 @@
     pub(crate) repeated: Option<RunNumber>,
 }
 
+/// What the runs of a group's tasks have in common.
+#[derive(Clone, Copy)]
+struct Order {
+    number: RunNumber,
+    /// The runs continue from a checkpoint.
+    is_resumed: bool,
+}
+
 impl Planner {
     /// Orders the tasks of a group on their assigned workers.
     pub(crate) fn place(
@@ -53,7 +61,8 @@
             is_remote,
             checkpoint: group.checkpoint.clone(),
         });
-        self.order(now, id, key, demand, number, &unfinished);
+        let is_resumed = !group.checkpoint.is_empty();
+        self.order(now, id, key, demand, Order { number, is_resumed }, &unfinished);
         let expected = self.table.entries.get(id).map(|entry| self.estimate(entry, key.step));
         let expected = expected.unwrap_or_default();
         let names: Vec<&str> = unfinished.values().map(String::as_str).collect();
@@ -83,16 +92,17 @@
         id: &str,
         key: &GroupKey,
         demand: &Demand,
-        number: RunNumber,
+        order: Order,
         unfinished: &Assignments,
     ) {
+        let Order { number, is_resumed } = order;
         let recorded_in = self.handover.require();
         for (index, name) in unfinished {
             let (occurrence, step) = (key.occurrence, key.step);
             let task = Task { job: id.to_owned(), occurrence, step, index: *index };
             let Some(worker) = self.workers.get_mut(name) else { continue };
             let run = Run::new(number, demand.resources, worker::Phase::Ordered, 0, now.steady);
-            worker.runs.insert(task, Run { recorded_in, ..run });
+            worker.runs.insert(task, Run { recorded_in, is_resumed, ..run });
         }
     }
 }
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -201,6 +201,7 @@
         let stop = Stop { cause: Cause::Unwanted, decided_at: now.steady };
         run.stop = (!is_wanted).then_some(stop);
         run.is_started = true;
+        run.paced_since = running.checkpoint.is_empty().then_some(now.steady);
         worker.runs.insert(task.clone(), run);
         let verb = if is_wanted { "adopted" } else { "unexpected run; stopped" };
         self.log(format!("task={task} run={number} worker={name} {verb}"));
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -85,8 +85,14 @@
     pub is_started: bool,
     /// Progress as last listed, from 0 to 100.
     pub percent: u32,
-    /// Progress when the run was first listed; above 0 if it continued from a checkpoint.
+    /// Progress at `paced_since`.
     pub first_percent: u32,
+    /// Time from which the pace of the run is measured. `None` while a run that continues from a
+    /// checkpoint has made no progress: once it is restored, its progress jumps to that of the
+    /// checkpoint.
+    pub paced_since: Option<Duration>,
+    /// The run was ordered to continue from a checkpoint.
+    pub is_resumed: bool,
     /// Time at which the progress last grew.
     pub last_progress: Duration,
     /// Pace of the run since its first progress.
@@ -235,6 +241,7 @@
             run.last_listed = now;
             run.first_percent = running.percent;
             run.percent = running.percent;
+            run.paced_since = (!run.is_resumed).then_some(now);
         }
         run.last_listed = run.last_listed.max(now);
         if !running.checkpoint.is_empty() && running.checkpoint != run.checkpoint {
@@ -244,6 +251,10 @@
         if running.percent > run.percent {
             let gap = now.saturating_sub(run.last_progress);
             run.percent = running.percent;
+            if run.paced_since.is_none() {
+                run.paced_since = Some(now);
+                run.first_percent = running.percent;
+            }
             run.last_progress = now;
             run.stalled_lists = 0;
             let track = run.track.get_or_insert(pace::Track::new(now, running.percent));
@@ -280,6 +291,8 @@
             is_started: phase == Phase::Running,
             percent,
             first_percent: percent,
+            paced_since: None,
+            is_resumed: false,
             last_progress: now,
             track: None,
             stalled_lists: 0,
@@ -302,7 +315,7 @@
     /// to tell.
     pub fn total_run_time(&self) -> Option<Duration> {
         let gained = self.percent.saturating_sub(self.first_percent);
-        let ran = self.last_progress.saturating_sub(self.began);
+        let ran = self.last_progress.saturating_sub(self.paced_since?);
         (gained >= MIN_GAINED_PERCENT).then(|| ran.mul_f64(100.0 / f64::from(gained)))
     }
 
@@ -338,7 +351,7 @@
     /// observed.
     pub fn completed_run_time(&self, now: Duration) -> Option<Duration> {
         let gained = 100_u32.saturating_sub(self.first_percent);
-        let ran = now.saturating_sub(self.began);
+        let ran = now.saturating_sub(self.paced_since?);
         (gained >= MIN_GAINED_PERCENT).then(|| ran.mul_f64(100.0 / f64::from(gained)))
     }
 
