plan, settings: interfaces for speeds, shares and limited stops

Cause: three parts are built side by side and share a worker's speed, their options and settings. No decision uses them yet.

--- a/crates/plan/src/assignment.rs
+++ b/crates/plan/src/assignment.rs
@@ -8,6 +8,8 @@
 
 use sapphire_jobs::resources::Resources;
 
+use crate::speed::Slowness;
+
 /// A worker that tasks may be assigned to. It is cheap to clone, since a search for groups to stop
 /// works on many copies of all places.
 #[derive(Clone, Debug, Default)]
@@ -32,6 +34,8 @@
     pub pending: Resources,
     /// How far the worker is to be avoided; 0 for a healthy worker.
     pub suspicion: u32,
+    /// Lasting speed of the worker.
+    pub slowness: Slowness,
 }
 
 impl Place {
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphire_jobs::cordon;
-use sapphire_plan::policy::Policy;
+use sapphire_plan::{policy::Policy, share, speed, stops};
 
 /// Options of a planner.
 #[derive(Clone, Debug)]
@@ -26,6 +26,12 @@
     pub remote_factor: u32,
     /// Mechanisms that are switched on.
     pub policy: Policy,
+    /// Use of workers that are lastingly faster or slower than others.
+    pub speeds: speed::Options,
+    /// Shares of the organisations; `None` if they decide nothing.
+    pub shares: Option<share::Options>,
+    /// Limit of the work that is stopped for urgent jobs; `None` for no limit.
+    pub stops: Option<stops::Options>,
     /// Prefix of the keys of cordons in the store.
     pub cordon_prefix: String,
     /// Decodes a cordon.
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -66,14 +66,16 @@
         let expected = self.table.entries.get(id).map(|entry| self.estimate(entry, key.step));
         let expected = expected.unwrap_or_default();
         let names: Vec<&str> = unfinished.values().map(String::as_str).collect();
+        let slowness = self.group_slowness(names.iter().copied());
         self.log(format!(
             "job={id} step={} index={} run={number} placed on={} waited_ms={waited} far={is_remote} \
-             expected_ms={} spread={:.2}",
+             expected_ms={} spread={:.2} slowness={:.2}",
             key.step,
             key.index,
             names.join(","),
             expected.centre.as_millis(),
-            expected.spread
+            expected.spread,
+            slowness.get()
         ));
         if let Some(since) = blocked_since {
             let blocked_ms = now.steady.saturating_sub(since).as_millis();
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -15,6 +15,7 @@
 use sapphire_plan::{
     estimate::{self, Estimate},
     quorum::{self, Standing},
+    speed::{Slowness, Speeds},
     suspect,
 };
 
@@ -45,6 +46,7 @@
     pub(crate) feeds: Feeds,
     pub(crate) estimates: estimate::Estimates,
     pub(crate) suspects: suspect::Suspects,
+    pub(crate) speeds: Speeds,
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
@@ -92,6 +94,7 @@
             feeds: Feeds::default(),
             estimates: estimate::Estimates::default(),
             suspects: suspect::Suspects::default(),
+            speeds: Speeds::default(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
             early_cancels: BTreeSet::new(),
@@ -278,6 +281,16 @@
         of_kind.with_same_step(sample.filter(|_| policy.learn_siblings))
     }
 
+    /// Returns the lasting slowness of a worker.
+    pub(crate) fn slowness(&self, worker: &str) -> Slowness {
+        self.speeds.slowness(worker)
+    }
+
+    /// Returns the slowness of a group's run on some workers: that of the slowest.
+    pub(crate) fn group_slowness<'a>(&self, workers: impl Iterator<Item = &'a str>) -> Slowness {
+        workers.map(|worker| self.slowness(worker)).max().unwrap_or_default()
+    }
+
     /// Returns the time from its submission within which a job should be complete.
     pub(crate) fn objective(&self, entry: &Entry) -> Duration {
         let settings = self.queue_settings(entry);
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -128,6 +128,7 @@
                 capacity: worker.capacity(),
                 pending: self.pending_resources(name, worker),
                 suspicion,
+                slowness: self.slowness(name),
             });
         }
         Pool {
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -4,7 +4,7 @@
 
 use sapphire_front as front;
 use sapphire_net::message::Limits;
-use sapphire_plan::policy::Policy;
+use sapphire_plan::{policy::Policy, share, speed, stops};
 use sapphire_planner::{self as planner, event::Moment};
 use sapphire_platform as platform;
 use sapphire_settings::JobEntry;
@@ -67,12 +67,22 @@
         reclaim_deadline: millis(bounds.reclaim_ms),
         remote_factor: bounds.remote_factor,
         policy: settings.policy.map_or_else(Policy::default, policy),
+        speeds: speed::Options {
+            unequal_from: settings.speeds.map(|speeds| ratio(speeds.unequal_from_milli)),
+        },
+        shares: settings.shares.map(|shares| share::Options { window: millis(shares.window_ms) }),
+        stops: settings.stops.map(|stops| stops::Options { limit: ratio(stops.limit_milli) }),
         cordon_prefix: platform::cordon::PREFIX.to_owned(),
         read_cordon: platform::cordon::read,
         cordon_deadline: millis(bounds.cordon_ms),
     }
 }
 
+/// Returns the ratio that settings give in thousandths.
+fn ratio(milli: u32) -> f64 {
+    f64::from(milli) / 1_000.0
+}
+
 fn policy(settings: sapphire_settings::Policy) -> Policy {
     Policy {
         learn_times: settings.learn_times,
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphire_schema::settings::{Bounds, JobAgent, JobEntry, Policy};
+use sapphire_schema::settings::{Bounds, JobAgent, JobEntry, Policy, Shares, Speeds, Stops};
 
 use crate::{finding, section, shared};
 
@@ -30,6 +30,9 @@
             metrics: file.optional_address("metrics"),
             bounds: Some(bounds(file)),
             policy: Some(policy(file)),
+            speeds: file.optional_section("speeds", read_speeds),
+            shares: file.optional_section("shares", read_shares),
+            stops: file.optional_section("stops", read_stops),
             logging: Some(shared::logging(file)),
         }
     })
@@ -143,3 +146,20 @@
         doubt_workers: true,
     }
 }
+
+fn read_speeds(section: &mut section::Section<'_>) -> Speeds {
+    Speeds { unequal_from_milli: section.ratio("unequal_from", 1_050..=10_000) }
+}
+
+fn read_shares(section: &mut section::Section<'_>) -> Shares {
+    let range = Duration::from_secs(1)..=Duration::from_secs(3_600);
+    Shares { window_ms: section.duration("window", DEFAULT_SHARE_WINDOW, range) }
+}
+
+fn read_stops(section: &mut section::Section<'_>) -> Stops {
+    Stops { limit_milli: section.ratio("limit", 10..=1_000) }
+}
+
+/// Default time in which the usage of an organisation loses most of its weight: longer than most
+/// jobs, so that a gang fits into the share of a small organisation.
+const DEFAULT_SHARE_WINDOW: Duration = Duration::from_secs(30);
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -155,6 +155,19 @@
         self.parsed(name, Some(default), "on or off", parse).unwrap_or(default)
     }
 
+    /// Reads a ratio with up to three decimals. Returns it in thousandths; `range` is in thousandths
+    /// as well.
+    pub fn ratio(&mut self, name: &'static str, range: ops::RangeInclusive<u32>) -> u32 {
+        let (least, most) = (f64::from(*range.start()) / 1e3, f64::from(*range.end()) / 1e3);
+        let allowed = format!("a number from {least} to {most}");
+        let parse = |text: &str| {
+            let milli = (text.parse::<f64>().ok()? * 1e3).round();
+            let milli = (0.0..=f64::from(u32::MAX)).contains(&milli).then_some(milli as u32)?;
+            range.contains(&milli).then_some(milli)
+        };
+        self.parsed(name, None, &allowed, parse).unwrap_or_default()
+    }
+
     /// Reads a whole number within a range.
     pub fn count(
         &mut self,
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -120,3 +120,30 @@
         assert!(findings.iter().any(|finding| finding.key.ends_with("\"\"")), "{findings:?}");
     }
 }
+
+/// Guards against a mistyped bound of a part that is silently replaced by a default, or taken as if
+/// the part were off.
+#[test]
+fn bounds_of_parts_out_of_range_are_refused_with_their_line() {
+    let file = |parts: &str| {
+        format!(
+            "platform: kv\nname: e\nregion: r\nzone: z\naddress: 10.0.0.1:1\ncallers: 10.0.0.1:2\n\
+             ready: 10.0.0.1:3\nstore: 10.0.0.2:4\n{parts}"
+        )
+    };
+    let read = |parts: &str| sapphire_settings::jobs::read_entry(&file(parts));
+    let absent = read("").expect("the file is valid");
+    assert_eq!((absent.speeds, absent.shares, absent.stops), (None, None, None));
+    let parts = "speeds:\n  unequal_from: 1.25\nshares:\n  window: 20s\nstops:\n  limit: 0.2\n";
+    let given = read(parts).expect("the file is valid");
+    let (speeds, shares, stops) = (given.speeds, given.shares, given.stops);
+    assert_eq!(speeds.map(|it| it.unequal_from_milli), Some(1_250));
+    assert_eq!(shares.map(|it| it.window_ms), Some(20_000));
+    assert_eq!(stops.map(|it| it.limit_milli), Some(200));
+    let parts = "speeds:\n  unequal_from: 0.9\nshares:\n  window: 1ms\nstops:\n  limit: some\n";
+    let faults = read(parts).expect_err("has faults");
+    let reported: Vec<(usize, &str)> =
+        faults.iter().map(|fault| (fault.line, fault.key.as_str())).collect();
+    let expected = [(10, "speeds.unequal_from"), (12, "shares.window"), (14, "stops.limit")];
+    assert_eq!(reported, expected);
+}
