proofs: sites whose workers differ in speed, and figures by organisation

Cause: the policy benchmark knows neither lasting differences in speed, long tasks, the time that a checkpoint takes to be restored, organisations of unequal demand, nor how many runs are stopped. Change: sites wide-speeds and narrow-speeds with these conditions; a simulation can leave out the slowest workers, add an organisation that submits a multiple of the others' mean, and switch on the planner's speeds, shares and stops. Figures count runs done and stopped, lost work, and jobs on time, late and refused by organisation. policy_jobs has an option for each.

--- a/crates/proofs/examples/lost_starts.rs
+++ b/crates/proofs/examples/lost_starts.rs
@@ -14,10 +14,9 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
 use sapphire_jobs::State;
-use sapphire_plan::policy::Policy;
 use sapphire_proofs::jobs::{
     load::{self, Arrival},
-    simulation::{Options, Simulation},
+    simulation::{Simulation, options::Options},
     sites,
 };
 
@@ -173,13 +172,7 @@
 }
 
 fn simulation(seed: u64, arrivals: &[Arrival]) -> Simulation {
-    let mut sim = Simulation::new(Options {
-        site: &sites::ATLANTICA,
-        arrivals: arrivals.to_vec(),
-        seed,
-        policy: Policy::default(),
-        speeds: 1.0,
-    });
+    let mut sim = Simulation::new(Options::new(&sites::ATLANTICA, arrivals.to_vec(), seed));
     sim.late_orders = 0.6;
     sim
 }
--- a/crates/proofs/examples/policy_jobs.rs
+++ b/crates/proofs/examples/policy_jobs.rs
@@ -1,14 +1,19 @@
 //! Compares how well callers are served, by site and by setting of the policy, in runs without
 //! faults whose load is drawn from seeds.
 
-use std::{process, thread, time::Duration};
+use std::{collections::BTreeMap, process, thread, time::Duration};
 
-use sapphire_plan::policy::Policy;
+use sapphire_plan::{policy::Policy, share, speed, stops};
 use sapphire_proofs::jobs::{
     baseline::{self, Order},
-    figures::{self, Figures},
+    figures::{self, Figures, Service},
     load::{self, Site},
-    simulation, sites,
+    minion::Runs,
+    simulation::{
+        self,
+        options::{Features, Options},
+    },
+    sites,
 };
 
 /// Simulates runs and prints how well callers were served: mean and standard error over the seeds.
@@ -46,6 +51,30 @@
     /// simulate the deployment of hundreds of machines instead of today's
     #[argh(switch)]
     large: bool,
+    /// simulate the deployments whose workers differ in speed instead of today's
+    #[argh(switch)]
+    unequal: bool,
+    /// remove the slowest workers
+    #[argh(switch)]
+    without_slow: bool,
+    /// add an organisation that submits this many times the mean of the others; has no effect
+    /// together with --error
+    #[argh(option)]
+    greedy: Option<f64>,
+    /// ratio of run times between slow and fast workers from which on they count as unequal; without
+    /// it, all workers count as equal
+    #[argh(option)]
+    unequal_from: Option<f64>,
+    /// window of the organisations' usage in seconds; without it, shares decide nothing
+    #[argh(option)]
+    share_window: Option<f64>,
+    /// runs that may be stopped for urgent work, as a share of the runs done; without it, there is
+    /// no limit
+    #[argh(option)]
+    stop_limit: Option<f64>,
+    /// print the runs and how each organisation was served as well
+    #[argh(switch)]
+    details: bool,
     /// print the log of each run as well
     #[argh(switch)]
     story: bool,
@@ -53,6 +82,9 @@
 
 const LOAD_DURATION: Duration = Duration::from_secs(34);
 const END: Duration = Duration::from_secs(60);
+/// Latest end of a run of the deployments whose workers differ in speed. Their longest tasks are
+/// worth something up to 200 s after they were submitted.
+const UNEQUAL_END: Duration = Duration::from_secs(240);
 /// How often callers submit a refused job again.
 const RETRIES: u32 = 4;
 const THREADS: u64 = 5;
@@ -81,24 +113,37 @@
     scale: f64,
     error: Option<f64>,
     speeds: f64,
+    features: Features,
+    has_slow: bool,
+    is_unequal: bool,
+    greedy: Option<f64>,
 }
 
 fn simulate(site: &Site, seed: u64, scenario: Scenario, setting: &Setting, story: bool) -> Figures {
-    let arrivals = load::draw_declared(site, seed, LOAD_DURATION, scenario.scale, scenario.error);
+    let Scenario { scale, error, .. } = scenario;
+    let arrivals = match scenario.greedy {
+        Some(factor) => load::draw_with_greedy(site, seed, LOAD_DURATION, scale, factor),
+        None => load::draw_declared(site, seed, LOAD_DURATION, scale, error),
+    };
     let policy = match setting {
-        Setting::Baseline(order) => return baseline::simulate(site, &arrivals, *order),
+        Setting::Baseline(order) => {
+            return baseline::simulate(site, &arrivals, *order, scenario.has_slow);
+        }
         Setting::Policy(_, policy) => *policy,
     };
-    let options = simulation::Options {
-        site,
-        arrivals: arrivals.clone(),
-        seed,
-        policy,
-        speeds: scenario.speeds,
-    };
+    let mut options = Options::new(site, arrivals.clone(), seed)
+        .policy(policy)
+        .speeds(scenario.speeds)
+        .features(scenario.features);
+    if !scenario.has_slow {
+        options = options.without_slow_workers();
+    }
     let mut sim = simulation::Simulation::new(options);
     sim.retries = RETRIES;
-    sim.run_until(END);
+    match scenario.is_unequal {
+        true => sim.run_to_end(UNEQUAL_END),
+        false => sim.run_until(END),
+    }
     if story {
         for line in &sim.log {
             println!("{line}");
@@ -161,6 +206,31 @@
     );
 }
 
+/// Prints the runs, and how each organisation was served: sums over the seeds.
+fn print_details(figures: &[Figures]) {
+    let (mut runs, mut cancelled) = (Runs::default(), 0);
+    let mut organisations: BTreeMap<&str, Service> = BTreeMap::new();
+    for run in figures {
+        runs.add(run.runs);
+        cancelled += run.cancelled_runs;
+        for (name, service) in &run.organisations {
+            organisations.entry(name).or_default().add(*service);
+        }
+    }
+    let Runs { done, stopped, lost_work } = runs;
+    let ratio = f64::from(stopped) / f64::from(done.max(1));
+    println!(
+        "    runs done {done} stopped {stopped} ratio {ratio:.3} cancelled {cancelled} lost {lost_work:.0}"
+    );
+    for (name, service) in organisations {
+        let Service { jobs, on_time, late, refused, lost_work } = service;
+        let share = service.on_time_share();
+        println!(
+            "    {name:4} jobs {jobs:5} on time {on_time:5} ({share:.3}) late {late:4} refused {refused:4} lost {lost_work:.0}"
+        );
+    }
+}
+
 fn settings(args: &Args) -> Vec<Setting> {
     let mut settings = vec![Setting::Policy("all on".to_owned(), Policy::default())];
     for names in &args.off {
@@ -182,6 +252,7 @@
 fn main() {
     let args: Args = argh::from_env();
     let sites: &[&Site] = match (args.large, args.grown) {
+        _ if args.unequal => &[&sites::WIDE_SPEEDS, &sites::NARROW_SPEEDS],
         (true, _) => &[&sites::ATLANTICA_LARGE],
         (false, true) => &[&sites::ATLANTICA_GROWN],
         (false, false) => &[&sites::ATLANTICA, &sites::PASTIZAL, &sites::MAVUNO],
@@ -192,6 +263,13 @@
     };
     let scales = if args.scale.is_empty() { vec![1.0] } else { args.scale.clone() };
     let speeds = if args.speeds.is_empty() { vec![1.0] } else { args.speeds.clone() };
+    let features = Features {
+        speeds: speed::Options { unequal_from: args.unequal_from },
+        shares: args
+            .share_window
+            .map(|window| share::Options { window: Duration::from_secs_f64(window) }),
+        stops: args.stop_limit.map(|limit| stops::Options { limit }),
+    };
     let settings = settings(&args);
     let wanted = |site: &&&Site| args.site.as_ref().is_none_or(|name| name == site.name);
     let mut scenarios = Vec::new();
@@ -201,13 +279,21 @@
                 scale,
                 error: *error,
                 speeds: *speeds,
+                features,
+                has_slow: !args.without_slow,
+                is_unequal: args.unequal,
+                greedy: args.greedy,
             }));
         }
     }
     for site in sites.iter().filter(wanted) {
         for scenario in &scenarios {
             for setting in &settings {
-                print_row(site, *scenario, setting, &simulate_all(&args, site, *scenario, setting));
+                let figures = simulate_all(&args, site, *scenario, setting);
+                print_row(site, *scenario, setting, &figures);
+                if args.details {
+                    print_details(&figures);
+                }
             }
         }
     }
--- a/crates/proofs/examples/recovery_jobs.rs
+++ b/crates/proofs/examples/recovery_jobs.rs
@@ -3,10 +3,9 @@
 
 use std::time::Duration;
 
-use sapphire_plan::policy::Policy;
 use sapphire_proofs::jobs::{
     load,
-    simulation::{Options, Simulation},
+    simulation::{Simulation, options::Options},
     sites,
 };
 
@@ -21,13 +20,7 @@
 /// planner never stopped.
 fn gap(seed: u64, inject: Fault) -> Duration {
     let arrivals = load::draw(&sites::ATLANTICA, seed, Duration::from_secs(16), 1.0);
-    let mut sim = Simulation::new(Options {
-        site: &sites::ATLANTICA,
-        arrivals,
-        seed,
-        policy: Policy::default(),
-        speeds: 1.0,
-    });
+    let mut sim = Simulation::new(Options::new(&sites::ATLANTICA, arrivals, seed));
     sim.run_until(LOST_AT);
     let planner = sim.planner_entry().expect("an entry plans");
     inject(&mut sim, planner);
--- a/crates/proofs/src/jobs/baseline.rs
+++ b/crates/proofs/src/jobs/baseline.rs
@@ -6,8 +6,9 @@
 use sapphire_jobs::{State, length, resources::Resources};
 
 use super::{
-    figures::{self, Figures},
-    load::{Arrival, Site},
+    figures::{self, Figures, Outcome},
+    load::{Arrival, Site, Worker},
+    minion::Runs,
 };
 
 /// Order in which a baseline serves waiting groups.
@@ -24,6 +25,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Group {
     arrival: usize,
+    /// Index of its first task.
+    index: u32,
     tasks: u32,
 }
 
@@ -38,6 +41,7 @@
 
 struct Fleet<'a> {
     arrivals: &'a [Arrival],
+    workers: Vec<Worker>,
     free: Vec<Resources>,
     running: Vec<Running>,
     waiting: Vec<Group>,
@@ -45,12 +49,13 @@
     ended: Vec<Option<Duration>>,
 }
 
-/// Simulates one run and returns its figures.
-pub fn simulate(site: &Site, arrivals: &[Arrival], order: Order) -> Figures {
-    let workers: usize = site.workers.iter().sum();
+/// Simulates one run and returns its figures; the slowest workers take part only if `has_slow`.
+pub fn simulate(site: &Site, arrivals: &[Arrival], order: Order, has_slow: bool) -> Figures {
+    let workers = site.fleet(has_slow);
     let mut fleet = Fleet {
         arrivals,
-        free: vec![site.capacity; workers],
+        free: vec![site.capacity; workers.len()],
+        workers,
         running: Vec::new(),
         waiting: Vec::new(),
         unfinished: vec![0; arrivals.len()],
@@ -72,7 +77,15 @@
         let at = arrivals.iter().position(|other| other.job.id == arrival.job.id)?;
         fleet.ended[at]
     };
-    figures::summarize(site, &figures::credits_by(site, arrivals, ended), 0.0)
+    let credits = figures::credits_by(site, arrivals, ended);
+    let unfinished = fleet.unfinished.iter().zip(arrivals);
+    let completed = unfinished.filter(|(left, _)| **left == 0);
+    let done = completed.map(|(_, arrival)| arrival.job.steps[0].tasks).sum();
+    Figures {
+        runs: Runs { done, ..Runs::default() },
+        organisations: figures::services(arrivals, &credits, |_| Outcome::default()),
+        ..figures::summarize(site, &credits, 0.0)
+    }
 }
 
 impl Fleet<'_> {
@@ -81,7 +94,7 @@
         let groups = if step.is_gang { 1 } else { step.tasks };
         let tasks = if step.is_gang { step.tasks } else { 1 };
         self.unfinished[arrival] = groups;
-        self.waiting.extend((0..groups).map(|_| Group { arrival, tasks }));
+        self.waiting.extend((0..groups).map(|index| Group { arrival, index, tasks }));
     }
 
     fn end_groups(&mut self, now: Duration) {
@@ -124,7 +137,9 @@
             for worker in &workers {
                 self.free[*worker] = self.free[*worker].minus(arrival.truth[0].resources);
             }
-            let end = now + arrival.truth[0].work;
+            let slowness = workers.iter().map(|worker| self.workers[*worker].slowness);
+            let end =
+                now + arrival.truth[0].work_of(group.index).mul_f64(slowness.fold(0.0, f64::max));
             self.running.push(Running { arrival: group.arrival, end, declared_end, workers });
         }
         self.waiting = still_waiting;
--- a/crates/proofs/src/jobs/figures.rs
+++ b/crates/proofs/src/jobs/figures.rs
@@ -1,13 +1,14 @@
 //! Measures how well callers were served, by the users' own rules: the value of the jobs that were
 //! served in time, and the work that was wasted.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use sapphire_jobs::{State, length};
 use sapphire_plan::waves;
 
 use super::{
     load::{Arrival, Site},
+    minion::Runs,
     simulation::Simulation,
 };
 
@@ -37,6 +38,53 @@
     pub kinds: Vec<f64>,
     /// Work that was lost, in processor seconds.
     pub waste: f64,
+    /// Runs that were done, and runs and work of jobs that were not cancelled by their callers that
+    /// were stopped and lost.
+    pub runs: Runs,
+    /// Runs that were stopped of jobs that were cancelled by their callers.
+    pub cancelled_runs: u32,
+    /// How the organisations were served, by name.
+    pub organisations: BTreeMap<String, Service>,
+}
+
+/// What became of a job besides the time of its end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    /// Whether it was refused and never accepted.
+    pub is_refused: bool,
+    /// Work that was lost, in processor seconds.
+    pub lost_work: f64,
+}
+
+/// How an organisation was served: numbers of its jobs that its callers did not cancel.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Service {
+    /// Jobs that were submitted.
+    pub jobs: u32,
+    /// Jobs that were served within their objective.
+    pub on_time: u32,
+    /// Jobs that were served late, but not too late to earn anything.
+    pub late: u32,
+    /// Jobs that were refused and never accepted.
+    pub refused: u32,
+    /// Work that was lost, in processor seconds.
+    pub lost_work: f64,
+}
+
+impl Service {
+    /// Adds the jobs of `other`.
+    pub fn add(&mut self, other: Service) {
+        self.jobs += other.jobs;
+        self.on_time += other.on_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.lost_work += other.lost_work;
+    }
+
+    /// Share of the jobs that were served within their objective.
+    pub fn on_time_share(&self) -> f64 {
+        f64::from(self.on_time) / f64::from(self.jobs.max(1))
+    }
 }
 
 /// Length of a window. The users specify none; this one is short enough to show a single burst.
@@ -61,7 +109,7 @@
     let fits = u64::from(site.capacity.count_fitting(truth.resources)) * workers as u64;
     let tasks = if step.is_gang { 1 } else { step.tasks };
     let waves = waves::allowed(waves::Width { tasks, fits });
-    (truth.work * waves).mul_f64(kind.slack.0) + Duration::from_secs_f64(kind.slack.1)
+    (truth.longest() * waves).mul_f64(kind.slack.0) + Duration::from_secs_f64(kind.slack.1)
 }
 
 /// Value of each job that was not cancelled.
@@ -107,7 +155,46 @@
 
 /// Computes the figures of a run.
 pub fn figures(site: &Site, arrivals: &[Arrival], sim: &Simulation) -> Figures {
-    summarize(site, &credits(site, arrivals, sim), sim.waste())
+    let credits = credits(site, arrivals, sim);
+    let ended = sim.runs();
+    let runs_of = |arrival: &Arrival| ended.get(&arrival.job.id).copied().unwrap_or_default();
+    let (mut runs, mut cancelled_runs) = (Runs::default(), 0);
+    for arrival in arrivals {
+        let of_job = runs_of(arrival);
+        if arrival.cancel_after.is_some() {
+            runs.done += of_job.done;
+            cancelled_runs += of_job.stopped;
+        } else {
+            runs.add(of_job);
+        }
+    }
+    let outcome = |arrival: &Arrival| Outcome {
+        is_refused: sim.is_refused(&arrival.job.id),
+        lost_work: runs_of(arrival).lost_work,
+    };
+    let organisations = services(arrivals, &credits, outcome);
+    Figures { runs, cancelled_runs, organisations, ..summarize(site, &credits, sim.waste()) }
+}
+
+/// How the organisations were served, given the credits of the jobs that were not cancelled.
+pub fn services(
+    arrivals: &[Arrival],
+    credits: &[Credit],
+    outcome: impl Fn(&Arrival) -> Outcome,
+) -> BTreeMap<String, Service> {
+    let mut services: BTreeMap<String, Service> = BTreeMap::new();
+    let arrivals = arrivals.iter().filter(|arrival| arrival.cancel_after.is_none());
+    for (arrival, credit) in arrivals.zip(credits) {
+        let outcome = outcome(arrival);
+        services.entry(arrival.job.organisation.clone()).or_default().add(Service {
+            jobs: 1,
+            on_time: u32::from(credit.earned > 0.0 && !credit.is_late),
+            late: u32::from(credit.is_late),
+            refused: u32::from(outcome.is_refused),
+            lost_work: outcome.lost_work,
+        });
+    }
+    services
 }
 
 /// Computes the figures from the credits of a run.
@@ -131,5 +218,6 @@
         windows: (windows[0] + windows[1]) / 2.0,
         kinds: (0..site.kinds.len()).map(share_of_kind).collect(),
         waste,
+        ..Figures::default()
     }
 }
--- a/crates/proofs/src/jobs/load.rs
+++ b/crates/proofs/src/jobs/load.rs
@@ -1,13 +1,13 @@
 //! Generates jobs like those of the users' sites: arrival rates, sizes and run times are fitted to
 //! their tables.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
 use sapphire_jobs::{Job, Step, resources::Resources};
 
-use super::minion::Truth;
+use super::{conditions::Conditions, minion::Truth};
 
 /// Kind of job.
 #[derive(Clone, Copy, Debug)]
@@ -59,6 +59,36 @@
     pub capacity: Resources,
     /// Burst: index of the kind, factor on its rate, duration in seconds.
     pub burst: (usize, f64, f64),
+    /// Speeds of the workers, organisations, and what holds for the tasks of all kinds.
+    pub conditions: Conditions,
+}
+
+/// Worker of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct Worker {
+    /// Its region.
+    pub region: usize,
+    /// Its number within the region.
+    pub index: usize,
+    /// Its run times as multiples of the reference run time.
+    pub slowness: f64,
+}
+
+impl Site {
+    /// Workers of all regions; the slowest ones only if `has_slow`.
+    pub fn fleet(&self, has_slow: bool) -> Vec<Worker> {
+        let places = self.workers.iter().enumerate();
+        places
+            .flat_map(|(region, count)| (0..*count).map(move |index| (region, index)))
+            .enumerate()
+            .filter(|(number, _)| has_slow || !self.conditions.is_slow(*number))
+            .map(|(number, (region, index))| Worker {
+                region,
+                index,
+                slowness: self.conditions.slowness_of(number),
+            })
+            .collect()
+    }
 }
 
 /// Job that will be submitted, with its actual behaviour.
@@ -103,24 +133,68 @@
             if at >= length.as_secs_f64() {
                 break;
             }
-            arrivals.push(arrival(&mut rng, index, kind, at, error));
+            arrivals.push(arrival(&mut rng, site, index, at, error));
         }
     }
     arrivals.sort_by_key(|arrival| arrival.at);
     for (number, arrival) in arrivals.iter_mut().enumerate() {
         arrival.job.id = format!("{number:016x}");
-        arrival.job.organisation = format!("o{}", number % 4);
+        arrival.job.organisation = format!("o{}", number % site.conditions.organisations as usize);
+    }
+    if site.conditions.demand_exponent.is_some() {
+        draw_organisations(site, seed, &mut arrivals);
     }
     arrivals
 }
 
+/// Draws the jobs of one run to which a further organisation adds jobs of its own: `factor` times the
+/// mean number of the others. The jobs of the others are those of [`draw`].
+pub fn draw_with_greedy(
+    site: &Site,
+    seed: u64,
+    length: Duration,
+    scale: f64,
+    factor: f64,
+) -> Vec<Arrival> {
+    let mut arrivals = draw(site, seed, length, scale);
+    let greedy_scale = scale * factor / f64::from(site.conditions.organisations);
+    for mut arrival in draw(site, !seed, length, greedy_scale) {
+        arrival.job.id = format!("f{}", &arrival.job.id[1..]);
+        arrival.job.organisation = greedy_organisation(site);
+        arrivals.push(arrival);
+    }
+    arrivals.sort_by_key(|arrival| arrival.at);
+    arrivals
+}
+
+/// Name of the organisation that [`draw_with_greedy`] adds.
+pub fn greedy_organisation(site: &Site) -> String {
+    format!("o{}", site.conditions.organisations)
+}
+
+/// Distributes the jobs over the organisations, independently of everything else that is drawn.
+fn draw_organisations(site: &Site, seed: u64, arrivals: &mut [Arrival]) {
+    let weights = site.conditions.weights();
+    let total: f64 = weights.iter().sum();
+    let mut rng = Pcg32::seed_from_u64(seed.rotate_left(32));
+    for arrival in arrivals {
+        let mut left = rng.random_range(0.0..total);
+        let rank = weights.iter().position(|weight| {
+            left -= weight;
+            left < 0.0
+        });
+        arrival.job.organisation = format!("o{}", rank.unwrap_or(weights.len() - 1));
+    }
+}
+
 /// Draws from an approximately log-normal distribution, cut off at `max`.
 fn spread(rng: &mut Pcg32, mean: f64, spread: f64, max: f64) -> f64 {
     let normal: f64 = (0..12).map(|_| rng.random_range(0.0..1.0_f64)).sum::<f64>() - 6.0;
     (mean * (normal * spread - spread * spread / 2.0).exp()).min(max)
 }
 
-fn arrival(rng: &mut Pcg32, index: usize, kind: &Kind, at: f64, error: Option<f64>) -> Arrival {
+fn arrival(rng: &mut Pcg32, site: &Site, index: usize, at: f64, error: Option<f64>) -> Arrival {
+    let kind = &site.kinds[index];
     let width = spread(rng, kind.width.0, 0.8, kind.width.1).round().max(1.0) as u32;
     let accelerators = kind.accelerators[rng.random_range(0..kind.accelerators.len())];
     let work =
@@ -133,8 +207,10 @@
         Some(error) => work.mul_f64((deviation * error).exp()),
         None => work.mul_f64(1.0 + deviation * kind.estimate_error),
     };
-    let truth = Truth {
+    let mut truth = Truth {
         work,
+        long_tasks: BTreeSet::new(),
+        long_factor: site.conditions.long_tasks.1,
         always_fails: rng.random_bool(kind.failure_shares.1),
         fail_share: kind.failure_shares.0,
         members: if is_gang { width } else { 1 },
@@ -151,6 +227,14 @@
         checkpoints: truth.checkpoints,
         ..Step::default()
     };
+    // The members of a gang run at one pace, so that it counts as one task.
+    let long_share = site.conditions.long_tasks.0;
+    if long_share > 0.0 && is_gang {
+        truth.long_tasks =
+            if rng.random_bool(long_share) { (0..width).collect() } else { [].into() };
+    } else if long_share > 0.0 {
+        truth.long_tasks = (0..width).filter(|_| rng.random_bool(long_share)).collect();
+    }
     let is_cancelled = rng.random_bool(kind.cancelled_share);
     let after = Duration::from_secs_f64(rng.random_range(0.5..8.0));
     let job = Job {
--- a/crates/proofs/src/jobs/minion.rs
+++ b/crates/proofs/src/jobs/minion.rs
@@ -9,15 +9,20 @@
 use sapphire_jobs::{
     Ended, Ending, Incarnation, Rejection, Running,
     resources::Resources,
-    task::{RunNumber, Task},
+    task::{JobId, RunNumber, Task},
 };
 use sapphire_runner::minion::{Call, Reply};
 
 /// Actual behaviour of the tasks of a step, whatever the job declares.
 #[derive(Clone, Debug)]
 pub struct Truth {
-    /// Run time on a healthy minion, when the members of its gang are placed as it needs.
+    /// Run time on a healthy minion of the reference speed, when the members of its gang are placed
+    /// as it needs; for most tasks of the step.
     pub work: Duration,
+    /// Indices of the tasks that take longer.
+    pub long_tasks: BTreeSet<u32>,
+    /// Factor by which they take longer.
+    pub long_factor: f64,
     /// Whether every run fails.
     pub always_fails: bool,
     /// Share of its runs that fail through their own fault.
@@ -32,21 +37,55 @@
     pub resources: Resources,
 }
 
+impl Truth {
+    /// Run time of one of the step's tasks.
+    pub fn work_of(&self, index: u32) -> Duration {
+        if self.long_tasks.contains(&index) { self.longest() } else { self.work }
+    }
+
+    /// Run time of the step's longest task.
+    pub fn longest(&self) -> Duration {
+        if self.long_tasks.is_empty() { self.work } else { self.work.mul_f64(self.long_factor) }
+    }
+}
+
 /// Run of a task in progress.
 #[derive(Clone, Debug)]
 pub struct Active {
     /// Number of the run.
     pub number: RunNumber,
-    /// Work done so far; the task is done when it reaches [`Truth::work`].
+    /// Work done so far; the task is done when it reaches [`Truth::work_of`].
     pub progress: Duration,
     /// Work that the checkpoint it started from already contained.
     pub initial_progress: Duration,
     /// Time of the start.
     pub started_at: Duration,
+    /// Time at which the checkpoint that it started from is restored.
+    pub restored_at: Duration,
     /// When it stops, once a stop has been ordered.
     pub stop_at: Option<Duration>,
 }
 
+/// Ended runs of a job.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Runs {
+    /// Runs that ended as done.
+    pub done: u32,
+    /// Runs that were stopped.
+    pub stopped: u32,
+    /// Work that was lost, in processor seconds.
+    pub lost_work: f64,
+}
+
+impl Runs {
+    /// Adds the runs of `other`.
+    pub fn add(&mut self, other: Runs) {
+        self.done += other.done;
+        self.stopped += other.stopped;
+        self.lost_work += other.lost_work;
+    }
+}
+
 /// Minion.
 #[derive(Clone, Debug)]
 pub struct Minion {
@@ -74,6 +113,10 @@
     pub last_expired_at: Option<Duration>,
     /// When its agent first received the report that it is draining.
     pub drain_reported_at: Option<Duration>,
+    /// Run time of a task on this worker, as a multiple of the reference run time.
+    pub slowness: f64,
+    /// Time that a run which continues from a checkpoint takes to restore it.
+    pub restoration: Duration,
     /// Factor by which its tasks are slower than on a healthy minion.
     pub slowdown: f64,
     /// Whether its tasks make no progress.
@@ -84,6 +127,8 @@
     closed: BTreeMap<Task, RunNumber>,
     /// Work that was lost, in processor seconds.
     pub waste: f64,
+    /// What became of the runs that ended here, by job.
+    pub runs: BTreeMap<JobId, Runs>,
     /// Whether its tasks together have exceeded its capacity.
     pub is_overcommitted: bool,
 }
@@ -107,11 +152,14 @@
             lease_expires_at: Duration::ZERO,
             last_expired_at: None,
             drain_reported_at: None,
+            slowness: 1.0,
+            restoration: Duration::ZERO,
             slowdown: 1.0,
             stalls: false,
             fails: false,
             closed: BTreeMap::new(),
             waste: 0.0,
+            runs: BTreeMap::new(),
             is_overcommitted: false,
         }
     }
@@ -121,6 +169,11 @@
         Minion { clock_origin, max_lease, ..self }
     }
 
+    /// The same minion with a lasting slowness, and the time that it takes to restore a checkpoint.
+    pub fn with_pace(self, slowness: f64, restoration: Duration) -> Self {
+        Minion { slowness, restoration, ..self }
+    }
+
     /// Reading of its clock at a simulation time.
     pub fn clock(&self, now: Duration) -> Duration {
         now.saturating_sub(self.clock_origin)
@@ -191,6 +244,7 @@
         }
         let progress = Duration::from_millis(start.checkpoint.parse().unwrap_or(0));
         let started_at = now;
+        let restoration = if progress.is_zero() { Duration::ZERO } else { self.restoration };
         self.active.insert(
             task,
             Active {
@@ -198,6 +252,7 @@
                 progress,
                 initial_progress: progress,
                 started_at,
+                restored_at: now + restoration,
                 stop_at: None,
             },
         );
@@ -211,9 +266,10 @@
 
     fn list(&self, now: Duration, truth: &BTreeMap<(String, u32), Truth>) -> Reply {
         let running = self.active.iter().map(|(task, active)| {
-            let work = truth.get(&(task.job.clone(), task.step)).map(|truth| truth.work);
-            let share =
-                active.progress.as_secs_f64() / work.unwrap_or(now).as_secs_f64().max(0.001);
+            let work =
+                truth.get(&(task.job.clone(), task.step)).map(|truth| truth.work_of(task.index));
+            let progress = if now < active.restored_at { Duration::ZERO } else { active.progress };
+            let share = progress.as_secs_f64() / work.unwrap_or(now).as_secs_f64().max(0.001);
             Running {
                 run: Some(task.run(active.number)),
                 percent: (share * 100.0).min(100.0) as u32,
@@ -238,10 +294,15 @@
             truth.is_some_and(|truth| truth.checkpoints) && ending == Ending::Stopped;
         let checkpoint =
             if is_checkpointed { active.progress.as_millis().to_string() } else { String::new() };
+        let runs = self.runs.entry(task.job.clone()).or_default();
+        runs.done += u32::from(ending == Ending::Done);
+        runs.stopped += u32::from(ending == Ending::Stopped);
         // A failure through the task's own fault is no waste of the scheduler's.
         if !matches!(ending, Ending::Done | Ending::Faulty) && !is_checkpointed {
             let lost = active.progress.saturating_sub(active.initial_progress).as_secs_f64();
-            self.waste += truth.map_or(0.0, |truth| truth.resources.weight()) * lost;
+            let lost = truth.map_or(0.0, |truth| truth.resources.weight()) * lost;
+            self.waste += lost;
+            runs.lost_work += lost;
         }
         self.last_end += 1;
         let run = Some(task.run(active.number));
--- a/crates/proofs/src/jobs/mod.rs
+++ b/crates/proofs/src/jobs/mod.rs
@@ -2,11 +2,13 @@
 //! agents with a fake store, fake minions, network latency and injected faults.
 //!
 //! [`simulation`] runs the state machines and checks the invariants, [`minion`] simulates the
-//! platform's side of running tasks, [`load`] draws jobs like those of the users' sites,
+//! platform's side of running tasks, [`conditions`] describes the workers' speeds and the
+//! organisations, [`load`] draws jobs like those of the users' sites,
 //! [`figures`] computes how well callers were served, and [`baseline`] simulates two simple
 //! schedulers for comparison.
 
 pub mod baseline;
+pub mod conditions;
 pub mod figures;
 pub mod load;
 pub mod minion;
--- a/crates/proofs/src/jobs/simulation/callers.rs
+++ b/crates/proofs/src/jobs/simulation/callers.rs
@@ -8,6 +8,9 @@
 
 use super::{Action, Simulation};
 
+/// Interval in which [`Simulation::run_to_end`] checks whether all jobs have ended.
+const SETTLED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Simulation {
     pub(super) fn caller_entry(&mut self) -> usize {
         let up: Vec<usize> =
@@ -108,6 +111,33 @@
         Some(self.started.get(id)?.saturating_sub(self.load_start))
     }
 
+    /// Whether a caller was told that the job is refused, and never that it is accepted.
+    pub fn is_refused(&self, id: &str) -> bool {
+        self.refused.contains_key(id) && !self.accepted.contains_key(id)
+    }
+
+    /// Runs until every job was reported in a final state or refused for good, at most until this
+    /// time after the start of the load.
+    pub fn run_to_end(&mut self, time: Duration) {
+        while self.time() < time && !self.is_settled() {
+            self.run_until((self.time() + SETTLED_CHECK_INTERVAL).min(time));
+        }
+    }
+
+    fn is_settled(&self) -> bool {
+        let is_final = |id: &String| {
+            [State::Complete, State::Failed, State::Cancelled]
+                .iter()
+                .any(|state| self.reported.contains_key(&(id.clone(), (*state).into())))
+        };
+        self.arrivals.iter().enumerate().all(|(index, arrival)| {
+            let id = &arrival.job.id;
+            let is_given_up =
+                self.refusals.get(&index).is_some_and(|refusal| refusal.count > self.retries);
+            is_final(id) || (is_given_up && !self.accepted.contains_key(id))
+        })
+    }
+
     /// Whether a caller was told that the job is accepted.
     pub fn is_accepted(&self, id: &str) -> bool {
         self.accepted.contains_key(id)
--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -13,7 +13,10 @@
     settings::{CORDONS, runner_options},
     zone,
 };
-use crate::jobs::{load::Site, minion::Minion};
+use crate::jobs::{
+    load::{Site, Worker},
+    minion::Minion,
+};
 
 /// Time between the departure of a drained minion and the start of its replacement.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(2);
@@ -172,17 +175,26 @@
         if !old.is_up {
             return;
         }
-        self.earlier_waste += old.waste;
+        let (slowness, restoration) = (old.slowness, old.restoration);
         let born_ms = old.incarnation.born_ms + 1;
         let incarnation = Incarnation { born_ms, is_draining: false, ..old.incarnation.clone() };
-        self.minions[agent] = Minion::new(incarnation).with_clock(self.now, MAX_LEASE);
+        let minion = Minion::new(incarnation)
+            .with_clock(self.now, MAX_LEASE)
+            .with_pace(slowness, restoration);
+        let old = std::mem::replace(&mut self.minions[agent], minion);
+        self.earlier_waste += old.waste;
+        for (job, runs) in old.runs {
+            self.earlier_runs.entry(job).or_default().add(runs);
+        }
         self.log_line(&format!("m{agent} crashes and starts again, born_ms={born_ms}"));
     }
 
     /// Adds an idle worker with its agent; returns its number.
     pub fn add_idle_worker(&mut self, site: &Site, region: usize) -> usize {
         let agent = self.agents.len();
-        self.add_worker(site, region, agent, Duration::ZERO);
+        let slowness = site.conditions.slowness_of(agent);
+        let worker = Worker { region, index: agent, slowness };
+        self.add_worker(site, worker, Duration::ZERO);
         self.log_line(&format!("m{agent} is added"));
         agent
     }
@@ -216,13 +228,20 @@
 
     pub(super) fn start_minion(&mut self, agent: usize) {
         let old = &self.minions[agent];
-        self.earlier_waste += old.waste;
+        let (slowness, restoration) = (old.slowness, old.restoration);
         let born_ms = old.incarnation.born_ms + 1;
         let id = format!("m{agent}-{born_ms}");
         let incarnation =
             Incarnation { id, born_ms, is_draining: false, ..old.incarnation.clone() };
         self.log_line(&format!("m{agent} starts id={}", incarnation.id));
-        self.minions[agent] = Minion::new(incarnation).with_clock(self.now, MAX_LEASE);
+        let minion = Minion::new(incarnation)
+            .with_clock(self.now, MAX_LEASE)
+            .with_pace(slowness, restoration);
+        let old = std::mem::replace(&mut self.minions[agent], minion);
+        self.earlier_waste += old.waste;
+        for (job, runs) in old.runs {
+            self.earlier_runs.entry(job).or_default().add(runs);
+        }
         self.send_heartbeat(agent);
     }
 
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -10,7 +10,7 @@
 use rand::RngExt as _;
 use sapphire_jobs::{
     Ended, Ending, Job, Rejection, Running, State,
-    task::{RunNumber, Task},
+    task::{JobId, RunNumber, Task},
 };
 use sapphire_planner::keys;
 use sapphire_runner::{self as runner, minion::Heartbeat};
@@ -20,7 +20,7 @@
     Action, Completion, EPOCH, HEARTBEAT_INTERVAL, LOCAL_LATENCY, Request, STEP, Simulation,
     settings::CORDON_DEADLINE,
 };
-use crate::jobs::minion::Truth;
+use crate::jobs::minion::{Runs, Truth};
 
 /// Time after a job's cancellation in which agents may still send starts of its tasks.
 const CANCEL_GRACE: Duration = Duration::from_secs(3);
@@ -341,10 +341,15 @@
         let racks: BTreeSet<&str> =
             members.iter().map(|(at, _)| self.minions[*at].incarnation.rack.as_str()).collect();
         let placement_factor = if truth.wants_one_rack && racks.len() > 1 { 3.0 } else { 1.0 };
-        let slowdown = members.iter().map(|(at, _)| self.minions[*at].slowdown).fold(0.0, f64::max);
+        let slowdown = members
+            .iter()
+            .map(|(at, _)| self.minions[*at].slowdown * self.minions[*at].slowness)
+            .fold(0.0, f64::max);
         let stalls = members.iter().any(|(at, _)| self.minions[*at].stalls);
         let fails = members.iter().any(|(at, _)| self.minions[*at].fails) || truth.always_fails;
-        if stalls {
+        let is_restoring =
+            members.iter().any(|(at, task)| self.now < self.minions[*at].active[task].restored_at);
+        if stalls || is_restoring {
             return;
         }
         let step_progress = STEP.div_f64(placement_factor * slowdown);
@@ -354,8 +359,9 @@
             active.progress += step_progress;
             progress = progress.max(active.progress);
         }
-        let is_early = progress < truth.work.mul_f64(0.5);
-        if progress >= truth.work {
+        let work = truth.work_of(task.index);
+        let is_early = progress < work.mul_f64(0.5);
+        if progress >= work {
             let fails_itself = self.rng.random_bool(truth.fail_share);
             let ending = if fails || fails_itself { Ending::Faulty } else { Ending::Done };
             self.end_run(members, ending, &truth);
@@ -400,4 +406,13 @@
     pub fn waste(&self) -> f64 {
         self.earlier_waste + self.minions.iter().map(|minion| minion.waste).sum::<f64>()
     }
+
+    /// What became of the runs of each job.
+    pub fn runs(&self) -> BTreeMap<JobId, Runs> {
+        let mut runs = self.earlier_runs.clone();
+        for (job, ended) in self.minions.iter().flat_map(|minion| &minion.runs) {
+            runs.entry(job.clone()).or_default().add(*ended);
+        }
+        runs
+    }
 }
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod entries;
 mod faults;
 mod minions;
+pub mod options;
 mod settings;
 mod store_calls;
 
@@ -20,16 +21,17 @@
 use sapphire_front as front;
 use sapphire_jobs::{
     Incarnation,
-    task::{RunNumber, Task},
+    task::{JobId, RunNumber, Task},
 };
 use sapphire_plan::policy::Policy;
 use sapphire_planner::{self as planner, event::Moment, planner::Planner};
 use sapphire_runner as runner;
 use sapphire_store::call::Call;
 
+use self::options::{Features, Options};
 use super::{
-    load::{Arrival, Site},
-    minion::{Minion, Truth},
+    load::{Arrival, Site, Worker},
+    minion::{Minion, Runs, Truth},
 };
 use crate::store;
 
@@ -238,28 +240,16 @@
     pub retries: u32,
     /// Work lost on earlier incarnations of minions, in processor seconds.
     earlier_waste: f64,
+    /// Runs that ended on earlier incarnations of minions, by job.
+    earlier_runs: BTreeMap<JobId, Runs>,
     policy: Policy,
+    features: Features,
     /// Number of reads of the configuration.
     pub catalog_reads: usize,
     /// Number of watches of the configuration.
     pub catalog_watches: usize,
 }
 
-/// Parameters of a simulation.
-pub struct Options<'a> {
-    /// Deployment.
-    pub site: &'a Site,
-    /// Jobs that are submitted.
-    pub arrivals: Vec<Arrival>,
-    /// Seed of the random generator.
-    pub seed: u64,
-    /// Planning policy.
-    pub policy: Policy,
-    /// Upper bound for how many times faster the fastest worker is than the slowest; 1 for equal
-    /// workers.
-    pub speeds: f64,
-}
-
 /// Time from the start of the simulation to the start of the load, in which a planner takes
 /// office.
 const WARM_UP: Duration = Duration::from_secs(4);
@@ -301,7 +291,9 @@
             late_orders: 0.0,
             refused_orders: 0.0,
             earlier_waste: 0.0,
+            earlier_runs: BTreeMap::new(),
             policy: options.policy,
+            features: options.features,
             arrivals: options.arrivals,
         };
         sim.load_start = sim.now + WARM_UP;
@@ -309,11 +301,9 @@
         for region in 0..options.site.workers.len() {
             sim.add_entry(region);
         }
-        for (region, count) in options.site.workers.iter().enumerate() {
-            for index in 0..*count {
-                let first_heartbeat = Duration::from_millis(100 * sim.agents.len() as u64);
-                sim.add_worker(options.site, region, index, first_heartbeat);
-            }
+        for worker in options.site.fleet(options.has_slow) {
+            let first_heartbeat = Duration::from_millis(100 * sim.agents.len() as u64);
+            sim.add_worker(options.site, worker, first_heartbeat);
         }
         sim.draw_speeds(options.speeds);
         for index in 0..sim.arrivals.len() {
@@ -372,7 +362,8 @@
         }
     }
 
-    fn add_worker(&mut self, site: &Site, region: usize, index: usize, first_heartbeat: Duration) {
+    fn add_worker(&mut self, site: &Site, worker: Worker, first_heartbeat: Duration) {
+        let Worker { region, index, slowness } = worker;
         let number = self.agents.len();
         let incarnation = Incarnation {
             id: format!("m{number}"),
@@ -384,7 +375,10 @@
             zone: zone(region),
             ..Incarnation::default()
         };
-        self.minions.push(Minion::new(incarnation).with_clock(Duration::ZERO, MAX_LEASE));
+        let minion = Minion::new(incarnation)
+            .with_clock(Duration::ZERO, MAX_LEASE)
+            .with_pace(slowness, site.conditions.restoration);
+        self.minions.push(minion);
         let machine = runner::machine::Machine::new(settings::runner_options(number, 1));
         self.agents.push(AgentNode {
             machine,
@@ -403,7 +397,7 @@
         if speeds > 1.0 {
             let half = speeds.ln() / 2.0;
             for minion in &mut self.minions {
-                minion.slowdown = self.rng.random_range(-half..half).exp();
+                minion.slowness = self.rng.random_range(-half..half).exp();
             }
         }
     }
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -11,6 +11,7 @@
 use sapphire_planner as planner;
 use sapphire_runner as runner;
 
+use super::options::Features;
 use crate::jobs::{load, sites};
 
 pub(super) fn runner_options(agent: usize, process_generation: u64) -> runner::options::Options {
@@ -24,7 +25,11 @@
     }
 }
 
-pub(super) fn planner_options(entry: usize, policy: Policy) -> planner::options::Options {
+pub(super) fn planner_options(
+    entry: usize,
+    policy: Policy,
+    features: Features,
+) -> planner::options::Options {
     planner::options::Options {
         name: format!("e{entry}"),
         lease: Duration::from_secs(6),
@@ -35,9 +40,9 @@
         reclaim_deadline: Duration::from_millis(2_900),
         remote_factor: 3,
         policy,
-        speeds: Default::default(),
-        shares: None,
-        stops: None,
+        speeds: features.speeds,
+        shares: features.shares,
+        stops: features.stops,
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
         cordon_deadline: CORDON_DEADLINE,
@@ -54,10 +59,19 @@
     cordon::Record { zone: key.strip_prefix(CORDONS).map(str::to_owned), fault: None }
 }
 
-/// Fake configuration, whatever the bytes: the queues of all sites, and four organisations whose
-/// API key is their name.
+/// Number of organisations of the fake configuration: the most that any site has, and one more.
+const ORGANISATIONS: u32 = 11;
+
+/// Fake configuration, whatever the bytes: the queues of all sites, and organisations whose API key
+/// is their name.
 pub(super) fn read_catalog(_bytes: &Bytes, revision: u64) -> Result<Catalog, String> {
-    let kinds = [sites::ATLANTICA, sites::PASTIZAL, sites::MAVUNO];
+    let kinds = [
+        sites::ATLANTICA,
+        sites::PASTIZAL,
+        sites::MAVUNO,
+        sites::WIDE_SPEEDS,
+        sites::NARROW_SPEEDS,
+    ];
     let kinds = kinds.iter().flat_map(|site| site.kinds);
     let queue = |kind: &load::Kind| Queue {
         name: kind.name.to_owned(),
@@ -80,6 +94,6 @@
         revision,
         queues: kinds.map(queue).collect(),
         services: vec![Service { name: "desk".to_owned(), ..Service::default() }],
-        organisations: (0..4).map(organisation).collect(),
+        organisations: (0..ORGANISATIONS).map(organisation).collect(),
     }))
 }
--- a/crates/proofs/tests/jobs/mod.rs
+++ b/crates/proofs/tests/jobs/mod.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use sapphire_jobs::State;
-use sapphire_plan::policy::Policy;
 use sapphire_proofs::jobs::{
     figures,
     load::{self, Arrival},
-    simulation::{Options, Simulation},
+    simulation::{Simulation, options::Options},
     sites,
 };
 
@@ -21,13 +20,7 @@
 
 fn simulation(seed: u64, scale: f64) -> (Simulation, Vec<Arrival>) {
     let arrivals = load::draw(&sites::ATLANTICA, seed, LOAD_DURATION, scale);
-    let options = Options {
-        site: &sites::ATLANTICA,
-        arrivals: arrivals.clone(),
-        seed,
-        policy: Policy::default(),
-        speeds: 1.0,
-    };
+    let options = Options::new(&sites::ATLANTICA, arrivals.clone(), seed);
     (Simulation::new(options), arrivals)
 }
 
@@ -280,8 +273,7 @@
     for (site, seed) in [(&sites::PASTIZAL, 17), (&sites::PASTIZAL, 7), (&sites::ATLANTICA, 4)] {
         let length = Duration::from_secs(34);
         let arrivals = load::draw(site, seed, length, 1.4);
-        let policy = Policy::default();
-        let options = Options { site, arrivals: arrivals.clone(), seed, policy, speeds: 1.0 };
+        let options = Options::new(site, arrivals.clone(), seed);
         let mut sim = Simulation::new(options);
         sim.run_until(secs(60.0));
         assert!(sim.violations.is_empty(), "{} seed {seed}: {:?}", site.name, sim.violations);
--- a/crates/proofs/tests/late/mod.rs
+++ b/crates/proofs/tests/late/mod.rs
@@ -3,10 +3,9 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
-use sapphire_plan::policy::Policy;
 use sapphire_proofs::jobs::{
     load::{self, Arrival},
-    simulation::{Options, Simulation},
+    simulation::{Simulation, options::Options},
     sites,
 };
 
@@ -52,13 +51,7 @@
     let count = seeds.clone().count();
     for seed in seeds {
         let arrivals = arrivals(seed);
-        let options = Options {
-            site: &sites::ATLANTICA,
-            arrivals: arrivals.clone(),
-            seed,
-            policy: Policy::default(),
-            speeds: 1.0,
-        };
+        let options = Options::new(&sites::ATLANTICA, arrivals.clone(), seed);
         let mut sim = Simulation::new(options);
         sim.late_orders = LATE_SHARE;
         faults(&mut sim, seed);
--- a/crates/proofs/tests/overload/mod.rs
+++ b/crates/proofs/tests/overload/mod.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use sapphire_plan::policy::Policy;
 use sapphire_proofs::jobs::{
     figures,
     load::{self, Arrival, Site},
-    simulation::{Options, Simulation},
+    simulation::{Simulation, options::Options},
     sites,
 };
 
@@ -16,8 +15,7 @@
 
 fn simulation(site: &'static Site, seed: u64, scale: f64) -> (Simulation, Vec<Arrival>) {
     let arrivals = load::draw(site, seed, LENGTH, scale);
-    let policy = Policy::default();
-    let options = Options { site, arrivals: arrivals.clone(), seed, policy, speeds: 1.0 };
+    let options = Options::new(site, arrivals.clone(), seed);
     let mut sim = Simulation::new(options);
     sim.retries = 4;
     (sim, arrivals)
--- a/crates/proofs/tests/zones/mod.rs
+++ b/crates/proofs/tests/zones/mod.rs
@@ -3,10 +3,9 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
-use sapphire_plan::policy::Policy;
 use sapphire_proofs::jobs::{
     load,
-    simulation::{Options, Simulation},
+    simulation::{Simulation, options::Options},
     sites,
 };
 
@@ -59,13 +58,7 @@
 /// Runs a simulation with these faults; returns the first broken promise.
 fn run(seed: u64, late_orders: f64) -> Result<(), String> {
     let arrivals = load::draw(&sites::ATLANTICA, seed, secs(LOAD_END), 1.0);
-    let options = Options {
-        site: &sites::ATLANTICA,
-        arrivals: arrivals.clone(),
-        seed,
-        policy: Policy::default(),
-        speeds: 1.0,
-    };
+    let options = Options::new(&sites::ATLANTICA, arrivals.clone(), seed);
     let mut sim = Simulation::new(options);
     sim.late_orders = late_orders;
     let mut planners_zone = 0;
--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -411,6 +411,8 @@
     pub(super) fn task_truth(work: Duration, members: u32) -> Truth {
         Truth {
             work,
+            long_tasks: BTreeSet::new(),
+            long_factor: 1.0,
             always_fails: false,
             fail_share: 0.0,
             members,
