plan: learn the persistent speed of workers

Cause: nothing tells a worker that is lastingly slow from one that is slow for seconds, from long tasks and from wrong declared times. Change: a distribution over the logarithm of slowness for each worker, a common prior that is learned from all, and a test of whether the workers differ at all, which allows for a tenth of them being disturbed for some seconds. A gang's run counts for its slowest member. Nothing uses it yet.

--- a/crates/plan/src/speed.rs
+++ b/crates/plan/src/speed.rs
@@ -1,7 +1,18 @@
-//! Lasting speed of workers.
+//! Lasting speed of workers, learned from the run times of tasks.
+
+mod evidence;
+mod grid;
+mod groups;
+mod history;
+mod prior;
+mod speeds;
 
 use std::{cmp, time::Duration};
 
+pub use evidence::Record;
+pub use history::{History, median};
+pub use speeds::{Belief, Speeds};
+
 /// Run time of a task on a worker as a multiple of the reference run time: 2 on a worker that takes
 /// twice as long as usual.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,14 +70,3 @@
     /// if all workers count as equal.
     pub unequal_from: Option<f64>,
 }
-
-/// What is known of the speed of each worker.
-#[derive(Clone, Debug, Default)]
-pub struct Speeds {}
-
-impl Speeds {
-    /// Returns the slowness of a worker: that of the reference while the workers count as equal.
-    pub fn slowness(&self, _worker: &str) -> Slowness {
-        Slowness::REFERENCE
-    }
-}
