planner: learn the speed of workers from runs, and keep it in the store

Cause: the speeds that are learned need observations, and must outlive the planner. Change: each group's run is observed once, at 40 per cent of its progress or at its end, against an earlier run of the group, other tasks of the step, or the kind of job, normalised by what is believed of their workers. Learned run times are at the reference speed. The state is kept in s/speeds/N, with one write per 2 s. Metrics and log lines. Without the section speeds, nothing is learned, written or logged.

--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -32,6 +32,7 @@
             Ending::Done => run.completed_run_time(now.steady),
             _ => self.local_run_time(task, run),
         });
+        self.learn_speed_at_end(now, task, number, ending, removed.as_ref());
         let stop = removed.as_ref().and_then(|run| run.stop.as_ref());
         let is_suspect = stop.is_some_and(|stop| stop.cause == Cause::Slow);
         self.needs_pass = true;
@@ -85,6 +86,7 @@
         run_time: Option<Duration>,
     ) {
         self.suspects.succeeded(name);
+        let run_time = run_time.map(|time| self.reference_time(task, key, time));
         let Some(entry) = self.table.entries.get_mut(&task.job) else { return };
         let Some(step) = entry.step(task.step).cloned() else { return };
         let Some(group) = entry.groups.get_mut(key) else { return };
@@ -96,6 +98,14 @@
         self.estimates.observe_kind(kind, length::declared(&step), run_time);
     }
 
+    /// Returns the run time at the reference speed of a group that runs now.
+    fn reference_time(&self, task: &Task, key: &GroupKey, run_time: Duration) -> Duration {
+        let group = self.table.entries.get(&task.job).and_then(|entry| entry.groups.get(key));
+        let active = group.and_then(|group| group.active()).into_iter();
+        let workers = active.flat_map(|active| active.unfinished.values());
+        self.group_slowness(workers.map(String::as_str)).reference_time(run_time)
+    }
+
     /// Counts a run that failed by its own fault, once.
     ///
     /// Runs that this planner did not order count as well: if a failure were forgotten, the task
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -26,6 +26,8 @@
     Fleet,
     /// Write of the starts that may still be carried out, with its number in this term.
     Unanswered(u64),
+    /// Write of a shard of the workers' speeds.
+    Speeds(usize),
     /// Write of progress: the jobs, with the number of the latest change that the write contains.
     Progress(Vec<(JobId, u64)>),
     /// Removal of the records of ended jobs.
--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -72,6 +72,18 @@
     }
 }
 
+/// Run time of a run from which the speed of its workers was learned.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Number of the run.
+    pub run: RunNumber,
+    /// Natural logarithm of the run time in seconds, normalised to the reference speed by what was
+    /// known of the workers.
+    pub log: f64,
+    /// Standard deviation of the slowness of the workers, as a logarithm.
+    pub spread: f64,
+}
+
 /// A group.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Group {
@@ -98,6 +110,8 @@
     pub blocked_since: Option<Duration>,
     /// Run time as observed in earlier runs.
     pub observation: Option<Observation>,
+    /// What the speed of workers was last learned from.
+    pub pace: Option<Pace>,
 }
 
 impl Group {
@@ -115,6 +129,7 @@
             waiting_since: now,
             blocked_since: None,
             observation: None,
+            pace: None,
         }
     }
 
--- a/crates/planner/src/keys.rs
+++ b/crates/planner/src/keys.rs
@@ -14,6 +14,9 @@
 /// to; the latest write counts.
 pub const SLOTS: usize = 4;
 
+/// Prefix of the records of the workers' speeds.
+pub const SPEEDS: &str = "s/speeds/";
+
 const JOB: &str = "s/in/job/";
 const CANCEL: &str = "s/in/cancel/";
 const PROGRESS: &str = "s/out/";
@@ -33,6 +36,11 @@
     if slot == 0 { UNANSWERED.to_owned() } else { format!("{UNANSWERED}/{slot}") }
 }
 
+/// Returns the key of a shard of the workers' speeds.
+pub fn speeds(shard: usize) -> String {
+    format!("{SPEEDS}{shard}")
+}
+
 /// Returns the key of a job's progress.
 pub fn progress(id: &str) -> String {
     format!("{PROGRESS}{id}")
@@ -51,6 +59,8 @@
     Fleet,
     /// A slot of the handover record.
     Unanswered(usize),
+    /// A shard of the workers' speeds.
+    Speeds(usize),
     /// A key that the planner does not use.
     Other,
 }
@@ -65,6 +75,8 @@
         Key::Progress(id)
     } else if key == FLEET {
         Key::Fleet
+    } else if let Some(shard) = key.strip_prefix(SPEEDS) {
+        shard.parse().map_or(Key::Other, Key::Speeds)
     } else {
         let slot = (0..SLOTS).find(|slot| key == unanswered(*slot));
         slot.map_or(Key::Other, Key::Unanswered)
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -26,6 +26,8 @@
 mod queue;
 mod reconcile;
 mod reserve;
+mod speed_records;
+pub mod speeds;
 mod startup;
 mod state;
 mod supply;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -26,7 +26,9 @@
     load::Load,
     options::{self, Options},
     queue::Settings,
-    state::{commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, startup::Startup},
+    state::{
+        self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, startup::Startup,
+    },
     table::{Entry, Table},
     unanswered,
     worker::{Cause, Phase, Stop, Worker},
@@ -47,6 +49,7 @@
     pub(crate) estimates: estimate::Estimates,
     pub(crate) suspects: suspect::Suspects,
     pub(crate) speeds: Speeds,
+    pub(crate) speed_state: state::speeds::Speeds,
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
@@ -82,6 +85,7 @@
 impl Planner {
     /// Creates the planner of a term and begins to read the store.
     pub fn new(options: Options, term: u64, catalog: Arc<Catalog>, now: Moment) -> Self {
+        let speeds = options.speeds;
         let mut planner = Planner {
             options,
             term,
@@ -94,7 +98,8 @@
             feeds: Feeds::default(),
             estimates: estimate::Estimates::default(),
             suspects: suspect::Suspects::default(),
-            speeds: Speeds::default(),
+            speeds: Speeds::new(speeds),
+            speed_state: state::speeds::Speeds::default(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
             early_cancels: BTreeSet::new(),
@@ -139,6 +144,7 @@
 
     /// Replaces the options.
     pub fn set_options(&mut self, options: Options) {
+        self.speeds.set_options(options.speeds);
         self.options = options;
     }
 
@@ -203,6 +209,7 @@
         self.check_recovered(now);
         self.check_expired(now);
         self.write_fleet(now);
+        self.follow_speeds(now);
         if now.steady >= self.last_pass + PASS_INTERVAL {
             self.needs_pass |= !self.table.open.is_empty();
         }
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -154,6 +154,7 @@
             let id = poll.incarnation.as_ref().map_or("none", |minion| minion.id.as_str());
             self.log(format!("worker={name} minion={id} token={token}"));
             self.suspects.forget(name);
+            self.identify_machine(name);
             // A new incarnation may run tasks that were ordered since it started; its first list
             // shows them. An incarnation that has ended without a successor runs nothing.
             if had_minion && poll.incarnation.is_none() {
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use sapphire_jobs::{Fleet, Job, Progress, length, task::WorkerName};
+use sapphire_plan::speed::Belief;
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
 use crate::{
@@ -70,6 +71,7 @@
         let mut progress = Vec::new();
         let mut cancelled = Vec::new();
         let mut handover = Vec::new();
+        let mut speeds = Vec::new();
         for item in &items {
             let Some(value) = &item.value else { continue };
             match keys::parse(&item.key) {
@@ -78,10 +80,12 @@
                 Key::Cancel(id) => cancelled.push(id),
                 Key::Fleet => self.load_fleet(value, item.revision),
                 Key::Unanswered(slot) => handover.push((slot, value, item.revision)),
+                Key::Speeds(shard) => speeds.push((shard, value, item.revision)),
                 Key::Other => {}
             }
         }
         self.load_unanswered(now, &handover);
+        self.load_speeds(speeds);
         for (id, value, revision) in progress {
             match (Progress::decode(&value[..]), self.table.entries.get_mut(id)) {
                 (Ok(progress), Some(entry)) => entry.restore(&progress, revision, now),
@@ -121,7 +125,12 @@
                     continue;
                 };
                 let kind = estimate_kind(entry, step);
-                self.estimates.observe_kind(kind, length::declared(step), observation.run_time);
+                let declared = length::declared(step);
+                self.estimates.observe_kind(kind, declared, observation.run_time);
+                if self.speeds.is_enabled() {
+                    let history = &mut self.speed_state.history;
+                    history.record(kind, declared, observation.run_time, Belief::REFERENCE);
+                }
             }
         }
     }
--- a/crates/planner/src/watchdog.rs
+++ b/crates/planner/src/watchdog.rs
@@ -68,6 +68,7 @@
             .filter_map(|((job, step), all)| Some(((*job).to_owned(), *step, median(all, None)?)))
             .collect();
         let findings = self.check_runs(now, &run_times);
+        self.learn_speeds_of_running();
         self.record_samples(samples);
         // A run at the expected speed shows that its worker is healthy, so it is considered before
         // the slow runs.
@@ -102,10 +103,12 @@
         run_times
     }
 
-    /// Returns the total run time near the data, as inferred from a run.
+    /// Returns the total run time near the data at the reference speed, as inferred from a run.
     pub(crate) fn local_run_time(&self, task: &Task, run: &Run) -> Option<Duration> {
         let (_, _, group) = self.group_of(task)?;
-        Some(run.total_run_time()? / self.slowdown(group))
+        let workers = group.active().into_iter().flat_map(|active| active.unfinished.values());
+        let slowness = self.group_slowness(workers.map(String::as_str));
+        Some(slowness.reference_time(run.total_run_time()? / self.slowdown(group)))
     }
 
     /// Returns the job, the step and the group of a task.
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -11,7 +11,7 @@
     cordon,
     resources::Resources,
 };
-use sapphire_plan::policy;
+use sapphire_plan::{policy, speed};
 use sapphire_planner::{
     effect::Effect,
     event::{Event, Moment, Operation},
@@ -139,18 +139,32 @@
     }
 
     fn begin(cordoned: Option<Vec<&'static str>>) -> Self {
-        Fixture::begin_term(TERM, START, 0, cordoned)
+        Fixture::begin_term(TERM, START, 0, cordoned, None)
     }
 
     /// Returns the planner of a term that begins at `now` and has requested the first page of records
     /// from the store. Its wall clock is ahead by `skew` ms. The store answers no writes of the
     /// handover record.
     pub(crate) fn term(term: u64, now: u64, skew: i64) -> Self {
-        let fixture = Fixture::begin_term(term, now, skew, Some(Vec::new()));
+        let fixture = Fixture::begin_term(term, now, skew, Some(Vec::new()), None);
         Fixture { answers_records: false, ..fixture }
     }
 
-    fn begin_term(term: u64, now: u64, skew: i64, cordoned: Option<Vec<&'static str>>) -> Self {
+    /// Returns a planner that learns speeds and has read the given records from the store.
+    pub(crate) fn with_speeds(items: Vec<Item>) -> Self {
+        let mut fixture = Fixture::begin_term(TERM, START, 0, Some(Vec::new()), Some(1.25));
+        fixture.reply(Reply::Items { items, has_more: false, revision: 40 });
+        fixture.reply(Reply::Committed(60));
+        fixture
+    }
+
+    fn begin_term(
+        term: u64,
+        now: u64,
+        skew: i64,
+        cordoned: Option<Vec<&'static str>>,
+        unequal_from: Option<f64>,
+    ) -> Self {
         let queue = Queue {
             name: "q".to_owned(),
             service: "desk".to_owned(),
@@ -170,7 +184,7 @@
             reclaim_deadline: ms(2_900),
             remote_factor: 3,
             policy: policy::Policy::default(),
-            speeds: Default::default(),
+            speeds: speed::Options { unequal_from },
             shares: None,
             stops: None,
             cordon_prefix: CORDONS.to_owned(),
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -9,6 +9,7 @@
 mod load;
 mod progress;
 mod reserve;
+mod speeds;
 mod supply;
 mod terms;
 mod urgent;
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -35,10 +35,16 @@
         }
         self.meter.record_turn(took, is_pass);
         let cordoned_zones = planner.cordoned_zones() as u64;
+        let speeds = planner.speeds_status();
         if is_pass {
             self.record_time("pass", took);
             // A metric that can't be recorded is not worth an error.
             let _ = self.metrics.gauge("cordoned_zones", cordoned_zones);
+            if let Some(speeds) = speeds {
+                let _ = self.metrics.gauge("speeds.unequal_workers", speeds.unequal_workers as u64);
+                let _ = self.metrics.gauge("speeds.observations", speeds.observations);
+                let _ = self.metrics.gauge("speeds.writes", speeds.writes);
+            }
         }
         if let Some(line) = self.meter.report(end, load) {
             self.logger.info("plan", &line);
