plan: iterate over the prior rather than index it

Cause: clippy rejects an index that only reads the iterated values. Change: iterate over the values. Measured: clippy passes for the workspace.

--- a/crates/plan/src/speed/groups.rs
+++ b/crates/plan/src/speed/groups.rs
@@ -21,15 +21,15 @@
     pub(super) fn new(prior: &Values) -> Self {
         let mut starts = vec![0];
         let (mut peak, mut valley, mut valley_at) = (prior[0], f64::INFINITY, 0);
-        for at in 1..SIZE {
-            if prior[at] < valley {
-                (valley, valley_at) = (prior[at], at);
+        for (at, value) in prior.iter().copied().enumerate().skip(1) {
+            if value < valley {
+                (valley, valley_at) = (value, at);
             }
-            if valley < MIN_VALLEY * peak && valley < MIN_VALLEY * prior[at] {
+            if valley < MIN_VALLEY * peak && valley < MIN_VALLEY * value {
                 starts.push(valley_at);
-                (peak, valley) = (prior[at], f64::INFINITY);
-            } else if prior[at] > peak {
-                (peak, valley) = (prior[at], f64::INFINITY);
+                (peak, valley) = (value, f64::INFINITY);
+            } else if value > peak {
+                (peak, valley) = (value, f64::INFINITY);
             }
         }
         let mut groups = Groups::default();
