plan: assignment and urgent decisions use the slowness of workers

Cause: all workers counted as equally fast, so urgent gangs got members on workers on which they are always late, and work with time took the fast ones. Change: a group has a limit of slowness and a preference. It tries ranges of about equal slowness in turn (tiers): urgent work the fastest first, other work the slowest on which it is in time. One rack with a slow member goes before several racks if it is faster. For an urgent group that only slow workers could take at once, the cost of lateness there is compared with that of a wait for fast ones and of stops on them (tradeoff). Without a limit and at equal slowness nothing changes.

--- a/crates/plan/src/assignment.rs
+++ b/crates/plan/src/assignment.rs
@@ -4,11 +4,14 @@
 //! gang of tasks with eight accelerators each. So a group is assigned where it leaves the least
 //! free, and to an idle worker only if no partly used worker can hold it (best fit).
 
-use std::{collections::BTreeMap, rc::Rc};
+use std::{cmp::Reverse, collections::BTreeMap, rc::Rc};
 
 use sapphire_jobs::resources::Resources;
 
-use crate::speed::Slowness;
+use crate::{
+    speed::Slowness,
+    tiers::{self, Need},
+};
 
 /// A worker that tasks may be assigned to. It is cheap to clone, since a search for groups to stop
 /// works on many copies of all places.
@@ -83,6 +86,8 @@
     pub present: BTreeMap<String, u32>,
     /// Workers on which the group failed before. They are used only if there is no other.
     pub avoid: Vec<String>,
+    /// What the speed of its workers means for the group.
+    pub speed: Need,
 }
 
 /// Which workers a group may be assigned to.
@@ -118,14 +123,73 @@
         .filter_map(|(index, place)| candidate(index, place, demand))
         .filter(|candidate| reach == Reach::Remote || is_near(candidate.place, demand))
         .collect();
+    let first = candidates.first().map(|candidate| candidate.place.slowness);
+    let is_equal = candidates.iter().all(|candidate| Some(candidate.place.slowness) == first);
+    if is_equal && demand.speed.limit.is_none() {
+        assign_among(&candidates, demand, reach)
+    } else {
+        assign_by_speed(&candidates, demand, reach)
+    }
+}
+
+/// Assigns a group to candidates of unequal speed. Workers that are to be avoided are the last
+/// choice whatever their speed.
+fn assign_by_speed(
+    candidates: &[Candidate<'_>],
+    demand: &Demand,
+    reach: Reach,
+) -> Option<Vec<Assignment>> {
+    let pace = |candidate: &Candidate<'_>| {
+        demand.speed.pace(candidate.place.slowness, !is_near(candidate.place, demand))
+    };
+    let allowed: Vec<Candidate<'_>> = candidates
+        .iter()
+        .copied()
+        .filter(|candidate| demand.speed.allows(pace(candidate)))
+        .collect();
+    let healthy: Vec<Candidate<'_>> =
+        allowed.iter().copied().filter(|candidate| candidate.suspicion == 0).collect();
+    let has_suspects = healthy.len() < allowed.len();
+    let may_scatter = demand.wants_one_rack && reach == Reach::Remote;
+    // A group prefers one rack with such a worker to several racks without.
+    let sets = [
+        Some((healthy, may_scatter && !has_suspects)),
+        has_suspects.then_some((allowed, may_scatter)),
+    ];
+    sets.into_iter().flatten().find_map(|(set, may_scatter)| {
+        let near = set.iter().map(pace).collect();
+        let scattered = if may_scatter { set.as_slice() } else { &[] };
+        let scattered = scattered.iter().map(|candidate| candidate.place.slowness).collect();
+        tiers::windows(near, scattered, demand).into_iter().find_map(|window| {
+            let slowness = |candidate: &Candidate<'_>| {
+                if window.is_scattered { candidate.place.slowness } else { pace(candidate) }
+            };
+            let inside: Vec<Candidate<'_>> =
+                set.iter().copied().filter(|it| window.contains(slowness(it))).collect();
+            if window.is_scattered {
+                fill(&inside, demand).map(|(_, assignments)| assignments)
+            } else {
+                let reach = if demand.wants_one_rack { Reach::Near } else { reach };
+                assign_among(&inside, demand, reach)
+            }
+        })
+    })
+}
+
+/// Assigns a group to any of the candidates, whatever their speed.
+fn assign_among(
+    candidates: &[Candidate<'_>],
+    demand: &Demand,
+    reach: Reach,
+) -> Option<Vec<Assignment>> {
     if demand.wants_one_rack {
-        let in_one_rack = by_rack(&candidates).into_values().filter_map(|rack| fill(&rack, demand));
+        let in_one_rack = by_rack(candidates).into_values().filter_map(|rack| fill(&rack, demand));
         let best = in_one_rack.min_by_key(|(cost, _)| *cost).map(|(_, assignments)| assignments);
         if best.is_some() || reach == Reach::Near {
             return best;
         }
     }
-    fill(&candidates, demand).map(|(_, assignments)| assignments)
+    fill(candidates, demand).map(|(_, assignments)| assignments)
 }
 
 /// A place as a candidate for a group; none if it can't hold any of its tasks.
@@ -211,7 +275,8 @@
 ///
 /// Guards against urgent tasks, each of which needs a complete worker, having to stop work that has
 /// run for seconds because long tasks have spread over all workers. The reserved workers stay
-/// available to work that loses nothing when it is stopped.
+/// available to work that loses nothing when it is stopped. The fastest ones are reserved, since
+/// urgent work may be late on the others.
 ///
 /// Idle workers with pending starts are reserved first, since they take little other work: while
 /// many starts are unanswered, most workers are idle, and the others have to do all the work.
@@ -223,9 +288,12 @@
     let is_idle = |place: &Place| is_healthy(place) && !has_pending(place);
     let mut idle = places.iter().filter(|place| is_idle(place)).count();
     let mut unreserved = places.to_vec();
-    for place in unreserved.iter_mut().filter(|place| is_idle(place)) {
+    let mut slowest_first: Vec<usize> =
+        (0..places.len()).filter(|at| is_idle(&places[*at])).collect();
+    slowest_first.sort_by_key(|at| Reverse(places[*at].slowness));
+    for at in slowest_first {
         if idle <= keep {
-            place.free = Resources::default();
+            unreserved[at].free = Resources::default();
         } else {
             idle -= 1;
         }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -23,5 +23,7 @@
 pub mod speed;
 pub mod stops;
 pub mod suspect;
+pub mod tiers;
+pub mod tradeoff;
 pub mod wait;
 pub mod waves;
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     assignment::{Assignment, Demand, Place, Reach},
-    evict, wait,
+    evict, tiers, wait,
 };
 
 /// A run that is expected to end within this time is not worth stopping.
@@ -91,7 +91,8 @@
     for wait in WAITS.into_iter().filter(|wait| *wait <= limit || *wait == NEARLY_DONE) {
         // Whether the group can fit at all does not depend on the wait.
         let choice = choose(places, candidates, urgent, Some(wait), stop)?;
-        let cost = wait::cost(job, choice.delay, choice.cost);
+        let slowness = tiers::slowest(places, &choice.assignments);
+        let cost = wait::cost_at(job, choice.delay, choice.cost, slowness);
         if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
             best = Some((cost, choice));
         }
--- a/crates/plan/src/speed.rs
+++ b/crates/plan/src/speed.rs
@@ -1,6 +1,6 @@
 //! Lasting speed of workers.
 
-use std::{cmp, time::Duration};
+use std::{cmp, collections::BTreeMap, time::Duration};
 
 /// Run time of a task on a worker as a multiple of the reference run time: 2 on a worker that takes
 /// twice as long as usual.
@@ -62,11 +62,19 @@
 
 /// What is known of the speed of each worker.
 #[derive(Clone, Debug, Default)]
-pub struct Speeds {}
+pub struct Speeds {
+    /// Slowness of workers that is given rather than learned.
+    given: BTreeMap<String, Slowness>,
+}
 
 impl Speeds {
+    /// Returns the given slowness of workers; others are at the reference speed.
+    pub fn given(slowness: impl IntoIterator<Item = (String, Slowness)>) -> Self {
+        Speeds { given: slowness.into_iter().collect() }
+    }
+
     /// Returns the slowness of a worker: that of the reference while the workers count as equal.
-    pub fn slowness(&self, _worker: &str) -> Slowness {
-        Slowness::REFERENCE
+    pub fn slowness(&self, worker: &str) -> Slowness {
+        self.given.get(worker).copied().unwrap_or_default()
     }
 }
--- a/crates/plan/src/wait.rs
+++ b/crates/plan/src/wait.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::estimate::Estimate;
+use crate::{estimate::Estimate, speed::Slowness};
 
 /// Minimum spread of a run time, as the standard deviation of its logarithm: the speed of any run
 /// varies a little.
@@ -39,25 +39,38 @@
 /// The objective grows with the run time, so the job is late if its run time turns out to be
 /// short: if the slack, which is the objective less the run time, does not cover the time waited.
 pub fn chance_late(job: &Job, wait: Duration) -> f64 {
+    chance_late_at(job, wait, Slowness::REFERENCE)
+}
+
+/// The same for a run on workers of the given slowness, which leaves less slack. The objective is
+/// that of the reference speed.
+pub fn chance_late_at(job: &Job, wait: Duration, slowness: Slowness) -> f64 {
     let waited = (job.age + wait + job.overhead).as_secs_f64() - job.latency.as_secs_f64();
-    if waited <= 0.0 {
+    let slack_ratio = job.slack.max(1.0) - slowness.get();
+    if slack_ratio >= 0.0 && waited <= 0.0 {
         return 0.0;
     }
-    let slack_ratio = job.slack - 1.0;
-    if slack_ratio <= 0.0 {
+    if slack_ratio <= 0.0 && waited >= 0.0 {
         return 1.0;
     }
-    let longest_late_run = waited / slack_ratio;
+    // With slack the job is late if its run is shorter than this; on workers that are slower than
+    // the objective allows, if it is longer than the time left of the latency makes up for.
+    let limit = waited / slack_ratio;
     let expected = job.expected.centre.as_secs_f64().max(f64::MIN_POSITIVE);
     let spread = job.expected.spread.max(MIN_SPREAD);
-    let deviations = (longest_late_run / expected).ln() / spread;
+    let deviations = (limit / expected).ln() / spread * slack_ratio.signum();
     1.0 / (1.0 + (-LOGISTIC_SCALE * deviations).exp())
 }
 
 /// Expected cost of a wait in processor seconds: `stopped`, which is lost by the stops that are
 /// needed after it, and the expected lateness of the job.
 pub fn cost(job: &Job, wait: Duration, stopped: f64) -> f64 {
-    stopped + LATE_COST * chance_late(job, wait)
+    cost_at(job, wait, stopped, Slowness::REFERENCE)
+}
+
+/// The same for a run on workers of the given slowness.
+pub fn cost_at(job: &Job, wait: Duration, stopped: f64, slowness: Slowness) -> f64 {
+    stopped + LATE_COST * chance_late_at(job, wait, slowness)
 }
 
 /// Mean time in seconds that stopped work waits for resources again at peak load.
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -176,6 +176,7 @@
                 BTreeMap::new()
             },
             avoid: group.avoid.clone(),
+            speed: Default::default(),
         })
     }
 
