planner: passes use the slowness of workers

Cause: the planner knew the slowness of workers but no decision used it. Change: each waiting group gets the greatest slowness at which its job is in time. Remaining times, the order of waiting jobs, open reservations and the cost of stops take the slowness into account. Where nothing waits, the last single tasks of a step that would make their job late are restarted on free faster workers if they end sooner by more than the restart costs.

--- a/crates/plan/src/reserve.rs
+++ b/crates/plan/src/reserve.rs
@@ -82,11 +82,14 @@
         time <= self.wait && !self.reserved.is_empty()
     }
 
-    /// Adds the reserved resources to the free resources of the places, for work that
-    /// [`Self::is_open`] allows.
-    pub fn open(&self, places: &mut [Place]) {
+    /// Adds the reserved resources to the free resources of the places, for work of the given run
+    /// time at the reference speed. Those of places where it would take too long are left out.
+    pub fn open(&self, places: &mut [Place], time: Duration) {
         for (at, resources) in &self.reserved {
-            places[*at].free = places[*at].free.plus(*resources);
+            let place = &mut places[*at];
+            if place.slowness.run_time(time) <= self.wait {
+                place.free = place.free.plus(*resources);
+            }
         }
     }
 
--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -98,6 +98,8 @@
     pub blocked_since: Option<Duration>,
     /// Run time as observed in earlier runs.
     pub observation: Option<Observation>,
+    /// A run was stopped so that the group continues on a faster worker.
+    pub restarts_faster: bool,
 }
 
 impl Group {
@@ -115,6 +117,7 @@
             waiting_since: now,
             blocked_since: None,
             observation: None,
+            restarts_faster: false,
         }
     }
 
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -26,6 +26,8 @@
 mod queue;
 mod reconcile;
 mod reserve;
+mod restart;
+mod speed;
 mod startup;
 mod state;
 mod supply;
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -16,6 +16,7 @@
 use sapphire_plan::{
     assignment::{self, Demand, Place, Reach},
     rank,
+    tiers::{self, Need},
 };
 
 use crate::{
@@ -72,11 +73,13 @@
 impl Planner {
     /// Starts the groups that can start.
     pub(crate) fn pass(&mut self, now: Moment) {
+        self.update_awaited_slowness();
         let guaranteed = self.guaranteed_jobs();
         let waiting = self.waiting(now, &guaranteed);
         self.load.waiting = waiting.len();
         let mut pools: BTreeMap<String, Pool> = BTreeMap::new();
         let mut unplaced: Option<&Waiting> = None;
+        let mut unserved: BTreeSet<String> = BTreeSet::new();
         for group in &waiting {
             if unplaced.is_some_and(|unplaced| unplaced.is_same_step(group)) {
                 // Free resources only shrink within a pass, so one search serves all waiting tasks
@@ -88,11 +91,16 @@
             if !pools.contains_key(service) {
                 pools.insert(service.to_owned(), self.pool(now, service));
             }
-            let pool = pools.get_mut(service).expect("inserted above");
+            let (pool, service) =
+                (pools.get_mut(service).expect("inserted above"), service.to_owned());
             self.load.tried += 1;
             let outcome = self.try_group(now, pool, group, &guaranteed);
             unplaced = (outcome == Outcome::NoResources).then_some(group);
+            if outcome != Outcome::Served {
+                unserved.insert(service);
+            }
         }
+        self.restart_on_faster(now, &unserved);
     }
 
     /// Returns the jobs of priority 0 that are covered by their organisation's guarantee, the
@@ -152,7 +160,7 @@
             is_guaranteed,
             age: Self::age(entry, now),
             objective: self.objective(entry),
-            remaining: entry.remaining_path(|step| self.expected_run_time(entry, step)),
+            remaining: entry.remaining_path(|step| self.awaited_run_time(entry, step)),
             work: sapphire_jobs::length::work(&entry.job.steps),
             escalates: self.options.policy.prefer_pressing,
         }
@@ -160,7 +168,13 @@
 
     /// Returns what a group needs from the workers. `repeated` is its task whose run is ordered
     /// again, and whose unanswered starts therefore do not count.
-    fn demand(&self, entry: &Entry, key: &GroupKey, repeated: Option<&Task>) -> Option<Demand> {
+    pub(crate) fn demand(
+        &self,
+        now: Moment,
+        entry: &Entry,
+        key: &GroupKey,
+        repeated: Option<&Task>,
+    ) -> Option<Demand> {
         let step = entry.step(key.step)?;
         let group = entry.groups.get(key)?;
         Some(Demand {
@@ -176,7 +190,10 @@
                 BTreeMap::new()
             },
             avoid: group.avoid.clone(),
-            speed: Default::default(),
+            speed: match repeated {
+                Some(_) => Need::default(),
+                None => self.speed_need(now, entry, key, group),
+            },
         })
     }
 
@@ -215,7 +232,7 @@
         let Waiting { job: id, key } = waiting;
         let id: &str = id;
         let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
-        let Some(demand) = self.demand(entry, key, None) else { return Outcome::Waits };
+        let Some(mut demand) = self.demand(now, entry, key, None) else { return Outcome::Waits };
         let group = entry.groups.get(key).expect("the demand is that of a known group");
         match self.standing(id, key, group, demand.tasks) {
             Standing::Free => {}
@@ -233,7 +250,11 @@
         let priority = self.queue_settings(entry).priority;
         let reach = self.reach(now, pool, entry, key, &demand, is_guaranteed);
         let places = self.available_places(now, pool, entry, key, &demand);
-        let assignments = assignment::assign(&places, &demand, reach);
+        let mut assignments = assignment::assign(&places, &demand, reach);
+        if assignments.is_none() && !tiers::can_fit(&pool.places, &demand, reach) {
+            demand.speed.limit = None;
+            assignments = assignment::assign(&places, &demand, reach);
+        }
         if let Some(assignments) = assignments {
             if self.may_still_run(id, key, demand.tasks) {
                 return Outcome::Waits;
@@ -261,6 +282,25 @@
         let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
         let group = entry.groups.get(key).expect("looked up above");
         let urgent = Urgent { id, key, demand: &demand, reach, is_guaranteed };
+        let is_claimed = group.claim.as_ref().is_some_and(|claim| now.steady < claim.until);
+        // A group that waits for workers that are too slow for its objective starts once they are
+        // free, rather than when its claim ends.
+        let waits_for_slow = group.claim.as_ref().is_some_and(|claim| {
+            let names = claim.assignments.iter().map(|(name, _)| name.as_str());
+            !demand.speed.allows(self.group_slowness(names))
+        });
+        if priority == 0
+            && (!is_claimed || waits_for_slow)
+            && let Some(assignments) = self.start_on_slower(now, pool, &urgent, guaranteed)
+        {
+            if !self.may_still_run(id, key, demand.tasks) {
+                let placement =
+                    Placement { demand: &demand, assignments: &assignments, repeated: None };
+                self.place(now, pool, id, key, &placement);
+                return Outcome::Served;
+            }
+            return Outcome::Waits;
+        }
         if let Some(claim) = group.claim.clone() {
             if now.steady < claim.until {
                 pool.apply_claim(&claim, &demand);
@@ -320,7 +360,7 @@
         let Waiting { job: id, key } = waiting;
         let Some(entry) = self.table.entries.get(&**id) else { return false };
         let task = group_tasks(id, key, 1).start;
-        let Some(demand) = self.demand(entry, key, Some(&task)) else { return false };
+        let Some(demand) = self.demand(now, entry, key, Some(&task)) else { return false };
         if demand.avoid.iter().any(|name| name == worker) {
             return false;
         }
@@ -394,7 +434,7 @@
             return Cow::Owned(open);
         }
         if self.options.policy.spare_workers && self.can_wait(now, entry, key) {
-            let keep = MAX_RESERVED_WORKERS.min(pool.places.len() / WORKERS_PER_RESERVED);
+            let keep = reserved_workers(pool.places.len());
             return Cow::Owned(assignment::without_reserved(&pool.places, keep));
         }
         Cow::Borrowed(&pool.places)
@@ -436,8 +476,8 @@
         if self.queue_settings(entry).priority == 0 || saves || entry.is_held {
             return false;
         }
-        let end = Self::age(entry, now)
-            + entry.remaining_path(|step| self.expected_run_time(entry, step));
+        let end =
+            Self::age(entry, now) + entry.remaining_path(|step| self.awaited_run_time(entry, step));
         end + WAIT_MARGIN < self.objective(entry)
     }
 
@@ -476,6 +516,11 @@
     }
 }
 
+/// Returns the number of workers of a pool that are reserved for urgent work.
+pub(crate) fn reserved_workers(workers: usize) -> usize {
+    MAX_RESERVED_WORKERS.min(workers / WORKERS_PER_RESERVED)
+}
+
 /// Returns the range of the tasks of a group.
 fn group_tasks(id: &str, key: &GroupKey, tasks: u32) -> Range<Task> {
     let task =
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -47,6 +47,8 @@
     pub(crate) estimates: estimate::Estimates,
     pub(crate) suspects: suspect::Suspects,
     pub(crate) speeds: Speeds,
+    /// Slowness that waiting work can expect, by service; see [`Planner::update_awaited_slowness`].
+    pub(crate) awaited_slowness: BTreeMap<String, Slowness>,
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
@@ -67,6 +69,7 @@
     /// Whether the planner may start tasks, as far as the leader key is concerned.
     pub(crate) standing: Standing,
     pub(crate) last_check: Duration,
+    pub(crate) last_restarts: Duration,
     pub(crate) last_supplies: Duration,
     /// Resources of the workers and open work, as reported to entries.
     pub(crate) supplies: Vec<Supply>,
@@ -95,6 +98,7 @@
             estimates: estimate::Estimates::default(),
             suspects: suspect::Suspects::default(),
             speeds: Speeds::default(),
+            awaited_slowness: BTreeMap::new(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
             early_cancels: BTreeSet::new(),
@@ -107,6 +111,7 @@
             lease_expires_at: Duration::MAX,
             standing: Standing::Leader,
             last_check: Duration::ZERO,
+            last_restarts: Duration::ZERO,
             last_supplies: Duration::ZERO,
             supplies: Vec::new(),
             sessions: 0,
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -73,14 +73,14 @@
         }
     }
 
-    /// Returns the places as seen by work that runs for `time`: with the reserved resources that
+    /// Returns the places as seen by work that runs for `time` at the reference speed: with the reserved resources that
     /// are needed only later. Returns `None` if nothing is reserved beyond that time.
     pub(crate) fn open(&self, time: Duration) -> Option<Vec<Place>> {
         let mut open =
             self.reservations.iter().filter(|reservation| reservation.is_open(time)).peekable();
         open.peek()?;
         let mut places = self.places.clone();
-        open.for_each(|reservation| reservation.open(&mut places));
+        open.for_each(|reservation| reservation.open(&mut places, time));
         Some(places)
     }
 
@@ -248,6 +248,7 @@
             return 0.0;
         }
         let ran = now.steady.saturating_sub(active.began.unwrap_or(active.ordered_at));
+        let ran = self.active_slowness(active).reference_time(ran);
         let cores = Resources::read(step.room.as_ref()).weight() * active.unfinished.len() as f64;
         preempt::loss(cores, ran, step.checkpoints)
     }
@@ -259,7 +260,7 @@
     }
 
     /// Returns how much longer a group's run will take.
-    fn remaining_run(
+    pub(crate) fn remaining_run(
         &self,
         now: Moment,
         entry: &Entry,
@@ -271,6 +272,7 @@
             || self.expected_run_time(entry, key.step),
             |observation| observation.run_time,
         );
+        let expected = self.active_slowness(active).run_time(expected);
         let mut task = Task {
             job: entry.job.id.clone(),
             occurrence: key.occurrence,
--- a/crates/planner/src/reserve.rs
+++ b/crates/planner/src/reserve.rs
@@ -44,7 +44,7 @@
         pool.reservations.push(reservation);
     }
 
-    /// Returns an upper estimate of a group's run time.
+    /// Returns an upper estimate of a group's run time at the reference speed.
     pub(crate) fn upper_run_time(&self, entry: &Entry, key: &GroupKey) -> Duration {
         let observed = entry.groups.get(key).and_then(Group::reliable_observation);
         observed
--- a/crates/planner/src/urgent.rs
+++ b/crates/planner/src/urgent.rs
@@ -6,7 +6,9 @@
 use sapphire_plan::{
     assignment::{Assignment, Demand, Reach},
     preempt::{self, Choice},
-    rank, wait, waves,
+    rank,
+    tradeoff::{self, Limits},
+    wait, waves,
 };
 
 use crate::{
@@ -20,7 +22,7 @@
 
 /// Time from a decision to the start of a task, together with the time from its end until its
 /// caller sees it.
-const OVERHEAD: Duration = Duration::from_millis(300);
+pub(crate) const OVERHEAD: Duration = Duration::from_millis(300);
 /// Time from the end of a run until the planner knows of it: two messages between regions and the
 /// interval of the minion's lists.
 const END_REPORT_DELAY: Duration = Duration::from_millis(250);
@@ -41,7 +43,7 @@
 
 impl Urgent<'_> {
     /// Returns the group as the search for work to stop needs it.
-    fn to_plan(&self) -> preempt::Urgent<'_> {
+    pub(crate) fn to_plan(&self) -> preempt::Urgent<'_> {
         preempt::Urgent {
             demand: self.demand,
             reach: self.reach,
@@ -63,10 +65,9 @@
         self.look_up_candidates(now, pool, guaranteed);
         self.load.searches += 1;
         let Some((job, limit)) = self.wait_parameters(now, urgent) else { return };
-        let limit = if self.options.policy.weigh_waits { limit } else { Duration::ZERO };
-        let stop = self.options.stop_timeout;
+        let limits = Limits { wait: limit, stop: self.options.stop_timeout };
         let Pool { places, candidates, .. } = &*pool;
-        let choice = preempt::weigh(places, candidates, urgent.to_plan(), &job, limit, stop);
+        let choice = tradeoff::weigh(places, candidates, urgent.to_plan(), &job, limits);
         if let Some(choice) = choice {
             self.claim(now, pool, urgent, choice, false);
         }
@@ -83,9 +84,9 @@
         let is_served = |group: &Group| group.active().is_some() || group.claim.is_some();
         let served = groups().filter(|(_, group)| is_served(group)).count();
         let tasks = entry.unfinished_tasks(key.occurrence, key.step);
-        let each = self.expected_run_time(entry, key.step);
+        let each = self.awaited_run_time(entry, key.step);
         let later =
-            entry.remaining_path(|step| self.expected_run_time(entry, step)).saturating_sub(each);
+            entry.remaining_path(|step| self.awaited_run_time(entry, step)).saturating_sub(each);
         let spent = Self::age(entry, now) + OVERHEAD + later;
         let objective = self.objective(entry);
         let useful = objective * rank::USEFUL_OBJECTIVES;
@@ -113,7 +114,7 @@
         let stop = self.options.stop_timeout;
         let wait = (!self.is_last_chance(now, urgent)).then_some(Duration::ZERO);
         let Pool { places, candidates, .. } = &*pool;
-        let choice = preempt::choose(places, candidates, urgent.to_plan(), wait, stop);
+        let choice = tradeoff::choose(places, candidates, urgent.to_plan(), wait, stop);
         if let Some(choice) = choice {
             self.claim(now, pool, urgent, choice, true);
         }
@@ -124,7 +125,7 @@
     fn is_last_chance(&self, now: Moment, urgent: &Urgent<'_>) -> bool {
         let Some(entry) = self.table.entries.get(urgent.id) else { return true };
         let round = self.options.stop_timeout + END_REPORT_DELAY + PASS_INTERVAL;
-        let run_time = entry.remaining_path(|step| self.expected_run_time(entry, step));
+        let run_time = entry.remaining_path(|step| self.awaited_run_time(entry, step));
         let end = Self::age(entry, now) + round * 2 + OVERHEAD + run_time;
         urgent.is_guaranteed || end > self.objective(entry)
     }
@@ -171,7 +172,11 @@
 
     /// Returns the parameters that decide how long an urgent group waits for work to end by itself,
     /// and the maximum of that wait.
-    fn wait_parameters(&self, now: Moment, urgent: &Urgent<'_>) -> Option<(wait::Job, Duration)> {
+    pub(crate) fn wait_parameters(
+        &self,
+        now: Moment,
+        urgent: &Urgent<'_>,
+    ) -> Option<(wait::Job, Duration)> {
         let entry = self.table.entries.get(urgent.id)?;
         let settings = self.queue_settings(entry);
         let age = Self::age(entry, now);
@@ -190,6 +195,7 @@
         } else {
             preempt::LONGEST_WAIT
         };
+        let limit = if self.options.policy.weigh_waits { limit } else { Duration::ZERO };
         Some((job, limit))
     }
 }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -32,6 +32,8 @@
     Slow,
     /// The run is stalled.
     Stalled,
+    /// The run ends sooner on a faster worker.
+    Faster,
     /// Its job was cancelled.
     Cancelled,
     /// Its job has failed.
@@ -57,6 +59,7 @@
             Cause::Urgent(job) => write!(f, "urgent for={job}"),
             Cause::Slow => f.write_str("slow"),
             Cause::Stalled => f.write_str("still"),
+            Cause::Faster => f.write_str("faster"),
             Cause::Cancelled => f.write_str("cancelled"),
             Cause::JobFailed => f.write_str("job-failed"),
             Cause::Gang => f.write_str("gang"),
