planner: the supply counts the work that workers do per second

Cause: a slow worker counted as much as a fast one, so that backlogs seemed to last too short. Change: the backlog is divided by resources per slowness, and the capacity for a step's tasks counts those done in the reference run time of one.

--- a/crates/planner/src/supply.rs
+++ b/crates/planner/src/supply.rs
@@ -4,7 +4,7 @@
 
 use sapphire_jobs::{Backlog, Step, Supply, resources::Resources};
 
-use crate::{event::Moment, group::Phase, planner::Planner, table::Entry, worker::Worker};
+use crate::{event::Moment, group::Phase, planner::Planner, table::Entry};
 
 /// Interval between two computations over all open jobs.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(500);
@@ -52,6 +52,9 @@
     largest: Resources,
     /// Resources of all workers that are not draining.
     capacity: Amount,
+    /// The same divided by their slowness: the work that they do in a second, in resources times
+    /// seconds at the reference speed.
+    throughput: Amount,
     /// Resources of long-running tasks.
     long_running: Amount,
     /// Open work by priority, in resources times seconds.
@@ -69,13 +72,14 @@
         self.last_supplies = now.steady;
         self.update_all_step_capacities();
         let mut totals: BTreeMap<&str, Totals> = BTreeMap::new();
-        for worker in self.workers.values() {
+        for (name, worker) in &self.workers {
             let Some(minion) = &worker.incarnation else { continue };
             let sum = totals.entry(&minion.service).or_default();
             let resources = worker.capacity();
             sum.largest = sum.largest.component_max(resources);
             if !minion.is_draining && !self.cordons.contains(worker) {
                 sum.capacity.add(Amount::of(resources, 1.0));
+                sum.throughput.add(Amount::of(resources, 1.0 / self.slowness(name).get()));
             }
         }
         for entry in self.table.open.iter().filter_map(|id| self.table.entries.get(id)) {
@@ -95,20 +99,25 @@
         }
     }
 
-    /// Counts how many tasks of each of a job's steps fit on the workers at the same time.
+    /// Counts how many tasks of each of a job's steps the workers do in the reference run time of
+    /// one: those that fit at the same time, each divided by the slowness of its worker.
     pub(crate) fn update_step_capacity(&mut self, id: &str) {
         if !self.options.policy.count_waves {
             return;
         }
         let Some(entry) = self.table.entries.get(id) else { return };
         let service = self.service(entry);
-        let workers = self.workers.values().filter(|worker| {
+        let workers = self.workers.iter().filter(|(_, worker)| {
             worker.incarnation.as_ref().is_some_and(|minion| minion.service == service)
         });
-        let capacities: Vec<Resources> = workers.map(Worker::capacity).collect();
+        let capacities: Vec<(Resources, f64)> =
+            workers.map(|(name, worker)| (worker.capacity(), self.slowness(name).get())).collect();
         let fits = |step: &Step| {
             let resources = Resources::read(step.room.as_ref());
-            capacities.iter().map(|worker| u64::from(worker.count_fitting(resources))).sum()
+            let tasks = |(capacity, slowness): &(Resources, f64)| {
+                f64::from(capacity.count_fitting(resources)) / slowness
+            };
+            capacities.iter().map(tasks).sum::<f64>().round() as u64
         };
         let step_capacity = entry.job.steps.iter().map(fits).collect();
         if let Some(entry) = self.table.entries.get_mut(id) {
@@ -144,7 +153,7 @@
         let mut sum = Amount::default();
         let backlogs = self.work.iter().map(|(priority, work)| {
             sum.add(*work);
-            let drain = Duration::from_secs_f64(sum.share(&self.capacity) / available);
+            let drain = Duration::from_secs_f64(sum.share(&self.throughput) / available);
             let drain_ms = u64::try_from(drain.as_millis()).unwrap_or(u64::MAX);
             Backlog { priority: *priority, drain_ms }
         });
