planner: run times are compared and learned at the reference speed

Cause: runs on slow workers were taken for stragglers and moved, and learned run times depended on the workers of the runs. Change: observed run times are divided by the slowness of their workers before comparison and learning; that of a gang is the slowness of its slowest member. Measured: four equal tasks on workers of slowness 0.75 and 2.6: some are stopped as slow without the speeds, none with them, and the learned run time is within a twentieth of the true one (test).

--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -29,7 +29,9 @@
     ) -> Option<(JobId, u64)> {
         let removed = self.remove_run(name, task, number);
         let run_time = removed.as_ref().and_then(|run| match ending {
-            Ending::Done => run.completed_run_time(now.steady),
+            Ending::Done => {
+                run.completed_run_time(now.steady).map(|time| self.reference_time(task, name, time))
+            }
             _ => self.local_run_time(task, run),
         });
         let stop = removed.as_ref().and_then(|run| run.stop.as_ref());
@@ -61,6 +63,15 @@
         Some((task.job.clone(), last_critical_change))
     }
 
+    /// Returns the reference run time of a task, given that of its run on a worker. A gang runs at
+    /// the pace of its slowest member.
+    fn reference_time(&self, task: &Task, name: &str, run_time: Duration) -> Duration {
+        let own = self.slowness(name);
+        let group = self.group_of(task).and_then(|(_, _, group)| group.active());
+        let slowness = group.map_or(own, |active| self.active_slowness(active).max(own));
+        slowness.reference_time(run_time)
+    }
+
     /// Keeps the checkpoint that a run had saved when it ended.
     fn keep_checkpoint(&mut self, now: Moment, task: &Task, key: &GroupKey, checkpoint: &str) {
         let Some(entry) = self.table.entries.get_mut(&task.job) else { return };
--- a/crates/planner/src/watchdog.rs
+++ b/crates/planner/src/watchdog.rs
@@ -12,6 +12,7 @@
 use sapphire_plan::{
     estimate::{Estimate, Sample},
     pace::{self, Verdict},
+    speed::Slowness,
 };
 
 use crate::{
@@ -102,14 +103,14 @@
         run_times
     }
 
-    /// Returns the total run time near the data, as inferred from a run.
+    /// Returns the total run time near the data at the reference speed, as inferred from a run.
     pub(crate) fn local_run_time(&self, task: &Task, run: &Run) -> Option<Duration> {
         let (_, _, group) = self.group_of(task)?;
-        Some(run.total_run_time()? / self.slowdown(group))
+        Some(self.usual_time(group, run.total_run_time()?))
     }
 
     /// Returns the job, the step and the group of a task.
-    fn group_of(&self, task: &Task) -> Option<(&Entry, &Step, &Group)> {
+    pub(crate) fn group_of(&self, task: &Task) -> Option<(&Entry, &Step, &Group)> {
         let entry = self.table.entries.get(&task.job)?;
         let step = entry.step(task.step)?;
         let group = entry.groups.get(&GroupKey::of(task, step.is_gang))?;
@@ -122,6 +123,23 @@
         if is_remote { self.options.remote_factor.max(1) } else { 1 }
     }
 
+    /// Returns the lasting slowness of the workers that a group runs on.
+    fn group_speed(&self, group: &Group) -> Slowness {
+        group.active().map(|active| self.active_slowness(active)).unwrap_or_default()
+    }
+
+    /// Returns the run time of a group where it runs, given that near its data at the reference
+    /// speed.
+    fn time_here(&self, group: &Group, usual: Duration) -> Duration {
+        self.group_speed(group).run_time(usual * self.slowdown(group))
+    }
+
+    /// Returns the run time of a group near its data at the reference speed, given that where it
+    /// runs.
+    fn usual_time(&self, group: &Group, here: Duration) -> Duration {
+        self.group_speed(group).reference_time(here / self.slowdown(group))
+    }
+
     /// Replaces the observed run times of the steps of open jobs.
     fn record_samples(&mut self, samples: Vec<(String, u32, Sample)>) {
         for id in &self.table.open {
@@ -174,8 +192,7 @@
         if step.is_long_running {
             return None;
         }
-        let slowdown = self.slowdown(group);
-        let expected = self.expected_run_time(entry, task.step) * slowdown;
+        let expected = self.time_here(group, self.expected_run_time(entry, task.step));
         if is_stalled(run, run.last_progress, now.steady, expected) {
             let since = run.last_progress.max(self.all_running_since(task, step, group)?);
             if !is_stalled(run, since, now.steady, expected) {
@@ -186,17 +203,18 @@
             return Some(Finding::Stalled { should_move });
         }
         let track = run.track?;
-        let total = track.present(run.last_progress, run.percent)? / slowdown;
+        let total = self.usual_time(group, track.present(run.last_progress, run.percent)?);
         let comparisons = self.comparisons(entry, step, group, name, task, run_times);
-        let own = track.best().map(|best| same_task(best / slowdown));
+        let own = track.best().map(|best| same_task(self.usual_time(group, best)));
         match pace::judge(total, own, &comparisons) {
             (Verdict::Unknown, _) => None,
             (Verdict::Normal, _) => Some(Finding::Normal),
             (Verdict::Slow, expected) => {
                 let left = 1.0 - f64::from(run.percent.min(100)) / 100.0;
-                let here = (total * slowdown).mul_f64(left);
+                let here = self.time_here(group, total).mul_f64(left);
                 let share = if step.checkpoints { left } else { 1.0 };
-                let elsewhere = expected.centre.mul_f64(share);
+                // It may be moved to a worker that is lastingly as slow as its own.
+                let elsewhere = self.group_speed(group).run_time(expected.centre).mul_f64(share);
                 // A run that is back on a worker that it was moved off has no better place.
                 let is_back = group.avoid.iter().any(|worker| worker == name);
                 let should_move = !is_back && pace::is_worth_moving(here, elsewhere);
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -9,6 +9,7 @@
 mod load;
 mod progress;
 mod reserve;
+mod speed;
 mod supply;
 mod terms;
 mod urgent;
