--- a/crates/plan/src/speed/speeds.rs
+++ b/crates/plan/src/speed/speeds.rs
@@ -76,6 +76,8 @@
 #[derive(Clone, Debug)]
 pub struct Speeds {
     options: Options,
+    /// Slowness of workers that is given rather than learned.
+    given: BTreeMap<String, Slowness>,
     workers: BTreeMap<String, Worker>,
     prior: Values,
     groups: Groups,
@@ -104,6 +106,7 @@
     pub fn new(options: Options) -> Self {
         Speeds {
             options,
+            given: BTreeMap::new(),
             workers: BTreeMap::new(),
             prior: prior::base(),
             groups: Groups::new(&prior::base()),
@@ -117,6 +120,12 @@
         }
     }
 
+    /// Returns the given slowness of workers; others are at the reference speed, and nothing is
+    /// learned.
+    pub fn given(slowness: impl IntoIterator<Item = (String, Slowness)>) -> Self {
+        Speeds { given: slowness.into_iter().collect(), ..Speeds::default() }
+    }
+
     /// Learns from a run of a task, or of a gang, on the given workers. `ratio` is its run time as a
     /// multiple of the one expected at the reference speed, `spread` the standard deviation of its
     /// logarithm for other reasons than the speed of the workers.
@@ -155,7 +164,7 @@
     /// Returns the slowness of a worker: that of the reference while the workers count as equal.
     pub fn slowness(&self, worker: &str) -> Slowness {
         if !self.is_unequal {
-            return Slowness::REFERENCE;
+            return self.given.get(worker).copied().unwrap_or_default();
         }
         let known = self.workers.get(worker).map(|worker| worker.log);
         let log = known.unwrap_or_else(|| grid::moments(&self.prior).0);
--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -29,7 +29,9 @@
     ) -> Option<(JobId, u64)> {
         let removed = self.remove_run(name, task, number);
         let run_time = removed.as_ref().and_then(|run| match ending {
-            Ending::Done => run.completed_run_time(now.steady),
+            Ending::Done => {
+                run.completed_run_time(now.steady).map(|time| self.reference_time(task, name, time))
+            }
             _ => self.local_run_time(task, run),
         });
         self.learn_speed_at_end(now, task, number, ending, removed.as_ref());
@@ -62,6 +64,15 @@
         Some((task.job.clone(), last_critical_change))
     }
 
+    /// Returns the reference run time of a task, given that of its run on a worker. A gang runs at
+    /// the pace of its slowest member.
+    fn reference_time(&self, task: &Task, name: &str, run_time: Duration) -> Duration {
+        let own = self.slowness(name);
+        let group = self.group_of(task).and_then(|(_, _, group)| group.active());
+        let slowness = group.map_or(own, |active| self.active_slowness(active).max(own));
+        slowness.reference_time(run_time)
+    }
+
     /// Keeps the checkpoint that a run had saved when it ended.
     fn keep_checkpoint(&mut self, now: Moment, task: &Task, key: &GroupKey, checkpoint: &str) {
         let Some(entry) = self.table.entries.get_mut(&task.job) else { return };
@@ -86,7 +97,6 @@
         run_time: Option<Duration>,
     ) {
         self.suspects.succeeded(name);
-        let run_time = run_time.map(|time| self.reference_time(task, key, time));
         let Some(entry) = self.table.entries.get_mut(&task.job) else { return };
         let Some(step) = entry.step(task.step).cloned() else { return };
         let Some(group) = entry.groups.get_mut(key) else { return };
@@ -98,14 +108,6 @@
         self.estimates.observe_kind(kind, length::declared(&step), run_time);
     }
 
-    /// Returns the run time at the reference speed of a group that runs now.
-    fn reference_time(&self, task: &Task, key: &GroupKey, run_time: Duration) -> Duration {
-        let group = self.table.entries.get(&task.job).and_then(|entry| entry.groups.get(key));
-        let active = group.and_then(|group| group.active()).into_iter();
-        let workers = active.flat_map(|active| active.unfinished.values());
-        self.group_slowness(workers.map(String::as_str)).reference_time(run_time)
-    }
-
     /// Counts a run that failed by its own fault, once.
     ///
     /// Runs that this planner did not order count as well: if a failure were forgotten, the task
--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -112,6 +112,8 @@
     pub observation: Option<Observation>,
     /// What the speed of workers was last learned from.
     pub pace: Option<Pace>,
+    /// A run was stopped so that the group continues on a faster worker.
+    pub restarts_faster: bool,
 }
 
 impl Group {
@@ -130,6 +132,7 @@
             blocked_since: None,
             observation: None,
             pace: None,
+            restarts_faster: false,
         }
     }
 
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -9,6 +9,7 @@
 mod load;
 mod progress;
 mod reserve;
+mod speed;
 mod speeds;
 mod supply;
 mod terms;
