planner: speeds are learned from the pace since the first progress

Change: the pace is measured from the first progress that was seen. Two tests expect the second write of the shard to contain both workers, since the first is due as soon as one of them is known.

--- a/crates/planner/src/speeds.rs
+++ b/crates/planner/src/speeds.rs
@@ -23,6 +23,8 @@
 /// Progress, in per cent, from which on a run in progress shows the speed of its workers. Each run is
 /// observed once: an early observation is available sooner, a late one is more accurate.
 const OBSERVED_PERCENT: u32 = 20;
+/// Progress, in per cent, that is needed to infer a run time at all.
+const MIN_PERCENT: u32 = 10;
 /// Maximum number of other tasks of a step that a run is compared with. Bounds the cost; more of them
 /// would hardly improve the median.
 const MAX_COMPARED: usize = 64;
@@ -55,13 +57,11 @@
         }
         let mut observed: BTreeMap<(JobId, GroupKey), (RunNumber, Duration)> = BTreeMap::new();
         for (task, run) in self.workers.values().flat_map(|worker| &worker.runs) {
-            let gained = run.percent.saturating_sub(run.first_percent);
-            if run.phase != Phase::Running || gained < OBSERVED_PERCENT {
+            if run.phase != Phase::Running {
                 continue;
             }
-            let Some((run_time, key)) =
-                run.total_run_time().zip(self.unlearned_key(task, run.number))
-            else {
+            let run_time = run.paced_run_time(OBSERVED_PERCENT, None);
+            let Some((run_time, key)) = run_time.zip(self.unlearned_key(task, run.number)) else {
                 continue;
             };
             observed.entry((task.job.clone(), key)).or_insert((run.number, run_time));
@@ -81,10 +81,8 @@
         run: Option<&Run>,
     ) {
         let Some(run) = run.filter(|_| self.speeds.is_enabled()) else { return };
-        let run_time = match ending {
-            Ending::Done => run.completed_run_time(now.steady),
-            _ => run.total_run_time(),
-        };
+        let end = (ending == Ending::Done).then_some(now.steady);
+        let run_time = run.paced_run_time(MIN_PERCENT, end);
         let Some(key) = self.unlearned_key(task, number) else { return };
         if let Some(run_time) = run_time {
             self.learn_speed(&task.job, &key, number, run_time);
@@ -166,7 +164,8 @@
                 step: key.step,
                 index: key.index,
             };
-            let run_time = self.workers.get(name)?.runs.get(&task)?.total_run_time()?;
+            let run = self.workers.get(name)?.runs.get(&task)?;
+            let run_time = run.paced_run_time(MIN_PERCENT, None)?;
             let belief = self.speeds.belief(&[name]);
             (!run_time.is_zero()).then(|| pace_of(group.run, run_time, belief))
         };
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -94,6 +94,9 @@
     /// checkpoint has made no progress: once it is restored, its progress jumps to that of the
     /// checkpoint.
     pub paced_since: Option<Duration>,
+    /// Time of the first progress that was seen, and that progress. The time before it may have been
+    /// spent on the start of the task.
+    pub first_progress: Option<(Duration, u32)>,
     /// The run was ordered to continue from a checkpoint.
     pub is_resumed: bool,
     /// Time at which the progress last grew.
@@ -254,6 +257,7 @@
         if running.percent > run.percent {
             let gap = now.saturating_sub(run.last_progress);
             run.percent = running.percent;
+            run.first_progress.get_or_insert((now, running.percent));
             if run.paced_since.is_none() {
                 run.paced_since = Some(now);
                 run.first_percent = running.percent;
@@ -295,6 +299,7 @@
             percent,
             first_percent: percent,
             paced_since: None,
+            first_progress: None,
             is_resumed: false,
             last_progress: now,
             track: None,
@@ -322,6 +327,16 @@
         (gained >= MIN_GAINED_PERCENT).then(|| ran.mul_f64(100.0 / f64::from(gained)))
     }
 
+    /// Returns the total run time at the pace since the first progress that was seen, once at least
+    /// `percent` have been gained. `end` is the time of the end if the run has succeeded.
+    pub fn paced_run_time(&self, percent: u32, end: Option<Duration>) -> Option<Duration> {
+        let (since, first) = self.first_progress?;
+        let (until, reached) = end.map_or((self.last_progress, self.percent), |end| (end, 100));
+        let gained = reached.saturating_sub(first);
+        let ran = until.saturating_sub(since);
+        (gained >= percent).then(|| ran.mul_f64(100.0 / f64::from(gained)))
+    }
+
     /// Returns the working time that would be repeated if the run were stopped while it is stalled.
     pub fn unsaved_time(&self) -> Duration {
         self.last_progress.saturating_sub(self.checkpointed_at.max(self.began))
--- a/crates/planner/tests/speeds/mod.rs
+++ b/crates/planner/tests/speeds/mod.rs
@@ -19,6 +19,15 @@
     Some((operation, shard, conditions[1].revision))
 }
 
+/// Answers the write of a shard that contains one worker, and returns the next, which contains both.
+fn written_both(fixture: &mut Fixture) -> (Operation, SpeedShard, u64) {
+    let (operation, shard, revision) = written(fixture).expect("a shard is written");
+    assert_eq!((shard.workers.len(), revision), (1, 0));
+    fixture.handle(Event::Store(operation, Reply::Committed(79)));
+    fixture.advance(2_500);
+    written(fixture).expect("the shard is written again")
+}
+
 /// Lets two workers join and run a job of 16 tasks, of which those on `b` take longer.
 fn learned(mut fixture: Fixture, id: &str) -> Fixture {
     fixture.join("a", Vec::new(), Vec::new());
@@ -78,8 +87,8 @@
     let mut fixture = learned(Fixture::with_speeds(vec![no_starts(0)]), "j");
     let status = fixture.planner.speeds_status().expect("learning is on");
     assert!((14..=16).contains(&status.observations), "{status:?}");
-    let (operation, shard, revision) = written(&mut fixture).expect("a shard is written");
-    assert_eq!((shard.workers.len(), revision), (2, 0));
+    let (operation, shard, revision) = written_both(&mut fixture);
+    assert_eq!((shard.workers.len(), revision), (2, 79));
     let Operation::Speeds(0) = operation else { panic!("there is one shard") };
 }
 
@@ -122,7 +131,7 @@
 #[test]
 fn the_speed_of_another_machine_is_forgotten() {
     let mut fixture = learned(Fixture::with_speeds(vec![no_starts(0)]), "j");
-    let (operation, shard, _) = written(&mut fixture).expect("a shard is written");
+    let (operation, shard, _) = written_both(&mut fixture);
     fixture.handle(Event::Store(operation, Reply::Committed(80)));
     let weight = |shard: &SpeedShard, name: &str| {
         shard.workers.iter().find(|row| row.worker == name).map_or(0, |row| row.weight)
