planner, plan: stops for urgent jobs have a price, and room is kept for the next ones

Cause: a worker that was cleared for an urgent group was taken by another one, work that had been stopped started again where the next urgent group stopped it, and the price of a stop did not depend on how many runs had been stopped.

Change: with Options::stops, claims are withheld in the pool from all other groups until their group starts, are renewed for the same places while their stops are late, and are dropped if a worker is lost. Capacity is kept free of work that can wait, as measured from the arrivals of urgent work and their run times, at most a quarter of the workers. Each stopped run has a price that rises with the share of stopped runs. Without the option all decisions are as before.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod estimate;
 pub mod evict;
 pub mod fleet;
+pub mod headroom;
 pub mod health;
 pub mod pace;
 pub mod pass;
--- a/crates/planner/src/accept.rs
+++ b/crates/planner/src/accept.rs
@@ -26,6 +26,7 @@
         }
         self.needs_pass = true;
         self.update_step_capacity(&id);
+        self.observe_arrival(now, &id);
         self.log_accepted(&id);
         if self.early_cancels.remove(&id) {
             self.cancel(now, &id);
--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -45,6 +45,7 @@
         self.keep_checkpoint(now, task, &key, checkpoint);
         match ending {
             Ending::Done if !is_final && !is_long => {
+                self.count_done(now);
                 self.learn_run_time(name, task, &key, number, run_time);
                 return self.group_done(now, &task.job, &key);
             }
--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -48,6 +48,8 @@
     pub until: Duration,
     /// Number of tasks by worker.
     pub assignments: Vec<(WorkerName, u32)>,
+    /// How often it was renewed.
+    pub renewals: u32,
 }
 
 /// The shortest run time observed for a group: of a complete run, or extrapolated from the pace of
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -28,6 +28,7 @@
 mod reserve;
 mod startup;
 mod state;
+mod stops;
 mod supply;
 pub mod table;
 mod unanswered;
--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -13,4 +13,10 @@
     pub tried: u64,
     /// Searches for work to stop, in all passes.
     pub searches: u64,
+    /// Runs that were stopped for urgent jobs.
+    pub stopped_for_urgent: u64,
+    /// Claims that were renewed for the same places.
+    pub claims_kept: u64,
+    /// Claims that were dropped because a worker was lost.
+    pub claims_lost: u64,
 }
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -41,6 +41,9 @@
 const REMOTE_WAIT_FACTOR: u32 = 4;
 /// Remaining slack below which a job no longer waits for a better place.
 const WAIT_MARGIN: Duration = Duration::from_millis(2_000);
+/// Remaining slack below which a job no longer leaves room for urgent work. With 2 s, jobs that
+/// waited for a quarter of the workers were late more often.
+const HEADROOM_MARGIN: Duration = Duration::from_secs(4);
 
 /// A group that waits.
 struct Waiting {
@@ -86,8 +89,13 @@
             let Some(entry) = self.table.entries.get(&*group.job) else { continue };
             let service = self.service(entry);
             if !pools.contains_key(service) {
-                pools.insert(service.to_owned(), self.pool(now, service));
+                let mut pool = self.pool(now, service);
+                let service = service.to_owned();
+                self.hold_claims(&mut pool);
+                pools.insert(service, pool);
             }
+            let Some(entry) = self.table.entries.get(&*group.job) else { continue };
+            let service = self.service(entry);
             let pool = pools.get_mut(service).expect("inserted above");
             self.load.tried += 1;
             let outcome = self.try_group(now, pool, group, &guaranteed);
@@ -230,6 +238,10 @@
         }
         let is_guaranteed = guaranteed.contains(id);
         let priority = self.queue_settings(entry).priority;
+        pool.release_claim(id, key);
+        if priority > 0 {
+            self.keep_headroom(now, pool);
+        }
         let reach = self.reach(now, pool, entry, key, &demand, is_guaranteed);
         let places = self.available_places(now, pool, entry, key, &demand);
         let assignments = assignment::assign(&places, &demand, reach);
@@ -265,7 +277,9 @@
                 pool.apply_claim(&claim, &demand);
                 return Outcome::Served;
             }
-            self.force_resources(now, pool, &urgent, guaranteed);
+            if !self.renew_claim(now, pool, &urgent, &claim) {
+                self.force_resources(now, pool, &urgent, guaranteed);
+            }
             return Outcome::Waits;
         }
         if priority == 0 {
@@ -373,7 +387,8 @@
         })
     }
 
-    /// Returns the places that a group may use now.
+    /// Returns the places that a group may use now, without those that are kept free for urgent
+    /// work.
     fn available_places<'a>(
         &self,
         now: Moment,
@@ -381,6 +396,22 @@
         entry: &Entry,
         key: &GroupKey,
         demand: &Demand,
+    ) -> Cow<'a, [Place]> {
+        let places = self.usable_places(now, pool, entry, key, demand);
+        match self.without_headroom(now, pool, entry, &places) {
+            Some(others) => Cow::Owned(others),
+            None => places,
+        }
+    }
+
+    /// Returns the places that a group may use now.
+    fn usable_places<'a>(
+        &self,
+        now: Moment,
+        pool: &'a Pool,
+        entry: &Entry,
+        key: &GroupKey,
+        demand: &Demand,
     ) -> Cow<'a, [Place]> {
         if self.queue_settings(entry).priority > 0
             && let Some(others) = self.without_avoided(now, pool, entry, key, demand)
@@ -392,7 +423,8 @@
         {
             return Cow::Owned(open);
         }
-        if self.options.policy.spare_workers && self.can_wait(now, entry, key) {
+        let keeps_fixed = self.options.policy.spare_workers && self.options.stops.is_none();
+        if keeps_fixed && self.can_wait(now, entry, key) {
             let keep = MAX_RESERVED_WORKERS.min(pool.places.len() / WORKERS_PER_RESERVED);
             return Cow::Owned(assignment::without_reserved(&pool.places, keep));
         }
@@ -432,12 +464,23 @@
     /// where urgent work will not need to stop it. One that pending starts have held up has not.
     fn can_wait(&self, now: Moment, entry: &Entry, key: &GroupKey) -> bool {
         let saves = entry.step(key.step).is_some_and(|step| step.checkpoints);
-        if self.queue_settings(entry).priority == 0 || saves || entry.is_held {
+        !saves && self.has_slack(now, entry)
+    }
+
+    /// Returns whether a group that is not urgent has time to wait. One that pending starts have
+    /// held up has not.
+    pub(crate) fn has_slack(&self, now: Moment, entry: &Entry) -> bool {
+        if self.queue_settings(entry).priority == 0 || entry.is_held {
             return false;
         }
         let end = Self::age(entry, now)
             + entry.remaining_path(|step| self.expected_run_time(entry, step));
-        end + WAIT_MARGIN < self.objective(entry)
+        let objective = self.objective(entry);
+        if self.options.stops.is_some() {
+            // Work that is late in any case loses nothing more by leaving room for urgent work.
+            return end + HEADROOM_MARGIN < objective || end > objective;
+        }
+        end + WAIT_MARGIN < objective
     }
 
     /// Decides whether a group may run where it is slower: if it never fits elsewhere, if it has
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -27,6 +27,7 @@
     options::{self, Options},
     queue::Settings,
     state::{commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, startup::Startup},
+    stops,
     table::{Entry, Table},
     unanswered,
     worker::{Cause, Phase, Stop, Worker},
@@ -47,6 +48,7 @@
     pub(crate) estimates: estimate::Estimates,
     pub(crate) suspects: suspect::Suspects,
     pub(crate) speeds: Speeds,
+    pub(crate) stops: stops::State,
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
@@ -95,6 +97,7 @@
             estimates: estimate::Estimates::default(),
             suspects: suspect::Suspects::default(),
             speeds: Speeds::default(),
+            stops: stops::State::default(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
             early_cancels: BTreeSet::new(),
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -22,6 +22,7 @@
     event::Moment,
     group::{Active, Claim, Group},
     planner::Planner,
+    stops,
     table::Entry,
     worker::Worker,
 };
@@ -53,6 +54,10 @@
     has_candidates: bool,
     /// Resources reserved for groups that wait.
     pub(crate) reservations: Vec<Reservation>,
+    /// Name of the service.
+    pub(crate) service: String,
+    /// Resources that are withheld for urgent work.
+    pub(crate) held: stops::Held,
 }
 
 impl Pool {
@@ -140,6 +145,8 @@
             jobs: Vec::new(),
             has_candidates: false,
             reservations: Vec::new(),
+            service: service.to_owned(),
+            held: stops::Held::default(),
         }
     }
 
@@ -226,7 +233,9 @@
                 let remaining = self.remaining_run(now, entry, key, active);
                 let end = Self::age(entry, now).saturating_add(remaining);
                 let lateness = self.lateness(priority, objective.saturating_sub(end));
-                let cost = self.stop_cost(now, step, active) + lateness / running as f64;
+                let price =
+                    if active.is_stopping { 0.0 } else { self.stop_price(active.unfinished.len()) };
+                let cost = self.stop_cost(now, step, active) + lateness / running as f64 + price;
                 let victim = evict::Victim { cost, released: released.collect() };
                 let is_stopping = active.is_stopping;
                 found.keys.push((job, *key));
--- a/crates/planner/src/urgent.rs
+++ b/crates/planner/src/urgent.rs
@@ -23,7 +23,7 @@
 const OVERHEAD: Duration = Duration::from_millis(300);
 /// Time from the end of a run until the planner knows of it: two messages between regions and the
 /// interval of the minion's lists.
-const END_REPORT_DELAY: Duration = Duration::from_millis(250);
+pub(crate) const END_REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of stopped groups that are named in one log line; the others are logged when they
 /// end.
 const MAX_LOGGED_STOPS: usize = 8;
@@ -144,7 +144,7 @@
             |seat: &Assignment| (pool.places[seat.place].worker.to_string(), seat.tasks);
         let assignments = assignments.iter().map(assignment).collect();
         let until = now.steady + wait.max(self.options.stop_timeout) + END_REPORT_DELAY;
-        let claim = Claim { until, assignments };
+        let claim = Claim { until, assignments, renewals: 0 };
         pool.apply_claim(&claim, demand);
         let Some(entry) = self.table.entries.get_mut(id) else { return };
         if let Some(group) = entry.groups.get_mut(key) {
@@ -164,6 +164,7 @@
             stopped.len(),
             names.join(",")
         ));
+        self.count_stopped(now, &stopped);
         for (job, key) in stopped {
             self.stop_group(now.steady, &job, &key, &Cause::Urgent((*id).to_owned()));
         }
--- a/crates/planner/tests/urgent/mod.rs
+++ b/crates/planner/tests/urgent/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the resources that are released for urgent groups.
 
+mod stops;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use sapphire_jobs::{
@@ -21,6 +23,8 @@
     stopped: usize,
     /// Progress that all tasks report; `None` for tasks that are about to end.
     percent: Option<u32>,
+    /// Stopped tasks have completed before the order to stop them arrives.
+    is_too_late: bool,
 }
 
 impl Minions {
@@ -43,7 +47,8 @@
                 let number = self.ends.entry(name.to_owned()).or_default();
                 *number += 1;
                 self.stopped += 1;
-                finished.push(ended(*number, task.run(run.number), Ending::Stopped));
+                let ending = if self.is_too_late { Ending::Done } else { Ending::Stopped };
+                finished.push(ended(*number, task.run(run.number), ending));
             } else {
                 let near_end =
                     90 + u32::try_from((fixture.now - START) / 4_000).expect("a short run");
@@ -58,6 +63,11 @@
 /// Returns a planner with workers that each run eight small tasks, which according to their
 /// progress are about to end.
 fn full_workers(names: &[&str]) -> (Fixture, Minions) {
+    full_workers_at(names, None)
+}
+
+/// The same, where all tasks report the given progress.
+fn full_workers_at(names: &[&str], percent: Option<u32>) -> (Fixture, Minions) {
     let mut fixture = Fixture::new(Vec::new());
     for name in names {
         fixture.join(name, Vec::new(), Vec::new());
@@ -67,7 +77,7 @@
         Step { room: Some(resources(4).message()), estimate_ms: 20_000, ..step(tasks, false) };
     let jobs = vec![job("small", TERM, small)];
     fixture.handle(Event::Notice(Notice { jobs, ..Notice::default() }));
-    let mut minions = Minions::default();
+    let mut minions = Minions { percent, ..Minions::default() };
     for _ in 0..15 {
         minions.answer_all(&mut fixture, names);
     }
