--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod speeds;
 mod startup;
 mod state;
+mod stops;
 mod supply;
 pub mod table;
 mod unanswered;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -29,6 +29,7 @@
     state::{
         self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, startup::Startup,
     },
+    stops,
     table::{Entry, Table},
     unanswered,
     worker::{Cause, Phase, Stop, Worker},
@@ -52,6 +53,7 @@
     pub(crate) speed_state: state::speeds::Speeds,
     /// Slowness that waiting work can expect, by service; see [`Planner::update_awaited_slowness`].
     pub(crate) awaited_slowness: BTreeMap<String, Slowness>,
+    pub(crate) stops: stops::State,
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
@@ -104,6 +106,7 @@
             speeds: Speeds::new(speeds),
             speed_state: state::speeds::Speeds::default(),
             awaited_slowness: BTreeMap::new(),
+            stops: stops::State::default(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
             early_cancels: BTreeSet::new(),
