plan, planner: work of organisations above their share goes later

Cause: no decision accounted for an organisation's past usage, so that the one that submits most took the workers from all others.

Change: with the section `shares`, the planner adds up each organisation's usage of the workers, with decay over the window. Among jobs of one priority and one feasibility, those of organisations above the mean of all that have open work go after the others. Guaranteed work and jobs with a claim are not put back, and nothing is stopped because of a share. The record `s/shares` is written at most every 5 s and read by the next planner, which lets it decay by the time since then. Entries get the backlogs of organisations above their share with the feed. Without the section nothing is counted or written.

--- a/crates/jobs/src/length.rs
+++ b/crates/jobs/src/length.rs
@@ -30,6 +30,14 @@
     critical_path.mul_f64(slack) + Duration::from_millis(job.target_latency_ms)
 }
 
+/// Accelerators that the initial steps of a job take at the same time.
+pub fn initial_accelerators(steps: &[Step]) -> u64 {
+    let first = steps.iter().filter(|step| step.after.is_empty());
+    let accelerators =
+        |step: &Step| Resources::read(step.room.as_ref()).accelerators * u64::from(step.tasks);
+    first.map(accelerators).sum()
+}
+
 /// Work of all tasks of a job in processor seconds, by the declared run times.
 pub fn work(steps: &[Step]) -> f64 {
     let step_work = |step: &Step| {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,8 +9,9 @@
 
 pub use sapphire_schema::jobs::{
     Backlog, Ended, Ending, Feed, FeedPoll, Fleet, Incarnation, Job, Lead, Member, Notice, Orders,
-    Poll, Progress, Rejection, Relay, Relayed, Row, Run, Running, Schedule, Start, State, Step,
-    Supply, Tally, Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask, Verdict,
+    OrganisationBacklog, Poll, Progress, Rejection, Relay, Relayed, Row, Run, Running, Schedule,
+    Start, State, Step, Supply, Tally, Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask,
+    Usage, Usages, Verdict,
 };
 
 /// Maximum number of ended runs that a minion lists at a time. When a list contains this many, a
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -24,6 +24,8 @@
     pub work: f64,
     /// Whether the job competes with those of priority 1 when it is close to its deadline.
     pub escalates: bool,
+    /// Whether the job's organisation is above its share of the workers.
+    pub is_above_share: bool,
 }
 
 /// A job that takes longer than this many times its objective is of no use to its caller any more.
@@ -50,6 +52,9 @@
     feasibility: Feasibility,
     /// Class by priority and guarantee. It counts first; feasibility decides within it.
     tier: u32,
+    /// Whether work of organisations below their share goes first. It counts after feasibility, so
+    /// that a small organisation's late job does not make another's late as well.
+    is_above_share: bool,
     /// Tie-breaker, in seconds.
     urgency: f64,
 }
@@ -64,7 +69,7 @@
 
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> cmp::Ordering {
-        let key = |rank: &Rank| (rank.tier, rank.feasibility);
+        let key = |rank: &Rank| (rank.tier, rank.feasibility, rank.is_above_share);
         key(self).cmp(&key(other)).then(self.urgency.total_cmp(&other.urgency))
     }
 }
@@ -106,5 +111,6 @@
     // A small job is worth about as much to its caller as a large one of its kind, so among jobs
     // with the same slack the shorter goes first.
     let urgency = slack + job.remaining.as_secs_f64();
-    Rank { feasibility, tier, urgency }
+    let is_above_share = job.is_above_share && tier > 0;
+    Rank { feasibility, tier, is_above_share, urgency }
 }
--- a/crates/plan/tests/plan.rs
+++ b/crates/plan/tests/plan.rs
@@ -88,3 +88,4 @@
 
 mod decisions;
 mod quorum;
+mod shares;
--- a/crates/planner/src/commit.rs
+++ b/crates/planner/src/commit.rs
@@ -132,6 +132,7 @@
             Operation::Fleet => self.fleet_written(now, reply),
             Operation::Progress(jobs) => self.progress_written(now, jobs, reply),
             Operation::Unanswered(write) => self.unanswered_written(now, write, reply),
+            Operation::Shares => self.shares_written(reply),
             Operation::Intake => self.handle_intake(now, reply),
             Operation::Cordons => self.handle_cordons(now, reply),
             Operation::CordonWatch => self.handle_cordon_watch(now, reply),
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -28,6 +28,8 @@
     Unanswered(u64),
     /// Write of progress: the jobs, with the number of the latest change that the write contains.
     Progress(Vec<(JobId, u64)>),
+    /// Write of the usage of the workers by organisation.
+    Shares,
     /// Removal of the records of ended jobs.
     Forget(Vec<JobId>),
     /// Read of jobs that no entry has notified the planner of.
--- a/crates/planner/src/keys.rs
+++ b/crates/planner/src/keys.rs
@@ -8,6 +8,8 @@
 pub const LEAD: &str = "lead";
 /// List of the workers that may be running tasks.
 pub const FLEET: &str = "s/fleet";
+/// Usage of the workers by organisation.
+pub const SHARES: &str = "s/shares";
 /// Handover record: starts that may still be carried out. The first of its slots.
 pub const UNANSWERED: &str = "s/unanswered";
 /// Number of slots of the handover record. A write goes to a slot that no other write is on its way
@@ -49,6 +51,8 @@
     Progress(&'a str),
     /// The list of workers.
     Fleet,
+    /// Usage of the workers by organisation.
+    Shares,
     /// A slot of the handover record.
     Unanswered(usize),
     /// A key that the planner does not use.
@@ -65,6 +69,8 @@
         Key::Progress(id)
     } else if key == FLEET {
         Key::Fleet
+    } else if key == SHARES {
+        Key::Shares
     } else {
         let slot = (0..SLOTS).find(|slot| key == unanswered(*slot));
         slot.map_or(Key::Other, Key::Unanswered)
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -26,6 +26,7 @@
 mod queue;
 mod reconcile;
 mod reserve;
+mod shares;
 mod startup;
 mod state;
 mod supply;
--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -13,4 +13,6 @@
     pub tried: u64,
     /// Searches for work to stop, in all passes.
     pub searches: u64,
+    /// Organisations above their share of the workers.
+    pub above_share: usize,
 }
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -97,7 +97,7 @@
 
     /// Returns the jobs of priority 0 that are covered by their organisation's guarantee, the
     /// earliest first.
-    fn guaranteed_jobs(&self) -> BTreeSet<JobId> {
+    pub(crate) fn guaranteed_jobs(&self) -> BTreeSet<JobId> {
         let mut urgent: Vec<&Entry> = (self.table.open.iter())
             .filter_map(|id| self.table.entries.get(id))
             .filter(|entry| self.queue_settings(entry).priority == 0)
@@ -146,7 +146,7 @@
     }
 
     /// Returns the data that decide the order of a job.
-    fn job_rank(&self, now: Moment, entry: &Entry, is_guaranteed: bool) -> rank::Job {
+    pub(crate) fn job_rank(&self, now: Moment, entry: &Entry, is_guaranteed: bool) -> rank::Job {
         rank::Job {
             priority: self.queue_settings(entry).priority,
             is_guaranteed,
@@ -155,6 +155,7 @@
             remaining: entry.remaining_path(|step| self.expected_run_time(entry, step)),
             work: sapphire_jobs::length::work(&entry.job.steps),
             escalates: self.options.policy.prefer_pressing,
+            is_above_share: self.is_above_share(entry),
         }
     }
 
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -26,7 +26,10 @@
     load::Load,
     options::{self, Options},
     queue::Settings,
-    state::{commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, startup::Startup},
+    state::{
+        commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, shares::Shares,
+        startup::Startup,
+    },
     table::{Entry, Table},
     unanswered,
     worker::{Cause, Phase, Stop, Worker},
@@ -47,6 +50,8 @@
     pub(crate) estimates: estimate::Estimates,
     pub(crate) suspects: suspect::Suspects,
     pub(crate) speeds: Speeds,
+    /// Shares of organisations.
+    pub(crate) shares: Shares,
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
@@ -95,6 +100,7 @@
             estimates: estimate::Estimates::default(),
             suspects: suspect::Suspects::default(),
             speeds: Speeds::default(),
+            shares: Shares::default(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
             early_cancels: BTreeSet::new(),
@@ -194,6 +200,7 @@
         self.expire_workers(now);
         self.expire_unanswered(now);
         self.watch_progress(now);
+        self.update_shares(now);
         self.update_supplies(now);
         self.add_due_occurrences(now);
         self.remove_ended(now);
@@ -220,6 +227,7 @@
         }
         self.write_progress(now);
         self.write_unanswered(now);
+        self.write_shares(now);
         self.answer_polls(now);
         self.answer_feeds(now);
         std::mem::take(&mut self.effects)
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -77,6 +77,7 @@
                 Key::Progress(id) => progress.push((id, value, item.revision)),
                 Key::Cancel(id) => cancelled.push(id),
                 Key::Fleet => self.load_fleet(value, item.revision),
+                Key::Shares => self.load_shares(now, value, item.revision),
                 Key::Unanswered(slot) => handover.push((slot, value, item.revision)),
                 Key::Other => {}
             }
--- a/crates/planner/src/state/mod.rs
+++ b/crates/planner/src/state/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod feeds;
 pub(crate) mod handover;
 pub(crate) mod intake;
+pub(crate) mod shares;
 pub(crate) mod startup;
--- a/crates/planner/src/supply.rs
+++ b/crates/planner/src/supply.rs
@@ -1,8 +1,12 @@
 //! Supply reported to entries: resources of the workers, and the backlog of work for them.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use sapphire_jobs::{Backlog, Step, Supply, resources::Resources};
+use sapphire_jobs::{Backlog, OrganisationBacklog, Step, Supply, resources::Resources};
+use sapphire_plan::rank::{self, Feasibility};
 
 use crate::{event::Moment, group::Phase, planner::Planner, table::Entry, worker::Worker};
 
@@ -14,6 +18,9 @@
 /// Assumed remaining fraction of the expected run time of a running task: half of it, on average.
 const REMAINING_SHARE: f64 = 0.5;
 
+/// Maximum number of organisations whose backlog is reported for each service.
+const MAX_ORGANISATIONS: usize = 16;
+
 /// A sum of resources, or of resources times seconds, by kind of resource.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Amount {
@@ -46,9 +53,17 @@
     }
 }
 
+/// Open work of an organisation that is above its share.
+#[derive(Default)]
+struct OpenWork {
+    jobs: u32,
+    /// By priority: all work, and that whose result is still of use.
+    work: BTreeMap<u32, (Amount, Amount)>,
+}
+
 /// Sums for one service.
 #[derive(Default)]
-struct Totals {
+struct Totals<'a> {
     largest: Resources,
     /// Resources of all workers that are not draining.
     capacity: Amount,
@@ -56,6 +71,10 @@
     long_running: Amount,
     /// Open work by priority, in resources times seconds.
     work: BTreeMap<u32, Amount>,
+    /// Organisations that have open work.
+    organisations: BTreeSet<&'a str>,
+    /// Open work of those above their share.
+    above_share: BTreeMap<&'a str, OpenWork>,
 }
 
 impl Planner {
@@ -82,10 +101,61 @@
             if let Some(sum) = totals.get_mut(self.service(entry)) {
                 let (long_running, work) = self.open_work(entry);
                 sum.long_running.add(long_running);
-                sum.work.entry(self.queue_settings(entry).priority).or_default().add(work);
+                let priority = self.queue_settings(entry).priority;
+                sum.work.entry(priority).or_default().add(work);
+                sum.organisations.insert(&entry.job.organisation);
+                if self.shares.above.contains(&entry.job.organisation) {
+                    let open = sum.above_share.entry(&entry.job.organisation).or_default();
+                    open.jobs += 1;
+                    let (all, useful) = open.work.entry(priority).or_default();
+                    all.add(work);
+                    if rank::feasibility(&self.job_rank(now, entry, false)) != Feasibility::Lost {
+                        useful.add(work);
+                    }
+                }
             }
         }
-        self.supplies = totals.into_iter().filter_map(|(name, sum)| sum.supply(name)).collect();
+        let supply = |(name, sum): (&&str, &Totals<'_>)| {
+            let supply = sum.supply(name)?;
+            Some(Supply { above_share: self.above_share(sum), ..supply })
+        };
+        self.supplies = totals.iter().filter_map(supply).collect();
+    }
+
+    /// Returns the backlogs of the organisations above their share, while others have open work.
+    fn above_share(&self, sum: &Totals<'_>) -> Vec<OrganisationBacklog> {
+        if sum.organisations.len() < 2 || sum.above_share.is_empty() {
+            return Vec::new();
+        }
+        let guaranteed = self.guaranteed_jobs();
+        let in_use = |name: &str| {
+            let entries = guaranteed.iter().filter_map(|id| self.table.entries.get(id));
+            let own = entries.filter(|entry| entry.job.organisation == name);
+            own.map(Entry::accelerators).sum()
+        };
+        let highest = self.shares.usages.highest(usize::MAX).into_iter();
+        let known = highest.filter_map(|(name, _)| sum.above_share.get_key_value(name));
+        let row = |(name, open): (&&str, &OpenWork)| {
+            let share = self.shares.usages.served_share(name, &self.shares.demanding);
+            let mut row = OrganisationBacklog {
+                organisation: (*name).to_owned(),
+                share_milli: (share * 1_000.0) as u32,
+                guaranteed_in_use: in_use(name),
+                ..OrganisationBacklog::default()
+            };
+            let mut before = Amount::default();
+            for (priority, (all, useful)) in &open.work {
+                let mut ahead = before;
+                ahead.add(*useful);
+                let backlog = |work| Backlog { priority: *priority, drain_ms: sum.drain_ms(work) };
+                row.backlogs.push(backlog(&ahead));
+                row.own_priority.push(backlog(all));
+                before.add(*all);
+            }
+            row.job_ms = sum.drain_ms(&before) / u64::from(open.jobs.max(1));
+            row
+        };
+        known.take(MAX_ORGANISATIONS).map(row).collect()
     }
 
     /// Counts for each open job how many tasks of its steps fit on the workers at the same time.
@@ -135,21 +205,29 @@
     }
 }
 
-impl Totals {
-    fn supply(self, service: &str) -> Option<Supply> {
-        let available = 1.0 - self.long_running.share(&self.capacity);
-        if self.largest == Resources::default() || available <= 0.0 {
+impl Totals<'_> {
+    /// Returns the part of the workers that long-running tasks leave.
+    fn available(&self) -> f64 {
+        1.0 - self.long_running.share(&self.capacity)
+    }
+
+    /// Returns the time in milliseconds that all workers need for some work.
+    fn drain_ms(&self, work: &Amount) -> u64 {
+        let drain = Duration::from_secs_f64(work.share(&self.capacity) / self.available());
+        u64::try_from(drain.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn supply(&self, service: &str) -> Option<Supply> {
+        if self.largest == Resources::default() || self.available() <= 0.0 {
             return None;
         }
         let mut sum = Amount::default();
         let backlogs = self.work.iter().map(|(priority, work)| {
             sum.add(*work);
-            let drain = Duration::from_secs_f64(sum.share(&self.capacity) / available);
-            let drain_ms = u64::try_from(drain.as_millis()).unwrap_or(u64::MAX);
-            Backlog { priority: *priority, drain_ms }
+            Backlog { priority: *priority, drain_ms: self.drain_ms(&sum) }
         });
         let backlogs = backlogs.collect();
         let largest = Some(self.largest.message());
-        Some(Supply { service: service.to_owned(), largest, backlogs })
+        Some(Supply { service: service.to_owned(), largest, backlogs, above_share: Vec::new() })
     }
 }
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -247,10 +247,7 @@
 
     /// Returns the accelerators that the initial steps take at the same time.
     pub fn accelerators(&self) -> u64 {
-        let first = self.job.steps.iter().filter(|step| step.after.is_empty());
-        let accelerators =
-            |step: &Step| Resources::read(step.room.as_ref()).accelerators * u64::from(step.tasks);
-        first.map(accelerators).sum()
+        length::initial_accelerators(&self.job.steps)
     }
 
     /// Returns the run time of the critical path through the unfinished tasks, with as few waves as
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -83,6 +83,27 @@
     }
 }
 
+/// Returns the options of the planners under test.
+pub(crate) fn options() -> Options {
+    Options {
+        name: "e".to_owned(),
+        lease: ms(6_000),
+        longest_lease: ms(10_000),
+        clock_drift_milli: 20,
+        stop_timeout: ms(400),
+        status_retention: ms(120_000),
+        reclaim_deadline: ms(2_900),
+        remote_factor: 3,
+        policy: policy::Policy::default(),
+        speeds: Default::default(),
+        shares: None,
+        stops: None,
+        cordon_prefix: CORDONS.to_owned(),
+        read_cordon,
+        cordon_deadline: ms(5_000),
+    }
+}
+
 /// A planner under test, with the effects that it has asked for.
 pub(crate) struct Fixture {
     pub(crate) planner: Planner,
@@ -160,26 +181,9 @@
             ..Queue::default()
         };
         let catalog = Catalog::new(Parts { queues: vec![queue], ..Parts::default() });
-        let options = Options {
-            name: "e".to_owned(),
-            lease: ms(6_000),
-            longest_lease: ms(10_000),
-            clock_drift_milli: 20,
-            stop_timeout: ms(400),
-            status_retention: ms(120_000),
-            reclaim_deadline: ms(2_900),
-            remote_factor: 3,
-            policy: policy::Policy::default(),
-            speeds: Default::default(),
-            shares: None,
-            stops: None,
-            cordon_prefix: CORDONS.to_owned(),
-            read_cordon,
-            cordon_deadline: ms(5_000),
-        };
         let moment = Moment { steady: ms(now), unix: ms(now.saturating_add_signed(skew)) };
         let mut fixture = Fixture {
-            planner: Planner::new(options, term, Arc::new(catalog), moment),
+            planner: Planner::new(options(), term, Arc::new(catalog), moment),
             now,
             orders: Vec::new(),
             feeds: Vec::new(),
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -9,6 +9,7 @@
 mod load;
 mod progress;
 mod reserve;
+mod shares;
 mod supply;
 mod terms;
 mod urgent;
--- a/crates/sapphired/src/jobs_entry/meter.rs
+++ b/crates/sapphired/src/jobs_entry/meter.rs
@@ -47,7 +47,7 @@
         if span < REPORT_INTERVAL {
             return None;
         }
-        let Load { events, passes, waiting, tried, searches } = load;
+        let Load { events, passes, waiting, tried, searches, above_share: _ } = load;
         let previous = self.previous;
         let line = format!(
             "load ms={} events={} turns={} busy_ms={} passes={} pass_ms={} longest_ms={} \
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -39,6 +39,7 @@
             self.record_time("pass", took);
             // A metric that can't be recorded is not worth an error.
             let _ = self.metrics.gauge("cordoned_zones", cordoned_zones);
+            let _ = self.metrics.gauge("shares.above", load.above_share as u64);
         }
         if let Some(line) = self.meter.report(end, load) {
             self.logger.info("plan", &line);
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -129,6 +129,7 @@
             Plan::Forget(_) => "forget",
             Plan::Intake => "intake",
             Plan::Unanswered(_) => "unanswered",
+            Plan::Shares => "shares",
             Plan::Cordons => "cordons",
             Plan::CordonWatch => "cordon_watch",
         },
