plan, front: jobs above the share are rejected if their own backlog is too long

Cause: the backlog of one organisation that submits ten times its share made all organisations' jobs late on paper, and all of them were rejected as too late.

Change: work of organisations above their share does not count against jobs of the others that have the same priority. An organisation above its share has its jobs rejected if its own backlog, at the share that it is served at, makes them useless to their callers; urgent ones only beyond its guarantee and if all workers together would be too late. The time to return is computed from that backlog, and callers get successive times, one served job apart. Rejections are made after the same look-up as before, logged, and counted as `shares.refused`.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -4,6 +4,10 @@
 
 use sapphire_jobs::{Schedule, State, Step};
 
+/// Reason of a rejection by share.
+pub const ABOVE_SHARE: &str =
+    "its organisation is above its share, and its turn would come too late";
+
 /// A job as its caller submits it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Submission {
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -4,14 +4,18 @@
 
 use prost::Message as _;
 use sapphire_jobs::{
-    Job, Progress, Schedule, State, Step, catalog::Queue, length, resources::Resources, task::JobId,
+    Job, Progress, Schedule, State, Step,
+    catalog::{Organisation, Queue},
+    length,
+    resources::Resources,
+    task::JobId,
 };
 use sapphire_plan::admit;
 use sapphire_planner::keys;
 use sapphire_store::call::{Call, Reply};
 
 use crate::{
-    answer::{Action, Answer, Request, Submission},
+    answer::{self, Action, Answer, Request, Submission},
     effect::Effect,
     event::{Caller, Operation},
     machine::{Lookup, Machine, Purpose, Retry},
@@ -52,7 +56,7 @@
             }
             return;
         };
-        let mut organisation = String::new();
+        let mut organisation = Organisation::default();
         if !queue.is_anonymous {
             // A key may have been revoked while this entry was partitioned from the store. The
             // limit on the age of the freshness check makes the entry refuse all keys before a
@@ -63,7 +67,7 @@
                 return;
             }
             match catalog.owner(&request.key) {
-                Some(owner) => organisation.clone_from(&owner.name),
+                Some(owner) => organisation.clone_from(owner),
                 None if is_recent => {
                     self.answer(caller, Answer::NoKey);
                     return;
@@ -85,8 +89,9 @@
             Action::Submit(Ok(submission)) => match validate(&submission, unix_now) {
                 Some(reason) => self.answer(caller, Answer::Malformed(reason)),
                 None => {
-                    let job = self.job_record(unix_now, rest, queue, organisation, submission);
-                    let supply = self.view.supply(now, queue);
+                    let supply = self.view.supply(now, queue, &organisation);
+                    let owner = organisation.name;
+                    let job = self.job_record(unix_now, rest, queue, owner, submission);
                     self.submit(now, caller, job, supply.as_ref(), timeout);
                 }
             },
@@ -152,6 +157,9 @@
                 admit::Outcome::Accept => None,
                 admit::Outcome::TooLarge { after } => Some(("no worker can hold a task", after)),
                 admit::Outcome::Full { after } => Some(("its turn would come too late", after)),
+                admit::Outcome::AboveShare { after } => {
+                    Some((answer::ABOVE_SHARE, self.return_slot(now, &job, after)))
+                }
             };
             if let Some((reason, after)) = refusal {
                 // Another entry may have accepted the job a moment ago, with its answer lost.
@@ -164,6 +172,23 @@
         self.enqueue_write(now, caller, &id, Payload::Job(Box::new(job)), timeout);
     }
 
+    /// Time after which the caller of a job that is rejected by share may retry, at least `after`.
+    ///
+    /// Callers get successive times, with the time between them that their organisation is served for
+    /// one job. Guards against callers that return all at once and are nearly all rejected again,
+    /// the earliest among them. Each entry has its part of the callers and of the times.
+    fn return_slot(&mut self, now: Duration, job: &Job, after: Duration) -> Duration {
+        let job_time = self.view.job_time(now, &job.service, &job.organisation).unwrap_or_default();
+        let entries = u32::try_from(self.entries.len()).unwrap_or(u32::MAX).max(1);
+        self.returns.retain(|_, latest| *latest > now);
+        let key = (job.service.clone(), job.organisation.clone());
+        let first = now + after;
+        let next = self.returns.get(&key).map_or(first, |latest| *latest + job_time * entries);
+        let slot = next.max(first).min(now + admit::MAX_RETRY_AFTER);
+        self.returns.insert(key, slot);
+        slot - now
+    }
+
     fn read_queue(&mut self, now: Duration, caller: Caller, queue: &str) {
         if self.view.has_feed() {
             let pending = self.view.pending(queue);
@@ -215,7 +240,15 @@
             Reply::Value(value) if value.revision == 0 => {
                 for lookup in self.lookups.remove(&id).unwrap_or_default() {
                     let answer = match lookup.purpose {
-                        Purpose::Reject { reason, after } => Answer::NotDone { reason, after },
+                        Purpose::Reject { reason, after } => {
+                            if reason == answer::ABOVE_SHARE {
+                                let after_ms = after.as_millis();
+                                self.log(format!(
+                                    "job={id} rejected: {reason} retry_after_ms={after_ms}"
+                                ));
+                            }
+                            Answer::NotDone { reason, after }
+                        }
                         Purpose::State | Purpose::Cancel => Answer::NoJob,
                     };
                     self.answer(lookup.caller, answer);
@@ -327,6 +360,7 @@
         task_resources: job.steps.iter().map(|step| Resources::read(step.room.as_ref())).collect(),
         priority: job.priority,
         objective: length::objective(job, chain),
+        accelerators: length::initial_accelerators(&job.steps),
     }
 }
 
--- a/crates/front/src/machine.rs
+++ b/crates/front/src/machine.rs
@@ -59,6 +59,9 @@
     /// Reads for look-ups that failed.
     pub(crate) retries: Vec<Retry>,
     pub(crate) reads: Reads,
+    /// Latest time at which a caller was told to return that was rejected by share, by service and
+    /// organisation.
+    pub(crate) returns: BTreeMap<(String, String), Duration>,
     /// Addresses of all known entries.
     pub(crate) entries: Vec<String>,
     /// This entry is the leader and runs the planner.
@@ -86,6 +89,7 @@
             lookups: BTreeMap::new(),
             retries: Vec::new(),
             reads: Reads::default(),
+            returns: BTreeMap::new(),
             entries: options.entries.clone(),
             is_planning: false,
             stale_since: None,
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -4,7 +4,10 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use sapphire_jobs::{
-    self as jobs, Feed, Job, Notice, State, catalog::Queue, resources::Resources, task::JobId,
+    self as jobs, Backlog, Feed, Job, Notice, State,
+    catalog::{Organisation, Queue},
+    resources::Resources,
+    task::JobId,
 };
 use sapphire_plan::admit;
 
@@ -84,13 +87,44 @@
 
     /// Resources and backlog of the workers that run a queue's jobs; none if the latest feed is too
     /// old.
-    pub fn supply(&self, now: Duration, queue: &Queue) -> Option<admit::Supply> {
+    ///
+    /// Work of the queue's priority goes before a job only if its organisation is not above its
+    /// share, or the job's is as well.
+    pub fn supply(
+        &self,
+        now: Duration,
+        queue: &Queue,
+        organisation: &Organisation,
+    ) -> Option<admit::Supply> {
         let mut supplies = self.supplies.iter().filter(|_| self.is_fresh(now));
         let supply = supplies.find(|supply| supply.service == queue.service)?;
         let ahead = supply.backlogs.iter().filter(|backlog| backlog.priority <= queue.priority);
         let drain_ms = ahead.map(|backlog| backlog.drain_ms).max().unwrap_or(0);
+        let largest = Resources::read(supply.largest.as_ref());
+        let rows = &supply.above_share;
+        let Some(own) = rows.iter().find(|row| row.organisation == organisation.name) else {
+            let after: u64 = rows.iter().map(|row| drain_of(&row.own_priority, queue)).sum();
+            let drain = Duration::from_millis(drain_ms.saturating_sub(after));
+            return Some(admit::Supply { largest, drain, above_share: None });
+        };
+        let guarantee = u64::from(organisation.guaranteed_accelerators);
+        let ahead = own.backlogs.iter().filter(|backlog| backlog.priority <= queue.priority);
+        let above_share = admit::AboveShare {
+            drain: Duration::from_millis(ahead.map(|it| it.drain_ms).max().unwrap_or(0)),
+            share: f64::from(own.share_milli.max(1)) / 1_000.0,
+            guarantee_left: guarantee.saturating_sub(own.guaranteed_in_use),
+        };
         let drain = Duration::from_millis(drain_ms);
-        Some(admit::Supply { largest: Resources::read(supply.largest.as_ref()), drain })
+        Some(admit::Supply { largest, drain, above_share: Some(above_share) })
+    }
+
+    /// Time that an organisation above its share is served for an average job; none if it is not
+    /// above, or the latest feed is too old.
+    pub fn job_time(&self, now: Duration, service: &str, organisation: &str) -> Option<Duration> {
+        let mut supplies = self.supplies.iter().filter(|_| self.is_fresh(now));
+        let supply = supplies.find(|supply| supply.service == service)?;
+        let own = supply.above_share.iter().find(|row| row.organisation == organisation)?;
+        Some(Duration::from_millis(own.job_ms) * 1_000 / own.share_milli.max(1))
     }
 
     /// State of a job, if it is known.
@@ -164,6 +198,12 @@
     }
 }
 
+/// Time for the work of exactly a queue's priority, in milliseconds.
+fn drain_of(backlogs: &[Backlog], queue: &Queue) -> u64 {
+    let mut same = backlogs.iter().filter(|backlog| backlog.priority == queue.priority);
+    same.next().map_or(0, |backlog| backlog.drain_ms)
+}
+
 fn is_final(state: State) -> bool {
     matches!(state, State::Complete | State::Failed | State::Cancelled)
 }
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 use prost::Message as _;
 use sapphire_front::{
-    answer::{Action, Answer, Submission},
+    answer::{ABOVE_SHARE, Action, Answer, Submission},
     event::{Event, Operation},
     reach::Way,
 };
 use sapphire_jobs::{
-    Backlog, Feed, Lead, Row, Schedule, State, Step, Supply, resources::Resources,
+    Backlog, Feed, Lead, OrganisationBacklog, Row, Schedule, State, Step, Supply,
+    resources::Resources,
 };
 use sapphire_store::call::{Call, Condition, Item, Reply, Value};
 
@@ -297,6 +298,7 @@
         service: "s".to_owned(),
         largest: Some(largest.message()),
         backlogs: vec![Backlog { priority: 0, drain_ms }],
+        above_share: Vec::new(),
     };
     let feed = Feed { term: 1, version: 2, supplies: vec![supply], ..Feed::default() };
     Some(Box::new(feed))
@@ -337,6 +339,50 @@
     assert_eq!(fixture.calls.last(), Some(&Operation::Submit(vec!["1".to_owned()])));
 }
 
+/// An organisation has a backlog that takes 3 s at its share of the workers, which is too long for its
+/// jobs. Its callers are rejected, after a read of the store, and told to return one after another, a
+/// served job apart. Another organisation's backlog rejects nothing, and neither does an outdated feed.
+#[test]
+fn callers_of_an_organisation_above_its_share_return_one_after_another() {
+    let feed_of = |organisation: &str, drain_ms: u64| {
+        let backlog = vec![Backlog { priority: 1, drain_ms }];
+        let row = OrganisationBacklog {
+            organisation: organisation.to_owned(),
+            share_milli: 250,
+            backlogs: backlog.clone(),
+            own_priority: backlog,
+            job_ms: 500,
+            guaranteed_in_use: 1,
+        };
+        let mut feed = feed_with_supply(0);
+        let supply = &mut feed.as_mut().expect("it is set").supplies[0];
+        supply.backlogs.extend(row.backlogs.clone());
+        supply.above_share.push(row);
+        feed
+    };
+    let mut fixture = Fixture::configured(1_000);
+    fixture.handle(1_100, Event::Feed { sent: ms(1_050), feed: feed_of("o", 750) });
+    let mut afters = Vec::new();
+    for id in ["1", "2", "3"] {
+        assert_eq!(
+            fixture.request(1_200, &format!("/later/{id}"), "k", submit_step(1, 1_000)),
+            None
+        );
+        let looked_up = Operation::LookUp(id.to_owned());
+        fixture.store_reply(1_210, 1_200, looked_up, Reply::Value(Value::default()));
+        let Some(Answer::NotDone { after, reason }) = fixture.last_answer() else { panic!("{id}") };
+        assert_eq!(reason, ABOVE_SHARE);
+        afters.push(after);
+    }
+    assert_eq!(afters, [ms(3_000), ms(5_000), ms(7_000)]);
+    assert_eq!(fixture.request(4_500, "/later/4", "k", submit_step(1, 1_000)), None);
+    assert_eq!(fixture.calls.last(), Some(&Operation::Submit(vec!["4".to_owned()])));
+    fixture.store_reply(4_510, 4_500, Operation::Submit(vec!["4".to_owned()]), Reply::Committed(8));
+    fixture.handle(4_600, Event::Feed { sent: ms(4_550), feed: feed_of("another", 60_000) });
+    assert_eq!(fixture.request(4_700, "/later/5", "k", submit_step(1, 1_000)), None);
+    assert_eq!(fixture.calls.last(), Some(&Operation::Submit(vec!["5".to_owned()])));
+}
+
 /// Guards against jobs that wait for over a second after a loss of power until an entry plans. The
 /// leader key is still held by the previous process of an entry that has just started, and its
 /// lease expires only later. That entry knows that its previous process has ended, and releases the
--- a/crates/front/tests/harness/mod.rs
+++ b/crates/front/tests/harness/mod.rs
@@ -35,12 +35,13 @@
         service: "s".to_owned(),
         ..Queue::default()
     };
+    let later = Queue { prefix: "/later/".to_owned(), priority: 1, ..queue.clone() };
     let keys = text.split(' ').map(str::to_owned).collect();
     let organisation = Organisation { name: "o".to_owned(), keys, guaranteed_accelerators: 1 };
     Ok(Catalog::new(Parts {
         version: revision,
         revision,
-        queues: vec![queue],
+        queues: vec![queue, later],
         organisations: vec![organisation],
         ..Parts::default()
     }))
--- a/crates/plan/tests/decisions/mod.rs
+++ b/crates/plan/tests/decisions/mod.rs
@@ -263,17 +263,19 @@
     let resources = Resources { millicores: 5_600, memory_mib: 23_000, accelerators: 1 };
     let largest = Resources { millicores: 64_000, memory_mib: 262_144, accelerators: 8 };
     let objective = Duration::from_secs(33);
-    let batch = admit::Job { task_resources: vec![resources], priority: 2, objective };
+    let batch =
+        admit::Job { task_resources: vec![resources], priority: 2, objective, accelerators: 1 };
     let urgent = admit::Job { priority: 0, ..batch.clone() };
     let mut drain = Duration::ZERO;
     let mut rejections = Vec::new();
     for second in 0..120_u64 {
         for _ in 0..10 {
-            let supply = admit::Supply { largest, drain };
+            let supply = admit::Supply { largest, drain, above_share: None };
             match admit::admit(&batch, Some(&supply)) {
                 admit::Outcome::Accept => drain += Duration::from_secs(1),
                 admit::Outcome::Full { after } => rejections.push((second, after)),
                 admit::Outcome::TooLarge { .. } => panic!("the job fits on a worker"),
+                admit::Outcome::AboveShare { .. } => panic!("there is one organisation"),
             }
             assert_eq!(admit::admit(&urgent, Some(&supply)), admit::Outcome::Accept);
         }
@@ -290,11 +292,12 @@
 #[test]
 fn a_job_that_fits_no_worker_is_rejected() {
     let largest = Resources { millicores: 64_000, memory_mib: 262_144, accelerators: 8 };
-    let supply = admit::Supply { largest, drain: Duration::ZERO };
+    let supply = admit::Supply { largest, drain: Duration::ZERO, above_share: None };
     let job = |accelerators| admit::Job {
         task_resources: vec![Resources { millicores: 1_000, memory_mib: 1_000, accelerators }],
         priority: 0,
         objective: Duration::from_secs(10),
+        accelerators,
     };
     assert_eq!(admit::admit(&job(8), Some(&supply)), admit::Outcome::Accept);
     assert_matches!(admit::admit(&job(9), Some(&supply)), admit::Outcome::TooLarge { .. });
--- a/crates/plan/tests/shares/mod.rs
+++ b/crates/plan/tests/shares/mod.rs
@@ -1,11 +1,12 @@
-//! Tests of the shares of organisations: usage and order.
+//! Tests of the shares of organisations: usage, order and admission.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use sapphire_plan::{rank, share};
+use sapphire_jobs::resources::Resources;
+use sapphire_plan::{admit, rank, share};
 
 const OPTIONS: share::Options = share::Options { window: Duration::from_secs(30) };
 
@@ -78,3 +79,29 @@
         |is_above| rank::rank(&rank::Job { is_guaranteed: true, ..job(0, 1, is_above) });
     assert_eq!(guaranteed(true), guaranteed(false));
 }
+
+/// An organisation submits ten times its share for minutes. Its jobs are rejected once its own
+/// backlog makes them useless, with the time after which the backlog has shrunk. Urgent jobs are
+/// rejected only beyond the guarantee and if all workers together would be too late.
+#[test]
+fn jobs_above_the_share_are_rejected_if_their_own_backlog_makes_them_useless() {
+    let secs = Duration::from_secs;
+    let largest = Resources { millicores: 8_000, memory_mib: 8_000, accelerators: 8 };
+    let job = |priority| admit::Job {
+        task_resources: vec![Resources { accelerators: 1, ..Resources::default() }],
+        priority,
+        objective: secs(10),
+        accelerators: 8,
+    };
+    let admit = |priority, own, guarantee_left| {
+        let above = admit::AboveShare { drain: secs(own), share: 0.25, guarantee_left };
+        let supply = admit::Supply { largest, drain: secs(own), above_share: Some(above) };
+        admit::admit(&job(priority), Some(&supply))
+    };
+    let rejected = |after| admit::Outcome::AboveShare { after: secs(after) };
+    assert_eq!(admit(1, 7, 0), admit::Outcome::Accept);
+    assert_eq!(admit(1, 10, 0), rejected(10));
+    assert_eq!(admit(0, 29, 0), admit::Outcome::Accept);
+    assert_eq!(admit(0, 45, 0), rejected(15));
+    assert_eq!(admit(0, 45, 8), admit::Outcome::Accept, "within the guarantee");
+}
--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -1,7 +1,10 @@
 //! Requests of callers and of other processes, and the answers to the calls of this process.
 
 use prost::Message as _;
-use sapphire_front::{self as front, answer::Answer};
+use sapphire_front::{
+    self as front,
+    answer::{self as answers, Answer},
+};
 use sapphire_jobs::{FeedPoll, Lead, Notice, Poll, Relay, Relayed};
 use sapphire_net::{
     hub::{CallId, CallerId, Failure, ListenerId},
@@ -148,6 +151,9 @@
             let took = now.steady.saturating_sub(active.received_at);
             self.record_time("request", took);
             self.count(&format!("answers.{}", response.status));
+            if matches!(answer, Answer::NotDone { reason, .. } if *reason == answers::ABOVE_SHARE) {
+                self.count("shares.refused");
+            }
             let (status, took) = (response.status, took.as_millis());
             let text = format!("request={caller} {} status={status} ms={took}", active.text);
             self.logger.info("front", &format!("{text} answer={answer:?}"));
