plan, planner: urgent work above the share competes with priority 1

Cause: urgent jobs beyond the guarantee of an organisation that submits ten times its share went before all other organisations' jobs of priority 1 and 2, and had them stopped.

Change: urgent jobs of an organisation above its share, beyond its guarantee, have the rank of priority 1, and nothing is stopped for them. Work of organisations above their share counts against no other organisation's job at admission.

--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -88,8 +88,8 @@
     /// Resources and backlog of the workers that run a queue's jobs; none if the latest feed is too
     /// old.
     ///
-    /// Work of the queue's priority goes before a job only if its organisation is not above its
-    /// share, or the job's is as well.
+    /// Work of organisations above their share goes before a job only if the job's organisation is
+    /// above its share as well.
     pub fn supply(
         &self,
         now: Duration,
@@ -198,10 +198,10 @@
     }
 }
 
-/// Time for the work of exactly a queue's priority, in milliseconds.
+/// Time for the work of a queue's priority and of higher ones, in milliseconds.
 fn drain_of(backlogs: &[Backlog], queue: &Queue) -> u64 {
-    let mut same = backlogs.iter().filter(|backlog| backlog.priority == queue.priority);
-    same.next().map_or(0, |backlog| backlog.drain_ms)
+    let ahead = backlogs.iter().filter(|backlog| backlog.priority <= queue.priority);
+    ahead.map(|backlog| backlog.drain_ms).sum()
 }
 
 fn is_final(state: State) -> bool {
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -24,7 +24,8 @@
     pub work: f64,
     /// Whether the job competes with those of priority 1 when it is close to its deadline.
     pub escalates: bool,
-    /// Whether the job's organisation is above its share of the workers.
+    /// Whether the job's organisation is above its share of the workers. Its urgent jobs beyond the
+    /// guarantee then compete with those of priority 1.
     pub is_above_share: bool,
 }
 
@@ -95,7 +96,11 @@
 /// Rank of a job among those that wait.
 pub fn rank(job: &Job) -> Rank {
     let feasibility = feasibility(job);
-    let tier = match (job.priority, job.is_guaranteed, feasibility) {
+    // Beyond its guarantee, an organisation above its share can't put its work before that of all
+    // others by declaring it urgent.
+    let is_put_back = job.is_above_share && !job.is_guaranteed;
+    let priority = if is_put_back { job.priority.max(1) } else { job.priority };
+    let tier = match (priority, job.is_guaranteed, feasibility) {
         (0, true, _) => 0,
         (0, false, Feasibility::OnTime | Feasibility::Late) => 1,
         (priority, _, Feasibility::OnTime) if priority > 1 && job.escalates && is_at_risk(job) => 3,
--- a/crates/plan/tests/shares/mod.rs
+++ b/crates/plan/tests/shares/mod.rs
@@ -75,6 +75,8 @@
     assert!(rank(1, 0, false) < rank(1, 4, true), "same priority, both on time");
     assert!(rank(1, 4, true) < rank(1, 9, false), "the other is late already");
     assert!(rank(1, 4, true) < rank(2, 0, false));
+    assert!(rank(1, 0, false) < rank(0, 0, true), "urgent work beyond the guarantee");
+    assert!(rank(0, 0, false) < rank(1, 0, false));
     let guaranteed =
         |is_above| rank::rank(&rank::Job { is_guaranteed: true, ..job(0, 1, is_above) });
     assert_eq!(guaranteed(true), guaranteed(false));
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -270,7 +270,9 @@
             return Outcome::Waits;
         }
         if priority == 0 {
-            if !is_guaranteed && !self.needs_more_tasks(now, id, key) {
+            // Work above the share goes after that of others, so that nothing is stopped for it.
+            let is_entitled = !self.is_above_share(entry) && self.needs_more_tasks(now, id, key);
+            if !is_guaranteed && !is_entitled {
                 return Outcome::Waits;
             }
             self.free_resources(now, pool, &urgent, guaranteed);
