plan: an organisation is above its share from half more than the share on

Cause: at load 1.5, four equal organisations went above their share by chance and had their urgent jobs put back.

Change: the tolerance is 0.5 instead of 0.25.

--- a/crates/plan/src/share.rs
+++ b/crates/plan/src/share.rs
@@ -20,7 +20,7 @@
 
 /// Usage beyond the fair share, as a fraction of it, from which on an organisation is above. Jobs
 /// arrive in bursts, so that the usage of equal organisations differs by chance.
-const TOLERANCE: f64 = 0.25;
+const TOLERANCE: f64 = 0.5;
 /// Least usage that can be above a share, as a fraction of an equal part of the window. When usage
 /// begins at zero, the first gang alone would exceed the mean of all organisations.
 const MIN_PART: f64 = 0.25;
