--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -27,6 +27,7 @@
 mod reconcile;
 mod reserve;
 mod restart;
+mod shares;
 mod speed;
 mod speed_records;
 pub mod speeds;
--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -19,4 +19,6 @@
     pub claims_kept: u64,
     /// Claims that were dropped because a worker was lost.
     pub claims_lost: u64,
+    /// Organisations above their share of the workers.
+    pub above_share: usize,
 }
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -112,7 +112,7 @@
 
     /// Returns the jobs of priority 0 that are covered by their organisation's guarantee, the
     /// earliest first.
-    fn guaranteed_jobs(&self) -> BTreeSet<JobId> {
+    pub(crate) fn guaranteed_jobs(&self) -> BTreeSet<JobId> {
         let mut urgent: Vec<&Entry> = (self.table.open.iter())
             .filter_map(|id| self.table.entries.get(id))
             .filter(|entry| self.queue_settings(entry).priority == 0)
@@ -161,7 +161,7 @@
     }
 
     /// Returns the data that decide the order of a job.
-    fn job_rank(&self, now: Moment, entry: &Entry, is_guaranteed: bool) -> rank::Job {
+    pub(crate) fn job_rank(&self, now: Moment, entry: &Entry, is_guaranteed: bool) -> rank::Job {
         rank::Job {
             priority: self.queue_settings(entry).priority,
             is_guaranteed,
@@ -170,6 +170,7 @@
             remaining: entry.remaining_path(|step| self.awaited_run_time(entry, step)),
             work: sapphire_jobs::length::work(&entry.job.steps),
             escalates: self.options.policy.prefer_pressing,
+            is_above_share: self.is_above_share(entry),
         }
     }
 
@@ -323,7 +324,9 @@
             return Outcome::Waits;
         }
         if priority == 0 {
-            if !is_guaranteed && !self.needs_more_tasks(now, id, key) {
+            // Work above the share goes after that of others, so that nothing is stopped for it.
+            let is_entitled = !self.is_above_share(entry) && self.needs_more_tasks(now, id, key);
+            if !is_guaranteed && !is_entitled {
                 return Outcome::Waits;
             }
             self.free_resources(now, pool, &urgent, guaranteed);
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -27,7 +27,8 @@
     options::{self, Options},
     queue::Settings,
     state::{
-        self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, startup::Startup,
+        self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, shares::Shares,
+        startup::Startup,
     },
     stops,
     table::{Entry, Table},
@@ -54,6 +55,8 @@
     /// Slowness that waiting work can expect, by service; see [`Planner::update_awaited_slowness`].
     pub(crate) awaited_slowness: BTreeMap<String, Slowness>,
     pub(crate) stops: stops::State,
+    /// Shares of organisations.
+    pub(crate) shares: Shares,
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
@@ -107,6 +110,7 @@
             speed_state: state::speeds::Speeds::default(),
             awaited_slowness: BTreeMap::new(),
             stops: stops::State::default(),
+            shares: Shares::default(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
             early_cancels: BTreeSet::new(),
@@ -208,6 +212,7 @@
         self.expire_workers(now);
         self.expire_unanswered(now);
         self.watch_progress(now);
+        self.update_shares(now);
         self.update_supplies(now);
         self.add_due_occurrences(now);
         self.remove_ended(now);
@@ -235,6 +240,7 @@
         }
         self.write_progress(now);
         self.write_unanswered(now);
+        self.write_shares(now);
         self.answer_polls(now);
         self.answer_feeds(now);
         std::mem::take(&mut self.effects)
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -45,6 +45,10 @@
                 let _ = self.metrics.gauge("speeds.observations", speeds.observations);
                 let _ = self.metrics.gauge("speeds.writes", speeds.writes);
             }
+            let _ = self.metrics.gauge("shares.above", load.above_share as u64);
+            let _ = self.metrics.gauge("stops.for_urgent", load.stopped_for_urgent);
+            let _ = self.metrics.gauge("stops.claims_kept", load.claims_kept);
+            let _ = self.metrics.gauge("stops.claims_lost", load.claims_lost);
         }
         if let Some(line) = self.meter.report(end, load) {
             self.logger.info("plan", &line);
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -130,6 +130,7 @@
             Plan::Intake => "intake",
             Plan::Unanswered(_) => "unanswered",
             Plan::Speeds(_) => "speeds",
+            Plan::Shares => "shares",
             Plan::Cordons => "cordons",
             Plan::CordonWatch => "cordon_watch",
         },
