--- a/crates/plan/src/headroom.rs
+++ b/crates/plan/src/headroom.rs
@@ -82,7 +82,7 @@
     }
 }
 
-/// Chooses the workers that are kept free: as many as [`MARGIN`] times the expected urgent work needs
+/// Chooses the workers that are kept free: as many as `MARGIN` times the expected urgent work needs
 /// beyond those that urgent work has already, and at most a quarter of all. Those with the most free resources
 /// are chosen, in racks with the most free resources, so that a gang that wants whole workers or one
 /// rack finds them. Returns indices of places.
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -94,7 +94,7 @@
             if !pools.contains_key(service) {
                 let mut pool = self.pool(now, service);
                 let service = service.to_owned();
-                self.hold_claims(&mut pool);
+                self.hold_claims(now, &mut pool);
                 pools.insert(service, pool);
             }
             let Some(entry) = self.table.entries.get(&*group.job) else { continue };
@@ -242,6 +242,7 @@
         let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
         let Some(mut demand) = self.demand(now, entry, key, None) else { return Outcome::Waits };
         let group = entry.groups.get(key).expect("the demand is that of a known group");
+        pool.release_claim(id, key);
         match self.standing(id, key, group, demand.tasks) {
             Standing::Free => {}
             Standing::Repeatable(worker, number)
@@ -251,12 +252,12 @@
             }
             Standing::Repeatable(..) | Standing::Blocked => {
                 self.mark_blocked(now, id, key, demand.tasks);
+                self.hold_claim_again(pool, id, key, &demand);
                 return Outcome::Waits;
             }
         }
         let is_guaranteed = guaranteed.contains(id);
         let priority = self.queue_settings(entry).priority;
-        pool.release_claim(id, key);
         if priority > 0 {
             self.keep_headroom(now, pool);
         }
@@ -269,6 +270,7 @@
         }
         if let Some(assignments) = assignments {
             if self.may_still_run(id, key, demand.tasks) {
+                self.hold_claim_again(pool, id, key, &demand);
                 return Outcome::Waits;
             }
             let placement =
@@ -311,6 +313,7 @@
                 self.place(now, pool, id, key, &placement);
                 return Outcome::Served;
             }
+            self.hold_claim_again(pool, id, key, &demand);
             return Outcome::Waits;
         }
         if let Some(claim) = group.claim.clone() {
@@ -520,8 +523,9 @@
             Self::age(entry, now) + entry.remaining_path(|step| self.awaited_run_time(entry, step));
         let objective = self.objective(entry);
         if self.options.stops.is_some() {
-            // Work that is late in any case loses nothing more by leaving room for urgent work.
-            return end + HEADROOM_MARGIN < objective || end > objective;
+            // Work that is of no use any more loses nothing by leaving room for urgent work.
+            let is_lost = end > objective * rank::USEFUL_OBJECTIVES;
+            return end + HEADROOM_MARGIN < objective || is_lost;
         }
         end + WAIT_MARGIN < objective
     }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -149,6 +149,16 @@
         self.cordons.count()
     }
 
+    /// Returns whether the shares of organisations are used.
+    pub fn has_shares(&self) -> bool {
+        self.options.shares.is_some()
+    }
+
+    /// Returns whether stops for urgent jobs are limited.
+    pub fn limits_stops(&self) -> bool {
+        self.options.stops.is_some()
+    }
+
     /// Returns the term.
     pub fn term(&self) -> u64 {
         self.term
--- a/crates/planner/src/stops.rs
+++ b/crates/planner/src/stops.rs
@@ -9,7 +9,7 @@
     task::{GroupKey, JobId},
 };
 use sapphire_plan::{
-    assignment::Place,
+    assignment::{Demand, Place},
     headroom::{self, Arrivals, Usage},
     stops::Counts,
 };
@@ -112,7 +112,7 @@
     ///
     /// Guards against resources that were released for one urgent group and taken by another that
     /// is tried before it, so that as much work is stopped again.
-    pub(crate) fn hold_claims(&mut self, pool: &mut Pool) {
+    pub(crate) fn hold_claims(&mut self, now: Moment, pool: &mut Pool) {
         if self.options.stops.is_none() {
             return;
         }
@@ -123,7 +123,10 @@
                 continue;
             }
             for (key, group) in &entry.groups {
-                let Some(claim) = &group.claim else { continue };
+                // An expired claim is renewed or made anew in its group's turn; until then its
+                // resources serve others.
+                let is_held = |claim: &&Claim| now.steady < claim.until + END_REPORT_DELAY;
+                let Some(claim) = group.claim.as_ref().filter(is_held) else { continue };
                 if claim.assignments.iter().any(|(worker, _)| !pool.index.contains_key(worker)) {
                     lost.push((id.clone(), *key));
                     continue;
@@ -151,8 +154,24 @@
         }
     }
 
+    /// Withholds a group's claimed resources again after its turn, in which they were released for
+    /// it.
+    pub(crate) fn hold_claim_again(
+        &self,
+        pool: &mut Pool,
+        id: &str,
+        key: &GroupKey,
+        demand: &Demand,
+    ) {
+        let group = self.table.entries.get(id).and_then(|entry| entry.groups.get(key));
+        let claim = group.and_then(|group| group.claim.as_ref());
+        if let Some(claim) = claim.filter(|_| self.options.stops.is_some()) {
+            pool.apply_claim(claim, demand);
+        }
+    }
+
     /// Chooses the places that are kept free for urgent work, once per pass. Called for the first
-    /// group that is not urgent, when the urgent ones have been placed.
+    /// group that is not urgent.
     pub(crate) fn keep_headroom(&self, now: Moment, pool: &mut Pool) {
         if self.options.stops.is_none() || pool.held.kept.is_some() {
             return;
@@ -183,7 +202,8 @@
         places: &[Place],
     ) -> Option<Vec<Place>> {
         let kept = pool.held.kept.as_ref().filter(|kept| !kept.is_empty())?;
-        self.has_slack(now, entry).then(|| headroom::without(places, kept))
+        let is_lasting = entry.job.steps.iter().any(|step| step.is_long_running);
+        (!is_lasting && self.has_slack(now, entry)).then(|| headroom::without(places, kept))
     }
 
     /// Renews a claim that has expired for the same places, if the work there is still being
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -36,6 +36,7 @@
         self.meter.record_turn(took, is_pass);
         let cordoned_zones = planner.cordoned_zones() as u64;
         let speeds = planner.speeds_status();
+        let (has_shares, limits_stops) = (planner.has_shares(), planner.limits_stops());
         if is_pass {
             self.record_time("pass", took);
             // A metric that can't be recorded is not worth an error.
@@ -45,10 +46,14 @@
                 let _ = self.metrics.gauge("speeds.observations", speeds.observations);
                 let _ = self.metrics.gauge("speeds.writes", speeds.writes);
             }
-            let _ = self.metrics.gauge("shares.above", load.above_share as u64);
-            let _ = self.metrics.gauge("stops.for_urgent", load.stopped_for_urgent);
-            let _ = self.metrics.gauge("stops.claims_kept", load.claims_kept);
-            let _ = self.metrics.gauge("stops.claims_lost", load.claims_lost);
+            if has_shares {
+                let _ = self.metrics.gauge("shares.above", load.above_share as u64);
+            }
+            if limits_stops {
+                let _ = self.metrics.gauge("stops.for_urgent", load.stopped_for_urgent);
+                let _ = self.metrics.gauge("stops.claims_kept", load.claims_kept);
+                let _ = self.metrics.gauge("stops.claims_lost", load.claims_lost);
+            }
         }
         if let Some(line) = self.meter.report(end, load) {
             self.logger.info("plan", &line);
