planner, plan: corrections of the use of speeds after review

Cause: the review by reading found that waves counted speed twice and moved objectives with it, that a restored fleet could lose the mark that it is unequal, which only the first shard keeps up to date, that a run adopted while it is restored still counted its jump of progress as pace, and that tasks were restarted for places that a claim holds. Change: tasks that fit are counted whatever the speed; the mark is judged once, after the records have been restored, and read from the first shard; an adopted run counts as resumed if its group has a checkpoint; services with claims are left out of restarts.

--- a/crates/plan/src/speed/speeds.rs
+++ b/crates/plan/src/speed/speeds.rs
@@ -212,8 +212,11 @@
             let worker_state = Worker { evidence: Evidence::restored(record), log: 0.0 };
             self.workers.insert(worker.to_owned(), worker_state);
         }
-        self.is_unequal = was_unequal;
         (0..RESTORE_UPDATES).for_each(|_| self.update());
+        // Whether the workers are still unequal is judged by the distribution that has been learned
+        // anew.
+        self.is_unequal = was_unequal;
+        self.update();
     }
 
     /// Replaces the options. What is known is kept unless the learning is switched off.
@@ -277,6 +280,7 @@
         let deviation = threshold * EQUAL_DEVIATION_SHARE;
         self.log_ratio = prior::log_ratio(&self.prior, &likelihoods, deviation);
         self.is_unequal = if self.is_unequal {
+            self.seems_unequal_for = None;
             self.log_ratio >= EQUAL_LOG && difference >= threshold * EQUAL_SHARE
         } else {
             let seems_unequal = self.log_ratio >= UNEQUAL_LOG.0 + UNEQUAL_LOG.1 / threshold
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -196,12 +196,16 @@
         let number = running.run.as_ref().map_or(0, |run| run.run);
         let (resources, is_wanted) = self.adoption(now, name, task, number);
         let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
+        let group = self.group_of(task).map(|(_, _, group)| group);
+        let has_checkpoint = group.is_some_and(|group| !group.checkpoint.is_empty());
+        let is_resumed = has_checkpoint || !running.checkpoint.is_empty();
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let mut run = Run::new(number, resources, phase, running.percent, now.steady);
         let stop = Stop { cause: Cause::Unwanted, decided_at: now.steady };
         run.stop = (!is_wanted).then_some(stop);
         run.is_started = true;
-        run.paced_since = running.checkpoint.is_empty().then_some(now.steady);
+        run.is_resumed = is_resumed;
+        run.paced_since = (!is_resumed).then_some(now.steady);
         worker.runs.insert(task.clone(), run);
         let verb = if is_wanted { "adopted" } else { "unexpected run; stopped" };
         self.log(format!("task={task} run={number} worker={name} {verb}"));
--- a/crates/planner/src/restart.rs
+++ b/crates/planner/src/restart.rs
@@ -49,8 +49,13 @@
             return;
         }
         self.last_restarts = now.steady;
-        let services: Vec<String> =
-            self.awaited_slowness.keys().filter(|name| !waits.contains(*name)).cloned().collect();
+        let has_claim = |entry: &&Entry| entry.groups.values().any(|group| group.claim.is_some());
+        let open = self.table.open.iter().filter_map(|id| self.table.entries.get(id));
+        // The resources of a claim look free, but are not.
+        let claimed: BTreeSet<&str> =
+            open.filter(has_claim).map(|entry| self.service(entry)).collect();
+        let is_idle = |name: &&String| !waits.contains(*name) && !claimed.contains(name.as_str());
+        let services: Vec<String> = self.awaited_slowness.keys().filter(is_idle).cloned().collect();
         for service in services {
             let mut pool = self.pool(now, &service);
             let keep = pass::reserved_workers(pool.places.len());
--- a/crates/planner/src/speed_records.rs
+++ b/crates/planner/src/speed_records.rs
@@ -48,7 +48,8 @@
             self.speed_state.revisions[shard] = revision;
             match SpeedShard::decode(&value[..]) {
                 Ok(record) => {
-                    was_unequal |= record.is_unequal;
+                    // The first shard is written whenever this changes, the others are not.
+                    was_unequal |= shard == 0 && record.is_unequal;
                     records.extend(record.workers);
                 }
                 Err(error) => unreadable.push((shard, error)),
--- a/crates/planner/src/supply.rs
+++ b/crates/planner/src/supply.rs
@@ -8,7 +8,7 @@
 use sapphire_jobs::{Backlog, OrganisationBacklog, Step, Supply, resources::Resources};
 use sapphire_plan::rank::{self, Feasibility};
 
-use crate::{event::Moment, group::Phase, planner::Planner, table::Entry};
+use crate::{event::Moment, group::Phase, planner::Planner, table::Entry, worker::Worker};
 
 /// Interval between two computations over all open jobs.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(500);
@@ -169,25 +169,21 @@
         }
     }
 
-    /// Counts how many tasks of each of a job's steps the workers do in the reference run time of
-    /// one: those that fit at the same time, each divided by the slowness of its worker.
+    /// Counts how many tasks of each of a job's steps fit on the workers at the same time, whatever
+    /// their speed: run times take the speed into account.
     pub(crate) fn update_step_capacity(&mut self, id: &str) {
         if !self.options.policy.count_waves {
             return;
         }
         let Some(entry) = self.table.entries.get(id) else { return };
         let service = self.service(entry);
-        let workers = self.workers.iter().filter(|(_, worker)| {
+        let workers = self.workers.values().filter(|worker| {
             worker.incarnation.as_ref().is_some_and(|minion| minion.service == service)
         });
-        let capacities: Vec<(Resources, f64)> =
-            workers.map(|(name, worker)| (worker.capacity(), self.slowness(name).get())).collect();
+        let capacities: Vec<Resources> = workers.map(Worker::capacity).collect();
         let fits = |step: &Step| {
             let resources = Resources::read(step.room.as_ref());
-            let tasks = |(capacity, slowness): &(Resources, f64)| {
-                f64::from(capacity.count_fitting(resources)) / slowness
-            };
-            capacities.iter().map(tasks).sum::<f64>().round() as u64
+            capacities.iter().map(|worker| u64::from(worker.count_fitting(resources))).sum()
         };
         let step_capacity = entry.job.steps.iter().map(fits).collect();
         if let Some(entry) = self.table.entries.get_mut(id) {
