--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -205,7 +205,6 @@
         run.stop = (!is_wanted).then_some(stop);
         run.is_started = true;
         run.is_resumed = is_resumed;
-        run.paced_since = (!is_resumed).then_some(now.steady);
         worker.runs.insert(task.clone(), run);
         let verb = if is_wanted { "adopted" } else { "unexpected run; stopped" };
         self.log(format!("task={task} run={number} worker={name} {verb}"));
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -90,10 +90,9 @@
     pub percent: u32,
     /// Progress at `paced_since`.
     pub first_percent: u32,
-    /// Time from which the pace of the run is measured. `None` while a run that continues from a
-    /// checkpoint has made no progress: once it is restored, its progress jumps to that of the
-    /// checkpoint.
-    pub paced_since: Option<Duration>,
+    /// Time from which the pace of the run is measured: that of the first list, or that of the first
+    /// progress of a run which was still being restored from a checkpoint when it was first listed.
+    pub paced_since: Duration,
     /// Time of the first progress that was seen, and that progress. The time before it may have been
     /// spent on the start of the task.
     pub first_progress: Option<(Duration, u32)>,
@@ -247,7 +246,7 @@
             run.last_listed = now;
             run.first_percent = running.percent;
             run.percent = running.percent;
-            run.paced_since = (!run.is_resumed).then_some(now);
+            run.paced_since = now;
         }
         run.last_listed = run.last_listed.max(now);
         if !running.checkpoint.is_empty() && running.checkpoint != run.checkpoint {
@@ -257,11 +256,13 @@
         if running.percent > run.percent {
             let gap = now.saturating_sub(run.last_progress);
             run.percent = running.percent;
-            run.first_progress.get_or_insert((now, running.percent));
-            if run.paced_since.is_none() {
-                run.paced_since = Some(now);
+            let gained = running.percent - run.first_percent;
+            let is_restored = run.is_resumed && run.first_progress.is_none();
+            if is_restored && gained >= MIN_GAINED_PERCENT {
+                run.paced_since = now;
                 run.first_percent = running.percent;
             }
+            run.first_progress.get_or_insert((now, running.percent));
             run.last_progress = now;
             run.stalled_lists = 0;
             let track = run.track.get_or_insert(pace::Track::new(now, running.percent));
@@ -298,7 +299,7 @@
             is_started: phase == Phase::Running,
             percent,
             first_percent: percent,
-            paced_since: None,
+            paced_since: now,
             first_progress: None,
             is_resumed: false,
             last_progress: now,
@@ -323,7 +324,7 @@
     /// to tell.
     pub fn total_run_time(&self) -> Option<Duration> {
         let gained = self.percent.saturating_sub(self.first_percent);
-        let ran = self.last_progress.saturating_sub(self.paced_since?);
+        let ran = self.last_progress.saturating_sub(self.paced_since);
         (gained >= MIN_GAINED_PERCENT).then(|| ran.mul_f64(100.0 / f64::from(gained)))
     }
 
@@ -369,7 +370,7 @@
     /// observed.
     pub fn completed_run_time(&self, now: Duration) -> Option<Duration> {
         let gained = 100_u32.saturating_sub(self.first_percent);
-        let ran = now.saturating_sub(self.paced_since?);
+        let ran = now.saturating_sub(self.paced_since);
         (gained >= MIN_GAINED_PERCENT).then(|| ran.mul_f64(100.0 / f64::from(gained)))
     }
 
