--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -46,6 +46,11 @@
 /// waited for a quarter of the workers were late more often.
 const HEADROOM_MARGIN: Duration = Duration::from_secs(4);
 
+/// Time for which a group that is not urgent waits for workers that are fast enough for its objective
+/// while slower ones are free. A job must not have nothing running for three seconds while there is
+/// room for it.
+const SPEED_WAIT: Duration = Duration::from_millis(1_500);
+
 /// A group that waits.
 struct Waiting {
     job: Rc<str>,
@@ -264,7 +269,11 @@
         let reach = self.reach(now, pool, entry, key, &demand, is_guaranteed);
         let places = self.available_places(now, pool, entry, key, &demand);
         let mut assignments = assignment::assign(&places, &demand, reach);
-        if assignments.is_none() && !tiers::can_fit(&pool.places, &demand, reach) {
+        let has_waited = priority > 0 && now.steady >= group.waiting_since + SPEED_WAIT;
+        if assignments.is_none()
+            && demand.speed.limit.is_some()
+            && (has_waited || !tiers::can_fit(&pool.places, &demand, reach))
+        {
             demand.speed.limit = None;
             assignments = assignment::assign(&places, &demand, reach);
         }
