test: work that is not urgent waits for fast workers for a limited time

Change: each job takes a whole worker. Measured: the test passes, and fails with the limit of the wait switched off.

--- a/crates/planner/tests/speed/mod.rs
+++ b/crates/planner/tests/speed/mod.rs
@@ -186,10 +186,8 @@
 fn work_that_is_not_urgent_waits_for_fast_workers_for_a_limited_time() {
     let workers = [("f", 0.75), ("s", 3.0)];
     let mut site = Site::new(&workers, 8_000, &workers);
-    let whole =
-        || Step { room: Some(resources(8).message()), estimate_ms: 8_000, ..step(1, false) };
-    site.submit(job("first", TERM, whole()));
-    site.submit(job("second", TERM, whole()));
+    site.submit(job("first", TERM, whole(1, false, 8_000)));
+    site.submit(job("second", TERM, whole(1, false, 8_000)));
     site.advance(1_000);
     assert_eq!(site.fixture.worker_of("first"), "f");
     assert_eq!(site.fixture.worker_of("second"), "", "it would be late on the slow worker");
