--- a/crates/plan/src/headroom.rs
+++ b/crates/plan/src/headroom.rs
@@ -83,9 +83,9 @@
 }
 
 /// Chooses the workers that are kept free: as many as `MARGIN` times the expected urgent work needs
-/// beyond those that urgent work has already, and at most a quarter of all. Those with the most free resources
-/// are chosen, in racks with the most free resources, so that a gang that wants whole workers or one
-/// rack finds them. Returns indices of places.
+/// beyond those that urgent work has already, and at most a quarter of all. Those with the most free
+/// resources are chosen, in racks with the most free resources, so that a gang that wants whole
+/// workers or one rack finds them. Returns indices of places.
 pub fn choose(places: &[Place], expected: Usage, used: Usage) -> Vec<usize> {
     let missing = expected.times(MARGIN).beyond(used);
     let limit = places.len() / MAX_SHARE_DIVISOR;
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Returns the places as seen by work that runs for `time` at the reference speed: with the reserved resources that
-    /// are needed only later. Returns `None` if nothing is reserved beyond that time.
+    /// Returns the places as seen by work that runs for `time` at the reference speed: with the
+    /// reserved resources that are needed only later. Returns `None` if nothing is reserved beyond that time.
     pub(crate) fn open(&self, time: Duration) -> Option<Vec<Place>> {
         let mut open =
             self.reservations.iter().filter(|reservation| reservation.is_open(time)).peekable();
