--- a/review/standins.py
+++ b/review/standins.py
@@ -1,8 +1,8 @@
-"""Stand-ins for the scripts of the review: the platform's store, minions, clients, and the processes
-of the project, which run with the commands and the settings templates of the deploy file.
+"""Stand-ins for the scripts of the review: the platform's store, minions and clients. Also starts the
+processes of the project, with the commands and the settings templates of the deploy file.
 
 Everything is on loopback addresses and the real clock. Each machine has an address of its own, so
-that all machines use the same ports.
+that all machines use the same ports. Needs Python 3.11 or later, and nothing else.
 """
 
 import asyncio
@@ -678,9 +678,13 @@
         finally:
             await system.end()
 
+    def stop(*_):
+        raise CannotRun("asked to terminate")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         violations = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Nothing but a broken rule may end with exit code 1.
         record.line(f"could not be played: {error!r}")
         print(f"could not be played: {error!r}")
         raise SystemExit(2) from None
