--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -1,5 +1,6 @@
 //! Tests of the planner, driven event by event.
 
+mod bounds;
 mod cordons;
 mod handover;
 mod harness;
