--- a/crates/planner/tests/bounds/mod.rs
+++ b/crates/planner/tests/bounds/mod.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use sapphire_jobs::{Ending, Incarnation, Job, Notice, Poll, Running, Step};
-use sapphire_planner::event::Event;
+use sapphire_plan::stops;
+use sapphire_planner::{event::Event, options::Options};
 
-use crate::harness::{Fixture, TERM, ended, job, minion, resources, run, step};
+use crate::harness::{self, Fixture, START, TERM, ended, job, minion, resources, run, step};
 
 /// Longest time in ms for which due work may wait while there is capacity for it twice over and under
 /// half of the capacity is in use.
@@ -99,6 +100,33 @@
     assert_ne!(fixture.worker_of("whole"), "", "it waits beside idle workers");
 }
 
+/// Guards against a task that never starts although two of eight workers are idle: it is so late that
+/// it leaves room for urgent work, which keeps arriving.
+#[test]
+fn a_late_task_does_not_wait_beside_room_for_urgent_work() {
+    let (mut fixture, workers) = with_racks(1, 8);
+    let stops = Some(stops::Options { limit: 0.15 });
+    fixture.planner.set_options(Options { stops, ..harness::options() });
+    let small = Step { is_long_running: true, per_worker: 1, ..step(6, false) };
+    submit(&mut fixture, job("small", TERM, small));
+    advance(&mut fixture, &workers, 1_000);
+    let idle = placed(&fixture).into_values().filter(|count| *count == 0).count();
+    assert_eq!(idle, 2, "two workers are idle");
+    let late = Job { accepted_ms: 1, ..job("late", TERM - 1, of(64, 2_000, step(1, false))) };
+    for second in 0..WAIT_LIMIT / 1_000 {
+        let id = format!("urgent{second}");
+        let urgent = job(&id, TERM, of(64, 8_000, step(1, false)));
+        let urgent = Job { queue: "urgent".to_owned(), priority: 0, ..urgent };
+        // Cancelled at once, so that it takes no resources.
+        fixture.handle(Event::Notice(Notice { jobs: vec![urgent], cancelled: vec![id] }));
+        if second == 0 {
+            submit(&mut fixture, late.clone());
+        }
+        advance(&mut fixture, &workers, 1_000);
+    }
+    assert_ne!(fixture.worker_of("late"), "", "it waits beside idle workers");
+}
+
 /// Guards against a task that waits while three of four workers are idle, because they are reserved
 /// for a gang that can only start when a run on the fourth has ended.
 #[test]
@@ -165,7 +193,7 @@
             generation: 1,
             sequence: fixture.sequence[&first],
             lists,
-            list_age_ms: fixture.now.saturating_sub(crate::harness::START),
+            list_age_ms: fixture.now.saturating_sub(START),
             incarnation: Some(Incarnation { is_silent: true, ..minion(&first) }),
             fenced_token: token,
             pending,
