--- a/crates/planner/tests/stands_still/mod.rs
+++ b/crates/planner/tests/stands_still/mod.rs
@@ -4,9 +4,10 @@
 
 use sapphire_jobs::Step;
 use sapphire_plan::stops;
-use site::{BLOCKED_BOUND, BOUND, Fault, LEASE_BOUND, Site, half, whole};
+use sapphire_planner::options;
+use site::{BLOCKED_BOUND, BOUND, Fault, LEASE_BOUND, LONG_RUNNING_BOUND, Site, half, whole};
 
-use crate::harness::options;
+use crate::harness;
 
 /// Run time of the tasks that must go on, in ms.
 const RUN_TIME: u64 = 20_000;
@@ -22,9 +23,9 @@
     Step { wants_one_rack: true, ..gang() }
 }
 
-/// Runs a job whose first runs meet faults, with other work on the given workers. Returns the site
-/// after all of these faults have been met, or after two minutes.
-fn moved(step: Step, faults: &[Fault], busy: &[&'static str]) -> Site {
+/// Runs a job whose first runs meet faults, with other work on the given workers. Fails if the job
+/// stands still for the time of a bound, or does not meet all of these faults.
+fn assert_goes_on(step: Step, faults: &[Fault], busy: &[&'static str], bound: u64) {
     let mut site = Site::new();
     if !busy.is_empty() {
         site.occupy(busy, 2);
@@ -33,96 +34,88 @@
     let runs = faults.len();
     site.run_until(120_000, |site| site.runs_of("a") > runs);
     site.run(30_000);
-    site
+    site.assert_goes_on("a", bound);
+    assert!(site.runs_of("a") > runs, "{}", site.story("a"));
 }
 
 /// Guards against a gang that stands still between runs that are stopped as slow, on idle workers.
 #[test]
 fn a_gang_that_is_moved_five_times_goes_on() {
-    let site = moved(gang(), &[SLOW; 5], &[]);
-    assert!(site.runs_of("a") > 5, "{}", site.story("a"));
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(gang(), &[SLOW; 5], &[], BOUND);
 }
 
 /// Guards against a gang that waits for one rack without the workers that it avoids, though no rack
 /// has enough others.
 #[test]
 fn a_gang_of_one_rack_that_is_moved_goes_on() {
-    let site = moved(gang_of_one_rack(), &[SLOW; 4], &[]);
-    assert!(site.runs_of("a") > 4, "{}", site.story("a"));
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(gang_of_one_rack(), &[SLOW; 4], &[], BOUND);
 }
 
 /// Guards against a gang that waits for busy workers, since it avoids all idle ones.
 #[test]
 fn a_gang_that_avoids_all_idle_workers_goes_on() {
-    let site = moved(gang(), &[SLOW; 4], &["r1-1", "r2-1", "r3-1"]);
-    assert!(site.runs_of("a") > 4, "{}", site.story("a"));
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(gang(), &[SLOW; 4], &["r1-1", "r2-1", "r3-1"], BOUND);
 }
 
 /// Guards against the same with a gang that wants one rack.
 #[test]
 fn a_gang_of_one_rack_that_avoids_all_idle_workers_goes_on() {
-    let site = moved(gang_of_one_rack(), &[SLOW; 4], &["r1-1", "r2-1", "r3-1"]);
-    assert!(site.runs_of("a") > 4, "{}", site.story("a"));
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(gang_of_one_rack(), &[SLOW; 4], &["r1-1", "r2-1", "r3-1"], BOUND);
 }
 
 /// Guards against a task that waits for busy workers, since it avoids all idle ones.
 #[test]
 fn a_task_that_avoids_all_idle_workers_goes_on() {
     let busy = ["r1-1", "r1-2", "r1-3", "r2-1", "r2-2"];
-    let site = moved(whole(1, false, RUN_TIME), &[SLOW; 6], &busy);
-    assert!(site.runs_of("a") > 6, "{}", site.story("a"));
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(whole(1, false, RUN_TIME), &[SLOW; 6], &busy, BOUND);
 }
 
 /// Guards against a gang that stands still between runs that fail and runs that are slow.
 #[test]
 fn a_gang_that_is_moved_and_fails_goes_on() {
     let faults = [SLOW, Fault::Fails, SLOW, Fault::Fails, SLOW, Fault::Fails, SLOW];
-    let site = moved(gang(), &faults, &[]);
-    assert!(site.runs_of("a") > faults.len(), "{}", site.story("a"));
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(gang(), &faults, &[], BOUND);
 }
 
 /// Guards against the same with a gang that wants one rack.
 #[test]
 fn a_gang_of_one_rack_that_is_moved_and_fails_goes_on() {
     let faults = [SLOW, Fault::Fails, SLOW, Fault::Fails, SLOW, Fault::Fails, SLOW];
-    let site = moved(gang_of_one_rack(), &faults, &[]);
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(gang_of_one_rack(), &faults, &[], BOUND);
 }
 
 /// Guards against a gang that waits after it has failed on each worker.
 #[test]
 fn a_gang_that_fails_on_all_workers_goes_on() {
-    let site = moved(gang(), &[Fault::Fails; 25], &[]);
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(gang(), &[Fault::Fails; 25], &[], BOUND);
 }
 
 /// Guards against a gang that waits after few failures, since no rack has enough workers without
 /// those on which it failed.
 #[test]
 fn a_gang_of_one_rack_that_fails_goes_on() {
-    let site = moved(gang_of_one_rack(), &[Fault::Fails; 25], &[]);
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(gang_of_one_rack(), &[Fault::Fails; 25], &[], BOUND);
 }
 
 /// Guards against a task that waits after it has failed on each worker.
 #[test]
 fn a_task_that_fails_on_all_workers_goes_on() {
-    let site = moved(whole(1, false, RUN_TIME), &[Fault::Fails; 25], &[]);
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(whole(1, false, RUN_TIME), &[Fault::Fails; 25], &[], BOUND);
 }
 
 /// Guards against a task that waits for busy workers after it has failed on the idle ones.
 #[test]
 fn a_task_that_failed_on_all_idle_workers_goes_on() {
     let busy = ["r1-1", "r1-2", "r1-3", "r2-1", "r2-2"];
-    let site = moved(whole(1, false, RUN_TIME), &[Fault::Fails; 6], &busy);
-    site.assert_goes_on("a", BOUND);
+    assert_goes_on(whole(1, false, RUN_TIME), &[Fault::Fails; 6], &busy, BOUND);
+}
+
+/// Guards against the same with a long-running task.
+#[test]
+fn a_long_running_task_that_failed_on_all_idle_workers_goes_on() {
+    let busy = ["r1-1", "r1-2", "r1-3", "r2-1", "r2-2"];
+    let step = Step { is_long_running: true, ..whole(1, false, RUN_TIME) };
+    assert_goes_on(step, &[Fault::Fails; 6], &busy, LONG_RUNNING_BOUND);
 }
 
 /// Guards against a job that waits since the tasks of another one have failed on all workers.
@@ -314,12 +307,12 @@
 fn a_task_of_a_whole_worker_does_not_wait_for_headroom() {
     let mut site = Site::new();
     let stops = Some(stops::Options { limit: 0.1 });
-    site.fixture.planner.set_options(sapphire_planner::options::Options { stops, ..options() });
+    site.fixture.planner.set_options(options::Options { stops, ..harness::options() });
     let busy = ["r1-1", "r1-2", "r1-3", "r2-1", "r2-2", "r2-3", "r3-1", "r3-2", "r3-3"];
     site.occupy(&busy, 1);
-    for at in 0..3 {
-        site.submit(&format!("u{at}"), "urgent", whole(2, false, 2_000), &[]);
-        site.run(4_500);
+    for at in 0..5 {
+        site.submit(&format!("urgent-{at}"), "urgent", whole(2, false, 4_000), &[]);
+        site.run(5_000);
     }
     site.submit("a", "q", whole(1, false, RUN_TIME), &[]);
     site.run(30_000);
@@ -397,3 +390,41 @@
     site.run(60_000);
     site.assert_goes_on("a", BOUND);
 }
+
+/// Guards against a step that has nothing running since all of its tasks have failed on all workers.
+#[test]
+fn a_wide_step_that_fails_everywhere_goes_on() {
+    let mut site = Site::new();
+    site.submit("a", "q", whole(11, false, RUN_TIME), &[Fault::AllFail; 4]);
+    site.run(60_000);
+    site.assert_goes_on("a", BOUND);
+}
+
+/// Guards against a job that has nothing running since the tasks of another one have failed on all
+/// workers twice.
+#[test]
+fn a_job_does_not_wait_for_workers_that_failed_twice() {
+    let mut site = Site::new();
+    site.submit("bad", "q", whole(11, false, RUN_TIME), &[Fault::AllFail; 3]);
+    site.run(4_000);
+    site.submit("a", "q", half(1, false, RUN_TIME), &[]);
+    site.run(30_000);
+    site.assert_goes_on("a", BOUND);
+}
+
+/// Guards against a task that waits for resources claimed for an urgent gang, which may not start as
+/// long as an earlier start of it has no answer.
+#[test]
+fn a_task_does_not_wait_for_the_claim_of_a_blocked_gang() {
+    let mut site = Site::new();
+    let stops = Some(stops::Options { limit: 0.1 });
+    site.fixture.planner.set_options(options::Options { stops, ..harness::options() });
+    site.occupy(&["r1-1", "r2-1"], 1);
+    site.submit("urgent", "urgent", whole(10, true, RUN_TIME), &[]);
+    assert!(site.has_claim("urgent"), "{}", site.story("urgent"));
+    site.leave_unanswered("r1-2", "urgent");
+    site.run(300);
+    site.submit("a", "q", half(1, false, RUN_TIME), &[]);
+    site.run(20_000);
+    site.assert_goes_on("a", BOUND);
+}
--- a/crates/planner/tests/stands_still/site.rs
+++ b/crates/planner/tests/stands_still/site.rs
@@ -41,6 +41,8 @@
 pub(super) const BLOCKED_BOUND: u64 = 14_000;
 /// The same if a run ends with the lease of a worker that is gone.
 pub(super) const LEASE_BOUND: u64 = 7_500;
+/// Time from its last run for which a long-running task may have nothing running.
+pub(super) const LONG_RUNNING_BOUND: u64 = 6_000;
 
 /// A task that a minion runs.
 struct Program {
@@ -100,6 +102,8 @@
     Slow(u64),
     /// Its first task ends `failed` after 1 s.
     Fails,
+    /// All of its tasks do.
+    AllFail,
 }
 
 /// All processes, and what the store contains.
@@ -120,7 +124,7 @@
 /// Returns a step of half of a worker for each task.
 pub(super) fn half(tasks: u32, is_gang: bool, run_time: u64) -> Step {
     Step {
-        room: Some(resources(32).times(1).message()),
+        room: Some(resources(32).message()),
         estimate_ms: run_time,
         checkpoints: true,
         ..crate::harness::step(tasks, is_gang)
@@ -303,6 +307,19 @@
         }
     }
 
+    /// Has an agent report a start of a job's first task that was sent now and had no answer.
+    pub(super) fn leave_unanswered(&mut self, name: &str, id: &str) {
+        let now = self.fixture.now;
+        let run = crate::harness::run(id, 0, 1_001);
+        self.machines.get_mut(name).expect("a worker of the site").abandoned.push((run, now));
+    }
+
+    /// Returns whether resources are claimed for a job.
+    pub(super) fn has_claim(&self, id: &str) -> bool {
+        let entry = self.fixture.planner.table().entries.get(id);
+        entry.is_some_and(|entry| entry.groups.values().any(|group| group.claim.is_some()))
+    }
+
     /// Returns the workers that run a job.
     pub(super) fn workers_of(&self, id: &str) -> Vec<String> {
         let machines = self.machines.iter();
@@ -315,11 +332,6 @@
         self.work[id].runs.len()
     }
 
-    /// Returns the longest time for which a job stood still although there was room for it.
-    pub(super) fn longest(&self, id: &str) -> u64 {
-        self.work[id].longest.0
-    }
-
     /// Returns the log lines of all planners that name a job, or that concern all jobs.
     pub(super) fn story(&self, id: &str) -> String {
         let lines = self.log.iter().chain(&self.fixture.log);
@@ -332,10 +344,6 @@
     /// Fails if a job stood still for the time of a bound while there was room for it.
     pub(super) fn assert_goes_on(&self, id: &str, bound: u64) {
         let (longest, until) = self.work[id].longest;
-        eprintln!("TRIAL {longest} {:?}", std::thread::current().name());
-        if std::env::var("STORY").is_ok() {
-            eprintln!("{}", self.story(id));
-        }
         assert!(
             longest < bound,
             "{id} stood still for {longest} ms until {}; runs on {:?}\n{}",
@@ -416,9 +424,12 @@
                     Some(Fault::Fails) if age >= 1_000 && program.run.index == 0 => {
                         program.end.get_or_insert((now, Ending::Faulty));
                     }
+                    Some(Fault::AllFail) if age >= 1_000 => {
+                        program.end.get_or_insert((now, Ending::Faulty));
+                    }
                     _ => {}
                 }
-                if program.done >= 100.0 && program.end.is_none() {
+                if program.done >= 100.0 && program.end.is_none() && !work.step.is_long_running {
                     program.end = Some((now, Ending::Done));
                 }
             }
