planner: the wait for an unanswered start goes on over a change of planners

Callers saw a task with nothing running for 30 to 55 s while most workers were idle: its worker was gone, the first try of its start had no answer, and planners were lost one after the other.

With a planner lost every 10 s the wait had no bound.

A start whose order may still be sent has the age 0. The record is written again every 2 s while it has starts, so that a change of planners prolongs the wait by 2 s at most. A start of an agent's process that was replaced counts no longer than that process can have sent it.

--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -23,6 +23,9 @@
     /// Writes the handover record if orders wait for it, or if it is out of date.
     pub(crate) fn write_unanswered(&mut self, now: Moment) {
         let (has_additions, has_removals) = self.unanswered.changes();
+        // A successor goes on counting the ages that the record has, and not from its own beginning.
+        let is_aged = now.steady >= self.handover.written_at + options::AGE_INTERVAL;
+        self.handover.is_outdated |= is_aged && self.unanswered.is_any();
         let is_due = self.handover.is_due(now.steady, has_additions, has_removals);
         if !self.startup.is_serving() || !is_due {
             return;
@@ -144,7 +147,7 @@
         }
         if let Some(record) = latest {
             self.log_recorded(&record);
-            self.unanswered.restore(now, record, &self.workers);
+            self.unanswered.restore(now, self.start_grace(), record, &self.workers);
         }
     }
 
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -70,6 +70,9 @@
 /// Time for which starts that are over may stay in the handover record. They cost a successor little:
 /// it waits for those alone whose agents were lost as well.
 pub const CLEANUP_DELAY: Duration = Duration::from_millis(1_000);
+/// Maximum age of the handover record while it contains unanswered starts. A change of planners
+/// prolongs the wait for them by at most this time.
+pub const AGE_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Time for which checkpoints may wait to be written together. A loss of power costs at most this
 /// much work in addition.
 pub const CHECKPOINT_WRITE_DELAY: Duration = Duration::from_millis(2_000);
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -72,14 +72,23 @@
         let token = self.workers.get(name).map_or(0, |worker| worker.token);
         let is_in_session = token > 0 && poll.fenced_token == token;
         let sender = Sender { generation: poll.generation, is_in_session };
-        self.unanswered.report(now.steady, name, sender, &poll.unanswered);
+        let grace = self.start_grace();
+        self.unanswered.report(now.steady, name, sender, grace, &poll.unanswered);
     }
 
     /// Removes the unanswered starts that have expired.
     pub(crate) fn expire_unanswered(&mut self, now: Moment) {
-        let grace =
-            Grace { run: self.options.longest_lease_expiry(), agent: self.options.lease_expiry() };
-        self.unanswered.expire(now.steady, grace, &self.workers);
+        self.unanswered.expire(now.steady, self.start_grace(), &self.workers);
+    }
+
+    /// Returns how much longer unanswered starts count of which nothing more is known.
+    pub(crate) fn start_grace(&self) -> Grace {
+        let agent = self.options.lease_expiry();
+        Grace {
+            run: self.options.longest_lease_expiry(),
+            agent,
+            isolated_agent: agent + options::MAX_STORE_OUTAGE,
+        }
     }
 
     /// Answers a worker's poll with the session's token, without starts and stops.
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -58,6 +58,9 @@
     pub(crate) run: Duration,
     /// Time for which an agent that hears of no planner goes on sending starts.
     pub(crate) agent: Duration,
+    /// Time after a take-over for which an agent may go on sending starts, if it still hears of a
+    /// planner that has been replaced.
+    pub(crate) isolated_agent: Duration,
 }
 
 /// What the unanswered starts of a task allow.
@@ -80,13 +83,15 @@
     }
 
     /// Settles what an earlier planner has recorded, once a process of the agent has reported. If
-    /// it has taken the place of the one that sent the start, that one may have sent it until now.
-    /// Otherwise it reports the start itself as long as it may be carried out, provided that it has
-    /// dropped the orders of earlier sessions, so that it no longer waits for an answer.
-    fn settle_inherited(&mut self, now: Duration, sender: Sender) {
+    /// it has taken the place of the one that sent the start, that one may have sent it until now,
+    /// but not for longer than an agent goes on without a planner. Otherwise it reports the start
+    /// itself as long as it may be carried out, provided that it has dropped the orders of earlier
+    /// sessions, so that it no longer waits for an answer.
+    fn settle_inherited(&mut self, now: Duration, grace: Grace, sender: Sender) {
         let Some(inherited) = self.inherited else { return };
         if inherited.generation != sender.generation {
-            self.retained = self.retained.max(Some(now + options::START_EXPIRY));
+            let latest = inherited.expires_at + grace.isolated_agent;
+            self.retained = self.retained.max(Some(latest.min(now + options::START_EXPIRY)));
             self.inherited = None;
         } else if sender.is_in_session {
             self.inherited = None;
@@ -127,9 +132,10 @@
         now: Duration,
         worker: &str,
         sender: Sender,
+        grace: Grace,
         rows: &[Unanswered],
     ) {
-        self.for_each_start(worker, |start| start.settle_inherited(now, sender));
+        self.for_each_start(worker, |start| start.settle_inherited(now, grace, sender));
         for row in rows {
             let Some(run) = &row.run else { continue };
             let left = options::START_EXPIRY.saturating_sub(Duration::from_millis(row.age_ms));
@@ -206,6 +212,11 @@
         (starts.any(|start| !start.is_recorded), self.has_removals)
     }
 
+    /// Returns whether the handover record contains starts whose age grows.
+    pub(crate) fn is_any(&self) -> bool {
+        !self.by_task.is_empty()
+    }
+
     /// Returns the handover record for a successor: the unanswered starts, and those that were
     /// ordered and are not known to be answered.
     pub(crate) fn record(
@@ -258,11 +269,12 @@
     /// Restores the handover record of an earlier planner. `fleet` holds the workers whose agents
     /// have reported already.
     ///
-    /// Each start counts for the whole time from now on: clocks of day may differ by any amount, and
-    /// an agent may have sent a start again since the record was written.
+    /// The record has the age of each start, which goes on from now: clocks of day may differ by any
+    /// amount. A start that an agent may have sent again since the record was written has the age 0.
     pub(crate) fn restore(
         &mut self,
         now: Moment,
+        grace: Grace,
         starts: UnansweredStarts,
         fleet: &BTreeMap<WorkerName, Worker>,
     ) {
@@ -271,20 +283,24 @@
             if is_other && !minion.is_empty() {
                 continue;
             }
-            let expires_at = now.steady + options::START_EXPIRY;
             for task in tasks {
                 let UnansweredTask { job, occurrence, step, index, run, generation, .. } = task;
+                let age = Duration::from_millis(task.age_ms.unwrap_or(0));
+                let expires_at = (now.steady + options::START_EXPIRY).saturating_sub(age);
                 let start = self.start(&worker, Task { job, occurrence, step, index }, run);
                 if generation == 0 {
                     start.retained = start.retained.max(Some(expires_at));
                 } else {
+                    let earlier = start.inherited.map(|inherited| inherited.expires_at);
+                    let expires_at = earlier.map_or(expires_at, |earlier| earlier.max(expires_at));
                     start.inherited = Some(Inherited { expires_at, generation });
                 }
                 start.is_recorded = true;
             }
             if let Some(known) = fleet.get(&worker) {
                 let sender = Sender { generation: known.generation, is_in_session: false };
-                self.for_each_start(&worker, |start| start.settle_inherited(now.steady, sender));
+                let settle = |start: &mut Start| start.settle_inherited(now.steady, grace, sender);
+                self.for_each_start(&worker, settle);
             }
             self.prune(&worker);
             if let Some(record) = self.by_worker.get_mut(&worker)
@@ -371,14 +387,17 @@
     until: Duration,
     generation: u64,
 ) -> UnansweredTask {
+    let age = (now.steady + options::START_EXPIRY).saturating_sub(until);
     let until = now.unix + until.saturating_sub(now.steady);
+    let in_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     UnansweredTask {
         job: run.job.clone(),
         occurrence: run.occurrence,
         step: run.step,
         index: run.index,
         run: run.run,
-        until_ms: u64::try_from(until.as_millis()).unwrap_or(u64::MAX),
+        until_ms: in_ms(until),
         generation,
+        age_ms: Some(in_ms(age)),
     }
 }
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -598,3 +598,46 @@
 fn agent_lost_for_good_after_it_has_reported_without_a_record() {
     lose_agent_again(false);
 }
+
+/// Guards against a task that waits for a start on a worker that is gone for good, anew with each of
+/// several planners.
+#[test]
+fn planners_lost_one_after_the_other_while_a_start_expires() {
+    /// Time after the loss in which the agent may send the start, in which it may be carried out, and
+    /// in which its run may go on.
+    const LONGEST: u64 = 6_420 + 12_300 + 10_500;
+    /// Longest time between the latest record of the ages and the next planner.
+    const RECORD_AGE: u64 = 2_100;
+    const PLANNERS: u64 = 3;
+    let (mut world, worker) = ordered();
+    world.run(RECORDED);
+    let limit = world.now + LONGEST + PLANNERS * RECORD_AGE;
+    world.lose_agent(&worker);
+    for _ in 0..PLANNERS {
+        world.lose_planner();
+        world.take_over();
+        world.run(10_000);
+    }
+    assert_eq!(world.orders_of("j"), 1, "{}", world.history.join("\n"));
+    world.run(limit - world.now);
+    assert_eq!(world.orders_of("j"), 2, "{}", world.history.join("\n"));
+    assert!(world.conflicts.is_empty(), "{:#?}\n{}", world.conflicts, world.history.join("\n"));
+}
+
+/// Guards against the same with an agent that returns and is lost again under each planner.
+#[test]
+fn planners_and_an_agent_lost_one_after_the_other_while_a_start_expires() {
+    let (mut world, worker) = ordered();
+    world.run(RECORDED);
+    for _ in 0..3 {
+        world.lose_planner();
+        world.lose_agent(&worker);
+        world.run(100);
+        world.agents.get_mut(&worker).expect("it was ordered").is_draining = true;
+        world.start_agent(&worker);
+        world.take_over();
+        world.run(6_900);
+    }
+    assert_eq!(world.orders_of("j"), 2, "{}", world.history.join("\n"));
+    assert!(world.conflicts.is_empty(), "{:#?}\n{}", world.conflicts, world.history.join("\n"));
+}
