Planner: tell why a group that is due is not placed

A job can have nothing running while most of the capacity is free, and no line of the log says why: waits for avoided workers, for one rack or behind a reservation are silent, and those for unanswered starts and claims are logged once.

Each attempt to place a group now gives its reason. For a group that has waited for over a second, an examination applies the limits on its place one after another to what is free on the workers, and so tells a wait of the policy from a lack of capacity. The reason is logged when it is found or changes and every five seconds, at most four lines a second, and the metrics count the groups by reason. Examinations are limited by the number of workers, so that passes over large fleets keep their length. Where groups are placed does not change.

--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -7,6 +7,8 @@
 
 use sapphire_jobs::task::{RunNumber, WorkerName};
 
+use crate::wait;
+
 /// Unfinished tasks of a group's run, by index, with their workers.
 pub type Assignments = BTreeMap<u32, WorkerName>;
 
@@ -110,6 +112,8 @@
     pub waiting_since: Duration,
     /// Time since which the group waits because of earlier starts that may still be carried out.
     pub blocked_since: Option<Duration>,
+    /// What is known of the present wait, once the group has been examined.
+    pub wait: Option<wait::Record>,
     /// Run time as observed in earlier runs.
     pub observation: Option<Observation>,
     /// What the speed of workers was last learned from.
@@ -132,6 +136,7 @@
             claim: None,
             waiting_since: now,
             blocked_since: None,
+            wait: None,
             observation: None,
             pace: None,
             restarts_faster: false,
--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -16,6 +16,7 @@
     keys, options,
     planner::Planner,
     state::handover::{Slot, Write},
+    wait,
     worker::{Run, Worker},
 };
 
@@ -50,12 +51,25 @@
     }
 
     /// Returns whether groups may be placed now.
+    pub(crate) fn may_place(&self, now: Moment) -> bool {
+        self.obstacle(now).is_none()
+    }
+
+    /// Returns the reason for which no group may be placed now, if there is one.
     ///
     /// Guards against a task that runs twice: starts of earlier terms that this planner does not
     /// know of may still be carried out, and while the store is unreachable no start can be
     /// recorded.
-    pub(crate) fn may_place(&self, now: Moment) -> bool {
-        self.may_start(now) && self.standing == Standing::Leader && !self.handover.is_incomplete
+    pub(crate) fn obstacle(&self, now: Moment) -> Option<wait::Reason> {
+        if !self.startup.is_serving() {
+            return Some(wait::Reason::Startup);
+        }
+        match self.standing {
+            Standing::Isolated => Some(wait::Reason::Lease),
+            Standing::Outage => Some(wait::Reason::Store),
+            Standing::Leader if !self.may_start(now) => Some(wait::Reason::Cordons),
+            Standing::Leader => self.handover.is_incomplete.then_some(wait::Reason::Handover),
+        }
     }
 
     /// Returns whether the record contains a start that was not known to be answered.
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -38,5 +38,7 @@
 pub mod table;
 mod unanswered;
 mod urgent;
+pub mod wait;
+mod waits;
 mod watchdog;
 pub mod worker;
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -4,6 +4,7 @@
 use std::{
     borrow::Cow,
     collections::{BTreeMap, BTreeSet},
+    iter,
     ops::Range,
     rc::Rc,
     time::Duration,
@@ -21,13 +22,14 @@
 
 use crate::{
     event::Moment,
-    group::{Group, Phase},
+    group::Group,
     placement::Placement,
     planner::Planner,
     pool::Pool,
     table::Entry,
     unanswered::Standing,
     urgent::Urgent,
+    wait::{Reason, Summary, Unplaced, Untried},
     worker::Worker,
 };
 
@@ -49,12 +51,13 @@
 /// Time for which a group that is not urgent waits for workers that are fast enough for its objective
 /// while slower ones are free. A job must not have nothing running for three seconds while there is
 /// room for it.
-const SPEED_WAIT: Duration = Duration::from_millis(1_500);
+pub(crate) const SPEED_WAIT: Duration = Duration::from_millis(1_500);
 
 /// A group that waits.
 struct Waiting {
     job: Rc<str>,
     key: GroupKey,
+    since: Duration,
 }
 
 impl Waiting {
@@ -70,12 +73,30 @@
 /// Result of the attempt to place a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
-    /// The group starts, or resources are claimed for it.
-    Served,
+    /// The group starts.
+    Placed,
+    /// Resources that are being released are claimed for it.
+    Claimed,
     /// There are no resources for it, nor for the other groups of its step.
-    NoResources,
+    NoResources(Reason),
     /// It waits for a reason that concerns only itself.
-    Waits,
+    Waits(Reason),
+}
+
+impl Outcome {
+    /// Returns the reason for which the group is not placed; `None` if it is.
+    fn reason(self) -> Option<Reason> {
+        match self {
+            Outcome::Placed => None,
+            Outcome::Claimed => Some(Reason::Claim),
+            Outcome::NoResources(reason) | Outcome::Waits(reason) => Some(reason),
+        }
+    }
+
+    /// Returns whether the group starts, or has resources claimed for it.
+    fn is_served(self) -> bool {
+        matches!(self, Outcome::Placed | Outcome::Claimed)
+    }
 }
 
 impl Planner {
@@ -83,17 +104,15 @@
     pub(crate) fn pass(&mut self, now: Moment) {
         self.update_awaited_slowness();
         let guaranteed = self.guaranteed_jobs();
-        let waiting = self.waiting(now, &guaranteed);
+        let (waiting, inherited) = self.waiting(now, &guaranteed);
         self.load.waiting = waiting.len();
+        self.begin_waits(now);
         let mut pools: BTreeMap<String, Pool> = BTreeMap::new();
-        let mut unplaced: Option<&Waiting> = None;
         let mut unserved: BTreeSet<String> = BTreeSet::new();
-        for group in &waiting {
-            if unplaced.is_some_and(|unplaced| unplaced.is_same_step(group)) {
-                // Free resources only shrink within a pass, so one search serves all waiting tasks
-                // of a step.
-                continue;
-            }
+        let mut summary = Summary::default();
+        let mut rest = waiting.as_slice();
+        while let Some((group, others)) = rest.split_first() {
+            rest = others;
             let Some(entry) = self.table.entries.get(&*group.job) else { continue };
             let service = self.service(entry);
             if !pools.contains_key(service) {
@@ -107,11 +126,30 @@
             let pool = pools.get_mut(&service).expect("inserted above");
             self.load.tried += 1;
             let outcome = self.try_group(now, pool, group, &guaranteed);
-            unplaced = (outcome == Outcome::NoResources).then_some(group);
-            if outcome != Outcome::Served {
+            if !outcome.is_served() {
                 unserved.insert(service);
             }
+            let Some(reason) = outcome.reason() else { continue };
+            // Free resources only shrink within a pass, so one search serves all waiting tasks of
+            // a step.
+            let is_skipped = |other: &&Waiting| {
+                matches!(outcome, Outcome::NoResources(_)) && group.is_same_step(other)
+            };
+            let skipped = others.iter().take_while(is_skipped).count();
+            let (skipped, others) = others.split_at(skipped);
+            rest = others;
+            let since = iter::once(group).chain(skipped).map(|group| group.since);
+            let unplaced = Unplaced {
+                job: &group.job,
+                key: &group.key,
+                reason,
+                is_guaranteed: guaranteed.contains(&*group.job),
+                groups: 1 + skipped.len(),
+                since: since.min().unwrap_or(group.since),
+            };
+            self.follow_wait(now, pool, &unplaced, &mut summary);
         }
+        self.end_waits(now, summary, &inherited);
         self.restart_on_faster(now, &unserved);
     }
 
@@ -139,30 +177,31 @@
         covered
     }
 
-    /// Returns the groups that may start, in the order in which they are tried.
-    fn waiting(&self, now: Moment, guaranteed: &BTreeSet<JobId>) -> Vec<Waiting> {
+    /// Returns the groups that may start, in the order in which they are tried, and those that are
+    /// due but wait for the end of the take-over.
+    fn waiting(&self, now: Moment, guaranteed: &BTreeSet<JobId>) -> (Vec<Waiting>, Untried) {
         let mut jobs = Vec::new();
+        let mut inherited = Untried::default();
         for id in &self.table.open {
             let Some(entry) = self.table.entries.get(id) else { continue };
             if entry.is_inherited && !self.startup.is_recovered() {
                 // A run that an earlier planner ordered may still begin.
+                inherited.add_due(entry);
                 continue;
             }
-            let mut ready = (entry.groups.iter())
-                .filter(|(key, group)| group.phase == Phase::Waiting && entry.is_unblocked(key))
-                .map(|(key, _)| *key)
-                .peekable();
+            let mut ready =
+                entry.due_groups().map(|(key, group)| (*key, group.waiting_since)).peekable();
             if ready.peek().is_some() {
                 let rank = rank::rank(&self.job_rank(now, entry, guaranteed.contains(id)));
-                jobs.push((rank, id, ready.collect::<Vec<GroupKey>>()));
+                jobs.push((rank, id, ready.collect::<Vec<(GroupKey, Duration)>>()));
             }
         }
         jobs.sort_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
         let groups = jobs.into_iter().flat_map(|(_, id, keys)| {
             let job: Rc<str> = id.as_str().into();
-            keys.into_iter().map(move |key| Waiting { job: job.clone(), key })
+            keys.into_iter().map(move |(key, since)| Waiting { job: job.clone(), key, since })
         });
-        groups.collect()
+        (groups.collect(), inherited)
     }
 
     /// Returns the data that decide the order of a job.
@@ -242,10 +281,14 @@
         waiting: &Waiting,
         guaranteed: &BTreeSet<JobId>,
     ) -> Outcome {
-        let Waiting { job: id, key } = waiting;
+        let Waiting { job: id, key, .. } = waiting;
         let id: &str = id;
-        let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
-        let Some(mut demand) = self.demand(now, entry, key, None) else { return Outcome::Waits };
+        let Some(entry) = self.table.entries.get(id) else {
+            return Outcome::Waits(Reason::Capacity);
+        };
+        let Some(mut demand) = self.demand(now, entry, key, None) else {
+            return Outcome::Waits(Reason::Capacity);
+        };
         let group = entry.groups.get(key).expect("the demand is that of a known group");
         pool.release_claim(id, key);
         match self.standing(id, key, group, demand.tasks) {
@@ -253,12 +296,12 @@
             Standing::Repeatable(worker, number)
                 if self.repeat(now, pool, waiting, &worker, number) =>
             {
-                return Outcome::Served;
+                return Outcome::Placed;
             }
             Standing::Repeatable(..) | Standing::Blocked => {
                 self.mark_blocked(now, id, key, demand.tasks);
                 self.hold_claim_again(pool, id, key, &demand);
-                return Outcome::Waits;
+                return Outcome::Waits(Reason::Unanswered);
             }
         }
         let is_guaranteed = guaranteed.contains(id);
@@ -280,12 +323,12 @@
         if let Some(assignments) = assignments {
             if self.may_still_run(id, key, demand.tasks) {
                 self.hold_claim_again(pool, id, key, &demand);
-                return Outcome::Waits;
+                return Outcome::Waits(Reason::Running);
             }
             let placement =
                 Placement { demand: &demand, assignments: &assignments, repeated: None };
             self.place(now, pool, id, key, &placement);
-            return Outcome::Served;
+            return Outcome::Placed;
         }
         // Whether only pending starts of others keep the group waiting.
         let has_pending = places.iter().any(|place| place.pending != Resources::default());
@@ -302,7 +345,8 @@
             entry.is_cordon_logged = true;
             self.log(format!("job={id} step={} waits: free workers are cordoned", key.step));
         }
-        let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits };
+        let reason = if is_held { Reason::Pending } else { Reason::Capacity };
+        let Some(entry) = self.table.entries.get(id) else { return Outcome::Waits(reason) };
         let group = entry.groups.get(key).expect("looked up above");
         let urgent = Urgent { id, key, demand: &demand, reach, is_guaranteed };
         let is_claimed = group.claim.as_ref().is_some_and(|claim| now.steady < claim.until);
@@ -320,29 +364,29 @@
                 let placement =
                     Placement { demand: &demand, assignments: &assignments, repeated: None };
                 self.place(now, pool, id, key, &placement);
-                return Outcome::Served;
+                return Outcome::Placed;
             }
             self.hold_claim_again(pool, id, key, &demand);
-            return Outcome::Waits;
+            return Outcome::Waits(Reason::Running);
         }
         if let Some(claim) = group.claim.clone() {
             if now.steady < claim.until {
                 pool.apply_claim(&claim, &demand);
-                return Outcome::Served;
+                return Outcome::Claimed;
             }
             if !self.renew_claim(now, pool, &urgent, &claim) {
                 self.force_resources(now, pool, &urgent, guaranteed);
             }
-            return Outcome::Waits;
+            return Outcome::Waits(self.claim_or(id, key, reason));
         }
         if priority == 0 {
             // Work above the share goes after that of others, so that nothing is stopped for it.
             let is_entitled = !self.is_above_share(entry) && self.needs_more_tasks(now, id, key);
             if !is_guaranteed && !is_entitled {
-                return Outcome::Waits;
+                return Outcome::Waits(if is_held { reason } else { Reason::Entitlement });
             }
             self.free_resources(now, pool, &urgent, guaranteed);
-            return Outcome::Waits;
+            return Outcome::Waits(self.claim_or(id, key, reason));
         }
         self.reserve(now, pool, &demand, reach, guaranteed);
         if let Some(entry) = self.table.entries.get_mut(id) {
@@ -352,12 +396,20 @@
         // they may use workers that this one avoids because it failed there.
         let is_like_its_step = reach == Reach::Remote || demand.near_rack.is_empty();
         if is_like_its_step && demand.avoid.is_empty() {
-            Outcome::NoResources
+            Outcome::NoResources(reason)
         } else {
-            Outcome::Waits
+            Outcome::Waits(reason)
         }
     }
 
+    /// Returns the reason for which a group waits that had a claim to make or to renew: the claim
+    /// if it has one now, else the given reason.
+    fn claim_or(&self, id: &str, key: &GroupKey, reason: Reason) -> Reason {
+        let group = self.table.entries.get(id).and_then(|entry| entry.groups.get(key));
+        let is_claimed = group.is_some_and(|group| group.claim.is_some());
+        if is_claimed { Reason::Claim } else { reason }
+    }
+
     /// Returns what the unanswered starts of a group's tasks allow. A run that its minion will not
     /// start again is not repeated, and neither is one of a gang, all of whose members would have
     /// to return to their workers.
@@ -385,7 +437,7 @@
         worker: &str,
         number: RunNumber,
     ) -> bool {
-        let Waiting { job: id, key } = waiting;
+        let Waiting { job: id, key, .. } = waiting;
         let Some(entry) = self.table.entries.get(&**id) else { return false };
         let task = group_tasks(id, key, 1).start;
         let Some(demand) = self.demand(now, entry, key, Some(&task)) else { return false };
@@ -468,9 +520,7 @@
         key: &GroupKey,
         demand: &Demand,
     ) -> Cow<'a, [Place]> {
-        if self.queue_settings(entry).priority > 0
-            && let Some(others) = self.without_avoided(now, pool, entry, key, demand)
-        {
+        if let Some(others) = self.without_avoided(now, pool, entry, key, demand) {
             return Cow::Owned(others);
         }
         if self.queue_settings(entry).priority > 0
@@ -478,20 +528,25 @@
         {
             return Cow::Owned(open);
         }
-        let keeps_fixed = self.options.policy.spare_workers && self.options.stops.is_none();
-        if keeps_fixed && self.can_wait(now, entry, key) {
+        if self.spares_workers(now, entry, key) {
             let keep = reserved_workers(pool.places.len());
             return Cow::Owned(assignment::without_reserved(&pool.places, keep));
         }
         Cow::Borrowed(&pool.places)
     }
 
+    /// Returns whether a group leaves idle workers to urgent work.
+    pub(crate) fn spares_workers(&self, now: Moment, entry: &Entry, key: &GroupKey) -> bool {
+        let keeps_fixed = self.options.policy.spare_workers && self.options.stops.is_none();
+        keeps_fixed && self.can_wait(now, entry, key)
+    }
+
     /// Returns the places without the workers on which a group failed or was too slow, as long as
     /// it is worth waiting for one of the others.
     ///
     /// Guards against a gang that is moved off a slow worker and placed on it again at once because
     /// nothing else is free: all its members would again run at the pace of that worker.
-    fn without_avoided(
+    pub(crate) fn without_avoided(
         &self,
         now: Moment,
         pool: &Pool,
@@ -500,19 +555,23 @@
         demand: &Demand,
     ) -> Option<Vec<Place>> {
         let group = entry.groups.get(key)?;
-        let wait_limit = self.expected_run_time(entry, key.step);
-        if group.avoid.is_empty() || now.steady >= group.waiting_since + wait_limit {
+        if !self.awaits_others(now, entry, key) {
             return None;
         }
-        let is_avoided = |place: &Place| group.avoid.iter().any(|name| **name == *place.worker);
-        let others = pool.places.iter().filter(|place| !is_avoided(place));
+        let others = pool.places.iter().filter(|place| !is_avoided(group, place));
         let empty: Vec<Place> = others.map(Place::emptied).collect();
         assignment::assign(&empty, demand, Reach::Remote)?;
-        let closed = |place: &Place| {
-            let free = if is_avoided(place) { Resources::default() } else { place.free };
-            Place { free, ..place.clone() }
-        };
-        Some(pool.places.iter().map(closed).collect())
+        Some(close_avoided(group, &pool.places))
+    }
+
+    /// Returns whether a group may still wait for workers on which it has not failed or been too
+    /// slow.
+    fn awaits_others(&self, now: Moment, entry: &Entry, key: &GroupKey) -> bool {
+        let Some(group) = entry.groups.get(key) else { return false };
+        let wait_limit = self.expected_run_time(entry, key.step);
+        self.queue_settings(entry).priority > 0
+            && !group.avoid.is_empty()
+            && now.steady < group.waiting_since + wait_limit
     }
 
     /// Returns whether a group would lose work if it were stopped, and has time to wait for a place
@@ -541,7 +600,7 @@
 
     /// Decides whether a group may run where it is slower: if it never fits elsewhere, if it has
     /// waited as long as the slower run costs, or if its guarantee is about to be missed.
-    fn reach(
+    pub(crate) fn reach(
         &self,
         now: Moment,
         pool: &Pool,
@@ -556,31 +615,46 @@
         }
         let group = entry.groups.get(key).expect("the caller has looked it up");
         let waited = now.steady.saturating_sub(group.waiting_since);
-        let expected = self.expected_run_time(entry, key.step);
-        let extra = expected * self.options.remote_factor.saturating_sub(1);
         let is_urgent = is_guaranteed
             && Self::age(entry, now) >= self.options.reclaim_deadline.mul_f64(REMOTE_START_SHARE);
         let fits_near = || {
             let places: Vec<Place> = pool.places.iter().map(Place::emptied).collect();
             assignment::assign(&places, demand, Reach::Near).is_some()
         };
+        let has_waited = waited >= self.near_wait(entry, key);
+        if has_waited || is_urgent || !fits_near() { Reach::Remote } else { Reach::Near }
+    }
+
+    /// Returns the maximum time for which a group waits for a place where it is not slower.
+    pub(crate) fn near_wait(&self, entry: &Entry, key: &GroupKey) -> Duration {
+        let expected = self.expected_run_time(entry, key.step);
+        let extra = expected * self.options.remote_factor.saturating_sub(1);
         // A slower run takes resources from everybody for longer, which only urgent work justifies.
-        let extra = if self.queue_settings(entry).priority == 0 {
-            extra
-        } else {
-            extra * REMOTE_WAIT_FACTOR
-        };
-        if waited >= extra || is_urgent || !fits_near() { Reach::Remote } else { Reach::Near }
+        if self.queue_settings(entry).priority == 0 { extra } else { extra * REMOTE_WAIT_FACTOR }
     }
 }
 
+/// Returns whether a group has failed or been too slow on a worker.
+fn is_avoided(group: &Group, place: &Place) -> bool {
+    group.avoid.iter().any(|name| **name == *place.worker)
+}
+
+/// Returns the places with nothing free on the workers that a group avoids.
+pub(crate) fn close_avoided(group: &Group, places: &[Place]) -> Vec<Place> {
+    let closed = |place: &Place| {
+        let free = if is_avoided(group, place) { Resources::default() } else { place.free };
+        Place { free, ..place.clone() }
+    };
+    places.iter().map(closed).collect()
+}
+
 /// Returns the number of workers of a pool that are reserved for urgent work.
 pub(crate) fn reserved_workers(workers: usize) -> usize {
     MAX_RESERVED_WORKERS.min(workers / WORKERS_PER_RESERVED)
 }
 
 /// Returns the range of the tasks of a group.
-fn group_tasks(id: &str, key: &GroupKey, tasks: u32) -> Range<Task> {
+pub(crate) fn group_tasks(id: &str, key: &GroupKey, tasks: u32) -> Range<Task> {
     let task =
         |index| Task { job: id.to_owned(), occurrence: key.occurrence, step: key.step, index };
     task(key.index)..task(key.index.saturating_add(tasks))
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -52,6 +52,7 @@
         let waited = now.steady.saturating_sub(group.waiting_since).as_millis();
         group.run = number;
         group.claim = None;
+        group.wait = None;
         let blocked_since = group.blocked_since.take();
         group.phase = Phase::Active(Active {
             ordered_at: now.steady,
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -28,11 +28,11 @@
     queue::Settings,
     state::{
         self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, shares::Shares,
-        startup::Startup,
+        startup::Startup, waits::Waits,
     },
     stops,
     table::{Entry, Table},
-    unanswered,
+    unanswered, wait,
     worker::{Cause, Phase, Stop, Worker},
 };
 
@@ -71,6 +71,8 @@
     /// Time before which no pass begins.
     pub(crate) next_pass: Duration,
     pub(crate) load: Load,
+    /// Reasons for which groups wait.
+    pub(crate) waits: Waits,
     pub(crate) cordons: Cordons,
     /// End of the lease on the leader key.
     pub(crate) lease_expires_at: Duration,
@@ -119,6 +121,7 @@
             last_pass: Duration::ZERO,
             next_pass: Duration::ZERO,
             load: Load::default(),
+            waits: Waits::default(),
             cordons: Cordons::default(),
             lease_expires_at: Duration::MAX,
             standing: Standing::Leader,
@@ -185,6 +188,11 @@
         self.load
     }
 
+    /// Returns the figures of the groups that are due and wait.
+    pub fn waits(&self) -> &wait::Summary {
+        &self.waits.summary
+    }
+
     /// Handles an event and returns the effects to carry out.
     pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         self.apply(now, event);
@@ -248,6 +256,7 @@
             self.last_pass = now.steady;
             self.pass(now);
         }
+        self.follow_obstacle(now);
         self.write_progress(now);
         self.write_unanswered(now);
         self.write_shares(now);
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -43,6 +43,8 @@
     pub(crate) places: Vec<Place>,
     /// Workers that could be used if their zones were not cordoned.
     pub(crate) cordoned: Vec<Place>,
+    /// Workers that could be used if they were not excluded as suspect.
+    pub(crate) suspect: Vec<Place>,
     pub(crate) index: BTreeMap<WorkerName, usize>,
     /// Groups that may be stopped. Looked up when an urgent group first finds no free resources,
     /// which happens in few passes.
@@ -106,24 +108,25 @@
 impl Planner {
     /// Returns the workers of a service that may be given tasks now.
     pub(crate) fn pool(&self, now: Moment, service: &str) -> Pool {
-        let (mut places, mut cordoned) = (Vec::new(), Vec::new());
+        let (mut places, mut cordoned, mut suspect) = (Vec::new(), Vec::new(), Vec::new());
         let mut index = BTreeMap::new();
         for (name, worker) in &self.workers {
             let Some(minion) = &worker.incarnation else { continue };
-            let suspicion = match self.suspicion(name, now.steady) {
-                Suspicion::None => 0,
-                Suspicion::LastChoice => 1,
-                Suspicion::Excluded => continue,
-            };
             let is_recorded = self.startup.is_recorded(name);
             if minion.service != service || !worker.is_open(now.steady) || !is_recorded {
                 continue;
             }
             let is_cordoned = self.cordons.contains(worker);
-            if !is_cordoned {
-                index.insert(name.clone(), places.len());
-            }
-            let list = if is_cordoned { &mut cordoned } else { &mut places };
+            let suspicion = self.suspicion(name, now.steady);
+            let list = match (suspicion, is_cordoned) {
+                (Suspicion::Excluded, true) => continue,
+                (Suspicion::Excluded, false) => &mut suspect,
+                (_, true) => &mut cordoned,
+                (_, false) => {
+                    index.insert(name.clone(), places.len());
+                    &mut places
+                }
+            };
             list.push(Place {
                 worker: name.as_str().into(),
                 rack: minion.rack.as_str().into(),
@@ -132,13 +135,14 @@
                 promised: Resources::default(),
                 capacity: worker.capacity(),
                 pending: self.pending_resources(name, worker),
-                suspicion,
+                suspicion: u32::from(suspicion != Suspicion::None),
                 slowness: self.slowness(name),
             });
         }
         Pool {
             places,
             cordoned,
+            suspect,
             index,
             candidates: Vec::new(),
             keys: Vec::new(),
@@ -169,7 +173,7 @@
 
     /// Returns the resources of the starts that the next incarnation of a worker's minion may carry
     /// out; nothing if all of them have been answered.
-    fn pending_resources(&self, name: &str, worker: &Worker) -> Resources {
+    pub(crate) fn pending_resources(&self, name: &str, worker: &Worker) -> Resources {
         let resources = |task: &Task| match worker.runs.get(task) {
             Some(run) => run.resources,
             None => self.table.resources(task),
--- a/crates/planner/src/state/mod.rs
+++ b/crates/planner/src/state/mod.rs
@@ -7,3 +7,4 @@
 pub(crate) mod shares;
 pub(crate) mod speeds;
 pub(crate) mod startup;
+pub(crate) mod waits;
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -233,6 +233,14 @@
         step.after.iter().all(|earlier| self.is_step_done(key.occurrence, *earlier))
     }
 
+    /// Returns the groups that wait, and whose earlier steps are done.
+    pub fn due_groups(&self) -> impl Iterator<Item = (&GroupKey, &Group)> {
+        let is_due = |(key, group): &(&GroupKey, &Group)| {
+            group.phase == Phase::Waiting && self.is_unblocked(key)
+        };
+        self.groups.iter().filter(is_due)
+    }
+
     /// Returns whether all tasks of a step are done.
     fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
         let mut groups = self.groups.range(step_groups(occurrence, step)).peekable();
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -312,6 +312,12 @@
         self.by_task.range::<Task, _>(tasks).flat_map(|(_, starts)| starts.keys()).collect()
     }
 
+    /// Returns the time at which the last start of the tasks in a range expires.
+    pub(crate) fn expires_at(&self, tasks: Range<&Task>) -> Option<Duration> {
+        let starts = self.by_task.range::<Task, _>(tasks).flat_map(|(_, starts)| starts.values());
+        starts.filter_map(Start::expires_at).max()
+    }
+
     /// Returns the tasks with unanswered starts on a worker.
     pub(crate) fn tasks_on(&self, worker: &str) -> impl Iterator<Item = &Task> {
         self.by_worker.get(worker).into_iter().flat_map(|record| &record.tasks)
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -15,3 +15,4 @@
 mod supply;
 mod terms;
 mod urgent;
+mod waits;
--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -65,7 +65,7 @@
                 self.planner = Some(planner);
                 self.handle_planner_event(now, planner::event::Event::Tick);
             }
-            Effect::Resign => self.planner = None,
+            Effect::Resign => self.end_planner(),
             Effect::Log(text) => self.logger.info("front", &text),
         }
     }
@@ -94,7 +94,7 @@
             Effect::Announce(addresses) => self.announce_leader(&addresses),
             Effect::Log(text) => self.logger.info("plan", &text),
             Effect::Deposed => {
-                self.planner = None;
+                self.end_planner();
                 work.extend(self.front.deposed(now.steady).into_iter().map(Work::Front));
             }
         }
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -2,7 +2,7 @@
 
 use cadence::Gauged as _;
 use sapphire_net::clock;
-use sapphire_planner::{self as planner, event::Moment};
+use sapphire_planner::{self as planner, event::Moment, wait};
 
 use super::{Role, Work};
 use crate::reactor;
@@ -57,7 +57,28 @@
         }
         if let Some(line) = self.meter.report(end, load) {
             self.logger.info("plan", &line);
+            if let Some(planner) = &self.planner {
+                self.record_waits(planner.waits());
+            }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
     }
+
+    /// Ends the work of the planner, whose figures would otherwise stay as they were.
+    pub(super) fn end_planner(&mut self) {
+        self.planner = None;
+        self.record_waits(&wait::Summary::default());
+    }
+
+    /// Records the figures of the groups that are due and wait.
+    fn record_waits(&self, waits: &wait::Summary) {
+        // A metric that can't be recorded is not worth an error.
+        for reason in wait::Reason::ALL {
+            let name = format!("waits.{}", reason.name());
+            let _ = self.metrics.gauge(&name, waits.count(reason) as u64);
+        }
+        let oldest_ms = u64::try_from(waits.oldest.as_millis()).unwrap_or(u64::MAX);
+        let _ = self.metrics.gauge("waits.oldest_ms", oldest_ms);
+        let _ = self.metrics.gauge("waits.fitting", waits.fitting as u64);
+    }
 }
