--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -17,3 +17,4 @@
 mod supply;
 mod terms;
 mod urgent;
+mod waits;
