planner: a job with nothing running waits 1.5 s at most for a better place

Cause: each preference for a place closes some of the workers by itself, and none looks at the others. A gang that prefers one rack avoids the eight workers that were slow; `without_avoided` finds that the other three could hold it, on three racks; `reach` finds that one rack could hold it, with the avoided workers. Nothing satisfies both, so it waited for one expected run time, which the slow runs had raised from 20 s to 37.6 s, and anew after each run. Class: waits for a better place whose bounds are counted from the latest run, and which together leave no place at all. Its kin: busy workers that count as empty, one rack (eight expected run times), workers that are reserved for urgent work or for a gang that waits, all workers excluded after failures.

Evidence: tests that force the order of events (`stands_still`, `bounds`), each cleared by switching off the named mechanism alone.

Fix: one bound for all preferences together. A job that has nothing running and has waited 1.5 s, over all runs of a group and over any number of planners, takes any place that holds it, the healthy ones first, while capacity is spare: it holds the group twice, and under half of some resource is in use. Waits that the protocol requires, and claims of urgent groups, are not touched. While capacity is scarce a wait leaves the place to others, and nothing changes. Reserved resources are taken only if under half of what the group needs most is in use. The log says `takes any place`, and `limit_ms` of a wait has the bound.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod reserve;
 pub mod share;
 pub mod size;
+pub mod spare;
 pub mod speed;
 pub mod stops;
 pub mod suspect;
--- a/crates/plan/src/reserve.rs
+++ b/crates/plan/src/reserve.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Adds all reserved resources that are free already to the free resources of the places.
+    pub fn release(&self, places: &mut [Place]) {
+        for (at, resources) in &self.reserved {
+            places[*at].free = places[*at].free.plus(*resources);
+        }
+    }
+
     /// Gives reserved resources of a place to other work. Returns the part of the requested
     /// resources that the reservation does not cover.
     ///
--- /dev/null
+++ b/crates/plan/src/spare.rs
@@ -0,0 +1,57 @@
+//! Spare capacity: capacity that a group can take without harm to others.
+//!
+//! While capacity is scarce, work that waits for a better place leaves the present ones to others.
+//! While it is spare, nobody gains from the wait, and a job that has nothing running only loses time.
+
+use sapphire_jobs::resources::Resources;
+
+use crate::assignment::{Demand, Place};
+
+/// Share of the capacity from whose use on it is scarce.
+const SCARCE_SHARE: f64 = 0.5;
+/// How often a group must fit into what is free.
+const FITS: u64 = 2;
+
+/// Returns whether half or more of each resource of some workers is in use.
+pub fn is_scarce(places: &[Place]) -> bool {
+    RESOURCES.iter().all(|resource| used_share(places, *resource) >= SCARCE_SHARE)
+}
+
+/// Returns whether half or more is in use of the resource that a group needs most of, in relation to
+/// what there is.
+pub fn is_scarce_for(places: &[Place], demand: &Demand) -> bool {
+    let capacity =
+        |resource: Resource| -> u64 { places.iter().map(|place| resource(&place.capacity)).sum() };
+    let needed =
+        |resource: Resource| resource(&demand.resources) as f64 / capacity(resource).max(1) as f64;
+    let most = RESOURCES.iter().map(|resource| needed(*resource)).fold(0.0, f64::max);
+    let mut needed_most = RESOURCES.iter().filter(|resource| needed(**resource) >= most);
+    needed_most.any(|resource| used_share(places, *resource) >= SCARCE_SHARE)
+}
+
+/// Returns whether the free resources of some workers hold a group twice.
+pub fn holds_twice(places: &[Place], demand: &Demand) -> bool {
+    let has_label =
+        |place: &&Place| demand.label.is_empty() || place.labels.contains(&demand.label);
+    let fitting = places
+        .iter()
+        .filter(has_label)
+        .map(|place| u64::from(place.free.count_fitting(demand.resources)));
+    fitting.sum::<u64>() >= FITS * u64::from(demand.tasks)
+}
+
+/// Amount of one kind of resource.
+type Resource = fn(&Resources) -> u64;
+
+const RESOURCES: [Resource; 3] = [
+    |resources| resources.millicores,
+    |resources| resources.memory_mib,
+    |resources| resources.accelerators,
+];
+
+/// Returns the used share of a resource; all of it if there is none.
+fn used_share(places: &[Place], resource: Resource) -> f64 {
+    let free: u64 = places.iter().map(|place| resource(&place.free)).sum();
+    let capacity: u64 = places.iter().map(|place| resource(&place.capacity)).sum();
+    if capacity > 0 { 1.0 - free as f64 / capacity as f64 } else { 1.0 }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod load;
 pub mod options;
 mod pass;
+mod patience;
 mod placement;
 pub mod planner;
 mod polls;
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -23,6 +23,7 @@
 use crate::{
     event::Moment,
     group::Group,
+    patience,
     placement::Placement,
     planner::Planner,
     pool::Pool,
@@ -58,6 +59,8 @@
     job: Rc<str>,
     key: GroupKey,
     since: Duration,
+    /// Time from which on its job takes any place.
+    patience_ends: Duration,
 }
 
 impl Waiting {
@@ -193,13 +196,16 @@
                 entry.due_groups().map(|(key, group)| (*key, group.waiting_since)).peekable();
             if ready.peek().is_some() {
                 let rank = rank::rank(&self.job_rank(now, entry, guaranteed.contains(id)));
-                jobs.push((rank, id, ready.collect::<Vec<(GroupKey, Duration)>>()));
+                let patience_ends = patience::ends_at(entry);
+                jobs.push((rank, id, patience_ends, ready.collect::<Vec<(GroupKey, Duration)>>()));
             }
         }
         jobs.sort_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
-        let groups = jobs.into_iter().flat_map(|(_, id, keys)| {
+        let groups = jobs.into_iter().flat_map(|(_, id, patience_ends, keys)| {
             let job: Rc<str> = id.as_str().into();
-            keys.into_iter().map(move |(key, since)| Waiting { job: job.clone(), key, since })
+            let waiting =
+                move |(key, since)| Waiting { job: job.clone(), key, since, patience_ends };
+            keys.into_iter().map(waiting)
         });
         (groups.collect(), inherited)
     }
@@ -281,7 +287,7 @@
         waiting: &Waiting,
         guaranteed: &BTreeSet<JobId>,
     ) -> Outcome {
-        let Waiting { job: id, key, .. } = waiting;
+        let Waiting { job: id, key, patience_ends, .. } = waiting;
         let id: &str = id;
         let Some(entry) = self.table.entries.get(id) else {
             return Outcome::Waits(Reason::Capacity);
@@ -330,6 +336,30 @@
             self.place(now, pool, id, key, &placement);
             return Outcome::Placed;
         }
+        if assignments.is_none()
+            && let Some(found) = self.find_anywhere(now, pool, entry, key, &demand, *patience_ends)
+        {
+            if self.may_still_run(id, key, demand.tasks) {
+                self.hold_claim_again(pool, id, key, &demand);
+                return Outcome::Waits(Reason::Running);
+            }
+            self.log(format!(
+                "job={id} step={} index={} takes any place: capacity is spare",
+                key.step, key.index
+            ));
+            if found.has_suspects {
+                pool.admit_suspects();
+            }
+            let assignments = &found.assignments;
+            self.place(
+                now,
+                pool,
+                id,
+                key,
+                &Placement { demand: &demand, assignments, repeated: None },
+            );
+            return Outcome::Placed;
+        }
         // Whether only pending starts of others keep the group waiting.
         let has_pending = places.iter().any(|place| place.pending != Resources::default());
         let is_held = has_pending && {
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -49,7 +49,9 @@
         let number = repeated.unwrap_or_else(|| first.max(group.run + 1));
         // A run that is ordered again is taken up when a list shows it.
         group.ended_run = group.ended_run.min(number - 1);
-        let waited = now.steady.saturating_sub(group.waiting_since).as_millis();
+        let waited = now.steady.saturating_sub(group.waiting_since);
+        group.waited += waited;
+        let waited = waited.as_millis();
         group.run = number;
         group.claim = None;
         group.wait = None;
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -1,6 +1,7 @@
 //! The workers of one service as a pass sees them, and the groups that may be stopped on them.
 
 use std::{
+    cell::OnceCell,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -56,6 +57,8 @@
     has_candidates: bool,
     /// Resources reserved for groups that wait.
     pub(crate) reservations: Vec<Reservation>,
+    /// Whether most of the capacity is in use, once a group has asked for it.
+    pub(crate) is_scarce: OnceCell<bool>,
     /// Name of the service.
     pub(crate) service: String,
     /// Resources that are withheld for urgent work.
@@ -91,6 +94,14 @@
         Some(places)
     }
 
+    /// Adds the suspect workers to the places, as the last choice of the groups that are tried after.
+    pub(crate) fn admit_suspects(&mut self) {
+        for place in std::mem::take(&mut self.suspect) {
+            self.index.insert(place.worker.to_string(), self.places.len());
+            self.places.push(place);
+        }
+    }
+
     /// Deducts the resources claimed by a group that waits for them to be released.
     pub(crate) fn apply_claim(&mut self, claim: &Claim, demand: &Demand) {
         for (name, tasks) in &claim.assignments {
@@ -149,6 +160,7 @@
             jobs: Vec::new(),
             has_candidates: false,
             reservations: Vec::new(),
+            is_scarce: OnceCell::new(),
             service: service.to_owned(),
             held: stops::Held::default(),
         }
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -241,6 +241,11 @@
         self.groups.iter().filter(is_due)
     }
 
+    /// Returns whether a group is ordered or running.
+    pub fn is_running(&self) -> bool {
+        self.groups.values().any(|group| group.active().is_some())
+    }
+
     /// Returns whether all tasks of a step are done.
     fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
         let mut groups = self.groups.range(step_groups(occurrence, step)).peekable();
--- a/crates/planner/src/wait/reason.rs
+++ b/crates/planner/src/wait/reason.rs
@@ -92,6 +92,19 @@
         }
     }
 
+    /// Returns whether the group waits for a better place than those that it could have now.
+    pub(crate) fn is_preference(self) -> bool {
+        matches!(
+            self,
+            Reason::Suspect
+                | Reason::Slow
+                | Reason::Rack
+                | Reason::Avoided
+                | Reason::Headroom
+                | Reason::Reserved
+        )
+    }
+
     /// Returns whether an attempt to place a group that gives this reason leaves open why it found
     /// too few resources.
     pub(crate) fn is_coarse(self) -> bool {
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -20,6 +20,7 @@
     group::Group,
     options,
     pass::{self, SPEED_WAIT},
+    patience,
     planner::Planner,
     pool::Pool,
     table::Entry,
@@ -128,7 +129,8 @@
         {
             logged = Some((finding.reason, now.steady));
             let workers = self.workers_of_wait(pool, unplaced, finding.reason);
-            self.log_wait(now, unplaced, Some(finding), &workers);
+            let is_spare = finding.fits && self.is_spare_for(now, pool, unplaced);
+            self.log_wait(now, unplaced, Some((finding, is_spare)), &workers);
         }
         let Finding { reason, fits, .. } = finding;
         let record =
@@ -201,7 +203,7 @@
 
     /// Returns the places of a pool with what is free on their workers, without regard to what is
     /// claimed, reserved, kept or pending.
-    fn free_places(&self, pool: &Pool) -> Vec<Place> {
+    pub(crate) fn free_places(&self, pool: &Pool) -> Vec<Place> {
         // Both are in the order of the names.
         let mut places = pool.places.iter().peekable();
         let mut free_places = Vec::with_capacity(places.len());
@@ -216,7 +218,7 @@
     }
 
     /// Returns the places with the starts that are pending on their workers.
-    fn with_pending(&self, mut places: Vec<Place>) -> Vec<Place> {
+    pub(crate) fn with_pending(&self, mut places: Vec<Place>) -> Vec<Place> {
         for place in &mut places {
             if let Some(worker) = self.workers.get(&*place.worker) {
                 place.pending = self.pending_resources(&place.worker, worker);
@@ -294,9 +296,34 @@
         }
     }
 
+    /// Returns whether capacity is spare for a group.
+    fn is_spare_for(&self, now: Moment, pool: &Pool, unplaced: &Unplaced<'_>) -> bool {
+        let entry = self.table.entries.get(unplaced.job);
+        let demand = entry.and_then(|entry| self.demand(now, entry, unplaced.key, None));
+        demand.is_some_and(|demand| self.spare_places(pool, &demand).is_some())
+    }
+
     /// Returns the longest time for which a group may wait for a reason; `None` without a limit.
-    fn wait_limit(&self, unplaced: &Unplaced<'_>, reason: Reason) -> Option<Duration> {
+    /// `is_spare` says that capacity is spare for the group.
+    fn wait_limit(
+        &self,
+        unplaced: &Unplaced<'_>,
+        reason: Reason,
+        is_spare: bool,
+    ) -> Option<Duration> {
         let entry = self.table.entries.get(unplaced.job)?;
+        let end = self.wait_end(entry, unplaced, reason);
+        let end = if is_spare && reason.is_preference() && !entry.is_running() {
+            let patience = patience::ends_at(entry).max(unplaced.since);
+            end.unwrap_or(patience).min(patience)
+        } else {
+            end?
+        };
+        Some(end.saturating_sub(unplaced.since))
+    }
+
+    /// Returns the end of the wait for a reason by itself; `None` without a limit.
+    fn wait_end(&self, entry: &Entry, unplaced: &Unplaced<'_>, reason: Reason) -> Option<Duration> {
         let group = entry.groups.get(unplaced.key)?;
         let until = match reason {
             Reason::Avoided => {
@@ -320,20 +347,23 @@
             }
             _ => return None,
         };
-        Some(until.saturating_sub(unplaced.since))
+        Some(until)
     }
 
-    /// Logs why a group waits.
+    /// Logs why a group waits. `found` is the result of its examination, and whether capacity is
+    /// spare for it.
     fn log_wait(
         &mut self,
         now: Moment,
         unplaced: &Unplaced<'_>,
-        finding: Option<Finding>,
+        found: Option<(Finding, bool)>,
         workers: &[WorkerName],
     ) {
         let Unplaced { job, key, groups, since, .. } = *unplaced;
+        let finding = found.map(|(finding, _)| finding);
         let reason = finding.map_or(unplaced.reason, |finding| finding.reason);
-        let limit = self.wait_limit(unplaced, reason);
+        let is_spare = found.is_some_and(|(_, is_spare)| is_spare);
+        let limit = self.wait_limit(unplaced, reason, is_spare);
         let limit = limit.map_or("none".to_owned(), |limit| limit.as_millis().to_string());
         let free = finding.map_or("unknown".to_owned(), |it| format!("{:.2}", it.free));
         let fits = finding.map_or("unknown".to_owned(), |it| it.fits.to_string());
