planner: capacity is spare while under half of every resource is in use

A share of any resource is now enough to count as scarce, and reservations need no condition of their own.

--- a/crates/plan/src/spare.rs
+++ b/crates/plan/src/spare.rs
@@ -12,21 +12,9 @@
 /// How often a group must fit into what is free.
 const FITS: u64 = 2;
 
-/// Returns whether half or more of each resource of some workers is in use.
+/// Returns whether half or more of some resource of the workers is in use.
 pub fn is_scarce(places: &[Place]) -> bool {
-    RESOURCES.iter().all(|resource| used_share(places, *resource) >= SCARCE_SHARE)
-}
-
-/// Returns whether half or more is in use of the resource that a group needs most of, in relation to
-/// what there is.
-pub fn is_scarce_for(places: &[Place], demand: &Demand) -> bool {
-    let capacity =
-        |resource: Resource| -> u64 { places.iter().map(|place| resource(&place.capacity)).sum() };
-    let needed =
-        |resource: Resource| resource(&demand.resources) as f64 / capacity(resource).max(1) as f64;
-    let most = RESOURCES.iter().map(|resource| needed(*resource)).fold(0.0, f64::max);
-    let mut needed_most = RESOURCES.iter().filter(|resource| needed(**resource) >= most);
-    needed_most.any(|resource| used_share(places, *resource) >= SCARCE_SHARE)
+    RESOURCES.iter().any(|resource| used_share(places, *resource) >= SCARCE_SHARE)
 }
 
 /// Returns whether the free resources of some workers hold a group twice.
@@ -49,9 +37,9 @@
     |resources| resources.accelerators,
 ];
 
-/// Returns the used share of a resource; all of it if there is none.
+/// Returns the used share of a resource; nothing if the workers have none.
 fn used_share(places: &[Place], resource: Resource) -> f64 {
     let free: u64 = places.iter().map(|place| resource(&place.free)).sum();
     let capacity: u64 = places.iter().map(|place| resource(&place.capacity)).sum();
-    if capacity > 0 { 1.0 - free as f64 / capacity as f64 } else { 1.0 }
+    if capacity > 0 { 1.0 - free as f64 / capacity as f64 } else { 0.0 }
 }
--- a/crates/planner/src/patience.rs
+++ b/crates/planner/src/patience.rs
@@ -59,8 +59,10 @@
             return None;
         }
         let demand = Demand { speed: Need::default(), ..demand.clone() };
-        let free = self.spare_places(pool, &demand)?;
-        let mut places = self.open_places(pool, spare::is_scarce_for(&free, &demand));
+        if !self.is_capacity_spare(pool, &demand) {
+            return None;
+        }
+        let mut places = self.unreserved_places(pool);
         let is_healthy = |place: &Place| {
             place.suspicion == 0 && !demand.avoid.iter().any(|name| **name == *place.worker)
         };
@@ -77,27 +79,22 @@
         assign(&places).map(|assignments| Found { assignments, has_suspects: true })
     }
 
-    /// Returns the free resources of all workers of a pool if its capacity is spare for a group.
-    pub(crate) fn spare_places(&self, pool: &Pool, demand: &Demand) -> Option<Vec<Place>> {
+    /// Returns whether the capacity of a pool is spare for a group.
+    pub(crate) fn is_capacity_spare(&self, pool: &Pool, demand: &Demand) -> bool {
         let all = || -> Vec<Place> {
             let suspect = pool.suspect.iter().cloned();
             self.free_places(pool).into_iter().chain(suspect).collect()
         };
         // Within a pass, only what it places itself changes this.
-        if *pool.is_scarce.get_or_init(|| spare::is_scarce(&all())) {
-            return None;
-        }
-        Some(all()).filter(|places| spare::holds_twice(places, demand))
+        !*pool.is_scarce.get_or_init(|| spare::is_scarce(&all()))
+            && spare::holds_twice(&all(), demand)
     }
 
-    /// Returns the places of a pool that are open to a group which takes any: without the resources
-    /// that are claimed for urgent groups, and without those that are reserved for groups that wait
-    /// for others to end, if it `leaves_reserved`.
-    fn open_places(&self, pool: &Pool, leaves_reserved: bool) -> Vec<Place> {
+    /// Returns the places of a pool with the resources that are reserved for groups that wait for
+    /// others to end, but without those that are claimed for urgent groups.
+    fn unreserved_places(&self, pool: &Pool) -> Vec<Place> {
         let mut places = pool.places.clone();
-        if !leaves_reserved {
-            pool.reservations.iter().for_each(|reservation| reservation.release(&mut places));
-        }
+        pool.reservations.iter().for_each(|reservation| reservation.release(&mut places));
         self.with_pending(places)
     }
 }
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -300,7 +300,7 @@
     fn is_spare_for(&self, now: Moment, pool: &Pool, unplaced: &Unplaced<'_>) -> bool {
         let entry = self.table.entries.get(unplaced.job);
         let demand = entry.and_then(|entry| self.demand(now, entry, unplaced.key, None));
-        demand.is_some_and(|demand| self.spare_places(pool, &demand).is_some())
+        demand.is_some_and(|demand| self.is_capacity_spare(pool, &demand))
     }
 
     /// Returns the longest time for which a group may wait for a reason; `None` without a limit.
