planner: the record of unanswered starts has the time that is left of each

And an agent without contact to a planner sent starts for its whole lease, so that each start on a lost worker counted from the end of the lease.

The record now has the time that is left, with the time in which an order may still be sent for those orders only that are outstanding, and agents send starts for 2 s after a poll that was answered. A start on a worker that is lost counts from its agent's latest poll.

--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -79,6 +79,9 @@
 /// Time after which an unanswered start can no longer be carried out: 12 seconds after it was sent,
 /// as the platform specifies, and a margin.
 pub const START_EXPIRY: Duration = Duration::from_millis(12_300);
+/// Time after the sending of its latest poll that was answered for which an agent sends starts. Shorter
+/// than the lease, since nobody else can run a task whose start may have been sent.
+pub const START_WINDOW: Duration = Duration::from_millis(2_000);
 /// Delay before a failed write is retried.
 pub const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay before a failed watch is restarted.
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -83,11 +83,10 @@
 
     /// Returns how much longer unanswered starts count of which nothing more is known.
     pub(crate) fn start_grace(&self) -> Grace {
-        let agent = self.options.lease_expiry();
         Grace {
             run: self.options.longest_lease_expiry(),
-            agent,
-            isolated_agent: agent + options::MAX_STORE_OUTAGE,
+            agent: self.options.lease_expiry(),
+            isolated_agent: options::MAX_STORE_OUTAGE,
         }
     }
 
@@ -261,6 +260,7 @@
         self.log_orders(name, &orders);
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         worker.is_cordon_sent = orders.is_cordoned;
+        worker.starts_until = worker.starts_until.max(worker.last_contact + window);
         worker.long_poll = None;
         worker.acknowledged_sent = worker.acknowledged;
         orders.entries = self.feeds.addresses.update_for(now.steady, &mut worker.entries_sent);
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -56,10 +56,9 @@
 pub(crate) struct Grace {
     /// Time for which a run may go on that nobody renews the lease of.
     pub(crate) run: Duration,
-    /// Time for which an agent that hears of no planner goes on sending starts.
+    /// Time for which an agent of an earlier version that hears of no planner goes on sending starts.
     pub(crate) agent: Duration,
-    /// Time after a take-over for which an agent may go on sending starts, if it still hears of a
-    /// planner that has been replaced.
+    /// Time after a take-over for which an agent may still hear of a planner that was replaced.
     pub(crate) isolated_agent: Duration,
 }
 
@@ -157,8 +156,10 @@
     ) {
         self.for_each_start(name, |start| start.retained = start.retained.max(start.reported));
         let may_be_sent = |run: &Run| !run.is_started && run.recorded_in <= durable;
+        let expires_at = now.min(worker.starts_until) + options::START_EXPIRY;
         for (task, run) in worker.runs.iter().filter(|(_, run)| may_be_sent(run)) {
-            self.start(name, task.clone(), run.number).retained = Some(now + options::START_EXPIRY);
+            let start = self.start(name, task.clone(), run.number);
+            start.retained = start.retained.max(Some(expires_at));
         }
     }
 
@@ -199,8 +200,7 @@
             self.for_each_start(&worker, |start| {
                 start.reported = start.reported.filter(is_kept);
                 start.retained = start.retained.filter(is_kept);
-                start.inherited =
-                    start.inherited.filter(|it| is_kept(&(it.expires_at + grace.agent)));
+                start.inherited = start.inherited.filter(|it| is_kept(&it.expires_at));
             });
             self.prune(&worker);
         }
@@ -240,7 +240,9 @@
             }
         }
         for (name, worker) in fleet {
-            let until = now.steady + options::START_EXPIRY;
+            // Its agent may go on sending the start for a while after it last hears of this planner.
+            let until =
+                now.steady + options::START_WINDOW + options::START_EXPIRY + options::TIMING_MARGIN;
             let ordered = worker.runs.iter().filter(|(_, run)| !run.is_started);
             let rows = ordered.map(|(task, run)| {
                 recorded_task(now, &task.run(run.number), until, worker.generation)
@@ -269,8 +271,8 @@
     /// Restores the handover record of an earlier planner. `fleet` holds the workers whose agents
     /// have reported already.
     ///
-    /// The record has the age of each start, which goes on from now: clocks of day may differ by any
-    /// amount. A start that an agent may have sent again since the record was written has the age 0.
+    /// The record has the time that is left of each start, which is counted from now on: clocks of day
+    /// may differ by any amount.
     pub(crate) fn restore(
         &mut self,
         now: Moment,
@@ -285,8 +287,10 @@
             }
             for task in tasks {
                 let UnansweredTask { job, occurrence, step, index, run, generation, .. } = task;
-                let age = Duration::from_millis(task.age_ms.unwrap_or(0));
-                let expires_at = (now.steady + options::START_EXPIRY).saturating_sub(age);
+                let expires_at = match task.left_ms {
+                    Some(left) => shifted(now.steady, left),
+                    None => now.steady + options::START_EXPIRY + grace.agent,
+                };
                 let start = self.start(&worker, Task { job, occurrence, step, index }, run);
                 if generation == 0 {
                     start.retained = start.retained.max(Some(expires_at));
@@ -393,17 +397,23 @@
     until: Duration,
     generation: u64,
 ) -> UnansweredTask {
-    let age = (now.steady + options::START_EXPIRY).saturating_sub(until);
+    let in_ms = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
+    let left = in_ms(until) - in_ms(now.steady);
     let until = now.unix + until.saturating_sub(now.steady);
-    let in_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     UnansweredTask {
         job: run.job.clone(),
         occurrence: run.occurrence,
         step: run.step,
         index: run.index,
         run: run.run,
-        until_ms: in_ms(until),
+        until_ms: u64::try_from(until.as_millis()).unwrap_or(u64::MAX),
         generation,
-        age_ms: Some(in_ms(age)),
+        left_ms: Some(left),
     }
 }
+
+/// Returns a time that is some ms later, or earlier if they are negative.
+fn shifted(time: Duration, by_ms: i64) -> Duration {
+    let by = Duration::from_millis(by_ms.unsigned_abs());
+    if by_ms < 0 { time.saturating_sub(by) } else { time + by }
+}
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -152,6 +152,8 @@
     pub is_leaving: bool,
     /// Time of the agent's latest poll.
     pub last_contact: Duration,
+    /// Time until which the agent may send the starts that it was ordered.
+    pub starts_until: Duration,
     /// Time at which the last granted lease has certainly expired.
     pub lease_expires_at: Duration,
     /// Runs that may be on the worker.
