--- /dev/null
+++ b/crates/proofs/src/jobs/days.rs
@@ -0,0 +1,268 @@
+//! Days of faults on a load of gangs, urgent and wide steps that falls to little before the end,
+//! after which no job may stand still.
+
+use std::time::Duration;
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg32;
+
+use super::{
+    load::{self, Arrival, Kind, Site},
+    simulation::{Simulation, options::Options},
+    sites,
+};
+
+/// Times until which the load is high, until which there are faults, and until which jobs are
+/// submitted, in seconds.
+const HIGH_LOAD_END: f64 = 24.0;
+const FAULTS_END: f64 = 34.0;
+const LOAD_END: f64 = 36.0;
+/// Load after [`HIGH_LOAD_END`], as a multiple of that before.
+const LOW_LOAD: f64 = 0.2;
+/// Time after the last submission and the end of the last fault from which no job may stand still.
+pub const GRACE: Duration = Duration::from_secs(14);
+/// Time for which standstills are looked for.
+const WATCHED: Duration = Duration::from_secs(40);
+
+/// Atlântica with gangs of up to five members, two of which fit on a worker.
+pub const GANGS: Site = Site {
+    name: "gangs",
+    kinds: &[
+        Kind {
+            width: (3.2, 5.0),
+            accelerators: &[1, 1, 2],
+            rate: 0.5,
+            one_rack_share: 0.5,
+            ..sites::ATLANTICA.kinds[0]
+        },
+        sites::ATLANTICA.kinds[1],
+        sites::ATLANTICA.kinds[2],
+    ],
+    ..sites::ATLANTICA
+};
+
+/// How the planner's entry is killed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Takeovers {
+    None,
+    Once,
+    /// Every ten seconds.
+    Series,
+}
+
+/// Faults of a day.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    /// Its name.
+    pub name: &'static str,
+    /// Whether there are spells of slow minions.
+    has_slow: bool,
+    /// Whether orders are carried out late, and stops are lost.
+    has_late: bool,
+    has_lost_stops: bool,
+    /// Whether minions fail all their tasks for some seconds.
+    has_failing: bool,
+    /// Whether workers are replaced.
+    has_replaced: bool,
+    takeovers: Takeovers,
+    /// Whether agents are killed and paused.
+    has_agents: bool,
+    /// Whether the store is down or slow.
+    has_store: bool,
+}
+
+const NONE: Scenario = Scenario {
+    name: "none",
+    has_slow: false,
+    has_late: false,
+    has_lost_stops: false,
+    has_failing: false,
+    has_replaced: false,
+    takeovers: Takeovers::None,
+    has_agents: false,
+    has_store: false,
+};
+
+/// All scenarios.
+pub const SCENARIOS: &[Scenario] = &[
+    NONE,
+    Scenario { name: "slow", has_slow: true, ..NONE },
+    Scenario { name: "late", has_late: true, ..NONE },
+    Scenario { name: "slow-late", has_slow: true, has_late: true, ..NONE },
+    Scenario { name: "slow-lost-stops", has_slow: true, has_lost_stops: true, ..NONE },
+    Scenario { name: "slow-failing", has_slow: true, has_failing: true, ..NONE },
+    Scenario { name: "slow-replaced", has_slow: true, has_replaced: true, ..NONE },
+    Scenario { name: "slow-takeover", has_slow: true, takeovers: Takeovers::Once, ..NONE },
+    Scenario { name: "late-takeovers", has_late: true, takeovers: Takeovers::Series, ..NONE },
+    Scenario { name: "late-agents", has_late: true, has_agents: true, ..NONE },
+    Scenario { name: "slow-store", has_slow: true, has_store: true, ..NONE },
+    Scenario {
+        name: "all",
+        has_slow: true,
+        has_late: true,
+        has_lost_stops: true,
+        has_failing: true,
+        has_replaced: true,
+        takeovers: Takeovers::Series,
+        has_agents: true,
+        has_store: true,
+    },
+];
+
+/// Change of the conditions.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Slowdown(usize, f64),
+    Failing(usize, bool),
+    Late(f64),
+    LostStops(f64),
+    ReplaceWorker(usize),
+    KillPlanner,
+    KillAgent(usize, f64),
+    PauseAgent(usize, f64),
+    StoreUp(bool),
+    StoreLatency(u64),
+}
+
+/// Looks up a scenario.
+pub fn scenario(name: &str) -> Option<Scenario> {
+    SCENARIOS.iter().find(|it| it.name == name).copied()
+}
+
+/// Simulates a day. Standstills are looked for from `grace` after the last submission and the last
+/// fault on.
+pub fn simulate(scenario: Scenario, seed: u64, grace: Duration) -> Simulation {
+    let arrivals = draw(seed);
+    let last_arrival = arrivals.iter().map(|arrival| arrival.at).max().unwrap_or_default();
+    let mut sim = Simulation::new(Options::new(&GANGS, arrivals, seed));
+    let changes = changes(scenario, seed, sim.agents());
+    let last_change = changes.last().map_or(0.0, |(at, _)| *at);
+    let from = last_arrival.max(Duration::from_secs_f64(last_change)) + grace;
+    sim.check_standstills_from(from);
+    for (at, change) in changes {
+        sim.run_until(Duration::from_secs_f64(at));
+        apply(&mut sim, change);
+    }
+    sim.run_to_end(from + WATCHED);
+    sim
+}
+
+fn draw(seed: u64) -> Vec<Arrival> {
+    let end = Duration::from_secs_f64(LOAD_END);
+    let high_end = Duration::from_secs_f64(HIGH_LOAD_END);
+    let mut arrivals = load::draw(&GANGS, seed, high_end, 1.0);
+    for mut arrival in load::draw(&GANGS, !seed, end, LOW_LOAD) {
+        if arrival.at >= high_end {
+            arrival.job.id = format!("e{}", &arrival.job.id[1..]);
+            arrivals.push(arrival);
+        }
+    }
+    arrivals
+}
+
+/// Draws the faults of a day, in the order of time.
+fn changes(scenario: Scenario, seed: u64, workers: usize) -> Vec<(f64, Change)> {
+    let mut rng = Pcg32::seed_from_u64(seed ^ 0xfa17);
+    let mut changes = Vec::new();
+    if scenario.has_slow {
+        let mut at = rng.random_range(4.0..7.0);
+        while at < FAULTS_END - 5.0 {
+            let share = rng.random_range(0.1..0.34);
+            let until = (at + rng.random_range(5.0..8.0)).min(FAULTS_END);
+            let factor = rng.random_range(4.0..13.0);
+            for worker in choose(&mut rng, workers, share) {
+                changes.push((at, Change::Slowdown(worker, factor)));
+                changes.push((until, Change::Slowdown(worker, 1.0)));
+            }
+            at = until + rng.random_range(0.5..3.0);
+        }
+    }
+    if scenario.has_late {
+        changes.push((3.0, Change::Late(rng.random_range(0.05..0.3))));
+        changes.push((FAULTS_END, Change::Late(0.0)));
+    }
+    if scenario.has_lost_stops {
+        changes.push((3.0, Change::LostStops(rng.random_range(0.05..0.3))));
+        changes.push((FAULTS_END, Change::LostStops(0.0)));
+    }
+    if scenario.has_failing {
+        for _ in 0..3 {
+            let at = rng.random_range(5.0..FAULTS_END - 6.0);
+            let until = at + rng.random_range(3.0..6.0);
+            for worker in choose(&mut rng, workers, 0.2) {
+                changes.push((at, Change::Failing(worker, true)));
+                changes.push((until, Change::Failing(worker, false)));
+            }
+        }
+    }
+    if scenario.has_replaced {
+        for worker in choose(&mut rng, workers, 0.3) {
+            let at = rng.random_range(5.0..FAULTS_END);
+            changes.push((at, Change::ReplaceWorker(worker)));
+        }
+    }
+    let takeover = rng.random_range(4.0..14.0);
+    let takeovers: &[f64] = match scenario.takeovers {
+        Takeovers::None => &[],
+        Takeovers::Once => &[10.0],
+        Takeovers::Series => &[0.0, 10.0, 20.0],
+    };
+    changes.extend(takeovers.iter().map(|after| (takeover + after, Change::KillPlanner)));
+    if scenario.has_agents {
+        for _ in 0..8 {
+            let (at, agent) = (rng.random_range(4.0..FAULTS_END), rng.random_range(0..workers));
+            let time = rng.random_range(0.3..4.0);
+            let is_killed = rng.random_bool(0.5);
+            let change =
+                if is_killed { Change::KillAgent(agent, time) } else { Change::PauseAgent(agent, time) };
+            changes.push((at, change));
+        }
+    }
+    if scenario.has_store {
+        let at = rng.random_range(5.0..FAULTS_END - 4.0);
+        let (start, end) = if rng.random_bool(0.5) {
+            (Change::StoreUp(false), Change::StoreUp(true))
+        } else {
+            (Change::StoreLatency(600), Change::StoreLatency(0))
+        };
+        changes.extend([(at, start), (at + 4.0, end)]);
+    }
+    changes.sort_by(|left, right| left.0.total_cmp(&right.0));
+    changes
+}
+
+/// Chooses a share of the workers, one at least.
+fn choose(rng: &mut Pcg32, workers: usize, share: f64) -> Vec<usize> {
+    let count = ((workers as f64 * share).round() as usize).max(1);
+    let mut all: Vec<usize> = (0..workers).collect();
+    (0..count).map(|_| all.swap_remove(rng.random_range(0..all.len()))).collect()
+}
+
+fn apply(sim: &mut Simulation, change: Change) {
+    match change {
+        Change::Slowdown(worker, factor) => {
+            sim.minion(worker).slowdown = factor;
+            sim.note(&format!("m{worker} slowdown={factor:.1}"));
+        }
+        Change::Failing(worker, fails) => {
+            sim.minion(worker).fails = fails;
+            sim.note(&format!("m{worker} fails={fails}"));
+        }
+        Change::Late(share) => sim.late_orders = share,
+        Change::LostStops(share) => sim.lost_stops = share,
+        Change::ReplaceWorker(worker) => sim.remove_worker(worker, Duration::from_secs(4)),
+        Change::KillPlanner => {
+            if let Some(planner) = sim.planner_entry() {
+                sim.kill_entry(planner, Duration::from_secs(1));
+            }
+        }
+        Change::KillAgent(agent, time) => {
+            if sim.is_worker_up(agent) {
+                sim.kill_agent(agent, Duration::from_secs_f64(time));
+            }
+        }
+        Change::PauseAgent(agent, time) => sim.pause_agent(agent, Duration::from_secs_f64(time)),
+        Change::StoreUp(is_up) => sim.set_store_up(is_up),
+        Change::StoreLatency(latency) => sim.set_store_latency(Duration::from_millis(latency)),
+    }
+}
--- a/crates/proofs/src/jobs/mod.rs
+++ b/crates/proofs/src/jobs/mod.rs
@@ -4,11 +4,13 @@
 //! [`simulation`] runs the state machines and checks the invariants, [`minion`] simulates the
 //! platform's side of running tasks, [`conditions`] describes the workers' speeds and the
 //! organisations, [`load`] draws jobs like those of the users' sites,
+//! [`days`] draws days of faults whose load falls to little at the end,
 //! [`figures`] computes how well callers were served, and [`baseline`] simulates two simple
 //! schedulers for comparison.
 
 pub mod baseline;
 pub mod conditions;
+pub mod days;
 pub mod figures;
 pub mod load;
 pub mod minion;
--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -199,6 +199,33 @@
         agent
     }
 
+    /// Takes a worker away for good, with its agent; another one starts in the same rack after
+    /// `replaced_after`.
+    pub fn remove_worker(&mut self, agent: usize, replaced_after: Duration) {
+        let node = &mut self.agents[agent];
+        if !self.minions[agent].is_up || !node.is_up {
+            return;
+        }
+        node.is_up = false;
+        node.generation += 1;
+        self.minions[agent].terminate(&self.truth);
+        self.after(replaced_after, Action::ReplaceWorker(agent));
+        self.log_line(&format!("m{agent} is gone"));
+    }
+
+    pub(super) fn replace_worker(&mut self, agent: usize) {
+        let number = self.agents.len();
+        let old = &self.minions[agent];
+        let id = format!("m{number}");
+        let incarnation =
+            Incarnation { id, born_ms: 1, is_draining: false, ..old.incarnation.clone() };
+        let minion = Minion::new(incarnation)
+            .with_clock(self.now, MAX_LEASE)
+            .with_pace(old.slowness, old.restoration);
+        self.add_minion(self.agents[agent].region, minion, Duration::ZERO);
+        self.log_line(&format!("m{number} is added in place of m{agent}"));
+    }
+
     /// Makes a minion drain: it reports this at once and in every heartbeat and deregisters after
     /// `leaves_after`; then another minion, with an identifier of its own, starts in its place.
     pub fn drain_minion(&mut self, agent: usize, leaves_after: Duration) {
@@ -245,6 +272,16 @@
         self.send_heartbeat(agent);
     }
 
+    /// Whether a worker is neither gone nor being restarted.
+    pub fn is_worker_up(&self, agent: usize) -> bool {
+        self.minions[agent].is_up && self.agents[agent].is_up
+    }
+
+    /// Adds a line to the log, for tests that change what they reach directly.
+    pub fn note(&mut self, text: &str) {
+        self.log_line(text);
+    }
+
     /// A minion, for tests that change its behaviour.
     pub fn minion(&mut self, agent: usize) -> &mut Minion {
         &mut self.minions[agent]
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -43,6 +43,14 @@
         let is_order = !matches!(request.call, Order::LongPoll { .. });
         let is_late = request.generation.is_none();
         if is_order && !is_late {
+            let is_stop = matches!(request.call, Order::Stop { .. });
+            if is_stop && self.lost_stops > 0.0 && self.rng.random_bool(self.lost_stops) {
+                self.log_order(&request, "is lost");
+                let event = runner::event::Event::MinionReply(ticket, MinionReply::Unknown);
+                let generation = request.generation.unwrap_or_default();
+                self.at(request.timeout_at, Action::Runner(agent, generation, event));
+                return;
+            }
             if self.late_orders > 0.0 && self.rng.random_bool(self.late_orders) {
                 let delay = Duration::from_secs_f64(self.rng.random_range(2.0..12.0));
                 self.log_order(
@@ -388,6 +396,9 @@
                 };
                 self.completions.entry(task.clone()).or_default().push(completion);
             }
+            if ending == Ending::Faulty {
+                *self.failures.entry(task.clone()).or_default() += 1;
+            }
             self.minions[*at].end_task(task, ending, Some(truth));
         }
     }
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -8,6 +8,7 @@
 mod minions;
 pub mod options;
 mod settings;
+pub mod standstill;
 mod store_calls;
 
 use std::{
@@ -120,6 +121,9 @@
     StartAgent(usize),
     Deregister(usize, String),
     StartMinion(usize),
+    /// Adds a worker in place of one that is gone.
+    ReplaceWorker(usize),
+    CheckStandstills,
 }
 
 /// Call of an agent to its minion.
@@ -228,6 +232,12 @@
     started: BTreeMap<String, Duration>,
     /// Runs that have ended as done, by task.
     completions: BTreeMap<Task, Vec<Completion>>,
+    /// Number of runs of each task that failed through their own fault or their minion's.
+    failures: BTreeMap<Task, u32>,
+    /// Since when each job stands still although it could run.
+    standing_since: BTreeMap<JobId, Duration>,
+    /// Jobs that have stood still although they could run.
+    pub standstills: Vec<standstill::Standstill>,
     /// Descriptions of the violated invariants.
     pub violations: Vec<String>,
     /// Log lines, each with its time and process.
@@ -236,6 +246,8 @@
     pub late_orders: f64,
     /// Share of the orders that minions refuse as unhealthy and don't carry out.
     pub refused_orders: f64,
+    /// Share of the stops that get no reply and are never carried out.
+    pub lost_stops: f64,
     /// How often a caller submits a refused job again.
     pub retries: u32,
     /// Work lost on earlier incarnations of minions, in processor seconds.
@@ -286,10 +298,14 @@
             cancelled: BTreeMap::new(),
             started: BTreeMap::new(),
             completions: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            standing_since: BTreeMap::new(),
+            standstills: Vec::new(),
             violations: Vec::new(),
             log: Vec::new(),
             late_orders: 0.0,
             refused_orders: 0.0,
+            lost_stops: 0.0,
             earlier_waste: 0.0,
             earlier_runs: BTreeMap::new(),
             policy: options.policy,
@@ -378,6 +394,12 @@
         let minion = Minion::new(incarnation)
             .with_clock(Duration::ZERO, MAX_LEASE)
             .with_pace(slowness, site.conditions.restoration);
+        self.add_minion(region, minion, first_heartbeat);
+    }
+
+    /// Adds a minion and its agent.
+    fn add_minion(&mut self, region: usize, minion: Minion, first_heartbeat: Duration) {
+        let number = self.agents.len();
         self.minions.push(minion);
         let machine = runner::machine::Machine::new(settings::runner_options(number, 1));
         self.agents.push(AgentNode {
@@ -466,6 +488,8 @@
             Action::StartAgent(agent) => self.start_agent(agent),
             Action::Deregister(agent, id) => self.deregister(agent, &id),
             Action::StartMinion(agent) => self.start_minion(agent),
+            Action::ReplaceWorker(agent) => self.replace_worker(agent),
+            Action::CheckStandstills => self.check_standstills(),
         }
     }
 
