--- a/crates/proofs/src/jobs/days.rs
+++ b/crates/proofs/src/jobs/days.rs
@@ -213,8 +213,11 @@
             let (at, agent) = (rng.random_range(4.0..FAULTS_END), rng.random_range(0..workers));
             let time = rng.random_range(0.3..4.0);
             let is_killed = rng.random_bool(0.5);
-            let change =
-                if is_killed { Change::KillAgent(agent, time) } else { Change::PauseAgent(agent, time) };
+            let change = if is_killed {
+                Change::KillAgent(agent, time)
+            } else {
+                Change::PauseAgent(agent, time)
+            };
             changes.push((at, change));
         }
     }
--- a/crates/proofs/src/jobs/simulation/standstill.rs
+++ b/crates/proofs/src/jobs/simulation/standstill.rs
@@ -85,12 +85,10 @@
         if is_over || arrival.cancel_after.is_some() || !self.accepted.contains_key(id) {
             return false;
         }
-        let is_running = |minion: &Minion| {
-            minion.is_up && minion.active.keys().any(|task| task.job == *id)
-        };
-        let has_attempts = |(task, count): (&Task, &u32)| {
-            task.job != *id || *count < arrival.job.max_attempts
-        };
+        let is_running =
+            |minion: &Minion| minion.is_up && minion.active.keys().any(|task| task.job == *id);
+        let has_attempts =
+            |(task, count): (&Task, &u32)| task.job != *id || *count < arrival.job.max_attempts;
         if self.minions.iter().any(is_running) || !self.failures.iter().all(has_attempts) {
             return false;
         }
--- a/crates/proofs/tests/proofs.rs
+++ b/crates/proofs/tests/proofs.rs
@@ -7,4 +7,5 @@
 mod promises;
 mod runs;
 mod scenarios;
+mod stands_still;
 mod zones;
--- /dev/null
+++ b/crates/proofs/tests/stands_still/mod.rs
@@ -0,0 +1,114 @@
+//! Days whose load falls to little before the end: guards against jobs that stand still although
+//! there is capacity for them, once the faults are over.
+
+use std::time::Duration;
+
+use sapphire_proofs::jobs::{
+    days, load,
+    simulation::{Simulation, options::Options, standstill},
+};
+
+use crate::jobs::secs;
+
+/// Simulates a scenario with each seed. Panics with the jobs that stood still and the other
+/// violations.
+fn assert_nothing_stands_still(scenario: &str, seeds: &[u64]) {
+    let scenario = days::scenario(scenario).expect("the scenario is known");
+    let mut failures = Vec::new();
+    for seed in seeds {
+        let sim = days::simulate(scenario, *seed, days::GRACE);
+        failures.extend(sim.violations.iter().map(|violation| format!("seed {seed}: {violation}")));
+        failures.extend(sim.standstills.iter().map(|it| format!("seed {seed}: {it:?}")));
+    }
+    assert!(failures.is_empty(), "{}: {failures:#?}", scenario.name);
+}
+
+/// Guards against a standstill after a quiet day, which would be the fault of the scenario itself.
+#[test]
+fn nothing_stands_still_without_faults() {
+    assert_nothing_stands_still("none", &[1, 2, 3]);
+}
+
+/// Guards against gangs that wait for a rack without workers on which they were slow or failed.
+#[test]
+fn nothing_stands_still_after_slow_minions() {
+    assert_nothing_stands_still("slow", &[1, 2, 194]);
+}
+
+/// Guards against gangs that wait for one rack while the free workers are on several.
+#[test]
+fn nothing_stands_still_after_late_orders() {
+    assert_nothing_stands_still("late", &[1, 2, 209]);
+}
+
+/// Guards against the same gangs when late orders have delayed their runs as well.
+#[test]
+fn nothing_stands_still_after_slow_minions_and_late_orders() {
+    assert_nothing_stands_still("slow-late", &[1, 2, 90]);
+}
+
+/// Guards against gangs that avoid workers on every rack after several stopped runs.
+#[test]
+fn nothing_stands_still_after_slow_minions_and_lost_stops() {
+    assert_nothing_stands_still("slow-lost-stops", &[1, 2, 128]);
+}
+
+/// Guards against gangs that wait for one rack while a worker of it is excluded after failures.
+#[test]
+fn nothing_stands_still_after_slow_and_failing_minions() {
+    assert_nothing_stands_still("slow-failing", &[8, 9, 10]);
+}
+
+/// Guards against groups that wait for starts whose worker is gone and will not answer.
+#[test]
+fn nothing_stands_still_after_workers_are_replaced() {
+    assert_nothing_stands_still("slow-replaced", &[16, 17, 18]);
+}
+
+/// Guards against gangs that avoid workers on several racks after a take-over.
+#[test]
+fn nothing_stands_still_after_a_takeover() {
+    assert_nothing_stands_still("slow-takeover", &[1, 2, 106]);
+}
+
+/// Guards against gangs that wait for one rack after runs that planners of several terms ordered.
+#[test]
+fn nothing_stands_still_after_takeovers_in_series() {
+    assert_nothing_stands_still("late-takeovers", &[1, 2, 232]);
+}
+
+/// Guards against gangs that wait for one rack after agents were killed and paused.
+#[test]
+fn nothing_stands_still_after_agents_were_away() {
+    assert_nothing_stands_still("late-agents", &[1, 2, 223]);
+}
+
+/// Guards against gangs that wait for workers they don't avoid while nearly all workers are free.
+#[test]
+fn nothing_stands_still_after_trouble_of_the_store() {
+    assert_nothing_stands_still("slow-store", &[8, 9, 10]);
+}
+
+/// Guards against groups that wait for starts on a worker that is gone, once more with each term.
+#[test]
+fn nothing_stands_still_after_all_faults() {
+    assert_nothing_stands_still("all", &[1, 2, 3]);
+}
+
+/// Guards against a check that sees nothing: without entries, everything ends with its lease.
+#[test]
+fn jobs_that_no_planner_starts_again_stand_still() {
+    let arrivals = load::draw(&days::GANGS, 1, secs(6.0), 2.0);
+    let mut sim = Simulation::new(Options::new(&days::GANGS, arrivals, 1));
+    sim.check_standstills_from(Duration::ZERO);
+    sim.run_until(secs(6.0));
+    assert!(sim.standstills.is_empty(), "{:?}", sim.standstills);
+    for entry in 0..sim.entries() {
+        sim.kill_entry(entry, secs(60.0));
+    }
+    sim.run_until(secs(20.0));
+    assert!(!sim.standstills.is_empty());
+    for it in &sim.standstills {
+        assert!(it.since >= secs(6.0) && it.length >= standstill::LIMIT, "{it:?}");
+    }
+}
