planner: a minion that sends no list is granted no lease and gets no starts

Class: a wait without a bound, ended only by a message that need not come.

A lease is now granted only within 3 s after a list of the present session, and starts are sent within 2 s after one. A worker whose lease has expired is lost, whether its agent or its minion is silent. What a planner declares lost no longer depends on leases that it grants itself.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -1,5 +1,7 @@
 //! Polls of agents: sessions, runs on the worker, and orders.
 
+use std::time::Duration;
+
 use sapphire_jobs::{
     Incarnation, Orders, Poll, Start, State,
     task::{GroupKey, Task, WorkerName},
@@ -44,14 +46,17 @@
         self.record_unanswered(now, &name, &poll);
         let lease_expiry = self.options.lease_expiry();
         let worker = self.workers.get_mut(&name).expect("inserted above");
+        if worker.last_contact == Duration::ZERO {
+            // An earlier planner may have granted a lease until now.
+            worker.lease_expires_at = worker.lease_expires_at.max(now.steady + lease_expiry);
+        }
         worker.address.clone_from(&poll.address);
         worker.sequence = poll.sequence;
         worker.last_contact = now.steady;
         worker.is_leaving = poll.is_leaving;
-        worker.lease_expires_at = worker.lease_expires_at.max(now.steady + lease_expiry);
         let earlier = worker.long_poll.replace(LongPoll { requester, since: now.steady });
         if let Some(earlier) = earlier {
-            let mut orders = worker.empty_orders(self.term, self.options.lease);
+            let mut orders = worker.empty_orders(self.term);
             orders.is_cordoned = self.cordons.contains(worker);
             self.effects.push(Effect::Orders(earlier.requester, Box::new(orders)));
         }
@@ -94,7 +99,7 @@
     fn send_empty_orders(&mut self, name: &str) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(long_poll) = worker.long_poll.take() else { return };
-        let mut orders = worker.empty_orders(self.term, self.options.lease);
+        let mut orders = worker.empty_orders(self.term);
         orders.is_cordoned = self.cordons.contains(worker);
         worker.is_cordon_sent = orders.is_cordoned;
         worker.entries_sent = Delivery::default();
@@ -237,11 +242,16 @@
     /// Answers a worker's poll with the orders that its agent has not received.
     fn send_orders(&mut self, now: Moment, name: &str, requester: Requester) {
         let worker = self.workers.get(name).expect("the caller has listed it");
-        let mut orders = worker.empty_orders(self.term, self.options.lease);
+        let mut orders = worker.empty_orders(self.term);
+        let is_listed = worker.is_listed(now.steady);
+        if is_listed {
+            let lease = self.options.lease.as_millis();
+            orders.lease_ms = u64::try_from(lease).unwrap_or(u64::MAX);
+        }
         // The agent refuses the starts that it has for a cordoned zone, so that their outcome is
         // known and they can go elsewhere.
         orders.is_cordoned = self.cordons.contains(worker);
-        let window = self.start_window(now);
+        let window = self.start_window(now).min(worker.start_window(now.steady));
         let may_start = !window.is_zero();
         orders.starts_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
         // No order is sent before the first list of a session, which shows the earlier orders that
@@ -258,9 +268,16 @@
             }
         }
         self.log_orders(name, &orders);
+        let lease_expiry = self.options.lease_expiry();
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
+        if is_listed {
+            let until = worker.last_contact + lease_expiry;
+            worker.lease_expires_at = worker.lease_expires_at.max(until);
+        }
         worker.is_cordon_sent = orders.is_cordoned;
-        worker.starts_until = worker.starts_until.max(worker.last_contact + window);
+        if may_start {
+            worker.starts_until = worker.starts_until.max(worker.last_contact + window);
+        }
         worker.long_poll = None;
         worker.acknowledged_sent = worker.acknowledged;
         orders.entries = self.feeds.addresses.update_for(now.steady, &mut worker.entries_sent);
@@ -295,16 +312,19 @@
 
     /// Declares workers lost whose lease has certainly expired.
     pub(crate) fn expire_workers(&mut self, now: Moment) {
-        let is_lost = |worker: &Worker| {
-            now.steady >= worker.lease_expires_at
-                && now.steady >= worker.last_contact + options::SILENCE_TIMEOUT
-        };
-        let lost: Vec<WorkerName> = (self.workers.iter())
-            .filter(|(_, worker)| is_lost(worker))
-            .map(|(name, _)| name.clone())
+        let is_silent =
+            |worker: &Worker| now.steady >= worker.last_contact + options::SILENCE_TIMEOUT;
+        let hangs = |worker: &Worker| worker.is_fenced && !worker.is_listed(now.steady);
+        let lost: Vec<(WorkerName, &str)> = (self.workers.iter())
+            .filter(|(_, worker)| now.steady >= worker.lease_expires_at)
+            .filter_map(|(name, worker)| match worker {
+                worker if is_silent(worker) => Some((name.clone(), "silent")),
+                worker if hangs(worker) => Some((name.clone(), "minion hangs")),
+                _ => None,
+            })
             .collect();
-        for name in lost {
-            self.log(format!("worker={name} silent, lease expired; declared lost"));
+        for (name, why) in lost {
+            self.log(format!("worker={name} {why}, lease expired; declared lost"));
             if let Some(worker) = self.workers.get(&name) {
                 self.unanswered.retain_lost(now.steady, &name, worker, self.handover.durable);
             }
--- a/crates/planner/tests/terms/mod.rs
+++ b/crates/planner/tests/terms/mod.rs
@@ -239,3 +239,27 @@
         .and_then(|rest| rest.split(' ').next()?.parse::<u64>().ok());
     assert!(objective.is_some_and(|objective| objective > 30_000), "{objective:?}");
 }
+
+/// Guards against a task that runs twice: a minion carries out calls and answers none, and a planner
+/// that has taken over declares it lost while the leases that it grants itself keep the runs there
+/// that it doesn't know.
+#[test]
+fn a_worker_without_a_list_is_granted_no_lease() {
+    let mut fixture = Fixture::new(vec![
+        fleet(1, &["a"]),
+        no_starts(1),
+        item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()),
+    ]);
+    for _ in 0..30 {
+        fixture.poll("a", Vec::new(), Vec::new());
+        fixture.tokens.remove("a");
+        fixture.advance(500);
+    }
+    assert!(fixture.orders.iter().all(|(_, orders)| orders.lease_ms == 0));
+    let (_, latest) = fixture.orders.last().expect("polls are answered");
+    fixture.tokens.insert("a".to_owned(), latest.token);
+    fixture.poll("a", Vec::new(), Vec::new());
+    fixture.advance(1_000);
+    let (_, latest) = fixture.orders.last().expect("polls are answered");
+    assert_eq!(latest.lease_ms, 6_000);
+}
