Soak: check that no job is idle, and add spells of overlapping trouble

The soak only saw jobs that never complete.

New optional kinds of trouble come in spells drawn by a generator of their own: slow and failing minions, minions without answers, lost stops, minions that leave after an unanswered start, planners killed in series, and signals, restarts and configuration changes at the same time. Gangs with checkpoints that run for seconds let moves off slow workers be seen.

--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -41,7 +41,7 @@
 /// abandoned, while a start or a stop may still take effect.
 #[test]
 fn late_orders_and_gangs_break_no_promise() {
-    let trouble = Trouble { late_orders: true, gangs: true, links: false, zones: false };
+    let trouble = Trouble { late_orders: true, gangs: true, ..Trouble::default() };
     let outcome = run_soak(254, 2, Conditions::default(), trouble);
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
@@ -51,7 +51,7 @@
 /// entries are cut off from the store and from the other processes.
 #[test]
 fn cordons_and_partitions_break_no_promise() {
-    let trouble = Trouble { late_orders: false, gangs: true, links: true, zones: true };
+    let trouble = Trouble { gangs: true, links: true, zones: true, ..Trouble::default() };
     let outcome = run_soak(255, 6, Conditions::default(), trouble);
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
@@ -74,3 +74,35 @@
     assert_eq!(outcome.broken, Vec::<String>::new());
     assert_eq!((outcome.accepted, outcome.complete), (20, 20));
 }
+
+/// Guards against jobs that have nothing running for three seconds although the fleet is mostly free,
+/// once faults and traffic are over: gangs are moved off slow workers, fail on faulty ones, and their
+/// stops and the answers to their starts are lost.
+#[test]
+fn slow_and_faulty_workers_keep_no_job_waiting() {
+    let trouble =
+        Trouble { slow: true, failing: true, unanswered: true, gangs: true, ..Trouble::default() };
+    let outcome = run_soak(241, 3, Conditions::default(), trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
+/// Guards against jobs that have nothing running, and against tasks that run twice, while planners are
+/// killed in series, processes restart together and the configuration changes.
+#[test]
+fn planners_killed_in_series_keep_no_job_waiting() {
+    let trouble = Trouble { planners: true, operations: true, gangs: true, ..Trouble::default() };
+    let outcome = run_soak(242, 3, Conditions::default(), trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
+/// Guards against jobs that wait for workers that have left for good right after a start that they
+/// didn't answer, while planners are killed in series.
+#[test]
+fn workers_that_leave_keep_no_job_waiting() {
+    let trouble = Trouble { leaving: true, planners: true, gangs: true, ..Trouble::default() };
+    let outcome = run_soak(243, 3, Conditions::default(), trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -23,6 +23,34 @@
     /// path of the program sapphired
     #[argh(option, default = "PathBuf::from(\"target/release/sapphired\")")]
     program: PathBuf,
+    /// kinds of trouble to leave out, separated by commas; "spells" stands for all that come in
+    /// spells
+    #[argh(option, default = "String::new()")]
+    without: String,
+    /// keep the logs of all seeds
+    #[argh(switch)]
+    keep: bool,
+}
+
+/// Returns all kinds of trouble but some.
+fn trouble(without: &str) -> Trouble {
+    let mut trouble = Trouble::ALL;
+    for name in without.split(',') {
+        match name {
+            "late_orders" => trouble.late_orders = false,
+            "links" => trouble.links = false,
+            "zones" => trouble.zones = false,
+            "slow" => trouble.slow = false,
+            "failing" => trouble.failing = false,
+            "unanswered" => trouble.unanswered = false,
+            "leaving" => trouble.leaving = false,
+            "planners" => trouble.planners = false,
+            "operations" => trouble.operations = false,
+            "spells" => return Trouble::WITHOUT_SPELLS,
+            _ => {}
+        }
+    }
+    trouble
 }
 
 fn main() -> std::io::Result<()> {
@@ -36,24 +64,25 @@
             seed,
             jobs: args.jobs,
             faults: args.faults,
-            net: (seed % 250) as u8 + 1,
+            net: (seed % 240) as u8 + 1,
             conditions: Conditions::default(),
-            trouble: Trouble::ALL,
+            trouble: trouble(&args.without),
         })?;
         println!(
-            "seed={seed} accepted={} complete={} faults={} broken={}",
+            "seed={seed} accepted={} complete={} faults={} waits={} broken={}",
             outcome.accepted,
             outcome.complete,
             outcome.faults.len(),
+            outcome.waits.len(),
             outcome.broken.len()
         );
-        for text in &outcome.broken {
+        for text in outcome.waits.iter().chain(&outcome.broken) {
             println!("  {text}");
         }
-        if outcome.broken.is_empty() {
+        if outcome.broken.is_empty() && !args.keep {
             std::fs::remove_dir_all(&folder)?;
         } else {
-            broken += 1;
+            broken += u32::from(!outcome.broken.is_empty());
             println!("  faults: {:?}\n  logs: {}", outcome.faults, folder.display());
         }
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The processes under test: entries and agents of one small deployment on loopback.
 
 use std::{
+    collections::BTreeSet,
     fs, io,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
@@ -14,7 +15,7 @@
 
 /// Number of entries.
 pub(crate) const ENTRIES: u8 = 3;
-/// Number of agents, each with a minion of its own.
+/// Number of agents, each with a minion of its own; twice as many with spells.
 pub(crate) const AGENTS: u8 = 5;
 /// Lowest port of each host.
 const BASE_PORT: u16 = 17_900;
@@ -97,12 +98,15 @@
     /// Whether processes reach the entries through proxies.
     has_proxies: bool,
     processes: Vec<Process>,
+    /// Agents whose machines are gone; they are not started again.
+    gone: BTreeSet<u8>,
 }
 
 impl Fleet {
     /// Starts all processes; with `has_proxies`, they reach the entries through proxies.
     pub(crate) fn start(
         net: Net,
+        agents: u8,
         program: &Path,
         folder: &Path,
         has_proxies: bool,
@@ -113,9 +117,10 @@
             folder: folder.to_owned(),
             has_proxies,
             processes: Vec::new(),
+            gone: BTreeSet::new(),
         };
         let entries = (0..ENTRIES).map(Node::Entry);
-        for node in entries.chain((0..AGENTS).map(Node::Agent)) {
+        for node in entries.chain((0..agents).map(Node::Agent)) {
             fleet.launch(node)?;
         }
         Ok(fleet)
@@ -199,11 +204,28 @@
                 false
             }
         });
+        let gone = &self.gone;
+        ended.retain(|node| !matches!(node, Node::Agent(agent) if gone.contains(agent)));
         for node in ended {
             self.launch(node)?;
         }
         Ok(())
     }
+
+    /// Kills an agent and doesn't start it again.
+    pub(crate) fn take_away(&mut self, agent: u8) {
+        self.signal(Node::Agent(agent), Signal::SIGKILL);
+        self.gone.insert(agent);
+    }
+
+    /// Starts an agent that was taken away.
+    pub(crate) fn bring_back(&mut self, agent: u8) -> io::Result<()> {
+        if self.gone.remove(&agent) {
+            self.processes.retain_mut(|process| process.node != Node::Agent(agent));
+            self.launch(Node::Agent(agent))?;
+        }
+        Ok(())
+    }
 }
 
 impl Drop for Fleet {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -32,7 +32,9 @@
     trouble::Trouble,
 };
 
+mod idle;
 mod minions;
+mod spells;
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -48,7 +50,7 @@
     /// Number of faults.
     pub faults: u32,
     /// Loopback network of the deployment: the third byte of its addresses. The example `soak` uses
-    /// 1 to 250, tests the numbers above, so that they can run at the same time.
+    /// 1 to 240, tests the numbers above, so that they can run at the same time.
     pub net: u8,
     /// Conditions of the store and of the links to it.
     pub conditions: Conditions,
@@ -64,10 +66,13 @@
     /// Number of jobs that were accepted.
     pub accepted: usize,
     /// Number of jobs that callers saw as ended. Failed and cancelled ones count too; each of them
-    /// is also a broken promise.
+    /// is also a broken promise, unless a task of it has failed as often as it may.
     pub complete: usize,
     /// Faults in the order in which they were injected.
     pub faults: Vec<String>,
+    /// Times for which a job had nothing running for three seconds or more although there was
+    /// capacity for it, one text each. They break a promise only once faults and traffic are over.
+    pub waits: Vec<String>,
 }
 
 /// Longest wait for network events before the next step.
@@ -82,6 +87,8 @@
 const JOB_INTERVAL: Duration = Duration::from_millis(90);
 /// Interval between faults.
 const FAULT_INTERVAL: Duration = Duration::from_millis(900);
+/// Interval between the submissions of new jobs with spells.
+const SPELLS_JOB_INTERVAL: Duration = Duration::from_millis(300);
 /// Time from the start of the processes to the first job.
 const STARTUP_DELAY: Duration = Duration::from_millis(2_500);
 /// Time after the end of the last fault within which every accepted job has to be complete.
@@ -99,13 +106,16 @@
 #[derive(Default)]
 struct Job {
     tasks: u32,
-    is_gang: bool,
+    /// Its only step, as submitted.
+    step: Value,
     /// When the caller sends its next request.
     next_request_at: Duration,
     is_accepted: bool,
     was_refused: bool,
     /// The caller has seen that the job has ended.
     is_complete: bool,
+    /// Since when it has had nothing running although there was capacity for it.
+    idle: Option<idle::Idle>,
     /// Entry that the caller's next request goes to.
     entry: u8,
 }
@@ -119,6 +129,11 @@
     trouble_rng: Pcg32,
     /// Draws cordons and partitions of zones.
     zone_rng: Pcg32,
+    spells: spells::Spells,
+    /// Last time at which traffic went on or a fault other than slowness had effects.
+    busy_until: Duration,
+    /// Number of failed runs, by task or first task of a gang.
+    failures: BTreeMap<Task, u32>,
     /// When each cordoned zone was cordoned.
     cordons: BTreeMap<String, Duration>,
     /// When the next zone is cordoned, or the present cordon is lifted.
@@ -164,13 +179,16 @@
     let mut hub = Hub::new()?;
     let store_listener = hub.listen(net.store(), Limits::default())?;
     let mut minion_listeners = BTreeMap::new();
-    for agent in 0..AGENTS {
+    let agents = if options.trouble.has_spells() { AGENTS * 2 } else { AGENTS };
+    for agent in 0..agents {
         minion_listeners.insert(hub.listen(net.minion(agent), Limits::default())?, agent);
     }
     let proxies = Proxies::start(net, &options)?;
     let mut store = conditions.history.map_or_else(Store::default, Store::with_history);
     platform::configure(&mut store, clock::now(), conditions.idle_routes);
-    let minions = (0..AGENTS).map(|agent| Minion::new(platform::incarnation(agent, 1))).collect();
+    let minion = |agent| minions::start(agent, 1, options.trouble.has_spells());
+    let minions = (0..agents).map(minion).collect();
+    let spells = spells::Spells::new(&options, clock::now() + STARTUP_DELAY, agents);
     let log = fs::OpenOptions::new()
         .create(true)
         .append(true)
@@ -180,6 +198,9 @@
         rng: Pcg32::seed_from_u64(options.seed),
         trouble_rng: Pcg32::seed_from_u64(options.seed ^ 0x1a7e),
         zone_rng: Pcg32::seed_from_u64(options.seed ^ 0x20e5),
+        spells,
+        busy_until: Duration::ZERO,
+        failures: BTreeMap::new(),
         cordons: BTreeMap::new(),
         next_cordon: clock::now() + STARTUP_DELAY,
         store_listener,
@@ -247,7 +268,8 @@
         let program = self.options.program.clone();
         let folder = self.options.folder.clone();
         let links = self.options.trouble.links;
-        let mut fleet = Fleet::start(self.net, Path::new(&program), &folder, links)?;
+        let agents = self.minions.len() as u8;
+        let mut fleet = Fleet::start(self.net, agents, Path::new(&program), &folder, links)?;
         let start = clock::now();
         let (mut next_job, mut next_fault) =
             (start + STARTUP_DELAY, start + STARTUP_DELAY + FAULT_INTERVAL);
@@ -272,7 +294,8 @@
             }
             if jobs > 0 && now >= next_job {
                 jobs -= 1;
-                next_job = now + JOB_INTERVAL;
+                let spells = self.options.trouble.has_spells();
+                next_job = now + if spells { SPELLS_JOB_INTERVAL } else { JOB_INTERVAL };
                 self.add_job(now);
             }
             if faults > 0 && now >= next_fault {
@@ -299,12 +322,20 @@
                 self.drive_cordons(now, jobs > 0 || faults > 0);
             }
             self.send_requests(now);
+            self.drive_spells(now, &mut fleet)?;
             let has_late_orders = now < self.late_until || !self.late_orders.is_empty();
-            if jobs == 0 && faults == 0 && undos.is_empty() && !has_late_orders {
+            let has_faults =
+                faults > 0 || !undos.is_empty() || has_late_orders || self.spells.has_faults();
+            if jobs > 0 || has_faults || !self.cordons.is_empty() {
+                self.busy_until = now;
+            }
+            self.watch_idle(now);
+            if jobs == 0 && !has_faults {
                 let since = *quiet_since.get_or_insert(now);
+                let deadline = since.max(self.spells.end()) + COMPLETION_TIMEOUT;
                 let waiting = |job: &Job| job.is_accepted && !job.is_complete;
                 let is_over = !self.jobs.values().any(waiting);
-                if is_over || now >= since + COMPLETION_TIMEOUT {
+                if is_over || now >= deadline {
                     return Ok(self.finish());
                 }
             }
@@ -350,6 +381,7 @@
 
     /// Checks that no accepted job is left over and counts the jobs.
     fn finish(mut self) -> Outcome {
+        self.end_idle(clock::now());
         for (id, job) in &self.jobs {
             if job.is_accepted && !job.is_complete {
                 self.outcome.broken.push(format!("{id} was accepted and is not complete"));
@@ -422,8 +454,7 @@
     /// Sends a heartbeat of each minion to its agent.
     fn send_heartbeats(&mut self) {
         self.sequence += 1;
-        for agent in 0..AGENTS {
-            let minion = &self.minions[usize::from(agent)];
+        for (agent, minion) in (0..).zip(&self.minions).filter(|(_, minion)| minion.is_up) {
             let address = self.net.minion(agent).to_string();
             let request = platform::heartbeat(minion, &address, self.sequence);
             let call = self.hub.call(self.net.heartbeats(agent), &request, HEARTBEAT_INTERVAL);
@@ -437,10 +468,20 @@
         let tasks = self.rng.random_range(1..4);
         let work = Duration::from_millis(self.rng.random_range(200..1_800));
         let is_gang = self.options.trouble.gangs && tasks > 1 && self.trouble_rng.random_bool(0.5);
-        let truth = Soak::task_truth(work, if is_gang { tasks } else { 1 });
-        self.truth.insert((id.clone(), 0), truth);
+        let mut truth = Soak::task_truth(work, if is_gang { tasks } else { 1 });
+        let mut step = json!({
+            "count": tasks, "cpu": 1_000, "mem_mb": 1_000, "gpu": 1, "estimate_ms": 1_000,
+        });
+        if is_gang {
+            step["gang"] = true.into();
+        }
         let entry = self.rng.random_range(0..ENTRIES);
-        self.jobs.insert(id, Job { tasks, is_gang, next_request_at: now, entry, ..Job::default() });
+        if let Some((long, of_long)) = self.draw_long_gang() {
+            (step, truth) = (long, of_long);
+        }
+        let tasks = step["count"].as_u64().map_or(tasks, |count| count as u32);
+        self.truth.insert((id.clone(), 0), truth);
+        self.jobs.insert(id, Job { tasks, step, next_request_at: now, entry, ..Job::default() });
     }
 
     /// Sends the callers' requests that are due.
@@ -455,14 +496,7 @@
             let (request, pending) = if job.is_accepted {
                 (Request::new("GET", &format!("/q/{id}"), ""), Pending::Query(id))
             } else {
-                let mut step = json!({
-                    "count": job.tasks, "cpu": 1_000, "mem_mb": 1_000, "gpu": 1,
-                    "estimate_ms": 1_000,
-                });
-                if job.is_gang {
-                    step["gang"] = true.into();
-                }
-                let body = json!({ "spec": "soak", "steps": [step] });
+                let body = json!({ "spec": "soak", "steps": [job.step] });
                 let request = Request::new("POST", &format!("/q/{id}"), body.to_string());
                 (request, Pending::Submission(id))
             };
@@ -497,6 +531,7 @@
         }
         if !is_query {
             job.is_accepted = true;
+            self.busy_until = self.busy_until.max(now);
             return;
         }
         let body: Value =
@@ -507,6 +542,14 @@
                 let (id, tasks) = (id.clone(), job.tasks);
                 self.check_complete(&id, tasks);
             }
+            Some("failed")
+                if self
+                    .failures
+                    .iter()
+                    .any(|(task, count)| task.job == *id && *count >= platform::MAX_ATTEMPTS) =>
+            {
+                job.is_complete = true
+            }
             Some("failed" | "cancelled") => {
                 self.outcome.broken.push(format!("{id} is shown as {}", body["state"]));
                 job.is_complete = true;
--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -22,7 +22,6 @@
 use sapphire_standins::jobs_platform as platform;
 
 use super::Soak;
-use crate::fleet::AGENTS;
 
 /// Time for which a gang member waits for the others before it ends.
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
@@ -32,6 +31,15 @@
 /// Time after the cordon of a zone from which on no order to start a task may arrive there.
 const CORDON_DEADLINE: Duration = Duration::from_secs(5);
 
+/// Time from the start of a task to its end on a minion that fails all its tasks.
+const FAILURE_DELAY: Duration = Duration::from_millis(250);
+/// Time that a run with a checkpoint takes to restore it.
+const RESTORATION: Duration = Duration::from_millis(250);
+/// Factor by which a gang that prefers one rack is slower on several; the default of the settings.
+const REMOTE_FACTOR: f64 = 3.0;
+/// Number of racks with spells; one otherwise.
+const RACKS: u8 = 3;
+
 /// Delays of late orders, in milliseconds.
 const LATE_DELAY_MS: std::ops::Range<u64> = 2_000..6_000;
 
@@ -66,6 +74,16 @@
     starts: Vec<String>,
 }
 
+/// Returns an agent's minion that started at `born_ms`.
+pub(super) fn start(agent: u8, born_ms: u64, has_spells: bool) -> Minion {
+    let mut incarnation = platform::incarnation(agent, born_ms);
+    if has_spells {
+        incarnation.rack = format!("r{}", agent % RACKS);
+        incarnation.labels[1].clone_from(&incarnation.rack);
+    }
+    Minion::new(incarnation).with_pace(1.0, RESTORATION)
+}
+
 impl Soak {
     pub(super) fn handle_minion_request(
         &mut self,
@@ -79,9 +97,22 @@
             return;
         };
         let minion = &self.minions[usize::from(agent)];
+        if !minion.is_up {
+            return;
+        }
         let born_ms = minion.incarnation.born_ms;
         let received =
             Received { agent, order, minion_id: platform::minion_id(request), born_ms, at: now };
+        if self.spells.loses(now, &received.order) {
+            self.log_order(&received, "lost");
+            return;
+        }
+        if matches!(received.order, Order::Start { .. }) && self.spells.takes_away(now, agent) {
+            let minion = &mut self.minions[usize::from(agent)];
+            minion.terminate(&self.truth);
+            self.log_order(&received, "not answered, the minion leaves");
+            return;
+        }
         match &received.order {
             Order::LongPoll { wait, .. } if !wait.is_zero() && minion.ended.is_empty() => {
                 let deadline = now + *wait;
@@ -104,13 +135,24 @@
             }
         }
         let response = self.carry_out(now, &received);
-        self.hub.answer(caller, &response);
+        self.respond(agent, caller, &response);
+    }
+
+    /// Answers a call to a minion, unless the minion is in a spell without answers.
+    fn respond(&mut self, agent: u8, caller: CallerId, response: &Response) {
+        if !self.spells.is_mute(agent) {
+            self.hub.answer(caller, response);
+        }
     }
 
     /// Applies an order to its minion, checks the result and returns the response.
     fn carry_out(&mut self, now: Duration, received: &Received) -> Response {
         let agent = received.agent;
         let minion = &mut self.minions[usize::from(agent)];
+        if !minion.is_up {
+            self.log_order(received, "no minion");
+            return Response::new(503, "");
+        }
         if !received.minion_id.is_empty() && received.minion_id != minion.incarnation.id {
             self.log_order(received, "wrong instance");
             return Response::new(421, "");
@@ -166,7 +208,7 @@
     }
 
     /// Records a broken promise.
-    fn break_promise(&mut self, text: String) {
+    pub(super) fn break_promise(&mut self, text: String) {
         self.write_log(&format!("promise broken: {text}"));
         self.outcome.broken.push(text);
     }
@@ -247,7 +289,7 @@
 
     /// Ends the tasks on minions whose lease has expired.
     pub(super) fn expire_leases(&mut self, now: Duration) {
-        for agent in 0..usize::from(AGENTS) {
+        for agent in 0..self.minions.len() {
             let minion = &mut self.minions[agent];
             if now < minion.lease_expires_at {
                 continue;
@@ -285,11 +327,14 @@
             let _ = self.carry_out(now, &received);
         }
         for poll in std::mem::take(&mut self.long_polls) {
+            if !self.minions[usize::from(poll.received.agent)].is_up {
+                continue;
+            }
             if now >= poll.deadline
                 || !self.minions[usize::from(poll.received.agent)].ended.is_empty()
             {
                 let response = self.carry_out(now, &poll.received);
-                self.hub.answer(poll.caller, &response);
+                self.respond(poll.received.agent, poll.caller, &response);
             } else {
                 self.long_polls.push(poll);
             }
@@ -320,7 +365,11 @@
             members.iter().map(ending).collect()
         } else if members_seen.len() > present.len() {
             vec![Ending::Broken; members.len()]
+        } else if let Some(endings) = self.faulty_endings(now, members, is_complete) {
+            *self.failures.entry(task.clone()).or_default() += 1;
+            endings
         } else if is_complete || truth.members == 1 {
+            let elapsed = self.progress_in(now, elapsed, &truth, members);
             let done =
                 members.iter().map(|member| active(member).progress).max().unwrap_or_default()
                     + elapsed;
@@ -353,6 +402,41 @@
         }
     }
 
+    /// Returns how a run ends that fails because of a minion that fails all its tasks.
+    fn faulty_endings(
+        &self,
+        now: Duration,
+        members: &[(usize, Task)],
+        is_complete: bool,
+    ) -> Option<Vec<Ending>> {
+        let fails = |(agent, task): &(usize, Task)| {
+            let minion = &self.minions[*agent];
+            minion.fails && now >= minion.active[task].started_at + FAILURE_DELAY
+        };
+        let ending = |member| if fails(member) { Ending::Faulty } else { Ending::Broken };
+        (is_complete && members.iter().any(fails)).then(|| members.iter().map(ending).collect())
+    }
+
+    /// Returns the progress of a run in a period: none while a member restores its checkpoint, and
+    /// otherwise that of its slowest member.
+    fn progress_in(
+        &self,
+        now: Duration,
+        elapsed: Duration,
+        truth: &Truth,
+        members: &[(usize, Task)],
+    ) -> Duration {
+        let minions = || members.iter().map(|(agent, _)| &self.minions[*agent]);
+        if members.iter().any(|(agent, task)| now < self.minions[*agent].active[task].restored_at) {
+            return Duration::ZERO;
+        }
+        let racks: BTreeSet<&str> =
+            minions().map(|minion| minion.incarnation.rack.as_str()).collect();
+        let is_remote = truth.wants_one_rack && racks.len() > 1;
+        let slowdown = minions().map(|minion| minion.slowdown).fold(1.0, f64::max);
+        elapsed.div_f64(slowdown * if is_remote { REMOTE_FACTOR } else { 1.0 })
+    }
+
     /// Ends a task on its minion; an end with `done` is recorded for later checks.
     fn end_task(
         &mut self,
@@ -395,14 +479,17 @@
     pub(super) fn crash(&mut self, agent: u8) {
         let minion = &mut self.minions[usize::from(agent)];
         let born_ms = minion.incarnation.born_ms + 1;
-        let mut incarnation = platform::incarnation(agent, born_ms);
+        let has_spells = self.options.trouble.has_spells();
+        let mut incarnation = start(agent, born_ms, has_spells).incarnation;
         if self.options.trouble.late_orders && self.trouble_rng.random_bool(0.5) {
             incarnation.id = format!("m{agent}-{born_ms}");
         } else {
             incarnation.id.clone_from(&minion.incarnation.id);
         }
         let id = incarnation.id.clone();
-        *minion = Minion::new(incarnation);
+        let is_up = minion.is_up;
+        *minion = start(agent, born_ms, has_spells);
+        (minion.incarnation, minion.is_up) = (incarnation, is_up);
         self.write_log(&format!("m{agent} crashed and restarted as id={id} born_ms={born_ms}"));
     }
 
--- /dev/null
+++ b/crates/soak/src/soak/spells.rs
@@ -0,0 +1,328 @@
+//! Spells: troubles that last for some seconds and overlap, drawn by a generator of their own.
+
+use std::{io, ops::Range, time::Duration};
+
+use nix::sys::signal::Signal;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg32;
+use sapphire_jobs::resources::Resources;
+use sapphire_proofs::jobs::minion::Truth;
+use sapphire_runner::minion::Call as Order;
+use sapphire_standins::jobs_platform as platform;
+use sapphire_store::call::{Call, Reply};
+use serde_json::{Value, json};
+
+use super::{Options, SPELLS_JOB_INTERVAL, Soak, minions};
+use crate::{
+    fleet::{ENTRIES, Fleet, Node},
+    trouble::Trouble,
+};
+
+/// Share of the jobs that are long gangs.
+const LONG_SHARE: f64 = 0.35;
+/// Share of the stops that are lost in a spell of lost stops.
+const LOST_SHARE: f64 = 0.5;
+/// Time for which each planner of a fast series plans.
+const PLANNING_TIME: Duration = Duration::from_millis(800);
+/// Interval between the planners killed in a slow series.
+const SERIES_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest time for which spells of slow minions go on after the others.
+const SLOW_EXCESS_MS: u64 = 20_000;
+/// Share of the minions that leave together with their agents.
+const MACHINE_SHARE: f64 = 0.75;
+/// Share of the minions that left which are replaced, and the time until then.
+const REPLACED_SHARE: f64 = 0.6;
+const REPLACEMENT_MS: Range<u64> = 2_000..8_000;
+
+/// Kind of a spell.
+#[derive(Clone, Debug, PartialEq)]
+enum Kind {
+    /// Minions are slower by a factor.
+    Slow { agents: Vec<u8>, factor: f64 },
+    /// All tasks that a minion starts fail.
+    Failing(u8),
+    /// A minion carries out calls but doesn't answer them.
+    Mute(u8),
+    /// Stops are neither carried out nor answered.
+    LostStops,
+    /// The minion that gets the next start leaves without an answer.
+    Leaving,
+    /// The planner is killed, and each next one that plans at this interval at least.
+    Planners(Duration),
+    /// Signals, restarts and changes of the configuration at the same time.
+    Operations,
+}
+
+impl Kind {
+    fn is_enabled(&self, trouble: Trouble) -> bool {
+        match self {
+            Kind::Slow { .. } => trouble.slow,
+            Kind::Failing(_) => trouble.failing,
+            Kind::Mute(_) | Kind::LostStops => trouble.unanswered,
+            Kind::Leaving => trouble.leaving,
+            Kind::Planners(_) => trouble.planners,
+            Kind::Operations => trouble.operations,
+        }
+    }
+}
+
+/// A spell, from its beginning to its end.
+#[derive(Clone, Debug)]
+struct Spell {
+    from: Duration,
+    until: Duration,
+    kind: Kind,
+    is_begun: bool,
+}
+
+impl Spell {
+    fn is_slow(&self) -> bool {
+        matches!(self.kind, Kind::Slow { .. })
+    }
+}
+
+/// The spells of a run that are not over.
+#[derive(Debug)]
+pub(super) struct Spells {
+    rng: Pcg32,
+    spells: Vec<Spell>,
+    /// End of the last spell.
+    end: Duration,
+    /// Minions whose agents are to leave with them.
+    departures: Vec<u8>,
+    /// Minions that are to be replaced, and when.
+    replacements: Vec<(Duration, u8)>,
+    /// Whether each agent's minion is mute.
+    mute: Vec<bool>,
+    /// Revision of the leader key of the planner that was killed last, and when the next one may be
+    /// killed.
+    killed: u64,
+    next_kill: Duration,
+    /// Version of the configuration.
+    version: u64,
+}
+
+impl Spells {
+    /// Draws the spells, from `start` until the last job is submitted; those of slow minions may go
+    /// on for longer.
+    pub(super) fn new(options: &Options, start: Duration, agents: u8) -> Self {
+        let mut spells = Spells {
+            rng: Pcg32::seed_from_u64(options.seed ^ 0x5be11),
+            spells: Vec::new(),
+            end: Duration::ZERO,
+            departures: Vec::new(),
+            replacements: Vec::new(),
+            mute: vec![false; usize::from(agents)],
+            killed: 0,
+            next_kill: Duration::ZERO,
+            version: 1,
+        };
+        if options.trouble.has_spells() {
+            let length = SPELLS_JOB_INTERVAL * options.jobs;
+            spells.draw(start, u64::try_from(length.as_millis()).unwrap_or(u64::MAX), agents);
+            spells.spells.retain(|spell| spell.kind.is_enabled(options.trouble));
+            spells.end = spells.spells.iter().map(|spell| spell.until).max().unwrap_or_default();
+        }
+        spells
+    }
+
+    fn draw(&mut self, start: Duration, length_ms: u64, agents: u8) {
+        for _ in 0..self.rng.random_range(3..6) {
+            let share = self.rng.random_range(0.1..0.34);
+            let count = (f64::from(agents) * share).round().max(1.0) as usize;
+            let mut all: Vec<u8> = (0..agents).collect();
+            let draw = |_| all.swap_remove(self.rng.random_range(0..all.len()));
+            let agents = (0..count).map(draw).collect();
+            let factor = self.rng.random_range(4.0..13.0);
+            let kind = Kind::Slow { agents, factor };
+            self.add(start, length_ms + SLOW_EXCESS_MS, 3_000..10_000, kind);
+        }
+        for _ in 0..2 {
+            let kind = Kind::Failing(self.rng.random_range(0..agents));
+            self.add(start, length_ms, 1_000..4_000, kind);
+            let kind = Kind::Mute(self.rng.random_range(0..agents));
+            self.add(start, length_ms, 1_000..6_000, kind);
+            self.add(start, length_ms, 2_000..6_000, Kind::LostStops);
+        }
+        for _ in 0..self.rng.random_range(2..5) {
+            self.add(start, length_ms, 500..3_000, Kind::Leaving);
+        }
+        match self.rng.random_range(0..3) {
+            0 => self.add(start, length_ms, 3_000..7_000, Kind::Planners(PLANNING_TIME)),
+            1 => {
+                let kind = Kind::Planners(SERIES_INTERVAL);
+                self.add(start, 1, length_ms..length_ms + 1, kind);
+            }
+            _ => {}
+        }
+        for _ in 0..self.rng.random_range(1..4) {
+            self.add(start, length_ms, 1..2, Kind::Operations);
+        }
+    }
+
+    /// Adds a spell that begins within `within_ms` of `start`.
+    fn add(&mut self, start: Duration, within_ms: u64, length_ms: Range<u64>, kind: Kind) {
+        let from = start + Duration::from_millis(self.rng.random_range(0..within_ms.max(1)));
+        let until = from + Duration::from_millis(self.rng.random_range(length_ms));
+        self.spells.push(Spell { from, until, kind, is_begun: false });
+    }
+
+    /// Returns the spells in force.
+    fn present(&self, now: Duration) -> impl Iterator<Item = &Kind> {
+        let is_present = move |spell: &&Spell| (spell.from..spell.until).contains(&now);
+        self.spells.iter().filter(is_present).map(|spell| &spell.kind)
+    }
+
+    /// End of the last spell.
+    pub(super) fn end(&self) -> Duration {
+        self.end
+    }
+
+    /// Returns whether there are spells, other than of slow minions, or replacements to come.
+    pub(super) fn has_faults(&self) -> bool {
+        !self.replacements.is_empty() || !self.spells.iter().all(Spell::is_slow)
+    }
+
+    /// Returns whether a minion doesn't answer.
+    pub(super) fn is_mute(&self, agent: u8) -> bool {
+        self.mute[usize::from(agent)]
+    }
+
+    /// Returns whether an order is lost.
+    pub(super) fn loses(&mut self, now: Duration, order: &Order) -> bool {
+        matches!(order, Order::Stop { .. })
+            && self.present(now).any(|kind| *kind == Kind::LostStops)
+            && self.rng.random_bool(LOST_SHARE)
+    }
+
+    /// Returns whether a minion leaves that gets a start. Draws whether its agent leaves too, and
+    /// its replacement. A minion that leaves without its agent accepts connections but does nothing.
+    pub(super) fn takes_away(&mut self, now: Duration, agent: u8) -> bool {
+        let is_leaving =
+            |spell: &Spell| spell.kind == Kind::Leaving && (spell.from..spell.until).contains(&now);
+        let Some(at) = self.spells.iter().position(is_leaving) else { return false };
+        self.spells.remove(at);
+        if self.rng.random_bool(MACHINE_SHARE) {
+            self.departures.push(agent);
+        }
+        if self.rng.random_bool(REPLACED_SHARE) {
+            let delay = Duration::from_millis(self.rng.random_range(REPLACEMENT_MS));
+            self.replacements.push((now + delay, agent));
+        }
+        true
+    }
+}
+
+impl Soak {
+    /// Begins and ends spells, and lets those in force take effect.
+    pub(super) fn drive_spells(&mut self, now: Duration, fleet: &mut Fleet) -> io::Result<()> {
+        let due = |spell: &&mut Spell| !spell.is_begun && now >= spell.from;
+        let mut begun = Vec::new();
+        for spell in self.spells.spells.iter_mut().filter(due) {
+            spell.is_begun = true;
+            begun.push((spell.kind.clone(), spell.until - spell.from));
+        }
+        for (kind, length) in begun {
+            self.record_fault(&format!("spell {kind:?}"), length);
+            if kind == Kind::Operations {
+                self.operate(now, fleet);
+            }
+        }
+        let present: Vec<Kind> = self.spells.present(now).cloned().collect();
+        self.spells.spells.retain(|spell| now < spell.until);
+        for (agent, minion) in (0..).zip(&mut self.minions) {
+            let slowdown = |kind: &Kind| match kind {
+                Kind::Slow { agents, factor } if agents.contains(&agent) => *factor,
+                _ => 1.0,
+            };
+            minion.slowdown = present.iter().map(slowdown).fold(1.0, f64::max);
+            minion.fails = present.contains(&Kind::Failing(agent));
+            self.spells.mute[usize::from(agent)] = present.contains(&Kind::Mute(agent));
+        }
+        if self.spells.has_faults() {
+            self.faults_until = self.faults_until.max(now);
+        }
+        for kind in &present {
+            if let Kind::Planners(interval) = kind {
+                self.kill_planner(now, fleet, *interval);
+            }
+        }
+        for agent in std::mem::take(&mut self.spells.departures) {
+            self.record_fault(&format!("taken away {:?}", Node::Agent(agent)), Duration::ZERO);
+            fleet.take_away(agent);
+        }
+        let replacements = std::mem::take(&mut self.spells.replacements);
+        let (due, later) = replacements.into_iter().partition(|(at, _)| now >= *at);
+        self.spells.replacements = later;
+        let due: Vec<(Duration, u8)> = due;
+        for (_, agent) in due {
+            let minion = &mut self.minions[usize::from(agent)];
+            let born_ms = minion.incarnation.born_ms + 1;
+            *minion = minions::start(agent, born_ms, true);
+            fleet.bring_back(agent)?;
+            minion.incarnation.id = format!("m{agent}-{born_ms}");
+            self.write_log(&format!("m{agent} is replaced, born_ms={born_ms}"));
+        }
+        Ok(())
+    }
+
+    /// Kills the entry that plans, unless it is the one killed last or it is too early.
+    fn kill_planner(&mut self, now: Duration, fleet: &Fleet, interval: Duration) {
+        let call = Call::Get { key: "lead".to_owned() };
+        let Some(Reply::Value(lead)) = self.store.call(now, &call) else { return };
+        let named = |entry: &u8| {
+            let name = format!("e{entry}");
+            lead.bytes.windows(name.len()).any(|part| part == name.as_bytes())
+        };
+        let Some(entry) = (0..ENTRIES).find(named) else { return };
+        if now >= self.spells.next_kill && lead.revision != self.spells.killed {
+            self.spells.killed = lead.revision;
+            self.spells.next_kill = now + interval;
+            self.record_fault(&format!("kill planner {:?}", Node::Entry(entry)), Duration::ZERO);
+            fleet.signal(Node::Entry(entry), Signal::SIGKILL);
+        }
+    }
+
+    /// Signals several processes and changes the configuration at the same time.
+    fn operate(&mut self, now: Duration, fleet: &Fleet) {
+        let agents = self.minions.len() as u8;
+        for _ in 0..3 {
+            let signals = [Signal::SIGTERM, Signal::SIGHUP, Signal::SIGKILL];
+            let signal = signals[self.spells.rng.random_range(0..signals.len())];
+            let node = if self.spells.rng.random_bool(0.4) {
+                Node::Entry(self.spells.rng.random_range(0..ENTRIES))
+            } else {
+                Node::Agent(self.spells.rng.random_range(0..agents))
+            };
+            self.record_fault(&format!("{signal} {node:?}"), Duration::ZERO);
+            fleet.signal(node, signal);
+        }
+        self.spells.version += self.spells.rng.random_range(1..5);
+        let idle_routes = self.options.conditions.idle_routes + self.spells.rng.random_range(0..9);
+        let version = self.spells.version;
+        platform::configure_version(&mut self.store, now, idle_routes, version);
+    }
+
+    /// Draws a long gang with checkpoints in place of a job: its step as submitted, and its actual
+    /// properties.
+    pub(super) fn draw_long_gang(&mut self) -> Option<(Value, Truth)> {
+        if !self.options.trouble.has_spells() || !self.spells.rng.random_bool(LONG_SHARE) {
+            return None;
+        }
+        let rng = &mut self.spells.rng;
+        let (members, work_ms) = (rng.random_range(2..5), rng.random_range(2_000..6_000));
+        let (estimate, wants_one_rack) = (rng.random_range(0.85..1.2), rng.random_bool(0.3));
+        let work = Duration::from_millis(work_ms);
+        let resources = Resources { millicores: 1_000, memory_mib: 1_000, accelerators: 2 };
+        let mut step = json!({
+            "count": members, "cpu": 1_000, "mem_mb": 1_000, "gpu": 2,
+            "estimate_ms": work.mul_f64(estimate).as_millis() as u64,
+            "gang": true, "checkpointing": true,
+        });
+        if wants_one_rack {
+            step["rack_local"] = true.into();
+        }
+        let truth = Soak::task_truth(work, members);
+        Some((step, Truth { checkpoints: true, wants_one_rack, resources, ..truth }))
+    }
+}
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -13,9 +13,53 @@
     /// Zones of minions are cordoned. With faulty links, an entry is also cut off from the store and
     /// from the other processes at the same time, as if its zone were partitioned.
     pub zones: bool,
+    /// Spells in which minions are slow.
+    pub slow: bool,
+    /// Spells in which a minion fails all its tasks.
+    pub failing: bool,
+    /// Spells in which a minion carries out calls but doesn't answer them, or stops are lost.
+    pub unanswered: bool,
+    /// Minions leave right after a start that they don't answer; some are replaced.
+    pub leaving: bool,
+    /// Planners are killed in series.
+    pub planners: bool,
+    /// Signals, restarts and changes of the configuration at the same time.
+    pub operations: bool,
 }
 
 impl Trouble {
+    /// All kinds but spells.
+    pub const WITHOUT_SPELLS: Trouble = Trouble {
+        late_orders: true,
+        gangs: true,
+        links: true,
+        zones: true,
+        slow: false,
+        failing: false,
+        unanswered: false,
+        leaving: false,
+        planners: false,
+        operations: false,
+    };
     /// All kinds enabled.
-    pub const ALL: Trouble = Trouble { late_orders: true, gangs: true, links: true, zones: true };
+    pub const ALL: Trouble = Trouble {
+        slow: true,
+        failing: true,
+        unanswered: true,
+        leaving: true,
+        planners: true,
+        operations: true,
+        ..Trouble::WITHOUT_SPELLS
+    };
+
+    /// Returns whether any of the kinds is enabled that come in spells. Such a run has twice the
+    /// agents, on three racks, and jobs that are longer gangs with checkpoints.
+    pub fn has_spells(&self) -> bool {
+        self.slow
+            || self.failing
+            || self.unanswered
+            || self.leaving
+            || self.planners
+            || self.operations
+    }
 }
--- a/crates/standins/src/jobs_platform.rs
+++ b/crates/standins/src/jobs_platform.rs
@@ -115,29 +115,33 @@
     Response::new(status, body.to_string())
 }
 
+/// Number of failed runs of a task after which its job fails.
+pub const MAX_ATTEMPTS: u32 = 3;
+
 /// Stores the platform's configuration: the queue `q`, which gets the jobs, `idle_routes` queues
 /// that get none, and one organisation.
 pub fn configure(store: &mut Store, now: Duration, idle_routes: usize) {
+    configure_version(store, now, idle_routes, 1);
+}
+
+/// Replaces the configuration by a version of it.
+pub fn configure_version(store: &mut Store, now: Duration, idle_routes: usize, version: u64) {
     let route = |name: &str| {
         json!({
             "name": name, "host": "soak.example", "prefix": format!("/{name}/"), "service": "desk",
-            "priority": 1, "max_attempts": 3, "slack_factor": 3.0, "target_latency_ms": 500,
+            "priority": 1, "max_attempts": MAX_ATTEMPTS, "slack_factor": 3.0, "target_latency_ms": 500,
         })
     };
     let idle = (0..idle_routes).map(|index| route(&format!("idle-{index}")));
     let config = json!({
-        "version": 1,
+        "version": version,
         "routes": idle.chain([route("q")]).collect::<Vec<_>>(),
         "services": [{ "name": "desk" }],
         "tenants": [{ "name": "o", "api_keys": ["k"], "guaranteed": { "gpu": 4 } }],
     });
-    let put = Call::Put {
-        key: "op/config".to_owned(),
-        expected: 0,
-        value: Bytes::from(config.to_string()),
-        lease: None,
-    };
-    store.call(now, &put);
+    let value = Bytes::from(config.to_string());
+    let put = Put { key: "op/config".to_owned(), value, lease: None };
+    store.call(now, &Call::Commit { conditions: Vec::new(), puts: vec![put], removes: Vec::new() });
 }
 
 /// The incarnation of an agent's minion that started at `born_ms`, in milliseconds.
