--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -27,6 +27,9 @@
     /// spells
     #[argh(option, default = "String::new()")]
     without: String,
+    /// loopback network of all seeds, from 1 to 240; by default each has its own
+    #[argh(option)]
+    net: Option<u8>,
     /// keep the logs of all seeds
     #[argh(switch)]
     keep: bool,
@@ -64,7 +67,7 @@
             seed,
             jobs: args.jobs,
             faults: args.faults,
-            net: (seed % 240) as u8 + 1,
+            net: args.net.unwrap_or((seed % 240) as u8 + 1),
             conditions: Conditions::default(),
             trouble: trouble(&args.without),
         })?;
