--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -127,7 +127,7 @@
     }
 
     fn draw(&mut self, start: Duration, length_ms: u64, agents: u8) {
-        for _ in 0..self.rng.random_range(3..6) {
+        for _ in 0..self.rng.random_range(7..12) {
             let share = self.rng.random_range(0.1..0.34);
             let count = (f64::from(agents) * share).round().max(1.0) as usize;
             let mut all: Vec<u8> = (0..agents).collect();
