planner: in an outage starts are allowed for 2 s, and a successor counts with them

An entry that reaches the store may take over while a planner and most other entries don't, so that these agree that there is an outage.

A planner now allows starts for 2 s after the end of its lease, and the time that is left of an outstanding start in the record contains these and the 2 s in which its agent goes on. `settle_inherited` needs no margin of its own. An agent drops the time in which it may send starts with its session.

Tests: `a_start_that_an_isolated_planner_allows_has_expired` failed before; two on the margins of the record and of a lost agent; 200 drawn worlds.

--- a/crates/planner/src/cordons.rs
+++ b/crates/planner/src/cordons.rs
@@ -78,7 +78,11 @@
         let Some(verified_at) = self.cordons.verified_at else { return Duration::ZERO };
         match self.standing {
             Standing::Isolated => Duration::ZERO,
-            Standing::Outage => options::START_WINDOW.min(self.options.lease),
+            Standing::Outage => {
+                let until = self.lease_expires_at + options::OUTAGE_STARTS;
+                let left = until.saturating_sub(now.steady);
+                left.min(options::START_WINDOW).min(self.options.lease)
+            }
             Standing::Leader => {
                 let age = now.steady.saturating_sub(verified_at);
                 let left = self.options.cordon_deadline.saturating_sub(age + START_MARGIN);
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -62,6 +62,10 @@
 /// reaches the store. It exceeds the common outages of a few seconds. A successor waits for this
 /// time if an agent does not answer.
 pub const MAX_STORE_OUTAGE: Duration = Duration::from_secs(5);
+/// Time after the end of its lease on the leader key for which a planner allows starts in an outage. A
+/// successor counts with it, since an entry that reaches the store may take over while the others
+/// don't.
+pub const OUTAGE_STARTS: Duration = Duration::from_secs(2);
 /// Time for which progress may wait to be written together with other progress, unless it completes
 /// a job.
 pub const WRITE_DELAY: Duration = Duration::from_millis(250);
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -77,8 +77,7 @@
         let token = self.workers.get(name).map_or(0, |worker| worker.token);
         let is_in_session = token > 0 && poll.fenced_token == token;
         let sender = Sender { generation: poll.generation, is_in_session };
-        let grace = self.start_grace();
-        self.unanswered.report(now.steady, name, sender, grace, &poll.unanswered);
+        self.unanswered.report(now.steady, name, sender, &poll.unanswered);
     }
 
     /// Removes the unanswered starts that have expired.
@@ -88,11 +87,7 @@
 
     /// Returns how much longer unanswered starts count of which nothing more is known.
     pub(crate) fn start_grace(&self) -> Grace {
-        Grace {
-            run: self.options.longest_lease_expiry(),
-            agent: self.options.lease_expiry(),
-            isolated_agent: options::MAX_STORE_OUTAGE,
-        }
+        Grace { run: self.options.longest_lease_expiry(), agent: self.options.lease_expiry() }
     }
 
     /// Answers a worker's poll with the session's token, without starts and stops.
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -58,8 +58,6 @@
     pub(crate) run: Duration,
     /// Time for which an agent of an earlier version that hears of no planner goes on sending starts.
     pub(crate) agent: Duration,
-    /// Time after a take-over for which an agent may still hear of a planner that was replaced.
-    pub(crate) isolated_agent: Duration,
 }
 
 /// What the unanswered starts of a task allow.
@@ -83,14 +81,14 @@
 
     /// Settles what an earlier planner has recorded, once a process of the agent has reported. If
     /// it has taken the place of the one that sent the start, that one may have sent it until now,
-    /// but not for longer than an agent goes on without a planner. Otherwise it reports the start
-    /// itself as long as it may be carried out, provided that it has dropped the orders of earlier
-    /// sessions, so that it no longer waits for an answer.
-    fn settle_inherited(&mut self, now: Duration, grace: Grace, sender: Sender) {
+    /// but no longer than the record says. Otherwise it reports the start itself as long as it may be
+    /// carried out, provided that it has dropped the orders of earlier sessions, so that it no longer
+    /// waits for an answer.
+    fn settle_inherited(&mut self, now: Duration, sender: Sender) {
         let Some(inherited) = self.inherited else { return };
         if inherited.generation != sender.generation {
-            let latest = inherited.expires_at + grace.isolated_agent;
-            self.retained = self.retained.max(Some(latest.min(now + options::START_EXPIRY)));
+            let expires_at = inherited.expires_at.min(now + options::START_EXPIRY);
+            self.retained = self.retained.max(Some(expires_at));
             self.inherited = None;
         } else if sender.is_in_session {
             self.inherited = None;
@@ -131,10 +129,9 @@
         now: Duration,
         worker: &str,
         sender: Sender,
-        grace: Grace,
         rows: &[Unanswered],
     ) {
-        self.for_each_start(worker, |start| start.settle_inherited(now, grace, sender));
+        self.for_each_start(worker, |start| start.settle_inherited(now, sender));
         for row in rows {
             let Some(run) = &row.run else { continue };
             let left = options::START_EXPIRY.saturating_sub(Duration::from_millis(row.age_ms));
@@ -240,9 +237,10 @@
             }
         }
         for (name, worker) in fleet {
-            // Its agent may go on sending the start for a while after it last hears of this planner.
-            let until =
-                now.steady + options::START_WINDOW + options::START_EXPIRY + options::TIMING_MARGIN;
+            // Its agent may go on sending the start for a while after it last hears of this planner,
+            // which may go on for a while after it was replaced.
+            let sent_until = options::OUTAGE_STARTS + options::START_WINDOW;
+            let until = now.steady + sent_until + options::START_EXPIRY + options::TIMING_MARGIN;
             let ordered = worker.runs.iter().filter(|(_, run)| !run.is_started);
             let rows = ordered.map(|(task, run)| {
                 recorded_task(now, &task.run(run.number), until, worker.generation)
@@ -303,7 +301,7 @@
             }
             if let Some(known) = fleet.get(&worker) {
                 let sender = Sender { generation: known.generation, is_in_session: false };
-                let settle = |start: &mut Start| start.settle_inherited(now.steady, grace, sender);
+                let settle = |start: &mut Start| start.settle_inherited(now.steady, sender);
                 self.for_each_start(&worker, settle);
             }
             self.prune(&worker);
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of starts that may still be carried out after the processes that know of them are lost.
 
+mod isolated;
+mod random;
 mod record;
 mod world;
 
--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -445,7 +445,8 @@
         for (run, at) in std::mem::take(&mut agent.pending) {
             let sent_at = now - now.saturating_sub(at) % CALL_TIMEOUT;
             let is_this = |sent: &&mut Sent| sent.worker == name && sent.run == run;
-            if let Some(sent) = self.sent.iter_mut().find(is_this) {
+            // The same run may have been ordered again.
+            for sent in self.sent.iter_mut().filter(is_this) {
                 sent.expires_at = Some(sent_at + MAX_CALL_DELAY);
             }
             agent.abandoned.push((run, sent_at));
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -159,6 +159,7 @@
         self.session.token = orders.token;
         self.session.highest_token = orders.token;
         self.session.acknowledged = orders.noted;
+        self.session.starts_until = Duration::ZERO;
         self.drop_orders();
         self.wants_list = true;
         self.immediate_long_poll = None;
