planner: the bound on an idle job covers claims, and counts from when capacity is spare

Found in review, each shown by a test that failed before: - Work beside workers that an urgent gang claims again and again waited without a bound. After 2.5 s a job with nothing running takes claimed resources too. - A run that was ordered on a minion that hangs counted as running, so that the job's other tasks waited for their rack for 30 s. Only a run that has begun, or was ordered within the last second, counts. - The 1.5 s counted from the submission, also for later steps, and in time in which capacity was scarce, so that a gang went on several racks at once. They now count, for the job, from when it has nothing running and capacity is spare. - Excluded workers were open to all groups tried after the one that took them.

The places of a pool are looked up once a pass for this.

--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -110,8 +110,6 @@
     pub claim: Option<Claim>,
     /// Time since which the group waits.
     pub waiting_since: Duration,
-    /// Time for which the group waited before its earlier runs.
-    pub waited: Duration,
     /// Time since which the group waits because of earlier starts that may still be carried out.
     pub blocked_since: Option<Duration>,
     /// What is known of the present wait, once the group has been examined.
@@ -137,7 +135,6 @@
             avoid: Vec::new(),
             claim: None,
             waiting_since: now,
-            waited: Duration::ZERO,
             blocked_since: None,
             wait: None,
             observation: None,
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -23,7 +23,6 @@
 use crate::{
     event::Moment,
     group::Group,
-    patience,
     placement::Placement,
     planner::Planner,
     pool::Pool,
@@ -59,8 +58,6 @@
     job: Rc<str>,
     key: GroupKey,
     since: Duration,
-    /// Time from which on its job takes any place.
-    patience_ends: Duration,
 }
 
 impl Waiting {
@@ -196,15 +193,13 @@
                 entry.due_groups().map(|(key, group)| (*key, group.waiting_since)).peekable();
             if ready.peek().is_some() {
                 let rank = rank::rank(&self.job_rank(now, entry, guaranteed.contains(id)));
-                let patience_ends = patience::ends_at(entry);
-                jobs.push((rank, id, patience_ends, ready.collect::<Vec<(GroupKey, Duration)>>()));
+                jobs.push((rank, id, ready.collect::<Vec<(GroupKey, Duration)>>()));
             }
         }
         jobs.sort_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
-        let groups = jobs.into_iter().flat_map(|(_, id, patience_ends, keys)| {
+        let groups = jobs.into_iter().flat_map(|(_, id, keys)| {
             let job: Rc<str> = id.as_str().into();
-            let waiting =
-                move |(key, since)| Waiting { job: job.clone(), key, since, patience_ends };
+            let waiting = move |(key, since)| Waiting { job: job.clone(), key, since };
             keys.into_iter().map(waiting)
         });
         (groups.collect(), inherited)
@@ -287,7 +282,7 @@
         waiting: &Waiting,
         guaranteed: &BTreeSet<JobId>,
     ) -> Outcome {
-        let Waiting { job: id, key, patience_ends, .. } = waiting;
+        let Waiting { job: id, key, .. } = waiting;
         let id: &str = id;
         let Some(entry) = self.table.entries.get(id) else {
             return Outcome::Waits(Reason::Capacity);
@@ -336,9 +331,9 @@
             self.place(now, pool, id, key, &placement);
             return Outcome::Placed;
         }
-        if assignments.is_none()
-            && let Some(found) = self.find_anywhere(now, pool, entry, key, &demand, *patience_ends)
-        {
+        let takes_claimed = self.follow_idle(now, pool, id, key, &demand);
+        let found = takes_claimed.and_then(|claimed| self.find_any_place(pool, &demand, claimed));
+        if let Some(found) = found {
             if self.may_still_run(id, key, demand.tasks) {
                 self.hold_claim_again(pool, id, key, &demand);
                 return Outcome::Waits(Reason::Running);
@@ -347,19 +342,16 @@
                 "job={id} step={} index={} takes any place: capacity is spare",
                 key.step, key.index
             ));
-            if found.has_suspects {
-                pool.admit_suspects();
-            }
+            let suspects = if found.has_suspects { pool.admit_suspects() } else { 0 };
             let assignments = &found.assignments;
-            self.place(
-                now,
-                pool,
-                id,
-                key,
-                &Placement { demand: &demand, assignments, repeated: None },
-            );
+            let placement = Placement { demand: &demand, assignments, repeated: None };
+            self.place(now, pool, id, key, &placement);
+            pool.exclude_suspects(suspects);
             return Outcome::Placed;
         }
+        let Some(entry) = self.table.entries.get(id) else {
+            return Outcome::Waits(Reason::Capacity);
+        };
         // Whether only pending starts of others keep the group waiting.
         let has_pending = places.iter().any(|place| place.pending != Resources::default());
         let is_held = has_pending && {
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -50,7 +50,6 @@
         // A run that is ordered again is taken up when a list shows it.
         group.ended_run = group.ended_run.min(number - 1);
         let waited = now.steady.saturating_sub(group.waiting_since);
-        group.waited += waited;
         let waited = waited.as_millis();
         group.run = number;
         group.claim = None;
@@ -65,6 +64,7 @@
             checkpoint: group.checkpoint.clone(),
         });
         let is_resumed = !group.checkpoint.is_empty();
+        entry.end_idle(now.steady);
         self.order(now, id, key, demand, Order { number, is_resumed }, &unfinished);
         let expected = self.table.entries.get(id).map(|entry| self.estimate(entry, key.step));
         let expected = expected.unwrap_or_default();
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -57,8 +57,8 @@
     has_candidates: bool,
     /// Resources reserved for groups that wait.
     pub(crate) reservations: Vec<Reservation>,
-    /// Whether most of the capacity is in use, once a group has asked for it.
-    pub(crate) is_scarce: OnceCell<bool>,
+    /// Whether capacity is scarce, and what is free on all workers, once a group has asked for it.
+    pub(crate) capacity: OnceCell<(bool, Vec<Place>)>,
     /// Name of the service.
     pub(crate) service: String,
     /// Resources that are withheld for urgent work.
@@ -94,12 +94,17 @@
         Some(places)
     }
 
-    /// Adds the suspect workers to the places, as the last choice of the groups that are tried after.
-    pub(crate) fn admit_suspects(&mut self) {
-        for place in std::mem::take(&mut self.suspect) {
-            self.index.insert(place.worker.to_string(), self.places.len());
-            self.places.push(place);
-        }
+    /// Adds the suspect workers to the places, for one group. Returns their number.
+    pub(crate) fn admit_suspects(&mut self) -> usize {
+        let suspects = self.suspect.len();
+        self.places.append(&mut self.suspect);
+        suspects
+    }
+
+    /// Takes back what [`Self::admit_suspects`] added.
+    pub(crate) fn exclude_suspects(&mut self, suspects: usize) {
+        let at = self.places.len() - suspects;
+        self.suspect.extend(self.places.drain(at..));
     }
 
     /// Deducts the resources claimed by a group that waits for them to be released.
@@ -160,7 +165,7 @@
             jobs: Vec::new(),
             has_candidates: false,
             reservations: Vec::new(),
-            is_scarce: OnceCell::new(),
+            capacity: OnceCell::new(),
             service: service.to_owned(),
             held: stops::Held::default(),
         }
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -18,7 +18,7 @@
 use crate::{
     event::{Moment, Record},
     group::{Group, Observation, Phase},
-    options,
+    idle, options,
 };
 
 /// How soon a change of progress must be durable.
@@ -58,6 +58,11 @@
     pub has_begun: bool,
     /// A group had to wait only because starts of others were pending on the workers.
     pub is_held: bool,
+    /// Time since which it has nothing running although capacity is spare.
+    pub idle_since: Option<Duration>,
+    /// Time for which that was so before. A job of an earlier term has waited for the end of the
+    /// take-over, so that its time does not begin anew with each planner.
+    pub idled: Duration,
     /// The log says that a group waits because free workers are in cordoned zones.
     pub is_cordon_logged: bool,
     /// Revision of the job's progress in the store.
@@ -97,6 +102,8 @@
             reported_state: State::Queued,
             has_begun: false,
             is_held: false,
+            idle_since: None,
+            idled: if is_inherited { idle::IDLE_LIMIT } else { Duration::ZERO },
             is_cordon_logged: false,
             revision: 0,
             last_change: 0,
@@ -241,11 +248,6 @@
         self.groups.iter().filter(is_due)
     }
 
-    /// Returns whether a group is ordered or running.
-    pub fn is_running(&self) -> bool {
-        self.groups.values().any(|group| group.active().is_some())
-    }
-
     /// Returns whether all tasks of a step are done.
     fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
         let mut groups = self.groups.range(step_groups(occurrence, step)).peekable();
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -20,7 +20,6 @@
     group::Group,
     options,
     pass::{self, SPEED_WAIT},
-    patience,
     planner::Planner,
     pool::Pool,
     table::Entry,
@@ -313,12 +312,8 @@
     ) -> Option<Duration> {
         let entry = self.table.entries.get(unplaced.job)?;
         let end = self.wait_end(entry, unplaced, reason);
-        let end = if is_spare && reason.is_preference() && !entry.is_running() {
-            let patience = patience::ends_at(entry).max(unplaced.since);
-            end.unwrap_or(patience).min(patience)
-        } else {
-            end?
-        };
+        let idle_until = entry.idle_until().filter(|_| is_spare && reason.is_preference());
+        let end = end.into_iter().chain(idle_until).min()?;
         Some(end.saturating_sub(unplaced.since))
     }
 
--- a/crates/planner/tests/bounds/mod.rs
+++ b/crates/planner/tests/bounds/mod.rs
@@ -1,6 +1,6 @@
 //! Tests of the bounds on waits: work that is due starts soon while most of the capacity is free.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sapphire_jobs::{Ending, Incarnation, Job, Notice, Poll, Running, Step};
 use sapphire_plan::stops;
@@ -208,3 +208,29 @@
     }
     assert_eq!(fixture.worker_of("j"), other, "it is left to a minion that hangs");
 }
+
+/// Guards against a gang that starts on several racks, where it is slower, at the moment at which the
+/// step before it is done: the time for which that step ran is no wait for a better place.
+#[test]
+fn a_gang_of_a_later_step_waits_for_one_rack_for_a_while() {
+    let (mut fixture, workers) = with_racks(3, 3);
+    for rack in ["r0", "r1", "r2"] {
+        let small = Step { is_long_running: true, near_rack: rack.to_owned(), ..step(1, false) };
+        submit(&mut fixture, job(rack, TERM, small));
+    }
+    let gang = Step { wants_one_rack: true, after: vec![0], ..of(64, 2_000, step(3, true)) };
+    let steps = vec![step(1, false), gang];
+    submit(&mut fixture, Job { steps, ..job("j", TERM, step(1, false)) });
+    advance(&mut fixture, &workers, 3_000);
+    let first = fixture.worker_of("j");
+    let end = ended(1, run("j", 0, 1), Ending::Done);
+    let (_, rack) = workers.iter().find(|(name, _)| *name == first).expect("it has started");
+    let incarnation = Some(Incarnation { rack: rack.clone(), ..minion(&first) });
+    fixture.report(&first, Poll { incarnation, ended: vec![end], ..Poll::default() });
+    advance(&mut fixture, &workers, 500);
+    let racks: BTreeSet<&str> = (workers.iter())
+        .filter(|(name, _)| fixture.planner.workers()[name].runs.keys().any(|task| task.job == "j"))
+        .map(|(_, rack)| rack.as_str())
+        .collect();
+    assert_eq!(racks, BTreeSet::new(), "it has waited for 500 ms at most");
+}
--- a/crates/planner/tests/stands_still/mod.rs
+++ b/crates/planner/tests/stands_still/mod.rs
@@ -478,3 +478,137 @@
     site.assert_goes_on("a", BOUND);
     assert!(site.runs_of("a") > 5, "{}", site.story("a"));
 }
+
+/// Guards against a task that waits for the rack of its data while the only other task of its job has
+/// been ordered on a minion that does not answer: the job has nothing running.
+#[test]
+fn a_task_beside_one_that_does_not_begin_goes_on() {
+    let mut site = Site::new();
+    site.occupy(&["r1-1", "r1-2"], 2);
+    site.machines.get_mut("r1-3").expect("a worker").is_mute = true;
+    let step = Step { near_rack: "r1".to_owned(), ..whole(2, false, RUN_TIME) };
+    site.submit("a", "q", step, &[]);
+    site.run(30_000);
+    site.assert_goes_on("a", BOUND);
+}
+
+/// Submits a task while all idle workers are claimed for an urgent gang that waits for one more, whose
+/// work takes `stop_delay` ms longer to stop.
+fn beside_a_claim(stop_delay: u64) -> Site {
+    let mut site = Site::new();
+    site.occupy(&["r1-1", "r1-2"], 2);
+    for name in ["r1-1", "r1-2"] {
+        site.machines.get_mut(name).expect("a worker").stop_delay = stop_delay;
+    }
+    site.submit("gang", "urgent", whole(10, true, RUN_TIME), &[]);
+    site.run(200);
+    assert!(site.has_claim("gang"), "{}", site.story("gang"));
+    site.submit("a", "q", whole(1, false, RUN_TIME), &[]);
+    site.run(60_000);
+    site
+}
+
+/// Guards against a task that waits while most workers are idle and claimed for a gang that waits for
+/// a stop that is late.
+#[test]
+fn a_task_beside_workers_claimed_until_a_late_stop_goes_on() {
+    beside_a_claim(6_000).assert_goes_on("a", BOUND);
+}
+
+/// Guards against the same without an end: the stop is not carried out.
+#[test]
+fn a_task_beside_workers_claimed_until_a_stop_that_hangs_goes_on() {
+    beside_a_claim(120_000).assert_goes_on("a", BOUND);
+}
+
+/// Guards against a gang that never starts, since each of the small tasks that keep arriving takes a
+/// worker that is reserved for it.
+#[test]
+fn a_gang_beside_small_tasks_that_keep_arriving_starts() {
+    /// Time in which the tasks that ran before the gang arrived have ended, and some more.
+    const LIMIT: u64 = 45_000;
+    let mut site = Site::new();
+    let submit_small = |site: &mut Site, number: u64| {
+        site.submit(&format!("small{number}"), "q", half(1, false, RUN_TIME), &[]);
+        site.run(2_500);
+    };
+    (0..8).for_each(|number| submit_small(&mut site, number));
+    site.submit("gang", "q", whole(8, true, RUN_TIME), &[]);
+    (8..8 + LIMIT / 2_500).for_each(|number| submit_small(&mut site, number));
+    assert!(site.runs_of("gang") > 0, "{}", site.story("gang"));
+}
+
+/// A linear congruential generator.
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % limit
+    }
+
+    fn one_in(&mut self, count: u64) -> bool {
+        self.below(count) == 0
+    }
+}
+
+fn drawn_step(draw: &mut Draw) -> Step {
+    let run_time = 1_000 + draw.below(20) * 1_000;
+    let is_gang = draw.one_in(2);
+    let tasks = u32::try_from(1 + draw.below(4)).expect("a few tasks");
+    let shape = if draw.one_in(2) { half } else { whole };
+    let near_rack = if draw.one_in(3) { format!("r{}", 1 + draw.below(4)) } else { String::new() };
+    Step {
+        wants_one_rack: is_gang && draw.one_in(2),
+        checkpoints: draw.one_in(2),
+        is_long_running: !is_gang && draw.one_in(8),
+        per_worker: u32::from(!is_gang && draw.one_in(4)),
+        near_rack,
+        ..shape(tasks, is_gang, run_time)
+    }
+}
+
+/// Number of drawn sites.
+const SITES: u64 = 40;
+
+/// Guards against jobs that stand still in combinations of work, slow and failing runs and changes of
+/// planners that no other test covers.
+#[test]
+fn drawn_work_goes_on() {
+    let mut failed = Vec::new();
+    for seed in 0..SITES {
+        let mut draw = Draw(seed);
+        let mut site = Site::new();
+        if draw.one_in(2) {
+            let stops = Some(stops::Options { limit: 0.15 });
+            let options = options::Options { stops, ..harness::options() };
+            site.fixture.planner.set_options(options);
+        }
+        let mut ids = Vec::new();
+        for number in 0..25 {
+            let id = format!("j{number}");
+            let queue = if draw.one_in(5) { "urgent" } else { "q" };
+            let step = drawn_step(&mut draw);
+            let step = Step { is_long_running: step.is_long_running && number < 6, ..step };
+            let faults: Vec<Fault> = (0..draw.below(5))
+                .map(|_| if draw.one_in(2) { SLOW } else { Fault::Fails })
+                .collect();
+            let faults = if step.is_long_running { Vec::new() } else { faults };
+            site.submit(&id, queue, step, &faults);
+            ids.push(id);
+            site.run(draw.below(60) * 50);
+            if draw.one_in(8) {
+                site.take_over();
+            }
+        }
+        site.run(20_000);
+        for id in ids {
+            let longest = site.longest(&id);
+            if longest >= BOUND {
+                failed.push(format!("seed={seed} {id} {longest} ms\n{}", site.story(&id)));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{}: {}", failed.len(), failed.join("\n\n"));
+}
--- a/crates/planner/tests/stands_still/site.rs
+++ b/crates/planner/tests/stands_still/site.rs
@@ -342,6 +342,11 @@
         lines.join("\n")
     }
 
+    /// Returns the longest time for which a job stood still while there was room for it.
+    pub(super) fn longest(&self, id: &str) -> u64 {
+        self.work[id].longest.0
+    }
+
     /// Fails if a job stood still for the time of a bound while there was room for it.
     pub(super) fn assert_goes_on(&self, id: &str, bound: u64) {
         let (longest, until) = self.work[id].longest;
