planner: a minion that sends no list keeps its lease, as before

Trail: the list that shows a task as done is lost; its worker is declared lost at 11.56 s; run 2 is ordered elsewhere at 13.57 s and has no answer; the end of run 1 is listed at 13.74 s and acknowledged; the start of run 2 is carried out at 16.32 s.

--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -43,9 +43,6 @@
 /// Time without a poll after which a worker gets no new tasks. Agents poll at least every
 /// [`POLL_TIMEOUT`], so that one lost poll on a slow link does not reach this limit.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
-/// Time without a list of its minion after which a worker is granted no lease. Its runs end with the
-/// lease, as those of a worker that is cut off.
-pub const LIST_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Maximum time for which an agent's poll is left unanswered. A shorter time detects lost workers
 /// sooner, a longer one costs fewer messages; the silence after which a worker gets no new tasks is
 /// about twice as long.
@@ -86,8 +83,8 @@
 /// Time after which an unanswered start can no longer be carried out: 12 seconds after it was sent,
 /// as the platform specifies, and a margin.
 pub const START_EXPIRY: Duration = Duration::from_millis(12_300);
-/// Time after the sending of its latest poll that was answered, and after the latest list of its minion,
-/// for which an agent sends starts. Shorter than the lease, since nobody else can run a task whose start may have been sent.
+/// Time after the sending of its latest poll that was answered for which an agent sends starts. Shorter
+/// than the lease, since nobody else can run a task whose start may have been sent.
 pub const START_WINDOW: Duration = Duration::from_millis(2_000);
 /// Delay before a failed write is retried.
 pub const RETRY_DELAY: Duration = Duration::from_millis(100);
