--- a/crates/plan/src/spare.rs
+++ b/crates/plan/src/spare.rs
@@ -1,7 +1,7 @@
 //! Spare capacity: capacity that a group can take without harm to others.
 //!
 //! While capacity is scarce, work that waits for a better place leaves the present ones to others.
-//! While it is spare, nobody gains from the wait, and a job that has nothing running only loses time.
+//! While it is spare, others rarely need them, and a job that has nothing running loses time.
 
 use sapphire_jobs::resources::Resources;
 
--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -24,9 +24,9 @@
     /// Writes the handover record if orders wait for it, or if it is out of date.
     pub(crate) fn write_unanswered(&mut self, now: Moment) {
         let (has_additions, has_removals) = self.unanswered.changes();
-        // A successor goes on counting the ages that the record has, and not from its own beginning.
-        let is_aged = now.steady >= self.handover.written_at + options::AGE_INTERVAL;
-        self.handover.is_outdated |= is_aged && self.unanswered.is_any();
+        // A successor goes on counting the time that the record says is left of each start.
+        let is_old = now.steady >= self.handover.written_at + options::RECORD_REFRESH_INTERVAL;
+        self.handover.is_outdated |= is_old && self.unanswered.is_any();
         let is_due = self.handover.is_due(now.steady, has_additions, has_removals);
         if !self.startup.is_serving() || !is_due {
             return;
--- a/crates/planner/src/idle.rs
+++ b/crates/planner/src/idle.rs
@@ -76,7 +76,7 @@
         takes_any.then_some(now.steady >= since + CLAIMS_LIMIT)
     }
 
-    /// Returns any places for a group, the healthy workers first.
+    /// Returns places for a group wherever it fits, on healthy workers if possible.
     pub(crate) fn find_any_place(
         &self,
         pool: &Pool,
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -76,15 +76,15 @@
 pub const CLEANUP_DELAY: Duration = Duration::from_millis(1_000);
 /// Maximum age of the handover record while it contains unanswered starts. A change of planners
 /// prolongs the wait for them by at most this time.
-pub const AGE_INTERVAL: Duration = Duration::from_millis(2_000);
+pub const RECORD_REFRESH_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Time for which checkpoints may wait to be written together. A loss of power costs at most this
 /// much work in addition.
 pub const CHECKPOINT_WRITE_DELAY: Duration = Duration::from_millis(2_000);
 /// Time after which an unanswered start can no longer be carried out: 12 seconds after it was sent,
 /// as the platform specifies, and a margin.
 pub const START_EXPIRY: Duration = Duration::from_millis(12_300);
-/// Time after the sending of its latest poll that was answered for which an agent sends starts. Shorter
-/// than the lease, since nobody else can run a task whose start may have been sent.
+/// Time after the sending of its latest poll that was answered for which an agent sends starts. Limits
+/// how long a start that was lost with its agent blocks its task.
 pub const START_WINDOW: Duration = Duration::from_millis(2_000);
 /// Delay before a failed write is retried.
 pub const RETRY_DELAY: Duration = Duration::from_millis(100);
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -209,7 +209,7 @@
         (starts.any(|start| !start.is_recorded), self.has_removals)
     }
 
-    /// Returns whether the handover record contains starts whose age grows.
+    /// Returns whether there are unanswered starts.
     pub(crate) fn is_any(&self) -> bool {
         !self.by_task.is_empty()
     }
@@ -269,7 +269,7 @@
     /// Restores the handover record of an earlier planner. `fleet` holds the workers whose agents
     /// have reported already.
     ///
-    /// The record has the time that is left of each start, which is counted from now on: clocks of day
+    /// The record has the time that is left of each start, which is counted from now on: wall clocks
     /// may differ by any amount.
     pub(crate) fn restore(
         &mut self,
