planner: a run whose task turns out to be done is stopped

Callers saw a task start again after its job was shown complete, and runs that went on for nobody, for up to ten seconds after their job was cancelled.

Cause: a minion carries out calls and answers none, and another entry takes over the planning. After 11.4 s its worker is declared lost, and its tasks, some of them done by then, are placed elsewhere. That is allowed, since the lease has expired. But the end of the first run is listed once the minion answers again, it closes the task, and nothing withdrew the order for the next run: it waited for the handover record, for an answer of its minion or for one of the agent's four calls, and started afterwards. A run that had started went on, and was no longer known to what stops the runs of a cancelled job. And if that run failed, its failure could make the job fail although the task was done.

Fix: the end of a run as done stops a later run of its group, so that the agent drops the start and its minion refuses copies of it. A group that is done can't fail any more. The run counts until its end is listed.

--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -50,7 +50,7 @@
             Ending::Done if !is_final && !is_long => {
                 self.count_done(now);
                 self.learn_run_time(name, task, &key, number, run_time);
-                return self.group_done(now, &task.job, &key);
+                return self.group_done(now, &task.job, &key, number);
             }
             Ending::Faulty if !is_over => self.record_failure(now, name, task, &key, number),
             _ => {}
@@ -199,8 +199,25 @@
         }
     }
 
-    /// Records that a group has succeeded. Returns the change that must be durable.
-    fn group_done(&mut self, now: Moment, id: &str, key: &GroupKey) -> Option<(JobId, u64)> {
+    /// Records that a run of a group has succeeded, and stops a later run. Returns the change that must
+    /// be durable.
+    ///
+    /// Guards against a start after its job was shown complete, and against a run that goes on for
+    /// nobody: the end of a run may be listed after its worker was declared lost and the group was
+    /// placed elsewhere.
+    fn group_done(
+        &mut self,
+        now: Moment,
+        id: &str,
+        key: &GroupKey,
+        number: RunNumber,
+    ) -> Option<(JobId, u64)> {
+        let group = self.table.entries.get(id)?.groups.get(key)?;
+        if group.run != number && group.active().is_some() {
+            let (step, later) = (key.step, group.run);
+            self.log(format!("job={id} step={step} run={number} is done; run={later} is stopped"));
+            self.stop_group(now.steady, id, key, &Cause::Superseded);
+        }
         let entry = self.table.entries.get_mut(id)?;
         let group = entry.groups.get_mut(key)?;
         group.phase = Phase::Done;
@@ -280,7 +297,8 @@
         let is_long = entry.step(key.step).is_some_and(|step| step.is_long_running);
         let is_over = entry.is_over();
         let Some(group) = entry.groups.get_mut(key) else { return };
-        if !group.is_exhausted(limit) || is_long || is_over || group.active().is_some() {
+        let is_open = group.phase == Phase::Waiting;
+        if !group.is_exhausted(limit) || is_long || is_over || !is_open {
             return;
         }
         let failed = group.failed_runs.len();
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -40,6 +40,8 @@
     JobFailed,
     /// Another member of its gang has ended, or never existed.
     Gang,
+    /// An earlier run of the task is done.
+    Superseded,
     /// No planner has ordered the run, or the planner has abandoned it.
     Unwanted,
 }
@@ -63,6 +65,7 @@
             Cause::Cancelled => f.write_str("cancelled"),
             Cause::JobFailed => f.write_str("job-failed"),
             Cause::Gang => f.write_str("gang"),
+            Cause::Superseded => f.write_str("superseded"),
             Cause::Unwanted => f.write_str("unwanted"),
         }
     }
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -14,6 +14,7 @@
 mod speed;
 mod speeds;
 mod stands_still;
+mod superseded;
 mod supply;
 mod terms;
 mod urgent;
--- a/crates/proofs/src/jobs/days.rs
+++ b/crates/proofs/src/jobs/days.rs
@@ -17,6 +17,9 @@
 const HIGH_LOAD_END: f64 = 24.0;
 const FAULTS_END: f64 = 34.0;
 const LOAD_END: f64 = 36.0;
+/// Speed of the slowest clock that a minion may have, and the longest lease that it grants.
+const SLOWEST_CLOCK: f64 = 0.98;
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// Load after [`HIGH_LOAD_END`], as a multiple of that before.
 const LOW_LOAD: f64 = 0.2;
 /// Time after the last submission and the end of the last fault from which no job may stand still.
@@ -69,6 +72,9 @@
     has_agents: bool,
     /// Whether the store is down or slow.
     has_store: bool,
+    /// Whether minions are mute for some seconds, most of them when the planner is killed, and have
+    /// slow clocks.
+    has_mute: bool,
 }
 
 const NONE: Scenario = Scenario {
@@ -81,6 +87,7 @@
     takeovers: Takeovers::None,
     has_agents: false,
     has_store: false,
+    has_mute: false,
 };
 
 /// All scenarios.
@@ -106,6 +113,21 @@
         takeovers: Takeovers::Series,
         has_agents: true,
         has_store: true,
+        has_mute: false,
+    },
+    Scenario { name: "mute", has_mute: true, ..NONE },
+    Scenario { name: "mute-slow", has_mute: true, has_slow: true, ..NONE },
+    Scenario { name: "mute-late", has_mute: true, has_late: true, ..NONE },
+    Scenario { name: "mute-agents", has_mute: true, has_agents: true, ..NONE },
+    Scenario { name: "mute-store", has_mute: true, has_store: true, ..NONE },
+    Scenario {
+        name: "mute-all",
+        has_mute: true,
+        has_late: true,
+        has_slow: true,
+        has_agents: true,
+        has_store: true,
+        ..NONE
     },
 ];
 
@@ -113,6 +135,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Change {
     Slowdown(usize, f64),
+    Mute(usize, bool),
+    PausePlanner(f64),
     Failing(usize, bool),
     Late(f64),
     LostStops(f64),
@@ -139,6 +163,12 @@
     let last_change = changes.last().map_or(0.0, |(at, _)| *at);
     let from = last_arrival.max(Duration::from_secs_f64(last_change)) + grace;
     sim.check_standstills_from(from);
+    if scenario.has_mute {
+        for worker in 0..sim.agents() {
+            let minion = sim.minion(worker);
+            (minion.clock_rate, minion.max_lease) = (SLOWEST_CLOCK, LONGEST_LEASE);
+        }
+    }
     for (at, change) in changes {
         sim.run_until(Duration::from_secs_f64(at));
         apply(&mut sim, change);
@@ -230,10 +260,39 @@
         };
         changes.extend([(at, start), (at + 4.0, end)]);
     }
+    if scenario.has_mute {
+        changes.extend(mute_spells(&mut rng, workers));
+    }
     changes.sort_by(|left, right| left.0.total_cmp(&right.0));
     changes
 }
 
+/// Draws spells in which minions are mute; the planner is killed or paused around the start of most
+/// of them, and again after some.
+fn mute_spells(rng: &mut Pcg32, workers: usize) -> Vec<(f64, Change)> {
+    let mut changes = Vec::new();
+    let mut at = rng.random_range(3.0..7.0);
+    while at < FAULTS_END - 6.0 {
+        let until = (at + rng.random_range(4.0..17.0)).min(FAULTS_END);
+        let share = rng.random_range(0.1..0.34);
+        for worker in choose(rng, workers, share) {
+            changes.push((at, Change::Mute(worker, true)));
+            changes.push((until + rng.random_range(0.0..0.5), Change::Mute(worker, false)));
+        }
+        if rng.random_bool(0.85) {
+            let loss = at + rng.random_range(-0.5..2.0);
+            let is_pause = rng.random_bool(0.2);
+            let pause = Change::PausePlanner(rng.random_range(1.0..6.0));
+            changes.push((loss, if is_pause { pause } else { Change::KillPlanner }));
+        }
+        if rng.random_bool(0.3) {
+            changes.push((at + rng.random_range(2.0..13.0), Change::KillPlanner));
+        }
+        at = until + rng.random_range(0.2..4.0);
+    }
+    changes
+}
+
 /// Chooses a share of the workers, one at least.
 fn choose(rng: &mut Pcg32, workers: usize, share: f64) -> Vec<usize> {
     let count = ((workers as f64 * share).round() as usize).max(1);
@@ -247,6 +306,12 @@
             sim.minion(worker).slowdown = factor;
             sim.note(&format!("m{worker} slowdown={factor:.1}"));
         }
+        Change::Mute(worker, is_mute) => sim.set_minion_mute(worker, is_mute),
+        Change::PausePlanner(time) => {
+            if let Some(planner) = sim.planner_entry() {
+                sim.pause_entry(planner, Duration::from_secs_f64(time));
+            }
+        }
         Change::Failing(worker, fails) => {
             sim.minion(worker).fails = fails;
             sim.note(&format!("m{worker} fails={fails}"));
--- a/crates/proofs/src/jobs/minion.rs
+++ b/crates/proofs/src/jobs/minion.rs
@@ -105,6 +105,8 @@
     pub token: u64,
     /// Simulation time at which its clock started.
     pub clock_origin: Duration,
+    /// Speed of its clock; 1 if it is exact.
+    pub clock_rate: f64,
     /// Maximum lease; a longer one is shortened.
     pub max_lease: Duration,
     /// End of the lease by the minion's clock.
@@ -148,6 +150,7 @@
             last_end: 0,
             token: 0,
             clock_origin: Duration::ZERO,
+            clock_rate: 1.0,
             max_lease: Duration::MAX,
             lease_expires_at: Duration::ZERO,
             last_expired_at: None,
@@ -176,7 +179,7 @@
 
     /// Reading of its clock at a simulation time.
     pub fn clock(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.clock_origin)
+        now.saturating_sub(self.clock_origin).mul_f64(self.clock_rate)
     }
 
     /// Extends the lease to `deadline` by the minion's clock; never shortens it.
--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -81,6 +81,16 @@
         self.log_line(&format!("a{agent} isolated={is_isolated}"));
     }
 
+    /// Makes a minion carry out calls without answering them, or answer them again.
+    pub fn set_minion_mute(&mut self, agent: usize, is_mute: bool) {
+        if is_mute {
+            self.mute.insert(agent);
+        } else {
+            self.mute.remove(&agent);
+        }
+        self.log_line(&format!("m{agent} mute={is_mute}"));
+    }
+
     /// Makes the store unreachable for one entry, or reachable again.
     pub fn set_store_reachable(&mut self, entry: usize, is_reachable: bool) {
         self.entries[entry].reaches_store = is_reachable;
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -104,7 +104,12 @@
     }
 
     fn reply(&mut self, request: &Request, reply: runner::minion::Reply) {
-        if let Some(generation) = request.generation {
+        let Some(generation) = request.generation else { return };
+        if self.mute.contains(&request.agent) {
+            let unknown = runner::minion::Reply::Unknown;
+            let event = runner::event::Event::MinionReply(request.ticket, unknown);
+            self.at(request.timeout_at, Action::Runner(request.agent, generation, event));
+        } else {
             let event = runner::event::Event::MinionReply(request.ticket, reply);
             self.after(LOCAL_LATENCY, Action::Runner(request.agent, generation, event));
         }
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -210,6 +210,8 @@
     /// Regions that are partitioned from the others and from the store. Each region is one
     /// availability zone, `z` and its number.
     partitioned: BTreeSet<usize>,
+    /// Minions that carry out calls but answer none.
+    mute: BTreeSet<usize>,
     /// When each cordoned region was cordoned.
     cordons: BTreeMap<usize, Duration>,
     /// Polls that a planner has not answered yet.
@@ -286,6 +288,7 @@
             agents: Vec::new(),
             minions: Vec::new(),
             partitioned: BTreeSet::new(),
+            mute: BTreeSet::new(),
             cordons: BTreeMap::new(),
             pending_polls: BTreeMap::new(),
             truth: BTreeMap::new(),
--- a/crates/proofs/tests/stands_still/mod.rs
+++ b/crates/proofs/tests/stands_still/mod.rs
@@ -112,3 +112,22 @@
         assert!(it.since >= secs(6.0) && it.length >= standstill::LIMIT, "{it:?}");
     }
 }
+
+/// Guards against starts after a job was shown complete: its tasks were done on a mute minion, and
+/// their next runs were ordered meanwhile.
+#[test]
+fn mute_minions_and_lost_planners_break_no_promise() {
+    assert_nothing_stands_still("mute", &[1, 2, 1102]);
+}
+
+/// Guards against the same starts when they are carried out late or repeated.
+#[test]
+fn mute_minions_and_late_orders_break_no_promise() {
+    assert_nothing_stands_still("mute-late", &[188, 292, 520]);
+}
+
+/// Guards against the same starts when agents are lost as well.
+#[test]
+fn mute_minions_and_lost_agents_break_no_promise() {
+    assert_nothing_stands_still("mute-agents", &[1, 212]);
+}
