runner: the deadline of a lease reckons with a slow clock

A minion that carried out calls and answered none for a while, and whose agent was then lost, ran its tasks on beyond the time after which the planner starts them elsewhere: two runs at once.

Cause: deadlines are times on the minion's clock, which the agent extrapolates from the minion's last answer. The clock may be 2% slow, so that the estimate runs ahead by 2% of the age of that answer; after 50 s the lease ended 0.6 s too late.

Fix: the estimate allows for the drift, so that it is never ahead.

Test: `the_lease_of_a_mute_minion_ends_when_the_planner_expects_it` failed before (ends at 57,040 ms, expected by 56,420 ms).

--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -430,11 +430,15 @@
         }
     }
 
-    /// Estimate of the minion's clock at `now`. It is behind rather than ahead, since the reading
-    /// has aged on its way to the agent.
+    /// Estimate of the minion's clock at `now`. It is behind rather than ahead: the reading has aged on
+    /// its way to the agent, and the clock may be slow.
+    ///
+    /// Guards against a task that runs twice: the latest reading of a minion that answers nothing may
+    /// be old, and a deadline that is too late prolongs its lease beyond what the planner reckons with.
     pub(crate) fn minion_clock(&self, now: Duration) -> Option<Duration> {
         let (clock, read_at) = self.minion.as_ref()?.clock?;
-        Some(clock + now.saturating_sub(read_at))
+        let age = now.saturating_sub(read_at);
+        Some(clock + age - age * options::CLOCK_DRIFT_MILLI / 1_000)
     }
 
     /// End of the lease by the minion's clock; none without a lease.
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -32,6 +32,8 @@
 /// Longest time after sending in which a minion may carry out a call that got no answer; the
 /// platform states 2 to 12 seconds.
 pub const MAX_CALL_DELAY: Duration = Duration::from_secs(12);
+/// Maximum drift of a minion's clock: how much it may run slow, in thousandths.
+pub const CLOCK_DRIFT_MILLI: u32 = 20;
 /// Delay before the second repetition of an unanswered call, doubled with each further one. The
 /// first repetition is sent at once, since a single order may be lost. Growing delays bound the
 /// cost of a minion that answers nothing: each call to it takes a connection.
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -408,3 +408,30 @@
     let effects = machine.handle(ms(50), Event::Orders(poll, Box::new(orders)));
     assert_eq!(token_of(&effects).1, TOKEN);
 }
+
+/// Guards against a task that runs elsewhere while it still runs here: a minion carries out calls and
+/// answers none, its clock is slow, and the deadlines of its lease are computed from its last answer.
+#[test]
+fn the_lease_of_a_mute_minion_ends_when_the_planner_expects_it() {
+    const SLOWEST: f64 = 0.98;
+    let mut fixture = Fixture::fenced();
+    let (mut latest_poll, mut lease_ends) = (0.0_f64, 0.0_f64);
+    for now in (100..60_000).step_by(100) {
+        if now <= 50_000 && !fixture.polls.is_empty() {
+            fixture.answer_polls(now, Vec::new(), Vec::new());
+            latest_poll = now as f64;
+        }
+        fixture.handle(now, Event::Tick);
+        for (ticket, call) in std::mem::take(&mut fixture.calls) {
+            if let Call::LongPoll { deadline: Some(deadline), .. } = call {
+                // The fixture's minion showed a clock of 30 ms at 30 ms.
+                let left = deadline.as_secs_f64() * 1_000.0 - 30.0;
+                lease_ends = lease_ends.max(30.0 + left / SLOWEST);
+            }
+            fixture.handle(now, Event::MinionReply(ticket, Reply::Unknown));
+        }
+    }
+    let expected = latest_poll + LEASE.as_millis() as f64 * 1.02 + 300.0;
+    assert!(lease_ends > latest_poll, "the lease isn't renewed");
+    assert!(lease_ends <= expected, "the lease ends at {lease_ends}, expected by {expected}");
+}
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -7,6 +7,7 @@
 use sapphire_plan::{policy::Policy, share, speed, stops};
 use sapphire_planner::{self as planner, event::Moment};
 use sapphire_platform as platform;
+use sapphire_runner as runner;
 use sapphire_settings::JobEntry;
 
 /// Share of the platform's longest lease that is granted to minions. With a longer lease, less work
@@ -15,8 +16,6 @@
 const LEASE_SHARE: f64 = 0.6;
 /// Longest lease that is granted to minions.
 const MAX_LEASE: Duration = Duration::from_secs(6);
-/// Maximum clock drift of a minion: how much its clock may run slow, in thousandths.
-const CLOCK_DRIFT_MILLI: u32 = 20;
 
 /// Limits for requests of callers. When the connections are used up, the hub closes one that has
 /// stalled, so that slow clients do not keep out others.
@@ -61,7 +60,7 @@
         name: settings.name.clone(),
         lease: millis(bounds.lease_limit_ms).mul_f64(LEASE_SHARE).min(MAX_LEASE),
         longest_lease: millis(bounds.lease_limit_ms),
-        clock_drift_milli: CLOCK_DRIFT_MILLI,
+        clock_drift_milli: runner::options::CLOCK_DRIFT_MILLI,
         stop_timeout: millis(bounds.stop_ms),
         status_retention: millis(bounds.status_ms),
         reclaim_deadline: millis(bounds.reclaim_ms),
