Soak: spells with several mute minions while planners are killed

Mute minions and killed planners were spells of their own that rarely overlapped, and one minion was mute at a time, for 6 s at most.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -49,6 +49,7 @@
             "leaving" => trouble.leaving = false,
             "planners" => trouble.planners = false,
             "operations" => trouble.operations = false,
+            "mute_takeovers" => trouble.mute_takeovers = false,
             "spells" => return Trouble::WITHOUT_SPELLS,
             _ => {}
         }
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -26,6 +26,8 @@
 const PLANNING_TIME: Duration = Duration::from_millis(800);
 /// Interval between the planners killed in a slow series.
 const SERIES_INTERVAL: Duration = Duration::from_secs(10);
+/// Time within which a single planner is killed.
+const TAKEOVER_TIME: Duration = Duration::from_millis(300);
 /// Longest time for which spells of slow minions go on after the others.
 const SLOW_EXCESS_MS: u64 = 20_000;
 /// Share of the minions that leave together with their agents.
@@ -121,6 +123,13 @@
             let length = SPELLS_JOB_INTERVAL * options.jobs;
             spells.draw(start, u64::try_from(length.as_millis()).unwrap_or(u64::MAX), agents);
             spells.spells.retain(|spell| spell.kind.is_enabled(options.trouble));
+            if options.trouble.mute_takeovers {
+                // A generator of its own leaves the other spells of a seed as they are.
+                let rng = Pcg32::seed_from_u64(options.seed ^ 0x307e);
+                let earlier = std::mem::replace(&mut spells.rng, rng);
+                spells.draw_mute_takeovers(start, length, agents);
+                spells.rng = earlier;
+            }
             spells.end = spells.spells.iter().map(|spell| spell.until).max().unwrap_or_default();
         }
         spells
@@ -160,6 +169,30 @@
         }
     }
 
+    /// Draws spells in each of which several minions are mute, and the planner is killed near the
+    /// beginning.
+    fn draw_mute_takeovers(&mut self, start: Duration, length: Duration, agents: u8) {
+        let mut from = start + Duration::from_millis(self.rng.random_range(0..3_000));
+        while from < start + length {
+            let until = from + Duration::from_millis(self.rng.random_range(6_000..17_000));
+            let share = self.rng.random_range(0.1..0.4);
+            for agent in 0..agents {
+                if self.rng.random_bool(share) {
+                    let delay = Duration::from_millis(self.rng.random_range(0..500));
+                    let kind = Kind::Mute(agent);
+                    self.spells.push(Spell { from, until: until + delay, kind, is_begun: false });
+                }
+            }
+            for _ in 0..self.rng.random_range(1..3) {
+                let from = from + Duration::from_millis(self.rng.random_range(0..2_500));
+                let until = from + TAKEOVER_TIME;
+                let kind = Kind::Planners(PLANNING_TIME);
+                self.spells.push(Spell { from, until, kind, is_begun: false });
+            }
+            from = until + Duration::from_millis(self.rng.random_range(200..2_000));
+        }
+    }
+
     /// Adds a spell that begins within `within_ms` of `start`.
     fn add(&mut self, start: Duration, within_ms: u64, length_ms: Range<u64>, kind: Kind) {
         let from = start + Duration::from_millis(self.rng.random_range(0..within_ms.max(1)));
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -25,6 +25,8 @@
     pub planners: bool,
     /// Signals, restarts and changes of the configuration at the same time.
     pub operations: bool,
+    /// Several minions at once carry out calls and answer none, while planners are killed.
+    pub mute_takeovers: bool,
 }
 
 impl Trouble {
@@ -40,6 +42,7 @@
         leaving: false,
         planners: false,
         operations: false,
+        mute_takeovers: false,
     };
     /// All kinds enabled.
     pub const ALL: Trouble = Trouble {
@@ -49,6 +52,7 @@
         leaving: true,
         planners: true,
         operations: true,
+        mute_takeovers: true,
         ..Trouble::WITHOUT_SPELLS
     };
 
@@ -61,5 +65,6 @@
             || self.leaving
             || self.planners
             || self.operations
+            || self.mute_takeovers
     }
 }
