planner: a VM that is gone, as the platform's inventory shows, holds up nothing

Cause: a start on a worker that had been taken away, with or without an answer, counted for 16.6 s from its record and 10.5 s more, and a successor waited 11.4 s for that worker before it looked at the job. Both allow for a minion that comes back or runs on unseen; that a VM is gone for good looked the same.

Fix: while a worker is silent, the planner reads the platform's inventory (setting `inventory`). A minion that two complete reads in a row lack, while each VM lists one and a worker in contact is among them, is gone: its runs are lost, its starts expire, and a successor doesn't wait for it. The stored list of workers names the minions, and nothing starts on a minion before it does. Nothing is concluded while some VM has no minion, since that may be the missed one, which is being started again.

Tests: `inventory` of the planner (10), three of the platform's formats. `workers_that_leave_keep_no_job_waiting` still fails: its minion leaves, its VM stays.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod catalog;
 pub mod cordon;
+pub mod inventory;
 pub mod length;
 pub mod resources;
 pub mod task;
--- a/crates/planner/src/effect.rs
+++ b/crates/planner/src/effect.rs
@@ -16,6 +16,9 @@
     Decline(Requester),
     /// Call the store.
     Store(Operation, Call),
+    /// Read the page of the platform's inventory of VMs that has this token, or the first one if it is
+    /// empty.
+    Inventory(String),
     /// Announce to the agents at these addresses that this entry plans.
     Announce(Vec<String>),
     /// Write a log line.
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use sapphire_jobs::{FeedPoll, Job, Notice, Poll, catalog::Catalog, task::JobId};
+use sapphire_jobs::{FeedPoll, Job, Notice, Poll, catalog::Catalog, inventory::Page, task::JobId};
 use sapphire_store::call::Reply;
 
 /// Number of a request that waits for an answer; assigned by the I/O layer.
@@ -55,6 +55,8 @@
     Disconnected(Requester),
     /// The store has replied.
     Store(Operation, Reply),
+    /// A page of the inventory of VMs has arrived; `None` if there was no answer.
+    Inventory(Option<Page>),
     /// The configuration has changed to this one.
     Catalog(Arc<Catalog>),
     /// A configuration was verified to be the newest.
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -16,6 +16,7 @@
 mod handover;
 mod idle;
 mod intake;
+mod inventory;
 pub mod keys;
 pub mod load;
 pub mod options;
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -32,6 +32,8 @@
     pub shares: Option<share::Options>,
     /// Limit of the work that is stopped for urgent jobs; `None` for no limit.
     pub stops: Option<stops::Options>,
+    /// Whether the platform's inventory of VMs can be read.
+    pub has_inventory: bool,
     /// Prefix of the keys of cordons in the store.
     pub cordon_prefix: String,
     /// Decodes a cordon.
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -27,8 +27,8 @@
     options::{self, Options},
     queue::Settings,
     state::{
-        self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake, shares::Shares,
-        startup::Startup, waits::Waits,
+        self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake,
+        inventory::Inventory, shares::Shares, startup::Startup, waits::Waits,
     },
     stops,
     table::{Entry, Table},
@@ -47,6 +47,7 @@
     pub(crate) workers: BTreeMap<WorkerName, Worker>,
     pub(crate) commits: Commits,
     pub(crate) intake: Intake,
+    pub(crate) inventory: Inventory,
     pub(crate) feeds: Feeds,
     pub(crate) estimates: estimate::Estimates,
     pub(crate) suspects: suspect::Suspects,
@@ -105,6 +106,7 @@
             workers: BTreeMap::new(),
             commits: Commits::default(),
             intake: Intake::default(),
+            inventory: Inventory::default(),
             feeds: Feeds::default(),
             estimates: estimate::Estimates::default(),
             suspects: suspect::Suspects::default(),
@@ -209,6 +211,7 @@
             Event::Notice(notice) => self.handle_notice(now, notice),
             Event::Disconnected(requester) => self.disconnected(requester),
             Event::Store(operation, reply) => self.handle_reply(now, operation, reply),
+            Event::Inventory(page) => self.handle_inventory(now, page),
             Event::Catalog(catalog) => {
                 self.catalog = catalog;
                 self.needs_pass = true;
@@ -229,6 +232,7 @@
         self.feeds.refresh(now.steady);
         self.expire_workers(now);
         self.expire_unanswered(now);
+        self.follow_inventory(now);
         self.watch_progress(now);
         self.update_shares(now);
         self.update_supplies(now);
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -128,7 +128,7 @@
         let mut index = BTreeMap::new();
         for (name, worker) in &self.workers {
             let Some(minion) = &worker.incarnation else { continue };
-            let is_recorded = self.startup.is_recorded(name);
+            let is_recorded = self.startup.is_recorded(name, &minion.id);
             if minion.service != service || !worker.is_open(now.steady) || !is_recorded {
                 continue;
             }
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -39,7 +39,8 @@
         }
         let is_first = !worker.is_fenced;
         worker.is_fenced = true;
-        self.add_member(now, name, &poll.address);
+        let minion = poll.incarnation.as_ref().map_or("", |minion| minion.id.as_str());
+        self.add_member(now, name, &poll.address, minion);
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let is_new_list = poll.lists != worker.list_number;
         worker.list_number = poll.lists;
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -1,11 +1,11 @@
 //! The start of a term: reads the store, records the term, and waits until the results of earlier
 //! planners' orders are known.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{Fleet, Job, Progress, length, task::WorkerName};
+use sapphire_jobs::{Fleet, Job, Member, Progress, length, task::WorkerName};
 use sapphire_plan::speed::Belief;
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
@@ -106,7 +106,8 @@
         let (jobs, members) = (self.table.entries.len(), self.startup.members.len());
         let term = self.term;
         self.log(format!("term={term} read the store: jobs={jobs} workers={members}"));
-        let addresses = self.startup.members.values().cloned().collect();
+        let members = self.startup.members.values();
+        let addresses = members.map(|member| member.address.clone()).collect();
         self.effects.push(Effect::Announce(addresses));
         self.write_fleet(now);
     }
@@ -153,9 +154,9 @@
         match Fleet::decode(&value[..]) {
             Ok(fleet) => {
                 self.startup.term_number = fleet.terms;
-                let members = fleet.members.into_iter().map(|member| (member.name, member.address));
+                self.startup.recorded = minions(&fleet.members);
+                let members = fleet.members.into_iter().map(|member| (member.name.clone(), member));
                 self.startup.members = members.collect();
-                self.startup.recorded = self.startup.members.keys().cloned().collect();
                 self.startup.unaccounted = self.startup.members.keys().cloned().collect();
             }
             Err(error) => {
@@ -191,8 +192,9 @@
         }
         startup.is_fleet_dirty = false;
         startup.is_writing_fleet = true;
-        startup.recording = startup.members.keys().cloned().collect();
-        let value = Bytes::from(startup.fleet().encode_to_vec());
+        let fleet = startup.fleet();
+        startup.recording = minions(&fleet.members);
+        let value = Bytes::from(fleet.encode_to_vec());
         let mut conditions = vec![
             Condition { key: keys::LEAD.to_owned(), revision: self.term },
             Condition { key: keys::FLEET.to_owned(), revision: startup.fleet_revision },
@@ -229,7 +231,7 @@
                 // An earlier write of this term, whose reply was lost, has been carried out.
                 let found = items.iter().find(|item| item.key == keys::FLEET);
                 self.startup.fleet_revision = found.map_or(0, |item| item.revision);
-                self.startup.recorded = found.map_or_else(BTreeSet::new, recorded);
+                self.startup.recorded = found.map_or_else(BTreeMap::new, recorded);
                 self.startup.is_fleet_dirty = true;
                 if self.startup.phase == Phase::Recording
                     && let Some(slot) = self.handover.in_flight.remove(&self.handover.latest)
@@ -274,10 +276,13 @@
     ///
     /// Guards against a task that runs twice: a successor must know every minion that may be
     /// running tasks, including those that it cannot reach.
-    pub(crate) fn add_member(&mut self, now: Moment, worker: &str, address: &str) {
-        let known = self.startup.members.get(worker);
-        if known.is_none_or(|known| known != address) {
-            self.startup.members.insert(worker.to_owned(), address.to_owned());
+    /// The list names its minion, so that the successor also knows what is over once the platform's
+    /// inventory lacks that minion.
+    pub(crate) fn add_member(&mut self, now: Moment, worker: &str, address: &str, minion: &str) {
+        let (name, address) = (worker.to_owned(), address.to_owned());
+        let member = Member { name, address, minion: minion.to_owned() };
+        if self.startup.members.get(worker) != Some(&member) {
+            self.startup.members.insert(worker.to_owned(), member);
             self.startup.is_fleet_dirty = true;
             self.write_fleet(now);
         }
@@ -336,8 +341,13 @@
     }
 }
 
-/// Returns the names of the workers in a record; none if the record cannot be read.
-fn recorded(item: &Item) -> BTreeSet<WorkerName> {
+/// Returns the workers in a record with their minions; none if the record cannot be read.
+fn recorded(item: &Item) -> BTreeMap<WorkerName, String> {
     let fleet = item.value.as_ref().and_then(|value| Fleet::decode(&value[..]).ok());
-    fleet.unwrap_or_default().members.into_iter().map(|member| member.name).collect()
+    minions(&fleet.unwrap_or_default().members)
+}
+
+/// Returns the minions of workers.
+fn minions(members: &[Member]) -> BTreeMap<WorkerName, String> {
+    members.iter().map(|member| (member.name.clone(), member.minion.clone())).collect()
 }
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -1,9 +1,6 @@
 //! State of the start of a term.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use sapphire_jobs::{Fleet, Member, task::WorkerName};
 use sapphire_store::call::{Item, Revision};
@@ -28,12 +25,12 @@
     /// Ordinal number of this term, counted over all planners.
     pub(crate) term_number: u32,
     pub(crate) fleet_revision: Revision,
-    /// Workers that the stored list should contain, with the addresses of their agents.
-    pub(crate) members: BTreeMap<WorkerName, String>,
-    /// Workers that the stored list is known to contain.
-    pub(crate) recorded: BTreeSet<WorkerName>,
-    /// Workers in the list that is being written.
-    pub(crate) recording: BTreeSet<WorkerName>,
+    /// Workers that the stored list should contain.
+    pub(crate) members: BTreeMap<WorkerName, Member>,
+    /// Workers that the stored list is known to contain, with the identifiers of their minions.
+    pub(crate) recorded: BTreeMap<WorkerName, String>,
+    /// The same of the list that is being written.
+    pub(crate) recording: BTreeMap<WorkerName, String>,
     /// Workers that earlier planners gave tasks to and that have not been accounted for yet.
     pub(crate) unaccounted: Vec<WorkerName>,
     /// The stored list of workers is out of date.
@@ -57,8 +54,8 @@
             term_number: 0,
             fleet_revision: 0,
             members: BTreeMap::new(),
-            recorded: BTreeSet::new(),
-            recording: BTreeSet::new(),
+            recorded: BTreeMap::new(),
+            recording: BTreeMap::new(),
             unaccounted: Vec::new(),
             is_fleet_dirty: true,
             is_writing_fleet: false,
@@ -80,17 +77,13 @@
         self.recovered_at.is_some()
     }
 
-    /// Returns whether a successor would know that it has to account for a worker.
-    pub(crate) fn is_recorded(&self, worker: &str) -> bool {
-        self.recorded.contains(worker)
+    /// Returns whether a successor would know that it has to account for a worker with this minion.
+    pub(crate) fn is_recorded(&self, worker: &str, minion: &str) -> bool {
+        self.recorded.get(worker).is_some_and(|recorded| recorded == minion)
     }
 
     /// Returns the list of workers in the form in which it is stored.
     pub(crate) fn fleet(&self) -> Fleet {
-        let member = |(name, address): (&String, &String)| Member {
-            name: name.clone(),
-            address: address.clone(),
-        };
-        Fleet { terms: self.term_number, members: self.members.iter().map(member).collect() }
+        Fleet { terms: self.term_number, members: self.members.values().cloned().collect() }
     }
 }
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -173,6 +173,21 @@
         }
     }
 
+    /// Returns the workers that have unanswered starts, with the names of their minions if they are
+    /// known.
+    pub(crate) fn minions(&self) -> impl Iterator<Item = (WorkerName, String)> {
+        let pending = self.by_worker.iter().filter(|(_, record)| !record.tasks.is_empty());
+        pending.filter_map(|(worker, record)| Some((worker.clone(), record.minion.clone()?)))
+    }
+
+    /// Removes the starts that were sent to a minion which can't carry them out any more.
+    pub(crate) fn forget(&mut self, worker: &str, minion: &str) {
+        if self.minion(worker) == Some(minion) {
+            self.for_each_start(worker, |start| *start = Start::default());
+            self.prune(worker);
+        }
+    }
+
     /// Removes starts that have expired, once a later list of the minion has shown what they have
     /// come to, or after a further time without such a list.
     ///
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -98,6 +98,7 @@
         speeds: Default::default(),
         shares: None,
         stops: None,
+        has_inventory: false,
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
         cordon_deadline: ms(5_000),
@@ -128,6 +129,8 @@
     pub(crate) answers_records: bool,
     /// Writes of the handover record that the store has answered.
     pub(crate) records: Vec<Call>,
+    /// Reads of the inventory of VMs that were not answered.
+    pub(crate) inventory_reads: usize,
     /// Difference between the planner's wall clock and its steady clock, in ms.
     pub(crate) skew: i64,
 }
@@ -214,6 +217,7 @@
             bad_cordons: Vec::new(),
             answers_records: true,
             records: Vec::new(),
+            inventory_reads: 0,
             skew,
         };
         fixture.handle(Event::Tick);
@@ -235,6 +239,7 @@
                     recorded = Some(write);
                 }
                 Effect::Store(operation, call) => self.calls.push((operation, call)),
+                Effect::Inventory(_) => self.inventory_reads += 1,
                 Effect::Deposed => self.is_deposed = true,
                 Effect::Log(text) => self.log.push(text),
                 _ => {}
@@ -389,7 +394,11 @@
 }
 
 pub(crate) fn fleet(terms: u32, members: &[&str]) -> Item {
-    let member = |name: &&str| Member { name: (*name).to_owned(), address: format!("{name}:1") };
+    let member = |name: &&str| Member {
+        name: (*name).to_owned(),
+        address: format!("{name}:1"),
+        minion: minion(name).id,
+    };
     let fleet = Fleet { terms, members: members.iter().map(member).collect() };
     item(keys::FLEET.to_owned(), fleet.encode_to_vec())
 }
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -5,6 +5,7 @@
 mod handover;
 mod harness;
 mod intake;
+mod inventory;
 mod isolation;
 mod late;
 mod load;
--- a/crates/planner/tests/stands_still/site.rs
+++ b/crates/planner/tests/stands_still/site.rs
@@ -11,11 +11,13 @@
     Ended, Ending, Incarnation, Notice, Orders, Poll, Rejection, Run, Running, Start, Step,
     Unanswered, Verdict,
     catalog::{Catalog, Parts, Queue},
+    inventory,
     resources::Resources,
 };
 use sapphire_planner::{
     event::{Event, Operation},
     keys,
+    options::Options,
 };
 use sapphire_store::call::{Call, Item, Reply};
 
@@ -184,6 +186,8 @@
         let queues = vec![queue("q", 1), queue("urgent", 0)];
         let catalog = Catalog::new(Parts { queues, ..Parts::default() });
         self.fixture.handle(Event::Catalog(Arc::new(catalog)));
+        let options = Options { has_inventory: true, ..crate::harness::options() };
+        self.fixture.planner.set_options(options);
         self.seen = 0;
         self.read_records = 0;
         self.answer_store();
@@ -250,6 +254,16 @@
         }
     }
 
+    /// Answers the reads of the inventory of VMs, which lists those that are not gone for good.
+    fn answer_inventory(&mut self) {
+        for _ in 0..std::mem::take(&mut self.fixture.inventory_reads) {
+            let present = self.machines.iter().filter(|(_, machine)| !machine.is_gone);
+            let minions = present.map(|(name, _)| minion(name).id).collect();
+            let page = inventory::Page { minions, ..inventory::Page::default() };
+            self.fixture.handle(Event::Inventory(Some(page)));
+        }
+    }
+
     /// Submits a job whose tasks take `run_time`, and whose first runs meet the given faults.
     pub(super) fn submit(&mut self, id: &str, queue: &str, step: Step, faults: &[Fault]) {
         let run_time = step.estimate_ms;
@@ -376,6 +390,7 @@
         self.fixture.now += TICK;
         self.fixture.handle(Event::Tick);
         self.answer_store();
+        self.answer_inventory();
         self.collect();
         self.work_on();
         let names: Vec<String> = self.machines.keys().cloned().collect();
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -5,14 +5,15 @@
 
 use bytes::Bytes;
 use sapphire_front as front;
-use sapphire_jobs::{Lead, Orders};
+use sapphire_jobs::{Lead, Orders, inventory};
 use sapphire_planner::{self as planner, planner::Planner};
 use sapphire_runner as runner;
 
 use super::{
-    Action, AgentNode, ENTRY_TICK, Origin, PendingPoll, Requester, Simulation,
+    Action, AgentNode, ENTRY_TICK, Origin, PendingPoll, Requester, STORE_LATENCY, Simulation,
     settings::{planner_options, read_catalog},
 };
+use crate::jobs::minion::Minion;
 
 impl Simulation {
     pub(super) fn entry_tick(&mut self, entry: usize, generation: u64) {
@@ -157,6 +158,11 @@
                     let origin = Origin::Planner(planner.term(), operation);
                     self.send_store(entry, origin, call);
                 }
+                Effect::Inventory(_) => {
+                    let page = planner::event::Event::Inventory(Some(self.inventory()));
+                    let generation = self.entries[entry].generation;
+                    self.after(STORE_LATENCY, Action::Planner(entry, generation, page));
+                }
                 Effect::Announce(addresses) => self.announce(entry, &addresses),
                 Effect::Log(text) => self.log_line(&format!("e{entry} plan: {text}")),
                 Effect::Deposed => {
@@ -169,6 +175,20 @@
         }
     }
 
+    /// The platform's inventory of the VMs that are not gone for good.
+    fn inventory(&self) -> inventory::Page {
+        let present = |(agent, minion): (usize, &Minion)| {
+            (!self.gone.contains(&agent)).then(|| (minion.is_up, minion.incarnation.id.clone()))
+        };
+        let present: Vec<(bool, String)> =
+            self.minions.iter().enumerate().filter_map(present).collect();
+        inventory::Page {
+            has_vacant: present.iter().any(|(is_up, _)| !is_up),
+            minions: present.into_iter().filter(|(is_up, _)| *is_up).map(|(_, id)| id).collect(),
+            next: None,
+        }
+    }
+
     pub(super) fn announce(&mut self, entry: usize, addresses: &[String]) {
         let Some(leader) = self.entries[entry].front.leader().cloned() else { return };
         for address in addresses {
--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -218,6 +218,7 @@
         }
         node.is_up = false;
         node.generation += 1;
+        self.gone.insert(agent);
         self.minions[agent].terminate(&self.truth);
         self.after(replaced_after, Action::ReplaceWorker(agent));
         self.log_line(&format!("m{agent} is gone"));
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -210,6 +210,8 @@
     /// Regions that are partitioned from the others and from the store. Each region is one
     /// availability zone, `z` and its number.
     partitioned: BTreeSet<usize>,
+    /// Workers that are gone for good.
+    gone: BTreeSet<usize>,
     /// Minions that carry out calls but answer none.
     mute: BTreeSet<usize>,
     /// When each cordoned region was cordoned.
@@ -288,6 +290,7 @@
             agents: Vec::new(),
             minions: Vec::new(),
             partitioned: BTreeSet::new(),
+            gone: BTreeSet::new(),
             mute: BTreeSet::new(),
             cordons: BTreeMap::new(),
             pending_polls: BTreeMap::new(),
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -43,6 +43,7 @@
         speeds: features.speeds,
         shares: features.shares,
         stops: features.stops,
+        has_inventory: true,
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
         cordon_deadline: CORDON_DEADLINE,
--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -5,6 +5,7 @@
 use sapphire_front as front;
 use sapphire_net::message::Response;
 use sapphire_planner::{self as planner, event::Moment, planner::Planner};
+use sapphire_platform as platform;
 
 use super::{Origin, Pending, Role, Work, options};
 use crate::internal;
@@ -91,6 +92,7 @@
                 let Some(term) = self.planner.as_ref().map(Planner::term) else { return };
                 self.call_store(now, Origin::Planner { term, operation }, call);
             }
+            Effect::Inventory(token) => self.read_inventory(&token),
             Effect::Announce(addresses) => self.announce_leader(&addresses),
             Effect::Log(text) => self.logger.info("plan", &text),
             Effect::Deposed => {
@@ -100,6 +102,15 @@
         }
     }
 
+    /// Reads a page of the inventory of VMs.
+    fn read_inventory(&mut self, token: &str) {
+        let term = self.planner.as_ref().map(Planner::term);
+        let (Some(term), Some(address)) = (term, self.inventory) else { return };
+        let request = platform::inventory::request(token);
+        let id = self.net.borrow_mut().call(address, &request, CALL_TIMEOUT);
+        self.calls.insert(id, Pending::Inventory { term });
+    }
+
     /// Tells agents that this entry plans.
     fn announce_leader(&mut self, addresses: &[String]) {
         let Some(leader) = self.front.leader().cloned() else { return };
--- a/crates/sapphired/src/jobs_entry/mod.rs
+++ b/crates/sapphired/src/jobs_entry/mod.rs
@@ -85,6 +85,10 @@
         address: String,
     },
     LeaderQuery,
+    /// Read of the inventory of VMs by the planner of a term.
+    Inventory {
+        term: u64,
+    },
     /// Call whose answer is not used.
     Notification,
 }
@@ -112,6 +116,8 @@
     net: Net,
     listeners: Listeners,
     store: SocketAddr,
+    /// Address of the inventory of VMs, if there is one.
+    inventory: Option<SocketAddr>,
     front: Machine,
     /// The planner while this entry plans.
     planner: Option<Planner>,
@@ -258,6 +264,10 @@
         net: net.clone(),
         listeners,
         store: settings.store.parse().wrap_err("invalid address of the store")?,
+        inventory: match settings.inventory.as_str() {
+            "" => None,
+            address => Some(address.parse().wrap_err("invalid address of the inventory")?),
+        },
         front: Machine::new(options::front(settings, started)),
         planner: None,
         catalog: Arc::default(),
--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -140,6 +140,13 @@
                     self.handle_front_event(now, front::event::Event::Leader(leader));
                 }
             }
+            Some(Pending::Inventory { term }) => {
+                let page = platform::inventory::page(result);
+                self.count(if page.is_some() { "inventory.answered" } else { "inventory.failed" });
+                if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
+                    self.handle_planner_event(now, planner::event::Event::Inventory(page));
+                }
+            }
             Some(Pending::Notification) | None => {}
         }
     }
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -28,6 +28,7 @@
             store: file.address("store"),
             entries: file.addresses("entries", 0),
             metrics: file.optional_address("metrics"),
+            inventory: file.optional_address("inventory"),
             bounds: Some(bounds(file)),
             policy: Some(policy(file)),
             speeds: file.optional_section("speeds", read_speeds),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -162,11 +162,13 @@
                 let name = format!("e{entry}");
                 let text = format!(
                     "platform: kv\nname: {name}\nregion: r\nzone: z\naddress: \"{}\"\n\
-                     callers: \"{}\"\nready: \"{}\"\nstore: \"{}\"\nentries: [{entries}]\n",
+                     callers: \"{}\"\nready: \"{}\"\nstore: \"{}\"\n\
+                     inventory: \"{}\"\nentries: [{entries}]\n",
                     net.internal(entry),
                     net.callers(entry),
                     net.ready(entry),
-                    net.store_proxy(entry)
+                    net.store_proxy(entry),
+                    net.store()
                 );
                 ("entry", name, text)
             }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -156,6 +156,8 @@
     /// Gang members that have been present in each run.
     members_seen: BTreeMap<(Task, RunNumber), BTreeSet<u32>>,
     minions: Vec<Minion>,
+    /// Agents whose VMs are gone for good, or until they are replaced.
+    gone: BTreeSet<u8>,
     /// Actual properties of tasks, by job and step.
     truth: BTreeMap<(String, u32), Truth>,
     jobs: BTreeMap<String, Job>,
@@ -215,6 +217,7 @@
         faults_until: Duration::ZERO,
         members_seen: BTreeMap::new(),
         minions,
+        gone: BTreeSet::new(),
         truth: BTreeMap::new(),
         jobs: BTreeMap::new(),
         pending: BTreeMap::new(),
@@ -415,6 +418,14 @@
     }
 
     fn handle_store_request(&mut self, now: Duration, caller: CallerId, request: &Request) {
+        if request.path() == "/machines" {
+            let present =
+                (0_u8..).zip(&self.minions).filter(|(agent, _)| !self.gone.contains(agent));
+            let id = |minion: &Minion| minion.is_up.then(|| minion.incarnation.id.clone());
+            let ids = present.map(|(_, minion)| id(minion).unwrap_or_default());
+            self.hub.answer(caller, &platform::inventory(ids));
+            return;
+        }
         let Some(call) = platform::store_call(request) else {
             self.hub.answer(caller, &Response::new(404, ""));
             return;
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -282,6 +282,7 @@
         }
         for agent in std::mem::take(&mut self.spells.departures) {
             self.record_fault(&format!("taken away {:?}", Node::Agent(agent)), Duration::ZERO);
+            self.gone.insert(agent);
             fleet.take_away(agent);
         }
         let replacements = std::mem::take(&mut self.spells.replacements);
@@ -292,6 +293,7 @@
             let minion = &mut self.minions[usize::from(agent)];
             let born_ms = minion.incarnation.born_ms + 1;
             *minion = minions::start(agent, born_ms, true);
+            self.gone.remove(&agent);
             fleet.bring_back(agent)?;
             minion.incarnation.id = format!("m{agent}-{born_ms}");
             self.write_log(&format!("m{agent} is replaced, born_ms={born_ms}"));
--- a/crates/standins/src/jobs_platform.rs
+++ b/crates/standins/src/jobs_platform.rs
@@ -124,6 +124,16 @@
     configure_version(store, now, idle_routes, 1);
 }
 
+/// Returns the inventory of VMs: the identifiers of their minions, empty for those without one.
+pub fn inventory(minions: impl Iterator<Item = String>) -> Response {
+    let row = |(index, id): (usize, String)| {
+        let state = if id.is_empty() { "down" } else { "up" };
+        json!({ "machine": format!("vm{index}"), "pool": "desk", "state": state, "id": id })
+    };
+    let machines: Vec<Value> = minions.enumerate().map(row).collect();
+    Response::new(200, json!({ "machines": machines, "next_token": null }).to_string())
+}
+
 /// Replaces the configuration by a version of it.
 pub fn configure_version(store: &mut Store, now: Duration, idle_routes: usize, version: u64) {
     let route = |name: &str| {
