planner: a slow run isn't stopped while it could start nowhere else

A gang was stopped to be moved to other workers, and then had nothing running for 10 to 15 s beside idle ones (the first stretch of the users' record).

Cause: an earlier try of its start had no answer and may still be carried out by a next incarnation of the minion, so that the group may start nowhere for up to 12.3 s. The stop was decided without regard to that.

Fix: it stays, and works on, until those starts have expired, and is moved then. A log line says so once, with its limit.

--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -36,6 +36,8 @@
     pub unfinished: Assignments,
     /// The planner is stopping the tasks.
     pub is_stopping: bool,
+    /// The run is to be moved to other workers once its earlier starts have expired.
+    pub is_move_deferred: bool,
     /// The run is away from its data, or on several racks although it prefers one.
     pub is_remote: bool,
     /// Checkpoint that the run started from; empty for none. All members of a gang start from the
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -60,6 +60,7 @@
             began: None,
             unfinished: unfinished.clone(),
             is_stopping: false,
+            is_move_deferred: false,
             is_remote,
             checkpoint: group.checkpoint.clone(),
         });
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -237,6 +237,7 @@
                     began: None,
                     unfinished: [(task.index, name.to_owned())].into(),
                     is_stopping: false,
+                    is_move_deferred: false,
                     is_remote: false,
                     checkpoint: group.checkpoint.clone(),
                 });
--- a/crates/planner/src/watchdog.rs
+++ b/crates/planner/src/watchdog.rs
@@ -18,6 +18,7 @@
 use crate::{
     event::Moment,
     group::{Group, Observation},
+    pass,
     planner::{Planner, estimate_kind},
     table::Entry,
     worker::{Cause, Phase, Run},
@@ -297,14 +298,27 @@
         }
     }
 
-    /// Stops a group because of a faulty run, so that it starts on other workers.
+    /// Stops a group because of a faulty run, so that it starts on other workers. Does so later if an
+    /// earlier start of it may still be carried out: until then it could not start elsewhere, and
+    /// nothing of it would run.
     fn move_away(&mut self, now: Moment, name: &str, task: &Task, cause: Cause, why: &str) {
         let Some(entry) = self.table.entries.get_mut(&task.job) else { return };
         let Some(step) = entry.step(task.step) else { return };
         let is_gang = step.is_gang;
         let key = GroupKey::of(task, is_gang);
+        let tasks = pass::group_tasks(&task.job, &key, if is_gang { step.tasks } else { 1 });
+        let expires_at = self.unanswered.expires_at(&tasks.start..&tasks.end);
         let Some(group) = entry.groups.get_mut(&key) else { return };
-        if group.active().is_none_or(|active| active.is_stopping) {
+        let Some(active) = group.active_mut().filter(|active| !active.is_stopping) else { return };
+        let left = expires_at.unwrap_or_default().saturating_sub(now.steady);
+        if left > self.options.stop_timeout {
+            if !std::mem::replace(&mut active.is_move_deferred, true) {
+                let limit_ms = left.as_millis();
+                self.log(format!(
+                    "task={task} worker={name} {why}; moved once its earlier start has expired, \
+                     limit_ms={limit_ms}"
+                ));
+            }
             return;
         }
         // Any of a gang's workers may be the slow one, since all members run at its pace.
--- a/crates/planner/tests/stands_still/mod.rs
+++ b/crates/planner/tests/stands_still/mod.rs
@@ -612,3 +612,33 @@
     }
     assert!(failed.is_empty(), "{}: {}", failed.len(), failed.join("\n\n"));
 }
+
+/// Runs a job that becomes slow while an earlier try of its start may still be carried out.
+fn slow_with_an_unanswered_start(step: Step) -> Site {
+    let mut site = Site::new();
+    site.submit("known", "q", Step { ..step.clone() }, &[]);
+    site.run(RUN_TIME + 5_000);
+    site.submit("a", "q", step, &[Fault::Slow(60_000)]);
+    site.run(500);
+    let name = site.workers_of("a")[0].clone();
+    site.leave_unanswered(&name, "a");
+    site.run(60_000);
+    site
+}
+
+/// Guards against a task with nothing running for 10 s: it was stopped as slow although it could not
+/// start elsewhere.
+#[test]
+fn a_slow_task_with_an_unanswered_start_goes_on() {
+    let site = slow_with_an_unanswered_start(half(1, false, RUN_TIME));
+    assert!(site.runs_of("a") > 1, "{}", site.story("a"));
+    site.assert_goes_on("a", BOUND);
+}
+
+/// Guards against the same of a gang of which one member has such a start.
+#[test]
+fn a_slow_gang_with_an_unanswered_start_goes_on() {
+    let site = slow_with_an_unanswered_start(gang());
+    assert!(site.runs_of("a") > 1, "{}", site.story("a"));
+    site.assert_goes_on("a", BOUND);
+}
