planner: a minion that hangs is lost 11.4 s after its latest list

Callers' jobs waited without a bound for a minion that answered nothing while its agent went on polling: its runs were believed to go on, and a gang with one member there had nothing running.

Cause: leases and start windows were granted by the agent's polls alone.

Fix: starts are sent for 2 s and leases granted for 5 s after the latest list of the minion; the worker is lost with the lease. That is the time after which a successor starts its tasks anyway, below the 14 s after which jobs are asked for.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -238,17 +238,15 @@
     fn send_orders(&mut self, now: Moment, name: &str, requester: Requester) {
         let worker = self.workers.get(name).expect("the caller has listed it");
         let mut orders = worker.empty_orders(self.term);
-        // Guards against a task that runs twice: a minion that carries out calls and answers none
-        // would keep the leases that a new planner grants, of runs that the planner doesn't know.
-        let is_fenced = worker.is_fenced;
-        if is_fenced {
+        let is_listed = worker.is_listed(now.steady);
+        if is_listed {
             let lease = self.options.lease.as_millis();
             orders.lease_ms = u64::try_from(lease).unwrap_or(u64::MAX);
         }
         // The agent refuses the starts that it has for a cordoned zone, so that their outcome is
         // known and they can go elsewhere.
         orders.is_cordoned = self.cordons.contains(worker);
-        let window = if is_fenced { self.start_window(now) } else { Duration::ZERO };
+        let window = self.start_window(now).min(worker.start_window(now.steady));
         let may_start = !window.is_zero();
         orders.starts_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
         // No order is sent before the first list of a session, which shows the earlier orders that
@@ -267,7 +265,7 @@
         self.log_orders(name, &orders);
         let lease_expiry = self.options.lease_expiry();
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
-        if is_fenced {
+        if is_listed {
             let until = worker.last_contact + lease_expiry;
             worker.lease_expires_at = worker.lease_expires_at.max(until);
         }
@@ -309,16 +307,19 @@
 
     /// Declares workers lost whose lease has certainly expired.
     pub(crate) fn expire_workers(&mut self, now: Moment) {
-        let is_lost = |worker: &Worker| {
-            now.steady >= worker.lease_expires_at
-                && now.steady >= worker.last_contact + options::SILENCE_TIMEOUT
-        };
-        let lost: Vec<WorkerName> = (self.workers.iter())
-            .filter(|(_, worker)| is_lost(worker))
-            .map(|(name, _)| name.clone())
+        let is_silent =
+            |worker: &Worker| now.steady >= worker.last_contact + options::SILENCE_TIMEOUT;
+        let hangs = |worker: &Worker| worker.is_fenced && !worker.is_listed(now.steady);
+        let lost: Vec<(WorkerName, &str)> = (self.workers.iter())
+            .filter(|(_, worker)| now.steady >= worker.lease_expires_at)
+            .filter_map(|(name, worker)| match worker {
+                worker if is_silent(worker) => Some((name.clone(), "silent")),
+                worker if hangs(worker) => Some((name.clone(), "minion hangs")),
+                _ => None,
+            })
             .collect();
-        for name in lost {
-            self.log(format!("worker={name} silent, lease expired; declared lost"));
+        for (name, why) in lost {
+            self.log(format!("worker={name} {why}, lease expired; declared lost"));
             if let Some(worker) = self.workers.get(&name) {
                 self.unanswered.retain_lost(now.steady, &name, worker, self.handover.durable);
             }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -278,6 +278,26 @@
         true
     }
 
+    /// Returns whether the minion has sent a list in this session and a short time ago. Only then is a
+    /// lease granted.
+    ///
+    /// Guards against work that waits for ever for a minion that hangs while its agent polls, and
+    /// against a task that runs twice: a minion that carries out calls and answers none would keep
+    /// the leases that a new planner grants, of runs that the planner doesn't know.
+    pub fn is_listed(&self, now: Duration) -> bool {
+        self.is_fenced && now < self.listed_at + options::LIST_TIMEOUT
+    }
+
+    /// Returns the time for which starts may be sent to the minion, given its latest list; none before
+    /// the first list of a session.
+    ///
+    /// Guards against starts that are sent to a minion that hangs until it is declared lost, and count
+    /// for long after that.
+    pub fn start_window(&self, now: Duration) -> Duration {
+        let until = if self.is_fenced { self.listed_at + options::START_WINDOW } else { now };
+        until.saturating_sub(now)
+    }
+
     /// Returns orders without starts and stops.
     pub fn empty_orders(&self, term: u64) -> Orders {
         Orders { term, token: self.token, noted: self.acknowledged, ..Orders::default() }
--- a/crates/planner/tests/bounds/mod.rs
+++ b/crates/planner/tests/bounds/mod.rs
@@ -209,6 +209,42 @@
     assert_eq!(fixture.worker_of("j"), other, "it is left to a minion that hangs");
 }
 
+/// Lets a worker run a task and its minion then send no list for a time, while its agent polls. Returns
+/// the time after which the run counts as lost, if it does.
+fn lost_after_silence(time: u64) -> Option<u64> {
+    let mut fixture = Fixture::new(Vec::new());
+    fixture.join("a", Vec::new(), Vec::new());
+    submit(&mut fixture, job("j", TERM, step(1, false)));
+    let start = run("j", 0, 1_001);
+    let running = vec![Running { run: Some(start), ..Running::default() }];
+    fixture.poll("a", running.clone(), Vec::new());
+    let (lists, since) = (fixture.sequence["a"], fixture.now);
+    while fixture.now < since + time {
+        let age = fixture.now - since;
+        let report = Poll { running: running.clone(), list_age_ms: age, ..Poll::default() };
+        fixture.report_list("a", lists, report);
+        fixture.advance(POLL_INTERVAL);
+        if fixture.log.iter().any(|line| line.contains("minion hangs")) {
+            return Some(fixture.now - since);
+        }
+    }
+    None
+}
+
+/// Guards against work that is lost with each short silence of a minion, of the length that the
+/// platform's disruptions have.
+#[test]
+fn a_minion_that_is_silent_for_a_few_seconds_keeps_its_runs() {
+    assert_eq!(lost_after_silence(10_000), None);
+}
+
+/// Guards against a run that is believed to go on for ever on a minion that hangs.
+#[test]
+fn a_run_on_a_minion_that_hangs_is_lost_with_its_lease() {
+    let lost = lost_after_silence(20_000).expect("it is lost");
+    assert!((11_000..12_500).contains(&lost), "lost after {lost} ms");
+}
+
 /// Guards against a gang that starts on several racks, where it is slower, at the moment at which the
 /// step before it is done: the time for which that step ran is no wait for a better place.
 #[test]
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -308,8 +308,14 @@
         self.report(name, Poll { running, ended, ..Poll::default() });
     }
 
-    /// Sends a poll of an agent; its identity and its minion are filled in.
+    /// Sends a poll of an agent; its identity and its minion are filled in. Its list is a new one.
     pub(crate) fn report(&mut self, name: &str, report: Poll) {
+        let lists = self.sequence.get(name).map_or(1, |sequence| sequence + 1);
+        self.report_list(name, lists, report);
+    }
+
+    /// The same with the list of this number.
+    pub(crate) fn report_list(&mut self, name: &str, lists: u64, report: Poll) {
         let sequence = self.sequence.entry(name.to_owned()).or_default();
         *sequence += 1;
         let poll = Poll {
@@ -317,7 +323,7 @@
             address: format!("{name}:1"),
             generation: self.generations.get(name).copied().unwrap_or(1),
             sequence: *sequence,
-            lists: *sequence,
+            lists,
             incarnation: report.incarnation.clone().or_else(|| Some(minion(name))),
             fenced_token: self.tokens.get(name).copied().unwrap_or(0),
             ..report
