runner: a minion that never answered is not reported as gone

Cause: an agent that has just been started took the late heartbeat of a crashed minion for that of the present one. The answer 421 to its first call shows that this minion is not there, and the agent reported that there is none; the planner took that for the end of all that it knew of the worker.

Fix: only a minion that has answered a call which names it is reported as gone. For any other one the probe of the configured address decides.

The test `a_minion_that_never_answered_is_not_reported_as_gone` failed before.

--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -211,6 +211,7 @@
             }
             _ => {
                 minion.refused_connections = 0;
+                minion.has_answered = true;
                 minion.last_answer = now;
             }
         }
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -31,6 +31,8 @@
     pub(crate) ended: BTreeMap<u64, Ended>,
     /// When the agent first had contact with this incarnation.
     pub(crate) first_contact: Duration,
+    /// It has answered a call that names it.
+    pub(crate) has_answered: bool,
     /// When the minion last answered a call.
     pub(crate) last_answer: Duration,
     /// Connections refused in a row.
@@ -344,6 +346,7 @@
             started: BTreeMap::new(),
             ended: BTreeMap::new(),
             first_contact: now,
+            has_answered: false,
             last_answer: now,
             refused_connections: 0,
             list_requested_at: Duration::ZERO,
@@ -359,8 +362,12 @@
     }
 
     /// Forgets the minion, which has ended, and its session.
+    ///
+    /// Guards against a task that runs twice: a minion of which only a heartbeat is known may have ended
+    /// long ago, and says nothing about one that has started since. Only a probe of the configured
+    /// address shows that there is none.
     pub(crate) fn forget_minion(&mut self) {
-        self.is_minion_gone |= self.minion.is_some();
+        self.is_minion_gone |= self.minion.as_ref().is_some_and(|minion| minion.has_answered);
         self.minion = None;
         self.drop_orders();
         self.session.token = 0;
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -435,3 +435,42 @@
     assert!(lease_ends > latest_poll, "the lease isn't renewed");
     assert!(lease_ends <= expected, "the lease ends at {lease_ends}, expected by {expected}");
 }
+
+/// Guards against a task that runs twice: an agent that has just started takes the late heartbeat of a
+/// crashed minion for that of the present one, and would report that there is none.
+#[test]
+fn a_minion_that_never_answered_is_not_reported_as_gone() {
+    for reply in [Reply::WrongInstance, Reply::NotListening] {
+        let mut fixture = Fixture::new();
+        fixture.heartbeat(0, 1, 1, false);
+        let lead = Lead { name: "e".to_owned(), address: "e:1".to_owned(), term: 7, generation: 1 };
+        fixture.handle(10, Event::Leader(lead));
+        fixture.answer_polls(20, Vec::new(), Vec::new());
+        for now in (100..2_000).step_by(100) {
+            for (ticket, _) in std::mem::take(&mut fixture.calls) {
+                fixture.handle(now, Event::MinionReply(ticket, reply.clone()));
+            }
+            fixture.handle(now + 50, Event::Tick);
+            if fixture.polls.len() == 2 {
+                fixture.answer_polls(now + 60, Vec::new(), Vec::new());
+            }
+        }
+        let (_, poll) = fixture.polls.last().expect("the agent has polled");
+        assert!(poll.incarnation.is_none(), "{reply:?}");
+        assert!(!poll.is_minion_gone, "{reply:?}");
+    }
+}
+
+/// Guards against a planner that waits for the lease of a minion that has ended: it had answered, and
+/// another one answers in its place.
+#[test]
+fn a_minion_that_answered_is_reported_as_gone() {
+    let mut fixture = Fixture::fenced();
+    let long_poll = fixture.take_call(|call| matches!(call, Call::LongPoll { .. }));
+    fixture.handle(150, Event::MinionReply(long_poll, Reply::WrongInstance));
+    fixture.handle(200, Event::Tick);
+    fixture.answer_polls(250, Vec::new(), Vec::new());
+    fixture.handle(300, Event::Tick);
+    let (_, poll) = fixture.polls.last().expect("the agent has polled");
+    assert!(poll.is_minion_gone);
+}
