planner: the end that fails a job is acknowledged once that is stored

Cause: the change that has to be durable before an end is acknowledged was read before the end was applied to its group, which may make the job fail. And a successor looked at the number of failures only when it handled an end, of which none was left.

Fix: the change is read afterwards, and inherited jobs with a group that has failed as often as it may are failed once the orders of earlier terms are accounted for.

Tests: two of `terms` failed before.

--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     event::Moment,
-    group::{Observation, Phase},
+    group::{Group, Observation, Phase},
     planner::{Planner, estimate_kind},
     table::Urgency,
     worker::{Cause, Phase as RunPhase, Run},
@@ -60,8 +60,9 @@
                 Observation { is_suspect, ..Observation::healthy(run_time, name, number) };
             self.record_observation(task, &key, observation);
         }
-        let last_critical_change = self.table.entries.get(&task.job)?.last_critical_change;
+        // May make the job fail, which has to be durable too.
         self.member_ended(now, task, &key, number);
+        let last_critical_change = self.table.entries.get(&task.job)?.last_critical_change;
         Some((task.job.clone(), last_critical_change))
     }
 
@@ -311,6 +312,24 @@
         self.stop_job(now.steady, id, &Cause::JobFailed);
     }
 
+    /// Fails the inherited jobs of which a group has failed as often as it may.
+    ///
+    /// Guards against a task that starts more often than its queue allows: the earlier planner stored
+    /// the last failure, and was lost before it stored that the job had failed.
+    pub(crate) fn fail_exhausted(&mut self, now: Moment) {
+        let mut waiting = Vec::new();
+        for id in &self.table.open {
+            let Some(entry) = self.table.entries.get(id) else { continue };
+            let has_failed =
+                |group: &Group| group.phase == Phase::Waiting && !group.failed_runs.is_empty();
+            let groups = entry.groups.iter().filter(|(_, group)| has_failed(group));
+            waiting.extend(groups.map(|(key, _)| (id.clone(), *key)));
+        }
+        for (id, key) in waiting {
+            self.group_run_ended(now, &id, &key);
+        }
+    }
+
     /// Records a checkpoint that a run has saved, so that a later run continues from it even if the
     /// end of this run is never reported.
     ///
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -320,6 +320,7 @@
         let term = self.term;
         self.log(format!("term={term} knows what earlier orders have come to"));
         self.stop_partial_gangs(now);
+        self.fail_exhausted(now);
     }
 
     /// Stops gangs of an earlier term that lack members, since they cannot continue.
--- a/crates/planner/tests/terms/mod.rs
+++ b/crates/planner/tests/terms/mod.rs
@@ -3,10 +3,13 @@
 use bytes::Bytes;
 use prost::Message as _;
 use sapphire_jobs::{Ending, FeedPoll, Notice, Progress, Running, State, Step, Tally};
-use sapphire_planner::{event::Event, keys};
+use sapphire_planner::{
+    event::{Event, Operation},
+    keys,
+};
 use sapphire_store::call::{Call, Item, Reply};
 
-use crate::harness::{Fixture, TERM, ended, fleet, item, job, no_starts, run, step};
+use crate::harness::{Fixture, TERM, ended, fleet, item, job, no_starts, resources, run, step};
 
 /// Guards against a task that is started more often than its queue allows. It failed once according
 /// to the store and once more during a change of planners; only its minion lists the second
@@ -263,3 +266,75 @@
     let (_, latest) = fixture.orders.last().expect("polls are answered");
     assert_eq!(latest.lease_ms, 6_000);
 }
+
+/// Guards against a task that starts more often than its queue allows: the last failure was stored, and
+/// the planner was lost before it stored that the job had failed.
+#[test]
+fn a_task_that_has_failed_as_often_as_it_may_is_not_started_by_a_successor() {
+    let tally = Tally { failed_runs: vec![1, 2], ..Tally::default() };
+    let progress = Progress { tallies: vec![tally], state: State::Active.into() };
+    let mut fixture = Fixture::new(vec![
+        fleet(1, &["a"]),
+        no_starts(1),
+        item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()),
+        item(keys::progress("j"), progress.encode_to_vec()),
+    ]);
+    fixture.join("a", Vec::new(), Vec::new());
+    for _ in 0..10 {
+        fixture.poll("a", Vec::new(), Vec::new());
+        fixture.advance(500);
+    }
+    assert!(fixture.starts().is_empty(), "{:?}", fixture.starts());
+    assert_eq!(fixture.planner.table().entries["j"].state, State::Failed);
+}
+
+/// Guards against the same: the end that made the job fail was acknowledged before that was stored.
+#[test]
+fn the_end_that_fails_a_job_waits_until_that_is_stored() {
+    let wide = Step { room: Some(resources(64).message()), ..step(2, true) };
+    let tally = Tally { failed_runs: vec![1], ..Tally::default() };
+    let progress = Progress { tallies: vec![tally], state: State::Active.into() };
+    let mut fixture = Fixture::new(vec![
+        fleet(1, &["a", "b"]),
+        no_starts(1),
+        item(keys::job("j"), job("j", 10, wide).encode_to_vec()),
+        item(keys::progress("j"), progress.encode_to_vec()),
+    ]);
+    for name in ["a", "b"] {
+        fixture.join(name, Vec::new(), Vec::new());
+    }
+    fixture.advance(100);
+    for name in ["a", "b"] {
+        fixture.poll(name, Vec::new(), Vec::new());
+    }
+    fixture.advance(100);
+    let runs = fixture.starts();
+    assert_eq!(runs.len(), 2);
+    let (first, last) = (fixture.worker_of("j"), runs[1].clone());
+    let other = if first == "a" { "b" } else { "a" };
+    let running = vec![Running { run: Some(last.clone()), ..Running::default() }];
+    fixture.poll(other, running, Vec::new());
+    fixture.poll(&first, Vec::new(), vec![ended(1, runs[0].clone(), Ending::Faulty)]);
+    // The failure of the run is stored.
+    fixture.advance(300);
+    let is_progress =
+        |(operation, _): &(Operation, Call)| matches!(operation, Operation::Progress(_));
+    let at = fixture.calls.iter().position(is_progress).expect("the failure is written");
+    let (operation, _) = fixture.calls.remove(at);
+    fixture.handle(Event::Store(operation, Reply::Committed(80)));
+    fixture.poll(other, Vec::new(), vec![ended(1, last, Ending::Broken)]);
+    fixture.advance(700);
+    let noted = |fixture: &Fixture, since: usize| {
+        fixture.orders[since..].iter().map(|(_, orders)| orders.noted).max()
+    };
+    let since = fixture.orders.len();
+    fixture.poll(other, Vec::new(), Vec::new());
+    fixture.advance(700);
+    assert_eq!(noted(&fixture, since), Some(0), "acknowledged before the job's failure is stored");
+    let at = fixture.calls.iter().position(is_progress).expect("the job's failure is written");
+    let (operation, _) = fixture.calls.remove(at);
+    fixture.handle(Event::Store(operation, Reply::Committed(81)));
+    fixture.poll(other, Vec::new(), Vec::new());
+    fixture.advance(700);
+    assert_eq!(noted(&fixture, since), Some(1));
+}
