planner: the limit of log lines that repeat has a type of its own

No change of what is logged. Lines on placed runs that have not begun need the same limit of four a second, two of them repetitions, without taking away the lines on groups that wait.

--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -18,6 +18,7 @@
 mod intake;
 mod inventory;
 pub mod keys;
+mod lines;
 pub mod load;
 pub mod options;
 mod pass;
--- a/crates/planner/src/state/waits.rs
+++ b/crates/planner/src/state/waits.rs
@@ -2,19 +2,18 @@
 
 use std::time::Duration;
 
-use crate::wait::{Reason, Summary};
+use crate::{
+    lines::Lines,
+    wait::{Reason, Summary},
+};
 
-/// Period that the limits apply to.
+/// Period that the limit of examinations applies to.
 const PERIOD: Duration = Duration::from_secs(1);
 /// Maximum number of examinations in a period.
 const MAX_EXAMINATIONS: usize = 8;
 /// Number of workers over which all examinations of a period may search, unless a single one does.
 /// Each searches them several times, which must stay a small part of the planner's work.
 const MAX_EXAMINED_WORKERS: usize = 8_000;
-/// Maximum number of lines in a period.
-const MAX_LINES: usize = 4;
-/// Maximum number of lines in a period that repeat a reason, so that new reasons are always logged.
-const MAX_REPEATS: usize = 2;
 
 /// State of the search for the reasons for which groups wait.
 #[derive(Default)]
@@ -25,13 +24,10 @@
     pub(crate) untried_logged: Option<(Reason, Duration)>,
     /// Time of the latest count of the groups while none may be placed.
     pub(crate) counted_at: Duration,
-    period_start: Duration,
+    pub(crate) lines: Lines,
     examinations: usize,
     /// The present pass has made an examination.
     has_examined: bool,
-    lines: usize,
-    repeats: usize,
-    left_out: usize,
 }
 
 impl Waits {
@@ -39,12 +35,9 @@
     /// were left out in the latter.
     pub(crate) fn begin_pass(&mut self, now: Duration) -> usize {
         self.has_examined = false;
-        if now < self.period_start + PERIOD {
-            return 0;
-        }
-        self.period_start = now;
-        (self.examinations, self.lines, self.repeats) = (0, 0, 0);
-        std::mem::take(&mut self.left_out)
+        let Some(left_out) = self.lines.begin_period(now) else { return 0 };
+        self.examinations = 0;
+        left_out
     }
 
     /// Returns the time after which a group is examined again, such that all groups get their turn.
@@ -62,15 +55,6 @@
         self.examinations += usize::from(is_free);
         is_free
     }
-
-    /// Returns whether one more line may be written in this period, and counts it.
-    pub(crate) fn take_line(&mut self, is_repeat: bool) -> bool {
-        let is_free = self.lines < MAX_LINES && !(is_repeat && self.repeats >= MAX_REPEATS);
-        self.lines += usize::from(is_free);
-        self.repeats += usize::from(is_free && is_repeat);
-        self.left_out += usize::from(!is_free);
-        is_free
-    }
 }
 
 /// Returns the number of examinations that a period allows.
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -18,7 +18,7 @@
 use crate::{
     event::Moment,
     group::Group,
-    options,
+    lines, options,
     pass::{self, SPEED_WAIT},
     planner::Planner,
     pool::Pool,
@@ -29,12 +29,8 @@
 
 /// Time after which a wait is examined and logged.
 const EXAMINED_WAIT: Duration = Duration::from_secs(1);
-/// Interval between two lines of the same reason.
-const REPEAT_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval between two counts of the groups while none may be placed.
 const COUNT_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of workers that a line names.
-const MAX_WORKERS: usize = 8;
 
 impl Planner {
     /// Begins to follow the waits of a pass.
@@ -82,12 +78,14 @@
         let Some((job, key, since)) = &untried.oldest else { return };
         let waited = now.steady.saturating_sub(*since);
         summary.add(reason, untried.groups, waited);
-        if waited <= EXAMINED_WAIT || !is_line_due(now, self.waits.untried_logged, reason) {
+        if waited <= EXAMINED_WAIT || !lines::is_due(now.steady, self.waits.untried_logged, reason)
+        {
             return;
         }
         let groups = untried.groups;
         let unplaced = Unplaced { job, key, reason, is_guaranteed: false, groups, since: *since };
-        if self.waits.take_line(is_repeat(self.waits.untried_logged, reason)) {
+        let is_repeat = lines::is_repeat(self.waits.untried_logged, reason);
+        if self.waits.lines.take(is_repeat) {
             self.waits.untried_logged = Some((reason, now.steady));
             self.log_wait(now, &unplaced, None, &[]);
         }
@@ -123,8 +121,8 @@
     fn examine_and_log(&mut self, now: Moment, pool: &Pool, unplaced: &Unplaced<'_>) {
         let Some(finding) = self.examine(now, pool, unplaced) else { return };
         let mut logged = self.wait_record(unplaced).and_then(|record| record.logged);
-        if is_line_due(now, logged, finding.reason)
-            && self.waits.take_line(is_repeat(logged, finding.reason))
+        if lines::is_due(now.steady, logged, finding.reason)
+            && self.waits.lines.take(lines::is_repeat(logged, finding.reason))
         {
             logged = Some((finding.reason, now.steady));
             let workers = self.workers_of_wait(pool, unplaced, finding.reason);
@@ -369,33 +367,14 @@
             key.index,
             reason.name(),
             now.steady.saturating_sub(since).as_millis(),
-            describe(workers)
+            lines::describe(workers)
         ));
     }
 }
 
-/// Returns whether a line is due that gives a reason. `logged` is the latest one.
-fn is_line_due(now: Moment, logged: Option<(Reason, Duration)>, reason: Reason) -> bool {
-    !is_repeat(logged, reason) || logged.is_some_and(|(_, at)| now.steady >= at + REPEAT_INTERVAL)
-}
-
-/// Returns whether a line that gives a reason repeats the latest one.
-fn is_repeat(logged: Option<(Reason, Duration)>, reason: Reason) -> bool {
-    logged.is_some_and(|(latest, _)| latest == reason)
-}
-
 /// Returns the free share of the capacity of some places.
 fn free_share(places: &[Place]) -> f64 {
     let sum = |part: fn(&Place) -> Resources| places.iter().map(|it| part(it).weight()).sum();
     let (free, capacity): (f64, f64) = (sum(|place| place.free), sum(|place| place.capacity));
     if capacity > 0.0 { free / capacity } else { 0.0 }
 }
-
-/// Formats a list of workers, of which the first are named.
-fn describe(workers: &[WorkerName]) -> String {
-    let mut names: Vec<&str> = workers.iter().take(MAX_WORKERS).map(String::as_str).collect();
-    let others = workers.len().saturating_sub(MAX_WORKERS);
-    let others = (others > 0).then(|| format!("+{others}"));
-    names.extend(others.as_deref());
-    if names.is_empty() { "none".to_owned() } else { names.join(",") }
-}
