planner: lines name the workers that a take-over waits for, and its limit

The wait of inherited groups for workers of the earlier term could be seen as `waits reason=takeover` with `workers=none limit_ms=none`: neither the worker that held everything up nor the latest end was told, and `no contact since the term began` named it only afterwards.

`term=N take-over waits for workers=.. count=.. groups=.. waited_ms=.. limit_ms=..` comes when the term serves, when half of the workers have reported, and every 5 s, while inherited groups wait. The lines `waits reason=` have the workers and the limit for `takeover` and `handover`, and for `lease` and `store` the time at which this planner gives up.

`cordons` has no limit: only a reply of the store ends that wait.

--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -185,10 +185,7 @@
             return;
         }
         let until = recovered_at + options::START_EXPIRY;
-        let is_shown = |worker: &Worker| {
-            let is_listed = worker.is_fenced && worker.listed_at + options::TIMING_MARGIN >= until;
-            worker.is_vacant || is_listed
-        };
+        let is_shown = |worker: &Worker| Self::is_shown(worker, until);
         let are_shown = !self.startup.has_lost_workers && self.workers.values().all(is_shown);
         let grace = self.options.longest_lease_expiry();
         if now.steady >= until && (are_shown || now.steady >= until + grace) {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -39,6 +39,7 @@
 mod stops;
 mod supply;
 pub mod table;
+mod takeover;
 mod unanswered;
 mod urgent;
 pub mod wait;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -242,6 +242,7 @@
         self.follow_cordons(now);
         self.read_intake(now);
         self.check_recovered(now);
+        self.follow_takeover(now);
         self.check_expired(now);
         self.write_fleet(now);
         self.follow_speeds(now);
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -306,8 +306,7 @@
             workers.get(name).is_some_and(|worker| worker.is_fenced || worker.is_vacant)
         };
         self.startup.unaccounted.retain(|name| !is_accounted_for(name));
-        let wait = self.options.lease_expiry() + options::MAX_STORE_OUTAGE;
-        if !self.startup.unaccounted.is_empty() && now.steady < self.startup.began + wait {
+        if !self.startup.unaccounted.is_empty() && now.steady < self.recovery_deadline() {
             return;
         }
         self.startup.has_lost_workers |= !self.startup.unaccounted.is_empty();
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -33,6 +33,8 @@
     pub(crate) recording: BTreeMap<WorkerName, String>,
     /// Workers that earlier planners gave tasks to and that have not been accounted for yet.
     pub(crate) unaccounted: Vec<WorkerName>,
+    /// Their number in the latest log line, with the time of that line.
+    pub(crate) unaccounted_logged: Option<(usize, Duration)>,
     /// The stored list of workers is out of date.
     pub(crate) is_fleet_dirty: bool,
     pub(crate) is_writing_fleet: bool,
@@ -57,6 +59,7 @@
             recorded: BTreeMap::new(),
             recording: BTreeMap::new(),
             unaccounted: Vec::new(),
+            unaccounted_logged: None,
             is_fleet_dirty: true,
             is_writing_fleet: false,
             recovered_at: None,
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -18,7 +18,7 @@
 use crate::{
     event::Moment,
     group::Group,
-    lines, options,
+    lines,
     pass::{self, SPEED_WAIT},
     planner::Planner,
     pool::Pool,
@@ -87,7 +87,8 @@
         let is_repeat = lines::is_repeat(self.waits.untried_logged, reason);
         if self.waits.lines.take(is_repeat) {
             self.waits.untried_logged = Some((reason, now.steady));
-            self.log_wait(now, &unplaced, None, &[]);
+            let workers = self.workers_of_obstacle(now, reason);
+            self.log_wait(now, &unplaced, None, &workers);
         }
     }
 
@@ -334,11 +335,7 @@
                 let expires_at = self.unanswered.expires_at(&tasks.start..&tasks.end)?;
                 expires_at + self.options.longest_lease_expiry()
             }
-            Reason::Handover => {
-                let expiry = options::START_EXPIRY + self.options.longest_lease_expiry();
-                self.startup.recovered_at? + expiry
-            }
-            _ => return None,
+            _ => return self.obstacle_end(reason),
         };
         Some(until)
     }
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner, driven event by event.
 
 mod bounds;
+mod causes;
 mod cordons;
 mod handover;
 mod harness;
--- a/crates/planner/tests/waits/mod.rs
+++ b/crates/planner/tests/waits/mod.rs
@@ -305,7 +305,7 @@
     ]);
     fixture.join("a", Vec::new(), Vec::new());
     fixture.advance(1_500);
-    insta::assert_snapshot!(lines(&fixture).join("\n"), @"job=j step=0 index=0 waits reason=takeover waited_ms=1100 limit_ms=none groups=2 workers=none free=unknown fits=unknown");
+    insta::assert_snapshot!(lines(&fixture).join("\n"), @"job=j step=0 index=0 waits reason=takeover waited_ms=1100 limit_ms=11420 groups=2 workers=lost free=unknown fits=unknown");
     assert_eq!(count(&fixture, Reason::Takeover), (2, 0));
 }
 
