planner: lines and metrics tell why a placed run has not begun

A group that was placed does not wait, so that neither `waits reason=` nor its metrics named it. Between `placed on=` and the first list that shows the run nothing told whether the order was held back by the handover record, by the start window, by a worker without a session or lists, or by an agent without a poll, or whether it was sent and dropped by the agent, or sent and not answered by the minion. A stop that no list confirms was not told either.

`placed, not begun reason=` and `stopped, not ended reason=stop` tell it, four lines a second at most, for each group and for each member of a gang after 1 s. Metrics `delays.REASON` and `delays.oldest_ms`. The search goes over the runs on the workers once a second and looks up only those that don't run.

--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -8,6 +8,8 @@
 mod accept;
 mod commit;
 mod cordons;
+pub mod delay;
+mod delays;
 pub mod effect;
 mod ends;
 pub mod event;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -21,13 +21,14 @@
 
 use crate::{
     cordons::Cordons,
+    delay,
     effect::Effect,
     event::{Event, Moment},
     load::Load,
     options::{self, Options},
     queue::Settings,
     state::{
-        self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake,
+        self, commits::Commits, delays::Delays, feeds::Feeds, handover::Handover, intake::Intake,
         inventory::Inventory, shares::Shares, startup::Startup, waits::Waits,
     },
     stops,
@@ -74,6 +75,8 @@
     pub(crate) load: Load,
     /// Reasons for which groups wait.
     pub(crate) waits: Waits,
+    /// Reasons for which placed groups have not begun.
+    pub(crate) delays: Delays,
     pub(crate) cordons: Cordons,
     /// End of the lease on the leader key.
     pub(crate) lease_expires_at: Duration,
@@ -124,6 +127,7 @@
             next_pass: Duration::ZERO,
             load: Load::default(),
             waits: Waits::default(),
+            delays: Delays::default(),
             cordons: Cordons::default(),
             lease_expires_at: Duration::MAX,
             standing: Standing::Leader,
@@ -195,6 +199,11 @@
         &self.waits.summary
     }
 
+    /// Returns the figures of the groups that are placed and have not begun.
+    pub fn delays(&self) -> &delay::Summary {
+        &self.delays.summary
+    }
+
     /// Handles an event and returns the effects to carry out.
     pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         self.apply(now, event);
@@ -246,6 +255,7 @@
         self.check_expired(now);
         self.write_fleet(now);
         self.follow_speeds(now);
+        self.follow_delays(now);
         if now.steady >= self.last_pass + PASS_INTERVAL {
             self.needs_pass |= !self.table.open.is_empty();
         }
--- a/crates/planner/src/state/mod.rs
+++ b/crates/planner/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! Parts of a planner's state, without the logic that uses them.
 
 pub(crate) mod commits;
+pub(crate) mod delays;
 pub(crate) mod feeds;
 pub(crate) mod handover;
 pub(crate) mod intake;
--- a/crates/planner/tests/causes/takeover.rs
+++ b/crates/planner/tests/causes/takeover.rs
@@ -5,7 +5,10 @@
 use sapphire_planner::{event::Event, keys, wait::Reason};
 use sapphire_store::call::Item;
 
-use crate::harness::{Fixture, START, TERM, fleet, item, job, ms, no_starts, step};
+use crate::{
+    causes::lines,
+    harness::{Fixture, START, TERM, fleet, item, job, ms, no_starts, step},
+};
 
 /// Returns an inherited job with two tasks.
 fn inherited() -> Item {
@@ -25,12 +28,6 @@
     }
 }
 
-/// Returns the lines that contain a text, one after another.
-fn lines(fixture: &Fixture, text: &str) -> String {
-    let lines = fixture.log.iter().filter(|line| line.contains(text));
-    lines.cloned().collect::<Vec<_>>().join("\n")
-}
-
 /// Guards against inherited jobs that wait for 11.4 s for a worker that no line names before it is
 /// declared lost.
 #[test]
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -2,7 +2,7 @@
 
 use cadence::Gauged as _;
 use sapphire_net::clock;
-use sapphire_planner::{self as planner, event::Moment, wait};
+use sapphire_planner::{self as planner, delay, event::Moment, wait};
 
 use super::{Role, Work};
 use crate::reactor;
@@ -59,6 +59,7 @@
             self.logger.info("plan", &line);
             if let Some(planner) = &self.planner {
                 self.record_waits(planner.waits());
+                self.record_delays(planner.delays());
             }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
@@ -68,6 +69,7 @@
     pub(super) fn end_planner(&mut self) {
         self.planner = None;
         self.record_waits(&wait::Summary::default());
+        self.record_delays(&delay::Summary::default());
     }
 
     /// Records the figures of the groups that are due and wait.
@@ -81,4 +83,15 @@
         let _ = self.metrics.gauge("waits.oldest_ms", oldest_ms);
         let _ = self.metrics.gauge("waits.fitting", waits.fitting as u64);
     }
+
+    /// Records the figures of the groups that are placed and have not begun.
+    fn record_delays(&self, delays: &delay::Summary) {
+        // A metric that can't be recorded is not worth an error.
+        for reason in delay::Reason::ALL {
+            let name = format!("delays.{}", reason.name());
+            let _ = self.metrics.gauge(&name, delays.count(reason) as u64);
+        }
+        let oldest_ms = u64::try_from(delays.oldest.as_millis()).unwrap_or(u64::MAX);
+        let _ = self.metrics.gauge("delays.oldest_ms", oldest_ms);
+    }
 }
