--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -3,7 +3,7 @@
 mod isolated;
 mod random;
 mod record;
-mod world;
+pub(crate) mod world;
 
 use sapphire_jobs::Step;
 use sapphire_planner::keys;
--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use sapphire_jobs::{
-    Ended, Ending, Incarnation, Notice, Orders, Poll, Run, Running, Step, Unanswered,
+    Ended, Ending, Incarnation, Job, Notice, Orders, Poll, Run, Running, Step, Unanswered,
     resources::Resources, task::Task,
 };
 use sapphire_planner::{
@@ -22,14 +22,18 @@
 const CALL_TIMEOUT: u64 = 400;
 /// Time after which a call to the store has failed.
 const STORE_TIMEOUT: u64 = 1_000;
-/// Time that a task takes.
+/// Time that a task takes unless it is set.
 const RUN_TIME: u64 = 2_000;
+/// Time for which an agent goes on sending starts without an answer of a planner.
+const START_WINDOW: u64 = 2_000;
+/// How much the clock of a minion is slow, in thousandths.
+const DRIFT_MILLI: u64 = 20;
 /// Time between two events.
 const TICK: u64 = 10;
 
 /// What becomes of a write of the handover record.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum Outcome {
+pub(crate) enum Outcome {
     /// It is carried out and answered after this time.
     Answered(u64),
     /// It is carried out at once, and its answer is lost.
@@ -50,22 +54,27 @@
 }
 
 /// A start that was sent to a minion.
-pub(super) struct Sent {
-    pub(super) run: Run,
-    pub(super) worker: String,
+pub(crate) struct Sent {
+    pub(crate) run: Run,
+    pub(crate) worker: String,
     /// Time from which on it cannot be carried out; none while its agent may repeat it.
     expires_at: Option<u64>,
 }
 
 /// An agent with its minion.
 #[derive(Default)]
-pub(super) struct Agent {
+pub(crate) struct Agent {
     is_up: bool,
     /// The minion does not answer starts.
-    pub(super) is_mute: bool,
-    pub(super) is_draining: bool,
+    pub(crate) is_mute: bool,
+    pub(crate) is_draining: bool,
     /// Runs with the time at which they have begun.
     running: Vec<(Run, u64)>,
+    /// Time at which everything that runs has ended unless a planner prolongs its lease.
+    lease_until: u64,
+    /// No poll and no answer gets through.
+    is_cut_off: bool,
+    polled_at: u64,
     ended: Vec<Ended>,
     last_end: u64,
     born_ms: u64,
@@ -78,30 +87,38 @@
 }
 
 /// All processes, and what the store has durably committed.
-pub(super) struct World {
-    pub(super) now: u64,
-    pub(super) agents: BTreeMap<String, Agent>,
-    pub(super) items: BTreeMap<String, Item>,
-    pub(super) record_outcome: Outcome,
-    pub(super) is_store_away: bool,
+pub(crate) struct World {
+    pub(crate) now: u64,
+    pub(crate) agents: BTreeMap<String, Agent>,
+    pub(crate) items: BTreeMap<String, Item>,
+    pub(crate) record_outcome: Outcome,
+    /// What becomes of writes of progress.
+    pub(crate) progress_outcome: Outcome,
+    /// Times that the tasks of jobs take.
+    pub(crate) run_times: BTreeMap<String, u64>,
+    /// Starts in the order in which agents got them, with their time and worker.
+    pub(crate) starts: Vec<(u64, Run, String)>,
+    pub(crate) is_store_away: bool,
     /// Difference between the wall clock of the next planner and those before.
-    pub(super) skew: i64,
+    pub(crate) skew: i64,
     /// Other entries, none of which reaches the store while it is away.
-    pub(super) entries: Vec<&'static str>,
-    pub(super) sent: Vec<Sent>,
+    pub(crate) entries: Vec<&'static str>,
+    pub(crate) sent: Vec<Sent>,
     /// Starts that conflict with one that could still be carried out.
-    pub(super) conflicts: Vec<String>,
+    pub(crate) conflicts: Vec<String>,
     /// Jobs of which a task is done.
-    pub(super) done: BTreeSet<String>,
+    pub(crate) done: BTreeSet<String>,
     /// Orders, writes and losses, in order.
-    pub(super) history: Vec<String>,
+    pub(crate) history: Vec<String>,
     planner: Option<Fixture>,
     term: u64,
     revision: u64,
     calls: Vec<InFlight>,
     seen: usize,
     generations: BTreeMap<String, u64>,
-    steps: BTreeMap<String, Step>,
+    steps: BTreeMap<String, Vec<Step>>,
+    /// Tasks whose end was acknowledged.
+    noted: BTreeSet<Task>,
     away_since: Option<u64>,
 }
 
@@ -119,12 +136,15 @@
 
 impl World {
     /// Returns a world with a planner that serves idle workers of these names.
-    pub(super) fn new(names: &[&str]) -> Self {
+    pub(crate) fn new(names: &[&str]) -> Self {
         let mut world = World {
             now: START,
             agents: BTreeMap::new(),
             items: BTreeMap::new(),
             record_outcome: Outcome::Answered(10),
+            progress_outcome: Outcome::Answered(TICK),
+            run_times: BTreeMap::new(),
+            starts: Vec::new(),
             is_store_away: false,
             skew: 0,
             entries: Vec::new(),
@@ -139,6 +159,7 @@
             seen: 0,
             generations: BTreeMap::new(),
             steps: BTreeMap::new(),
+            noted: BTreeSet::new(),
             away_since: None,
         };
         for item in [fleet(1, names), no_starts(1)] {
@@ -154,7 +175,7 @@
     }
 
     /// Writes a record.
-    pub(super) fn write(&mut self, key: &str, value: Vec<u8>) {
+    pub(crate) fn write(&mut self, key: &str, value: Vec<u8>) {
         self.revision += 1;
         let (key, value) = (key.to_owned(), Some(Bytes::from(value)));
         let item = Item { key: key.clone(), value, revision: self.revision };
@@ -162,28 +183,39 @@
     }
 
     /// Submits a job through an entry that has written it and notifies the planner.
-    pub(super) fn submit(&mut self, id: &str, step: &Step) {
-        let job = job(id, self.term, step.clone());
-        self.steps.insert(id.to_owned(), step.clone());
-        self.write(&keys::job(id), job.encode_to_vec());
+    pub(crate) fn submit(&mut self, id: &str, step: &Step) {
+        self.submit_steps(id, std::slice::from_ref(step));
+    }
+
+    /// Submits a job of several steps in the same way.
+    pub(crate) fn submit_steps(&mut self, id: &str, steps: &[Step]) {
+        let job = self.accept(id, steps);
         let notice = Notice { jobs: vec![job], ..Notice::default() };
         self.with_planner(|planner| planner.handle(Event::Notice(notice)));
     }
 
+    /// Writes a job through an entry that does not reach the planner.
+    pub(crate) fn accept(&mut self, id: &str, steps: &[Step]) -> Job {
+        let job = Job { steps: steps.to_vec(), ..job(id, self.term, Step::default()) };
+        self.steps.insert(id.to_owned(), steps.to_vec());
+        self.write(&keys::job(id), job.encode_to_vec());
+        job
+    }
+
     /// Sets the remaining time of the planner's lease on the leader key.
-    pub(super) fn expire_lease(&mut self, time: u64) {
+    pub(crate) fn expire_lease(&mut self, time: u64) {
         let expires_at = ms(self.now + time);
         self.with_planner(|planner| planner.planner.set_lease_expiry(expires_at));
     }
 
-    pub(super) fn lose_planner(&mut self) {
+    pub(crate) fn lose_planner(&mut self) {
         self.note("the planner is lost");
         self.planner = None;
         self.agents.values_mut().for_each(|agent| agent.requester = None);
     }
 
     /// Begins the next term with what the store contains now.
-    pub(super) fn take_over(&mut self) {
+    pub(crate) fn take_over(&mut self) {
         self.term += 1;
         self.seen = 0;
         let recorded = self.items.get(keys::UNANSWERED).map(|item| item.revision);
@@ -194,14 +226,14 @@
     }
 
     /// Has the planner that has just taken over read a changed store instead.
-    pub(super) fn restart_term(&mut self, change: impl FnOnce(&mut World)) {
+    pub(crate) fn restart_term(&mut self, change: impl FnOnce(&mut World)) {
         self.lose_planner();
         change(self);
         self.take_over();
     }
 
     /// Loses an agent. It may have sent its outstanding starts until now.
-    pub(super) fn lose_agent(&mut self, name: &str) {
+    pub(crate) fn lose_agent(&mut self, name: &str) {
         let until = self.now + MAX_CALL_DELAY;
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.is_up = false;
@@ -217,8 +249,55 @@
         }
     }
 
+    /// Cuts an agent off, which may send its outstanding starts for a while.
+    pub(crate) fn cut_off(&mut self, name: &str) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        agent.is_cut_off = true;
+        agent.requester = None;
+        let until = agent.polled_at + START_WINDOW + MAX_CALL_DELAY;
+        for sent in self.sent.iter_mut().filter(|sent| sent.worker == name) {
+            sent.expires_at.get_or_insert(until);
+        }
+        self.note(&format!("{name} is cut off"));
+    }
+
+    /// Lets an agent reach the planner again.
+    pub(crate) fn reconnect(&mut self, name: &str) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        agent.is_cut_off = false;
+        self.note(&format!("{name} is connected again"));
+    }
+
+    /// Loses a worker with all that runs there.
+    pub(crate) fn lose_worker(&mut self, name: &str) {
+        self.lose_agent(name);
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.running.clear();
+        }
+    }
+
+    /// Ends the runs of a job on a worker.
+    pub(crate) fn end_runs(&mut self, name: &str, id: &str, ending: Ending) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let runs = agent.running.iter().map(|(run, _)| run.clone());
+        let runs: Vec<Run> = runs.filter(|run| run.job == id).collect();
+        runs.iter().for_each(|run| agent.end(run, ending));
+        self.note(&format!("runs of {id} on {name} end {ending:?}"));
+    }
+
+    /// Returns the time of the latest poll of a worker.
+    pub(crate) fn heard_at(&self, name: &str) -> u64 {
+        self.agents[name].polled_at
+    }
+
+    /// Returns the time at which everything that runs on a worker has ended unless a planner prolongs
+    /// its lease.
+    pub(crate) fn lease_until(&self, name: &str) -> u64 {
+        self.agents[name].lease_until
+    }
+
     /// Starts the next process of an agent.
-    pub(super) fn start_agent(&mut self, name: &str) {
+    pub(crate) fn start_agent(&mut self, name: &str) {
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.is_up = true;
         agent.token = 0;
@@ -232,7 +311,7 @@
     }
 
     /// Starts the next incarnation of a minion.
-    pub(super) fn restart_minion(&mut self, name: &str) {
+    pub(crate) fn restart_minion(&mut self, name: &str) {
         let now = self.now;
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.born_ms += 1;
@@ -243,7 +322,7 @@
     }
 
     /// Lets a minion answer the latest attempts of its starts. Earlier attempts have no answer.
-    pub(super) fn answer(&mut self, name: &str) {
+    pub(crate) fn answer(&mut self, name: &str) {
         let now = self.now;
         let attempts = self.agents[name].pending.clone();
         self.abandon(name, now - CALL_TIMEOUT);
@@ -254,19 +333,19 @@
     }
 
     /// Returns the number of starts of a job that were sent.
-    pub(super) fn orders_of(&self, id: &str) -> usize {
+    pub(crate) fn orders_of(&self, id: &str) -> usize {
         let prefix = format!("start {id}/");
         self.history.iter().filter(|line| line.contains(&prefix)).count()
     }
 
-    pub(super) fn run_until_sent(&mut self, id: &str, limit: u64) {
+    pub(crate) fn run_until_sent(&mut self, id: &str, limit: u64) {
         let until = self.now + limit;
         while self.now < until && self.orders_of(id) == 0 {
             self.tick();
         }
     }
 
-    pub(super) fn run(&mut self, time: u64) {
+    pub(crate) fn run(&mut self, time: u64) {
         for _ in 0..time / TICK {
             self.tick();
         }
@@ -289,14 +368,19 @@
         self.away_since = self.is_store_away.then(|| self.away_since.unwrap_or(self.now));
         self.deliver();
         self.with_planner(|planner| planner.handle(Event::Tick));
+        let time_of = |run: &Run| *self.run_times.get(&run.job).unwrap_or(&RUN_TIME);
         for agent in self.agents.values_mut() {
-            let is_over = |(_, began): &&(Run, u64)| self.now >= began + RUN_TIME;
+            let is_over = |(run, began): &&(Run, u64)| self.now >= began + time_of(run);
             let over: Vec<Run> =
                 agent.running.iter().filter(is_over).map(|(run, _)| run.clone()).collect();
             for run in over {
                 agent.end(&run, Ending::Done);
                 self.done.insert(run.job);
             }
+            if self.now >= agent.lease_until {
+                let lapsed: Vec<Run> = agent.running.iter().map(|(run, _)| run.clone()).collect();
+                lapsed.iter().for_each(|run| agent.end(run, Ending::Lapsed));
+            }
         }
         let names: Vec<String> = self.agents.keys().cloned().collect();
         for name in names {
@@ -314,7 +398,8 @@
     fn poll(&mut self, name: &str) {
         let now = self.now;
         let Some(agent) = self.agents.get(name) else { return };
-        if !agent.is_up || agent.requester.is_some() || self.planner.is_none() {
+        let is_waiting = agent.requester.is_some();
+        if !agent.is_up || agent.is_cut_off || is_waiting || self.planner.is_none() {
             return;
         }
         let row = |run: &Run, age_ms| Unanswered { run: Some(run.clone()), age_ms };
@@ -324,7 +409,8 @@
         let abandoned = agent.abandoned.iter().filter(|(_, at)| now - at < MAX_CALL_DELAY);
         let abandoned = abandoned.map(|(run, at)| row(run, now - at));
         let running = |(run, began): &(Run, u64)| {
-            let percent = u32::try_from((now - began) * 99 / RUN_TIME).unwrap_or(99).min(99);
+            let run_time = *self.run_times.get(&run.job).unwrap_or(&RUN_TIME);
+            let percent = u32::try_from((now - began) * 99 / run_time).unwrap_or(99).min(99);
             Running { run: Some(run.clone()), percent, ..Running::default() }
         };
         let report = Poll {
@@ -342,7 +428,9 @@
         if let Some(planner) = &mut self.planner {
             planner.now = now;
             planner.report(name, report);
-            self.agents.get_mut(name).expect("looked up above").requester = Some(planner.requester);
+            let agent = self.agents.get_mut(name).expect("looked up above");
+            agent.requester = Some(planner.requester);
+            agent.polled_at = now;
         }
         self.collect();
     }
@@ -375,7 +463,12 @@
         agent.requester = None;
         let is_new_session = agent.token != orders.token;
         agent.token = orders.token;
+        let is_noted = |it: &&Ended| it.number <= orders.noted && it.ending() == Ending::Done;
+        let noted = agent.ended.iter().filter(is_noted).filter_map(|it| it.run.as_ref());
+        self.noted.extend(noted.map(Task::read));
         agent.ended.retain(|it| it.number > orders.noted);
+        let lease = orders.lease_ms + orders.lease_ms * DRIFT_MILLI / 1_000;
+        agent.lease_until = agent.lease_until.max(agent.polled_at + lease);
         if is_new_session {
             self.abandon(name, now);
         }
@@ -395,6 +488,7 @@
             return;
         }
         self.note(&format!("start {}#{} on {name}", Task::read(&run), run.run));
+        self.starts.push((self.now, run.clone(), name.to_owned()));
         self.check(name, &run);
         let now = self.now;
         let agent = self.agents.get_mut(name).expect("looked up above");
@@ -409,7 +503,7 @@
     /// Notes a conflict of a start with those that may still be carried out: all of them must be a
     /// valid placement.
     fn check(&mut self, name: &str, run: &Run) {
-        let task = Task::read(run);
+        let (task, number) = (Task::read(run), run.run);
         let is_open = |sent: &&Sent| sent.expires_at.is_none_or(|at| self.now < at);
         let open: Vec<&Sent> = self.sent.iter().filter(is_open).collect();
         let mut found = Vec::new();
@@ -422,7 +516,24 @@
         }
         let here = open.iter().filter(|sent| sent.worker == name).map(|sent| Task::read(&sent.run));
         let here: BTreeSet<Task> = here.chain([task.clone()]).collect();
-        let step_of = |task: &Task| self.steps[&task.job].clone();
+        // A long-running task starts again however it ends.
+        let is_final = !self.steps[&task.job][task.step as usize].is_long_running;
+        for (other, agent) in &self.agents {
+            let is_same = |run: &Run| *other == name && run.run == number;
+            let is_this = |run: &Run| Task::read(run) == task && !is_same(run);
+            if agent.running.iter().any(|(run, _)| is_this(run)) {
+                found.push(format!("{task} still runs on {other}"));
+            }
+            let is_done =
+                |it: &Ended| it.ending() == Ending::Done && it.run.as_ref().is_some_and(is_this);
+            if is_final && self.now < agent.lease_until && agent.ended.iter().any(is_done) {
+                found.push(format!("{task} is done on {other}"));
+            }
+        }
+        if is_final && self.noted.contains(&task) {
+            found.push(format!("{task} is done"));
+        }
+        let step_of = |task: &Task| self.steps[&task.job][task.step as usize].clone();
         let needed = here.iter().fold(Resources::default(), |sum, task| {
             sum.plus(Resources::read(step_of(task).room.as_ref()))
         });
@@ -458,6 +569,7 @@
         let outcome = match operation {
             _ if self.is_store_away => Outcome::Lost,
             Operation::Unanswered(_) => self.record_outcome,
+            Operation::Progress(_) => self.progress_outcome,
             _ => Outcome::Answered(TICK),
         };
         if matches!(operation, Operation::Unanswered(_)) {
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -17,6 +17,7 @@
 mod stands_still;
 mod superseded;
 mod supply;
+mod takeover;
 mod terms;
 mod urgent;
 mod waits;
