--- /dev/null
+++ b/crates/planner/tests/takeover/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of changes of planners while a worker of the earlier term is silent.
+
+mod earlier;
+mod goes_on;
+mod holds;
+mod random;
+mod scene;
