planner: inherited work waits only for workers that may run it

Cause: nothing durable said where runs were that had been answered. The handover record names starts without an answer only, so that a successor had to take each inherited task for one that the silent worker may run.

A log of runs names them: segments in the store, added in the same write as the handover record, before the order is sent. A run leaves the log once its end is durable, or once its worker's first list, the end of its lease or the inventory shows that it is over. A successor lets a group wait only for workers that are not accounted for and on which the log has a run of it; an incomplete gang is stopped as soon as that is so. If the record is not complete, or was written by an earlier version, or a segment can't be decoded, all wait as before.

The tests `takeover::holds` and 200 drawn worlds, with writes that were lost, carried out without an answer or refused, find no task that runs twice before and after. The number of segments follows that of the runs (16 and one for 32 runs); a start costs about 50 bytes more in a write that was made before, and no call.

The fake store of the tests counted a revision for each key of a write, where the platform counts one for a write; the planner relies on it for progress already.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,9 +10,9 @@
 
 pub use sapphire_schema::jobs::{
     Backlog, Ended, Ending, Feed, FeedPoll, Fleet, Incarnation, Job, Lead, Member, Notice, Orders,
-    OrganisationBacklog, Poll, Progress, Rejection, Relay, Relayed, Row, Run, Running, Schedule,
-    SpeedShard, Start, State, Step, Supply, Tally, Unanswered, UnansweredOn, UnansweredStarts,
-    UnansweredTask, Usage, Usages, Verdict, WorkerSpeed,
+    OrganisationBacklog, Poll, Progress, Rejection, Relay, Relayed, Row, Run, RunSegment, Running,
+    RunsOn, Schedule, SpeedShard, Start, State, Step, Supply, Tally, Unanswered, UnansweredOn,
+    UnansweredStarts, UnansweredTask, Usage, Usages, Verdict, WorkerSpeed,
 };
 
 /// Maximum number of ended runs that a minion lists at a time. When a list contains this many, a
--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -11,6 +11,7 @@
     event::Moment,
     group::{Group, Observation, Phase},
     planner::{Planner, estimate_kind},
+    state::run_log::Row,
     table::Urgency,
     worker::{Cause, Phase as RunPhase, Run},
 };
@@ -26,6 +27,21 @@
         number: RunNumber,
         ending: Ending,
         checkpoint: &str,
+    ) -> Option<(JobId, u64)> {
+        let change = self.end_run(now, name, task, number, ending, checkpoint);
+        let row = Row { task: task.clone(), number, worker: name.to_owned() };
+        self.run_log.end(row, change.clone());
+        change
+    }
+
+    fn end_run(
+        &mut self,
+        now: Moment,
+        name: &str,
+        task: &Task,
+        number: RunNumber,
+        ending: Ending,
+        checkpoint: &str,
     ) -> Option<(JobId, u64)> {
         let removed = self.remove_run(name, task, number);
         let run_time = removed.as_ref().and_then(|run| match ending {
--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -20,10 +20,19 @@
     worker::{Run, Worker},
 };
 
+/// A write of the handover record, together with that of the log of runs.
+#[derive(Debug, Default)]
+pub(crate) struct Record {
+    pub(crate) conditions: Vec<Condition>,
+    pub(crate) puts: Vec<Put>,
+    pub(crate) removes: Vec<String>,
+}
+
 impl Planner {
     /// Writes the handover record if orders wait for it, or if it is out of date.
     pub(crate) fn write_unanswered(&mut self, now: Moment) {
         let (has_additions, has_removals) = self.unanswered.changes();
+        let has_additions = has_additions || self.run_log.has_missing();
         // A successor goes on counting the time that the record says is left of each start.
         let is_old = now.steady >= self.handover.written_at + options::RECORD_REFRESH_INTERVAL;
         self.handover.is_outdated |= is_old && self.unanswered.is_any();
@@ -31,26 +40,31 @@
         if !self.startup.is_serving() || !is_due {
             return;
         }
-        let Some((condition, put)) = self.begin_record(now) else { return };
-        let lead = Condition { key: keys::LEAD.to_owned(), revision: self.term };
-        let conditions = vec![lead, condition];
-        let call = Call::Commit { conditions, puts: vec![put], removes: Vec::new() };
+        let Some(Record { mut conditions, puts, removes }) = self.begin_record(now) else { return };
+        conditions.insert(0, Condition { key: keys::LEAD.to_owned(), revision: self.term });
+        let call = Call::Commit { conditions, puts, removes };
         let operation = Operation::Unanswered(self.handover.latest);
         self.effects.push(Effect::Store(operation, call));
     }
 
-    /// Begins a write of the record. Returns its condition and what it writes.
-    pub(crate) fn begin_record(&mut self, now: Moment) -> Option<(Condition, Put)> {
+    /// Begins a write of the record. Returns its conditions and what it writes.
+    pub(crate) fn begin_record(&mut self, now: Moment) -> Option<Record> {
         let slot = self.handover.begin_write(now.steady)?;
+        let mut segment = Record::default();
+        let are_runs_logged = self.log_runs(self.handover.latest, &mut segment);
         let record = UnansweredStarts {
             term: self.startup.term_number,
             write: self.handover.latest,
             is_incomplete: self.handover.is_incomplete,
+            are_runs_logged,
             ..self.unanswered.record(now, &self.workers)
         };
         let (key, value) = (keys::unanswered(slot), Bytes::from(record.encode_to_vec()));
-        let condition = Condition { key: key.clone(), revision: self.handover.revisions[slot] };
-        Some((condition, Put { key, value, lease: None }))
+        let revision = self.handover.revisions[slot];
+        let conditions = vec![Condition { key: key.clone(), revision }];
+        let mut puts = vec![Put { key, value, lease: None }];
+        puts.extend(segment.puts);
+        Some(Record { conditions, puts, removes: segment.removes })
     }
 
     /// Returns whether groups may be placed now.
@@ -83,8 +97,12 @@
     /// Handles the reply to a write of the handover record.
     pub(crate) fn unanswered_written(&mut self, now: Moment, write: Write, reply: Reply) {
         match reply {
-            Reply::Committed(revision) => self.handover.written(write, revision),
+            Reply::Committed(revision) => {
+                self.handover.written(write, revision);
+                self.run_log.written(write);
+            }
             Reply::Refused(items) => {
+                self.run_log.lost(write);
                 let slot = self.handover.in_flight.remove(&write);
                 self.unanswered.invalidate_record();
                 if let Some(slot) = slot.filter(|_| !self.is_deposed_by(&items)) {
@@ -92,6 +110,7 @@
                 }
             }
             reply => {
+                self.run_log.lost(write);
                 self.handover.in_flight.remove(&write);
                 self.unanswered.invalidate_record();
                 self.handover.retry_at = now.steady + options::RETRY_DELAY;
@@ -159,6 +178,9 @@
                  expired"
             ));
         }
+        let is_usable = !self.handover.is_incomplete;
+        self.startup.are_runs_logged =
+            is_usable && latest.as_ref().is_some_and(|record| record.are_runs_logged);
         if let Some(record) = latest {
             self.log_recorded(&record);
             self.unanswered.restore(now, self.start_grace(), record, &self.workers);
--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -109,6 +109,7 @@
             self.workers.remove(name);
         }
         self.startup.unaccounted.retain(|other| other != name);
+        self.retain_logged(name);
         self.remove_member(name);
         self.handover.is_outdated = true;
         self.needs_pass = true;
--- a/crates/planner/src/keys.rs
+++ b/crates/planner/src/keys.rs
@@ -19,6 +19,9 @@
 /// Prefix of the records of the workers' speeds.
 pub const SPEEDS: &str = "s/speeds/";
 
+/// Prefix of the segments of the log of runs.
+pub const RUNS: &str = "s/runs/";
+
 const JOB: &str = "s/in/job/";
 const CANCEL: &str = "s/in/cancel/";
 const PROGRESS: &str = "s/out/";
@@ -43,6 +46,11 @@
     format!("{SPEEDS}{shard}")
 }
 
+/// Returns the key of a segment of the log of runs, given the term and the write that adds it.
+pub fn runs(term: u64, write: u64) -> String {
+    format!("{RUNS}{term}.{write}")
+}
+
 /// Returns the key of a job's progress.
 pub fn progress(id: &str) -> String {
     format!("{PROGRESS}{id}")
@@ -65,6 +73,8 @@
     Unanswered(usize),
     /// A shard of the workers' speeds.
     Speeds(usize),
+    /// A segment of the log of runs.
+    Runs,
     /// A key that the planner does not use.
     Other,
 }
@@ -81,6 +91,8 @@
         Key::Fleet
     } else if let Some(shard) = key.strip_prefix(SPEEDS) {
         shard.parse().map_or(Key::Other, Key::Speeds)
+    } else if key.starts_with(RUNS) {
+        Key::Runs
     } else if key == SHARES {
         Key::Shares
     } else {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -32,6 +32,7 @@
 mod reconcile;
 mod reserve;
 mod restart;
+mod run_log;
 mod shares;
 mod speed_records;
 mod speed_use;
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -184,16 +184,13 @@
         let mut inherited = Untried::default();
         for id in &self.table.open {
             let Some(entry) = self.table.entries.get(id) else { continue };
-            if entry.is_inherited && !self.startup.is_recovered() {
-                // A run that an earlier planner ordered may still begin.
-                inherited.add_due(entry);
-                continue;
-            }
-            let mut ready =
-                entry.due_groups().map(|(key, group)| (*key, group.waiting_since)).peekable();
-            if ready.peek().is_some() {
+            let due = entry.due_groups().map(|(key, group)| (*key, group.waiting_since));
+            let (held, ready): (Vec<_>, Vec<_>) =
+                due.partition(|(key, _)| self.is_held(entry, key));
+            inherited.add(entry, &held);
+            if !ready.is_empty() {
                 let rank = rank::rank(&self.job_rank(now, entry, guaranteed.contains(id)));
-                jobs.push((rank, id, ready.collect::<Vec<(GroupKey, Duration)>>()));
+                jobs.push((rank, id, ready));
             }
         }
         jobs.sort_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -11,6 +11,7 @@
     options,
     planner::Planner,
     pool::Pool,
+    state::run_log::Row,
     worker::{self, Run},
 };
 
@@ -107,6 +108,7 @@
             let (occurrence, step) = (key.occurrence, key.step);
             let task = Task { job: id.to_owned(), occurrence, step, index: *index };
             let Some(worker) = self.workers.get_mut(name) else { continue };
+            self.run_log.add(Row { task: task.clone(), number, worker: name.clone() });
             let run = Run::new(number, demand.resources, worker::Phase::Ordered, 0, now.steady);
             worker.runs.insert(task, Run { recorded_in, is_resumed, ..run });
         }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -29,7 +29,7 @@
     queue::Settings,
     state::{
         self, commits::Commits, delays::Delays, feeds::Feeds, handover::Handover, intake::Intake,
-        inventory::Inventory, shares::Shares, startup::Startup, waits::Waits,
+        inventory::Inventory, run_log::RunLog, shares::Shares, startup::Startup, waits::Waits,
     },
     stops,
     table::{Entry, Table},
@@ -62,6 +62,8 @@
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
+    /// Where runs that were ordered may be.
+    pub(crate) run_log: RunLog,
     /// Jobs that were cancelled before they became known.
     pub(crate) early_cancels: BTreeSet<JobId>,
     /// Revision of the configuration that was last verified to be the newest, and the time of the
@@ -120,6 +122,7 @@
             shares: Shares::default(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
+            run_log: RunLog::default(),
             early_cancels: BTreeSet::new(),
             verified_catalog: None,
             needs_pass: true,
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphire_jobs::{
-    Incarnation, Orders, Poll, Start, State,
+    Incarnation, Orders, Poll, Start,
     task::{GroupKey, Task, WorkerName},
 };
 
@@ -12,8 +12,8 @@
     event::{Moment, Requester},
     options,
     planner::Planner,
+    run_log,
     state::feeds::Delivery,
-    table::Entry,
     unanswered::{Grace, Sender},
     worker::{LongPoll, Phase, Run, Worker},
 };
@@ -222,9 +222,7 @@
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         while let Some((number, change)) = worker.pending_ends.first_key_value() {
             let is_durable = change.as_ref().is_none_or(|(job, change)| {
-                let entry = self.table.entries.get(job);
-                let is_over = |entry: &Entry| entry.state == State::Cancelled;
-                entry.is_none_or(|entry| entry.committed_change >= *change || is_over(entry))
+                run_log::is_durable(self.table.entries.get(job), *change)
             });
             if !is_durable {
                 return;
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -12,6 +12,7 @@
     event::Moment,
     group::{Active, Phase as GroupPhase},
     planner::Planner,
+    state::run_log::Row,
     worker::{self, Cause, Phase, Run, Stop},
 };
 
@@ -206,7 +207,11 @@
         run.stop = (!is_wanted).then_some(stop);
         run.is_started = true;
         run.is_resumed = is_resumed;
-        worker.runs.insert(task.clone(), run);
+        let row = |number| Row { task: task.clone(), number, worker: name.to_owned() };
+        if let Some(earlier) = worker.runs.insert(task.clone(), run) {
+            self.run_log.release(&row(earlier.number));
+        }
+        self.run_log.add(row(number));
         let verb = if is_wanted { "adopted" } else { "unexpected run; stopped" };
         self.log(format!("task={task} run={number} worker={name} {verb}"));
         if is_wanted {
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -72,6 +72,7 @@
         let mut cancelled = Vec::new();
         let mut handover = Vec::new();
         let mut speeds = Vec::new();
+        let mut runs = Vec::new();
         for item in &items {
             let Some(value) = &item.value else { continue };
             match keys::parse(&item.key) {
@@ -81,6 +82,7 @@
                 Key::Fleet => self.load_fleet(value, item.revision),
                 Key::Shares => self.load_shares(now, value, item.revision),
                 Key::Unanswered(slot) => handover.push((slot, value, item.revision)),
+                Key::Runs => runs.push((item.key.as_str(), value)),
                 Key::Speeds(shard) => speeds.push((shard, value, item.revision)),
                 Key::Other => {}
             }
@@ -96,6 +98,7 @@
                 (Ok(_), None) => {}
             }
         }
+        self.load_runs(&runs);
         self.learn_restored();
         for id in cancelled {
             self.cancel(now, id);
@@ -200,14 +203,16 @@
             Condition { key: keys::FLEET.to_owned(), revision: startup.fleet_revision },
         ];
         let mut puts = vec![Put { key: keys::FLEET.to_owned(), value, lease: None }];
+        let mut removes = Vec::new();
         if startup.phase == Phase::Recording {
             // No other write of the record is on its way.
-            if let Some((condition, put)) = self.begin_record(now) {
-                conditions.push(condition);
-                puts.push(put);
+            if let Some(record) = self.begin_record(now) {
+                conditions.extend(record.conditions);
+                puts.extend(record.puts);
+                removes = record.removes;
             }
         }
-        let call = Call::Commit { conditions, puts, removes: Vec::new() };
+        let call = Call::Commit { conditions, puts, removes };
         self.effects.push(Effect::Store(Operation::Fleet, call));
     }
 
@@ -220,6 +225,7 @@
                 self.startup.recorded = std::mem::take(&mut self.startup.recording);
                 if self.startup.phase == Phase::Recording {
                     self.handover.written(self.handover.latest, revision);
+                    self.run_log.written(self.handover.latest);
                     self.serve(now);
                 }
                 self.needs_pass = true;
@@ -233,6 +239,9 @@
                 self.startup.fleet_revision = found.map_or(0, |item| item.revision);
                 self.startup.recorded = found.map_or_else(BTreeMap::new, recorded);
                 self.startup.is_fleet_dirty = true;
+                if self.startup.phase == Phase::Recording {
+                    self.run_log.lost(self.handover.latest);
+                }
                 if self.startup.phase == Phase::Recording
                     && let Some(slot) = self.handover.in_flight.remove(&self.handover.latest)
                 {
@@ -243,6 +252,7 @@
             _ => {
                 self.startup.is_fleet_dirty = true;
                 if self.startup.phase == Phase::Recording {
+                    self.run_log.lost(self.handover.latest);
                     self.handover.in_flight.clear();
                 }
             }
@@ -305,16 +315,23 @@
         let is_accounted_for = |name: &String| {
             workers.get(name).is_some_and(|worker| worker.is_fenced || worker.is_vacant)
         };
-        self.startup.unaccounted.retain(|name| !is_accounted_for(name));
+        let (accounted, unaccounted) =
+            std::mem::take(&mut self.startup.unaccounted).into_iter().partition(is_accounted_for);
+        self.startup.unaccounted = unaccounted;
+        self.account_for(accounted);
         if !self.startup.unaccounted.is_empty() && now.steady < self.recovery_deadline() {
+            self.stop_partial_gangs(now);
             return;
         }
         self.startup.has_lost_workers |= !self.startup.unaccounted.is_empty();
-        for worker in std::mem::take(&mut self.startup.unaccounted) {
-            self.remove_member(&worker);
+        let lost = std::mem::take(&mut self.startup.unaccounted);
+        for worker in &lost {
+            self.remove_member(worker);
             self.log(format!("worker={worker} no contact since the term began; declared lost"));
         }
+        self.account_for(lost);
         self.startup.recovered_at = Some(now.steady);
+        self.handover.is_outdated |= !self.startup.are_runs_logged;
         self.needs_pass = true;
         let term = self.term;
         self.log(format!("term={term} knows what earlier orders have come to"));
@@ -322,14 +339,23 @@
         self.fail_exhausted(now);
     }
 
+    /// Records that nothing else runs on some workers than what is known.
+    fn account_for(&mut self, workers: Vec<WorkerName>) {
+        self.needs_pass |= !workers.is_empty();
+        for worker in workers {
+            self.retain_logged(&worker);
+        }
+    }
+
     /// Stops gangs of an earlier term that lack members, since they cannot continue.
     fn stop_partial_gangs(&mut self, now: Moment) {
         let mut partial = Vec::new();
-        for (id, entry) in &self.table.entries {
+        for (id, entry) in self.table.entries.iter().filter(|(_, entry)| entry.is_inherited) {
             for (key, group) in &entry.groups {
                 let Some(active) = group.active() else { continue };
                 let Some(step) = entry.step(key.step).filter(|step| step.is_gang) else { continue };
-                if active.unfinished.len() < step.tasks as usize && !active.is_stopping {
+                let is_partial = active.unfinished.len() < step.tasks as usize;
+                if is_partial && !active.is_stopping && !self.is_held(entry, key) {
                     partial.push((id.clone(), *key));
                 }
             }
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -40,6 +40,8 @@
     pub(crate) is_writing_fleet: bool,
     /// Time since which all orders of earlier planners are accounted for.
     pub(crate) recovered_at: Option<Duration>,
+    /// The log of runs has all runs that earlier planners have ordered.
+    pub(crate) are_runs_logged: bool,
     /// Workers were declared lost while starts of earlier terms may still have been carried out there
     /// without being known.
     pub(crate) has_lost_workers: bool,
@@ -63,6 +65,7 @@
             is_fleet_dirty: true,
             is_writing_fleet: false,
             recovered_at: None,
+            are_runs_logged: false,
             has_lost_workers: false,
         }
     }
--- a/crates/planner/src/wait/untried.rs
+++ b/crates/planner/src/wait/untried.rs
@@ -18,11 +18,16 @@
 impl Untried {
     /// Adds the groups of a job that are due.
     pub(crate) fn add_due(&mut self, entry: &Entry) {
-        for (key, group) in entry.due_groups() {
-            self.groups += 1;
-            let since = group.waiting_since;
-            if self.oldest.as_ref().is_none_or(|(_, _, oldest)| since < *oldest) {
-                self.oldest = Some((entry.job.id.clone(), *key, since));
+        let due = entry.due_groups().map(|(key, group)| (*key, group.waiting_since));
+        self.add(entry, &due.collect::<Vec<_>>());
+    }
+
+    /// Adds groups of a job, each with the time since which it waits.
+    pub(crate) fn add(&mut self, entry: &Entry, groups: &[(GroupKey, Duration)]) {
+        self.groups += groups.len();
+        for (key, since) in groups {
+            if self.oldest.as_ref().is_none_or(|(_, _, oldest)| since < oldest) {
+                self.oldest = Some((entry.job.id.clone(), *key, *since));
             }
         }
     }
--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -636,8 +636,11 @@
                     };
                     return Reply::Refused(conditions.iter().map(|it| item(&it.key)).collect());
                 }
+                self.revision += 1;
                 for put in puts {
-                    self.write(&put.key, put.value.to_vec());
+                    let (key, value) = (put.key.clone(), Some(put.value.clone()));
+                    let item = Item { key: key.clone(), value, revision: self.revision };
+                    self.items.insert(key, item);
                 }
                 for key in removes {
                     self.items.remove(key);
--- /dev/null
+++ b/crates/planner/tests/takeover/log.rs
@@ -0,0 +1,80 @@
+//! Tests of the log of runs.
+
+use sapphire_jobs::{Ending, Step};
+use sapphire_planner::keys;
+
+use super::scene::{CALM_BOUND, Found, PROMPT, Scene, Silence};
+use crate::harness::{resources, step};
+
+const JOBS: usize = 60;
+
+/// Has jobs of one task each started one after the other, of which two thirds end soon.
+fn run_many(scene: &mut Scene) {
+    for number in 0..JOBS {
+        let id = format!("many{number}");
+        let step = Step { room: Some(resources(1).message()), ..step(1, false) };
+        scene.run_for_long(&id, &step);
+        scene.world.run(300);
+        if number % 3 > 0 {
+            let worker = scene.silent.clone();
+            scene.world.end_runs(&worker, &id, Ending::Done);
+        }
+    }
+    scene.world.run(2_000);
+}
+
+/// Returns the keys of the segments in the store.
+fn segments(scene: &Scene) -> Vec<&String> {
+    scene.world.items.keys().filter(|key| key.starts_with(keys::RUNS)).collect()
+}
+
+/// Guards against a task that runs twice once the first segments of the log were merged or removed.
+#[test]
+fn merged_segments_name_all_runs() {
+    let mut scene = Scene::idle();
+    run_many(&mut scene);
+    scene.silence(Silence::CutOff);
+    let silent = scene.silent.clone();
+    let begun: Vec<String> = (0..JOBS).step_by(3).map(|it| format!("many{it}/0/0/0")).collect();
+    let is_on = |task: &&String| {
+        scene.starts_of(task.as_str()).last().is_some_and(|(_, worker)| *worker == silent)
+    };
+    let on_silent: Vec<String> = begun.iter().filter(is_on).cloned().collect();
+    assert!(!on_silent.is_empty(), "{silent} runs tasks\n{}", scene.history());
+    scene.world.lose_planner();
+    scene.world.accept("late", &[step(1, false)]);
+    scene.take_over(Found::All);
+    scene.world.run(CALM_BOUND);
+    for task in &on_silent {
+        let latest = scene.starts_of(task).last().map(|(at, _)| *at);
+        assert!(latest < Some(scene.began_at), "{task}: {latest:?}\n{}", scene.history());
+    }
+    let late = scene.starts_of("late/0/0/0");
+    assert!(late[0].0 <= scene.began_at + PROMPT, "{late:?}\n{}", scene.history());
+    scene.assert_no_conflict();
+}
+
+/// Guards against a log that grows with the number of starts rather than with that of runs.
+#[test]
+fn segments_without_runs_are_removed() {
+    let mut scene = Scene::idle();
+    run_many(&mut scene);
+    let count = segments(&scene).len();
+    assert!(count <= 20, "{count} segments after {JOBS} starts");
+}
+
+/// Guards against a segment of the log that can't be read and is taken for one without runs.
+#[test]
+fn an_undecodable_segment_says_nothing() {
+    let mut scene = Scene::new();
+    scene.world.run(3_000);
+    scene.silence(Silence::CutOff);
+    scene.world.lose_planner();
+    let keys: Vec<String> = segments(&scene).into_iter().cloned().collect();
+    assert!(!keys.is_empty(), "the log has segments\n{}", scene.history());
+    for key in keys {
+        scene.world.write(&key, vec![0xff; 4]);
+    }
+    scene.take_over(Found::All);
+    scene.assert_held("undecodable");
+}
--- a/crates/planner/tests/takeover/mod.rs
+++ b/crates/planner/tests/takeover/mod.rs
@@ -3,5 +3,6 @@
 mod earlier;
 mod goes_on;
 mod holds;
+mod log;
 mod random;
 mod scene;
