planner: a metric and a line tell for how long a job has had nothing at work

`waits.oldest_ms` ends when a group is placed, and begins anew with each run and each planner, so that no figure was that of the rule: a job of which a task is due and that has nothing running for 3 s. A job whose placed run did not begin was in no figure at all.

`waits.idle_oldest_ms` is the longest such time over all reasons, searched four times a second; inherited jobs count from the beginning of the term. `job=.. has nothing at work waited_ms=.. jobs=..` names the oldest from 3 s on, and how many are like it, every 5 s.

--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -36,6 +36,7 @@
 mod speed_records;
 mod speed_use;
 pub mod speeds;
+mod standstills;
 mod startup;
 mod state;
 mod stops;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -29,7 +29,8 @@
     queue::Settings,
     state::{
         self, commits::Commits, delays::Delays, feeds::Feeds, handover::Handover, intake::Intake,
-        inventory::Inventory, shares::Shares, startup::Startup, waits::Waits,
+        inventory::Inventory, shares::Shares, standstills::Standstills, startup::Startup,
+        waits::Waits,
     },
     stops,
     table::{Entry, Table},
@@ -77,6 +78,8 @@
     pub(crate) waits: Waits,
     /// Reasons for which placed groups have not begun.
     pub(crate) delays: Delays,
+    /// Jobs that have nothing at work.
+    pub(crate) standstills: Standstills,
     pub(crate) cordons: Cordons,
     /// End of the lease on the leader key.
     pub(crate) lease_expires_at: Duration,
@@ -128,6 +131,7 @@
             load: Load::default(),
             waits: Waits::default(),
             delays: Delays::default(),
+            standstills: Standstills::default(),
             cordons: Cordons::default(),
             lease_expires_at: Duration::MAX,
             standing: Standing::Leader,
@@ -204,6 +208,11 @@
         &self.delays.summary
     }
 
+    /// Returns the longest time for which an open job of which a task is due has had nothing at work.
+    pub fn longest_standstill(&self) -> Duration {
+        self.standstills.longest()
+    }
+
     /// Handles an event and returns the effects to carry out.
     pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         self.apply(now, event);
@@ -256,6 +265,7 @@
         self.write_fleet(now);
         self.follow_speeds(now);
         self.follow_delays(now);
+        self.follow_standstills(now);
         if now.steady >= self.last_pass + PASS_INTERVAL {
             self.needs_pass |= !self.table.open.is_empty();
         }
--- a/crates/planner/src/state/mod.rs
+++ b/crates/planner/src/state/mod.rs
@@ -8,5 +8,6 @@
 pub(crate) mod inventory;
 pub(crate) mod shares;
 pub(crate) mod speeds;
+pub(crate) mod standstills;
 pub(crate) mod startup;
 pub(crate) mod waits;
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -1,5 +1,7 @@
 //! Passes events to the planner while this entry plans, and runs its turns.
 
+use std::time::Duration;
+
 use cadence::Gauged as _;
 use sapphire_net::clock;
 use sapphire_planner::{self as planner, delay, event::Moment, wait};
@@ -60,6 +62,7 @@
             if let Some(planner) = &self.planner {
                 self.record_waits(planner.waits());
                 self.record_delays(planner.delays());
+                self.record_standstill(planner.longest_standstill());
             }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
@@ -70,6 +73,7 @@
         self.planner = None;
         self.record_waits(&wait::Summary::default());
         self.record_delays(&delay::Summary::default());
+        self.record_standstill(Duration::ZERO);
     }
 
     /// Records the figures of the groups that are due and wait.
@@ -94,4 +98,11 @@
         let oldest_ms = u64::try_from(delays.oldest.as_millis()).unwrap_or(u64::MAX);
         let _ = self.metrics.gauge("delays.oldest_ms", oldest_ms);
     }
+
+    /// Records the longest time for which a job has had nothing at work.
+    fn record_standstill(&self, longest: Duration) {
+        let longest_ms = u64::try_from(longest.as_millis()).unwrap_or(u64::MAX);
+        // A metric that can't be recorded is not worth an error.
+        let _ = self.metrics.gauge("waits.idle_oldest_ms", longest_ms);
+    }
 }
