planner: a line and metrics tell why the inventory of VMs doesn't help

Whether a worker that is gone was waited for because there is no inventory, because it can't be read, because it lists none of our workers or because some VM has no minion could not be told: only the counts `inventory.answered` and `inventory.failed` were there.

`inventory doesn't show which VMs are gone: reason=.. missed=..` comes when the reason changes, once a second at most, and `inventory shows which VMs are gone` when it ends; `inventory.REASON` is 1 while workers are missed. Without an inventory the missed workers are determined every 0.4 s for this.

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -7,28 +7,42 @@
 
 use sapphire_jobs::{inventory::Page, task::WorkerName};
 
-use crate::{effect::Effect, event::Moment, options, planner::Planner};
+use crate::{effect::Effect, event::Moment, lines, options, planner::Planner};
+
+mod fault;
+
+pub use fault::Fault;
 
 /// Interval between reads of the inventory while minions are missed.
 const READ_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which a read without an answer is repeated.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Minimum interval between two lines on the use of the inventory.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Planner {
     /// Reads the inventory while minions are missed.
     pub(crate) fn follow_inventory(&mut self, now: Moment) {
-        if !self.options.has_inventory || !self.startup.is_serving() {
+        let requested_at = self.inventory.requested_at;
+        let is_waiting = requested_at.is_some_and(|at| now.steady < at + READ_TIMEOUT);
+        if !self.startup.is_serving() || is_waiting || now.steady < self.inventory.next_read {
             return;
         }
-        let is_waiting =
-            self.inventory.requested_at.is_some_and(|at| now.steady < at + READ_TIMEOUT);
-        if is_waiting || now.steady < self.inventory.next_read {
-            return;
+        if !self.options.has_inventory {
+            self.inventory.next_read = now.steady + READ_INTERVAL;
         }
         if self.missed(now).is_empty() {
             self.inventory.absent.clear();
+            self.inventory.fault = None;
             return;
         }
+        if !self.options.has_inventory {
+            self.record_fault(now, Some(Fault::Unconfigured));
+            return;
+        }
+        if requested_at.is_some() {
+            self.record_fault(now, Some(Fault::Unreadable));
+        }
         self.inventory.pages = Page::default();
         self.read_inventory(now, String::new());
     }
@@ -48,7 +62,10 @@
             return;
         }
         self.inventory.next_read = now.steady + READ_INTERVAL;
-        let Some(page) = page else { return };
+        let Some(page) = page else {
+            self.record_fault(now, Some(Fault::Unreadable));
+            return;
+        };
         let pages = &mut self.inventory.pages;
         pages.minions.extend(page.minions);
         pages.has_vacant |= page.has_vacant;
@@ -57,7 +74,11 @@
             return;
         }
         let listed = std::mem::take(pages);
-        let is_usable = !listed.has_vacant && self.lists_workers(now, &listed);
+        let is_foreign = !self.lists_workers(now, &listed);
+        let vacant = listed.has_vacant.then_some(Fault::Vacant);
+        let fault = if is_foreign { Some(Fault::Foreign) } else { vacant };
+        self.record_fault(now, fault);
+        let is_usable = fault.is_none();
         let mut absent = self.missed(now);
         absent.retain(|_, minion| is_usable && !listed.minions.contains(minion));
         let minions = absent.values().cloned().collect();
@@ -67,6 +88,28 @@
         }
     }
 
+    /// Records why the inventory doesn't show which VMs are gone, and logs a change.
+    fn record_fault(&mut self, now: Moment, fault: Option<Fault>) {
+        let inventory = &mut self.inventory;
+        inventory.fault = fault;
+        let (logged, logged_at) = inventory.logged;
+        if fault == logged || now.steady < logged_at + LINE_INTERVAL {
+            return;
+        }
+        inventory.logged = (fault, now.steady);
+        let missed: Vec<WorkerName> = self.missed(now).into_keys().collect();
+        let missed = lines::describe(&missed);
+        self.log(match fault {
+            Some(fault) => {
+                let reason = fault.name();
+                format!(
+                    "inventory doesn't show which VMs are gone: reason={reason} missed={missed}"
+                )
+            }
+            None => format!("inventory shows which VMs are gone: missed={missed}"),
+        });
+    }
+
     /// Returns whether an inventory lists a worker that is in contact, so that it is that of the VMs on
     /// which the workers are.
     fn lists_workers(&self, now: Moment, listed: &Page) -> bool {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -18,7 +18,7 @@
 mod handover;
 mod idle;
 mod intake;
-mod inventory;
+pub mod inventory;
 pub mod keys;
 mod lines;
 pub mod load;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -24,6 +24,7 @@
     delay,
     effect::Effect,
     event::{Event, Moment},
+    inventory,
     load::Load,
     options::{self, Options},
     queue::Settings,
@@ -213,6 +214,11 @@
         self.standstills.longest()
     }
 
+    /// Returns why the inventory of VMs doesn't show which of them are gone, while workers are missed.
+    pub fn inventory_fault(&self) -> Option<inventory::Fault> {
+        self.inventory.fault
+    }
+
     /// Handles an event and returns the effects to carry out.
     pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         self.apply(now, event);
--- a/crates/planner/src/state/inventory.rs
+++ b/crates/planner/src/state/inventory.rs
@@ -4,6 +4,8 @@
 
 use sapphire_jobs::inventory::Page;
 
+use crate::inventory::Fault;
+
 /// State of the reads of the inventory.
 #[derive(Debug, Default)]
 pub(crate) struct Inventory {
@@ -15,4 +17,9 @@
     pub(crate) pages: Page,
     /// Minions that are missed and were not in the latest complete inventory.
     pub(crate) absent: BTreeSet<String>,
+    /// Reason for which the latest read doesn't show which VMs are gone; `None` while no minion is
+    /// missed.
+    pub(crate) fault: Option<Fault>,
+    /// The same in the latest log line, with the time of that line.
+    pub(crate) logged: (Option<Fault>, Duration),
 }
--- a/crates/planner/tests/causes/mod.rs
+++ b/crates/planner/tests/causes/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the lines and figures that tell why accepted work is not running.
 
 mod delays;
+mod inventory;
 mod standstills;
 mod takeover;
 
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -4,7 +4,7 @@
 
 use cadence::Gauged as _;
 use sapphire_net::clock;
-use sapphire_planner::{self as planner, delay, event::Moment, wait};
+use sapphire_planner::{self as planner, delay, event::Moment, inventory, wait};
 
 use super::{Role, Work};
 use crate::reactor;
@@ -63,6 +63,7 @@
                 self.record_waits(planner.waits());
                 self.record_delays(planner.delays());
                 self.record_standstill(planner.longest_standstill());
+                self.record_inventory_fault(planner.inventory_fault());
             }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
@@ -74,6 +75,7 @@
         self.record_waits(&wait::Summary::default());
         self.record_delays(&delay::Summary::default());
         self.record_standstill(Duration::ZERO);
+        self.record_inventory_fault(None);
     }
 
     /// Records the figures of the groups that are due and wait.
@@ -105,4 +107,13 @@
         // A metric that can't be recorded is not worth an error.
         let _ = self.metrics.gauge("waits.idle_oldest_ms", longest_ms);
     }
+
+    /// Records why the inventory of VMs is of no use.
+    fn record_inventory_fault(&self, current: Option<inventory::Fault>) {
+        // A metric that can't be recorded is not worth an error.
+        for fault in inventory::Fault::ALL {
+            let name = format!("inventory.{}", fault.name());
+            let _ = self.metrics.gauge(&name, u64::from(current == Some(fault)));
+        }
+    }
 }
