--- a/crates/planner/src/state/mod.rs
+++ b/crates/planner/src/state/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod run_log;
 pub(crate) mod shares;
 pub(crate) mod speeds;
+pub(crate) mod standstills;
 pub(crate) mod startup;
 pub(crate) mod waits;
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -1,8 +1,10 @@
 //! Passes events to the planner while this entry plans, and runs its turns.
 
+use std::time::Duration;
+
 use cadence::Gauged as _;
 use sapphire_net::clock;
-use sapphire_planner::{self as planner, delay, event::Moment, wait};
+use sapphire_planner::{self as planner, delay, event::Moment, inventory, wait};
 
 use super::{Role, Work};
 use crate::reactor;
@@ -60,6 +62,8 @@
             if let Some(planner) = &self.planner {
                 self.record_waits(planner.waits());
                 self.record_delays(planner.delays());
+                self.record_standstill(planner.longest_standstill());
+                self.record_inventory_fault(planner.inventory_fault());
             }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
@@ -70,6 +74,8 @@
         self.planner = None;
         self.record_waits(&wait::Summary::default());
         self.record_delays(&delay::Summary::default());
+        self.record_standstill(Duration::ZERO);
+        self.record_inventory_fault(None);
     }
 
     /// Records the figures of the groups that are due and wait.
@@ -94,4 +100,20 @@
         let oldest_ms = u64::try_from(delays.oldest.as_millis()).unwrap_or(u64::MAX);
         let _ = self.metrics.gauge("delays.oldest_ms", oldest_ms);
     }
+
+    /// Records the longest time for which a job has had nothing at work.
+    fn record_standstill(&self, longest: Duration) {
+        let longest_ms = u64::try_from(longest.as_millis()).unwrap_or(u64::MAX);
+        // A metric that can't be recorded is not worth an error.
+        let _ = self.metrics.gauge("waits.idle_oldest_ms", longest_ms);
+    }
+
+    /// Records why the inventory of VMs is of no use.
+    fn record_inventory_fault(&self, current: Option<inventory::Fault>) {
+        // A metric that can't be recorded is not worth an error.
+        for fault in inventory::Fault::ALL {
+            let name = format!("inventory.{}", fault.name());
+            let _ = self.metrics.gauge(&name, u64::from(current == Some(fault)));
+        }
+    }
 }
