planner: a run whose order was not sent does not wait for its worker

Callers saw an accepted job with nothing running for many seconds beside idle workers, and no log line that says why: the job's last line was `placed on=`.

Cause: a run is placed, and its order then waits for the write of the handover record and for the next poll of the agent. If the worker vanishes in between, or its minion stops listing, the group stayed active until the worker was declared lost: 6.4 s after its latest poll, 11.3 s after its latest list. Then the start counted as unanswered for up to 22.8 s more, and so it did for a gang when an agent was restarted, although no agent had ever received the order. New groups were also placed on workers whose latest list was too old for an order to be sent there.

Evidence: the tests `placed` of the planner force the order of events.

Why it works: only `send_orders` hands out starts, so the planner knows which orders no agent can have received. Such a run can't begin, whatever becomes of its worker, so it is withdrawn as soon as the worker takes no starts, and it leaves no unanswered start. While nothing may be placed (outage, cordons that can't be read), it stays, since its order may still be sent to the agent's next poll.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphire_jobs::{
-    Incarnation, Orders, Poll, Start, State,
+    Ending, Incarnation, Orders, Poll, Start, State,
     task::{GroupKey, Task, WorkerName},
 };
 
@@ -117,7 +117,7 @@
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let is_new_agent = poll.generation > worker.generation;
         if is_new_agent {
-            self.unanswered.retain_lost(now.steady, name, worker, self.handover.durable);
+            self.unanswered.retain_lost(now.steady, name, worker);
         }
         let is_new_minion = match (&worker.incarnation, &poll.incarnation) {
             (Some(known), Some(new)) => !is_same_incarnation(known, new),
@@ -269,6 +269,11 @@
             let until = worker.last_contact + lease_expiry;
             worker.lease_expires_at = worker.lease_expires_at.max(until);
         }
+        for sent in orders.starts.iter().filter_map(|start| start.run.as_ref()) {
+            if let Some(run) = worker.runs.get_mut(&Task::read(sent)) {
+                run.is_sent = true;
+            }
+        }
         worker.is_cordon_sent = orders.is_cordoned;
         if may_start {
             worker.starts_until = worker.starts_until.max(worker.last_contact + window);
@@ -305,6 +310,32 @@
         }
     }
 
+    /// Withdraws runs whose order was not sent from workers that take no starts now. Their groups
+    /// start elsewhere.
+    ///
+    /// Guards against a group that waits for the lease and for late starts of a worker that was lost
+    /// between its placement and the write of the handover record: nothing of the run can be there.
+    ///
+    /// While nothing may be placed, the orders wait for the next poll of their agents.
+    pub(crate) fn withdraw_unsent(&mut self, now: Moment) {
+        if !self.may_place(now) {
+            return;
+        }
+        let is_unsent = |run: &Run| !run.is_started && !run.is_sent;
+        let closed = self.workers.iter().filter(|(_, worker)| !worker.takes_starts(now.steady));
+        let unsent: Vec<(WorkerName, Task, u32)> = closed
+            .flat_map(|(name, worker)| worker.runs.iter().map(move |run| (name, run)))
+            .filter(|(_, (_, run))| is_unsent(run))
+            .map(|(name, (task, run))| (name.clone(), task.clone(), run.number))
+            .collect();
+        for (name, task, number) in unsent {
+            self.log(format!(
+                "task={task} run={number} worker={name} withdrawn: its order was not sent"
+            ));
+            self.run_ended(now, &name, &task, number, Ending::Lost, "");
+        }
+    }
+
     /// Declares workers lost whose lease has certainly expired.
     pub(crate) fn expire_workers(&mut self, now: Moment) {
         let is_silent =
@@ -321,7 +352,7 @@
         for (name, why) in lost {
             self.log(format!("worker={name} {why}, lease expired; declared lost"));
             if let Some(worker) = self.workers.get(&name) {
-                self.unanswered.retain_lost(now.steady, &name, worker, self.handover.durable);
+                self.unanswered.retain_lost(now.steady, &name, worker);
             }
             self.lose_runs(now, &name, "lease expired");
             self.workers.remove(&name);
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -129,7 +129,7 @@
         for (name, worker) in &self.workers {
             let Some(minion) = &worker.incarnation else { continue };
             let is_recorded = self.startup.is_recorded(name, &minion.id);
-            if minion.service != service || !worker.is_open(now.steady) || !is_recorded {
+            if minion.service != service || !worker.takes_starts(now.steady) || !is_recorded {
                 continue;
             }
             let is_cordoned = self.cordons.contains(worker);
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -15,7 +15,6 @@
 use crate::{
     event::Moment,
     options,
-    state::handover::Write,
     worker::{Run, Worker},
 };
 
@@ -142,17 +141,10 @@
     }
 
     /// Keeps the starts of a worker whose agent's process is lost, along with what that process
-    /// knew of them. `durable` is the latest write of the handover record that was carried out; a
-    /// start that it does not contain was never sent.
-    pub(crate) fn retain_lost(
-        &mut self,
-        now: Duration,
-        name: &str,
-        worker: &Worker,
-        durable: Write,
-    ) {
+    /// knew of them.
+    pub(crate) fn retain_lost(&mut self, now: Duration, name: &str, worker: &Worker) {
         self.for_each_start(name, |start| start.retained = start.retained.max(start.reported));
-        let may_be_sent = |run: &Run| !run.is_started && run.recorded_in <= durable;
+        let may_be_sent = |run: &Run| !run.is_started && run.is_sent;
         let expires_at = now.min(worker.starts_until) + options::START_EXPIRY;
         for (task, run) in worker.runs.iter().filter(|(_, run)| may_be_sent(run)) {
             let start = self.start(name, task.clone(), run.number);
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -87,6 +87,8 @@
     /// First write of the handover record that contains the start; it is sent once that write has
     /// been carried out. 0 for a run that this planner has not ordered.
     pub recorded_in: u64,
+    /// The order to start the run has been sent, whether or not the agent has received it.
+    pub is_sent: bool,
     /// The minion is known to have carried out the start.
     pub is_started: bool,
     /// Progress as last listed, from 0 to 100.
@@ -222,6 +224,11 @@
         self.is_fenced && self.runs.values().any(|run| !run.is_received && is_due(run))
     }
 
+    /// Returns whether orders to start runs can be sent with the answer to the agent's next poll.
+    pub fn takes_starts(&self, now: Duration) -> bool {
+        self.is_open(now) && !self.start_window(now).is_zero()
+    }
+
     /// Returns whether the worker has a later run of the task than `number`.
     pub fn has_later_run(&self, task: &Task, number: RunNumber) -> bool {
         self.runs.get(task).is_some_and(|run| run.number > number)
@@ -320,6 +327,7 @@
             stop: None,
             is_received: false,
             recorded_in: 0,
+            is_sent: false,
             is_started: phase == Phase::Running,
             percent,
             first_percent: percent,
--- /dev/null
+++ b/crates/planner/tests/placed/mod.rs
@@ -0,0 +1,140 @@
+//! Tests of runs that are placed and have not begun: none stays so for longer than it has to.
+
+use sapphire_jobs::{Ending, Notice, Poll, Run, Running, Step};
+use sapphire_planner::event::{Event, Operation};
+use sapphire_store::call::Reply;
+
+use crate::harness::{Fixture, TERM, ended, job, step};
+
+/// Longest time in ms for which due work may have nothing running beside idle workers.
+const LIMIT: u64 = 3_000;
+/// Interval of the polls, in ms.
+const POLL_INTERVAL: u64 = 250;
+/// Time after which each test ends.
+const END: u64 = 60_000;
+
+/// Answers the writes of the handover record.
+fn answer_records(fixture: &mut Fixture) {
+    let is_record = |operation: &Operation| matches!(operation, Operation::Unanswered(_));
+    while let Some(at) = fixture.calls.iter().position(|(operation, _)| is_record(operation)) {
+        let (operation, _) = fixture.calls.remove(at);
+        fixture.handle(Event::Store(operation, Reply::Committed(70)));
+    }
+}
+
+/// Reports a worker whose minion carries out all orders at once.
+fn report(fixture: &mut Fixture, name: &str) {
+    let (starts, stops) = (fixture.starts(), fixture.stops());
+    let runs = fixture.planner.workers().get(name).into_iter().flat_map(|worker| &worker.runs);
+    let runs = runs.map(|(task, run)| task.run(run.number));
+    let (stopped, others): (Vec<Run>, Vec<Run>) = runs.partition(|run| stops.contains(run));
+    let running = |run: Run| Running { run: Some(run), ..Running::default() };
+    let running = others.into_iter().filter(|run| starts.contains(run)).map(running).collect();
+    let number = fixture.sequence[name];
+    let ended = |run: Run| ended(number, run, Ending::Stopped);
+    let ended = stopped.into_iter().map(ended).collect();
+    fixture.report(name, Poll { running, ended, ..Poll::default() });
+}
+
+/// Submits a job to three workers while the store is slow, so that its starts are placed and their
+/// orders wait for the handover record. Returns the worker of its first task.
+fn placed(step: Step) -> (Fixture, String) {
+    let mut fixture = Fixture::new(Vec::new());
+    for name in ["a", "b", "c"] {
+        fixture.join(name, Vec::new(), Vec::new());
+    }
+    fixture.answers_records = false;
+    let notice = Notice { jobs: vec![job("j", TERM, step)], ..Notice::default() };
+    fixture.handle(Event::Notice(notice));
+    let first = fixture.worker_of("j");
+    assert_ne!(first, "", "it is placed");
+    assert!(fixture.starts().is_empty(), "no order is sent before the record is written");
+    (fixture, first)
+}
+
+/// Lets the others report for a time.
+fn advance(fixture: &mut Fixture, without: &str, time: u64) {
+    for _ in 0..time / POLL_INTERVAL {
+        for name in ["a", "b", "c"].into_iter().filter(|name| *name != without) {
+            report(fixture, name);
+        }
+        fixture.advance(POLL_INTERVAL);
+    }
+}
+
+/// Returns the time after which all tasks of the job run on other workers than `lost`.
+fn goes_on_after(fixture: &mut Fixture, lost: &str, tasks: usize) -> u64 {
+    let since = fixture.now;
+    while fixture.now < since + END {
+        advance(fixture, lost, POLL_INTERVAL);
+        answer_records(fixture);
+        let others = fixture.planner.workers().iter().filter(|(name, _)| *name != lost);
+        let runs = others.flat_map(|(_, worker)| worker.runs.iter());
+        let running = runs.filter(|(task, run)| task.job == "j" && run.is_started);
+        if running.count() == tasks {
+            return fixture.now - since;
+        }
+    }
+    END
+}
+
+/// Guards against a task that waits for the lease and for late starts of a worker that vanished before
+/// the order was sent there.
+#[test]
+fn a_task_whose_order_was_not_sent_does_not_wait_for_a_lost_worker() {
+    let (mut fixture, lost) = placed(step(1, false));
+    // The polls that were waiting are answered without a start.
+    fixture.advance(700);
+    answer_records(&mut fixture);
+    let took = goes_on_after(&mut fixture, &lost, 1);
+    assert!(took < LIMIT, "goes on after {took} ms");
+}
+
+/// Guards against a gang that waits for one member whose order was never sent.
+#[test]
+fn a_gang_with_an_order_that_was_not_sent_does_not_wait_for_a_lost_worker() {
+    let (mut fixture, lost) = placed(Step { per_worker: 1, ..step(2, true) });
+    fixture.advance(700);
+    answer_records(&mut fixture);
+    let took = goes_on_after(&mut fixture, &lost, 2);
+    assert!(took < LIMIT, "goes on after {took} ms");
+}
+
+/// Guards against a task that waits for a minion that hung before the order was sent there, while its
+/// agent goes on polling.
+#[test]
+fn a_task_whose_order_was_not_sent_does_not_wait_for_a_minion_that_hangs() {
+    let (mut fixture, hanging) = placed(step(1, false));
+    let (lists, since) = (fixture.sequence[&hanging], fixture.now);
+    let mut took = END;
+    while fixture.now < since + END {
+        let age = fixture.now - since;
+        let report = Poll { list_age_ms: age, ..Poll::default() };
+        fixture.report_list(&hanging, lists, report);
+        advance(&mut fixture, &hanging, POLL_INTERVAL);
+        if fixture.now >= since + 2_250 {
+            answer_records(&mut fixture);
+        }
+        let place = fixture.worker_of("j");
+        if !place.is_empty() && place != hanging {
+            took = fixture.now - since;
+            break;
+        }
+    }
+    assert!(took < LIMIT, "goes on after {took} ms");
+}
+
+/// Guards against a gang that waits for late starts of an agent that was restarted before it had
+/// received any order.
+#[test]
+fn a_gang_with_orders_that_were_not_sent_does_not_wait_after_its_agents_have_restarted() {
+    let (mut fixture, _) = placed(Step { per_worker: 1, ..step(3, true) });
+    fixture.advance(700);
+    answer_records(&mut fixture);
+    for name in ["a", "b", "c"] {
+        fixture.restart_agent(name);
+        fixture.poll(name, Vec::new(), Vec::new());
+    }
+    let took = goes_on_after(&mut fixture, "none", 3);
+    assert!(took < LIMIT, "goes on after {took} ms");
+}
