planner: a minion that hangs while its agent restarts is lost with its lease

Callers saw a job that never ends: its run is on a minion that hangs, and nothing ends that run.

Cause: a worker whose agent polls was declared lost only if its session had been acknowledged by the minion. An agent that is restarted, or that has lost its session, gets a new one, and a minion that hangs never acknowledges it. So the worker was neither silent nor counted as hanging, and its runs, their resources and those that were being stopped were kept without a bound.

Evidence: `a_run_on_a_minion_that_hangs_is_lost_with_its_lease_after_its_agent_has_restarted` forces the order of events.

Why it works: no lease is granted in a session that the minion has not acknowledged, so the lease of the session before ends at the known time, and all runs with it. A worker without runs is left alone, since a minion that starts for the first time may take longer.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -340,7 +340,11 @@
     pub(crate) fn expire_workers(&mut self, now: Moment) {
         let is_silent =
             |worker: &Worker| now.steady >= worker.last_contact + options::SILENCE_TIMEOUT;
-        let hangs = |worker: &Worker| worker.is_fenced && !worker.is_listed(now.steady);
+        // A minion that hangs may never acknowledge the session of an agent that has been restarted.
+        // No lease is granted in that session.
+        let hangs = |worker: &Worker| {
+            !worker.is_listed(now.steady) && (worker.is_fenced || !worker.runs.is_empty())
+        };
         let lost: Vec<(WorkerName, &str)> = (self.workers.iter())
             .filter(|(_, worker)| now.steady >= worker.lease_expires_at)
             .filter_map(|(name, worker)| match worker {
--- a/crates/planner/tests/placed/mod.rs
+++ b/crates/planner/tests/placed/mod.rs
@@ -1,10 +1,10 @@
 //! Tests of runs that are placed and have not begun: none stays so for longer than it has to.
 
-use sapphire_jobs::{Ending, Notice, Poll, Run, Running, Step};
+use sapphire_jobs::{Ending, Incarnation, Notice, Poll, Run, Running, Step};
 use sapphire_planner::event::{Event, Operation};
 use sapphire_store::call::Reply;
 
-use crate::harness::{Fixture, TERM, ended, job, step};
+use crate::harness::{Fixture, TERM, ended, job, minion, step};
 
 /// Longest time in ms for which due work may have nothing running beside idle workers.
 const LIMIT: u64 = 3_000;
@@ -138,3 +138,30 @@
     let took = goes_on_after(&mut fixture, "none", 3);
     assert!(took < LIMIT, "goes on after {took} ms");
 }
+
+/// Guards against a run that is believed to go on for ever on a minion that hangs: its agent has been
+/// restarted since, and polls in a session that the minion has never acknowledged.
+#[test]
+fn a_run_on_a_minion_that_hangs_is_lost_with_its_lease_after_its_agent_has_restarted() {
+    let mut fixture = Fixture::new(Vec::new());
+    for name in ["a", "b"] {
+        fixture.join(name, Vec::new(), Vec::new());
+    }
+    let notice = Notice { jobs: vec![job("j", TERM, step(1, false))], ..Notice::default() };
+    fixture.handle(Event::Notice(notice));
+    let hanging = fixture.worker_of("j");
+    let other = if hanging == "a" { "b" } else { "a" };
+    report(&mut fixture, &hanging);
+    fixture.restart_agent(&hanging);
+    let since = fixture.now;
+    while fixture.now < since + END && fixture.worker_of("j") != other {
+        // No list of the minion has reached this process of the agent.
+        let incarnation = Some(Incarnation { is_silent: true, ..minion(&hanging) });
+        fixture.tokens.remove(&hanging);
+        fixture.report_list(&hanging, 0, Poll { incarnation, ..Poll::default() });
+        report(&mut fixture, other);
+        fixture.advance(POLL_INTERVAL);
+    }
+    let took = fixture.now - since;
+    assert!(took < 7_500, "lost after {took} ms");
+}
