planner: an agent that reports often keeps its lease

Callers saw runs that end `lapsed` on workers in contact, and starts that their agent holds and never sends.

Cause: an agent has up to two polls open, and sends a second one when it has a change to report. The planner then answers the first one, and did so without a lease and without time for starts. Only a poll that had waited for 600 ms, or for which there were orders, brought both. An agent whose changes arrive at shorter intervals, and for which there are no orders, was granted nothing for as long as that went on; its minion's lease lasts for 6 s.

Evidence: `an_agent_that_reports_often_keeps_its_lease` polls every 150 ms for 6 s. Before: no lease in all of that time. Now with each answer.

Why it works: every answer in a session extends both, from the agent's poll, while the planner counts from the latest poll, which is later.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -54,13 +54,12 @@
         worker.sequence = poll.sequence;
         worker.last_contact = now.steady;
         worker.is_leaving = poll.is_leaving;
+        let is_fenced = poll.fenced_token == worker.token && poll.incarnation.is_some();
         let earlier = worker.long_poll.replace(LongPoll { requester, since: now.steady });
         if let Some(earlier) = earlier {
-            let mut orders = worker.empty_orders(self.term);
-            orders.is_cordoned = self.cordons.contains(worker);
+            let orders = self.grant(now, &name);
             self.effects.push(Effect::Orders(earlier.requester, Box::new(orders)));
         }
-        let is_fenced = poll.fenced_token == worker.token && poll.incarnation.is_some();
         if is_new_session {
             // The token is needed at once, so that fencing can proceed while the store is read.
             self.send_empty_orders(&name);
@@ -234,21 +233,39 @@
         }
     }
 
-    /// Answers a worker's poll with the orders that its agent has not received.
-    fn send_orders(&mut self, now: Moment, name: &str, requester: Requester) {
-        let worker = self.workers.get(name).expect("the caller has listed it");
+    /// Returns an answer to a poll of a worker without starts and stops, which extends the lease and
+    /// the time for which the agent sends the starts that it has. Both count from the agent's poll,
+    /// and here from its latest one.
+    ///
+    /// Guards against runs that lapse, and starts that are never sent, while an agent reports changes
+    /// so often that each of its polls is answered when the next one arrives.
+    fn grant(&mut self, now: Moment, name: &str) -> Orders {
+        let lease_expiry = self.options.lease_expiry();
+        let window = self.start_window(now);
+        let worker = self.workers.get_mut(name).expect("the caller has listed it");
         let mut orders = worker.empty_orders(self.term);
-        let is_listed = worker.is_listed(now.steady);
-        if is_listed {
+        if worker.is_listed(now.steady) {
             let lease = self.options.lease.as_millis();
             orders.lease_ms = u64::try_from(lease).unwrap_or(u64::MAX);
+            let until = worker.last_contact + lease_expiry;
+            worker.lease_expires_at = worker.lease_expires_at.max(until);
         }
         // The agent refuses the starts that it has for a cordoned zone, so that their outcome is
         // known and they can go elsewhere.
         orders.is_cordoned = self.cordons.contains(worker);
-        let window = self.start_window(now).min(worker.start_window(now.steady));
-        let may_start = !window.is_zero();
-        orders.starts_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
+        let window = window.min(worker.start_window(now.steady));
+        if !window.is_zero() {
+            orders.starts_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
+            worker.starts_until = worker.starts_until.max(worker.last_contact + window);
+        }
+        orders
+    }
+
+    /// Answers a worker's poll with the orders that its agent has not received.
+    fn send_orders(&mut self, now: Moment, name: &str, requester: Requester) {
+        let mut orders = self.grant(now, name);
+        let may_start = orders.starts_ms > 0;
+        let worker = self.workers.get(name).expect("the caller has listed it");
         // No order is sent before the first list of a session, which shows the earlier orders that
         // are invalid. An order with the session's own token would remain valid whatever that list
         // shows.
@@ -263,21 +280,13 @@
             }
         }
         self.log_orders(name, &orders);
-        let lease_expiry = self.options.lease_expiry();
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
-        if is_listed {
-            let until = worker.last_contact + lease_expiry;
-            worker.lease_expires_at = worker.lease_expires_at.max(until);
-        }
         for sent in orders.starts.iter().filter_map(|start| start.run.as_ref()) {
             if let Some(run) = worker.runs.get_mut(&Task::read(sent)) {
                 run.is_sent = true;
             }
         }
         worker.is_cordon_sent = orders.is_cordoned;
-        if may_start {
-            worker.starts_until = worker.starts_until.max(worker.last_contact + window);
-        }
         worker.long_poll = None;
         worker.acknowledged_sent = worker.acknowledged;
         orders.entries = self.feeds.addresses.update_for(now.steady, &mut worker.entries_sent);
--- a/crates/planner/tests/placed/mod.rs
+++ b/crates/planner/tests/placed/mod.rs
@@ -165,3 +165,29 @@
     let took = fixture.now - since;
     assert!(took < 7_500, "lost after {took} ms");
 }
+
+/// Guards against runs that lapse although their agent is in contact: it reports changes so often that
+/// the planner answers each of its polls only when the next one arrives.
+#[test]
+fn an_agent_that_reports_often_keeps_its_lease() {
+    let mut fixture = Fixture::new(Vec::new());
+    fixture.join("a", Vec::new(), Vec::new());
+    let step = Step { estimate_ms: 60_000, ..step(1, false) };
+    let notice = Notice { jobs: vec![job("j", TERM, step)], ..Notice::default() };
+    fixture.handle(Event::Notice(notice));
+    report(&mut fixture, "a");
+    fixture.advance(700);
+    let (since, mut seen) = (fixture.now, fixture.orders.len());
+    let mut granted_at = since;
+    while fixture.now < since + 6_000 {
+        report(&mut fixture, "a");
+        fixture.advance(150);
+        if fixture.orders[seen..].iter().any(|(_, orders)| orders.lease_ms > 0) {
+            granted_at = fixture.now;
+        }
+        seen = fixture.orders.len();
+        let waited = fixture.now - granted_at;
+        assert!(waited < 1_000, "no lease is granted for {waited} ms");
+    }
+    assert!(fixture.stops().is_empty());
+}
