planner: a later run that is listed ends the one that was ordered

Callers saw a job that never ends, with `placed on=` and a later `unexpected run; stopped` as its last lines.

Cause: a worker has one run of a task. A run of a higher number that its minion lists took the place of the planner's own run in that table, without an end of the latter, so that its group stayed active and was never tried again. Higher numbers occur if the list of workers is lost: the terms are counted anew.

Evidence: `a_later_run_that_is_listed_ends_the_one_that_was_ordered`.

Why it works: the earlier run ends as lost before the later one is taken up, as each other run that leaves the table does.

--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -193,8 +193,18 @@
     }
 
     /// Adopts a run that an earlier planner started, or stops one that should not exist.
+    ///
+    /// Guards against a group that waits for ever for the end of an earlier run, whose place this
+    /// one takes on the worker.
     fn adopt(&mut self, now: Moment, name: &str, task: &Task, running: &sapphire_jobs::Running) {
         let number = running.run.as_ref().map_or(0, |run| run.run);
+        let earlier = self.workers.get(name).and_then(|worker| worker.runs.get(task));
+        if let Some(earlier) = earlier.map(|run| run.number) {
+            self.log(format!(
+                "task={task} run={earlier} worker={name} a later run is listed; lost"
+            ));
+            self.run_ended(now, name, task, earlier, Ending::Lost, "");
+        }
         let (resources, is_wanted) = self.adoption(now, name, task, number);
         let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
         let group = self.group_of(task).map(|(_, _, group)| group);
--- a/crates/planner/tests/placed/mod.rs
+++ b/crates/planner/tests/placed/mod.rs
@@ -4,7 +4,7 @@
 use sapphire_planner::event::{Event, Operation};
 use sapphire_store::call::Reply;
 
-use crate::harness::{Fixture, TERM, ended, job, minion, step};
+use crate::harness::{Fixture, TERM, ended, job, minion, run, step};
 
 /// Longest time in ms for which due work may have nothing running beside idle workers.
 const LIMIT: u64 = 3_000;
@@ -191,3 +191,26 @@
     }
     assert!(fixture.stops().is_empty());
 }
+
+/// Guards against a group that stays ordered for ever: its minion lists a later run of the task, which
+/// takes the place of the ordered one.
+#[test]
+fn a_later_run_that_is_listed_ends_the_one_that_was_ordered() {
+    let mut fixture = Fixture::new(Vec::new());
+    fixture.join("a", Vec::new(), Vec::new());
+    let notice = Notice { jobs: vec![job("j", TERM, step(1, false))], ..Notice::default() };
+    fixture.handle(Event::Notice(notice));
+    assert_eq!(fixture.starts(), vec![run("j", 0, 1)]);
+    // The terms were counted anew, and a start of an earlier term is carried out late.
+    let running = vec![Running { run: Some(run("j", 0, 1_001)), ..Running::default() }];
+    fixture.poll("a", running, Vec::new());
+    fixture.advance(POLL_INTERVAL);
+    fixture.poll("a", Vec::new(), vec![ended(1, run("j", 0, 1_001), Ending::Lapsed)]);
+    let since = fixture.now;
+    while fixture.now < since + END && fixture.starts().len() < 2 {
+        report(&mut fixture, "a");
+        fixture.advance(POLL_INTERVAL);
+    }
+    let took = fixture.now - since;
+    assert!(took < LIMIT, "goes on after {took} ms");
+}
