planner: a cancellation without a notice is read in time

Callers saw tasks of a cancelled job start, and go on, after `cancel_ms` (3 to 7 s, by deployment).

Cause: if the entry that acknowledged a cancellation ends, or is cut off from the planner, the planner finds it by its read of submissions each 2.5 s. A read that failed, or was rejected with 429 or 503, was followed by the next one 2.5 s later, however often that happened. The first read of a term was due 2.5 s after the scan of the store, which may have taken long, and which misses what is written into pages that it has read already. An accepted job without a notice waited as long.

`terms::an_end_is_durable_before_it_is_acknowledged` answered whichever call was the latest, which is now a read of submissions; it answers the write of progress by name, with the same checks.

--- a/crates/planner/src/state/intake.rs
+++ b/crates/planner/src/state/intake.rs
@@ -4,8 +4,6 @@
 
 use sapphire_store::call::Revision;
 
-use crate::options;
-
 /// A read of all submissions, page by page.
 #[derive(Default)]
 pub(crate) struct Scan {
@@ -27,9 +25,10 @@
 }
 
 impl Intake {
-    /// Begins to watch after the scan at the start of the term.
+    /// Begins to watch after the scan at the start of the term. That scan may have taken long, so the
+    /// first read is due at once.
     pub(crate) fn start(&mut self, now: Duration, revision: Revision) {
         self.revision = revision;
-        self.next_read = now + options::INTAKE_INTERVAL;
+        self.next_read = now;
     }
 }
--- a/crates/planner/tests/terms/mod.rs
+++ b/crates/planner/tests/terms/mod.rs
@@ -105,7 +105,10 @@
     assert!(
         fixture.feeds.iter().flat_map(|feed| &feed.rows).all(|row| row.state() != State::Complete)
     );
-    fixture.reply(Reply::Committed(70));
+    let is_progress = |call: &(Operation, Call)| matches!(call.0, Operation::Progress(_));
+    let at = fixture.calls.iter().position(is_progress).expect("progress is written");
+    let (operation, _) = fixture.calls.remove(at);
+    fixture.handle(Event::Store(operation, Reply::Committed(70)));
     fixture.poll("a", Vec::new(), Vec::new());
     fixture.advance(700);
     assert_eq!(acknowledged(&fixture), Some(1));
