--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -194,8 +194,18 @@
     }
 
     /// Adopts a run that an earlier planner started, or stops one that should not exist.
+    ///
+    /// Guards against a group that waits for ever for the end of an earlier run, whose place this
+    /// one takes on the worker.
     fn adopt(&mut self, now: Moment, name: &str, task: &Task, running: &sapphire_jobs::Running) {
         let number = running.run.as_ref().map_or(0, |run| run.run);
+        let earlier = self.workers.get(name).and_then(|worker| worker.runs.get(task));
+        if let Some(earlier) = earlier.map(|run| run.number) {
+            self.log(format!(
+                "task={task} run={earlier} worker={name} a later run is listed; lost"
+            ));
+            self.run_ended(now, name, task, earlier, Ending::Lost, "");
+        }
         let (resources, is_wanted) = self.adoption(now, name, task, number);
         let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
         let group = self.group_of(task).map(|(_, _, group)| group);
@@ -207,11 +217,8 @@
         run.stop = (!is_wanted).then_some(stop);
         run.is_started = true;
         run.is_resumed = is_resumed;
-        let row = |number| Row { task: task.clone(), number, worker: name.to_owned() };
-        if let Some(earlier) = worker.runs.insert(task.clone(), run) {
-            self.run_log.release(&row(earlier.number));
-        }
-        self.run_log.add(row(number));
+        worker.runs.insert(task.clone(), run);
+        self.run_log.add(Row { task: task.clone(), number, worker: name.to_owned() });
         let verb = if is_wanted { "adopted" } else { "unexpected run; stopped" };
         self.log(format!("task={task} run={number} worker={name} {verb}"));
         if is_wanted {
--- a/crates/planner/src/state/run_log.rs
+++ b/crates/planner/src/state/run_log.rs
@@ -146,7 +146,7 @@
     }
 
     /// Removes a run.
-    pub(crate) fn release(&mut self, row: &Row) {
+    fn release(&mut self, row: &Row) {
         self.ended.remove(row);
         self.missing.remove(row);
         let home = self.runs.remove(row).flatten();
