--- a/crates/planner/tests/causes/delays.rs
+++ b/crates/planner/tests/causes/delays.rs
@@ -98,7 +98,7 @@
     advance(&mut fixture, 2_500, old);
     answer_records(&mut fixture);
     advance(&mut fixture, 2_000, old);
-    insta::assert_snapshot!(lines(&fixture, "withdrawn"), @"");
+    insta::assert_snapshot!(lines(&fixture, "withdrawn"), @"task=j/0/0/0 run=1001 worker=a withdrawn: its order was not sent");
     assert_eq!(counts(&fixture), []);
     assert!(fixture.starts().is_empty());
 }
