--- a/crates/planner/src/delay/delayed.rs
+++ b/crates/planner/src/delay/delayed.rs
@@ -25,7 +25,9 @@
             std::cmp::Ordering::Less => *self = other,
             std::cmp::Ordering::Equal => {
                 self.since = self.since.min(other.since);
-                self.workers.extend(other.workers);
+                let is_new = |worker: &WorkerName| !self.workers.contains(worker);
+                let workers: Vec<WorkerName> = other.workers.into_iter().filter(is_new).collect();
+                self.workers.extend(workers);
             }
             std::cmp::Ordering::Greater => {}
         }
--- a/crates/planner/tests/causes/delays.rs
+++ b/crates/planner/tests/causes/delays.rs
@@ -135,14 +135,15 @@
     assert_eq!(counts(&fixture), [("unreceived", 1)]);
 }
 
-/// Guards against a gang that has begun but for one member, and of which no line tells.
+/// Guards against a gang of which some members have not begun and no line tells, and against a worker
+/// that is named once for each of its members.
 #[test]
-fn a_member_of_a_gang_that_has_not_begun_is_logged() {
+fn members_of_a_gang_that_have_not_begun_are_logged_with_their_workers() {
     let mut fixture = Fixture::new(vec![fleet(1, &["a"])]);
     fixture.join("a", Vec::new(), Vec::new());
-    submit(&mut fixture, job("g", TERM, step(2, true)));
+    submit(&mut fixture, job("g", TERM, step(3, true)));
     let running = Running { run: Some(run("g", 0, 1_001)), ..Running::default() };
-    let pending = vec![run("g", 1, 1_001)];
+    let pending = vec![run("g", 1, 1_001), run("g", 2, 1_001)];
     let poll =
         |_| Poll { running: vec![running.clone()], pending: pending.clone(), ..Poll::default() };
     advance(&mut fixture, 2_500, poll);
