--- a/crates/planner/src/standstills.rs
+++ b/crates/planner/src/standstills.rs
@@ -56,7 +56,10 @@
             state.since.iter().min_by_key(|(_, since)| **since);
         let Some((job, since)) = oldest else { return };
         let waited = now.steady.saturating_sub(*since).as_millis();
-        let text = format!("job={job} has nothing at work waited_ms={waited} jobs={jobs}");
+        let age = self.table.entries.get(job).map(|entry| Self::age(entry, now).as_millis());
+        let age = age.unwrap_or_default();
+        let text =
+            format!("job={job} has nothing at work waited_ms={waited} age_ms={age} jobs={jobs}");
         state.logged_at = Some(now.steady);
         self.log(text);
     }
--- a/crates/planner/tests/causes/standstills.rs
+++ b/crates/planner/tests/causes/standstills.rs
@@ -1,12 +1,12 @@
 //! Tests of the time for which a job has had nothing at work.
 
 use prost::Message as _;
-use sapphire_jobs::{Ending, Incarnation, Notice, Poll, Running};
+use sapphire_jobs::{Ending, Incarnation, Job, Notice, Poll, Running};
 use sapphire_planner::{event::Event, keys};
 
 use crate::{
     causes::lines,
-    harness::{Fixture, TERM, ended, fleet, item, job, minion, ms, no_starts, run, step},
+    harness::{Fixture, START, TERM, ended, fleet, item, job, minion, ms, no_starts, run, step},
 };
 
 /// Lets time pass in which the worker sends a poll every 250 ms.
@@ -37,8 +37,8 @@
     advance(&mut fixture, 7_000, &Poll::default());
     assert_eq!(fixture.worker_of("j"), "a");
     insta::assert_snapshot!(lines(&fixture, " nothing at work "), @"
-    job=j has nothing at work waited_ms=3000 jobs=1
-    job=j has nothing at work waited_ms=8000 jobs=1
+    job=j has nothing at work waited_ms=3000 age_ms=3050 jobs=1
+    job=j has nothing at work waited_ms=8000 age_ms=8050 jobs=1
     ");
     let longest = fixture.planner.longest_standstill();
     assert!(longest >= ms(8_750) && longest <= ms(9_000), "{longest:?}");
@@ -61,17 +61,16 @@
     assert_eq!(lines(&fixture, " nothing at work "), "");
 }
 
-/// Guards against the wait for a take-over that is counted only from the end of the take-over.
+/// Guards against the wait for a take-over that is counted only from the end of the take-over, and
+/// against a job that has waited under earlier planners and looks like a new one.
 #[test]
 fn an_inherited_job_counts_from_the_beginning_of_the_term() {
-    let mut fixture = Fixture::new(vec![
-        fleet(1, &["a", "lost"]),
-        no_starts(1),
-        item(keys::job("j"), job("j", TERM - 1, step(1, false)).encode_to_vec()),
-    ]);
+    let job = Job { accepted_ms: START - 7_000, ..job("j", TERM - 1, step(1, false)) };
+    let record = item(keys::job("j"), job.encode_to_vec());
+    let mut fixture = Fixture::new(vec![fleet(1, &["a", "lost"]), no_starts(1), record]);
     fixture.join("a", Vec::new(), Vec::new());
     advance(&mut fixture, 4_000, &Poll::default());
-    insta::assert_snapshot!(lines(&fixture, " nothing at work "), @"job=j has nothing at work waited_ms=3050 jobs=1");
+    insta::assert_snapshot!(lines(&fixture, " nothing at work "), @"job=j has nothing at work waited_ms=3050 age_ms=10050 jobs=1");
     let longest = fixture.planner.longest_standstill();
     assert!(longest >= ms(3_750) && longest <= ms(4_000), "{longest:?}");
 }
