platform: an odd row of the inventory leaves the others readable

Operators saw: with one row that is nested deeply or has a number such as 1e400, every page of the inventory counted as a failed read (inventory.failed) for as long as the row was there; no worker was declared gone, and its work waited for leases and unanswered starts instead. Nothing was logged.

Cause: a page was decoded as a whole. serde_json rejects a document that is nested more than 127 deep or has a number beyond f64, and one that has invalid UTF-8 or a token such as NaN in a single row.

Weighed: a row that can't be read, has no id, or whose id holds bytes that are no UTF-8 may be that of a VM whose minion is unknown. It stays a VM without a minion, so no worker is declared gone by such a read. That does not block for ever: leases and unanswered starts expire as they do without an inventory.

Skipped rows are counted in the metric skipped_rows and logged with their start, once a kind and list in 60 s and at most 16 lines in that time.

--- a/crates/sapphired/src/jobs_entry/mod.rs
+++ b/crates/sapphired/src/jobs_entry/mod.rs
@@ -19,7 +19,7 @@
     time::{Duration, Instant},
 };
 
-use cadence::{CountedExt as _, Gauged as _, StatsdClient, Timed as _};
+use cadence::{Counted as _, CountedExt as _, Gauged as _, StatsdClient, Timed as _};
 use eyre::WrapErr as _;
 use sapphire_front::{self as front, machine::Machine, reach::Way};
 use sapphire_jobs::catalog::Catalog;
@@ -32,6 +32,7 @@
     event::{Moment, Operation},
     planner::Planner,
 };
+use sapphire_platform as platform;
 use sapphire_settings::JobEntry;
 use sapphire_store::call::Call;
 use stakker::{CX, Stakker, actor, after, call, ret_shutdown, stop};
@@ -130,6 +131,7 @@
     /// Time at which the shutdown was requested.
     terminating_since: Option<Duration>,
     meter: meter::Meter,
+    skipped_log: platform::skipped_log::SkippedLog,
 }
 
 /// An effect of either state machine that is still to be performed.
@@ -232,6 +234,19 @@
         let _ = self.metrics.incr(name);
     }
 
+    /// Counts and logs the rows of a list that were skipped.
+    fn report_skipped(&mut self, now: Duration, list: &str, skipped: &platform::skipped::Skipped) {
+        if skipped.rows == 0 {
+            return;
+        }
+        let rows = i64::try_from(skipped.rows).unwrap_or(i64::MAX);
+        // A metric that can't be recorded is not worth an error.
+        let _ = self.metrics.count("skipped_rows", rows);
+        for line in self.skipped_log.lines(now, list, skipped) {
+            self.logger.info("front", &line);
+        }
+    }
+
     /// Records a duration in a histogram. A metric that can't be recorded is not worth an error.
     fn record_time(&self, name: &str, took: Duration) {
         let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
@@ -278,6 +293,7 @@
         registry,
         terminating_since: None,
         meter: meter::Meter::default(),
+        skipped_log: platform::skipped_log::SkippedLog::default(),
     };
     let signals = reactor::Signals::catch()?;
     logger.info("member", &format!("entry={} starts callers={}", settings.name, settings.callers));
--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -141,7 +141,9 @@
                 }
             }
             Some(Pending::Inventory { term }) => {
-                let page = platform::inventory::page(result);
+                let mut skipped = platform::skipped::Skipped::default();
+                let page = platform::inventory::page(result, &mut skipped);
+                self.report_skipped(now.steady, "inventory", &skipped);
                 self.count(if page.is_some() { "inventory.answered" } else { "inventory.failed" });
                 if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
                     self.handle_planner_event(now, planner::event::Event::Inventory(page));
