platform: an odd row of a minion's lists leaves the others readable

Callers saw: while a minion lists one entry that is nested deeply, has a number such as 1e400 or bytes that are no UTF-8, its agent took each answer for none. Runs that had started never counted as listed, ends were neither learnt nor acknowledged, and the worker counted as one whose minion hangs.

--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use cadence::{CountedExt as _, StatsdClient, Timed as _};
+use cadence::{Counted as _, CountedExt as _, StatsdClient, Timed as _};
 use eyre::WrapErr as _;
 use prost::Message as _;
 use sapphire_jobs::{Lead, Orders};
@@ -63,6 +63,7 @@
     logger: logging::Logger,
     registry: exposition::Registry,
     metrics: StatsdClient,
+    skipped_log: platform::skipped_log::SkippedLog,
 }
 
 impl Role {
@@ -163,7 +164,9 @@
                 let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
                 // A metric that can't be recorded is not worth an error.
                 let _ = self.metrics.time("minion", millis);
-                let reply = platform::minion::reply(&call, result);
+                let mut skipped = platform::skipped::Skipped::default();
+                let reply = platform::minion::reply(&call, result, &mut skipped);
+                self.report_skipped(&skipped);
                 self.handle_machine_event(cx, MachineEvent::MinionReply(ticket, reply));
             }
             Some(Pending::Poll(ticket)) => {
@@ -183,6 +186,19 @@
         }
     }
 
+    /// Counts and logs the rows of the minion's lists that were skipped.
+    fn report_skipped(&mut self, skipped: &platform::skipped::Skipped) {
+        if skipped.rows == 0 {
+            return;
+        }
+        let rows = i64::try_from(skipped.rows).unwrap_or(i64::MAX);
+        // A metric that can't be recorded is not worth an error.
+        let _ = self.metrics.count("skipped_rows", rows);
+        for line in self.skipped_log.lines(reactor::now().steady, "minion", skipped) {
+            self.logger.info("agent", &line);
+        }
+    }
+
     fn handle_machine_event(&mut self, cx: CX![], event: MachineEvent) {
         let now = reactor::now().steady;
         for effect in self.machine.handle(now, event) {
@@ -254,6 +270,7 @@
         logger: logger.clone(),
         metrics: registry.client(),
         registry,
+        skipped_log: platform::skipped_log::SkippedLog::default(),
     };
     let signals = reactor::Signals::catch()?;
     logger.info(
