runner, planner: a run that a row which can't be read may name is not absent

Callers would see: a task that runs twice, or a done one that starts again. A minion's row of it can't be read in some lists, so the run counts as missing, is lost after three lists and 1.5 s, and is placed elsewhere; a stop counts as carried out. And a list of 500 ends of which one can't be read was taken for a whole one, since only readable rows were counted: the end of a run beyond them was taken for a loss.

Cause: absence from a list was used as proof whatever the number of rows that were passed over.

Why it works: the agent says in its polls that a list is partial: for 3 s after the number of rows that can't be read has risen, or if all rows together are as many ends as fit. Neither agent nor planner infer anything from absence then, as from a list that is cut off. After 3 s the rows count as those of another writer, so that a job does not stand still as long as these stay. The minion lists what it runs for us in a form that can be read; entries other than the name, the number and the kind of end may be odd.

Weighed for ends: a row of the ends that can't be read is acknowledged together with the readable ends after it, as before. If it were held back, all later ends of that minion would be listed for ever, and after 500 of them nothing more would be learnt of it. The run of such an end, if it was one of ours, is missing from the lists and starts again.

The line on the number of unreadable rows is logged at most every 2 s; it was logged at each change before.

--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -26,15 +26,16 @@
     /// Reconciles the runs of a worker with the list in a poll.
     ///
     /// Guards against a task that is done and starts again: if there are more ends than fit into
-    /// one list, absence from the list proves nothing.
+    /// one list, or rows can't be read, absence from the list proves nothing.
     pub(crate) fn reconcile(&mut self, now: Moment, name: &str, poll: &Poll) {
         for ended in &poll.ended {
             self.handle_end(now, name, ended);
         }
-        let is_cut_off = poll.ended.len() >= LISTED_ENDS;
+        let is_cut_off = poll.is_partial || poll.ended.len() >= LISTED_ENDS;
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         if is_cut_off && !worker.is_fenced {
-            // The minion lists the other ends once these are acknowledged.
+            // The minion lists the other ends once these are acknowledged, and rows that can't be
+            // read count as those of another writer after a while.
             return;
         }
         let is_first = !worker.is_fenced;
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -407,6 +407,31 @@
     assert_eq!(fixture.worker_of("j"), "");
 }
 
+/// Guards against a run that counts as lost, and is started again, while a row of its minion's list
+/// that can't be read may name it or its end.
+#[test]
+fn a_run_that_is_missing_from_a_partial_list_is_not_lost() {
+    let (mut fixture, run) = ordered();
+    let running = vec![Running { run: Some(run.clone()), ..Running::default() }];
+    fixture.poll("a", running.clone(), Vec::new());
+    fixture.restart_agent("a");
+    for _ in 0..10 {
+        fixture.report("a", Poll { is_partial: true, ..Poll::default() });
+        fixture.advance(500);
+    }
+    fixture.poll("a", running, Vec::new());
+    for _ in 0..10 {
+        fixture.report("a", Poll { is_partial: true, ..Poll::default() });
+        fixture.advance(500);
+    }
+    assert_eq!(fixture.starts(), vec![run.clone()]);
+    for _ in 0..10 {
+        fixture.poll("a", Vec::new(), Vec::new());
+        fixture.advance(500);
+    }
+    assert_eq!(fixture.starts().len(), 2, "it is lost once all rows can be read");
+}
+
 /// Guards against the same fault at the start of a session.
 #[test]
 fn a_session_does_not_begin_with_a_truncated_list() {
--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -227,8 +227,8 @@
                 self.restarted(now, born_ms);
             }
             Reply::Listed { clock, running, ended, unreadable, .. } => {
-                self.log_unreadable_rows(unreadable);
-                self.list_received(now, long_poll, clock, running, ended);
+                self.log_unreadable_rows(now, unreadable);
+                self.list_received(now, long_poll, clock, running, ended, unreadable);
             }
             Reply::Refused(Rejection::Fenced) => {
                 let token = long_poll.token;
@@ -241,12 +241,13 @@
         }
     }
 
-    /// Logs the number of unreadable rows whenever it changes, since the same rows come with each
-    /// list. Such a row names no task, so it can neither be kept nor acknowledged.
-    fn log_unreadable_rows(&mut self, unreadable_rows: usize) {
-        if self.unreadable_rows != unreadable_rows {
-            self.unreadable_rows = unreadable_rows;
-            self.log(format!("unreadable rows in the lists of the minion: {unreadable_rows}"));
+    /// Logs the number of unreadable rows when it changes, since the same rows come with each list.
+    fn log_unreadable_rows(&mut self, now: Duration, rows: usize) {
+        let (logged, at) = self.logged_unreadable;
+        let is_recent = !at.is_zero() && now < at + options::UNREADABLE_LOG_INTERVAL;
+        if logged != rows && !is_recent {
+            self.logged_unreadable = (rows, now);
+            self.log(format!("unreadable rows in the lists of the minion: {rows}"));
         }
     }
 
@@ -282,6 +283,7 @@
         clock: Duration,
         running: Vec<Running>,
         ended: Vec<Ended>,
+        unreadable: usize,
     ) {
         let token = self.session.token;
         let Some(minion) = &mut self.minion else { return };
@@ -297,7 +299,14 @@
         if long_poll.sent_at < minion.list_requested_at {
             return;
         }
-        let is_cut_off = ended.len() >= LISTED_ENDS;
+        if unreadable > minion.unreadable.0 {
+            minion.unreadable.1 = now;
+        }
+        minion.unreadable.0 = unreadable;
+        // A row that can't be read names no task, but may be that of a run or of an end.
+        let may_be_ours = unreadable > 0 && now < minion.unreadable.1 + options::UNREADABLE_TIME;
+        let is_partial = may_be_ours || ended.len() + unreadable >= LISTED_ENDS;
+        minion.is_list_partial = is_partial;
         minion.list_requested_at = long_poll.sent_at;
         minion.list_received_at = now;
         minion.lists += 1;
@@ -321,6 +330,6 @@
         if minion.ended.is_empty() || minion.acknowledged < self.session.acknowledged {
             self.next_long_poll = now;
         }
-        self.resolve_orders(long_poll.sent_at, is_cut_off);
+        self.resolve_orders(long_poll.sent_at, is_partial);
     }
 }
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -43,6 +43,10 @@
     pub(crate) list_received_at: Duration,
     /// Number of lists received from this incarnation.
     pub(crate) lists: u64,
+    /// Number of rows of the latest list that can't be read, and when it last grew.
+    pub(crate) unreadable: (usize, Duration),
+    /// Whether rows are missing from the latest list, so that absence from it shows nothing.
+    pub(crate) is_list_partial: bool,
     /// Highest token that this incarnation has acknowledged to this process.
     pub(crate) fenced_token: u64,
     /// Highest number up to which ends were acknowledged to this incarnation, which no longer lists
@@ -161,8 +165,8 @@
     pub(crate) next_long_poll: Duration,
     /// Long polls in a row without an answer.
     pub(crate) unanswered_long_polls: u32,
-    /// Number of rows of the latest lists that can't be read.
-    pub(crate) unreadable_rows: usize,
+    /// Number of rows that can't be read, as it was last logged, and when that was.
+    pub(crate) logged_unreadable: (usize, Duration),
     /// When the process was asked to terminate.
     pub(crate) terminating_since: Option<Duration>,
     /// Time of the latest event.
@@ -209,7 +213,7 @@
             wants_list: false,
             next_long_poll: Duration::ZERO,
             unanswered_long_polls: 0,
-            unreadable_rows: 0,
+            logged_unreadable: (0, Duration::ZERO),
             terminating_since: None,
             last_event: Duration::ZERO,
             resumed_at: Duration::ZERO,
@@ -352,6 +356,8 @@
             list_requested_at: Duration::ZERO,
             list_received_at: now,
             lists: 0,
+            unreadable: (0, Duration::ZERO),
+            is_list_partial: false,
             fenced_token: 0,
             acknowledged: 0,
             is_fenced: false,
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -43,6 +43,11 @@
 /// Time without an answer from the minion after which the agent reports it to the planner as
 /// silent.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Time for which rows of a list that can't be read may name runs of this system. The minion lists
+/// its own runs in a form that can be read, so that rows which stay are those of another writer.
+pub const UNREADABLE_TIME: Duration = Duration::from_millis(3_000);
+/// Minimum time between log lines on the number of rows that can't be read.
+pub const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Delay between long polls while the minion lists ends that are not acknowledged: it answers at
 /// once then, and polling without a delay would take up the processor.
 pub const LIST_DELAY: Duration = Duration::from_millis(90);
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -264,9 +264,9 @@
     /// the next incarnation of the minion would carry it out again.
     ///
     /// A list may leave out a task that is being stopped but still occupies its resources, so
-    /// absence counts only after the longest time that a stop may take. Absence from a list that
-    /// is cut off shows nothing.
-    pub(crate) fn resolve_orders(&mut self, list_requested_at: Duration, is_cut_off: bool) {
+    /// absence counts only after the longest time that a stop may take. Absence from a partial
+    /// list shows nothing.
+    pub(crate) fn resolve_orders(&mut self, list_requested_at: Duration, is_partial: bool) {
         let Some(minion) = &self.minion else { return };
         let mut absent = Vec::new();
         let mut listed = Vec::new();
@@ -279,7 +279,7 @@
             if has_ended || (is_running && order.kind.is_start()) {
                 listed.push((task.clone(), run));
             } else if !is_running
-                && !is_cut_off
+                && !is_partial
                 && answered_at
                     .is_some_and(|time| list_requested_at >= time + self.options.stop_timeout)
             {
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -72,6 +72,7 @@
             poll.incarnation = Some(minion.incarnation.clone());
             poll.fenced_token = minion.fenced_token;
             poll.lists = minion.lists;
+            poll.is_partial = minion.is_list_partial;
             // A list of before a pause may have waited to be read until the process resumed.
             let is_old = minion.list_requested_at < self.resumed_at;
             let listed_at = if is_old { minion.list_requested_at } else { minion.list_received_at };
--- a/crates/runner/tests/orders/mod.rs
+++ b/crates/runner/tests/orders/mod.rs
@@ -408,6 +408,64 @@
     assert_eq!(poll.stopping, [run(1)]);
 }
 
+/// Answers a long poll every 100 ms with `ended` and a number of unreadable rows, and all polls.
+fn send_partial_lists(
+    fixture: &mut Fixture,
+    times: std::ops::Range<u64>,
+    ended: &[Ended],
+    unreadable: usize,
+) {
+    for time in times.step_by(100) {
+        fixture.handle(time, Event::Tick);
+        let is_long_poll = |(_, call): &(_, Call)| matches!(call, Call::LongPoll { .. });
+        let Some(at) = fixture.calls.iter().position(is_long_poll) else { continue };
+        let (ticket, _) = fixture.calls.remove(at);
+        let (clock, ended) = (ms(time), ended.to_vec());
+        let list = Reply::Listed { born_ms: 1, clock, running: Vec::new(), ended, unreadable };
+        fixture.handle(time, Event::MinionReply(ticket, list));
+        fixture.handle(time + 10, Event::Tick);
+        let (_, poll) = fixture.polls.last().expect("the agent has polled");
+        let stopping = poll.stopping.clone();
+        fixture.answer_polls(time + 20, Vec::new(), stopping);
+    }
+}
+
+/// An agent whose minion has accepted to stop a run.
+fn stopped() -> Fixture {
+    let mut fixture = Fixture::fenced();
+    fixture.answer_polls(100, Vec::new(), vec![run(1)]);
+    let stop = fixture.take_call(|call| matches!(call, Call::Stop { .. }));
+    fixture.handle(110, Event::MinionReply(stop, Reply::Done));
+    fixture
+}
+
+/// Guards against a run that counts as absent although a row that can't be read may name it, and
+/// against one that is waited for as long as another writer's row is listed.
+#[test]
+fn a_run_that_an_unreadable_row_may_name_is_not_absent() {
+    let mut fixture = stopped();
+    send_partial_lists(&mut fixture, 200..3_100, &[], 1);
+    let (_, poll) = fixture.polls.last().expect("the agent has polled");
+    assert_eq!(poll.stopping, [run(1)]);
+    assert!(poll.is_partial);
+    send_partial_lists(&mut fixture, 3_100..4_500, &[], 1);
+    let (_, poll) = fixture.polls.last().expect("the agent has polled");
+    assert!(!poll.is_partial);
+    assert!(poll.stopping.is_empty(), "the row is another writer's");
+}
+
+/// Guards against a list that is cut off but counts as whole, since one of its rows can't be read.
+#[test]
+fn a_list_with_an_unreadable_row_may_be_cut_off() {
+    let mut fixture = stopped();
+    let other = |number| Ended { number, run: Some(run(9)), ..Ended::default() };
+    let ended: Vec<Ended> = (1..=499).map(other).collect();
+    send_partial_lists(&mut fixture, 200..8_000, &ended, 1);
+    let (_, poll) = fixture.polls.last().expect("the agent has polled");
+    assert_eq!(poll.stopping, [run(1)]);
+    assert!(poll.is_partial);
+}
+
 /// Guards against two runs of a task in the minion's next incarnation: the start of the first had
 /// no answer and was stopped, and the start of the second is sent while the first may still be
 /// carried out.
