platform: an odd item of the store leaves the others readable

Callers would see: nothing is planned, and no entry learns of a new configuration, planner or cordon, as long as one item of a page or of a watch's answer is odd. The line was `store call=scan ... failed: the store sent an invalid answer`, again and again.

Cause: a page or a list of changes with one odd item was rejected as a whole, on purpose: a job that is left out would be taken for one that does not exist. But the page stays as it is, so it was never read.

Why it works: an item whose key can be read exists, with a value that no record has, if anything else of it is odd. So no job, lock or cordon counts as not existing; its reader says that the record can't be decoded, as for another writer's value. An item without a readable key is none of ours, since our keys are plain texts; it is skipped, logged and counted.

--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -36,10 +36,12 @@
         result: Result<Response, Failure>,
     ) {
         let bytes = result.as_ref().map_or(0, |response| response.body.len());
+        let mut skipped = platform::skipped::Skipped::default();
         let reply = match way {
-            Way::Straight => platform::store::reply(call, result),
-            Way::Through(_) => relayed_reply(call, result),
+            Way::Straight => platform::store::reply(call, result, &mut skipped),
+            Way::Through(_) => relayed_reply(call, result, &mut skipped),
         };
+        self.report_skipped(now.steady, purpose(&origin), &skipped);
         let is_answered = !matches!(reply, Reply::Unavailable(_) | Reply::NotDone(_));
         let name = if is_answered { "store.answered" } else { "store.failed" };
         self.count(name);
@@ -161,12 +163,16 @@
 }
 
 /// Decodes the result of a call that another entry made for this one.
-fn relayed_reply(call: &Call, result: Result<Response, Failure>) -> Reply {
+fn relayed_reply(
+    call: &Call,
+    result: Result<Response, Failure>,
+    skipped: &mut platform::skipped::Skipped,
+) -> Reply {
     match internal::answer::<Relayed>(result) {
         Some(relayed) if relayed.status > 0 => {
             let status = u16::try_from(relayed.status).unwrap_or(502);
             let response = Response::new(status, relayed.body);
-            platform::store::reply(call, Ok(response))
+            platform::store::reply(call, Ok(response), skipped)
         }
         _ => Reply::Unavailable("another entry has no answer either".to_owned()),
     }
