--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -131,7 +131,11 @@
                     Response::new(200, "{}").with("Content-Type", "application/json")
                 }
                 platform::minion::Notification::Malformed(reason) => {
-                    self.logger.info("agent", &format!("call of a minion rejected: {reason}"));
+                    // A metric that can't be recorded is not worth an error.
+                    let _ = self.metrics.incr("malformed_calls");
+                    if self.skipped_log.is_due(reactor::now().steady, "calls", &reason) {
+                        self.logger.info("agent", &format!("call of a minion rejected: {reason}"));
+                    }
                     Response::new(400, "{}")
                 }
             };
--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -14,7 +14,7 @@
 use sapphire_platform as platform;
 
 use super::{ActiveRequest, Pending, Role, STORE_TIMEOUT};
-use crate::internal;
+use crate::{internal, reactor};
 
 impl Role {
     /// Handles a request according to the listener at which it arrived: a caller's request, a
@@ -90,7 +90,11 @@
 
     /// Answers 400 to a message that can't be decoded.
     pub(super) fn reject_malformed(&mut self, caller: CallerId, error: &prost::DecodeError) {
-        self.logger.info("member", &format!("malformed message: {error}"));
+        self.count("malformed_calls");
+        let text = format!("malformed message: {error}");
+        if self.skipped_log.is_due(reactor::now().steady, "calls", &text) {
+            self.logger.info("member", &text);
+        }
         self.net.borrow_mut().answer(caller, &Response::new(400, ""));
     }
 
