--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -14,7 +14,7 @@
 use sapphire_platform as platform;
 
 use super::{ActiveRequest, Pending, Role, STORE_TIMEOUT};
-use crate::internal;
+use crate::{internal, reactor};
 
 impl Role {
     /// Handles a request according to the listener at which it arrived: a caller's request, a
@@ -90,7 +90,11 @@
 
     /// Answers 400 to a message that can't be decoded.
     pub(super) fn reject_malformed(&mut self, caller: CallerId, error: &prost::DecodeError) {
-        self.logger.info("member", &format!("malformed message: {error}"));
+        self.count("malformed_calls");
+        let text = format!("malformed message: {error}");
+        if self.skipped_log.is_due(reactor::now().steady, "calls", &text) {
+            self.logger.info("member", &text);
+        }
         self.net.borrow_mut().answer(caller, &Response::new(400, ""));
     }
 
@@ -141,7 +145,9 @@
                 }
             }
             Some(Pending::Inventory { term }) => {
-                let page = platform::inventory::page(result);
+                let mut skipped = platform::skipped::Skipped::default();
+                let page = platform::inventory::page(result, &mut skipped);
+                self.report_skipped(now.steady, "inventory", &skipped);
                 self.count(if page.is_some() { "inventory.answered" } else { "inventory.failed" });
                 if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
                     self.handle_planner_event(now, planner::event::Event::Inventory(page));
