--- a/crates/proofs/examples/standstills.rs
+++ b/crates/proofs/examples/standstills.rs
@@ -11,12 +11,24 @@
     time::Duration,
 };
 
-use sapphire_proofs::jobs::{days, simulation::standstill::Standstill};
+use sapphire_proofs::jobs::{
+    days,
+    simulation::{
+        idle::{self, Idle},
+        standstill::Standstill,
+    },
+};
 
 const THREADS: usize = 2;
+/// Idle times below this are not printed.
+const SHORT: Duration = Duration::from_millis(500);
 
-/// Simulates days whose load falls to little, and counts those on which a job stands still after
-/// the faults.
+/// Longest idle times by the planner's reason.
+type Longest = BTreeMap<&'static str, Idle>;
+
+/// Simulates days whose load falls to little, counts those on which a job stands still after the
+/// faults, and measures for how long due jobs have nothing running although capacity is spare, by the
+/// planner's reason: at all, after 4 s without faults, when 3 s are allowed, and then however full the service is.
 #[derive(argh::FromArgs)]
 struct Args {
     /// first seed
@@ -31,6 +43,9 @@
     /// time after the last submission and the last fault from which standstills count, in seconds
     #[argh(option, default = "14.0")]
     grace: f64,
+    /// print the idle times of each day on which one is longer than allowed
+    #[argh(switch)]
+    days: bool,
     /// print the whole log of each day that fails
     #[argh(switch)]
     story: bool,
@@ -39,18 +54,49 @@
 /// Result of one day.
 struct Day {
     standstills: Vec<Standstill>,
+    all: Longest,
+    calm: Longest,
+    full: Longest,
     violations: Vec<String>,
     log: Vec<String>,
 }
 
 fn simulate(scenario: days::Scenario, seed: u64, args: &Args) -> Day {
     let mut sim = days::simulate(scenario, seed, Duration::from_secs_f64(args.grace));
-    let is_told = args.story && !(sim.standstills.is_empty() && sim.violations.is_empty());
+    let figures = &sim.idle;
+    let (all, calm, full) = (figures.all.longest(), figures.calm.longest(), figures.full.longest());
+    let is_sound = sim.standstills.is_empty() && sim.violations.is_empty();
+    let is_told = args.story && !(is_sound && calm.values().all(|it| it.length < idle::LIMIT));
     let log = if is_told { std::mem::take(&mut sim.log) } else { Vec::new() };
-    Day { standstills: sim.standstills, violations: sim.violations, log }
+    Day { standstills: sim.standstills, all, calm, full, violations: sim.violations, log }
+}
+
+/// Prints for each reason the longest idle time of all days, its seed, and the number of days on which
+/// one was longer than allowed.
+fn report_idle(title: &str, results: &BTreeMap<u64, Day>, measure: impl Fn(&Day) -> &Longest) {
+    let mut reasons: BTreeMap<&str, (Duration, u64, usize)> = BTreeMap::new();
+    for (seed, day) in results {
+        for (reason, it) in measure(day) {
+            let (longest, its_seed, broken) = reasons.entry(reason).or_default();
+            if it.length > *longest {
+                (*longest, *its_seed) = (it.length, *seed);
+            }
+            *broken += usize::from(it.length >= idle::LIMIT);
+        }
+    }
+    let is_broken = |day: &&Day| measure(day).values().any(|it| it.length >= idle::LIMIT);
+    let broken = results.values().filter(is_broken).count();
+    println!("  {title}: days with 3 s or more {broken}");
+    for (reason, (longest, seed, broken)) in reasons {
+        if longest < SHORT {
+            continue;
+        }
+        let longest = longest.as_secs_f64();
+        println!("    {reason:<24} longest {longest:>5.1} s (seed {seed}), days {broken}");
+    }
 }
 
-fn report(scenario: days::Scenario, results: &BTreeMap<u64, Day>) {
+fn report(scenario: days::Scenario, results: &BTreeMap<u64, Day>, args: &Args) {
     let standing = results.values().filter(|day| !day.standstills.is_empty()).count();
     let broken = results.values().filter(|day| !day.violations.is_empty()).count();
     println!(
@@ -58,7 +104,19 @@
         scenario.name,
         results.len()
     );
+    report_idle("idle beside spare capacity", results, |day| &day.all);
+    report_idle("of that after 4 s without faults", results, |day| &day.calm);
+    report_idle("the same however full the service is", results, |day| &day.full);
     for (seed, day) in results {
+        for (reason, it) in day.calm.iter().filter(|_| args.days) {
+            let (since, length) = (it.since.as_secs_f64(), it.length.as_secs_f64());
+            if it.length >= idle::LIMIT {
+                println!(
+                    "  seed {seed}: job {} is idle from {since:.1} s for {length:.1} s: {reason}",
+                    it.job
+                );
+            }
+        }
         for Standstill { job, since, length } in &day.standstills {
             let (since, length) = (since.as_secs_f64(), length.as_secs_f64());
             println!("  seed {seed}: job {job} stands still from {since:.1} s for {length:.1} s");
@@ -89,6 +147,6 @@
                 });
             }
         });
-        report(scenario, &results.into_inner().expect("no thread panics"));
+        report(scenario, &results.into_inner().expect("no thread panics"), &args);
     }
 }
--- a/crates/proofs/src/jobs/days.rs
+++ b/crates/proofs/src/jobs/days.rs
@@ -17,6 +17,8 @@
 const HIGH_LOAD_END: f64 = 24.0;
 const FAULTS_END: f64 = 34.0;
 const LOAD_END: f64 = 36.0;
+/// Latest time at which changes of planners in succession begin.
+const LATEST_TAKEOVER: f64 = 30.0;
 /// Speed of the slowest clock that a minion may have, and the longest lease that it grants.
 const SLOWEST_CLOCK: f64 = 0.98;
 const LONGEST_LEASE: Duration = Duration::from_secs(10);
@@ -51,6 +53,20 @@
     Once,
     /// Every ten seconds.
     Series,
+    /// Three to six times in succession, each time some seconds after the one before.
+    Rapid,
+}
+
+/// What becomes of workers around a change of planners.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Silent {
+    None,
+    /// They are gone for good, and replaced after some seconds.
+    Gone,
+    /// They are cut off for some seconds, and their minions live on.
+    CutOff,
+    /// Their agents are lost for some seconds.
+    WithoutAgent,
 }
 
 /// Faults of a day.
@@ -75,6 +91,8 @@
     /// Whether minions are mute for some seconds, most of them when the planner is killed, and have
     /// slow clocks.
     has_mute: bool,
+    /// What becomes of one or two workers when the planner is first killed.
+    silent: Silent,
 }
 
 const NONE: Scenario = Scenario {
@@ -88,6 +106,7 @@
     has_agents: false,
     has_store: false,
     has_mute: false,
+    silent: Silent::None,
 };
 
 /// All scenarios.
@@ -113,7 +132,18 @@
         takeovers: Takeovers::Series,
         has_agents: true,
         has_store: true,
-        has_mute: false,
+        ..NONE
+    },
+    Scenario { name: "takeovers", takeovers: Takeovers::Rapid, ..NONE },
+    Scenario { name: "gone-takeover", silent: Silent::Gone, takeovers: Takeovers::Once, ..NONE },
+    Scenario { name: "gone-takeovers", silent: Silent::Gone, takeovers: Takeovers::Rapid, ..NONE },
+    Scenario { name: "cut-takeover", silent: Silent::CutOff, takeovers: Takeovers::Once, ..NONE },
+    Scenario { name: "cut-takeovers", silent: Silent::CutOff, takeovers: Takeovers::Rapid, ..NONE },
+    Scenario {
+        name: "agent-takeovers",
+        silent: Silent::WithoutAgent,
+        takeovers: Takeovers::Rapid,
+        ..NONE
     },
     Scenario { name: "mute", has_mute: true, ..NONE },
     Scenario { name: "mute-slow", has_mute: true, has_slow: true, ..NONE },
@@ -143,6 +173,7 @@
     ReplaceWorker(usize),
     KillPlanner,
     KillAgent(usize, f64),
+    Isolate(usize, bool),
     PauseAgent(usize, f64),
     StoreUp(bool),
     StoreLatency(u64),
@@ -163,6 +194,7 @@
     let last_change = changes.last().map_or(0.0, |(at, _)| *at);
     let from = last_arrival.max(Duration::from_secs_f64(last_change)) + grace;
     sim.check_standstills_from(from);
+    sim.measure_idle_times();
     if scenario.has_mute {
         for worker in 0..sim.agents() {
             let minion = sim.minion(worker);
@@ -236,6 +268,8 @@
         Takeovers::None => &[],
         Takeovers::Once => &[10.0],
         Takeovers::Series => &[0.0, 10.0, 20.0],
+        // Drawn below, so that the other scenarios have the same draws as before.
+        Takeovers::Rapid => &[],
     };
     changes.extend(takeovers.iter().map(|after| (takeover + after, Change::KillPlanner)));
     if scenario.has_agents {
@@ -263,10 +297,54 @@
     if scenario.has_mute {
         changes.extend(mute_spells(&mut rng, workers));
     }
+    if scenario.takeovers == Takeovers::Rapid {
+        changes.extend(rapid_takeovers(&mut rng));
+    }
+    if scenario.silent != Silent::None {
+        changes.extend(silences(scenario.silent, &mut rng, workers, &changes));
+    }
     changes.sort_by(|left, right| left.0.total_cmp(&right.0));
     changes
 }
 
+/// Draws changes of planners in succession, none of whom serves for more than some seconds.
+fn rapid_takeovers(rng: &mut Pcg32) -> Vec<(f64, Change)> {
+    let mut at = rng.random_range(6.0..LATEST_TAKEOVER);
+    let kills = (0..rng.random_range(3..7)).map(|_| {
+        at += rng.random_range(1.6..4.0);
+        (at, Change::KillPlanner)
+    });
+    kills.collect()
+}
+
+/// Draws what becomes of one or two workers when the planner is first killed.
+fn silences(
+    silent: Silent,
+    rng: &mut Pcg32,
+    workers: usize,
+    changes: &[(f64, Change)],
+) -> Vec<(f64, Change)> {
+    let kills = changes.iter().filter(|(_, change)| matches!(change, Change::KillPlanner));
+    let first = kills.map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
+    let count = rng.random_range(1..3);
+    let chosen: Vec<usize> = choose(rng, workers, 1.0).into_iter().take(count).collect();
+    let mut drawn = Vec::new();
+    for worker in chosen {
+        let at = first + rng.random_range(-1.0..0.5);
+        let time = rng.random_range(8.0..20.0);
+        match silent {
+            Silent::None => {}
+            Silent::Gone => drawn.push((at, Change::ReplaceWorker(worker))),
+            Silent::WithoutAgent => drawn.push((at, Change::KillAgent(worker, time))),
+            Silent::CutOff => {
+                drawn.push((at, Change::Isolate(worker, true)));
+                drawn.push((at + time, Change::Isolate(worker, false)));
+            }
+        }
+    }
+    drawn
+}
+
 /// Draws spells in which minions are mute; the planner is killed or paused around the start of most
 /// of them, and again after some.
 fn mute_spells(rng: &mut Pcg32, workers: usize) -> Vec<(f64, Change)> {
@@ -329,6 +407,7 @@
                 sim.kill_agent(agent, Duration::from_secs_f64(time));
             }
         }
+        Change::Isolate(agent, is_isolated) => sim.set_agent_isolated(agent, is_isolated),
         Change::PauseAgent(agent, time) => sim.pause_agent(agent, Duration::from_secs_f64(time)),
         Change::StoreUp(is_up) => sim.set_store_up(is_up),
         Change::StoreLatency(latency) => sim.set_store_latency(Duration::from_millis(latency)),
--- a/crates/proofs/src/jobs/simulation/leftovers.rs
+++ b/crates/proofs/src/jobs/simulation/leftovers.rs
@@ -33,9 +33,8 @@
         }
     }
 
-    /// Records which faults there are now.
-    fn follow_disturbances(&mut self) {
-        let entries = &self.entries;
+    /// Whether there is a fault of the entries, the store, the links or the calls to all minions.
+    pub(super) fn has_core_fault(&self) -> bool {
         let is_away = |entry: &super::EntryNode| {
             !entry.is_up || !entry.reaches_store || self.now < entry.paused_until
         };
@@ -45,12 +44,15 @@
             || self.is_store_refusing
             || self.is_store_mute
             || !self.store_latency.is_zero();
-        if has_late_orders
+        has_late_orders
             || has_store_fault
             || !self.partitioned.is_empty()
-            || entries.iter().any(is_away)
-            || self.planner_entry().is_none()
-        {
+            || self.entries.iter().any(is_away)
+    }
+
+    /// Records which faults there are now.
+    fn follow_disturbances(&mut self) {
+        if self.has_core_fault() || self.planner_entry().is_none() {
             self.disturbed_at = self.now;
         }
         for (agent, node) in self.agents.iter().enumerate() {
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -31,6 +31,10 @@
     pub(super) fn minion_call(&mut self, request: Request) {
         use runner::minion::{Call as Order, Reply as MinionReply};
         let Request { agent, ticket, .. } = request;
+        if let Order::Start { start, .. } = &request.call {
+            let job = start.run.clone().unwrap_or_default().job;
+            self.idle.sent_to.entry(job).or_default().insert(agent);
+        }
         let minion = &self.minions[agent];
         if !minion.is_up {
             self.reply(&request, MinionReply::NotListening);
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod entries;
 mod faults;
+pub mod idle;
 mod leftovers;
 mod minions;
 pub mod options;
@@ -125,6 +126,7 @@
     /// Adds a worker in place of one that is gone.
     ReplaceWorker(usize),
     CheckStandstills,
+    MeasureIdle,
 }
 
 /// Call of an agent to its minion.
@@ -250,6 +252,8 @@
     standing_since: BTreeMap<JobId, Duration>,
     /// Jobs that have stood still although they could run.
     pub standstills: Vec<standstill::Standstill>,
+    /// For how long jobs had nothing running although they could run.
+    pub idle: idle::Figures,
     /// Descriptions of the violated invariants.
     pub violations: Vec<String>,
     /// Log lines, each with its time and process.
@@ -318,6 +322,7 @@
             failures: BTreeMap::new(),
             standing_since: BTreeMap::new(),
             standstills: Vec::new(),
+            idle: idle::Figures::default(),
             violations: Vec::new(),
             log: Vec::new(),
             late_orders: 0.0,
@@ -507,6 +512,7 @@
             Action::StartMinion(agent) => self.start_minion(agent),
             Action::ReplaceWorker(agent) => self.replace_worker(agent),
             Action::CheckStandstills => self.check_standstills(),
+            Action::MeasureIdle => self.measure_idle(),
         }
     }
 
--- a/crates/proofs/src/jobs/simulation/standstill.rs
+++ b/crates/proofs/src/jobs/simulation/standstill.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    fn in_use(&self, minion: &Minion) -> Resources {
+    pub(super) fn in_use(&self, minion: &Minion) -> Resources {
         let tasks = minion.active.keys();
         let truths = tasks.filter_map(|task| self.truth.get(&(task.job.clone(), task.step)));
         truths.fold(Resources::default(), |sum, truth| sum.plus(truth.resources))
@@ -77,7 +77,7 @@
 
     /// Whether a job that its caller waits for has nothing running while a group of it is due for
     /// which there is capacity twice over.
-    fn stands_still(&self, arrival: &Arrival, free: &[Resources]) -> bool {
+    pub(super) fn stands_still(&self, arrival: &Arrival, free: &[Resources]) -> bool {
         let id = &arrival.job.id;
         let is_over = [State::Complete, State::Failed, State::Cancelled]
             .iter()
@@ -121,6 +121,6 @@
     }
 }
 
-fn capacity(minion: &Minion) -> Resources {
+pub(super) fn capacity(minion: &Minion) -> Resources {
     Resources::read(minion.incarnation.capacity.as_ref())
 }
--- a/crates/proofs/tests/stands_still/mod.rs
+++ b/crates/proofs/tests/stands_still/mod.rs
@@ -5,7 +5,12 @@
 
 use sapphire_proofs::jobs::{
     days, load,
-    simulation::{Simulation, options::Options, standstill},
+    simulation::{
+        Simulation,
+        idle::{self, Measure},
+        options::Options,
+        standstill,
+    },
 };
 
 use crate::jobs::secs;
@@ -131,3 +136,98 @@
 fn mute_minions_and_lost_agents_break_no_promise() {
     assert_nothing_stands_still("mute-agents", &[1, 212]);
 }
+
+/// Simulates scenarios with each seed. Panics with the jobs that were idle for longer than allowed by a
+/// measure, and why.
+fn assert_none_idle(scenarios: &[&str], seeds: &[u64], measure: impl Fn(&Simulation) -> &Measure) {
+    let mut failures = Vec::new();
+    for name in scenarios {
+        let scenario = days::scenario(name).expect("the scenario is known");
+        for seed in seeds {
+            let sim = days::simulate(scenario, *seed, days::GRACE);
+            for it in measure(&sim).longest().values().filter(|it| it.length >= idle::LIMIT) {
+                let (length, since) = (it.length.as_secs_f64(), it.since.as_secs_f64());
+                failures.push(format!(
+                    "{name} {seed}: job {} is idle for {length:.1} s from {since:.1} s: {}",
+                    it.job,
+                    it.reason()
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against a measure that sees nothing: without entries, everything ends with its lease.
+#[test]
+fn jobs_without_a_planner_are_idle() {
+    let arrivals = load::draw(&days::GANGS, 1, secs(6.0), 2.0);
+    let mut sim = Simulation::new(Options::new(&days::GANGS, arrivals, 1));
+    sim.measure_idle_times();
+    sim.run_until(secs(6.0));
+    assert!(sim.idle.all.longest().values().all(|it| it.length < idle::LIMIT));
+    for entry in 0..sim.entries() {
+        sim.kill_entry(entry, secs(60.0));
+    }
+    sim.run_until(secs(20.0));
+    let longest = sim.idle.all.longest();
+    assert!(longest["no planner"].length >= secs(6.0), "{longest:?}");
+    // Nothing counts while entries are away.
+    assert!(sim.idle.full.longest().values().all(|it| it.length < idle::LIMIT));
+}
+
+/// Guards against jobs that wait beside spare capacity on a day without faults.
+#[test]
+fn no_job_is_idle_for_long_without_faults() {
+    assert_none_idle(&["none"], &[1, 2, 3, 66], |sim| &sim.idle.calm);
+}
+
+/// Guards against the same while the service is full, but has capacity for the job twice over.
+#[test]
+fn no_job_is_idle_for_long_in_a_full_service() {
+    assert_none_idle(&["none"], &[13, 28, 66], |sim| &sim.idle.full);
+}
+
+/// Guards against jobs that wait after changes of planners whose workers all report.
+#[test]
+fn no_job_is_idle_for_long_after_changes_of_planners() {
+    assert_none_idle(&["takeovers", "slow-takeover"], &[1, 2, 3, 4, 5], |sim| &sim.idle.calm);
+}
+
+/// Guards against jobs that wait after changes of planners for workers that are gone.
+#[test]
+fn no_job_is_idle_for_long_after_workers_are_gone_with_their_planner() {
+    assert_none_idle(&["gone-takeover", "gone-takeovers"], &[1, 2, 3, 4, 5], |sim| &sim.idle.calm);
+}
+
+/// Guards against jobs that wait after a change of planners for a worker that is cut off and does not
+/// run them.
+#[test]
+fn no_job_is_idle_for_long_after_workers_are_cut_off_with_their_planner() {
+    assert_none_idle(&["cut-takeover"], &[1, 2, 3, 4, 5], |sim| &sim.idle.calm);
+}
+
+/// Guards against the same after several changes of planners.
+#[test]
+fn no_job_is_idle_for_long_after_workers_are_cut_off_with_several_planners() {
+    assert_none_idle(&["cut-takeovers"], &[1, 2, 3, 4, 5], |sim| &sim.idle.calm);
+}
+
+/// Guards against the same with workers whose agents are lost.
+#[test]
+fn no_job_is_idle_for_long_after_agents_are_lost_with_several_planners() {
+    assert_none_idle(&["agent-takeovers"], &[1, 2, 3, 4, 5], |sim| &sim.idle.calm);
+}
+
+/// Guards against the same with workers whose minions are mute.
+#[test]
+fn no_job_is_idle_for_long_after_minions_are_mute_with_their_planner() {
+    assert_none_idle(&["mute", "mute-store"], &[1, 2, 3, 7, 8], |sim| &sim.idle.calm);
+}
+
+/// Guards against jobs that wait for starts which had no answer.
+#[test]
+fn no_job_is_idle_for_long_after_late_orders() {
+    let scenarios = ["late", "late-takeovers", "late-agents"];
+    assert_none_idle(&scenarios, &[6, 15, 38], |sim| &sim.idle.calm);
+}
