planner: a silent worker may be served by an earlier planner for a while

Two more guards of take-overs, which pass: a worker that is silent towards its successors hears of a planner that goes on past its lease on the leader key, for 5 s at most, so that its lease expires 11.1 s after the next term began; and the same with a second planner, after the worker was silent towards it. They alone fail if a successor waits for the lease only, without these 5 s.

--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -261,6 +261,12 @@
         self.note(&format!("{name} is cut off"));
     }
 
+    /// Lets an earlier planner that only this agent hears of prolong the lease of a worker.
+    pub(crate) fn prolong_lease(&mut self, name: &str, until: u64) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        agent.lease_until = agent.lease_until.max(until);
+    }
+
     /// Lets an agent reach the planner again.
     pub(crate) fn reconnect(&mut self, name: &str) {
         let Some(agent) = self.agents.get_mut(name) else { return };
--- a/crates/planner/tests/takeover/holds.rs
+++ b/crates/planner/tests/takeover/holds.rs
@@ -266,3 +266,41 @@
         }
     }
 }
+
+/// Guards against a task that runs twice: an earlier planner, past its lease on the leader key, goes on
+/// serving the worker, which its successors don't hear of.
+#[test]
+fn a_worker_that_an_isolated_planner_serves_has_a_later_lease() {
+    for found in [Found::All, Found::Earlier, Found::Missing] {
+        for changes in 1..=4 {
+            let mut scene = Scene::new();
+            scene.world.run(1_200);
+            scene.silence_by_isolation();
+            scene.change_planners(changes, APART, found);
+            scene.assert_held(&format!("{found:?}, {changes} changes"));
+        }
+    }
+}
+
+/// Guards against the same if it is a second planner that goes on, after the worker was silent towards
+/// it for a while.
+#[test]
+fn a_worker_that_a_second_isolated_planner_serves_has_a_later_lease() {
+    for found in [Found::All, Found::Earlier, Found::Missing] {
+        for back in [0, 100, 1_000, 4_000] {
+            for stays in [30, 100, 1_300] {
+                let mut scene = Scene::new();
+                scene.world.run(1_200);
+                scene.silence(Silence::CutOff);
+                scene.change_planners(1, APART, found);
+                scene.world.run(back);
+                let name = scene.silent.clone();
+                scene.world.reconnect(&name);
+                scene.world.run(stays);
+                scene.silence_by_isolation();
+                scene.change_planners(3, APART, found);
+                scene.assert_held(&format!("{found:?}, back after {back} for {stays} ms"));
+            }
+        }
+    }
+}
--- a/crates/planner/tests/takeover/scene.rs
+++ b/crates/planner/tests/takeover/scene.rs
@@ -9,6 +9,10 @@
     harness::{minion, step},
 };
 
+/// Time for which a planner may go on without a lease on the leader key.
+const MAX_STORE_OUTAGE: u64 = 5_000;
+/// Time after a poll at which the lease that it was granted has certainly expired.
+const LEASE: u64 = 6_120;
 /// Time after the start of a term in which work that no earlier run holds up begins.
 pub(super) const PROMPT: u64 = 1_000;
 /// Time after the last sign of life of a silent worker in which its work begins elsewhere: its lease,
@@ -124,6 +128,16 @@
         }
     }
 
+    /// Lets the worker fall silent towards the next planner, which begins now, while it hears of the
+    /// present one. That one goes on for as long as it may without a lease on the leader key.
+    pub(super) fn silence_by_isolation(&mut self) {
+        let name = self.silent.clone();
+        self.heard_at = self.world.heard_at(&name);
+        self.world.cut_off(&name);
+        self.world.prolong_lease(&name, self.world.now + MAX_STORE_OUTAGE + LEASE);
+        self.lease_until = self.world.lease_until(&name);
+    }
+
     /// Begins the next term, whose planner finds these records.
     pub(super) fn take_over(&mut self, found: Found) {
         let world = &mut self.world;
