soak: jobs that stand still, spells in series, and starts that nobody asked for

Callers saw accepted jobs with nothing running (LOST) and a start that nobody had sent (UNASKED) on real processes. The soak judged standstills only from 14 s after the last trouble on, and knew neither cancellations nor what a start has to carry.

- Standstills are measured at any time and reported for each seed with the number of jobs and what the entries' logs say of them.
The bound is that of the rule: 3 s, if these and the 4 s before are without disturbance.
Capacity without order, in cordoned zones and beside dead or cut-off agents, doesn't count.
- New spells: planners killed in series while an agent is dead, a VM gone, a machine cut off, the planner's links cut one way, an entry slow; all entries (and agents) lose power near the end; storms of cancellations.
Agents reach the entries through proxies of their own, which rewrite the announced addresses, so that a cut also holds for the planner they follow.
- A start must carry its job's spec and a checkpoint that the task has saved, and none may be ordered later than 3 s after the acknowledged cancellation, nor a run go on 0.4 s past that.

--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -106,3 +106,34 @@
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
 }
+
+/// Guards against jobs that have nothing running for three seconds, after four without a disturbance,
+/// because planners were lost in series together with an agent, or all entries at once.
+#[test]
+fn planners_lost_beside_an_agent_keep_no_job_waiting() {
+    let trouble = Trouble { series: true, power: true, gangs: true, ..Trouble::default() };
+    let outcome = run_soak(1_780, 2, Conditions::default(), trouble);
+    let lost: Vec<String> =
+        (outcome.standstills.iter().filter(|it| it.is_broken())).map(ToString::to_string).collect();
+    assert_eq!(lost, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
+/// Guards against tasks that are started, or run on, after their jobs were cancelled while orders are
+/// late, answers are lost, planners are killed and workers leave.
+#[test]
+fn cancelled_jobs_neither_start_nor_run_on() {
+    let trouble = Trouble {
+        cancels: true,
+        late_orders: true,
+        unanswered: true,
+        leaving: true,
+        planners: true,
+        gangs: true,
+        ..Trouble::default()
+    };
+    let outcome = run_soak(245, 3, Conditions::default(), trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -50,6 +50,9 @@
             "planners" => trouble.planners = false,
             "operations" => trouble.operations = false,
             "mute_takeovers" => trouble.mute_takeovers = false,
+            "series" => trouble.series = false,
+            "power" => trouble.power = false,
+            "cancels" => trouble.cancels = false,
             "spells" => return Trouble::WITHOUT_SPELLS,
             _ => {}
         }
@@ -72,21 +75,29 @@
             conditions: Conditions::default(),
             trouble: trouble(&args.without),
         })?;
+        let lost = outcome.standstills.iter().filter(|it| it.is_broken()).count();
         println!(
-            "seed={seed} accepted={} complete={} faults={} waits={} broken={}",
+            "seed={seed} accepted={} complete={} faults={} longest_standstill_ms={} standstills={} \
+             lost={lost} broken={}",
             outcome.accepted,
             outcome.complete,
             outcome.faults.len(),
-            outcome.waits.len(),
+            outcome.longest_standstill.as_millis(),
+            outcome.standstills.len(),
             outcome.broken.len()
         );
-        for text in outcome.waits.iter().chain(&outcome.broken) {
+        let longest = outcome.standstills.iter().max_by_key(|it| it.length);
+        for standstill in outcome.standstills.iter().filter(|it| it.is_broken()).chain(longest) {
+            println!("  {standstill}");
+        }
+        for text in &outcome.broken {
             println!("  {text}");
         }
-        if outcome.broken.is_empty() && !args.keep {
+        let is_broken = lost > 0 || !outcome.broken.is_empty();
+        if !is_broken && !args.keep {
             std::fs::remove_dir_all(&folder)?;
         } else {
-            broken += u32::from(!outcome.broken.is_empty());
+            broken += u32::from(is_broken);
             println!("  faults: {:?}\n  logs: {}", outcome.faults, folder.display());
         }
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -19,6 +19,12 @@
 pub(crate) const AGENTS: u8 = 5;
 /// Lowest port of each host.
 const BASE_PORT: u16 = 17_900;
+/// Ports at which an entry and an agent serve the system's other processes, and those of the
+/// proxies before them, as offsets.
+const INTERNAL_OFFSET: u16 = 3;
+const AGENT_OFFSET: u16 = 2;
+const AGENT_PROXY_OFFSET: u16 = 5;
+const ENTRY_PROXY_OFFSET: u16 = 10;
 
 /// Addresses of one deployment. Each deployment has a loopback network of its own, so that several
 /// can run at the same time with the same ports.
@@ -40,6 +46,11 @@
         self.address(20 + entry, 0)
     }
 
+    /// Address of a second proxy before the store, behind the first.
+    pub(crate) fn store_cut(self, entry: u8) -> SocketAddr {
+        self.address(20 + entry, 5)
+    }
+
     /// Address at which an entry serves callers.
     pub(crate) fn callers(self, entry: u8) -> SocketAddr {
         self.address(20 + entry, 1)
@@ -52,7 +63,7 @@
 
     /// Address at which an entry serves the system's other processes.
     pub(crate) fn internal(self, entry: u8) -> SocketAddr {
-        self.address(20 + entry, 3)
+        self.address(20 + entry, INTERNAL_OFFSET)
     }
 
     /// Address of an entry in the settings of the other processes, if there are proxies between
@@ -73,13 +84,33 @@
     }
 
     /// Address at which an agent serves the system's other processes.
-    fn agent(self, agent: u8) -> SocketAddr {
-        self.address(100 + agent, 2)
+    pub(crate) fn agent(self, agent: u8) -> SocketAddr {
+        self.address(100 + agent, AGENT_OFFSET)
+    }
+
+    /// Address of a proxy before the address at which an agent serves the other processes.
+    pub(crate) fn agent_proxy(self, agent: u8) -> SocketAddr {
+        self.address(100 + agent, AGENT_PROXY_OFFSET)
+    }
+
+    /// Address of a proxy that only one agent uses, before the internal address of an entry.
+    pub(crate) fn entry_proxy(self, agent: u8, entry: u8) -> SocketAddr {
+        self.address(20 + entry, ENTRY_PROXY_OFFSET + u16::from(agent))
+    }
+
+    /// Replacements in what passes the proxies of an agent: the announced addresses of entries and
+    /// of the agent, by those of its proxies. All have the same length.
+    pub(crate) fn replacements(self, agent: u8) -> Vec<(Vec<u8>, Vec<u8>)> {
+        let port = |offset: u16| format!(":{}", BASE_PORT + offset).into_bytes();
+        vec![
+            (port(INTERNAL_OFFSET), port(ENTRY_PROXY_OFFSET + u16::from(agent))),
+            (port(AGENT_OFFSET), port(AGENT_PROXY_OFFSET)),
+        ]
     }
 }
 
 /// An entry or agent of the fleet, by its index.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Node {
     Entry(u8),
     Agent(u8),
@@ -95,27 +126,36 @@
     net: Net,
     program: PathBuf,
     folder: PathBuf,
-    /// Whether processes reach the entries through proxies.
-    has_proxies: bool,
+    ways: Ways,
     processes: Vec<Process>,
-    /// Agents whose machines are gone; they are not started again.
-    gone: BTreeSet<u8>,
+    /// Processes that are not started again: their machines are gone or have no power.
+    gone: BTreeSet<Node>,
+}
+
+/// How processes reach the entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ways {
+    Direct,
+    /// Through one proxy for each entry, until the leader announces itself.
+    EntryProxies,
+    /// As before; agents have proxies of their own, which the announced addresses name too.
+    AgentProxies,
 }
 
 impl Fleet {
-    /// Starts all processes; with `has_proxies`, they reach the entries through proxies.
+    /// Starts all processes.
     pub(crate) fn start(
         net: Net,
         agents: u8,
         program: &Path,
         folder: &Path,
-        has_proxies: bool,
+        ways: Ways,
     ) -> io::Result<Self> {
         let mut fleet = Fleet {
             net,
             program: program.to_owned(),
             folder: folder.to_owned(),
-            has_proxies,
+            ways,
             processes: Vec::new(),
             gone: BTreeSet::new(),
         };
@@ -151,8 +191,9 @@
         let net = self.net;
         let address_of = |entry: u8| match node {
             Node::Entry(own) if own == entry => net.internal(entry),
-            _ if self.has_proxies => net.internal_proxy(entry),
-            _ => net.internal(entry),
+            Node::Agent(agent) if self.ways == Ways::AgentProxies => net.entry_proxy(agent, entry),
+            _ if self.ways == Ways::Direct => net.internal(entry),
+            _ => net.internal_proxy(entry),
         };
         let entries: Vec<String> =
             (0..ENTRIES).map(|entry| format!("\"{}\"", address_of(entry))).collect();
@@ -206,25 +247,27 @@
                 false
             }
         });
-        let gone = &self.gone;
-        ended.retain(|node| !matches!(node, Node::Agent(agent) if gone.contains(agent)));
+        ended.retain(|node| !self.gone.contains(node));
         for node in ended {
             self.launch(node)?;
         }
         Ok(())
     }
 
-    /// Kills an agent and doesn't start it again.
-    pub(crate) fn take_away(&mut self, agent: u8) {
-        self.signal(Node::Agent(agent), Signal::SIGKILL);
-        self.gone.insert(agent);
+    /// Kills a process and doesn't start it again.
+    pub(crate) fn take_away(&mut self, node: Node) {
+        self.signal(node, Signal::SIGKILL);
+        self.gone.insert(node);
     }
 
-    /// Starts an agent that was taken away.
-    pub(crate) fn bring_back(&mut self, agent: u8) -> io::Result<()> {
-        if self.gone.remove(&agent) {
-            self.processes.retain_mut(|process| process.node != Node::Agent(agent));
-            self.launch(Node::Agent(agent))?;
+    /// Starts a process that was taken away.
+    pub(crate) fn bring_back(&mut self, node: Node) -> io::Result<()> {
+        if self.gone.remove(&node) {
+            for process in self.processes.iter_mut().filter(|process| process.node == node) {
+                process.child.wait()?;
+            }
+            self.processes.retain(|process| process.node != node);
+            self.launch(node)?;
         }
         Ok(())
     }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -70,6 +70,18 @@
         server: SocketAddr,
         rate: Option<u32>,
     ) -> io::Result<Self> {
+        Proxy::start_replacing(listen, server, rate, Vec::new())
+    }
+
+    /// As [`Proxy::start`]; in what is forwarded, the first of each pair is replaced by the second,
+    /// which has the same length. A chunk that ends inside of one is not replaced.
+    pub(crate) fn start_replacing(
+        listen: SocketAddr,
+        server: SocketAddr,
+        rate: Option<u32>,
+        replacements: Vec<(Vec<u8>, Vec<u8>)>,
+    ) -> io::Result<Self> {
+        let replacements: Arc<[_]> = replacements.into();
         let listener = TcpListener::bind(listen)?;
         let link = rate.map(|rate| Arc::new(Link { rate, free_at: Mutex::new(Instant::now()) }));
         let mode = Arc::new(AtomicU8::new(Mode::Pass as u8));
@@ -83,8 +95,10 @@
                 ];
                 for pair in pairs {
                     if let (Ok(from), Ok(to), link, cut) = pair {
-                        let mode = shared.clone();
-                        thread::spawn(move || forward(from, to, &mode, link.as_deref(), cut));
+                        let (mode, replacements) = (shared.clone(), replacements.clone());
+                        thread::spawn(move || {
+                            forward(from, to, &mode, link.as_deref(), cut, &replacements);
+                        });
                     }
                 }
             }
@@ -106,6 +120,7 @@
     mode: &AtomicU8,
     link: Option<&Link>,
     cut: Mode,
+    replacements: &[(Vec<u8>, Vec<u8>)],
 ) {
     let mut chunk = [0; CHUNK_BYTES];
     let is_mode = |wanted: Mode| mode.load(Ordering::Relaxed) == wanted as u8;
@@ -119,6 +134,9 @@
         if let Some(link) = link {
             link.transmit(count);
         }
+        for (old, new) in replacements {
+            replace(&mut chunk[..count], old, new);
+        }
         if count == 0 || is_mode(Mode::Reset) || to.write_all(&chunk[..count]).is_err() {
             break;
         }
@@ -127,3 +145,14 @@
     let _ = from.shutdown(Shutdown::Both);
     let _ = to.shutdown(Shutdown::Both);
 }
+
+/// Replaces all occurrences of `old` by `new`, which has the same length.
+fn replace(chunk: &mut [u8], old: &[u8], new: &[u8]) {
+    let mut at = 0;
+    while at + old.len() <= chunk.len() {
+        if chunk[at..].starts_with(old) {
+            chunk[at..at + new.len()].copy_from_slice(new);
+        }
+        at += 1;
+    }
+}
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -27,14 +27,18 @@
 
 use crate::{
     conditions::Conditions,
-    fleet::{AGENTS, ENTRIES, Fleet, Net, Node},
+    fleet::{AGENTS, ENTRIES, Fleet, Net, Node, Ways},
     proxy::{Mode, Proxy},
     trouble::Trouble,
 };
 
+mod cancels;
 mod idle;
 mod minions;
 mod spells;
+mod waits;
+
+pub use idle::Standstill;
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -71,8 +75,10 @@
     /// Faults in the order in which they were injected.
     pub faults: Vec<String>,
     /// Times for which a job had nothing running for three seconds or more although there was
-    /// capacity for it, one text each. They break a promise only once faults and traffic are over.
-    pub waits: Vec<String>,
+    /// capacity for it.
+    pub standstills: Vec<Standstill>,
+    /// Longest time for which a job had nothing running although there was capacity for it.
+    pub longest_standstill: Duration,
 }
 
 /// Longest wait for network events before the next step.
@@ -99,6 +105,7 @@
 enum Pending {
     Submission(String),
     Query(String),
+    Cancellation(String),
     Heartbeat,
 }
 
@@ -114,6 +121,13 @@
     was_refused: bool,
     /// The caller has seen that the job has ended.
     is_complete: bool,
+    /// The text submitted with it, which each start has to carry.
+    spec: String,
+    /// When the caller cancels it, once it is accepted.
+    cancel_at: Option<Duration>,
+    /// When the caller sent the first request to cancel it.
+    cancel_sent_at: Option<Duration>,
+    cancelled_at: Option<Duration>,
     /// Since when it has had nothing running although there was capacity for it.
     idle: Option<idle::Idle>,
     /// Entry that the caller's next request goes to.
@@ -132,6 +146,14 @@
     spells: spells::Spells,
     /// Last time at which traffic went on or a fault other than slowness had effects.
     busy_until: Duration,
+    /// Last time at which a process, a minion or a link was disturbed.
+    disturbed_until: Duration,
+    /// Last time at which each agent's processes or links were disturbed.
+    agents_disturbed: Vec<Duration>,
+    /// Checkpoints that the runs of each task, or of its gang, have saved.
+    checkpoints: BTreeMap<Task, BTreeSet<String>>,
+    /// Tasks that have been reported to run on after the cancellation of their jobs.
+    overdue: BTreeSet<(Task, RunNumber)>,
     /// Number of failed runs, by task or first task of a gang.
     failures: BTreeMap<Task, u32>,
     /// When each cordoned zone was cordoned.
@@ -185,7 +207,7 @@
     for agent in 0..agents {
         minion_listeners.insert(hub.listen(net.minion(agent), Limits::default())?, agent);
     }
-    let proxies = Proxies::start(net, &options)?;
+    let proxies = Proxies::start(net, &options, agents)?;
     let mut store = conditions.history.map_or_else(Store::default, Store::with_history);
     platform::configure(&mut store, clock::now(), conditions.idle_routes);
     let minion = |agent| minions::start(agent, 1, options.trouble.has_spells());
@@ -202,6 +224,10 @@
         zone_rng: Pcg32::seed_from_u64(options.seed ^ 0x20e5),
         spells,
         busy_until: Duration::ZERO,
+        disturbed_until: clock::now() + STARTUP_DELAY,
+        agents_disturbed: vec![Duration::ZERO; usize::from(agents)],
+        checkpoints: BTreeMap::new(),
+        overdue: BTreeSet::new(),
         failures: BTreeMap::new(),
         cordons: BTreeMap::new(),
         next_cordon: clock::now() + STARTUP_DELAY,
@@ -236,17 +262,49 @@
 struct Proxies {
     store: Vec<Proxy>,
     internal: Vec<Proxy>,
+    /// Behind those before the store, for series of planners.
+    store_cuts: Vec<Proxy>,
+    /// Those of each agent, for series of planners.
+    agents: Vec<AgentProxies>,
+}
+
+/// Proxies between an agent and the entries.
+struct AgentProxies {
+    /// One before each entry's internal address.
+    to_entries: Vec<Proxy>,
+    to_agent: Proxy,
 }
 
 impl Proxies {
-    fn start(net: Net, options: &Options) -> io::Result<Self> {
+    fn start(net: Net, options: &Options, agents: u8) -> io::Result<Self> {
         let link = options.conditions.link;
-        let store = |entry| Proxy::start(net.store_proxy(entry), net.store(), link);
+        let has_agents = options.trouble.series;
+        let before_store = |entry| if has_agents { net.store_cut(entry) } else { net.store() };
+        let store = |entry| Proxy::start(net.store_proxy(entry), before_store(entry), link);
+        let store_cut = |entry| Proxy::start(net.store_cut(entry), net.store(), None);
         let internal = |entry| Proxy::start(net.internal_proxy(entry), net.internal(entry), None);
-        let internal_count = if options.trouble.links { ENTRIES } else { 0 };
+        let has_internal = options.trouble.links || has_agents;
+        let internal_count = if has_internal { ENTRIES } else { 0 };
+        let agent = |agent| {
+            let to_entry = |entry| {
+                let (from, to) = (net.entry_proxy(agent, entry), net.internal_proxy(entry));
+                Proxy::start_replacing(from, to, None, net.replacements(agent))
+            };
+            let (from, to) = (net.agent_proxy(agent), net.agent(agent));
+            Ok(AgentProxies {
+                to_entries: (0..ENTRIES).map(to_entry).collect::<io::Result<_>>()?,
+                to_agent: Proxy::start_replacing(from, to, None, net.replacements(agent))?,
+            })
+        };
         Ok(Proxies {
             store: (0..ENTRIES).map(store).collect::<io::Result<_>>()?,
             internal: (0..internal_count).map(internal).collect::<io::Result<_>>()?,
+            store_cuts: (0..if has_agents { ENTRIES } else { 0 })
+                .map(store_cut)
+                .collect::<io::Result<_>>()?,
+            agents: (0..if has_agents { agents } else { 0 })
+                .map(agent)
+                .collect::<io::Result<_>>()?,
         })
     }
 }
@@ -270,9 +328,13 @@
     fn run(mut self, proxies: &Proxies) -> io::Result<Outcome> {
         let program = self.options.program.clone();
         let folder = self.options.folder.clone();
-        let links = self.options.trouble.links;
+        let ways = match self.options.trouble {
+            Trouble { series: true, .. } => Ways::AgentProxies,
+            Trouble { links: true, .. } => Ways::EntryProxies,
+            _ => Ways::Direct,
+        };
         let agents = self.minions.len() as u8;
-        let mut fleet = Fleet::start(self.net, agents, Path::new(&program), &folder, links)?;
+        let mut fleet = Fleet::start(self.net, agents, Path::new(&program), &folder, ways)?;
         let start = clock::now();
         let (mut next_job, mut next_fault) =
             (start + STARTUP_DELAY, start + STARTUP_DELAY + FAULT_INTERVAL);
@@ -325,21 +387,25 @@
                 self.drive_cordons(now, jobs > 0 || faults > 0);
             }
             self.send_requests(now);
-            self.drive_spells(now, &mut fleet)?;
+            self.drive_spells(now, &mut fleet, proxies)?;
             let has_late_orders = now < self.late_until || !self.late_orders.is_empty();
             let has_faults =
                 faults > 0 || !undos.is_empty() || has_late_orders || self.spells.has_faults();
             if jobs > 0 || has_faults || !self.cordons.is_empty() {
                 self.busy_until = now;
             }
+            if !undos.is_empty() || has_late_orders || self.spells.is_disturbing(now) {
+                self.disturbed_until = now;
+            }
             self.watch_idle(now);
+            self.watch_cancelled(now);
             if jobs == 0 && !has_faults {
                 let since = *quiet_since.get_or_insert(now);
                 let deadline = since.max(self.spells.end()) + COMPLETION_TIMEOUT;
                 let waiting = |job: &Job| job.is_accepted && !job.is_complete;
-                let is_over = !self.jobs.values().any(waiting);
+                let is_over = !self.jobs.values().any(waiting) && self.cancellations_are_over(now);
                 if is_over || now >= deadline {
-                    return Ok(self.finish());
+                    return self.finish();
                 }
             }
         }
@@ -383,8 +449,9 @@
     }
 
     /// Checks that no accepted job is left over and counts the jobs.
-    fn finish(mut self) -> Outcome {
+    fn finish(mut self) -> io::Result<Outcome> {
         self.end_idle(clock::now());
+        waits::find_reasons(&self.options.folder, &mut self.outcome.standstills)?;
         for (id, job) in &self.jobs {
             if job.is_accepted && !job.is_complete {
                 self.outcome.broken.push(format!("{id} was accepted and is not complete"));
@@ -392,7 +459,7 @@
         }
         self.outcome.accepted = self.jobs.values().filter(|job| job.is_accepted).count();
         self.outcome.complete = self.jobs.values().filter(|job| job.is_complete).count();
-        self.outcome
+        Ok(self.outcome)
     }
 
     fn handle_event(&mut self, now: Duration, event: Event) {
@@ -492,7 +559,11 @@
         }
         let tasks = step["count"].as_u64().map_or(tasks, |count| count as u32);
         self.truth.insert((id.clone(), 0), truth);
-        self.jobs.insert(id, Job { tasks, step, next_request_at: now, entry, ..Job::default() });
+        let spec = format!("soak {id}");
+        let cancel_at = self.spells.draw_cancellation(now).map(|delay| now + delay);
+        let job =
+            Job { tasks, step, next_request_at: now, entry, spec, cancel_at, ..Job::default() };
+        self.jobs.insert(id, job);
     }
 
     /// Sends the callers' requests that are due.
@@ -504,13 +575,18 @@
         for id in due {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             job.next_request_at = now + CALLER_TIMEOUT * 2;
-            let (request, pending) = if job.is_accepted {
-                (Request::new("GET", &format!("/q/{id}"), ""), Pending::Query(id))
-            } else {
-                let body = json!({ "spec": "soak", "steps": [job.step] });
-                let request = Request::new("POST", &format!("/q/{id}"), body.to_string());
-                (request, Pending::Submission(id))
-            };
+            let is_cancelled = job.cancel_at.is_some_and(|at| now >= at);
+            let (request, pending) =
+                if job.is_accepted && is_cancelled && job.cancelled_at.is_none() {
+                    job.cancel_sent_at.get_or_insert(now);
+                    (Request::new("DELETE", &format!("/q/{id}"), ""), Pending::Cancellation(id))
+                } else if job.is_accepted {
+                    (Request::new("GET", &format!("/q/{id}"), ""), Pending::Query(id))
+                } else {
+                    let body = json!({ "spec": job.spec, "steps": [job.step] });
+                    let request = Request::new("POST", &format!("/q/{id}"), body.to_string());
+                    (request, Pending::Submission(id))
+                };
             let request = request.with("Host", "soak.example").with("X-Key", "k");
             let call = self.hub.call(self.net.callers(job.entry), &request, CALLER_TIMEOUT);
             self.pending.insert(call, pending);
@@ -524,6 +600,10 @@
         pending: Option<Pending>,
         response: Option<&Response>,
     ) {
+        if let Some(Pending::Cancellation(id)) = &pending {
+            self.handle_cancellation(now, id, response.map_or(0, |response| response.status));
+            return;
+        }
         let (Some(Pending::Submission(id) | Pending::Query(id)), is_query) =
             (pending.as_ref(), matches!(pending, Some(Pending::Query(_))))
         else {
@@ -532,6 +612,10 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.next_request_at = now + REQUEST_DELAY;
         let status = response.map_or(0, |response| response.status);
+        if is_query && job.cancel_sent_at.is_some() && status == 410 {
+            job.is_complete = true;
+            return;
+        }
         if status != 200 {
             job.entry = (job.entry + 1) % ENTRIES;
             job.was_refused |= !is_query && matches!(status, 429 | 503);
@@ -561,6 +645,7 @@
             {
                 job.is_complete = true
             }
+            Some("cancelled") if job.cancel_sent_at.is_some() => job.is_complete = true,
             Some("failed" | "cancelled") => {
                 self.outcome.broken.push(format!("{id} is shown as {}", body["state"]));
                 job.is_complete = true;
@@ -608,6 +693,7 @@
         };
         self.record_fault(&format!("{text} {node:?}"), time);
         let mode = |mode: Mode| proxies.store[usize::from(entry)].set(mode);
+        self.disturb(now + time, if kind < 3 { node } else { Node::Entry(entry) });
         match kind {
             0 => fleet.signal(node, Signal::SIGKILL),
             1 => fleet.signal(node, Signal::SIGTERM),
@@ -621,6 +707,15 @@
         (now + time, undo)
     }
 
+    /// Records that a process or its links are disturbed.
+    fn disturb(&mut self, until: Duration, node: Node) {
+        self.disturbed_until = self.disturbed_until.max(until);
+        if let Node::Agent(agent) = node {
+            let disturbed = &mut self.agents_disturbed[usize::from(agent)];
+            *disturbed = until.max(*disturbed);
+        }
+    }
+
     fn record_fault(&mut self, text: &str, time: Duration) {
         let text = format!("{text} {} ms", time.as_millis());
         self.write_log(&format!("fault: {text}"));
--- /dev/null
+++ b/crates/soak/src/soak/cancels.rs
@@ -0,0 +1,74 @@
+//! Callers that cancel jobs, and checks that nothing is started or runs on after that.
+
+use std::time::Duration;
+
+use sapphire_jobs::task::{RunNumber, Task};
+
+use super::{REQUEST_DELAY, Soak};
+use crate::fleet::ENTRIES;
+
+/// Time from the acknowledgement of a cancellation from which on no task is started.
+const CANCEL_BOUND: Duration = Duration::from_secs(3);
+/// Time within which a task has to end after that.
+const STOP_BOUND: Duration = Duration::from_millis(400);
+/// Calm time after which a cancellation counts as acknowledged.
+const ACKNOWLEDGEMENT_BOUND: Duration = Duration::from_secs(5);
+/// Time after a disturbance from which on a machine is in touch.
+pub(super) const CONTACT_TIME: Duration = Duration::from_secs(4);
+
+impl Soak {
+    /// Handles the response to a request that cancels a job; 0 stands for none.
+    pub(super) fn handle_cancellation(&mut self, now: Duration, id: &str, status: u16) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.next_request_at = now + REQUEST_DELAY;
+        if status == 410 || (200..300).contains(&status) {
+            job.cancelled_at = Some(now);
+            self.write_log(&format!("{id} is cancelled, {status}"));
+        } else {
+            job.entry = (job.entry + 1) % ENTRIES;
+        }
+    }
+
+    /// Returns from when on the cancellation of a job counts as acknowledged.
+    fn cancelled_from(&self, id: &str) -> Option<Duration> {
+        let job = self.jobs.get(id)?;
+        let sent = job.cancel_sent_at?.max(self.disturbed_until + CONTACT_TIME);
+        Some(job.cancelled_at.unwrap_or(sent + ACKNOWLEDGEMENT_BOUND))
+    }
+
+    /// Returns whether an order to start a task of a job came too late after its cancellation.
+    pub(super) fn is_started_late(&self, agent: usize, id: &str, received_at: Duration) -> bool {
+        let is_in_touch = received_at >= self.agents_disturbed[agent] + CONTACT_TIME;
+        let is_late = |from: Duration| received_at > from + CANCEL_BOUND;
+        is_in_touch && self.cancelled_from(id).is_some_and(is_late)
+    }
+
+    /// Checks that no task of a cancelled job runs on.
+    pub(super) fn watch_cancelled(&mut self, now: Duration) {
+        let mut overdue: Vec<(usize, Task, RunNumber, Duration)> = Vec::new();
+        for (agent, minion) in self.minions.iter().enumerate().filter(|(_, minion)| minion.is_up) {
+            for (task, active) in &minion.active {
+                let Some(from) = self.cancelled_from(&task.job) else { continue };
+                let from = from.max(self.disturbed_until + CONTACT_TIME);
+                let is_late_start = active.started_at > from + CANCEL_BOUND;
+                let start = if is_late_start { active.started_at + CONTACT_TIME } else { from };
+                if now > start + CANCEL_BOUND + STOP_BOUND {
+                    overdue.push((agent, task.clone(), active.number, now - from));
+                }
+            }
+        }
+        for (agent, task, number, time) in overdue {
+            if self.overdue.insert((task.clone(), number)) {
+                self.break_promise(format!(
+                    "{task} run {number} runs on m{agent} {time:?} after its job was cancelled"
+                ));
+            }
+        }
+    }
+
+    /// Returns whether what happens after the last cancellation has been checked.
+    pub(super) fn cancellations_are_over(&self, now: Duration) -> bool {
+        let is_over = |id| self.cancelled_from(id).is_none_or(|from| now > from + CANCEL_BOUND * 2);
+        self.jobs.keys().all(|id| is_over(id))
+    }
+}
--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -40,6 +40,9 @@
 /// Number of racks with spells; one otherwise.
 const RACKS: u8 = 3;
 
+/// What separates the progress in a checkpoint from the name of its run.
+const CHECKPOINT_MARK: char = '@';
+
 /// Delays of late orders, in milliseconds.
 const LATE_DELAY_MS: std::ops::Range<u64> = 2_000..6_000;
 
@@ -163,8 +166,12 @@
         };
         let run = run.map(|run| (Task::read(&run), run.run));
         let before = run.as_ref().and_then(|(task, _)| Some(minion.active.get(task)?.number));
-        let (response, is_carried_out) =
-            platform::execute(minion, now, &received.order, &self.truth);
+        let mut order = received.order.clone();
+        if let Order::Start { start, .. } = &mut order {
+            let progress = start.checkpoint.split(CHECKPOINT_MARK).next().unwrap_or_default();
+            start.checkpoint = progress.to_owned();
+        }
+        let (response, is_carried_out) = platform::execute(minion, now, &order, &self.truth);
         if !matches!(received.order, Order::LongPoll { .. }) {
             let body = String::from_utf8_lossy(&response.body).into_owned();
             self.log_order(received, &format!("{} {body}", response.status));
@@ -230,12 +237,17 @@
             .any(|(other, minion)| other != agent && minion.active.contains_key(task));
         let is_inherited = received.born_ms != self.minions[agent].incarnation.born_ms;
         let origin = if is_inherited { ", as an earlier life was told" } else { "" };
-        let mut broken = Vec::new();
+        let mut broken = self.check_order(received, task);
         if is_elsewhere || before.is_some() {
             broken.push("runs twice at once");
         }
         match self.jobs.get(&task.job) {
             None => broken.push("was never handed in"),
+            Some(job) if job.cancel_sent_at.is_some() => {
+                if self.is_started_late(agent, &task.job, received.at) {
+                    broken.push("starts after its job was cancelled");
+                }
+            }
             Some(job) if job.is_complete => broken.push("starts again after it was done"),
             Some(job) if job.was_refused && !job.is_accepted => {
                 broken.push("starts though its job was refused");
@@ -264,6 +276,33 @@
         }
     }
 
+    /// Checks that an order to start a task is for what a caller has submitted.
+    fn check_order(&self, received: &Received, task: &Task) -> Vec<&'static str> {
+        let Order::Start { start, .. } = &received.order else { return Vec::new() };
+        let mut broken = Vec::new();
+        if let Some(job) = self.jobs.get(&task.job) {
+            if start.spec != job.spec {
+                broken.push("starts with another spec");
+            }
+            if (task.occurrence, task.step) != (0, 0) || task.index >= job.tasks {
+                broken.push("is not a task of its job");
+            }
+        }
+        let saved = self.checkpoints.get(&self.group(task));
+        let is_saved = saved.is_some_and(|saved| saved.contains(&start.checkpoint));
+        if !start.checkpoint.is_empty() && !is_saved {
+            broken.push("starts with a checkpoint that is not its own");
+        }
+        broken
+    }
+
+    /// Returns the first task of a task's gang, or the task itself if it is in none.
+    fn group(&self, task: &Task) -> Task {
+        let truth = self.truth.get(&(task.job.clone(), task.step));
+        let is_gang = truth.is_some_and(|truth| truth.members > 1);
+        Task { index: if is_gang { 0 } else { task.index }, ..task.clone() }
+    }
+
     /// Records that the end of a run was acknowledged, unless the minion's lease has expired since
     /// the end. The task must not have been started since, nor start again.
     fn check_acknowledged(&mut self, now: Duration, agent: u8, ended: &Ended) {
@@ -308,10 +347,8 @@
         let mut runs: BTreeMap<(Task, RunNumber), Vec<(usize, Task)>> = BTreeMap::new();
         for (agent, minion) in self.minions.iter().enumerate() {
             for (task, active) in &minion.active {
-                let truth = self.truth.get(&(task.job.clone(), task.step));
-                let is_gang = truth.is_some_and(|truth| truth.members > 1);
-                let key = Task { index: if is_gang { 0 } else { task.index }, ..task.clone() };
-                runs.entry((key, active.number)).or_default().push((agent, task.clone()));
+                let run = (self.group(task), active.number);
+                runs.entry(run).or_default().push((agent, task.clone()));
             }
         }
         for ((task, number), members) in runs {
@@ -446,10 +483,18 @@
         ending: Ending,
         truth: &Truth,
     ) {
+        let group = self.group(task);
         let minion = &mut self.minions[agent];
         let Some(number) = minion.active.get(task).map(|active| active.number) else { return };
         minion.end_task(task, ending, Some(truth));
         let born_ms = minion.incarnation.born_ms;
+        if let Some(ended) = minion.ended.get_mut(&minion.last_end)
+            && !ended.checkpoint.is_empty()
+        {
+            // The progress alone could be the same for two tasks.
+            ended.checkpoint = format!("{}{CHECKPOINT_MARK}{task}#{number}", ended.checkpoint);
+            self.checkpoints.entry(group).or_default().insert(ended.checkpoint.clone());
+        }
         self.write_log(&format!("m{agent} end task={task} run={number} {}", ending.as_str_name()));
         if ending == Ending::Done {
             let (at, starts) = (now, Vec::new());
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -1,6 +1,6 @@
 //! Spells: troubles that last for some seconds and overlap, drawn by a generator of their own.
 
-use std::{io, ops::Range, time::Duration};
+use std::{collections::BTreeSet, io, ops::Range, time::Duration};
 
 use nix::sys::signal::Signal;
 use rand::{RngExt as _, SeedableRng as _};
@@ -12,9 +12,10 @@
 use sapphire_store::call::{Call, Reply};
 use serde_json::{Value, json};
 
-use super::{Options, SPELLS_JOB_INTERVAL, Soak, minions};
+use super::{Options, Proxies, SPELLS_JOB_INTERVAL, Soak, minions};
 use crate::{
     fleet::{ENTRIES, Fleet, Node},
+    proxy::Mode,
     trouble::Trouble,
 };
 
@@ -35,6 +36,15 @@
 /// Share of the minions that left which are replaced, and the time until then.
 const REPLACED_SHARE: f64 = 0.6;
 const REPLACEMENT_MS: Range<u64> = 2_000..8_000;
+/// Time within which planners are killed beside other losses.
+const SERIES_TIME: Duration = Duration::from_secs(7);
+/// Period in which a slow entry runs for its share of the time.
+const SLOW_PERIOD_MS: u128 = 100;
+/// Number of jobs that are submitted and cancelled together.
+const BURST: Range<u32> = 10..25;
+/// Share of the other jobs that are cancelled, and the time from their acceptance until then.
+const CANCELLED_SHARE: f64 = 0.7;
+const CANCELLED_MS: Range<u64> = 0..1_500;
 
 /// Kind of a spell.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,6 +63,20 @@
     Planners(Duration),
     /// Signals, restarts and changes of the configuration at the same time.
     Operations,
+    /// A VM is gone, with its minion and its agent.
+    VmGone(u8),
+    /// An agent is dead while its minion runs on; it starts again unless it is lost for good.
+    AgentDead { agent: u8, for_good: bool },
+    /// A machine with an agent and its minion is cut off from all entries.
+    CutOff(u8),
+    /// What the planner sends to the agents or to the store, or gets from them, is held back.
+    PlannerCut { to_store: bool, mode: Mode },
+    /// An entry runs for a share of the time only.
+    SlowEntry { entry: u8, share: f64 },
+    /// All entries have no power, nor have the agents if `has_agents`.
+    Power { has_agents: bool },
+    /// Many jobs are submitted and cancelled; so are a share of the others.
+    Cancels,
 }
 
 impl Kind {
@@ -64,6 +88,14 @@
             Kind::Leaving => trouble.leaving,
             Kind::Planners(_) => trouble.planners,
             Kind::Operations => trouble.operations,
+            // Drawn only if they are enabled.
+            Kind::VmGone(_)
+            | Kind::AgentDead { .. }
+            | Kind::CutOff(_)
+            | Kind::PlannerCut { .. }
+            | Kind::SlowEntry { .. }
+            | Kind::Power { .. }
+            | Kind::Cancels => true,
         }
     }
 }
@@ -81,6 +113,14 @@
     fn is_slow(&self) -> bool {
         matches!(self.kind, Kind::Slow { .. })
     }
+
+    /// Returns whether the spell disturbs processes, minions or links all the while.
+    fn is_disturbing(&self) -> bool {
+        !matches!(
+            self.kind,
+            Kind::Slow { .. } | Kind::Leaving | Kind::Cancels | Kind::VmGone(_) | Kind::Operations
+        ) && !matches!(self.kind, Kind::AgentDead { for_good: true, .. })
+    }
 }
 
 /// The spells of a run that are not over.
@@ -102,6 +142,14 @@
     next_kill: Duration,
     /// Version of the configuration.
     version: u64,
+    /// Entry whose links are cut as that of the planner.
+    cut_planner: Option<u8>,
+    /// Processes that are stopped to make them slow.
+    paused: BTreeSet<Node>,
+    /// Agents that are dead for good.
+    removed: BTreeSet<u8>,
+    /// Draws series of planners with other losses, and cancellations.
+    series_rng: Pcg32,
 }
 
 impl Spells {
@@ -118,6 +166,10 @@
             killed: 0,
             next_kill: Duration::ZERO,
             version: 1,
+            cut_planner: None,
+            paused: BTreeSet::new(),
+            removed: BTreeSet::new(),
+            series_rng: Pcg32::seed_from_u64(options.seed ^ 0x5e21e5),
         };
         if options.trouble.has_spells() {
             let length = SPELLS_JOB_INTERVAL * options.jobs;
@@ -130,6 +182,7 @@
                 spells.draw_mute_takeovers(start, length, agents);
                 spells.rng = earlier;
             }
+            spells.draw_series(options.trouble, start, length, agents);
             spells.end = spells.spells.iter().map(|spell| spell.until).max().unwrap_or_default();
         }
         spells
@@ -193,6 +246,60 @@
         }
     }
 
+    /// Draws series of planners with other losses, losses of power, and cancellations.
+    fn draw_series(&mut self, trouble: Trouble, start: Duration, length: Duration, agents: u8) {
+        let mut rng = self.series_rng.clone();
+        let millis = Duration::from_millis;
+        let mut add = |from, until, kind| {
+            self.spells.push(Spell { from, until, kind, is_begun: false });
+        };
+        let mut from = start + millis(rng.random_range(0..4_000));
+        while trouble.series && from < start + length {
+            let count = rng.random_range(3..10);
+            let until = from + SERIES_TIME;
+            add(from, until, Kind::Planners(SERIES_TIME / count));
+            for loss in 0..rng.random_range(1..4) {
+                let agent = rng.random_range(0..agents);
+                let kind = match if loss == 0 { 0 } else { rng.random_range(0..4) } {
+                    0 => Kind::AgentDead { agent, for_good: rng.random_bool(0.5) },
+                    1 => Kind::VmGone(agent),
+                    _ => Kind::CutOff(agent),
+                };
+                let from = from + millis(rng.random_range(0..5_000));
+                add(from, from + millis(rng.random_range(1_000..9_000)), kind);
+            }
+            if rng.random_bool(0.5) {
+                let (to_store, is_request) = (rng.random_bool(0.5), rng.random_bool(0.5));
+                let mode = if is_request { Mode::CutRequests } else { Mode::CutAnswers };
+                let from = from + millis(rng.random_range(0..8_000));
+                let until = from + millis(rng.random_range(800..5_000));
+                add(from, until, Kind::PlannerCut { to_store, mode });
+            }
+            if rng.random_bool(0.5) {
+                let (entry, share) = (rng.random_range(0..ENTRIES), rng.random_range(0.1..0.5));
+                let from = from + millis(rng.random_range(0..8_000));
+                let until = from + millis(rng.random_range(1_000..6_000));
+                add(from, until, Kind::SlowEntry { entry, share });
+            }
+            from = until + millis(rng.random_range(500..12_000));
+        }
+        if trouble.power {
+            let from = (start + length).saturating_sub(millis(rng.random_range(0..2_500)));
+            let has_agents = rng.random_bool(0.3);
+            let until = from + millis(rng.random_range(200..2_500));
+            add(from, until, Kind::Power { has_agents });
+        }
+        if trouble.cancels {
+            for storm in 0..rng.random_range(1..4) {
+                // The first is at a time at which orders may be late.
+                let share = if storm == 0 { 0.3 } else { 1.0 };
+                let from = start + length.mul_f64(rng.random_range(0.0..share));
+                add(from, from + millis(rng.random_range(500..3_000)), Kind::Cancels);
+            }
+        }
+        self.series_rng = rng;
+    }
+
     /// Adds a spell that begins within `within_ms` of `start`.
     fn add(&mut self, start: Duration, within_ms: u64, length_ms: Range<u64>, kind: Kind) {
         let from = start + Duration::from_millis(self.rng.random_range(0..within_ms.max(1)));
@@ -216,6 +323,31 @@
         !self.replacements.is_empty() || !self.spells.iter().all(Spell::is_slow)
     }
 
+    /// Returns whether a spell disturbs processes, minions or links.
+    pub(super) fn is_disturbing(&self, now: Duration) -> bool {
+        let is_present = |spell: &&Spell| (spell.from..spell.until).contains(&now);
+        self.spells.iter().filter(is_present).any(Spell::is_disturbing)
+            || !self.departures.is_empty()
+    }
+
+    /// Returns whether no order reaches a minion, since its agent is dead or cut off.
+    pub(super) fn is_away(&self, now: Duration, agent: u8) -> bool {
+        self.removed.contains(&agent)
+            || self.present(now).any(|kind| match kind {
+                Kind::CutOff(other) => *other == agent,
+                Kind::AgentDead { agent: other, .. } => *other == agent,
+                Kind::Power { has_agents } => *has_agents,
+                _ => false,
+            })
+    }
+
+    /// Draws after what time a job is cancelled that is submitted now; `None` if it isn't.
+    pub(super) fn draw_cancellation(&mut self, now: Duration) -> Option<Duration> {
+        let is_present = self.present(now).any(|kind| *kind == Kind::Cancels);
+        let is_cancelled = is_present && self.series_rng.random_bool(CANCELLED_SHARE);
+        is_cancelled.then(|| Duration::from_millis(self.series_rng.random_range(CANCELLED_MS)))
+    }
+
     /// Returns whether a minion doesn't answer.
     pub(super) fn is_mute(&self, agent: u8) -> bool {
         self.mute[usize::from(agent)]
@@ -248,7 +380,12 @@
 
 impl Soak {
     /// Begins and ends spells, and lets those in force take effect.
-    pub(super) fn drive_spells(&mut self, now: Duration, fleet: &mut Fleet) -> io::Result<()> {
+    pub(super) fn drive_spells(
+        &mut self,
+        now: Duration,
+        fleet: &mut Fleet,
+        proxies: &Proxies,
+    ) -> io::Result<()> {
         let due = |spell: &&mut Spell| !spell.is_begun && now >= spell.from;
         let mut begun = Vec::new();
         for spell in self.spells.spells.iter_mut().filter(due) {
@@ -257,12 +394,16 @@
         }
         for (kind, length) in begun {
             self.record_fault(&format!("spell {kind:?}"), length);
-            if kind == Kind::Operations {
-                self.operate(now, fleet);
-            }
+            self.begin_spell(now, &kind, fleet);
         }
         let present: Vec<Kind> = self.spells.present(now).cloned().collect();
-        self.spells.spells.retain(|spell| now < spell.until);
+        let is_over = |spell: &Spell| spell.is_begun && now >= spell.until;
+        let (over, later) = std::mem::take(&mut self.spells.spells).into_iter().partition(is_over);
+        let over: Vec<Spell> = over;
+        self.spells.spells = later;
+        for spell in over {
+            self.end_spell(now, &spell.kind, fleet)?;
+        }
         for (agent, minion) in (0..).zip(&mut self.minions) {
             let slowdown = |kind: &Kind| match kind {
                 Kind::Slow { agents, factor } if agents.contains(&agent) => *factor,
@@ -280,10 +421,15 @@
                 self.kill_planner(now, fleet, *interval);
             }
         }
+        self.slow_entries(now, &present, fleet);
+        if self.options.trouble.series {
+            self.cut_links(now, &present, proxies);
+        }
         for agent in std::mem::take(&mut self.spells.departures) {
             self.record_fault(&format!("taken away {:?}", Node::Agent(agent)), Duration::ZERO);
             self.gone.insert(agent);
-            fleet.take_away(agent);
+            fleet.take_away(Node::Agent(agent));
+            self.disturb(now, Node::Agent(agent));
         }
         let replacements = std::mem::take(&mut self.spells.replacements);
         let (due, later) = replacements.into_iter().partition(|(at, _)| now >= *at);
@@ -294,24 +440,150 @@
             let born_ms = minion.incarnation.born_ms + 1;
             *minion = minions::start(agent, born_ms, true);
             self.gone.remove(&agent);
-            fleet.bring_back(agent)?;
+            self.spells.removed.remove(&agent);
+            fleet.bring_back(Node::Agent(agent))?;
             minion.incarnation.id = format!("m{agent}-{born_ms}");
             self.write_log(&format!("m{agent} is replaced, born_ms={born_ms}"));
+            self.disturb(now, Node::Agent(agent));
         }
         Ok(())
     }
 
-    /// Kills the entry that plans, unless it is the one killed last or it is too early.
-    fn kill_planner(&mut self, now: Duration, fleet: &Fleet, interval: Duration) {
+    /// Carries out what happens once at the beginning of a spell.
+    fn begin_spell(&mut self, now: Duration, kind: &Kind, fleet: &mut Fleet) {
+        match *kind {
+            Kind::Operations => self.operate(now, fleet),
+            Kind::VmGone(agent) => {
+                self.minions[usize::from(agent)].terminate(&self.truth);
+                self.spells.departures.push(agent);
+                if self.spells.series_rng.random_bool(REPLACED_SHARE) {
+                    let delay = self.spells.series_rng.random_range(REPLACEMENT_MS);
+                    self.spells.replacements.push((now + Duration::from_millis(delay), agent));
+                }
+            }
+            Kind::AgentDead { agent, for_good } => {
+                fleet.take_away(Node::Agent(agent));
+                self.disturb(now, Node::Agent(agent));
+                if for_good {
+                    self.spells.removed.insert(agent);
+                }
+            }
+            Kind::Power { has_agents } => {
+                for node in self.without_power(has_agents) {
+                    fleet.take_away(node);
+                    self.disturb(now, node);
+                }
+            }
+            Kind::PlannerCut { .. } => self.spells.cut_planner = self.planner(now),
+            Kind::Cancels => {
+                for _ in 0..self.spells.series_rng.random_range(BURST) {
+                    self.add_job(now);
+                }
+                let share = self.spells.series_rng.random_range(0.0..1.0);
+                let rng = &mut self.spells.series_rng;
+                for job in self.jobs.values_mut().filter(|job| !job.is_complete) {
+                    if job.cancel_at.is_none() && rng.random_bool(share) {
+                        let delay = Duration::from_millis(rng.random_range(CANCELLED_MS));
+                        job.cancel_at = Some(now + delay);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Carries out what happens at the end of a spell.
+    fn end_spell(&mut self, now: Duration, kind: &Kind, fleet: &mut Fleet) -> io::Result<()> {
+        let nodes = match *kind {
+            Kind::AgentDead { agent, for_good: false } => vec![Node::Agent(agent)],
+            Kind::Power { has_agents } => self.without_power(has_agents),
+            _ => Vec::new(),
+        };
+        for node in nodes {
+            let is_gone =
+                |agent| self.gone.contains(&agent) || self.spells.removed.contains(&agent);
+            if !matches!(node, Node::Agent(agent) if is_gone(agent)) {
+                fleet.bring_back(node)?;
+                self.disturb(now, node);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the processes that a loss of power ends.
+    fn without_power(&self, has_agents: bool) -> Vec<Node> {
+        let agents = if has_agents { self.minions.len() as u8 } else { 0 };
+        (0..ENTRIES).map(Node::Entry).chain((0..agents).map(Node::Agent)).collect()
+    }
+
+    /// Stops and resumes the slow entries.
+    fn slow_entries(&mut self, now: Duration, present: &[Kind], fleet: &Fleet) {
+        let phase = (now.as_millis() % SLOW_PERIOD_MS) as f64 / SLOW_PERIOD_MS as f64;
+        let is_paused = |kind: &Kind| match *kind {
+            Kind::SlowEntry { entry, share } if phase >= share => Some(Node::Entry(entry)),
+            _ => None,
+        };
+        let paused: BTreeSet<Node> = present.iter().filter_map(is_paused).collect();
+        for node in self.spells.paused.symmetric_difference(&paused) {
+            let signal = if paused.contains(node) { Signal::SIGSTOP } else { Signal::SIGCONT };
+            fleet.signal(*node, signal);
+        }
+        self.spells.paused = paused;
+    }
+
+    /// Sets the modes of the links of machines and planners that are cut off.
+    fn cut_links(&mut self, now: Duration, present: &[Kind], proxies: &Proxies) {
+        let cut_planner = self.spells.cut_planner;
+        let mode_to = |store: bool, entry: u8| {
+            let mode = |kind: &Kind| match *kind {
+                Kind::PlannerCut { to_store, mode } if to_store == store => Some(mode),
+                _ => None,
+            };
+            present.iter().find_map(mode).filter(|_| cut_planner == Some(entry))
+        };
+        for (agent, ways) in (0..).zip(&proxies.agents) {
+            let is_cut_off = present.contains(&Kind::CutOff(agent));
+            if is_cut_off {
+                self.disturb(now, Node::Agent(agent));
+            }
+            let cut = is_cut_off.then_some(Mode::Silence);
+            for (entry, proxy) in (0..).zip(&ways.to_entries) {
+                proxy.set(cut.or(mode_to(false, entry)).unwrap_or(Mode::Pass));
+            }
+            let to_agents = (0..ENTRIES).find_map(|entry| mode_to(false, entry));
+            // The planner is the client of the agent, so requests are what it sends.
+            let to_agents = to_agents.map(|mode| match mode {
+                Mode::CutRequests => Mode::CutAnswers,
+                _ => Mode::CutRequests,
+            });
+            ways.to_agent.set(cut.or(to_agents).unwrap_or(Mode::Pass));
+        }
+        for (entry, proxy) in (0..).zip(&proxies.store_cuts) {
+            proxy.set(mode_to(true, entry).unwrap_or(Mode::Pass));
+        }
+    }
+
+    /// Returns the entry that plans, by the leader key.
+    fn planner(&mut self, now: Duration) -> Option<u8> {
+        self.leader(now).map(|(entry, _)| entry)
+    }
+
+    /// Returns the holder of the leader key and the key's revision.
+    fn leader(&mut self, now: Duration) -> Option<(u8, u64)> {
         let call = Call::Get { key: "lead".to_owned() };
-        let Some(Reply::Value(lead)) = self.store.call(now, &call) else { return };
+        let Some(Reply::Value(lead)) = self.store.call(now, &call) else { return None };
         let named = |entry: &u8| {
             let name = format!("e{entry}");
             lead.bytes.windows(name.len()).any(|part| part == name.as_bytes())
         };
-        let Some(entry) = (0..ENTRIES).find(named) else { return };
-        if now >= self.spells.next_kill && lead.revision != self.spells.killed {
-            self.spells.killed = lead.revision;
+        (0..ENTRIES).find(named).map(|entry| (entry, lead.revision))
+    }
+
+    /// Kills the entry that plans, unless it is the one killed last or it is too early.
+    fn kill_planner(&mut self, now: Duration, fleet: &Fleet, interval: Duration) {
+        let Some((entry, revision)) = self.leader(now) else { return };
+        if now >= self.spells.next_kill && revision != self.spells.killed {
+            self.spells.killed = revision;
             self.spells.next_kill = now + interval;
             self.record_fault(&format!("kill planner {:?}", Node::Entry(entry)), Duration::ZERO);
             fleet.signal(Node::Entry(entry), Signal::SIGKILL);
@@ -330,6 +602,7 @@
                 Node::Agent(self.spells.rng.random_range(0..agents))
             };
             self.record_fault(&format!("{signal} {node:?}"), Duration::ZERO);
+            self.disturb(now, node);
             fleet.signal(node, signal);
         }
         self.spells.version += self.spells.rng.random_range(1..5);
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -27,6 +27,13 @@
     pub operations: bool,
     /// Several minions at once carry out calls and answer none, while planners are killed.
     pub mute_takeovers: bool,
+    /// Planners are killed in series while a VM or an agent is gone or a machine is cut off, a
+    /// planner's links are cut in one direction, or an entry is slow.
+    pub series: bool,
+    /// All entries, and in some runs all agents, lose power at once near the end of the traffic.
+    pub power: bool,
+    /// Jobs are cancelled, many at once and promptly after they were submitted.
+    pub cancels: bool,
 }
 
 impl Trouble {
@@ -43,6 +50,9 @@
         planners: false,
         operations: false,
         mute_takeovers: false,
+        series: false,
+        power: false,
+        cancels: false,
     };
     /// All kinds enabled.
     pub const ALL: Trouble = Trouble {
@@ -53,6 +63,9 @@
         planners: true,
         operations: true,
         mute_takeovers: true,
+        series: true,
+        power: true,
+        cancels: true,
         ..Trouble::WITHOUT_SPELLS
     };
 
@@ -66,5 +79,8 @@
             || self.planners
             || self.operations
             || self.mute_takeovers
+            || self.series
+            || self.power
+            || self.cancels
     }
 }
