planner: a queue's slack factor that is too large ends no planner

Callers would see: nothing is planned. The entry that plans ends when it computes the objective of a job of that queue, the next one takes over and ends too.

Cause: a configuration with "slack_factor":1e300 is decoded, since that is a valid number, and Duration::mul_f64 panics if the product can't be represented. The sum with target_latency and two sums with the priority (rank, cost of a wait) could overflow as well.

Evidence, failed before: odd_numbers_of_a_queue_end_no_planner (3 of 4 cases: slack, latency, priority) and large_numbers_in_a_record_of_a_job_end_no_planner (1 of 9, the priority); the sums panic in builds with overflow checks only.

Why it works: an objective is at most a hundred years, and the sums saturate. Objectives below that are computed as before.

--- a/crates/jobs/src/length.rs
+++ b/crates/jobs/src/length.rs
@@ -23,11 +23,21 @@
     Duration::from_millis(step.estimate_ms)
 }
 
+/// Maximum objective of a job; a hundred years. Settings of queues are not bounded otherwise, and a
+/// duration can't hold each multiple of another one.
+const MAX_OBJECTIVE: Duration = Duration::from_secs(100 * 365 * 86_400);
+
+/// A multiple of the duration of a critical path, and a time that is added to it.
+pub fn scaled(critical_path: Duration, slack: f64, target_latency: Duration) -> Duration {
+    let multiple = Duration::try_from_secs_f64(critical_path.as_secs_f64() * slack.max(0.0));
+    multiple.unwrap_or(MAX_OBJECTIVE).saturating_add(target_latency).min(MAX_OBJECTIVE)
+}
+
 /// Time from a job's acceptance within which it is to complete, given the duration of its
 /// critical path.
 pub fn objective(job: &Job, critical_path: Duration) -> Duration {
     let slack = f64::from(job.slack_milli) / 1_000.0;
-    critical_path.mul_f64(slack) + Duration::from_millis(job.target_latency_ms)
+    scaled(critical_path, slack, Duration::from_millis(job.target_latency_ms))
 }
 
 /// Accelerators that the initial steps of a job take at the same time.
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -104,7 +104,7 @@
         (0, true, _) => 0,
         (0, false, Feasibility::OnTime | Feasibility::Late) => 1,
         (priority, _, Feasibility::OnTime) if priority > 1 && job.escalates && is_at_risk(job) => 3,
-        (priority, ..) => 2 + priority,
+        (priority, ..) => priority.saturating_add(2),
     };
     let end = job.age + job.remaining;
     let limit = if feasibility == Feasibility::OnTime {
--- a/crates/plan/src/wait.rs
+++ b/crates/plan/src/wait.rs
@@ -85,5 +85,5 @@
 pub fn stop_lateness(priority: u32, slack: Duration) -> f64 {
     let probability =
         if slack.is_zero() { 0.0 } else { (-slack.as_secs_f64() / MEAN_REQUEUE_SECONDS).exp() };
-    LATE_COST * probability / f64::from(priority + 1)
+    LATE_COST * probability / (f64::from(priority) + 1.0)
 }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -339,7 +339,7 @@
     pub(crate) fn objective(&self, entry: &Entry) -> Duration {
         let settings = self.queue_settings(entry);
         let critical_path = entry.critical_path(|step| self.expected_run_time(entry, step));
-        critical_path.mul_f64(settings.slack.max(1.0)) + settings.target_latency
+        length::scaled(critical_path, settings.slack.max(1.0), settings.target_latency)
     }
 
     /// Returns the time since a job's submission.
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -9,6 +9,7 @@
 mod isolation;
 mod late;
 mod load;
+mod odd;
 mod progress;
 mod reserve;
 mod shares;
