planner: a run of another writer in a minion's list takes no run numbers

Callers would see: a task that never runs again. A minion lists a run of it with a number near 2^32, or an end with one; the planner adopts that run, and the next number overflows: to 0, below all that ran before, or, in builds with overflow checks, the planner ends, and the next one too as long as the row is there.

Evidence, failed before: odd_runs_in_a_list_end_no_planner, two of four numbers panic (the next run has number, or the addition overflows).

Why it works: run numbers are given out by the thousand for each term, so one that is a thousand terms ahead was not ordered by any planner. Such a run is neither adopted nor stopped: a minion that is told to stop it would refuse all lower runs of the task for good. Such an end is acknowledged and has no effect.

--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -46,7 +46,7 @@
         let Some(group) = entry.groups.get_mut(key) else { return };
         let unfinished = allocate(pool, key.index, demand, assignments);
         let is_remote = is_remote(pool, demand, assignments);
-        let number = repeated.unwrap_or_else(|| first.max(group.run + 1));
+        let number = repeated.unwrap_or_else(|| first.max(group.run.saturating_add(1)));
         // A run that is ordered again is taken up when a list shows it.
         group.ended_run = group.ended_run.min(number - 1);
         let waited = now.steady.saturating_sub(group.waiting_since);
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -11,6 +11,7 @@
 use crate::{
     event::Moment,
     group::{Active, Phase as GroupPhase},
+    options,
     planner::Planner,
     worker::{self, Cause, Phase, Run, Stop},
 };
@@ -50,7 +51,9 @@
         worker.listed_at = listed_at;
         let mut outdated = Vec::new();
         for running in &poll.running {
-            let Some(run) = &running.run else { continue };
+            let Some(run) = running.run.as_ref().filter(|run| self.may_exist(run.run)) else {
+                continue;
+            };
             let task = Task::read(run);
             let worker = self.workers.get_mut(name).expect("the caller has inserted it");
             let known = worker.runs.get(&task).cloned();
@@ -92,6 +95,15 @@
         }
     }
 
+    /// Returns whether a run of this number can have been ordered by this planner, or by one of the
+    /// terms around its own.
+    ///
+    /// Guards against another writer's row: the numbers of the runs that follow have to be higher.
+    fn may_exist(&self, number: u32) -> bool {
+        let terms = self.startup.term_number.saturating_add(options::RUNS_PER_TERM);
+        number <= terms.saturating_mul(options::RUNS_PER_TERM)
+    }
+
     /// Records which orders the agent has outstanding. A stop is an order of its own, besides the
     /// start of the same run, which may be outstanding for long.
     fn record_received(&mut self, name: &str, poll: &Poll) {
@@ -164,9 +176,13 @@
             return;
         }
         let Some(run) = &ended.run else { return };
-        let task = Task::read(run);
-        self.close_run(&task, run.run);
-        let change = self.run_ended(now, name, &task, run.run, ended.ending(), &ended.checkpoint);
+        let mut change = None;
+        if self.may_exist(run.run) {
+            let task = Task::read(run);
+            self.close_run(&task, run.run);
+            let (ending, checkpoint) = (ended.ending(), &ended.checkpoint);
+            change = self.run_ended(now, name, &task, run.run, ending, checkpoint);
+        }
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         worker.pending_ends.insert(ended.number, change);
     }
--- a/crates/planner/tests/odd/mod.rs
+++ b/crates/planner/tests/odd/mod.rs
@@ -7,14 +7,14 @@
 
 use prost::Message as _;
 use sapphire_jobs::{
-    Job, Notice, Running, Schedule, Step,
+    Ended, Ending, Job, Notice, Running, Schedule, Step,
     catalog::{Catalog, Parts, Queue},
     resources::Resources,
 };
 use sapphire_planner::{event::Event, keys};
 use sapphire_store::call::Item;
 
-use crate::harness::{Fixture, TERM, fleet, item, job, no_starts, step};
+use crate::harness::{Fixture, TERM, ended, fleet, item, job, no_starts, run, step};
 
 /// Runs each case and returns the names of those that panic.
 fn panicking<T>(cases: Vec<(&'static str, T)>, run: impl Fn(T)) -> Vec<&'static str> {
@@ -125,3 +125,28 @@
     });
     assert!(odd.is_empty(), "{odd:?}");
 }
+
+/// Guards against a planner that ends since a minion lists a run or an end of another writer.
+#[test]
+fn odd_runs_in_a_list_end_no_planner() {
+    let numbers = [0, 1 << 30, u32::MAX - 1, u32::MAX];
+    let cases = numbers.map(|number| ("run", number)).to_vec();
+    let odd = panicking(cases, |number| {
+        let mut fixture = Fixture::new(vec![fleet(1, &[])]);
+        let job = job("j", TERM, step(1, false));
+        fixture.handle(Event::Notice(Notice { jobs: vec![job], ..Notice::default() }));
+        let odd = Running { run: Some(run("j", 0, number)), ..Running::default() };
+        fixture.join("a", vec![odd.clone()], Vec::new());
+        for _ in 0..5 {
+            fixture.poll("a", vec![odd.clone()], Vec::new());
+            fixture.advance(500);
+        }
+        let end = |number, run| ended(number, run, Ending::Stopped);
+        let ends: Vec<Ended> = vec![end(1, run("j", 0, number)), end(2, run("j", u32::MAX, 1))];
+        fixture.poll("a", Vec::new(), ends);
+        follow(&mut fixture);
+        let run = fixture.starts().pop().expect("the task is started");
+        assert!(run.run < u32::MAX / 2, "the next run has number {}", run.run);
+    });
+    assert!(odd.is_empty(), "{odd:?}");
+}
