--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -10,6 +10,7 @@
 mod isolation;
 mod late;
 mod load;
+mod odd;
 mod placed;
 mod progress;
 mod reserve;
