planner, front: the lease of a silent worker is counted once over several planners

Callers saw a job whose task was on a worker that had been cut off wait for 11.4 s anew after each change of planners (rule LOST); three changes 2 s apart made it 15.8 s, six of them 21.8 s.

Cause: a successor knows neither when a worker was last heard of nor whether it may have been granted a lease a moment ago, so that it counted the lease and the longest outage from the beginning of its own term.

The stored list of workers says since which term a worker has been granted no lease. It is written half a second after a planner began to serve, for workers that have not reported by then. Each entry remembers when it saw the latest sixteen terms, so that it counts from there by its own steady clock; an entry that has not seen the term counts from its own, as before. A planner grants a worker no lease and sends it no start while the stored list, or one that is being written, calls it silent.

The log of runs is indexed by worker, and incomplete gangs are looked for at most each 0.1 s while workers report: both were proportional to workers times runs at a take-over.

Two tests answered the first write of the list of workers only; a worker that reports late needs a second one now. They answer both, and go on checking that nothing is granted before.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -21,9 +21,14 @@
 /// Pause of the process after which its state as a planner counts as out of date.
 const MAX_PAUSE: Duration = Duration::from_millis(900);
 
+/// Number of terms that are remembered. Planners that are lost one after the other count the time of the
+/// earlier ones.
+const MAX_SEEN_TERMS: usize = 16;
+
 impl Machine {
     pub(crate) fn drive_leader(&mut self, now: Duration) {
         self.resign_after_pause(now);
+        self.record_term(now);
         self.drive_leader_reads(now);
         self.drive_lease(now);
         self.drive_feed(now);
@@ -41,6 +46,21 @@
         }
     }
 
+    /// Records that the term of the known leader has begun.
+    fn record_term(&mut self, now: Duration) {
+        let Some(leader) = &self.leadership.leader else { return };
+        let seen = &mut self.leadership.seen_terms;
+        seen.entry(leader.term).or_insert(now);
+        if seen.len() > MAX_SEEN_TERMS {
+            seen.pop_first();
+        }
+    }
+
+    /// Returns the latest terms, each with a time at which it had begun.
+    pub fn seen_terms(&self) -> impl Iterator<Item = (Revision, Duration)> {
+        self.leadership.seen_terms.iter().map(|(term, at)| (*term, *at))
+    }
+
     fn drive_leader_reads(&mut self, now: Duration) {
         let leadership = &mut self.leadership;
         if !leadership.is_watching && leadership.watch_from > 0 && now >= leadership.watch_at {
--- a/crates/front/src/state/leadership.rs
+++ b/crates/front/src/state/leadership.rs
@@ -1,6 +1,6 @@
 //! State of the leader election.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
 use prost::Message as _;
@@ -20,6 +20,8 @@
     pub(crate) holder: lease::Holder,
     /// Leader with the highest term known.
     pub(crate) leader: Option<Lead>,
+    /// The latest terms, each with a time at which it had begun.
+    pub(crate) seen_terms: BTreeMap<Revision, Duration>,
     /// Since when the leader key is known to have no holder.
     pub(crate) vacant_since: Option<Duration>,
     /// A read of the leader key is in progress.
@@ -64,6 +66,7 @@
         Leadership {
             holder: lease::Holder::new(keys::LEAD, value, settings.leader_lease),
             leader: None,
+            seen_terms: BTreeMap::new(),
             vacant_since: None,
             is_reading: false,
             is_watching: false,
--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -133,7 +133,7 @@
             Some((name.clone(), worker.incarnation.as_ref()?.id.clone()))
         });
         missed.extend(self.unanswered.minions());
-        let unaccounted = self.startup.unaccounted.iter();
+        let unaccounted = self.startup.unaccounted.keys();
         let unaccounted = unaccounted.filter_map(|name| {
             Some((name.clone(), self.startup.members.get(name)?.minion.clone()))
         });
@@ -151,7 +151,7 @@
             self.lose_runs(now, name, "its VM is gone");
             self.workers.remove(name);
         }
-        self.startup.unaccounted.retain(|other| other != name);
+        self.startup.unaccounted.remove(name);
         self.retain_logged(name);
         self.remove_member(name);
         self.handover.is_outdated = true;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -161,6 +161,11 @@
         self.feeds.expected = addresses.into_iter().collect();
     }
 
+    /// Sets the terms that this entry has seen, each with a time at which it had begun.
+    pub fn expect_terms(&mut self, terms: impl IntoIterator<Item = (u64, Duration)>) {
+        self.startup.seen_terms = terms.into_iter().collect();
+    }
+
     /// Returns the number of cordoned zones.
     pub fn cordoned_zones(&self) -> usize {
         self.cordons.count()
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -239,10 +239,13 @@
     /// so often that each of its polls is answered when the next one arrives.
     fn grant(&mut self, now: Moment, name: &str) -> Orders {
         let lease_expiry = self.options.lease_expiry();
-        let window = self.start_window(now);
+        // Guards against a task that runs twice: a successor would count with an earlier end of all
+        // that runs there.
+        let is_silent = self.startup.is_recorded_silent(name);
+        let window = if is_silent { Duration::ZERO } else { self.start_window(now) };
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         let mut orders = worker.empty_orders(self.term);
-        if worker.is_listed(now.steady) {
+        if worker.is_listed(now.steady) && !is_silent {
             let lease = self.options.lease.as_millis();
             orders.lease_ms = u64::try_from(lease).unwrap_or(u64::MAX);
             let until = worker.last_contact + lease_expiry;
--- a/crates/planner/src/run_log.rs
+++ b/crates/planner/src/run_log.rs
@@ -87,7 +87,7 @@
         let tasks = pass::group_tasks(&entry.job.id, key, tasks);
         self.run_log
             .range(tasks.start, tasks.end)
-            .any(|row| self.startup.unaccounted.contains(&row.worker))
+            .any(|row| self.startup.unaccounted.contains_key(&row.worker))
     }
 
     /// Removes the runs of a worker from the log that are not on it any more.
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -1,7 +1,11 @@
 //! The start of a term: reads the store, records the term, and waits until the results of earlier
 //! planners' orders are known.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use prost::Message as _;
@@ -21,6 +25,12 @@
     worker::Cause,
 };
 
+/// Time without a list of a worker after which the stored list calls it silent. Most report sooner, and
+/// need no further write before they are granted a lease.
+const SILENCE: Duration = Duration::from_millis(500);
+/// Interval between searches for incomplete gangs while workers report.
+const GANG_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 impl Planner {
     /// Begins to read the records of the store.
     pub(crate) fn begin(&mut self) {
@@ -158,9 +168,10 @@
             Ok(fleet) => {
                 self.startup.term_number = fleet.terms;
                 self.startup.recorded = minions(&fleet.members);
-                let members = fleet.members.into_iter().map(|member| (member.name.clone(), member));
-                self.startup.members = members.collect();
-                self.startup.unaccounted = self.startup.members.keys().cloned().collect();
+                self.startup.recorded_silent = silent(&fleet.members);
+                for member in fleet.members {
+                    self.load_member(member);
+                }
             }
             Err(error) => {
                 // The number of the previous term is unknown, and with it whether the handover
@@ -171,6 +182,32 @@
         }
     }
 
+    /// Loads a worker of earlier planners. The lease that it may have ends some time after the beginning
+    /// of the first term in which it was granted none, and after the longest outage in which a planner
+    /// of the term before may have gone on.
+    fn load_member(&mut self, member: Member) {
+        let name = member.name.clone();
+        let began = self.startup.seen_terms.get(&member.silent_since);
+        let silent_since = began.map_or(self.startup.began, |began| *began);
+        let until = silent_since + self.options.lease_expiry() + options::MAX_STORE_OUTAGE;
+        self.startup.unaccounted.insert(name.clone(), until);
+        if member.silent_since > 0 {
+            self.startup.silent.insert(name.clone(), member.silent_since);
+        }
+        self.startup.members.insert(name, Member { silent_since: 0, ..member });
+    }
+
+    /// Has the stored list say which workers are silent, so that a successor goes on counting.
+    fn record_silent(&mut self, now: Moment) {
+        let startup = &mut self.startup;
+        if startup.served_at.is_none_or(|at| now.steady < at + SILENCE) {
+            return;
+        }
+        for name in startup.unaccounted.keys() {
+            startup.is_fleet_dirty |= startup.silent.insert(name.clone(), self.term).is_none();
+        }
+    }
+
     /// Closes loaded jobs that have ended, and adds the due occurrences of the others.
     fn prepare_loaded_jobs(&mut self, now: Moment) {
         let is_over = |entry: &Entry| entry.is_over();
@@ -197,6 +234,7 @@
         startup.is_writing_fleet = true;
         let fleet = startup.fleet();
         startup.recording = minions(&fleet.members);
+        startup.recording_silent = silent(&fleet.members);
         let value = Bytes::from(fleet.encode_to_vec());
         let mut conditions = vec![
             Condition { key: keys::LEAD.to_owned(), revision: self.term },
@@ -223,11 +261,16 @@
             Reply::Committed(revision) => {
                 self.startup.fleet_revision = revision;
                 self.startup.recorded = std::mem::take(&mut self.startup.recording);
+                let startup = &mut self.startup;
+                startup.recorded_silent = std::mem::take(&mut startup.recording_silent);
+                let has_reported = |name| !startup.unaccounted.contains_key(name);
+                startup.is_fleet_dirty |= startup.recorded_silent.iter().any(has_reported);
                 if self.startup.phase == Phase::Recording {
                     self.handover.written(self.handover.latest, revision);
                     self.run_log.written(self.handover.latest);
                     self.serve(now);
                 }
+                self.write_fleet(now);
                 self.needs_pass = true;
             }
             Reply::Refused(items) => {
@@ -237,7 +280,9 @@
                 // An earlier write of this term, whose reply was lost, has been carried out.
                 let found = items.iter().find(|item| item.key == keys::FLEET);
                 self.startup.fleet_revision = found.map_or(0, |item| item.revision);
-                self.startup.recorded = found.map_or_else(BTreeMap::new, recorded);
+                let members = found.map_or_else(Vec::new, members);
+                self.startup.recorded = minions(&members);
+                self.startup.recorded_silent = silent(&members);
                 self.startup.is_fleet_dirty = true;
                 if self.startup.phase == Phase::Recording {
                     self.run_log.lost(self.handover.latest);
@@ -251,6 +296,9 @@
             }
             _ => {
                 self.startup.is_fleet_dirty = true;
+                // The write may still be carried out.
+                let startup = &mut self.startup;
+                startup.recorded_silent.append(&mut startup.recording_silent);
                 if self.startup.phase == Phase::Recording {
                     self.run_log.lost(self.handover.latest);
                     self.handover.in_flight.clear();
@@ -276,6 +324,7 @@
     /// Begins to serve agents and entries, once the term is recorded in the store.
     fn serve(&mut self, now: Moment) {
         self.startup.phase = Phase::Serving;
+        self.startup.served_at = Some(now.steady);
         let (term, took) = (self.term, now.steady.saturating_sub(self.startup.began));
         self.log(format!("term={term} serves after {} ms", took.as_millis()));
         self.answer_early_polls();
@@ -290,7 +339,7 @@
     /// inventory lacks that minion.
     pub(crate) fn add_member(&mut self, now: Moment, worker: &str, address: &str, minion: &str) {
         let (name, address) = (worker.to_owned(), address.to_owned());
-        let member = Member { name, address, minion: minion.to_owned() };
+        let member = Member { name, address, minion: minion.to_owned(), silent_since: 0 };
         if self.startup.members.get(worker) != Some(&member) {
             self.startup.members.insert(worker.to_owned(), member);
             self.startup.is_fleet_dirty = true;
@@ -312,24 +361,28 @@
             return;
         }
         let workers = &self.workers;
-        let is_accounted_for = |name: &String| {
+        let is_accounted_for = |name: &WorkerName, _: &mut Duration| {
             workers.get(name).is_some_and(|worker| worker.is_fenced || worker.is_vacant)
         };
-        let (accounted, unaccounted) =
-            std::mem::take(&mut self.startup.unaccounted).into_iter().partition(is_accounted_for);
-        self.startup.unaccounted = unaccounted;
-        self.account_for(accounted);
-        if !self.startup.unaccounted.is_empty() && now.steady < self.recovery_deadline() {
-            self.stop_partial_gangs(now);
-            return;
-        }
-        self.startup.has_lost_workers |= !self.startup.unaccounted.is_empty();
-        let lost = std::mem::take(&mut self.startup.unaccounted);
+        let accounted = self.startup.unaccounted.extract_if(.., is_accounted_for);
+        let accounted: Vec<WorkerName> = accounted.map(|(name, _)| name).collect();
+        let lost = self.startup.unaccounted.extract_if(.., |_, until| now.steady >= *until);
+        let lost: Vec<WorkerName> = lost.map(|(name, _)| name).collect();
+        self.startup.has_lost_workers |= !lost.is_empty();
         for worker in &lost {
             self.remove_member(worker);
             self.log(format!("worker={worker} no contact since the term began; declared lost"));
         }
-        self.account_for(lost);
+        self.account_for(now, accounted);
+        self.account_for(now, lost);
+        if !self.startup.unaccounted.is_empty() {
+            self.record_silent(now);
+            if now.steady >= self.startup.gangs_checked_at + GANG_CHECK_INTERVAL {
+                self.startup.gangs_checked_at = now.steady;
+                self.stop_partial_gangs(now);
+            }
+            return;
+        }
         self.startup.recovered_at = Some(now.steady);
         self.handover.is_outdated |= !self.startup.are_runs_logged;
         self.needs_pass = true;
@@ -340,11 +393,14 @@
     }
 
     /// Records that nothing else runs on some workers than what is known.
-    fn account_for(&mut self, workers: Vec<WorkerName>) {
+    fn account_for(&mut self, now: Moment, workers: Vec<WorkerName>) {
         self.needs_pass |= !workers.is_empty();
         for worker in workers {
             self.retain_logged(&worker);
+            self.startup.silent.remove(&worker);
+            self.startup.is_fleet_dirty |= self.startup.recorded_silent.contains(&worker);
         }
+        self.write_fleet(now);
     }
 
     /// Stops gangs of an earlier term that lack members, since they cannot continue.
@@ -367,10 +423,16 @@
     }
 }
 
-/// Returns the workers in a record with their minions; none if the record cannot be read.
-fn recorded(item: &Item) -> BTreeMap<WorkerName, String> {
+/// Returns the workers in a record; none if the record cannot be read.
+fn members(item: &Item) -> Vec<Member> {
     let fleet = item.value.as_ref().and_then(|value| Fleet::decode(&value[..]).ok());
-    minions(&fleet.unwrap_or_default().members)
+    fleet.unwrap_or_default().members
+}
+
+/// Returns the workers that a record calls silent.
+fn silent(members: &[Member]) -> BTreeSet<WorkerName> {
+    let silent = members.iter().filter(|member| member.silent_since > 0);
+    silent.map(|member| member.name.clone()).collect()
 }
 
 /// Returns the minions of workers.
--- a/crates/planner/src/state/run_log.rs
+++ b/crates/planner/src/state/run_log.rs
@@ -52,6 +52,7 @@
 pub(crate) struct RunLog {
     /// Each run, with the stored segment that contains it.
     runs: BTreeMap<Row, Option<Number>>,
+    by_worker: BTreeMap<WorkerName, BTreeSet<Row>>,
     /// Runs that no segment is known to contain.
     missing: BTreeSet<Row>,
     /// Runs that have ended, with the change of their job that must be durable first.
@@ -84,11 +85,6 @@
         rows.map(|(row, _)| row)
     }
 
-    /// Returns the runs that may be on a worker.
-    pub(crate) fn on<'a>(&'a self, worker: &'a str) -> impl Iterator<Item = &'a Row> {
-        self.runs.keys().filter(move |row| row.worker == worker)
-    }
-
     /// Returns whether the log in the store lacks runs.
     pub(crate) fn has_missing(&self) -> bool {
         !self.missing.is_empty()
@@ -100,9 +96,8 @@
         self.next += 1;
         let mut homes = 0;
         for row in rows.iter().filter(|row| is_live(row)) {
-            let home = self.runs.entry(row.clone()).or_default();
-            if home.is_none() {
-                *home = Some(number);
+            if !self.runs.contains_key(row) {
+                self.insert(row, Some(number));
                 homes += 1;
             }
         }
@@ -113,7 +108,7 @@
     pub(crate) fn add(&mut self, row: Row) {
         self.ended.remove(&row);
         if !self.runs.contains_key(&row) {
-            self.runs.insert(row.clone(), None);
+            self.insert(&row, None);
             self.missing.insert(row);
         }
     }
@@ -141,14 +136,26 @@
     /// Removes the runs of a worker that are not on it any more, but for those whose end is not durable.
     pub(crate) fn retain_on(&mut self, worker: &str, is_there: impl Fn(&Row) -> bool) {
         let is_over = |row: &&Row| !is_there(row) && !self.ended.contains_key(*row);
-        let over: Vec<Row> = self.on(worker).filter(is_over).cloned().collect();
+        let rows = self.by_worker.get(worker).into_iter().flatten();
+        let over: Vec<Row> = rows.filter(is_over).cloned().collect();
         over.iter().for_each(|row| self.release(row));
     }
 
+    fn insert(&mut self, row: &Row, home: Option<Number>) {
+        self.runs.insert(row.clone(), home);
+        self.by_worker.entry(row.worker.clone()).or_default().insert(row.clone());
+    }
+
     /// Removes a run.
     fn release(&mut self, row: &Row) {
         self.ended.remove(row);
         self.missing.remove(row);
+        if let Some(rows) = self.by_worker.get_mut(&row.worker) {
+            rows.remove(row);
+            if rows.is_empty() {
+                self.by_worker.remove(&row.worker);
+            }
+        }
         let home = self.runs.remove(row).flatten();
         if let Some(segment) = home.and_then(|home| self.segments.get_mut(&home)) {
             segment.homes -= 1;
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -1,6 +1,9 @@
 //! State of the start of a term.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use sapphire_jobs::{Fleet, Member, task::WorkerName};
 use sapphire_store::call::{Item, Revision};
@@ -31,8 +34,21 @@
     pub(crate) recorded: BTreeMap<WorkerName, String>,
     /// The same of the list that is being written.
     pub(crate) recording: BTreeMap<WorkerName, String>,
-    /// Workers that earlier planners gave tasks to and that have not been accounted for yet.
-    pub(crate) unaccounted: Vec<WorkerName>,
+    /// Workers that earlier planners gave tasks to and that have not been accounted for yet, with the
+    /// time at which all that may run there is over.
+    pub(crate) unaccounted: BTreeMap<WorkerName, Duration>,
+    /// Those of them that have not been granted a lease for a while, with the first term of that time.
+    pub(crate) silent: BTreeMap<WorkerName, Revision>,
+    /// Workers that the stored list may call silent. A successor would rely on it.
+    pub(crate) recorded_silent: BTreeSet<WorkerName>,
+    /// The same of the list that is being written.
+    pub(crate) recording_silent: BTreeSet<WorkerName>,
+    /// Terms that this entry has seen, each with a time at which it had begun.
+    pub(crate) seen_terms: BTreeMap<Revision, Duration>,
+    /// Time of the latest search for incomplete gangs.
+    pub(crate) gangs_checked_at: Duration,
+    /// Time since which the planner serves.
+    pub(crate) served_at: Option<Duration>,
     /// Their number in the latest log line, with the time of that line.
     pub(crate) unaccounted_logged: Option<(usize, Duration)>,
     /// The stored list of workers is out of date.
@@ -60,7 +76,13 @@
             members: BTreeMap::new(),
             recorded: BTreeMap::new(),
             recording: BTreeMap::new(),
-            unaccounted: Vec::new(),
+            unaccounted: BTreeMap::new(),
+            silent: BTreeMap::new(),
+            recorded_silent: BTreeSet::new(),
+            recording_silent: BTreeSet::new(),
+            seen_terms: BTreeMap::new(),
+            gangs_checked_at: Duration::ZERO,
+            served_at: None,
             unaccounted_logged: None,
             is_fleet_dirty: true,
             is_writing_fleet: false,
@@ -88,8 +110,21 @@
         self.recorded.get(worker).is_some_and(|recorded| recorded == minion)
     }
 
+    /// Returns whether a successor may take a worker for one that was granted no lease in this term.
+    pub(crate) fn is_recorded_silent(&self, worker: &str) -> bool {
+        let is_being_recorded = self.is_writing_fleet && self.recording_silent.contains(worker);
+        self.recorded_silent.contains(worker) || is_being_recorded
+    }
+
     /// Returns the list of workers in the form in which it is stored.
     pub(crate) fn fleet(&self) -> Fleet {
-        Fleet { terms: self.term_number, members: self.members.values().cloned().collect() }
+        let silent_since = |name: &WorkerName| {
+            self.unaccounted.get(name).and_then(|_| self.silent.get(name)).copied().unwrap_or(0)
+        };
+        let member = |(name, member): (&WorkerName, &Member)| Member {
+            silent_since: silent_since(name),
+            ..member.clone()
+        };
+        Fleet { terms: self.term_number, members: self.members.iter().map(member).collect() }
     }
 }
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -10,7 +10,7 @@
     lines::{self, REPEAT_INTERVAL},
     options,
     planner::Planner,
-    wait::{Reason, Untried},
+    wait::Reason,
     worker::Worker,
 };
 
@@ -26,10 +26,10 @@
         if count == 0 || !self.startup.is_serving() || !is_due {
             return;
         }
-        let mut inherited = Untried::default();
         let open = self.table.open.iter().filter_map(|id| self.table.entries.get(id));
-        open.filter(|entry| entry.is_inherited).for_each(|entry| inherited.add_due(entry));
-        if inherited.groups == 0 {
+        let due = open.flat_map(|entry| entry.due_groups().map(move |(key, _)| (entry, key)));
+        let groups = due.filter(|(entry, key)| self.is_held(entry, key)).count();
+        if groups == 0 {
             return;
         }
         self.startup.unaccounted_logged = Some((count, now.steady));
@@ -37,16 +37,21 @@
         self.log(format!(
             "term={} take-over waits for workers={} count={count} groups={} waited_ms={} limit_ms={}",
             self.term,
-            lines::describe(&self.startup.unaccounted),
-            inherited.groups,
+            lines::describe(&self.unaccounted_workers()),
+            groups,
             now.steady.saturating_sub(began).as_millis(),
             self.recovery_deadline().saturating_sub(began).as_millis()
         ));
     }
 
-    /// Returns the time from which on workers of the earlier term that have not reported are lost.
+    /// Returns the time from which on all workers of the earlier term that have not reported are lost.
     pub(crate) fn recovery_deadline(&self) -> Duration {
-        self.startup.began + self.options.lease_expiry() + options::MAX_STORE_OUTAGE
+        self.startup.unaccounted.values().copied().max().unwrap_or(self.startup.began)
+    }
+
+    /// Returns the workers of the earlier term that have not been accounted for.
+    fn unaccounted_workers(&self) -> Vec<WorkerName> {
+        self.startup.unaccounted.keys().cloned().collect()
     }
 
     /// Returns whether what became of a start that expires at `until` is known of a worker.
@@ -59,7 +64,7 @@
     pub(crate) fn workers_of_obstacle(&self, now: Moment, reason: Reason) -> Vec<WorkerName> {
         let until = self.startup.recovered_at.map(|at| at + options::START_EXPIRY);
         match (reason, until) {
-            (Reason::Takeover, _) | (Reason::Handover, None) => self.startup.unaccounted.clone(),
+            (Reason::Takeover, _) | (Reason::Handover, None) => self.unaccounted_workers(),
             (Reason::Handover, Some(until)) if now.steady >= until => {
                 let unknown = |worker: &Worker| !Self::is_shown(worker, until);
                 let workers = self.workers.iter().filter(|(_, worker)| unknown(worker));
--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -1,6 +1,9 @@
 //! Planners, agents and a store whose processes can be lost at any time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use prost::Message as _;
@@ -94,10 +97,14 @@
     pub(crate) record_outcome: Outcome,
     /// What becomes of writes of progress.
     pub(crate) progress_outcome: Outcome,
+    /// What becomes of writes of the list of workers.
+    pub(crate) fleet_outcome: Outcome,
     /// Times that the tasks of jobs take.
     pub(crate) run_times: BTreeMap<String, u64>,
     /// Starts in the order in which agents got them, with their time and worker.
     pub(crate) starts: Vec<(u64, Run, String)>,
+    /// Terms so far, each with the time at which it began, as seen by an entry that lives on.
+    pub(crate) began: Vec<(u64, Duration)>,
     pub(crate) is_store_away: bool,
     /// Difference between the wall clock of the next planner and those before.
     pub(crate) skew: i64,
@@ -143,8 +150,10 @@
             items: BTreeMap::new(),
             record_outcome: Outcome::Answered(10),
             progress_outcome: Outcome::Answered(TICK),
+            fleet_outcome: Outcome::Answered(TICK),
             run_times: BTreeMap::new(),
             starts: Vec::new(),
+            began: Vec::new(),
             is_store_away: false,
             skew: 0,
             entries: Vec::new(),
@@ -222,6 +231,8 @@
         self.note(&format!("term {} begins, record={recorded:?}", self.term));
         let mut planner = Fixture::term(self.term, self.now, self.skew);
         planner.generations.clone_from(&self.generations);
+        planner.planner.expect_terms(self.began.iter().copied());
+        self.began.push((self.term, ms(self.now)));
         self.planner = Some(planner);
     }
 
@@ -581,11 +592,15 @@
             _ if self.is_store_away => Outcome::Lost,
             Operation::Unanswered(_) => self.record_outcome,
             Operation::Progress(_) => self.progress_outcome,
+            Operation::Fleet => self.fleet_outcome,
             _ => Outcome::Answered(TICK),
         };
         if matches!(operation, Operation::Unanswered(_)) {
             self.note(&format!("the record is sent: {outcome:?}"));
         }
+        if matches!(operation, Operation::Fleet) {
+            self.note(&format!("the list of workers is sent: {outcome:?}"));
+        }
         let delay = match outcome {
             Outcome::Answered(delay) => delay,
             Outcome::Refused => TICK,
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -404,6 +404,7 @@
         name: (*name).to_owned(),
         address: format!("{name}:1"),
         minion: minion(name).id,
+        ..Member::default()
     };
     let fleet = Fleet { terms, members: members.iter().map(member).collect() };
     item(keys::FLEET.to_owned(), fleet.encode_to_vec())
--- a/crates/planner/tests/inventory/mod.rs
+++ b/crates/planner/tests/inventory/mod.rs
@@ -179,14 +179,17 @@
     let notice = Notice { jobs: vec![job("j", TERM, step(1, false))], cancelled: Vec::new() };
     fixture.handle(Event::Notice(notice));
     fixture.advance(500);
-    assert!(fixture.starts().is_empty());
     let is_list = |(operation, _): &(Operation, Call)| *operation == Operation::Fleet;
-    let at = fixture.calls.iter().position(is_list).expect("the list of workers is written");
-    let (operation, _) = fixture.calls.remove(at);
-    fixture.handle(Event::Store(operation, Reply::Committed(61)));
-    let report = Poll { incarnation: Some(next), ..Default::default() };
-    fixture.report("a", report);
-    fixture.advance(100);
+    // The list that names the present minion follows the one that was being written before.
+    for revision in [61, 62] {
+        assert!(fixture.starts().is_empty());
+        let at = fixture.calls.iter().position(is_list).expect("the list of workers is written");
+        let (operation, _) = fixture.calls.remove(at);
+        fixture.handle(Event::Store(operation, Reply::Committed(revision)));
+        let report = Poll { incarnation: Some(next.clone()), ..Default::default() };
+        fixture.report("a", report);
+        fixture.advance(100);
+    }
     assert_eq!(fixture.starts(), vec![run("j", 0, 1_001)]);
 }
 
--- /dev/null
+++ b/crates/planner/tests/takeover/fleet.rs
@@ -0,0 +1,72 @@
+//! Tests of writes of the list of workers that have had no reply.
+
+use super::scene::{Found, LONG_ENOUGH, Scene, Silence, whole};
+use crate::handover::world::Outcome;
+
+/// Time after a poll at which the lease that it was granted expires.
+const LEASE: u64 = 6_120;
+/// Maximum time for which a poll is left unanswered.
+const POLL_TIMEOUT: u64 = 600;
+/// Time after the beginning of service from which on the list calls workers silent.
+const SILENCE: u64 = 500;
+
+/// Guards against a worker that reports while a list that calls it silent is being written, and is
+/// granted no lease until that list is written again for another reason.
+#[test]
+fn a_worker_that_reports_while_it_is_recorded_as_silent_keeps_its_lease() {
+    let mut scene = Scene::new();
+    scene.world.run(1_000);
+    scene.silence(Silence::CutOff);
+    scene.world.lose_planner();
+    scene.take_over(Found::All);
+    scene.world.run(SILENCE - 200);
+    scene.world.fleet_outcome = Outcome::Answered(400);
+    scene.world.run(300);
+    let silent = scene.silent.clone();
+    scene.world.reconnect(&silent);
+    scene.world.run(3_000);
+    let lease = scene.world.lease_until(&silent).saturating_sub(scene.world.now);
+    // A poll is answered within 600 ms, with a lease that is counted from the poll.
+    assert!(lease >= LEASE - 2 * POLL_TIMEOUT, "the lease ends in {lease} ms\n{}", scene.history());
+    scene.world.run(LONG_ENOUGH);
+    assert_eq!(scene.starts_of("j/0/0/0").len(), 1, "{}", scene.history());
+    scene.assert_no_conflict();
+}
+
+/// Guards against a task that runs twice: a worker is granted a lease while a list that calls it silent
+/// is being written, and a successor counts with none in that term.
+#[test]
+fn a_lease_granted_while_its_worker_is_recorded_as_silent_counts() {
+    for served_after in [0, 3_000, 6_000, 9_000] {
+        let mut scene = Scene::new();
+        scene.world.run(1_000);
+        scene.silence(Silence::CutOff);
+        let silent = scene.silent.clone();
+        scene.world.lose_planner();
+        scene.world.fleet_outcome = Outcome::Answered(served_after + 10);
+        scene.take_over(Found::All);
+        scene.world.run(served_after + 300);
+        scene.world.fleet_outcome = Outcome::Answered(900);
+        scene.world.run(250);
+        scene.world.reconnect(&silent);
+        for (other, agent) in &mut scene.world.agents {
+            agent.is_draining = *other != silent;
+        }
+        scene.submit_long("x", &whole(1));
+        scene.world.run(800);
+        scene.world.run(500);
+        scene.silence(Silence::CutOff);
+        for agent in scene.world.agents.values_mut() {
+            agent.is_draining = false;
+        }
+        scene.change_planners(1, 0, Found::All);
+        scene.world.run(LONG_ENOUGH);
+        let case = format!("served after {served_after} ms");
+        assert!(
+            scene.world.conflicts.is_empty(),
+            "{case}: {:#?}\n{}",
+            scene.world.conflicts,
+            scene.history()
+        );
+    }
+}
--- a/crates/planner/tests/takeover/mod.rs
+++ b/crates/planner/tests/takeover/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of changes of planners while a worker of the earlier term is silent.
 
 mod earlier;
+mod fleet;
 mod goes_on;
 mod holds;
 mod log;
--- a/crates/planner/tests/terms/mod.rs
+++ b/crates/planner/tests/terms/mod.rs
@@ -264,6 +264,8 @@
     assert!(fixture.orders.iter().all(|(_, orders)| orders.lease_ms == 0));
     let (_, latest) = fixture.orders.last().expect("polls are answered");
     fixture.tokens.insert("a".to_owned(), latest.token);
+    // The stored list must no longer say that the worker is granted none.
+    fixture.join("a", Vec::new(), Vec::new());
     fixture.poll("a", Vec::new(), Vec::new());
     fixture.advance(1_000);
     let (_, latest) = fixture.orders.last().expect("polls are answered");
--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -63,6 +63,7 @@
                 let options = options::planner(&self.settings);
                 let mut planner = Planner::new(options, term, self.catalog.clone(), now);
                 planner.expect_entries(self.front.other_entries());
+                planner.expect_terms(self.front.seen_terms());
                 self.planner = Some(planner);
                 self.handle_planner_event(now, planner::event::Event::Tick);
             }
