planner: a worker that the stored list may lack gets no tasks

Cause: whether a successor knows of a worker was decided by the list that was stored last, and not also by the one that was on its way or had had no reply.

Why it works: a worker takes tasks only if every list that may be the stored one names it with its minion. After a write without a reply both lists count, until the next one is stored.

--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -299,6 +299,8 @@
                 // The write may still be carried out.
                 let startup = &mut self.startup;
                 startup.recorded_silent.append(&mut startup.recording_silent);
+                let recording = std::mem::take(&mut startup.recording);
+                startup.recorded.retain(|name, minion| recording.get(name) == Some(minion));
                 if self.startup.phase == Phase::Recording {
                     self.run_log.lost(self.handover.latest);
                     self.handover.in_flight.clear();
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -105,9 +105,13 @@
         self.recovered_at.is_some()
     }
 
-    /// Returns whether a successor would know that it has to account for a worker with this minion.
+    /// Returns whether a successor would know that it has to account for a worker with this minion,
+    /// also if the list that is being written takes effect.
     pub(crate) fn is_recorded(&self, worker: &str, minion: &str) -> bool {
-        self.recorded.get(worker).is_some_and(|recorded| recorded == minion)
+        let is_in = |list: &BTreeMap<WorkerName, String>| {
+            list.get(worker).is_some_and(|recorded| recorded == minion)
+        };
+        is_in(&self.recorded) && (!self.is_writing_fleet || is_in(&self.recording))
     }
 
     /// Returns whether a successor may take a worker for one that was granted no lease in this term.
--- a/crates/planner/tests/takeover/fleet.rs
+++ b/crates/planner/tests/takeover/fleet.rs
@@ -1,7 +1,7 @@
 //! Tests of writes of the list of workers that have had no reply.
 
 use super::scene::{Found, LONG_ENOUGH, Scene, Silence, whole};
-use crate::handover::world::Outcome;
+use crate::{handover::world::Outcome, harness::step};
 
 /// Time after a poll at which the lease that it was granted expires.
 const LEASE: u64 = 6_120;
@@ -70,3 +70,51 @@
         );
     }
 }
+
+/// Guards against a task that runs twice: a worker that was declared lost reports while the list without
+/// it is being written, and is given a task that a successor doesn't wait for.
+#[test]
+fn a_worker_that_the_list_may_lack_gets_no_tasks() {
+    for outcome in [Outcome::Unanswered, Outcome::Lost, Outcome::Answered(700)] {
+        for late in [0, 650, 1_500, 3_000] {
+            let mut scene = Scene::idle();
+            scene.world.run(1_000);
+            let lost = "a".to_owned();
+            scene.silent.clone_from(&lost);
+            scene.silence(Silence::CutOff);
+            scene.world.fleet_outcome = outcome;
+            // Until the list without the worker is sent.
+            for _ in 0..1_000 {
+                if scene.history().contains("the list of workers is sent: Unanswered")
+                    || scene
+                        .history()
+                        .contains(&format!("the list of workers is sent: {outcome:?}"))
+                {
+                    break;
+                }
+                scene.world.run(10);
+            }
+            scene.world.reconnect(&lost);
+            for (other, agent) in &mut scene.world.agents {
+                agent.is_draining = *other != lost;
+            }
+            scene.world.run(100);
+            scene.submit_long("x", &step(1, false));
+            scene.world.run(150 + late);
+            scene.silence(Silence::CutOff);
+            scene.world.fleet_outcome = Outcome::Answered(10);
+            for agent in scene.world.agents.values_mut() {
+                agent.is_draining = false;
+            }
+            scene.change_planners(1, 0, Found::All);
+            scene.world.run(LONG_ENOUGH);
+            let case = format!("{outcome:?}, {late} ms");
+            assert!(
+                scene.world.conflicts.is_empty(),
+                "{case}: {:#?}\n{}",
+                scene.world.conflicts,
+                scene.history()
+            );
+        }
+    }
+}
