--- a/crates/planner/tests/takeover/goes_on.rs
+++ b/crates/planner/tests/takeover/goes_on.rs
@@ -214,7 +214,7 @@
         }
     }
     let (heard_at, began_at) = (scene.heard_at, scene.began_at);
-    // The first planner may have gone on from the end of the first gap.
+    // The planner that was lost may go on for a while without a lease, from the end of the first gap on.
     let bound = (SILENT_BOUND + gap).max(began_at + CALM_BOUND - heard_at);
     scene.assert_started("j/0/0/0", heard_at, bound);
 }
