--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -301,6 +301,11 @@
         self.agents[name].polled_at
     }
 
+    /// Returns the tasks that run on a worker.
+    pub(crate) fn tasks_on(&self, name: &str) -> BTreeSet<Task> {
+        self.agents[name].running.iter().map(|(run, _)| Task::read(run)).collect()
+    }
+
     /// Returns the time at which everything that runs on a worker has ended unless a planner prolongs
     /// its lease.
     pub(crate) fn lease_until(&self, name: &str) -> u64 {
