planner: a cancellation without a notice is read in time

Callers saw tasks of a cancelled job start, and go on, after `cancel_ms` (3 to 7 s, by deployment).

Cause: if the entry that acknowledged a cancellation ends, or is cut off from the planner, the planner finds it by its read of submissions each 2.5 s. A read that failed, or was rejected with 429 or 503, was followed by the next one 2.5 s later, however often that happened. The first read of a term was due 2.5 s after the end of the scan of the store, which may take long, and which misses what is written into pages that it has read already. An accepted job without a notice waited as long.

Evidence: the tests `unasked` of the planner, before: cancelled 5.0 s after the acknowledgement with one failed read, 3.5 s with a scan of 1 s.

--- a/crates/planner/src/intake.rs
+++ b/crates/planner/src/intake.rs
@@ -77,7 +77,11 @@
                 self.intake_page(now, &items, has_more, revision);
                 items
             }
-            _ => return,
+            _ => {
+                // A later read would find a cancellation too late.
+                self.intake.next_read = now.steady + options::WATCH_RETRY;
+                return;
+            }
         };
         for item in items {
             let Some(value) = item.value else { continue };
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -61,7 +61,7 @@
             self.scan(after);
             return;
         }
-        self.intake.start(now.steady, first);
+        self.intake.start(self.startup.began, first);
         self.load_records(now);
     }
 
--- a/crates/planner/src/state/intake.rs
+++ b/crates/planner/src/state/intake.rs
@@ -27,9 +27,10 @@
 }
 
 impl Intake {
-    /// Begins to watch after the scan at the start of the term.
-    pub(crate) fn start(&mut self, now: Duration, revision: Revision) {
+    /// Begins to watch after the scan at the start of the term, which began at `since` and may have
+    /// taken long: the interval counts from then.
+    pub(crate) fn start(&mut self, since: Duration, revision: Revision) {
         self.revision = revision;
-        self.next_read = now + options::INTAKE_INTERVAL;
+        self.next_read = since + options::INTAKE_INTERVAL;
     }
 }
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -19,5 +19,6 @@
 mod superseded;
 mod supply;
 mod terms;
+mod unasked;
 mod urgent;
 mod waits;
--- /dev/null
+++ b/crates/planner/tests/unasked/mod.rs
@@ -0,0 +1,80 @@
+//! Tests of work that nobody asks for any more: a cancellation is in force within its bound, whichever
+//! planner reads it.
+
+use prost::Message as _;
+use sapphire_jobs::Notice;
+use sapphire_planner::{
+    event::{Event, Operation},
+    keys,
+};
+use sapphire_store::call::{Call, Item, Reply};
+
+use crate::harness::{Fixture, TERM, fleet, item, job, no_starts, step};
+
+/// Time in ms after the acknowledgement of a cancellation from which on nothing of the job starts. Of the
+/// deployments, the shortest.
+const CANCEL_LIMIT: u64 = 3_000;
+
+fn submitted(term: u64) -> Item {
+    item(keys::job("j"), job("j", term, step(1, false)).encode_to_vec())
+}
+
+fn cancellation() -> Item {
+    item(keys::cancel("j"), b"1".to_vec())
+}
+
+/// Takes the latest read of submissions, if there is one.
+fn take_read(fixture: &mut Fixture) -> Option<Call> {
+    let is_read = |call: &(Operation, Call)| call.0 == Operation::Intake;
+    let at = fixture.calls.iter().rposition(is_read)?;
+    Some(fixture.calls.remove(at).1)
+}
+
+/// Answers the reads of submissions with a cancellation from `readable_from` on, and not before. Returns
+/// the time after which the job is cancelled.
+fn cancelled_after(fixture: &mut Fixture, readable_from: u64) -> u64 {
+    let since = fixture.now;
+    while fixture.now < since + 10_000 {
+        while take_read(fixture).is_some() {
+            let reply = if fixture.now >= since + readable_from {
+                Reply::Changes { items: vec![cancellation()], revision: 200 }
+            } else {
+                Reply::NotDone("429".to_owned())
+            };
+            fixture.handle(Event::Store(Operation::Intake, reply));
+        }
+        if fixture.log.iter().any(|line| line == "job=j cancelled") {
+            return fixture.now - since;
+        }
+        fixture.advance(50);
+    }
+    10_000
+}
+
+/// Guards against a start of a job whose cancellation was acknowledged by an entry that ended before it
+/// notified the planner: the store rejects a read of it, and the next one is made much later.
+#[test]
+fn a_cancellation_is_read_soon_after_a_read_that_failed() {
+    let mut fixture = Fixture::new(vec![fleet(1, &[])]);
+    let notice = Notice { jobs: vec![job("j", TERM, step(1, false))], ..Notice::default() };
+    fixture.handle(Event::Notice(notice));
+    take_read(&mut fixture);
+    fixture.handle(Event::Store(Operation::Intake, Reply::Changes { items: vec![], revision: 99 }));
+    let took = cancelled_after(&mut fixture, 2_600);
+    assert!(took < CANCEL_LIMIT, "cancelled after {took} ms");
+}
+
+/// Guards against a start of a job that was cancelled while the next planner read the store, by an entry
+/// that ended before it notified that planner.
+#[test]
+fn a_cancellation_during_a_take_over_is_read_in_time() {
+    let mut fixture = Fixture::reading();
+    let items = vec![fleet(1, &[]), no_starts(1), submitted(TERM - 1)];
+    fixture.reply(Reply::Items { items, has_more: true, revision: 100 });
+    // The cancellation is written into the range of the first page.
+    fixture.advance(1_000);
+    fixture.reply(Reply::Items { items: Vec::new(), has_more: false, revision: 105 });
+    fixture.reply(Reply::Committed(106));
+    let took = 1_000 + cancelled_after(&mut fixture, 0);
+    assert!(took < CANCEL_LIMIT, "cancelled after {took} ms");
+}
