planner: all runs of a cancelled job, and of a task that is done, are stopped

Callers saw a task that runs on after its job was cancelled, or after it was done.

Cause: the stops went by the workers that the task's group names. If two workers list the same run, the group names the latter, whose run is stopped as unexpected. The run on the former was stopped neither by a cancellation or failure of the job nor by the end `done` of the other one, and had the job's resources until its own end. Run numbers repeat if the list of workers is lost, since the terms are counted anew.

Evidence: `all_runs_of_a_cancelled_job_are_stopped` and `all_other_runs_of_a_task_that_is_done_are_stopped` force the order of events. Both failed before: the run on the first worker is still `Running`.

Why it works: both now go by the runs that the workers are known to have. Members of a gang's run that is done are left to end by themselves, as before.

--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -10,6 +10,7 @@
 use crate::{
     event::Moment,
     group::{Group, Observation, Phase},
+    pass,
     planner::{Planner, estimate_kind},
     table::Urgency,
     worker::{Cause, Phase as RunPhase, Run},
@@ -219,6 +220,7 @@
             self.log(format!("job={id} step={step} run={number} is done; run={later} is stopped"));
             self.stop_group(now.steady, id, key, &Cause::Superseded);
         }
+        self.stop_others(now.steady, id, key, number);
         let entry = self.table.entries.get_mut(id)?;
         let group = entry.groups.get_mut(key)?;
         group.phase = Phase::Done;
@@ -237,6 +239,24 @@
         Some((id.to_owned(), change))
     }
 
+    /// Stops the runs of a group that is done which its state doesn't name. The members of the run that
+    /// is done end by themselves.
+    fn stop_others(&mut self, now: Duration, id: &str, key: &GroupKey, number: RunNumber) {
+        let step = self.table.entries.get(id).and_then(|entry| entry.step(key.step));
+        let members = step.filter(|step| step.is_gang).map(|step| step.tasks);
+        let tasks = pass::group_tasks(id, key, members.unwrap_or(1));
+        let is_other = |run: &Run| members.is_none() || run.number != number;
+        let mut stops = Vec::new();
+        for (name, worker) in &self.workers {
+            let runs = worker.runs.range(&tasks.start..&tasks.end);
+            let others = runs.filter(|(_, run)| is_other(run));
+            stops.extend(others.map(|(task, run)| (name.clone(), task.clone(), run.number)));
+        }
+        for (worker, task, number) in stops {
+            self.stop(now, &worker, &task, number, &Cause::Superseded);
+        }
+    }
+
     /// Logs the completion of a job.
     fn log_done(&mut self, now: Moment, id: &str) {
         let Some(entry) = self.table.entries.get(id) else { return };
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -380,25 +380,23 @@
         }
     }
 
-    /// Stops all runs of a job.
+    /// Stops all runs of a job, wherever they are.
+    ///
+    /// Guards against a run that goes on for nobody: its group may know of another one only.
     pub(crate) fn stop_job(&mut self, now: Duration, id: &str, cause: &Cause) {
         let Some(entry) = self.table.entries.get_mut(id) else { return };
-        let mut stops = Vec::new();
-        for (key, group) in &mut entry.groups {
-            let number = group.run;
+        for group in entry.groups.values_mut() {
             group.claim = None;
-            let Some(active) = group.active_mut() else { continue };
-            active.is_stopping = true;
-            for (index, worker) in &active.unfinished {
-                let task = Task {
-                    job: id.to_owned(),
-                    occurrence: key.occurrence,
-                    step: key.step,
-                    index: *index,
-                };
-                stops.push((worker.clone(), task, number));
+            if let Some(active) = group.active_mut() {
+                active.is_stopping = true;
             }
         }
+        let first = Task { job: id.to_owned(), occurrence: 0, step: 0, index: 0 };
+        let mut stops = Vec::new();
+        for (name, worker) in &self.workers {
+            let runs = worker.runs.range(&first..).take_while(|(task, _)| task.job == id);
+            stops.extend(runs.map(|(task, run)| (name.clone(), task.clone(), run.number)));
+        }
         for (worker, task, number) in stops {
             self.stop(now, &worker, &task, number, cause);
         }
--- a/crates/planner/tests/unasked/mod.rs
+++ b/crates/planner/tests/unasked/mod.rs
@@ -2,14 +2,15 @@
 //! planner reads it.
 
 use prost::Message as _;
-use sapphire_jobs::Notice;
+use sapphire_jobs::{Ending, Notice, Running};
 use sapphire_planner::{
     event::{Event, Operation},
     keys,
+    worker::Phase,
 };
 use sapphire_store::call::{Call, Item, Reply};
 
-use crate::harness::{Fixture, TERM, fleet, item, job, no_starts, step};
+use crate::harness::{Fixture, TERM, ended, fleet, item, job, no_starts, run, step};
 
 /// Time in ms after the acknowledgement of a cancellation from which on nothing of the job starts. Of the
 /// deployments, the shortest.
@@ -78,3 +79,39 @@
     let took = 1_000 + cancelled_after(&mut fixture, 0);
     assert!(took < CANCEL_LIMIT, "cancelled after {took} ms");
 }
+
+/// Returns a planner of which two workers list the same run of a task, so that its group knows of one of
+/// them only.
+fn listed_twice() -> Fixture {
+    let mut fixture = Fixture::new(vec![fleet(1, &["a", "b"]), no_starts(1), submitted(TERM - 1)]);
+    for name in ["a", "b"] {
+        let running = Running { run: Some(run("j", 0, 1)), ..Running::default() };
+        fixture.join(name, vec![running], Vec::new());
+    }
+    fixture
+}
+
+/// Returns the phases of the runs on a worker.
+fn phases(fixture: &Fixture, name: &str) -> Vec<Phase> {
+    fixture.planner.workers()[name].runs.values().map(|run| run.phase).collect()
+}
+
+/// Guards against a run that goes on after its job was cancelled, since its group knows of another one.
+#[test]
+fn all_runs_of_a_cancelled_job_are_stopped() {
+    let mut fixture = listed_twice();
+    let cancelled = vec!["j".to_owned()];
+    fixture.handle(Event::Notice(Notice { jobs: Vec::new(), cancelled }));
+    for name in ["a", "b"] {
+        assert_eq!(phases(&fixture, name), [Phase::Stopping], "worker {name}");
+    }
+}
+
+/// Guards against a run that goes on after its task is done, since its group knows of another one.
+#[test]
+fn all_other_runs_of_a_task_that_is_done_are_stopped() {
+    let mut fixture = listed_twice();
+    fixture.poll("b", Vec::new(), vec![ended(1, run("j", 0, 1), Ending::Done)]);
+    assert_eq!(phases(&fixture, "b"), []);
+    assert_eq!(phases(&fixture, "a"), [Phase::Stopping]);
+}
