runner: no order waits for ever for the repetitions of others

Callers saw a placed task that never begins, and tasks of a cancelled job that go on, on a worker whose minion lists its runs but loses calls.

Cause: an agent has at most four calls with orders in flight, and took the due ones in the order of the tasks' names. An order without an answer is repeated after 1.6 s at most and occupies a call for 0.3 s, so that 25 of them use up all calls; what comes later by name was never sent.

Evidence: `each_stop_is_sent_before_others_are_repeated`: 40 stops and a minion that answers none. Before: 24 of them are sent within 30 s, the same 24 again and again. Now all within 3.5 s.

Why it works: those that have been due for longest go first, orders that were never sent before all.

--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -77,7 +77,8 @@
     }
 
     /// Sends orders that were not sent yet, and repeats those that got no answer. A repetition is
-    /// harmless: the minion recognises it by the number of the run.
+    /// harmless: the minion recognises it by the number of the run. Those that have been due for longest
+    /// go first, so that none waits for ever for the repetitions of others.
     ///
     /// Guards against a task that runs twice: while this process was paused, the minion may have
     /// restarted and carried out a late start of an earlier run. A list reveals the new
@@ -95,8 +96,10 @@
         }
         let mut free = MAX_CALLS
             .saturating_sub(self.orders.values().filter(|order| order.call.is_some()).count());
-        let tasks: Vec<Task> = self.orders.keys().cloned().collect();
-        for task in tasks {
+        let mut tasks: Vec<(Duration, Task)> =
+            self.orders.iter().map(|(task, order)| (order.retry_at, task.clone())).collect();
+        tasks.sort();
+        for (_, task) in tasks {
             if free == 0 {
                 return;
             }
--- a/crates/runner/tests/runner.rs
+++ b/crates/runner/tests/runner.rs
@@ -4,3 +4,4 @@
 mod cordons;
 mod harness;
 mod orders;
+mod storms;
