planner tests: cancellations read late, jobs without a record, checkpoints of gangs

They guard against starts and runs that nobody asks for after a take-over, and against members of a gang that are ordered with different checkpoints.

--- a/crates/planner/tests/unasked/mod.rs
+++ b/crates/planner/tests/unasked/mod.rs
@@ -2,7 +2,7 @@
 //! planner reads it.
 
 use prost::Message as _;
-use sapphire_jobs::{Ending, Notice, Running};
+use sapphire_jobs::{Ending, Notice, Running, Step};
 use sapphire_planner::{
     event::{Event, Operation},
     keys,
@@ -115,3 +115,66 @@
     assert_eq!(phases(&fixture, "b"), []);
     assert_eq!(phases(&fixture, "a"), [Phase::Stopping]);
 }
+
+/// Guards against a run that goes on after a take-over: the next planner has taken it up before it reads
+/// that its job was cancelled.
+#[test]
+fn a_run_that_was_taken_up_is_stopped_when_its_cancellation_is_read_late() {
+    let mut fixture = Fixture::new(vec![fleet(1, &["a"]), no_starts(1), submitted(TERM - 1)]);
+    let running = || Running { run: Some(run("j", 0, 1)), ..Running::default() };
+    fixture.join("a", vec![running()], Vec::new());
+    assert_eq!(phases(&fixture, "a"), [Phase::Running]);
+    let took = cancelled_after(&mut fixture, 0);
+    assert!(took < CANCEL_LIMIT, "cancelled after {took} ms");
+    fixture.poll("a", vec![running()], Vec::new());
+    fixture.advance(50);
+    assert!(fixture.stops().contains(&run("j", 0, 1)));
+}
+
+/// Guards against a run that goes on after a take-over although no record of its job is left.
+#[test]
+fn a_run_of_a_job_without_a_record_is_stopped() {
+    let mut fixture = Fixture::new(vec![fleet(1, &["a"])]);
+    let running = Running { run: Some(run("gone", 0, 1)), ..Running::default() };
+    fixture.join("a", vec![running], Vec::new());
+    fixture.advance(100);
+    assert!(fixture.stops().contains(&run("gone", 0, 1)));
+}
+
+/// Guards against a start of a cancelled job: the cancellation arrives before the job, whose entry was slow.
+#[test]
+fn a_job_that_was_cancelled_before_it_is_known_never_starts() {
+    let mut fixture = Fixture::new(vec![fleet(1, &["a"])]);
+    fixture.join("a", Vec::new(), Vec::new());
+    let cancelled = vec!["j".to_owned()];
+    fixture.handle(Event::Notice(Notice { jobs: Vec::new(), cancelled }));
+    let jobs = vec![job("j", TERM, step(1, false))];
+    fixture.handle(Event::Notice(Notice { jobs, ..Notice::default() }));
+    fixture.advance(1_000);
+    assert!(fixture.starts().is_empty());
+}
+
+/// Guards against a gang whose members start from different checkpoints: a member lists a new one before
+/// the order of another is sent.
+#[test]
+fn all_members_of_a_gang_are_ordered_with_one_checkpoint() {
+    let mut fixture = Fixture::new(vec![fleet(1, &["a", "b"])]);
+    for name in ["a", "b"] {
+        fixture.join(name, Vec::new(), Vec::new());
+    }
+    // No poll of the second worker waits.
+    let second = fixture.requester;
+    fixture.handle(Event::Disconnected(second));
+    let gang = Step { per_worker: 1, checkpoints: true, ..step(2, true) };
+    let jobs = vec![job("j", TERM, gang)];
+    fixture.handle(Event::Notice(Notice { jobs, ..Notice::default() }));
+    let first = fixture.starts();
+    assert_eq!(first.len(), 1);
+    let running =
+        Running { run: first.first().cloned(), checkpoint: "c".to_owned(), ..Running::default() };
+    fixture.poll("a", vec![running], Vec::new());
+    fixture.poll("b", Vec::new(), Vec::new());
+    let starts = fixture.orders.iter().flat_map(|(_, orders)| &orders.starts);
+    let checkpoints: Vec<&str> = starts.map(|start| start.checkpoint.as_str()).collect();
+    assert_eq!(checkpoints, ["", ""]);
+}
