planner: an agent that restarts after its clock was set back is taken up

Cause: the generation of an agent's process is the wall clock time of its start. A process that started after the clock had been set back seems to be an earlier one, so that all its polls were passed over, and answered at once, until the worker was declared lost 6.4 s after the latest poll of the process before.

Evidence: `a_worker_goes_on_when_its_agent_restarts_with_an_earlier_clock`.

Why it works: polls of an earlier generation count once the known process has been silent for 1.3 s and more of them have arrived than a process has open. Delayed polls of a process that has ended can't be as many; `delayed_polls_of_an_earlier_process_change_nothing` guards that.

--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -45,6 +45,8 @@
 /// Time without a poll after which a worker gets no new tasks. Agents poll at least every
 /// [`POLL_TIMEOUT`], so that one lost poll on a slow link does not reach this limit.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Most polls that an agent has open.
+pub const MAX_OPEN_POLLS: u64 = 2;
 /// Time without a list of its minion after which a worker is granted no lease. Its runs end with the
 /// lease, as those of a worker that is cut off.
 pub const LIST_TIMEOUT: Duration = Duration::from_millis(5_000);
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -31,8 +31,11 @@
             self.log(format!("worker={name} address={} joins", poll.address));
         }
         let known = self.workers.entry(name.clone()).or_default();
-        let is_stale = poll.generation < known.generation
-            || (poll.generation == known.generation && poll.sequence <= known.sequence);
+        let is_stale = if poll.generation < known.generation {
+            !known.is_restarted(now.steady, poll.generation, poll.sequence)
+        } else {
+            poll.generation == known.generation && poll.sequence <= known.sequence
+        };
         if is_stale {
             // A newer poll has overtaken this one. Its content is ignored, but its sender learns
             // that it has found the planner.
@@ -114,7 +117,7 @@
     /// new session. Returns whether a session has begun.
     fn track_incarnations(&mut self, now: Moment, name: &str, poll: &Poll) -> bool {
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
-        let is_new_agent = poll.generation > worker.generation;
+        let is_new_agent = poll.generation != worker.generation;
         if is_new_agent {
             self.unanswered.retain_lost(now.steady, name, worker);
         }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -142,6 +142,9 @@
     pub generation: u64,
     /// Sequence number of the latest poll.
     pub sequence: u64,
+    /// Generation of the agent's process that polls with an earlier one, and the sequence number of
+    /// its first poll.
+    pub earlier: Option<(u64, u64)>,
     /// Its minion, if known.
     pub incarnation: Option<Incarnation>,
     /// Token of the session.
@@ -224,6 +227,18 @@
         self.is_fenced && self.runs.values().any(|run| !run.is_received && is_due(run))
     }
 
+    /// Returns whether polls of an earlier generation are those of the agent's present process.
+    /// Generations are wall clock times, and the clock may have been set back.
+    ///
+    /// Guards against a worker that is of no use, and is lost with its lease, although its agent polls.
+    /// Delayed polls of a process that has ended don't count: they are no more than it had open.
+    pub fn is_restarted(&mut self, now: Duration, generation: u64, sequence: u64) -> bool {
+        let known = self.earlier.filter(|(known, _)| *known == generation);
+        let (_, first) = *self.earlier.insert(known.unwrap_or((generation, sequence)));
+        let is_silent = now >= self.last_contact + options::SILENCE_TIMEOUT;
+        is_silent && sequence > first + options::MAX_OPEN_POLLS
+    }
+
     /// Returns whether orders to start runs can be sent with the answer to the agent's next poll.
     pub fn takes_starts(&self, now: Duration) -> bool {
         self.is_open(now) && !self.start_window(now).is_zero()
--- a/crates/planner/tests/placed/mod.rs
+++ b/crates/planner/tests/placed/mod.rs
@@ -214,3 +214,47 @@
     let took = fixture.now - since;
     assert!(took < LIMIT, "goes on after {took} ms");
 }
+
+/// Guards against runs that are lost, and a worker that is of no use until then, since its agent was started
+/// again after its clock had been set back: it seems to be an earlier process.
+#[test]
+fn a_worker_goes_on_when_its_agent_restarts_with_an_earlier_clock() {
+    let mut fixture = Fixture::new(Vec::new());
+    fixture.generations.insert("a".to_owned(), 10);
+    fixture.join("a", Vec::new(), Vec::new());
+    let step = Step { estimate_ms: 60_000, ..step(1, false) };
+    let notice = Notice { jobs: vec![job("j", TERM, step)], ..Notice::default() };
+    fixture.handle(Event::Notice(notice));
+    let start = run("j", 0, 1);
+    let running = || vec![Running { run: Some(start.clone()), ..Running::default() }];
+    fixture.poll("a", running(), Vec::new());
+    fixture.generations.insert("a".to_owned(), 9);
+    fixture.tokens.remove("a");
+    let since = fixture.now;
+    while fixture.now < since + END && !fixture.log[2..].iter().any(|it| it.ends_with("running=1"))
+    {
+        fixture.poll("a", running(), Vec::new());
+        fixture.advance(POLL_INTERVAL);
+    }
+    let took = fixture.now - since;
+    assert!(took < LIMIT, "fenced after {took} ms");
+    assert!(!fixture.log.iter().any(|line| line.contains("declared lost")));
+}
+
+/// Guards against delayed polls of an agent's earlier process that take the place of the present one, which
+/// is cut off for a moment: they may name another minion.
+#[test]
+fn delayed_polls_of_an_earlier_process_change_nothing() {
+    let mut fixture = Fixture::new(Vec::new());
+    fixture.generations.insert("a".to_owned(), 10);
+    fixture.join("a", Vec::new(), Vec::new());
+    let before = fixture.planner.workers()["a"].clone();
+    fixture.advance(2_000);
+    fixture.generations.insert("a".to_owned(), 9);
+    for _ in 0..2 {
+        let incarnation = Some(Incarnation { id: "other".to_owned(), ..minion("a") });
+        fixture.report("a", Poll { incarnation, ..Poll::default() });
+    }
+    let after = &fixture.planner.workers()["a"];
+    assert_eq!((after.token, &after.incarnation), (before.token, &before.incarnation));
+}
