runner: a start is resolved although its unhealthy minion refuses the stop

Callers saw a task that is placed and never begins, on a worker whose minion is unhealthy.

Cause: a start whose first attempt had no answer and whose second is refused with 429 or 503 becomes a stop, so that the first attempt can't be carried out later. A minion that stays unhealthy refuses the stop too, which the agent repeats for as long as that lasts. Meanwhile the planner believes the run to be ordered there.

Evidence: `a_start_is_resolved_while_an_unhealthy_minion_refuses_its_stop`. Now between 12 and 15 s after the attempt.

Why it works: a call that got no answer may be executed for 12 s, which the protocol forces. A run that lists lack for longer than a stop takes, all of them requested after that, was not started and can't be any more. Only a list that is cut off shows nothing.

--- a/crates/runner/src/order.rs
+++ b/crates/runner/src/order.rs
@@ -43,4 +43,23 @@
     pub(crate) attempts: u32,
     /// Time before which the order is not sent again.
     pub(crate) retry_at: Duration,
+    /// Time of the latest attempt to start the run.
+    pub(crate) started_at: Option<Duration>,
+    /// Time of the first list that lacks the run, after all attempts to start it have expired.
+    pub(crate) absent_since: Option<Duration>,
+}
+
+impl Order {
+    /// Returns an order that has not been sent.
+    pub(crate) fn new(number: u32, kind: Kind) -> Self {
+        Order {
+            number,
+            kind,
+            call: None,
+            attempts: 0,
+            retry_at: Duration::ZERO,
+            started_at: None,
+            absent_since: None,
+        }
+    }
 }
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -53,11 +53,7 @@
             self.verdict(run, Rejection::Old);
             return;
         }
-        let kind = Kind::Start(Box::new(start));
-        self.orders.insert(
-            task,
-            Order { number: run.run, kind, call: None, attempts: 0, retry_at: Duration::ZERO },
-        );
+        self.orders.insert(task, Order::new(run.run, Kind::Start(Box::new(start))));
     }
 
     /// Accepts an order to stop a run, which replaces the order to start it.
@@ -68,11 +64,10 @@
                 || (order.number == run.run && matches!(order.kind, Kind::Stop(_)))
         });
         if !is_known {
-            let kind = Kind::Stop(None);
-            self.orders.insert(
-                task,
-                Order { number: run.run, kind, call: None, attempts: 0, retry_at: Duration::ZERO },
-            );
+            let earlier = self.orders.get(&task).filter(|order| order.number == run.run);
+            let started_at = earlier.and_then(|order| order.started_at);
+            let order = Order { started_at, ..Order::new(run.run, Kind::Stop(None)) };
+            self.orders.insert(task, order);
         }
     }
 
@@ -168,6 +163,7 @@
         if let Some(order) = self.orders.get_mut(task) {
             order.call = ticket;
             order.attempts += 1;
+            order.started_at = if is_start { Some(now) } else { order.started_at };
         }
         true
     }
@@ -269,16 +265,27 @@
     /// A list may leave out a task that is being stopped but still occupies its resources, so
     /// absence counts only after the longest time that a stop may take. Absence from a list that
     /// is cut off shows nothing.
+    ///
+    /// Guards against a task that waits for ever for an unhealthy minion, which refuses the stop of a
+    /// start without an answer: once the start has expired, absence shows as much as a stop.
     pub(crate) fn resolve_orders(&mut self, list_requested_at: Duration, is_cut_off: bool) {
         let Some(minion) = &self.minion else { return };
         let mut absent = Vec::new();
         let mut listed = Vec::new();
-        for (task, order) in &self.orders {
+        for (task, order) in &mut self.orders {
             let run = task.run(order.number);
             let is_running =
                 minion.running.get(task).is_some_and(|running| running.run.as_ref() == Some(&run));
             let has_ended = minion.ended.values().any(|ended| ended.run.as_ref() == Some(&run));
-            let answered_at = order.kind.answered_at();
+            let has_expired = order
+                .started_at
+                .is_some_and(|time| list_requested_at >= time + options::MAX_CALL_DELAY);
+            if is_running || is_cut_off || !has_expired {
+                order.absent_since = None;
+            } else {
+                order.absent_since.get_or_insert(list_requested_at);
+            }
+            let answered_at = order.kind.answered_at().or(order.absent_since);
             if has_ended || (is_running && order.kind.is_start()) {
                 listed.push((task.clone(), run));
             } else if !is_running
--- a/crates/runner/tests/storms/mod.rs
+++ b/crates/runner/tests/storms/mod.rs
@@ -2,13 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use sapphire_jobs::Run;
+use sapphire_jobs::{Rejection, Run};
 use sapphire_runner::{
     event::{Event, Ticket},
     minion::{Call, Reply},
 };
 
-use crate::harness::{Fixture, run};
+use crate::harness::{Fixture, run, start};
 
 /// Number of runs that are stopped at once.
 const RUNS: u32 = 40;
@@ -53,3 +53,32 @@
     let took = now - 100;
     assert!(took < LIMIT, "{} of {RUNS} stops are sent after {took} ms", sent.len());
 }
+
+/// Guards against a task that waits for ever for a minion that is unhealthy: the first try of its start had
+/// no answer, and the minion refuses everything since, while it lists its runs.
+#[test]
+fn a_start_is_resolved_while_an_unhealthy_minion_refuses_its_stop() {
+    let mut fixture = Fixture::fenced();
+    fixture.answer_polls(100, vec![start(1)], Vec::new());
+    let mut is_first = true;
+    let mut now = 100;
+    while now < 60_000 && fixture.polls.iter().all(|(_, poll)| poll.verdicts.is_empty()) {
+        now += 20;
+        for (ticket, call) in std::mem::take(&mut fixture.calls) {
+            let reply = match call {
+                Call::LongPoll { .. } => {
+                    fixture.send_list(now, ticket, Vec::new());
+                    continue;
+                }
+                _ if std::mem::take(&mut is_first) => Reply::Unknown,
+                _ => Reply::Refused(Rejection::Unhealthy),
+            };
+            fixture.handle(now, Event::MinionReply(ticket, reply));
+        }
+        if !fixture.polls.is_empty() && fixture.polls.iter().all(|it| it.1.verdicts.is_empty()) {
+            fixture.answer_polls(now, Vec::new(), Vec::new());
+        }
+        fixture.handle(now, Event::Tick);
+    }
+    assert!((12_000..15_000).contains(&now), "resolved after {} ms", now - 100);
+}
