planner: a start that its agent did not receive is not waited for once the agent is back

Callers saw a gang with nothing running beside idle workers for seconds after a cut had ended.

Cause: an order that is sent into a cut connection counts as sent. If the cut lasts for longer than the lease, the worker is declared lost, and its start counted for 12.3 s after the agent might have sent it, also when the same process of the agent had come back and reported that it has no such start. A successor has dropped such a start at that report already.

Evidence: `a_gang_does_not_wait_for_a_start_that_its_agent_did_not_receive`, with a cut of 8 s.

Why it works: starts of a worker that is declared lost are kept with the generation of its agent, as those of an earlier planner's record are. The same process in a new session has dropped its orders and reports every attempt for 12 s; another process may follow one that has sent the start, so that it counts as before.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -368,7 +368,7 @@
         for (name, why) in lost {
             self.log(format!("worker={name} {why}, lease expired; declared lost"));
             if let Some(worker) = self.workers.get(&name) {
-                self.unanswered.retain_lost(now.steady, &name, worker);
+                self.unanswered.retain_silent(now.steady, &name, worker);
             }
             self.lose_runs(now, &name, "lease expired");
             self.workers.remove(&name);
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -28,13 +28,14 @@
     /// Time at which it expires, as reported by an earlier process of its agent, or as that process
     /// may have known it.
     retained: Option<Duration>,
-    /// The same according to the record of an earlier planner, until its agent has reported.
+    /// The same according to the record of an earlier planner, or to this one that has declared the
+    /// worker lost, until its agent has reported.
     inherited: Option<Inherited>,
     /// It is in the handover record.
     is_recorded: bool,
 }
 
-/// An unanswered start as recorded by an earlier planner.
+/// An unanswered start of which only the planner that ordered it knows.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Inherited {
     expires_at: Duration,
@@ -78,7 +79,7 @@
         self.reported.max(self.retained).max(inherited)
     }
 
-    /// Settles what an earlier planner has recorded, once a process of the agent has reported. If
+    /// Settles what only the planner knows, once a process of the agent has reported. If
     /// it has taken the place of the one that sent the start, that one may have sent it until now,
     /// but no longer than the record says. Otherwise it reports the start itself as long as it may be
     /// carried out, provided that it has dropped the orders of earlier sessions, so that it no longer
@@ -140,15 +141,25 @@
         self.prune(worker);
     }
 
-    /// Keeps the starts of a worker whose agent's process is lost, along with what that process
-    /// knew of them.
+    /// Keeps the starts of a worker whose agent's process has been replaced, along with what that
+    /// process knew of them.
     pub(crate) fn retain_lost(&mut self, now: Duration, name: &str, worker: &Worker) {
         self.for_each_start(name, |start| start.retained = start.retained.max(start.reported));
-        let may_be_sent = |run: &Run| !run.is_started && run.is_sent;
-        let expires_at = now.min(worker.starts_until) + options::START_EXPIRY;
         for (task, run) in worker.runs.iter().filter(|(_, run)| may_be_sent(run)) {
             let start = self.start(name, task.clone(), run.number);
-            start.retained = start.retained.max(Some(expires_at));
+            start.retained = start.retained.max(Some(worker.expiry_of_starts(now)));
+        }
+    }
+
+    /// Keeps the starts of a worker that is declared lost, until its agent reports again. If that is
+    /// the same process, it knows which of them it has sent.
+    pub(crate) fn retain_silent(&mut self, now: Duration, name: &str, worker: &Worker) {
+        let generation = worker.generation;
+        for (task, run) in worker.runs.iter().filter(|(_, run)| may_be_sent(run)) {
+            let start = self.start(name, task.clone(), run.number);
+            let earlier = start.inherited.map(|inherited| inherited.expires_at);
+            let expires_at = worker.expiry_of_starts(now).max(earlier.unwrap_or_default());
+            start.inherited = Some(Inherited { expires_at, generation });
         }
     }
 
@@ -395,6 +406,11 @@
     }
 }
 
+/// Returns whether an agent may have sent the start of a run.
+fn may_be_sent(run: &Run) -> bool {
+    !run.is_started && run.is_sent
+}
+
 /// Returns a row of the handover record.
 fn recorded_task(
     now: Moment,
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -227,6 +227,11 @@
         self.is_fenced && self.runs.values().any(|run| !run.is_received && is_due(run))
     }
 
+    /// Returns the time at which the latest start that its agent may have sent expires.
+    pub fn expiry_of_starts(&self, now: Duration) -> Duration {
+        now.min(self.starts_until) + options::START_EXPIRY
+    }
+
     /// Returns whether polls of an earlier generation are those of the agent's present process.
     /// Generations are wall clock times, and the clock may have been set back.
     ///
--- a/crates/planner/tests/placed/mod.rs
+++ b/crates/planner/tests/placed/mod.rs
@@ -258,3 +258,30 @@
     let after = &fixture.planner.workers()["a"];
     assert_eq!((after.token, &after.incarnation), (before.token, &before.incarnation));
 }
+
+/// Guards against a gang that waits for a start which its agent has never received: the agent was cut off for
+/// longer than the lease, and reports that it has no such start when it is back.
+#[test]
+fn a_gang_does_not_wait_for_a_start_that_its_agent_did_not_receive() {
+    let mut fixture = Fixture::new(Vec::new());
+    for name in ["a", "b", "c"] {
+        fixture.join(name, Vec::new(), Vec::new());
+    }
+    let gang = Step { per_worker: 1, ..step(2, true) };
+    let notice = Notice { jobs: vec![job("j", TERM, gang)], ..Notice::default() };
+    fixture.handle(Event::Notice(notice));
+    let cut_off = fixture.worker_of("j");
+    assert_eq!(fixture.starts().len(), 2, "the orders are sent");
+    advance(&mut fixture, &cut_off, 8_000);
+    assert!(!fixture.planner.workers().contains_key(&cut_off));
+    let since = fixture.now;
+    let begun = |fixture: &Fixture| {
+        let runs = fixture.planner.workers().values().flat_map(|worker| worker.runs.values());
+        runs.filter(|run| run.is_started).count()
+    };
+    while fixture.now < since + END && begun(&fixture) < 2 {
+        advance(&mut fixture, "none", POLL_INTERVAL);
+    }
+    let took = fixture.now - since;
+    assert!(took < LIMIT, "goes on after {took} ms");
+}
