--- a/crates/planner/src/state/intake.rs
+++ b/crates/planner/src/state/intake.rs
@@ -4,6 +4,8 @@
 
 use sapphire_store::call::Revision;
 
+use crate::options;
+
 /// A read of all submissions, page by page.
 #[derive(Default)]
 pub(crate) struct Scan {
@@ -25,10 +27,10 @@
 }
 
 impl Intake {
-    /// Begins to watch after the scan at the start of the term. That scan may have taken long, so the
-    /// first read is due at once.
-    pub(crate) fn start(&mut self, now: Duration, revision: Revision) {
+    /// Begins to watch after the scan at the start of the term, which began at `since` and may have
+    /// taken long: the interval counts from then.
+    pub(crate) fn start(&mut self, since: Duration, revision: Revision) {
         self.revision = revision;
-        self.next_read = now;
+        self.next_read = since + options::INTAKE_INTERVAL;
     }
 }
