planner: a damaged number of terms in the list of workers ends no planner

Callers would see: nothing is planned. Another writer has damaged the record of the workers so that its number of terms is near 2^32; the planner ends when it adds its own term, and so does each that takes over.

Evidence, failed before: odd_records_of_earlier_planners_end_no_planner, 1 of 17 cases (attempt to add with overflow; without overflow checks the number wraps to 0, and so do the run numbers computed from it). The other 16 held before: bytes that are no record, tallies, runs, handovers, speeds and cancellations with extreme numbers.

Why it works: a number of terms whose run numbers don't exist counts as a record that can't be decoded, which is handled: the record is written anew and earlier starts are waited for.

--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -100,6 +100,8 @@
 pub const INTAKE_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Run numbers reserved for each term, per task. Far more than a task is started in one term.
 pub const RUNS_PER_TERM: u32 = 1_000;
+/// Largest number of a term. The run numbers of the terms around it have to be numbers as well.
+pub const MAX_TERMS: u32 = u32::MAX / RUNS_PER_TERM - RUNS_PER_TERM;
 /// Session numbers reserved for each term.
 pub const SESSIONS_PER_TERM: u64 = 1_000_000;
 
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -151,7 +151,12 @@
     /// Loads the list of workers of earlier planners.
     fn load_fleet(&mut self, value: &Bytes, revision: Revision) {
         self.startup.fleet_revision = revision;
-        match Fleet::decode(&value[..]) {
+        let decoded = Fleet::decode(&value[..]).map_err(|error| error.to_string());
+        let is_possible = |fleet: &Fleet| fleet.terms <= options::MAX_TERMS;
+        let decoded = decoded.and_then(|fleet| {
+            is_possible(&fleet).then_some(fleet).ok_or("invalid number of terms".to_owned())
+        });
+        match decoded {
             Ok(fleet) => {
                 self.startup.term_number = fleet.terms;
                 self.startup.recorded = minions(&fleet.members);
--- a/crates/planner/tests/odd/mod.rs
+++ b/crates/planner/tests/odd/mod.rs
@@ -7,14 +7,15 @@
 
 use prost::Message as _;
 use sapphire_jobs::{
-    Ended, Ending, Job, Notice, Running, Schedule, Step,
+    Ended, Ending, Fleet, Job, Member, Notice, Progress, Running, Schedule, SpeedShard, Step,
+    Tally, UnansweredOn, UnansweredStarts, UnansweredTask, WorkerSpeed,
     catalog::{Catalog, Parts, Queue},
     resources::Resources,
 };
 use sapphire_planner::{event::Event, keys};
 use sapphire_store::call::Item;
 
-use crate::harness::{Fixture, TERM, ended, fleet, item, job, no_starts, run, step};
+use crate::harness::{Fixture, TERM, ended, fleet, item, job, minion, no_starts, run, step};
 
 /// Runs each case and returns the names of those that panic.
 fn panicking<T>(cases: Vec<(&'static str, T)>, run: impl Fn(T)) -> Vec<&'static str> {
@@ -150,3 +151,83 @@
     });
     assert!(odd.is_empty(), "{odd:?}");
 }
+
+/// Guards against a planner that ends, and its successors with it, since a record of an earlier
+/// planner was damaged.
+#[test]
+fn odd_records_of_earlier_planners_end_no_planner() {
+    let numbers = [0, 1, 1 << 30, u32::MAX];
+    let tally = |number: u32| Tally {
+        occurrence: number,
+        step: number,
+        index: number,
+        failed_runs: vec![number, number],
+        took_ms: u64::MAX,
+        ..Tally::default()
+    };
+    let tallies = || numbers.into_iter().map(tally).collect::<Vec<_>>();
+    let progress = |progress: Progress| item(keys::progress("j"), progress.encode_to_vec());
+    let member = |name: &str| Member { name: name.to_owned(), ..Member::default() };
+    let start = |number: u32| UnansweredTask {
+        job: "j".to_owned(),
+        occurrence: number,
+        step: number,
+        index: number,
+        run: number,
+        until_ms: u64::MAX,
+        generation: u64::MAX,
+        ..UnansweredTask::default()
+    };
+    let handover = |term: u32, write: u64| {
+        let tasks = numbers.into_iter().map(start).collect();
+        let on = UnansweredOn { worker: "a".to_owned(), minion: String::new(), tasks };
+        let record =
+            UnansweredStarts { workers: vec![on], term, write, ..UnansweredStarts::default() };
+        item(keys::UNANSWERED.to_owned(), record.encode_to_vec())
+    };
+    let speed = |log_milli: i32, weight: u32| WorkerSpeed {
+        worker: "a".to_owned(),
+        log_milli,
+        weight,
+        minion: minion("a").id,
+        ..WorkerSpeed::default()
+    };
+    let speeds = |speed: WorkerSpeed| {
+        let shard = SpeedShard { workers: vec![speed], is_unequal: true };
+        item(keys::speeds(0), shard.encode_to_vec())
+    };
+    let bytes = |key: String| vec![item(key, b"\xff".to_vec())];
+    let cases = vec![
+        ("progress", vec![progress(Progress { tallies: tallies(), ..Progress::default() })]),
+        ("tally", vec![progress(Progress { tallies: vec![tally(0)], ..Progress::default() })]),
+        ("state", vec![progress(Progress { state: 99, tallies: tallies() })]),
+        ("progress bytes", bytes(keys::progress("j"))),
+        ("progress of none", vec![item(keys::progress("none"), Vec::new())]),
+        ("fleet bytes", bytes(keys::FLEET.to_owned())),
+        (
+            "fleet",
+            vec![{
+                let members = vec![member(""), member("a"), member("a")];
+                item(keys::FLEET.to_owned(), Fleet { terms: 5, members }.encode_to_vec())
+            }],
+        ),
+        (
+            "terms",
+            vec![{
+                let fleet = Fleet { terms: u32::MAX, members: Vec::new() };
+                item(keys::FLEET.to_owned(), fleet.encode_to_vec())
+            }],
+        ),
+        ("handover bytes", bytes(keys::UNANSWERED.to_owned())),
+        ("handover", vec![handover(1, 1)]),
+        ("handover numbers", vec![handover(u32::MAX, u64::MAX)]),
+        ("speed bytes", bytes(keys::speeds(0))),
+        ("fast", vec![speeds(speed(i32::MIN, u32::MAX))]),
+        ("slow", vec![speeds(speed(i32::MAX, u32::MAX))]),
+        ("no weight", vec![speeds(speed(i32::MAX, 0))]),
+        ("cancel of none", vec![item(keys::cancel("none"), Vec::new())]),
+        ("other", vec![item("s/in/job/".to_owned(), Vec::new())]),
+    ];
+    let odd = panicking(cases, |items| drop(plan(items)));
+    assert!(odd.is_empty(), "{odd:?}");
+}
