planner: a record of a job that no entry can have written is passed over

Callers would see: nothing is planned. Another writer has left a record under the key of a job, with millions of tasks, steps that wait for themselves, or run times whose sum overflows; the planner takes it in without a check, runs out of memory or time, and so does its successor.

Evidence: an_odd_record_of_a_job_ends_no_planner.

Why it works: the limits that entries check before they accept a job (now sapphire_jobs::limits, unchanged) are checked for records as well, by the time at which the job was accepted, so that no accepted job fails them later. A record whose identifier is not that of its key is passed over too. The line is `job=ID record can't be decoded: REASON`.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -4,9 +4,9 @@
 
 use prost::Message as _;
 use sapphire_jobs::{
-    Job, Progress, Schedule, State, Step,
+    Job, Progress, State,
     catalog::{Organisation, Queue},
-    length,
+    length, limits,
     resources::Resources,
     task::JobId,
 };
@@ -25,12 +25,6 @@
 
 /// Longest id of a job, in bytes.
 const MAX_ID_BYTES: usize = 64;
-/// Longest specification of a job's work, in bytes.
-const MAX_SPEC_BYTES: usize = 64 << 10;
-/// Most tasks of one job, and most tasks of a repeated job that are due at once.
-const MAX_TASKS: u64 = 100_000;
-/// Longest declared run time of a task: ten years, so that sums of run times don't overflow.
-const MAX_ESTIMATE: Duration = Duration::from_secs(10 * 365 * 86_400);
 /// Timeout of a caller whose request states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -371,43 +365,6 @@
 
 /// First error in a submitted job, if any.
 fn validate(submission: &Submission, unix_now: Duration) -> Option<String> {
-    if submission.spec.len() > MAX_SPEC_BYTES {
-        return Some(format!("spec is longer than {MAX_SPEC_BYTES} bytes"));
-    }
-    if submission.steps.is_empty() {
-        return Some("steps: at least one is needed".to_owned());
-    }
-    let tasks: u64 = submission.steps.iter().map(|step| u64::from(step.tasks)).sum();
-    if tasks > MAX_TASKS {
-        return Some(format!("steps: more than {MAX_TASKS} tasks"));
-    }
-    let at_once =
-        submission.schedule.as_ref().map_or(1, |schedule| due_at_once(schedule, unix_now));
-    if tasks.saturating_mul(at_once) > MAX_TASKS {
-        return Some(format!("repeat_count: more than {MAX_TASKS} tasks are due at once"));
-    }
-    let steps = submission.steps.iter().enumerate();
-    steps.map(|(index, step)| validate_step(index, step)).find(Option::is_some).flatten()
-}
-
-/// Number of occurrences that are due at the same time as the first, or are due already.
-fn due_at_once(schedule: &Schedule, unix_now: Duration) -> u64 {
-    let unix_ms = u64::try_from(unix_now.as_millis()).unwrap_or(u64::MAX);
-    let all = u64::from(schedule.times);
-    let late_ms = unix_ms.saturating_sub(schedule.first_ms);
-    late_ms
-        .checked_div(schedule.interval_ms)
-        .map_or(all, |missed| all.min(missed.saturating_add(1)))
-}
-
-fn validate_step(index: usize, step: &Step) -> Option<String> {
-    if step.tasks == 0 {
-        return Some(format!("steps[{index}]: at least one task is needed"));
-    }
-    if length::declared(step) > MAX_ESTIMATE {
-        return Some(format!("steps[{index}]: estimate_ms is above ten years"));
-    }
-    let is_earlier = |other: &u32| (*other as usize) < index;
-    let invalid = step.after.iter().find(|other| !is_earlier(other))?;
-    Some(format!("steps[{index}]: waits for step {invalid}, which is not an earlier one"))
+    let Submission { spec, steps, schedule } = submission;
+    limits::fault(spec, steps, schedule.as_ref(), unix_now)
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cordon;
 pub mod inventory;
 pub mod length;
+pub mod limits;
 pub mod resources;
 pub mod task;
 
--- a/crates/planner/src/accept.rs
+++ b/crates/planner/src/accept.rs
@@ -2,7 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use sapphire_jobs::{Job, State, Step, resources::Resources};
+use prost::Message as _;
+use sapphire_jobs::{Job, State, Step, limits, resources::Resources};
 
 use crate::{event::Moment, planner::Planner, table::Entry, worker::Cause};
 
@@ -68,6 +69,25 @@
     }
 }
 
+/// Decodes the record of a job.
+///
+/// Guards against a record that no entry has written: it could name more tasks than the memory holds,
+/// steps that wait for themselves, or run times whose sum overflows.
+///
+/// # Errors
+/// The value is no record, or is that of another job, or exceeds the limits of a job.
+pub(crate) fn read_record(id: &str, value: &[u8]) -> Result<Job, String> {
+    let job = Job::decode(value).map_err(|error| error.to_string())?;
+    if job.id != id {
+        return Err("it is the record of another job".to_owned());
+    }
+    let accepted = Duration::from_millis(job.accepted_ms);
+    match limits::fault(&job.spec, &job.steps, job.schedule.as_ref(), accepted) {
+        Some(fault) => Err(fault),
+        None => Ok(job),
+    }
+}
+
 /// Converts the submission time in a job's record to a time of the steady clock.
 ///
 /// Wall clocks differ between machines and may jump, so this is used only for jobs whose submission
--- a/crates/planner/src/intake.rs
+++ b/crates/planner/src/intake.rs
@@ -3,8 +3,7 @@
 
 use std::time::Duration;
 
-use prost::Message as _;
-use sapphire_jobs::{Job, Notice};
+use sapphire_jobs::Notice;
 use sapphire_store::call::{Call, Item, Reply, Revision};
 
 use crate::{
@@ -83,7 +82,7 @@
             let Some(value) = item.value else { continue };
             match keys::parse(&item.key) {
                 Key::Job(id) if !self.table.entries.contains_key(id) => {
-                    match Job::decode(&value[..]) {
+                    match accept::read_record(id, &value) {
                         Ok(job) => {
                             self.log(format!(
                                 "job={id} found in the store without a notice from an entry"
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{Fleet, Job, Member, Progress, length, task::WorkerName};
+use sapphire_jobs::{Fleet, Member, Progress, length, task::WorkerName};
 use sapphire_plan::speed::Belief;
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
@@ -139,7 +139,7 @@
 
     /// Adds a job from its record.
     fn load_job(&mut self, now: Moment, id: &str, value: &Bytes) {
-        match Job::decode(&value[..]) {
+        match accept::read_record(id, value) {
             Ok(job) => {
                 let submitted = accept::submission_time(now, &job);
                 self.table.insert(Entry::new(Arc::new(job), true, submitted));
--- a/crates/planner/tests/odd/mod.rs
+++ b/crates/planner/tests/odd/mod.rs
@@ -61,6 +61,39 @@
     Step { estimate_ms: 1_000, ..step(1, false) }
 }
 
+fn odd_jobs() -> Vec<(&'static str, Job)> {
+    let sound = || job("odd", 1, odd_step());
+    let with = |step: Step| Job { steps: vec![odd_step(), step], ..sound() };
+    vec![
+        ("no steps", Job { steps: Vec::new(), ..sound() }),
+        ("no tasks", with(step(0, false))),
+        ("many tasks", with(step(3_000_000, false))),
+        ("waits for itself", with(Step { after: vec![1], ..odd_step() })),
+        ("waits for no step", with(Step { after: vec![u32::MAX], ..odd_step() })),
+        ("estimate", with(Step { estimate_ms: u64::MAX, ..odd_step() })),
+        (
+            "estimates",
+            Job { steps: vec![Step { estimate_ms: u64::MAX, ..odd_step() }; 4], ..sound() },
+        ),
+        ("other identifier", Job { id: "j".to_owned(), spec: "other".to_owned(), ..sound() }),
+        ("no identifier", Job { id: String::new(), ..sound() }),
+    ]
+}
+
+/// Guards against a planner that ends, and its successors with it, since a record of a job can't
+/// have been written by an entry.
+#[test]
+fn an_odd_record_of_a_job_ends_no_planner() {
+    let odd = panicking(odd_jobs(), |job| {
+        let fixture = plan(vec![item(keys::job("odd"), job.encode_to_vec())]);
+        assert_eq!(fixture.worker_of("j"), "a");
+        let known = fixture.planner.table().entries.get("j").map(|entry| entry.job.spec.clone());
+        assert_eq!(known.as_deref(), Some("s"));
+        assert!(!fixture.planner.table().entries.contains_key("odd"));
+    });
+    assert!(odd.is_empty(), "{odd:?}");
+}
+
 /// Guards against a planner that ends, and its successors with it, since a number in the record of a
 /// job is out of range.
 #[test]
