sapphired: a test with real processes and odd rows in each list

The stand-in adds three rows to each list (inventory, minions' lists, pages and changes of the store): NaN, 1e400 within 2,000 lists, and null.

--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -28,6 +28,16 @@
     assert_eq!((outcome.accepted, outcome.complete), (20, 20));
 }
 
+/// Guards against processes that end or stop following a list since another writer has left odd
+/// entries in it, which are nested deeply or have a number that is too large.
+#[test]
+fn odd_entries_keep_no_job_waiting() {
+    let conditions = Conditions { has_odd_rows: true, ..Conditions::default() };
+    let outcome = run_soak(256, 0, conditions, Trouble::default());
+    assert_eq!(outcome.broken, Vec::<String>::new());
+    assert_eq!((outcome.accepted, outcome.complete), (20, 20));
+}
+
 /// Processes are killed, shut down and paused, connections to the store are delayed, silenced and
 /// reset, and minions crash: no guarantee is violated and every accepted job completes.
 #[test]
@@ -69,6 +79,7 @@
         link: Some(1_250_000),
         history: Some(Duration::from_millis(300)),
         watch: Duration::from_millis(600),
+        ..Conditions::default()
     };
     let outcome = run_soak(253, 0, conditions, Trouble::default());
     assert_eq!(outcome.broken, Vec::<String>::new());
--- a/crates/soak/src/conditions.rs
+++ b/crates/soak/src/conditions.rs
@@ -16,10 +16,18 @@
     pub history: Option<Duration>,
     /// Longest time for which the store holds a watch.
     pub watch: Duration,
+    /// Whether each list of the platform and of the minions has odd rows of another writer.
+    pub has_odd_rows: bool,
 }
 
 impl Default for Conditions {
     fn default() -> Self {
-        Conditions { idle_routes: 0, link: None, history: None, watch: MAX_WATCH }
+        Conditions {
+            idle_routes: 0,
+            link: None,
+            history: None,
+            watch: MAX_WATCH,
+            has_odd_rows: false,
+        }
     }
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -423,7 +423,8 @@
                 (0_u8..).zip(&self.minions).filter(|(agent, _)| !self.gone.contains(agent));
             let id = |minion: &Minion| minion.is_up.then(|| minion.incarnation.id.clone());
             let ids = present.map(|(_, minion)| id(minion).unwrap_or_default());
-            self.hub.answer(caller, &platform::inventory(ids));
+            let response = platform::inventory(ids);
+            self.answer_list(caller, response);
             return;
         }
         let Some(call) = platform::store_call(request) else {
@@ -431,7 +432,7 @@
             return;
         };
         match self.store.call(now, &call) {
-            Some(reply) => self.hub.answer(caller, &platform::store_response(&call, &reply)),
+            Some(reply) => self.answer_list(caller, platform::store_response(&call, &reply)),
             None => {
                 let deadline = match &call {
                     Call::WatchPrefix { wait, .. } => {
@@ -444,6 +445,14 @@
         }
     }
 
+    /// Answers with a response that may contain lists, and with odd rows if these are wanted. The
+    /// items of a refused write are not a list of others.
+    fn answer_list(&mut self, caller: CallerId, response: Response) {
+        let has_odd_rows = self.options.conditions.has_odd_rows && response.status == 200;
+        let response = if has_odd_rows { platform::with_odd_rows(&response) } else { response };
+        self.hub.answer(caller, &response);
+    }
+
     /// Answers watches whose prefix has changed or whose time is up.
     fn answer_watches(&mut self, now: Duration) {
         for (caller, call, deadline) in std::mem::take(&mut self.watches) {
@@ -455,7 +464,7 @@
             };
             match self.store.call(now, &call) {
                 Some(reply @ (Reply::Changes { .. } | Reply::HistoryGone)) => {
-                    self.hub.answer(caller, &platform::store_response(&call, &reply));
+                    self.answer_list(caller, platform::store_response(&call, &reply));
                 }
                 _ => self.watches.push((caller, call, deadline)),
             }
--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -177,7 +177,8 @@
         for ended in std::mem::take(&mut self.minions[usize::from(agent)].acknowledged) {
             self.check_acknowledged(now, agent, &ended);
         }
-        response
+        let has_odd_rows = self.options.conditions.has_odd_rows && response.status == 200;
+        if has_odd_rows { platform::with_odd_rows(&response) } else { response }
     }
 
     /// Logs an order and its outcome.
--- a/crates/standins/src/jobs_platform.rs
+++ b/crates/standins/src/jobs_platform.rs
@@ -115,6 +115,24 @@
     Response::new(status, body.to_string())
 }
 
+/// Adds rows of another writer to each list of a response: one that is no JSON, one that is nested
+/// deeply around a number that is too large, and one without fields.
+pub fn with_odd_rows(response: &Response) -> Response {
+    let deep = format!("{}1e400{}", "[".repeat(2_000), "]".repeat(2_000));
+    let mut text = String::from_utf8_lossy(&response.body).into_owned();
+    // Changes without a row stay empty: a watch is answered with none when its time is up.
+    for list in ["machines", "running", "finished", "items", "events"] {
+        let (begin, empty) = (format!("\"{list}\":["), format!("\"{list}\":[]"));
+        let rows = format!("{begin}NaN,{deep},null");
+        if !text.contains(&empty) {
+            text = text.replace(&begin, &format!("{rows},"));
+        } else if list != "events" {
+            text = text.replace(&empty, &format!("{rows}]"));
+        }
+    }
+    Response::new(response.status, text)
+}
+
 /// Number of failed runs of a task after which its job fails.
 pub const MAX_ATTEMPTS: u32 = 3;
 
