--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{Fleet, Job, Member, Progress, length, task::WorkerName};
+use sapphire_jobs::{Fleet, Member, Progress, length, task::WorkerName};
 use sapphire_plan::speed::Belief;
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
@@ -152,7 +152,7 @@
 
     /// Adds a job from its record.
     fn load_job(&mut self, now: Moment, id: &str, value: &Bytes) {
-        match Job::decode(&value[..]) {
+        match accept::read_record(id, value) {
             Ok(job) => {
                 let submitted = accept::submission_time(now, &job);
                 self.table.insert(Entry::new(Arc::new(job), true, submitted));
@@ -164,7 +164,12 @@
     /// Loads the list of workers of earlier planners.
     fn load_fleet(&mut self, value: &Bytes, revision: Revision) {
         self.startup.fleet_revision = revision;
-        match Fleet::decode(&value[..]) {
+        let decoded = Fleet::decode(&value[..]).map_err(|error| error.to_string());
+        let is_possible = |fleet: &Fleet| fleet.terms <= options::MAX_TERMS;
+        let decoded = decoded.and_then(|fleet| {
+            is_possible(&fleet).then_some(fleet).ok_or("invalid number of terms".to_owned())
+        });
+        match decoded {
             Ok(fleet) => {
                 self.startup.term_number = fleet.terms;
                 self.startup.recorded = minions(&fleet.members);
