soak: cancellations beside each series of planners, and late orders then

A start that nobody had sent is likeliest where a planner is replaced while a job is cancelled and its orders are late; the storms were drawn without regard to the series.

--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -125,7 +125,8 @@
             Order::LongPoll { .. } => {}
             Order::Start { .. } | Order::Stop { .. } => {
                 let is_due = now >= self.late_from && now < self.late_until;
-                if is_due && self.trouble_rng.random_bool(self.late_share) {
+                let is_late = is_due && self.trouble_rng.random_bool(self.late_share);
+                if is_late || self.spells.delays(now) {
                     let delay = Duration::from_millis(self.trouble_rng.random_range(LATE_DELAY_MS));
                     self.log_order(
                         &received,
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -77,6 +77,8 @@
     Power { has_agents: bool },
     /// Many jobs are submitted and cancelled; so are a share of the others.
     Cancels,
+    /// A share of the starts and stops is not answered and carried out late.
+    LateOrders(f64),
 }
 
 impl Kind {
@@ -95,7 +97,8 @@
             | Kind::PlannerCut { .. }
             | Kind::SlowEntry { .. }
             | Kind::Power { .. }
-            | Kind::Cancels => true,
+            | Kind::Cancels
+            | Kind::LateOrders(_) => true,
         }
     }
 }
@@ -298,6 +301,33 @@
             }
         }
         self.series_rng = rng;
+        if trouble.cancels && trouble.series {
+            self.draw_cancelled_series(trouble);
+        }
+    }
+
+    /// Draws cancellations, some of them beside late orders, for each series of planners and for each
+    /// planner whose links are cut.
+    fn draw_cancelled_series(&mut self, trouble: Trouble) {
+        let millis = Duration::from_millis;
+        let mut rng = Pcg32::seed_from_u64(self.series_rng.random::<u64>());
+        let is_series = |kind: &Kind| match *kind {
+            Kind::Planners(interval) => interval < SERIES_TIME && interval > PLANNING_TIME / 2,
+            _ => matches!(kind, Kind::PlannerCut { .. }),
+        };
+        let beginnings: Vec<Duration> =
+            self.spells.iter().filter(|it| is_series(&it.kind)).map(|it| it.from).collect();
+        for beginning in beginnings {
+            let from = beginning + millis(rng.random_range(0..2_500));
+            let until = from + millis(rng.random_range(500..2_500));
+            self.spells.push(Spell { from, until, kind: Kind::Cancels, is_begun: false });
+            if trouble.late_orders && rng.random_bool(0.6) {
+                let from = beginning.max(from.saturating_sub(millis(1_500)));
+                let until = from + millis(rng.random_range(1_000..5_000));
+                let kind = Kind::LateOrders(rng.random_range(0.1..0.7));
+                self.spells.push(Spell { from, until, kind, is_begun: false });
+            }
+        }
     }
 
     /// Adds a spell that begins within `within_ms` of `start`.
@@ -360,6 +390,13 @@
             && self.rng.random_bool(LOST_SHARE)
     }
 
+    /// Returns whether a start or stop is carried out late.
+    pub(super) fn delays(&mut self, now: Duration) -> bool {
+        let share = |kind: &Kind| if let Kind::LateOrders(share) = kind { *share } else { 0.0 };
+        let share = self.present(now).map(share).fold(0.0, f64::max);
+        share > 0.0 && self.series_rng.random_bool(share)
+    }
+
     /// Returns whether a minion leaves that gets a start. Draws whether its agent leaves too, and
     /// its replacement. A minion that leaves without its agent accepts connections but does nothing.
     pub(super) fn takes_away(&mut self, now: Duration, agent: u8) -> bool {
