--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -11,6 +11,7 @@
     options,
     planner::Planner,
     pool::Pool,
+    state::run_log::Row,
     worker::{self, Run},
 };
 
@@ -46,7 +47,7 @@
         let Some(group) = entry.groups.get_mut(key) else { return };
         let unfinished = allocate(pool, key.index, demand, assignments);
         let is_remote = is_remote(pool, demand, assignments);
-        let number = repeated.unwrap_or_else(|| first.max(group.run + 1));
+        let number = repeated.unwrap_or_else(|| first.max(group.run.saturating_add(1)));
         // A run that is ordered again is taken up when a list shows it.
         group.ended_run = group.ended_run.min(number - 1);
         let waited = now.steady.saturating_sub(group.waiting_since);
@@ -107,6 +108,7 @@
             let (occurrence, step) = (key.occurrence, key.step);
             let task = Task { job: id.to_owned(), occurrence, step, index: *index };
             let Some(worker) = self.workers.get_mut(name) else { continue };
+            self.run_log.add(Row { task: task.clone(), number, worker: name.clone() });
             let run = Run::new(number, demand.resources, worker::Phase::Ordered, 0, now.steady);
             worker.runs.insert(task, Run { recorded_in, is_resumed, ..run });
         }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -21,14 +21,17 @@
 
 use crate::{
     cordons::Cordons,
+    delay,
     effect::Effect,
     event::{Event, Moment},
+    inventory,
     load::Load,
     options::{self, Options},
     queue::Settings,
     state::{
-        self, commits::Commits, feeds::Feeds, handover::Handover, intake::Intake,
-        inventory::Inventory, shares::Shares, startup::Startup, waits::Waits,
+        self, commits::Commits, delays::Delays, feeds::Feeds, handover::Handover, intake::Intake,
+        inventory::Inventory, run_log::RunLog, shares::Shares, standstills::Standstills,
+        startup::Startup, waits::Waits,
     },
     stops,
     table::{Entry, Table},
@@ -61,6 +64,8 @@
     /// Starts that may still be carried out.
     pub(crate) unanswered: unanswered::Starts,
     pub(crate) handover: Handover,
+    /// Where runs that were ordered may be.
+    pub(crate) run_log: RunLog,
     /// Jobs that were cancelled before they became known.
     pub(crate) early_cancels: BTreeSet<JobId>,
     /// Revision of the configuration that was last verified to be the newest, and the time of the
@@ -74,6 +79,10 @@
     pub(crate) load: Load,
     /// Reasons for which groups wait.
     pub(crate) waits: Waits,
+    /// Reasons for which placed groups have not begun.
+    pub(crate) delays: Delays,
+    /// Jobs that have nothing at work.
+    pub(crate) standstills: Standstills,
     pub(crate) cordons: Cordons,
     /// End of the lease on the leader key.
     pub(crate) lease_expires_at: Duration,
@@ -117,6 +126,7 @@
             shares: Shares::default(),
             unanswered: unanswered::Starts::default(),
             handover: Handover::default(),
+            run_log: RunLog::default(),
             early_cancels: BTreeSet::new(),
             verified_catalog: None,
             needs_pass: true,
@@ -124,6 +134,8 @@
             next_pass: Duration::ZERO,
             load: Load::default(),
             waits: Waits::default(),
+            delays: Delays::default(),
+            standstills: Standstills::default(),
             cordons: Cordons::default(),
             lease_expires_at: Duration::MAX,
             standing: Standing::Leader,
@@ -195,6 +207,21 @@
         &self.waits.summary
     }
 
+    /// Returns the figures of the groups that are placed and have not begun.
+    pub fn delays(&self) -> &delay::Summary {
+        &self.delays.summary
+    }
+
+    /// Returns the longest time for which an open job of which a task is due has had nothing at work.
+    pub fn longest_standstill(&self) -> Duration {
+        self.standstills.longest()
+    }
+
+    /// Returns why the inventory of VMs doesn't show which of them are gone, while workers are missed.
+    pub fn inventory_fault(&self) -> Option<inventory::Fault> {
+        self.inventory.fault
+    }
+
     /// Handles an event and returns the effects to carry out.
     pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         self.apply(now, event);
@@ -231,6 +258,7 @@
     fn tick(&mut self, now: Moment) {
         self.feeds.refresh(now.steady);
         self.expire_workers(now);
+        self.withdraw_unsent(now);
         self.expire_unanswered(now);
         self.follow_inventory(now);
         self.watch_progress(now);
@@ -242,9 +270,12 @@
         self.follow_cordons(now);
         self.read_intake(now);
         self.check_recovered(now);
+        self.follow_takeover(now);
         self.check_expired(now);
         self.write_fleet(now);
         self.follow_speeds(now);
+        self.follow_delays(now);
+        self.follow_standstills(now);
         if now.steady >= self.last_pass + PASS_INTERVAL {
             self.needs_pass |= !self.table.open.is_empty();
         }
@@ -339,7 +370,7 @@
     pub(crate) fn objective(&self, entry: &Entry) -> Duration {
         let settings = self.queue_settings(entry);
         let critical_path = entry.critical_path(|step| self.expected_run_time(entry, step));
-        critical_path.mul_f64(settings.slack.max(1.0)) + settings.target_latency
+        length::scaled(critical_path, settings.slack.max(1.0), settings.target_latency)
     }
 
     /// Returns the time since a job's submission.
@@ -379,25 +410,23 @@
         }
     }
 
-    /// Stops all runs of a job.
+    /// Stops all runs of a job, wherever they are.
+    ///
+    /// Guards against a run that goes on for nobody: its group may know of another one only.
     pub(crate) fn stop_job(&mut self, now: Duration, id: &str, cause: &Cause) {
         let Some(entry) = self.table.entries.get_mut(id) else { return };
-        let mut stops = Vec::new();
-        for (key, group) in &mut entry.groups {
-            let number = group.run;
+        for group in entry.groups.values_mut() {
             group.claim = None;
-            let Some(active) = group.active_mut() else { continue };
-            active.is_stopping = true;
-            for (index, worker) in &active.unfinished {
-                let task = Task {
-                    job: id.to_owned(),
-                    occurrence: key.occurrence,
-                    step: key.step,
-                    index: *index,
-                };
-                stops.push((worker.clone(), task, number));
+            if let Some(active) = group.active_mut() {
+                active.is_stopping = true;
             }
         }
+        let first = Task { job: id.to_owned(), occurrence: 0, step: 0, index: 0 };
+        let mut stops = Vec::new();
+        for (name, worker) in &self.workers {
+            let runs = worker.runs.range(&first..).take_while(|(task, _)| task.job == id);
+            stops.extend(runs.map(|(task, run)| (name.clone(), task.clone(), run.number)));
+        }
         for (worker, task, number) in stops {
             self.stop(now, &worker, &task, number, cause);
         }
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphire_jobs::{
-    Incarnation, Orders, Poll, Start, State,
+    Ending, Incarnation, Orders, Poll, Start,
     task::{GroupKey, Task, WorkerName},
 };
 
@@ -12,8 +12,8 @@
     event::{Moment, Requester},
     options,
     planner::Planner,
+    run_log,
     state::feeds::Delivery,
-    table::Entry,
     unanswered::{Grace, Sender},
     worker::{LongPoll, Phase, Run, Worker},
 };
@@ -54,13 +54,12 @@
         worker.sequence = poll.sequence;
         worker.last_contact = now.steady;
         worker.is_leaving = poll.is_leaving;
+        let is_fenced = poll.fenced_token == worker.token && poll.incarnation.is_some();
         let earlier = worker.long_poll.replace(LongPoll { requester, since: now.steady });
         if let Some(earlier) = earlier {
-            let mut orders = worker.empty_orders(self.term);
-            orders.is_cordoned = self.cordons.contains(worker);
+            let orders = self.grant(now, &name);
             self.effects.push(Effect::Orders(earlier.requester, Box::new(orders)));
         }
-        let is_fenced = poll.fenced_token == worker.token && poll.incarnation.is_some();
         if is_new_session {
             // The token is needed at once, so that fencing can proceed while the store is read.
             self.send_empty_orders(&name);
@@ -117,7 +116,7 @@
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let is_new_agent = poll.generation > worker.generation;
         if is_new_agent {
-            self.unanswered.retain_lost(now.steady, name, worker, self.handover.durable);
+            self.unanswered.retain_lost(now.steady, name, worker);
         }
         let is_new_minion = match (&worker.incarnation, &poll.incarnation) {
             (Some(known), Some(new)) => !is_same_incarnation(known, new),
@@ -222,9 +221,7 @@
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         while let Some((number, change)) = worker.pending_ends.first_key_value() {
             let is_durable = change.as_ref().is_none_or(|(job, change)| {
-                let entry = self.table.entries.get(job);
-                let is_over = |entry: &Entry| entry.state == State::Cancelled;
-                entry.is_none_or(|entry| entry.committed_change >= *change || is_over(entry))
+                run_log::is_durable(self.table.entries.get(job), *change)
             });
             if !is_durable {
                 return;
@@ -234,21 +231,39 @@
         }
     }
 
-    /// Answers a worker's poll with the orders that its agent has not received.
-    fn send_orders(&mut self, now: Moment, name: &str, requester: Requester) {
-        let worker = self.workers.get(name).expect("the caller has listed it");
+    /// Returns an answer to a poll of a worker without starts and stops, which extends the lease and
+    /// the time for which the agent sends the starts that it has. Both count from the agent's poll,
+    /// and here from its latest one.
+    ///
+    /// Guards against runs that lapse, and starts that are never sent, while an agent reports changes
+    /// so often that each of its polls is answered when the next one arrives.
+    fn grant(&mut self, now: Moment, name: &str) -> Orders {
+        let lease_expiry = self.options.lease_expiry();
+        let window = self.start_window(now);
+        let worker = self.workers.get_mut(name).expect("the caller has listed it");
         let mut orders = worker.empty_orders(self.term);
-        let is_listed = worker.is_listed(now.steady);
-        if is_listed {
+        if worker.is_listed(now.steady) {
             let lease = self.options.lease.as_millis();
             orders.lease_ms = u64::try_from(lease).unwrap_or(u64::MAX);
+            let until = worker.last_contact + lease_expiry;
+            worker.lease_expires_at = worker.lease_expires_at.max(until);
         }
         // The agent refuses the starts that it has for a cordoned zone, so that their outcome is
         // known and they can go elsewhere.
         orders.is_cordoned = self.cordons.contains(worker);
-        let window = self.start_window(now).min(worker.start_window(now.steady));
-        let may_start = !window.is_zero();
-        orders.starts_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
+        let window = window.min(worker.start_window(now.steady));
+        if !window.is_zero() {
+            orders.starts_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
+            worker.starts_until = worker.starts_until.max(worker.last_contact + window);
+        }
+        orders
+    }
+
+    /// Answers a worker's poll with the orders that its agent has not received.
+    fn send_orders(&mut self, now: Moment, name: &str, requester: Requester) {
+        let mut orders = self.grant(now, name);
+        let may_start = orders.starts_ms > 0;
+        let worker = self.workers.get(name).expect("the caller has listed it");
         // No order is sent before the first list of a session, which shows the earlier orders that
         // are invalid. An order with the session's own token would remain valid whatever that list
         // shows.
@@ -263,16 +278,13 @@
             }
         }
         self.log_orders(name, &orders);
-        let lease_expiry = self.options.lease_expiry();
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
-        if is_listed {
-            let until = worker.last_contact + lease_expiry;
-            worker.lease_expires_at = worker.lease_expires_at.max(until);
+        for sent in orders.starts.iter().filter_map(|start| start.run.as_ref()) {
+            if let Some(run) = worker.runs.get_mut(&Task::read(sent)) {
+                run.is_sent = true;
+            }
         }
         worker.is_cordon_sent = orders.is_cordoned;
-        if may_start {
-            worker.starts_until = worker.starts_until.max(worker.last_contact + window);
-        }
         worker.long_poll = None;
         worker.acknowledged_sent = worker.acknowledged;
         orders.entries = self.feeds.addresses.update_for(now.steady, &mut worker.entries_sent);
@@ -305,11 +317,41 @@
         }
     }
 
+    /// Withdraws runs whose order was not sent from workers that take no starts now. Their groups
+    /// start elsewhere.
+    ///
+    /// Guards against a group that waits for the lease and for late starts of a worker that was lost
+    /// between its placement and the write of the handover record: nothing of the run can be there.
+    ///
+    /// While nothing may be placed, the orders wait for the next poll of their agents.
+    pub(crate) fn withdraw_unsent(&mut self, now: Moment) {
+        if !self.may_place(now) {
+            return;
+        }
+        let is_unsent = |run: &Run| !run.is_started && !run.is_sent;
+        let closed = self.workers.iter().filter(|(_, worker)| !worker.takes_starts(now.steady));
+        let unsent: Vec<(WorkerName, Task, u32)> = closed
+            .flat_map(|(name, worker)| worker.runs.iter().map(move |run| (name, run)))
+            .filter(|(_, (_, run))| is_unsent(run))
+            .map(|(name, (task, run))| (name.clone(), task.clone(), run.number))
+            .collect();
+        for (name, task, number) in unsent {
+            self.log(format!(
+                "task={task} run={number} worker={name} withdrawn: its order was not sent"
+            ));
+            self.run_ended(now, &name, &task, number, Ending::Lost, "");
+        }
+    }
+
     /// Declares workers lost whose lease has certainly expired.
     pub(crate) fn expire_workers(&mut self, now: Moment) {
         let is_silent =
             |worker: &Worker| now.steady >= worker.last_contact + options::SILENCE_TIMEOUT;
-        let hangs = |worker: &Worker| worker.is_fenced && !worker.is_listed(now.steady);
+        // A minion that hangs may never acknowledge the session of an agent that has been restarted.
+        // No lease is granted in that session.
+        let hangs = |worker: &Worker| {
+            !worker.is_listed(now.steady) && (worker.is_fenced || !worker.runs.is_empty())
+        };
         let lost: Vec<(WorkerName, &str)> = (self.workers.iter())
             .filter(|(_, worker)| now.steady >= worker.lease_expires_at)
             .filter_map(|(name, worker)| match worker {
@@ -321,7 +363,7 @@
         for (name, why) in lost {
             self.log(format!("worker={name} {why}, lease expired; declared lost"));
             if let Some(worker) = self.workers.get(&name) {
-                self.unanswered.retain_lost(now.steady, &name, worker, self.handover.durable);
+                self.unanswered.retain_lost(now.steady, &name, worker);
             }
             self.lose_runs(now, &name, "lease expired");
             self.workers.remove(&name);
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -11,7 +11,9 @@
 use crate::{
     event::Moment,
     group::{Active, Phase as GroupPhase},
+    options,
     planner::Planner,
+    state::run_log::Row,
     worker::{self, Cause, Phase, Run, Stop},
 };
 
@@ -26,15 +28,16 @@
     /// Reconciles the runs of a worker with the list in a poll.
     ///
     /// Guards against a task that is done and starts again: if there are more ends than fit into
-    /// one list, absence from the list proves nothing.
+    /// one list, or rows can't be read, absence from the list proves nothing.
     pub(crate) fn reconcile(&mut self, now: Moment, name: &str, poll: &Poll) {
         for ended in &poll.ended {
             self.handle_end(now, name, ended);
         }
-        let is_cut_off = poll.ended.len() >= LISTED_ENDS;
+        let is_cut_off = poll.is_partial || poll.ended.len() >= LISTED_ENDS;
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         if is_cut_off && !worker.is_fenced {
-            // The minion lists the other ends once these are acknowledged.
+            // The minion lists the other ends once these are acknowledged, and rows that can't be
+            // read count as those of another writer after a while.
             return;
         }
         let is_first = !worker.is_fenced;
@@ -49,7 +52,9 @@
         worker.listed_at = listed_at;
         let mut outdated = Vec::new();
         for running in &poll.running {
-            let Some(run) = &running.run else { continue };
+            let Some(run) = running.run.as_ref().filter(|run| self.may_exist(run.run)) else {
+                continue;
+            };
             let task = Task::read(run);
             let worker = self.workers.get_mut(name).expect("the caller has inserted it");
             let known = worker.runs.get(&task).cloned();
@@ -91,6 +96,15 @@
         }
     }
 
+    /// Returns whether a run of this number can have been ordered by this planner, or by one of the
+    /// terms around its own.
+    ///
+    /// Guards against another writer's row: the numbers of the runs that follow have to be higher.
+    fn may_exist(&self, number: u32) -> bool {
+        let terms = self.startup.term_number.saturating_add(options::RUNS_PER_TERM);
+        number <= terms.saturating_mul(options::RUNS_PER_TERM)
+    }
+
     /// Records which orders the agent has outstanding. A stop is an order of its own, besides the
     /// start of the same run, which may be outstanding for long.
     fn record_received(&mut self, name: &str, poll: &Poll) {
@@ -163,9 +177,13 @@
             return;
         }
         let Some(run) = &ended.run else { return };
-        let task = Task::read(run);
-        self.close_run(&task, run.run);
-        let change = self.run_ended(now, name, &task, run.run, ended.ending(), &ended.checkpoint);
+        let mut change = None;
+        if self.may_exist(run.run) {
+            let task = Task::read(run);
+            self.close_run(&task, run.run);
+            let (ending, checkpoint) = (ended.ending(), &ended.checkpoint);
+            change = self.run_ended(now, name, &task, run.run, ending, checkpoint);
+        }
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         worker.pending_ends.insert(ended.number, change);
     }
@@ -193,8 +211,18 @@
     }
 
     /// Adopts a run that an earlier planner started, or stops one that should not exist.
+    ///
+    /// Guards against a group that waits for ever for the end of an earlier run, whose place this
+    /// one takes on the worker.
     fn adopt(&mut self, now: Moment, name: &str, task: &Task, running: &sapphire_jobs::Running) {
         let number = running.run.as_ref().map_or(0, |run| run.run);
+        let earlier = self.workers.get(name).and_then(|worker| worker.runs.get(task));
+        if let Some(earlier) = earlier.map(|run| run.number) {
+            self.log(format!(
+                "task={task} run={earlier} worker={name} a later run is listed; lost"
+            ));
+            self.run_ended(now, name, task, earlier, Ending::Lost, "");
+        }
         let (resources, is_wanted) = self.adoption(now, name, task, number);
         let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
         let group = self.group_of(task).map(|(_, _, group)| group);
@@ -207,6 +235,7 @@
         run.is_started = true;
         run.is_resumed = is_resumed;
         worker.runs.insert(task.clone(), run);
+        self.run_log.add(Row { task: task.clone(), number, worker: name.to_owned() });
         let verb = if is_wanted { "adopted" } else { "unexpected run; stopped" };
         self.log(format!("task={task} run={number} worker={name} {verb}"));
         if is_wanted {
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -33,11 +33,15 @@
     pub(crate) recording: BTreeMap<WorkerName, String>,
     /// Workers that earlier planners gave tasks to and that have not been accounted for yet.
     pub(crate) unaccounted: Vec<WorkerName>,
+    /// Their number in the latest log line, with the time of that line.
+    pub(crate) unaccounted_logged: Option<(usize, Duration)>,
     /// The stored list of workers is out of date.
     pub(crate) is_fleet_dirty: bool,
     pub(crate) is_writing_fleet: bool,
     /// Time since which all orders of earlier planners are accounted for.
     pub(crate) recovered_at: Option<Duration>,
+    /// The log of runs has all runs that earlier planners have ordered.
+    pub(crate) are_runs_logged: bool,
     /// Workers were declared lost while starts of earlier terms may still have been carried out there
     /// without being known.
     pub(crate) has_lost_workers: bool,
@@ -57,9 +61,11 @@
             recorded: BTreeMap::new(),
             recording: BTreeMap::new(),
             unaccounted: Vec::new(),
+            unaccounted_logged: None,
             is_fleet_dirty: true,
             is_writing_fleet: false,
             recovered_at: None,
+            are_runs_logged: false,
             has_lost_workers: false,
         }
     }
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -1,9 +1,9 @@
 //! Tests of starts that may still be carried out after the processes that know of them are lost.
 
 mod isolated;
-mod random;
+pub(crate) mod random;
 mod record;
-mod world;
+pub(crate) mod world;
 
 use sapphire_jobs::Step;
 use sapphire_planner::keys;
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner, driven event by event.
 
 mod bounds;
+mod causes;
 mod cordons;
 mod handover;
 mod harness;
@@ -9,6 +10,8 @@
 mod isolation;
 mod late;
 mod load;
+mod odd;
+mod placed;
 mod progress;
 mod reserve;
 mod shares;
@@ -17,6 +20,8 @@
 mod stands_still;
 mod superseded;
 mod supply;
+mod takeover;
 mod terms;
+mod unasked;
 mod urgent;
 mod waits;
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -77,7 +77,8 @@
     }
 
     /// Sends orders that were not sent yet, and repeats those that got no answer. A repetition is
-    /// harmless: the minion recognises it by the number of the run.
+    /// harmless: the minion recognises it by the number of the run. Those that have been due for longest
+    /// go first, so that none waits for ever for the repetitions of others.
     ///
     /// Guards against a task that runs twice: while this process was paused, the minion may have
     /// restarted and carried out a late start of an earlier run. A list reveals the new
@@ -95,8 +96,10 @@
         }
         let mut free = MAX_CALLS
             .saturating_sub(self.orders.values().filter(|order| order.call.is_some()).count());
-        let tasks: Vec<Task> = self.orders.keys().cloned().collect();
-        for task in tasks {
+        let mut tasks: Vec<(Duration, Task)> =
+            self.orders.iter().map(|(task, order)| (order.retry_at, task.clone())).collect();
+        tasks.sort();
+        for (_, task) in tasks {
             if free == 0 {
                 return;
             }
@@ -264,9 +267,9 @@
     /// the next incarnation of the minion would carry it out again.
     ///
     /// A list may leave out a task that is being stopped but still occupies its resources, so
-    /// absence counts only after the longest time that a stop may take. Absence from a list that
-    /// is cut off shows nothing.
-    pub(crate) fn resolve_orders(&mut self, list_requested_at: Duration, is_cut_off: bool) {
+    /// absence counts only after the longest time that a stop may take. Absence from a partial
+    /// list shows nothing.
+    pub(crate) fn resolve_orders(&mut self, list_requested_at: Duration, is_partial: bool) {
         let Some(minion) = &self.minion else { return };
         let mut absent = Vec::new();
         let mut listed = Vec::new();
@@ -279,7 +282,7 @@
             if has_ended || (is_running && order.kind.is_start()) {
                 listed.push((task.clone(), run));
             } else if !is_running
-                && !is_cut_off
+                && !is_partial
                 && answered_at
                     .is_some_and(|time| list_requested_at >= time + self.options.stop_timeout)
             {
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -1,8 +1,10 @@
 //! Passes events to the planner while this entry plans, and runs its turns.
 
+use std::time::Duration;
+
 use cadence::Gauged as _;
 use sapphire_net::clock;
-use sapphire_planner::{self as planner, event::Moment, wait};
+use sapphire_planner::{self as planner, delay, event::Moment, inventory, wait};
 
 use super::{Role, Work};
 use crate::reactor;
@@ -59,6 +61,9 @@
             self.logger.info("plan", &line);
             if let Some(planner) = &self.planner {
                 self.record_waits(planner.waits());
+                self.record_delays(planner.delays());
+                self.record_standstill(planner.longest_standstill());
+                self.record_inventory_fault(planner.inventory_fault());
             }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
@@ -68,6 +73,9 @@
     pub(super) fn end_planner(&mut self) {
         self.planner = None;
         self.record_waits(&wait::Summary::default());
+        self.record_delays(&delay::Summary::default());
+        self.record_standstill(Duration::ZERO);
+        self.record_inventory_fault(None);
     }
 
     /// Records the figures of the groups that are due and wait.
@@ -81,4 +89,31 @@
         let _ = self.metrics.gauge("waits.oldest_ms", oldest_ms);
         let _ = self.metrics.gauge("waits.fitting", waits.fitting as u64);
     }
+
+    /// Records the figures of the groups that are placed and have not begun.
+    fn record_delays(&self, delays: &delay::Summary) {
+        // A metric that can't be recorded is not worth an error.
+        for reason in delay::Reason::ALL {
+            let name = format!("delays.{}", reason.name());
+            let _ = self.metrics.gauge(&name, delays.count(reason) as u64);
+        }
+        let oldest_ms = u64::try_from(delays.oldest.as_millis()).unwrap_or(u64::MAX);
+        let _ = self.metrics.gauge("delays.oldest_ms", oldest_ms);
+    }
+
+    /// Records the longest time for which a job has had nothing at work.
+    fn record_standstill(&self, longest: Duration) {
+        let longest_ms = u64::try_from(longest.as_millis()).unwrap_or(u64::MAX);
+        // A metric that can't be recorded is not worth an error.
+        let _ = self.metrics.gauge("waits.idle_oldest_ms", longest_ms);
+    }
+
+    /// Records why the inventory of VMs is of no use.
+    fn record_inventory_fault(&self, current: Option<inventory::Fault>) {
+        // A metric that can't be recorded is not worth an error.
+        for fault in inventory::Fault::ALL {
+            let name = format!("inventory.{}", fault.name());
+            let _ = self.metrics.gauge(&name, u64::from(current == Some(fault)));
+        }
+    }
 }
