--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -86,8 +86,10 @@
             outcome.standstills.len(),
             outcome.broken.len()
         );
-        let longest = outcome.standstills.iter().max_by_key(|it| it.length);
-        for standstill in outcome.standstills.iter().filter(|it| it.is_broken()).chain(longest) {
+        let (broken_ones, others): (Vec<_>, Vec<_>) =
+            outcome.standstills.iter().partition(|it| it.is_broken());
+        let longest = others.into_iter().max_by_key(|it| it.length);
+        for standstill in broken_ones.into_iter().chain(longest) {
             println!("  {standstill}");
         }
         for text in &outcome.broken {
