--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -106,6 +106,8 @@
     Submission(String),
     Query(String),
     Cancellation(String),
+    /// A submission that arrives again after it was accepted.
+    Duplicate,
     Heartbeat,
 }
 
@@ -123,6 +125,8 @@
     is_complete: bool,
     /// The text submitted with it, which each start has to carry.
     spec: String,
+    /// When its submission arrives again, at another entry.
+    duplicate_at: Option<Duration>,
     /// When the caller cancels it, once it is accepted.
     cancel_at: Option<Duration>,
     /// When the caller sent the first request to cancel it.
@@ -134,6 +138,14 @@
     entry: u8,
 }
 
+impl Job {
+    /// Request that submits the job.
+    fn submission(&self, id: &str) -> Request {
+        let body = json!({ "spec": self.spec, "steps": [self.step] });
+        Request::new("POST", &format!("/q/{id}"), body.to_string())
+    }
+}
+
 struct Soak {
     options: Options,
     hub: Hub,
@@ -572,6 +584,7 @@
             .filter(|(_, job)| !job.is_complete && now >= job.next_request_at)
             .map(|(id, _)| id.clone())
             .collect();
+        self.send_duplicates(now);
         for id in due {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             job.next_request_at = now + CALLER_TIMEOUT * 2;
@@ -583,9 +596,7 @@
                 } else if job.is_accepted {
                     (Request::new("GET", &format!("/q/{id}"), ""), Pending::Query(id))
                 } else {
-                    let body = json!({ "spec": job.spec, "steps": [job.step] });
-                    let request = Request::new("POST", &format!("/q/{id}"), body.to_string());
-                    (request, Pending::Submission(id))
+                    (job.submission(&id), Pending::Submission(id))
                 };
             let request = request.with("Host", "soak.example").with("X-Key", "k");
             let call = self.hub.call(self.net.callers(job.entry), &request, CALLER_TIMEOUT);
@@ -626,6 +637,7 @@
         }
         if !is_query {
             job.is_accepted = true;
+            job.duplicate_at = self.spells.draw_duplicate().map(|delay| now + delay);
             self.busy_until = self.busy_until.max(now);
             return;
         }
--- a/crates/soak/src/soak/cancels.rs
+++ b/crates/soak/src/soak/cancels.rs
@@ -4,7 +4,7 @@
 
 use sapphire_jobs::task::{RunNumber, Task};
 
-use super::{REQUEST_DELAY, Soak};
+use super::{CALLER_TIMEOUT, Pending, REQUEST_DELAY, Soak};
 use crate::fleet::ENTRIES;
 
 /// Time from the acknowledgement of a cancellation from which on no task is started.
@@ -17,6 +17,20 @@
 pub(super) const CONTACT_TIME: Duration = Duration::from_secs(4);
 
 impl Soak {
+    /// Sends the submissions again that are due, also of jobs that have ended or were cancelled.
+    /// What is answered doesn't matter.
+    pub(super) fn send_duplicates(&mut self, now: Duration) {
+        for (id, job) in &mut self.jobs {
+            if job.duplicate_at.is_some_and(|at| now >= at) {
+                job.duplicate_at = None;
+                let request = job.submission(id).with("Host", "soak.example").with("X-Key", "k");
+                let target = self.net.callers((job.entry + 1) % ENTRIES);
+                let call = self.hub.call(target, &request, CALLER_TIMEOUT);
+                self.pending.insert(call, Pending::Duplicate);
+            }
+        }
+    }
+
     /// Handles the response to a request that cancels a job; 0 stands for none.
     pub(super) fn handle_cancellation(&mut self, now: Duration, id: &str, status: u16) {
         let Some(job) = self.jobs.get_mut(id) else { return };
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -45,6 +45,9 @@
 /// Share of the other jobs that are cancelled, and the time from their acceptance until then.
 const CANCELLED_SHARE: f64 = 0.7;
 const CANCELLED_MS: Range<u64> = 0..1_500;
+/// Share of the submissions that arrive again, and the time from their acceptance until then.
+const DUPLICATE_SHARE: f64 = 0.3;
+const DUPLICATE_MS: Range<u64> = 50..5_000;
 
 /// Kind of a spell.
 #[derive(Clone, Debug, PartialEq)]
@@ -153,6 +156,8 @@
     removed: BTreeSet<u8>,
     /// Draws series of planners with other losses, and cancellations.
     series_rng: Pcg32,
+    /// Submissions that were accepted may arrive again.
+    has_duplicates: bool,
 }
 
 impl Spells {
@@ -173,6 +178,7 @@
             paused: BTreeSet::new(),
             removed: BTreeSet::new(),
             series_rng: Pcg32::seed_from_u64(options.seed ^ 0x5e21e5),
+            has_duplicates: options.trouble.cancels,
         };
         if options.trouble.has_spells() {
             let length = SPELLS_JOB_INTERVAL * options.jobs;
@@ -378,6 +384,13 @@
         is_cancelled.then(|| Duration::from_millis(self.series_rng.random_range(CANCELLED_MS)))
     }
 
+    /// Draws after what time the submission of a job that was accepted now arrives again; `None` if
+    /// it doesn't.
+    pub(super) fn draw_duplicate(&mut self) -> Option<Duration> {
+        let is_duplicate = self.has_duplicates && self.series_rng.random_bool(DUPLICATE_SHARE);
+        is_duplicate.then(|| Duration::from_millis(self.series_rng.random_range(DUPLICATE_MS)))
+    }
+
     /// Returns whether a minion doesn't answer.
     pub(super) fn is_mute(&self, agent: u8) -> bool {
         self.mute[usize::from(agent)]
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -32,7 +32,8 @@
     pub series: bool,
     /// All entries, and in some runs all agents, lose power at once near the end of the traffic.
     pub power: bool,
-    /// Jobs are cancelled, many at once and promptly after they were submitted.
+    /// Jobs are cancelled, many at once and promptly after they were submitted; some submissions
+    /// arrive again after they were accepted.
     pub cancels: bool,
 }
 
