soak tests: a gang whose start was only recorded

Callers saw a gang's job with nothing running for 7 s of calm time on an idle fleet: a planner had written the start into its handover record and was killed before the worker, whose agent was dead, polled. After the take-over the worker is in contact, fenced and empty; a single task is then ordered again as the same run there, a gang waits until the recorded start has expired (10.6 s).

--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -5,14 +5,24 @@
 use sapphire_soak::{conditions::Conditions, soak, trouble::Trouble};
 
 fn run_soak(seed: u64, faults: u32, conditions: Conditions, trouble: Trouble) -> soak::Outcome {
+    run_jobs(20, seed, faults, conditions, trouble)
+}
+
+fn run_jobs(
+    jobs: u32,
+    seed: u64,
+    faults: u32,
+    conditions: Conditions,
+    trouble: Trouble,
+) -> soak::Outcome {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{seed}"));
     let options = soak::Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_sapphired")),
         folder,
         seed,
-        jobs: 20,
+        jobs,
         faults,
-        net: seed as u8,
+        net: seed as u8 | 0xf0,
         conditions,
         trouble,
     };
@@ -113,13 +123,28 @@
 fn planners_lost_beside_an_agent_keep_no_job_waiting() {
     let trouble = Trouble { series: true, power: true, gangs: true, ..Trouble::default() };
     let outcome = run_soak(1_780, 2, Conditions::default(), trouble);
-    let lost: Vec<String> =
-        (outcome.standstills.iter().filter(|it| it.is_broken())).map(ToString::to_string).collect();
-    assert_eq!(lost, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(lost(&outcome), Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
+/// Guards against a gang that has nothing running because a lost planner recorded its start on a worker
+/// that never got it and is in contact again.
+#[test]
+fn a_gang_whose_start_was_only_recorded_goes_on() {
+    let trouble = Trouble { series: true, power: true, gangs: true, ..Trouble::default() };
+    let outcome = run_jobs(40, 2_006, 8, Conditions::default(), trouble);
+    assert_eq!(lost(&outcome), Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
 }
 
+/// Returns the standstills that break the promise.
+fn lost(outcome: &soak::Outcome) -> Vec<String> {
+    let lost = outcome.standstills.iter().filter(|it| it.is_broken());
+    lost.map(ToString::to_string).collect()
+}
+
 /// Guards against tasks that are started, or run on, after their jobs were cancelled while orders are
 /// late, answers are lost, planners are killed and workers leave.
 #[test]
