planner: inherited work is placed once workers had half a second to report

Callers would see work stopped for an urgent job although a worker is idle: after a change of planners the first worker that reported took all inherited work, while the others report 0.1 to 0.7 s later.

Why it works: inherited work waits until all workers of the earlier term have reported, or for half a second. Work that may run on a worker that is silent waits for that worker as before.

--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -182,11 +182,13 @@
     fn waiting(&self, now: Moment, guaranteed: &BTreeSet<JobId>) -> (Vec<Waiting>, Untried) {
         let mut jobs = Vec::new();
         let mut inherited = Untried::default();
+        let awaits_workers = self.awaits_workers(now);
         for id in &self.table.open {
             let Some(entry) = self.table.entries.get(id) else { continue };
             let due = entry.due_groups().map(|(key, group)| (*key, group.waiting_since));
-            let (held, ready): (Vec<_>, Vec<_>) =
-                due.partition(|(key, _)| self.is_held(entry, key));
+            let is_held =
+                |key: &GroupKey| (entry.is_inherited && awaits_workers) || self.is_held(entry, key);
+            let (held, ready): (Vec<_>, Vec<_>) = due.partition(|(key, _)| is_held(key));
             inherited.add(entry, &held);
             if !ready.is_empty() {
                 let rank = rank::rank(&self.job_rank(now, entry, guaranteed.contains(id)));
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -28,8 +28,9 @@
 /// Time without a list of a worker after which the stored list calls it silent. Most report sooner, and
 /// need no further write before they are granted a lease.
 const SILENCE: Duration = Duration::from_millis(500);
-/// Interval between searches for incomplete gangs while workers report.
-const GANG_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between searches for inherited groups that can't go on, while workers report. A pass follows
+/// after the same time at the latest.
+const GROUP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Planner {
     /// Begins to read the records of the store.
@@ -202,6 +203,16 @@
         self.startup.members.insert(name, Member { silent_since: 0, ..member });
     }
 
+    /// Returns whether workers of the earlier term are still about to report.
+    ///
+    /// Guards against work that is stopped, or placed where it is slower, although idle workers report
+    /// a moment later.
+    pub(crate) fn awaits_workers(&self, now: Moment) -> bool {
+        let startup = &self.startup;
+        !startup.unaccounted.is_empty()
+            && startup.served_at.is_none_or(|at| now.steady < at + SILENCE)
+    }
+
     /// Has the stored list say which workers are silent, so that a successor goes on counting.
     fn record_silent(&mut self, now: Moment) {
         let startup = &mut self.startup;
@@ -384,8 +395,8 @@
         self.account_for(now, lost);
         if !self.startup.unaccounted.is_empty() {
             self.record_silent(now);
-            if now.steady >= self.startup.gangs_checked_at + GANG_CHECK_INTERVAL {
-                self.startup.gangs_checked_at = now.steady;
+            if now.steady >= self.startup.groups_checked_at + GROUP_CHECK_INTERVAL {
+                self.startup.groups_checked_at = now.steady;
                 self.stop_partial_gangs(now);
             }
             return;
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -45,8 +45,8 @@
     pub(crate) recording_silent: BTreeSet<WorkerName>,
     /// Terms that this entry has seen, each with a time at which it had begun.
     pub(crate) seen_terms: BTreeMap<Revision, Duration>,
-    /// Time of the latest search for incomplete gangs.
-    pub(crate) gangs_checked_at: Duration,
+    /// Time of the latest search for inherited groups that can't go on.
+    pub(crate) groups_checked_at: Duration,
     /// Time since which the planner serves.
     pub(crate) served_at: Option<Duration>,
     /// Their number in the latest log line, with the time of that line.
@@ -81,7 +81,7 @@
             recorded_silent: BTreeSet::new(),
             recording_silent: BTreeSet::new(),
             seen_terms: BTreeMap::new(),
-            gangs_checked_at: Duration::ZERO,
+            groups_checked_at: Duration::ZERO,
             served_at: None,
             unaccounted_logged: None,
             is_fleet_dirty: true,
