planner: inherited jobs fail as soon as nothing of them can be running elsewhere

Callers would see a task started more often than its queue allows (rule BUDGET): its last failure was stored, the planner was lost before it stored that the job had failed, and its successor still waits for a silent worker that has nothing of the job.

Cause: only the end of the wait for all workers failed such jobs, and since the log of runs other work is tried before that.

Why it works: the search comes with that for incomplete gangs, by group, once the log shows that nothing of it can be running on a worker that has not reported.

--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -358,7 +358,9 @@
             let Some(entry) = self.table.entries.get(id) else { continue };
             let has_failed =
                 |group: &Group| group.phase == Phase::Waiting && !group.failed_runs.is_empty();
-            let groups = entry.groups.iter().filter(|(_, group)| has_failed(group));
+            let is_known = |key: &GroupKey| !self.is_held(entry, key);
+            let groups =
+                entry.groups.iter().filter(|(key, group)| has_failed(group) && is_known(key));
             waiting.extend(groups.map(|(key, _)| (id.clone(), *key)));
         }
         for (id, key) in waiting {
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -398,6 +398,7 @@
             if now.steady >= self.startup.groups_checked_at + GROUP_CHECK_INTERVAL {
                 self.startup.groups_checked_at = now.steady;
                 self.stop_partial_gangs(now);
+                self.fail_exhausted(now);
             }
             return;
         }
--- a/crates/planner/tests/takeover/attempts.rs
+++ b/crates/planner/tests/takeover/attempts.rs
@@ -6,6 +6,29 @@
 
 use crate::harness::{Fixture, fleet, item, job, resources, run, step};
 
+/// Guards against a task that starts more often than its queue allows: the last failure was stored, the
+/// planner was lost before it stored that the job had failed, and its successor waits for a worker that
+/// runs nothing of the job.
+#[test]
+fn a_task_that_has_failed_as_often_as_it_may_is_not_started_beside_a_silent_worker() {
+    let tally = Tally { failed_runs: vec![1, 2], ..Tally::default() };
+    let progress = Progress { tallies: vec![tally], state: State::Active.into() };
+    let starts = UnansweredStarts { term: 1, are_runs_logged: true, ..Default::default() };
+    let mut fixture = Fixture::new(vec![
+        fleet(1, &["a", "silent"]),
+        item(keys::UNANSWERED.to_owned(), starts.encode_to_vec()),
+        item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()),
+        item(keys::progress("j"), progress.encode_to_vec()),
+    ]);
+    fixture.join("a", Vec::new(), Vec::new());
+    for _ in 0..40 {
+        fixture.poll("a", Vec::new(), Vec::new());
+        fixture.advance(500);
+    }
+    assert!(fixture.starts().is_empty(), "{:?}", fixture.starts());
+    assert_eq!(fixture.planner.table().entries["j"].state, State::Failed);
+}
+
 /// Returns whether a successor stops a run for an inherited urgent job while an idle worker has not
 /// reported, which does so `late` ms after the other one.
 fn stops_for_urgent(are_runs_logged: bool, late: u64) -> bool {
