planner: numbers of runs are compared within terms that were not counted anew

Cause: the latest run of a task was told by its number alone.

Evidence: found by the review; `segments_of_before_terms_were_counted_anew_hide_no_run` failed before.

--- a/crates/planner/src/keys.rs
+++ b/crates/planner/src/keys.rs
@@ -51,6 +51,12 @@
     format!("{RUNS}{term}.{write}")
 }
 
+/// Returns the term that added a segment of the log of runs; 0 if its key has none.
+pub fn term_of_runs(key: &str) -> u64 {
+    let number = key.strip_prefix(RUNS).and_then(|rest| rest.split('.').next());
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
 /// Returns the key of a job's progress.
 pub fn progress(id: &str) -> String {
     format!("{PROGRESS}{id}")
--- a/crates/planner/src/run_log.rs
+++ b/crates/planner/src/run_log.rs
@@ -3,7 +3,7 @@
 //! A worker that a new planner has no contact with may run tasks that an earlier planner has ordered
 //! there. The log names them, so that no other task waits for that worker.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use prost::Message as _;
@@ -46,17 +46,20 @@
                 }
             }
         }
-        // A task is ordered again only after the end of its earlier runs.
-        let mut latest: BTreeMap<(JobId, GroupKey), RunNumber> = BTreeMap::new();
-        let all = segments.iter().flat_map(|(_, rows)| rows);
-        for row in all {
-            if let Some(key) = self.group_key(&row.task) {
-                let number = latest.entry((row.task.job.clone(), key)).or_default();
-                *number = row.number.max(*number);
+        // A task is ordered again only after the end of its earlier runs. The numbers of terms that were
+        // counted anew are no later ones: segments of before that may be left.
+        let mut numbers: BTreeMap<(JobId, GroupKey), BTreeSet<(u64, RunNumber)>> = BTreeMap::new();
+        for (segment, rows) in &segments {
+            for row in rows {
+                if let Some(key) = self.group_key(&row.task) {
+                    let term = keys::term_of_runs(segment);
+                    let numbers = numbers.entry((row.task.job.clone(), key)).or_default();
+                    numbers.insert((term, row.number));
+                }
             }
         }
         let (table, startup) = (&self.table, &self.startup);
-        let is_live = |row: &Row| {
+        let is_live = |term: u64, row: &Row| {
             let entry = table.entries.get(&row.task.job);
             let Some((entry, key)) = entry.and_then(|it| Some((it, key_in(it, &row.task)?))) else {
                 return false;
@@ -64,10 +67,13 @@
             startup.are_runs_logged
                 && startup.members.contains_key(&row.worker)
                 && entry.groups.get(&key).is_none_or(|group| !group.is_final())
-                && latest.get(&(row.task.job.clone(), key)) == Some(&row.number)
+                && !numbers.get(&(row.task.job.clone(), key)).is_some_and(|numbers| {
+                    numbers.iter().any(|(other, number)| *other >= term && *number > row.number)
+                })
         };
         for (key, rows) in segments {
-            self.run_log.load(key, rows, is_live);
+            let term = keys::term_of_runs(&key);
+            self.run_log.load(key, rows, |row| is_live(term, row));
         }
     }
 
--- a/crates/planner/tests/takeover/fleet.rs
+++ b/crates/planner/tests/takeover/fleet.rs
@@ -150,3 +150,24 @@
     scene.world.run(LONG_ENOUGH);
     scene.assert_no_conflict();
 }
+
+/// Guards against runs that lapse on a worker which reports a moment late, since the store takes long to
+/// write the list that calls it silent, and the one after that.
+#[test]
+fn runs_of_a_worker_that_reports_late_go_on_while_the_store_is_slow() {
+    for delay in [100, 1_000, 2_500] {
+        let mut scene = Scene::new();
+        scene.world.run(1_000);
+        scene.silence(Silence::CutOff);
+        scene.world.lose_planner();
+        scene.take_over(Found::All);
+        scene.world.run(SILENCE - 100);
+        scene.world.fleet_outcome = Outcome::Answered(delay);
+        scene.world.run(300);
+        let silent = scene.silent.clone();
+        scene.world.reconnect(&silent);
+        scene.world.run(LONG_ENOUGH);
+        let starts = scene.starts_of("j/0/0/0").len();
+        assert_eq!(starts, 1, "{delay} ms\n{}", scene.history());
+    }
+}
--- a/crates/planner/tests/takeover/log.rs
+++ b/crates/planner/tests/takeover/log.rs
@@ -1,6 +1,7 @@
 //! Tests of the log of runs.
 
-use sapphire_jobs::{Ending, Step};
+use prost::Message as _;
+use sapphire_jobs::{Ending, Run, RunSegment, RunsOn, Step};
 use sapphire_planner::keys;
 
 use super::scene::{CALM_BOUND, Found, PROMPT, Scene, Silence};
@@ -78,3 +79,33 @@
     scene.take_over(Found::All);
     scene.assert_held("undecodable");
 }
+
+/// Guards against a task that runs twice once terms are counted anew: a segment of an earlier term, which
+/// has not been removed yet, has a higher number of its run.
+#[test]
+fn segments_of_before_terms_were_counted_anew_hide_no_run() {
+    let mut scene = Scene::idle();
+    scene.world.lose_planner();
+    scene.world.write(keys::FLEET, vec![0xff; 4]);
+    // More segments than the next planner removes before it places anything.
+    for number in 0..200 {
+        let (key, value) = stale_segment(number);
+        scene.world.write(&key, value);
+    }
+    scene.take_over(Found::All);
+    scene.world.run(30_000);
+    scene.run_for_long("j", &step(1, false));
+    scene.world.run(5_000);
+    scene.silence(Silence::CutOff);
+    scene.world.lose_planner();
+    scene.take_over(Found::All);
+    scene.assert_held("terms were counted anew");
+}
+
+/// Returns a segment of an earlier term with a run of the task that follows.
+fn stale_segment(number: u64) -> (String, Vec<u8>) {
+    let run = Run { job: "j".to_owned(), run: 7_003, ..Run::default() };
+    let on = RunsOn { worker: "d".to_owned(), runs: vec![run] };
+    let segment = RunSegment { workers: vec![on] };
+    (format!("{}7.{number}", keys::RUNS), segment.encode_to_vec())
+}
