planner: the log of runs has runs whose end is not durable, whoever has ordered them

Callers would see a task that is done start again (rule TWICE): a planner that followed one of an earlier version read the end of a run, wrote the first whole log without it, and was lost before the progress was durable; the worker is silent under the next planner.

Cause: only runs that were in the log already were kept in it until their end is durable.

Evidence: found by the review; `the_first_whole_log_has_runs_whose_end_is_not_durable` failed before.

--- a/crates/planner/src/state/run_log.rs
+++ b/crates/planner/src/state/run_log.rs
@@ -113,17 +113,18 @@
         }
     }
 
-    /// Records that a run has ended. It stays in the log until a change of its job is durable.
+    /// Records that a run has ended. It stays in the log until a change of its job is durable, and comes
+    /// into it if an earlier version has ordered it.
     ///
     /// Guards against a task that is done and runs again: until then only the list of its minion, which
     /// a successor may not reach, says so.
     pub(crate) fn end(&mut self, row: Row, change: Option<(JobId, u64)>) {
-        match change {
-            Some(change) if self.runs.contains_key(&row) => {
-                self.ended.insert(row, change);
-            }
-            _ => self.release(&row),
-        }
+        let Some(change) = change else {
+            self.release(&row);
+            return;
+        };
+        self.add(row.clone());
+        self.ended.insert(row, change);
     }
 
     /// Removes the runs that have ended, once that is durable.
--- a/crates/planner/tests/takeover/log.rs
+++ b/crates/planner/tests/takeover/log.rs
@@ -5,7 +5,10 @@
 use sapphire_planner::keys;
 
 use super::scene::{CALM_BOUND, Found, PROMPT, Scene, Silence};
-use crate::harness::{resources, step};
+use crate::{
+    handover::world::Outcome,
+    harness::{resources, step},
+};
 
 const JOBS: usize = 60;
 
@@ -109,3 +112,28 @@
     let segment = RunSegment { workers: vec![on] };
     (format!("{}7.{number}", keys::RUNS), segment.encode_to_vec())
 }
+
+/// Guards against a task that is done and starts again: the planner that read its end wrote the first
+/// whole log, without the run, and was lost before the progress was durable.
+#[test]
+fn the_first_whole_log_has_runs_whose_end_is_not_durable() {
+    for serves in [300, 1_200, 2_500] {
+        let mut scene = Scene::new();
+        scene.world.run(1_000);
+        scene.world.progress_outcome = Outcome::Lost;
+        scene.world.lose_planner();
+        let silent = scene.silent.clone();
+        scene.world.end_runs(&silent, "j", Ending::Done);
+        scene.take_over(Found::Earlier);
+        scene.world.run(serves);
+        scene.silence(Silence::CutOff);
+        scene.world.lose_planner();
+        scene.world.progress_outcome = Outcome::Answered(10);
+        scene.take_over(Found::All);
+        scene.world.run(2_000);
+        scene.world.reconnect(&silent);
+        scene.world.run(CALM_BOUND);
+        scene.assert_no_conflict();
+        assert_eq!(scene.starts_of("j/0/0/0").len(), 1, "{serves}\n{}", scene.history());
+    }
+}
