--- a/crates/planner/tests/takeover/random.rs
+++ b/crates/planner/tests/takeover/random.rs
@@ -15,6 +15,8 @@
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
 /// Number of drawn worlds.
 const WORLDS: u64 = 200;
+/// Number of drawn worlds with faulty writes of the list of workers.
+const SEEDS_OF_LISTS: u64 = 600;
 /// Number of events in each.
 const EVENTS: usize = 50;
 
@@ -108,3 +110,39 @@
         }
     }
 }
+
+/// Draws what becomes of writes of the list of workers, and starts that are carried out late.
+fn act_on_lists(world: &mut World, draw: &mut Draw, jobs: &mut usize) {
+    let name = NAMES[draw.below(4) as usize];
+    match draw.below(4) {
+        0 => {
+            let slow = Outcome::Answered(10 + draw.below(400) * 10);
+            let outcome = [draw_outcome(draw), slow, Outcome::Answered(10)];
+            world.fleet_outcome = outcome[draw.below(3) as usize];
+        }
+        1 => {
+            world.lose_agent(name);
+            world.run(draw.below(1_200) * 10);
+            world.begin_open(name);
+            world.run(draw.below(900) * 10);
+            world.start_agent(name);
+        }
+        _ => act(world, draw, jobs),
+    }
+}
+
+/// Guards against the same while writes of the list of workers are late or lost, and with starts that are
+/// carried out late.
+#[test]
+fn drawn_writes_of_the_list_of_workers_cause_no_conflict() {
+    for seed in 0..SEEDS_OF_LISTS {
+        let (mut draw, mut jobs) = (Draw(10_000 + seed), 0);
+        let mut world = World::new(&NAMES);
+        for _ in 0..EVENTS {
+            act_on_lists(&mut world, &mut draw, &mut jobs);
+            let history = || world.history.join("\n");
+            let conflicts = &world.conflicts;
+            assert!(conflicts.is_empty(), "seed {seed}: {conflicts:#?}\n{}", history());
+        }
+    }
+}
