--- a/crates/planner/src/run_log.rs
+++ b/crates/planner/src/run_log.rs
@@ -11,13 +11,19 @@
     RunSegment, RunsOn, State,
     task::{GroupKey, JobId, RunNumber, Task, WorkerName},
 };
-use sapphire_store::call::Put;
+use sapphire_store::call::{Put, Revision};
 
 use crate::{
-    handover::Record, keys, pass, planner::Planner, state::handover::Write, state::run_log::Row,
-    table::Entry,
+    handover::Record,
+    keys, pass,
+    planner::Planner,
+    state::{handover::Write, run_log::Row},
+    table::{Entry, Table},
 };
 
+/// Numbers of the runs of groups, each with the term that wrote it.
+type Numbers = BTreeMap<(JobId, GroupKey), BTreeSet<(Revision, RunNumber)>>;
+
 impl Planner {
     /// Adds to a write of the handover record what the log of runs lacks. Returns whether the log then
     /// has all runs.
@@ -35,46 +41,53 @@
 
     /// Loads the segments of the log that were found. Without a complete log their rows say nothing.
     pub(crate) fn load_runs(&mut self, found: &[(&str, &Bytes)]) {
+        let segments = self.decode_segments(found);
+        let numbers = self.run_numbers(&segments);
+        let startup = &self.startup;
+        let is_live = |term: Revision, row: &Row| {
+            let Some(key) = Self::group_key(&self.table, &row.task) else { return false };
+            let is_later =
+                |(other, number): &(Revision, RunNumber)| *other >= term && *number > row.number;
+            let has_later = numbers.get(&key).is_some_and(|numbers| numbers.iter().any(is_later));
+            startup.are_runs_logged && startup.members.contains_key(&row.worker) && !has_later
+        };
+        for (key, rows) in segments {
+            let term = keys::term_of_runs(&key);
+            self.run_log.load(key, rows, |row| is_live(term, row));
+        }
+    }
+
+    /// Decodes segments. One that can't be decoded has no rows, and makes the log incomplete.
+    fn decode_segments(&mut self, found: &[(&str, &Bytes)]) -> Vec<(String, Vec<Row>)> {
         let mut segments = Vec::new();
         for (key, value) in found {
-            match RunSegment::decode(&value[..]) {
-                Ok(segment) => segments.push(((*key).to_owned(), rows(&segment))),
+            let rows = match RunSegment::decode(&value[..]) {
+                Ok(segment) => rows(&segment),
                 Err(error) => {
                     self.startup.are_runs_logged = false;
                     self.log(format!("segment {key} of the log of runs can't be decoded: {error}"));
-                    segments.push(((*key).to_owned(), Vec::new()));
+                    Vec::new()
                 }
-            }
+            };
+            segments.push(((*key).to_owned(), rows));
         }
-        // A task is ordered again only after the end of its earlier runs. The numbers of terms that were
-        // counted anew are no later ones: segments of before that may be left.
-        let mut numbers: BTreeMap<(JobId, GroupKey), BTreeSet<(u64, RunNumber)>> = BTreeMap::new();
-        for (segment, rows) in &segments {
+        segments
+    }
+
+    /// Returns the numbers of the runs of each open group, with the terms that wrote them. A group is
+    /// ordered again only after the end of its earlier runs, so that only the latest may go on. Numbers are
+    /// counted anew if the list of workers is lost, and segments of before may be left.
+    fn run_numbers(&self, segments: &[(String, Vec<Row>)]) -> Numbers {
+        let mut numbers = Numbers::new();
+        for (segment, rows) in segments {
+            let term = keys::term_of_runs(segment);
             for row in rows {
-                if let Some(key) = self.group_key(&row.task) {
-                    let term = keys::term_of_runs(segment);
-                    let numbers = numbers.entry((row.task.job.clone(), key)).or_default();
-                    numbers.insert((term, row.number));
+                if let Some(key) = Self::group_key(&self.table, &row.task) {
+                    numbers.entry(key).or_default().insert((term, row.number));
                 }
             }
         }
-        let (table, startup) = (&self.table, &self.startup);
-        let is_live = |term: u64, row: &Row| {
-            let entry = table.entries.get(&row.task.job);
-            let Some((entry, key)) = entry.and_then(|it| Some((it, key_in(it, &row.task)?))) else {
-                return false;
-            };
-            startup.are_runs_logged
-                && startup.members.contains_key(&row.worker)
-                && entry.groups.get(&key).is_none_or(|group| !group.is_final())
-                && !numbers.get(&(row.task.job.clone(), key)).is_some_and(|numbers| {
-                    numbers.iter().any(|(other, number)| *other >= term && *number > row.number)
-                })
-        };
-        for (key, rows) in segments {
-            let term = keys::term_of_runs(&key);
-            self.run_log.load(key, rows, |row| is_live(term, row));
-        }
+        numbers
     }
 
     /// Returns whether a group of an inherited job has to wait, since tasks of it may be running on a
@@ -106,9 +119,12 @@
         self.run_log.retain_on(name, is_there);
     }
 
-    /// Returns the key of the group that a task belongs to, if its job is known.
-    fn group_key(&self, task: &Task) -> Option<GroupKey> {
-        key_in(self.table.entries.get(&task.job)?, task)
+    /// Returns the group that a task belongs to, unless its job is unknown or the group is over.
+    fn group_key(table: &Table, task: &Task) -> Option<(JobId, GroupKey)> {
+        let entry = table.entries.get(&task.job)?;
+        let key = GroupKey::of(task, entry.step(task.step)?.is_gang);
+        let is_open = entry.groups.get(&key).is_none_or(|group| !group.is_final());
+        is_open.then(|| (task.job.clone(), key))
     }
 }
 
@@ -118,11 +134,6 @@
     entry.is_none_or(|it| it.committed_change >= change || it.state == State::Cancelled)
 }
 
-/// Returns the key of the group of a job that a task belongs to.
-fn key_in(entry: &Entry, task: &Task) -> Option<GroupKey> {
-    Some(GroupKey::of(task, entry.step(task.step)?.is_gang))
-}
-
 /// Returns a segment in the form in which it is stored.
 fn segment(rows: &[Row]) -> RunSegment {
     let mut workers: BTreeMap<&WorkerName, RunsOn> = BTreeMap::new();
