--- a/crates/planner/src/state/run_log.rs
+++ b/crates/planner/src/state/run_log.rs
@@ -22,8 +22,8 @@
 struct Segment {
     key: String,
     rows: Vec<Row>,
-    /// Number of runs that no other segment is known to contain.
-    homes: usize,
+    /// Number of its runs that no other segment is known to contain.
+    live_rows: usize,
     /// A write that adds or removes the segment has had no reply.
     is_in_flight: bool,
 }
@@ -94,14 +94,14 @@
     pub(crate) fn load(&mut self, key: String, rows: Vec<Row>, is_live: impl Fn(&Row) -> bool) {
         let number = self.next;
         self.next += 1;
-        let mut homes = 0;
+        let mut live_rows = 0;
         for row in rows.iter().filter(|row| is_live(row)) {
             if !self.runs.contains_key(row) {
                 self.insert(row, Some(number));
-                homes += 1;
+                live_rows += 1;
             }
         }
-        self.segments.insert(number, Segment { key, rows, homes, is_in_flight: false });
+        self.segments.insert(number, Segment { key, rows, live_rows, is_in_flight: false });
     }
 
     /// Adds a run that may be on its worker.
@@ -142,8 +142,8 @@
         over.iter().for_each(|row| self.release(row));
     }
 
-    fn insert(&mut self, row: &Row, home: Option<Number>) {
-        self.runs.insert(row.clone(), home);
+    fn insert(&mut self, row: &Row, stored_in: Option<Number>) {
+        self.runs.insert(row.clone(), stored_in);
         self.by_worker.entry(row.worker.clone()).or_default().insert(row.clone());
     }
 
@@ -157,9 +157,9 @@
                 self.by_worker.remove(&row.worker);
             }
         }
-        let home = self.runs.remove(row).flatten();
-        if let Some(segment) = home.and_then(|home| self.segments.get_mut(&home)) {
-            segment.homes -= 1;
+        let stored_in = self.runs.remove(row).flatten();
+        if let Some(segment) = stored_in.and_then(|stored_in| self.segments.get_mut(&stored_in)) {
+            segment.live_rows -= 1;
         }
     }
 
@@ -170,15 +170,15 @@
         let is_idle = |segment: &Segment| !segment.is_in_flight;
         let limit = MIN_SEGMENTS + self.runs.len() / RUNS_PER_SEGMENT;
         let merged = (self.segments.iter())
-            .find(|(_, segment)| is_idle(segment) && segment.homes > 0)
+            .find(|(_, segment)| is_idle(segment) && segment.live_rows > 0)
             .filter(|_| self.segments.len() > limit)
             .map(|(number, segment)| (*number, segment));
         if let Some((number, segment)) = merged {
-            let is_home = |row: &&Row| self.runs.get(*row) == Some(&Some(number));
-            rows.extend(segment.rows.iter().filter(is_home).cloned());
+            let is_stored_here = |row: &&Row| self.runs.get(*row) == Some(&Some(number));
+            rows.extend(segment.rows.iter().filter(is_stored_here).cloned());
         }
         let merged = merged.map(|(number, _)| number);
-        let empty = self.segments.iter().filter(|(_, it)| is_idle(it) && it.homes == 0);
+        let empty = self.segments.iter().filter(|(_, it)| is_idle(it) && it.live_rows == 0);
         let removed = empty.map(|(number, _)| *number).chain(merged);
         let removed: Vec<Number> = removed.take(MAX_REMOVED).collect();
         if rows.is_empty() && removed.is_empty() {
@@ -194,7 +194,7 @@
         self.next += 1;
         self.drafts.insert(write, Draft { added, removed });
         let segment = (!rows.is_empty()).then(|| (key.clone(), rows.clone()));
-        self.segments.insert(added, Segment { key, rows, homes: 0, is_in_flight: true });
+        self.segments.insert(added, Segment { key, rows, live_rows: 0, is_in_flight: true });
         Change { segment, removes, is_complete }
     }
 
@@ -202,12 +202,12 @@
     pub(crate) fn written(&mut self, write: Write) {
         let Some(Draft { added, removed }) = self.drafts.remove(&write) else { return };
         let rows = self.segments.get(&added).map(|segment| segment.rows.clone());
-        let mut homes = 0;
+        let mut live_rows = 0;
         for row in rows.into_iter().flatten() {
-            let Some(home) = self.runs.get_mut(&row) else { continue };
-            if home.is_none_or(|home| removed.contains(&home)) {
-                *home = Some(added);
-                homes += 1;
+            let Some(stored_in) = self.runs.get_mut(&row) else { continue };
+            if stored_in.is_none_or(|stored_in| removed.contains(&stored_in)) {
+                *stored_in = Some(added);
+                live_rows += 1;
                 self.missing.remove(&row);
             }
         }
@@ -215,7 +215,7 @@
             self.segments.remove(&number);
         }
         if let Some(segment) = self.segments.get_mut(&added) {
-            segment.homes = homes;
+            segment.live_rows = live_rows;
             segment.is_in_flight = false;
             if segment.rows.is_empty() {
                 self.segments.remove(&added);
@@ -230,10 +230,12 @@
         for number in removed {
             let Some(segment) = self.segments.get_mut(&number) else { continue };
             segment.is_in_flight = false;
-            segment.homes = 0;
+            segment.live_rows = 0;
             for row in &segment.rows {
-                if let Some(home) = self.runs.get_mut(row).filter(|home| **home == Some(number)) {
-                    *home = None;
+                if let Some(stored_in) =
+                    self.runs.get_mut(row).filter(|stored_in| **stored_in == Some(number))
+                {
+                    *stored_in = None;
                     self.missing.insert(row.clone());
                 }
             }
