planner: which VMs have no minion, and the age of unanswered starts

A log line said that the inventory is of no use since some VM has no minion, but not which VM, and no line or metric told when the latest try of a start was sent.

Pages of the inventory have the VMs by name. No decision changes.

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -5,7 +5,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use sapphire_jobs::{inventory::Page, task::WorkerName};
+use sapphire_jobs::{
+    inventory::{Page, Tenant, VmName},
+    task::WorkerName,
+};
 
 use crate::{effect::Effect, event::Moment, lines, options, planner::Planner};
 
@@ -66,17 +69,19 @@
             self.record_fault(now, Some(Fault::Unreadable));
             return;
         };
-        let pages = &mut self.inventory.pages;
-        pages.minions.extend(page.minions);
-        pages.has_vacant |= page.has_vacant;
-        if let Some(token) = page.next {
+        let next = page.next.clone();
+        self.inventory.pages.append(page);
+        if let Some(token) = next {
             self.read_inventory(now, token);
             return;
         }
-        let listed = std::mem::take(pages);
+        let listed = std::mem::take(&mut self.inventory.pages);
         let is_foreign = !self.lists_workers(now, &listed);
         let vacant = listed.has_vacant.then_some(Fault::Vacant);
         let fault = if is_foreign { Some(Fault::Foreign) } else { vacant };
+        let is_vacant = |(_, tenant): &(&VmName, &Tenant)| !matches!(tenant, Tenant::Minion(_));
+        let vms = listed.vms.iter().filter(is_vacant);
+        self.inventory.vacant = vms.map(|(vm, _)| vm.clone()).collect();
         self.record_fault(now, fault);
         let is_usable = fault.is_none();
         let mut absent = self.missed(now);
@@ -102,8 +107,11 @@
         self.log(match fault {
             Some(fault) => {
                 let reason = fault.name();
+                let vms = lines::describe(&self.inventory.vacant);
+                let vacant = if vms == "none" { String::new() } else { format!(" vacant={vms}") };
                 format!(
-                    "inventory doesn't show which VMs are gone: reason={reason} missed={missed}"
+                    "inventory doesn't show which VMs are gone: reason={reason} missed={missed}\
+                     {vacant}"
                 )
             }
             None => format!("inventory shows which VMs are gone: missed={missed}"),
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -492,9 +492,11 @@
             let tasks = group_tasks(id, key, tasks);
             let workers = self.unanswered.workers(&tasks.start..&tasks.end);
             let names: Vec<&str> = workers.into_iter().map(String::as_str).collect();
+            let starts = self.unanswered.describe(now.steady, &tasks.start..&tasks.end);
             self.log(format!(
-                "job={id} step={step} index={index} waits for unanswered starts on={}",
-                names.join(",")
+                "job={id} step={step} index={index} waits for unanswered starts on={}: {}",
+                names.join(","),
+                starts.join(" ")
             ));
         }
     }
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -222,6 +222,11 @@
         self.standstills.longest()
     }
 
+    /// Returns the age of the oldest unanswered start, counted from its latest attempt.
+    pub fn oldest_unanswered_start(&self, now: Moment) -> Duration {
+        self.unanswered.oldest(now.steady)
+    }
+
     /// Returns why the inventory of VMs doesn't show which of them are gone, while workers are missed.
     pub fn inventory_fault(&self) -> Option<inventory::Fault> {
         self.inventory.fault
--- a/crates/planner/src/state/inventory.rs
+++ b/crates/planner/src/state/inventory.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use sapphire_jobs::inventory::Page;
+use sapphire_jobs::inventory::{Page, VmName};
 
 use crate::inventory::Fault;
 
@@ -17,6 +17,8 @@
     pub(crate) pages: Page,
     /// Minions that are missed and were not in the latest complete inventory.
     pub(crate) absent: BTreeSet<String>,
+    /// VMs without a minion in the latest complete inventory.
+    pub(crate) vacant: Vec<VmName>,
     /// Reason for which the latest read doesn't show which VMs are gone; `None` while no minion is
     /// missed.
     pub(crate) fault: Option<Fault>,
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -348,6 +348,30 @@
         self.by_task.range::<Task, _>(tasks).flat_map(|(_, starts)| starts.keys()).collect()
     }
 
+    /// Describes the unanswered starts of the tasks in a range: where each was sent, how long ago at the
+    /// latest, and for how long it may still be carried out.
+    pub(crate) fn describe(&self, now: Duration, tasks: Range<&Task>) -> Vec<String> {
+        let starts = self.by_task.range::<Task, _>(tasks);
+        let starts = starts.flat_map(|(task, starts)| starts.iter().map(move |it| (task, it)));
+        let row = |(task, (worker, start)): (&Task, (&WorkerName, &Start))| {
+            let until = start.expires_at().unwrap_or(now);
+            let age = (now + options::START_EXPIRY).saturating_sub(until).as_millis();
+            let left = until.saturating_sub(now).as_millis();
+            let number = start.number;
+            format!("{worker}/{}#{number} age_ms={age} expires_in_ms={left}", task.index)
+        };
+        starts.map(row).collect()
+    }
+
+    /// Returns the age of the oldest unanswered start, counted from its latest attempt.
+    pub(crate) fn oldest(&self, now: Duration) -> Duration {
+        let starts = self.by_task.values().flat_map(BTreeMap::values);
+        let age = |start: &Start| {
+            start.expires_at().map(|until| (now + options::START_EXPIRY).saturating_sub(until))
+        };
+        starts.filter_map(age).max().unwrap_or_default()
+    }
+
     /// Returns the time at which the last start of the tasks in a range expires.
     pub(crate) fn expires_at(&self, tasks: Range<&Task>) -> Option<Duration> {
         let starts = self.by_task.range::<Task, _>(tasks).flat_map(|(_, starts)| starts.values());
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -13,7 +13,6 @@
     Action, AgentNode, ENTRY_TICK, Origin, PendingPoll, Requester, STORE_LATENCY, Simulation,
     settings::{planner_options, read_catalog},
 };
-use crate::jobs::minion::Minion;
 
 impl Simulation {
     pub(super) fn entry_tick(&mut self, entry: usize, generation: u64) {
@@ -178,16 +177,17 @@
 
     /// The platform's inventory of the VMs that are not gone for good.
     fn inventory(&self) -> inventory::Page {
-        let present = |(agent, minion): (usize, &Minion)| {
-            (!self.gone.contains(&agent)).then(|| (minion.is_up, minion.incarnation.id.clone()))
-        };
-        let present: Vec<(bool, String)> =
-            self.minions.iter().enumerate().filter_map(present).collect();
-        inventory::Page {
-            has_vacant: present.iter().any(|(is_up, _)| !is_up),
-            minions: present.into_iter().filter(|(is_up, _)| *is_up).map(|(_, id)| id).collect(),
-            next: None,
+        let mut page = inventory::Page::default();
+        let present =
+            self.minions.iter().enumerate().filter(|(agent, _)| !self.gone.contains(agent));
+        for (agent, minion) in present {
+            let tenant = match minion.is_up {
+                true => inventory::Tenant::Minion(minion.incarnation.id.clone()),
+                false => inventory::Tenant::None,
+            };
+            page.add(format!("vm{agent}"), tenant);
         }
+        page
     }
 
     pub(super) fn announce(&mut self, entry: usize, addresses: &[String]) {
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -63,6 +63,7 @@
                 self.record_waits(planner.waits());
                 self.record_delays(planner.delays());
                 self.record_standstill(planner.longest_standstill());
+                self.record_unanswered(planner.oldest_unanswered_start(now));
                 self.record_inventory_fault(planner.inventory_fault());
             }
         }
@@ -75,6 +76,7 @@
         self.record_waits(&wait::Summary::default());
         self.record_delays(&delay::Summary::default());
         self.record_standstill(Duration::ZERO);
+        self.record_unanswered(Duration::ZERO);
         self.record_inventory_fault(None);
     }
 
@@ -108,6 +110,13 @@
         let _ = self.metrics.gauge("waits.idle_oldest_ms", longest_ms);
     }
 
+    /// Records the age of the oldest unanswered start.
+    fn record_unanswered(&self, oldest: Duration) {
+        let oldest_ms = u64::try_from(oldest.as_millis()).unwrap_or(u64::MAX);
+        // A metric that can't be recorded is not worth an error.
+        let _ = self.metrics.gauge("waits.unanswered_oldest_ms", oldest_ms);
+    }
+
     /// Records why the inventory of VMs is of no use.
     fn record_inventory_fault(&self, current: Option<inventory::Fault>) {
         // A metric that can't be recorded is not worth an error.
