proofs, soak: for how long unanswered starts count, and VMs that leave in series

The soak reads it from a line of the planner that tells when a start counts no more.
VMs have names that stay.

--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -227,6 +227,11 @@
         self.unanswered.oldest(now.steady)
     }
 
+    /// Returns the unanswered starts that count, with their workers.
+    pub fn unanswered_starts(&self) -> impl Iterator<Item = (&Task, &WorkerName)> {
+        self.unanswered.iter()
+    }
+
     /// Returns why the inventory of VMs doesn't show which of them are gone, while workers are missed.
     pub fn inventory_fault(&self) -> Option<inventory::Fault> {
         self.inventory.fault
@@ -295,6 +300,7 @@
     /// Returns the effects to carry out.
     pub fn advance(&mut self, now: Moment) -> Vec<Effect> {
         self.update_standing(now);
+        self.log_released(now);
         if self.needs_pass && self.may_place(now) && now.steady >= self.next_pass {
             self.needs_pass = false;
             self.load.passes += 1;
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -14,10 +14,13 @@
     planner::Planner,
     run_log,
     state::feeds::Delivery,
-    unanswered::{Grace, Sender},
+    unanswered::{Grace, Released, Sender},
     worker::{LongPoll, Phase, Run, Worker},
 };
 
+/// Age from which on an unanswered start is logged when it counts no more.
+const LONG_WAIT: Duration = Duration::from_secs(3);
+
 /// Returns whether two messages refer to the same incarnation of a minion.
 fn is_same_incarnation(left: &Incarnation, right: &Incarnation) -> bool {
     left.id == right.id && left.born_ms == right.born_ms
@@ -87,6 +90,20 @@
         self.unanswered.expire(now.steady, self.start_grace(), &self.workers);
     }
 
+    /// Logs the starts that have counted for long.
+    pub(crate) fn log_released(&mut self, now: Moment) {
+        for Released { task, number, worker, expires_at } in self.unanswered.take_released() {
+            let age = (now.steady + options::START_EXPIRY).saturating_sub(expires_at);
+            if age >= LONG_WAIT {
+                let age = age.as_millis();
+                self.log(format!(
+                    "task={task} run={number} worker={worker} unanswered start counts no more, \
+                     age_ms={age}"
+                ));
+            }
+        }
+    }
+
     /// Returns how much longer unanswered starts count of which nothing more is known.
     pub(crate) fn start_grace(&self) -> Grace {
         Grace { run: self.options.longest_lease_expiry(), agent: self.options.lease_expiry() }
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -33,6 +33,18 @@
     inherited: Option<Inherited>,
     /// It is in the handover record.
     is_recorded: bool,
+    /// Latest time at which it was to expire, as known before the latest change.
+    known_until: Duration,
+}
+
+/// An unanswered start that doesn't count any more.
+#[derive(Clone, Debug)]
+pub(crate) struct Released {
+    pub(crate) task: Task,
+    pub(crate) number: RunNumber,
+    pub(crate) worker: WorkerName,
+    /// Time at which it was to expire.
+    pub(crate) expires_at: Duration,
 }
 
 /// An unanswered start of which only the planner that ordered it knows.
@@ -73,6 +85,12 @@
 }
 
 impl Start {
+    /// Records that it can't be carried out any more.
+    fn clear(&mut self) {
+        (self.reported, self.retained, self.inherited) = (None, None, None);
+        self.is_recorded = false;
+    }
+
     /// Returns the time at which it expires; `None` if it cannot be carried out any more.
     fn expires_at(&self) -> Option<Duration> {
         let inherited = self.inherited.map(|inherited| inherited.expires_at);
@@ -119,6 +137,8 @@
     by_worker: BTreeMap<WorkerName, Record>,
     /// The handover record contains starts that have been removed since.
     has_removals: bool,
+    /// Starts that were removed and not logged yet.
+    released: Vec<Released>,
 }
 
 impl Starts {
@@ -171,7 +191,7 @@
         }
         let record = self.by_worker.entry(worker.to_owned()).or_default();
         if record.minion.replace(minion.to_owned()).is_some() {
-            self.for_each_start(worker, |start| *start = Start::default());
+            self.for_each_start(worker, Start::clear);
             self.prune(worker);
         }
     }
@@ -186,7 +206,7 @@
     /// Removes the starts that were sent to a minion which can't carry them out any more.
     pub(crate) fn forget(&mut self, worker: &str, minion: &str) {
         if self.minion(worker) == Some(minion) {
-            self.for_each_start(worker, |start| *start = Start::default());
+            self.for_each_start(worker, Start::clear);
             self.prune(worker);
         }
     }
@@ -378,6 +398,17 @@
         starts.filter_map(Start::expires_at).max()
     }
 
+    /// Returns the starts that count.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Task, &WorkerName)> {
+        let starts = self.by_task.iter();
+        starts.flat_map(|(task, starts)| starts.keys().map(move |worker| (task, worker)))
+    }
+
+    /// Takes the starts that have been removed since.
+    pub(crate) fn take_released(&mut self) -> Vec<Released> {
+        std::mem::take(&mut self.released)
+    }
+
     /// Returns the tasks with unanswered starts on a worker.
     pub(crate) fn tasks_on(&self, worker: &str) -> impl Iterator<Item = &Task> {
         self.by_worker.get(worker).into_iter().flat_map(|record| &record.tasks)
@@ -408,7 +439,10 @@
         let Some(record) = self.by_worker.get(worker) else { return };
         for task in &record.tasks {
             let start = self.by_task.get_mut(task).and_then(|starts| starts.get_mut(worker));
-            start.map(&change);
+            if let Some(start) = start {
+                start.known_until = start.expires_at().unwrap_or(start.known_until);
+                change(start);
+            }
         }
     }
 
@@ -421,7 +455,15 @@
             if starts.get(worker).is_some_and(|start| start.expires_at().is_some()) {
                 return true;
             }
-            self.has_removals |= starts.remove(worker).is_some_and(|start| start.is_recorded);
+            if let Some(start) = starts.remove(worker) {
+                self.has_removals |= start.is_recorded;
+                self.released.push(Released {
+                    task: task.clone(),
+                    number: start.number,
+                    worker: worker.to_owned(),
+                    expires_at: start.known_until,
+                });
+            }
             if starts.is_empty() {
                 by_task.remove(task);
             }
--- a/crates/proofs/examples/standstills.rs
+++ b/crates/proofs/examples/standstills.rs
@@ -16,6 +16,7 @@
     simulation::{
         idle::{self, Idle},
         standstill::Standstill,
+        unanswered::{Minion, Wait},
     },
 };
 
@@ -57,6 +58,8 @@
     all: Longest,
     calm: Longest,
     full: Longest,
+    /// Longest time for which an unanswered start counted, by what was known of its minion.
+    unanswered: BTreeMap<Minion, Wait>,
     violations: Vec<String>,
     log: Vec<String>,
 }
@@ -68,7 +71,16 @@
     let is_sound = sim.standstills.is_empty() && sim.violations.is_empty();
     let is_told = args.story && !(is_sound && calm.values().all(|it| it.length < idle::LIMIT));
     let log = if is_told { std::mem::take(&mut sim.log) } else { Vec::new() };
-    Day { standstills: sim.standstills, all, calm, full, violations: sim.violations, log }
+    let unanswered = sim.unanswered.longest().clone();
+    Day {
+        standstills: sim.standstills,
+        all,
+        calm,
+        full,
+        unanswered,
+        violations: sim.violations,
+        log,
+    }
 }
 
 /// Prints for each reason the longest idle time of all days, its seed, and the number of days on which
@@ -96,6 +108,25 @@
     }
 }
 
+/// Prints for each state of a minion the longest time for which an unanswered start counted, its seed,
+/// and the number of days on which one counted for longer than allowed.
+fn report_unanswered(results: &BTreeMap<u64, Day>) {
+    for minion in [Minion::Listed, Minion::Absent, Minion::Gone] {
+        let waits =
+            results.iter().filter_map(|(seed, day)| Some((seed, day.unanswered.get(&minion)?)));
+        let is_over = |(_, wait): &(&u64, &Wait)| wait.length > minion.limit();
+        let over = waits.clone().filter(is_over).count();
+        if let Some((seed, wait)) = waits.max_by_key(|(_, wait)| wait.length) {
+            println!(
+                "  unanswered start, minion {minion:?}: longest {:.1} s (seed {seed}), of {:.1} s allowed; \
+                 days with more {over}",
+                wait.length.as_secs_f64(),
+                minion.limit().as_secs_f64()
+            );
+        }
+    }
+}
+
 fn report(scenario: days::Scenario, results: &BTreeMap<u64, Day>, args: &Args) {
     let standing = results.values().filter(|day| !day.standstills.is_empty()).count();
     let broken = results.values().filter(|day| !day.violations.is_empty()).count();
@@ -107,6 +138,7 @@
     report_idle("idle beside spare capacity", results, |day| &day.all);
     report_idle("of that after 4 s without faults", results, |day| &day.calm);
     report_idle("the same however full the service is", results, |day| &day.full);
+    report_unanswered(results);
     for (seed, day) in results {
         for (reason, it) in day.calm.iter().filter(|_| args.days) {
             let (since, length) = (it.since.as_secs_f64(), it.length.as_secs_f64());
--- a/crates/proofs/src/jobs/days.rs
+++ b/crates/proofs/src/jobs/days.rs
@@ -93,6 +93,10 @@
     has_mute: bool,
     /// What becomes of one or two workers when the planner is first killed.
     silent: Silent,
+    /// Whether workers are taken away one after the other, and new VMs are without a minion for long.
+    has_departures: bool,
+    /// Whether minions leave for long while their VMs and agents stay.
+    has_absences: bool,
 }
 
 const NONE: Scenario = Scenario {
@@ -107,6 +111,8 @@
     has_store: false,
     has_mute: false,
     silent: Silent::None,
+    has_departures: false,
+    has_absences: false,
 };
 
 /// All scenarios.
@@ -145,6 +151,28 @@
         takeovers: Takeovers::Rapid,
         ..NONE
     },
+    Scenario { name: "departures", has_late: true, has_departures: true, ..NONE },
+    Scenario {
+        name: "departures-takeovers",
+        has_late: true,
+        has_departures: true,
+        takeovers: Takeovers::Series,
+        ..NONE
+    },
+    Scenario {
+        name: "departures-rapid",
+        has_late: true,
+        has_departures: true,
+        takeovers: Takeovers::Rapid,
+        ..NONE
+    },
+    Scenario {
+        name: "absences",
+        has_late: true,
+        has_absences: true,
+        takeovers: Takeovers::Series,
+        ..NONE
+    },
     Scenario { name: "mute", has_mute: true, ..NONE },
     Scenario { name: "mute-slow", has_mute: true, has_slow: true, ..NONE },
     Scenario { name: "mute-late", has_mute: true, has_late: true, ..NONE },
@@ -171,6 +199,9 @@
     Late(f64),
     LostStops(f64),
     ReplaceWorker(usize),
+    RemoveWorker(usize, f64),
+    RemoveMinion(usize, f64),
+    VacantVms(usize),
     KillPlanner,
     KillAgent(usize, f64),
     Isolate(usize, bool),
@@ -195,6 +226,7 @@
     let from = last_arrival.max(Duration::from_secs_f64(last_change)) + grace;
     sim.check_standstills_from(from);
     sim.measure_idle_times();
+    sim.measure_unanswered_starts();
     if scenario.has_mute {
         for worker in 0..sim.agents() {
             let minion = sim.minion(worker);
@@ -303,6 +335,12 @@
     if scenario.silent != Silent::None {
         changes.extend(silences(scenario.silent, &mut rng, workers, &changes));
     }
+    if scenario.has_departures {
+        changes.extend(departures(&mut rng, workers));
+    }
+    if scenario.has_absences {
+        changes.extend(absences(&mut rng, workers));
+    }
     changes.sort_by(|left, right| left.0.total_cmp(&right.0));
     changes
 }
@@ -345,6 +383,34 @@
     drawn
 }
 
+/// Draws workers that are taken away one after the other. There is always a VM whose minion has not
+/// started yet.
+fn departures(rng: &mut Pcg32, workers: usize) -> Vec<(f64, Change)> {
+    let mut drawn = vec![(0.0, Change::VacantVms(1))];
+    let mut at = rng.random_range(4.0..9.0);
+    // Those that replace the first ones leave as well.
+    for worker in 0..workers * 2 {
+        let replaced_after = rng.random_range(4.0..9.0);
+        drawn.push((at, Change::RemoveWorker(worker, replaced_after)));
+        at += rng.random_range(0.8..2.5);
+        if at >= FAULTS_END {
+            break;
+        }
+    }
+    drawn
+}
+
+/// Draws minions that leave for longer than a start may be late.
+fn absences(rng: &mut Pcg32, workers: usize) -> Vec<(f64, Change)> {
+    let chosen = choose(rng, workers, 0.4);
+    let mut drawn = Vec::new();
+    for worker in chosen {
+        let (at, time) = (rng.random_range(4.0..FAULTS_END), rng.random_range(16.0..30.0));
+        drawn.push((at, Change::RemoveMinion(worker, time)));
+    }
+    drawn
+}
+
 /// Draws spells in which minions are mute; the planner is killed or paused around the start of most
 /// of them, and again after some.
 fn mute_spells(rng: &mut Pcg32, workers: usize) -> Vec<(f64, Change)> {
@@ -397,6 +463,15 @@
         Change::Late(share) => sim.late_orders = share,
         Change::LostStops(share) => sim.lost_stops = share,
         Change::ReplaceWorker(worker) => sim.remove_worker(worker, Duration::from_secs(4)),
+        Change::RemoveWorker(worker, replaced_after) => {
+            if worker < sim.agents() {
+                sim.remove_worker(worker, Duration::from_secs_f64(replaced_after));
+            }
+        }
+        Change::RemoveMinion(worker, time) => {
+            sim.remove_minion(worker, Duration::from_secs_f64(time));
+        }
+        Change::VacantVms(count) => sim.vacant_vms = count,
         Change::KillPlanner => {
             if let Some(planner) = sim.planner_entry() {
                 sim.kill_entry(planner, Duration::from_secs(1));
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -187,6 +187,9 @@
             };
             page.add(format!("vm{agent}"), tenant);
         }
+        for number in 0..self.vacant_vms {
+            page.add(format!("vacant{number}"), inventory::Tenant::None);
+        }
         page
     }
 
--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -224,6 +224,16 @@
         self.log_line(&format!("m{agent} is gone"));
     }
 
+    /// Ends a minion without notice, while its VM and agent stay; another one starts there after `time`.
+    pub fn remove_minion(&mut self, agent: usize, time: Duration) {
+        if !self.is_worker_up(agent) {
+            return;
+        }
+        self.minions[agent].terminate(&self.truth);
+        self.after(time, Action::StartMinion(agent));
+        self.log_line(&format!("m{agent} ends, its VM stays"));
+    }
+
     pub(super) fn replace_worker(&mut self, agent: usize) {
         let number = self.agents.len();
         let old = &self.minions[agent];
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -32,8 +32,9 @@
         use runner::minion::{Call as Order, Reply as MinionReply};
         let Request { agent, ticket, .. } = request;
         if let Order::Start { start, .. } = &request.call {
-            let job = start.run.clone().unwrap_or_default().job;
-            self.idle.sent_to.entry(job).or_default().insert(agent);
+            let task = Task::read(&start.run.clone().unwrap_or_default());
+            self.idle.sent_to.entry(task.job.clone()).or_default().insert(agent);
+            self.unanswered.sent(task, agent, request.sent);
         }
         let minion = &self.minions[agent];
         if !minion.is_up {
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -12,6 +12,7 @@
 mod settings;
 pub mod standstill;
 mod store_calls;
+pub mod unanswered;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -127,6 +128,7 @@
     ReplaceWorker(usize),
     CheckStandstills,
     MeasureIdle,
+    MeasureUnanswered,
 }
 
 /// Call of an agent to its minion.
@@ -254,6 +256,10 @@
     pub standstills: Vec<standstill::Standstill>,
     /// For how long jobs had nothing running although they could run.
     pub idle: idle::Figures,
+    /// For how long unanswered starts counted.
+    pub unanswered: unanswered::Figures,
+    /// VMs without a minion besides those of the workers.
+    pub vacant_vms: usize,
     /// Descriptions of the violated invariants.
     pub violations: Vec<String>,
     /// Log lines, each with its time and process.
@@ -323,6 +329,8 @@
             standing_since: BTreeMap::new(),
             standstills: Vec::new(),
             idle: idle::Figures::default(),
+            unanswered: unanswered::Figures::default(),
+            vacant_vms: 0,
             violations: Vec::new(),
             log: Vec::new(),
             late_orders: 0.0,
@@ -513,6 +521,7 @@
             Action::ReplaceWorker(agent) => self.replace_worker(agent),
             Action::CheckStandstills => self.check_standstills(),
             Action::MeasureIdle => self.measure_idle(),
+            Action::MeasureUnanswered => self.measure_unanswered(),
         }
     }
 
--- a/crates/proofs/tests/stands_still/mod.rs
+++ b/crates/proofs/tests/stands_still/mod.rs
@@ -158,6 +158,53 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Simulates scenarios with each seed. Panics with the unanswered starts that counted for longer than
+/// the platform allows, and the violations.
+fn assert_starts_expire(scenarios: &[&str], seeds: &[u64]) {
+    let mut failures = Vec::new();
+    for name in scenarios {
+        let scenario = days::scenario(name).expect("the scenario is known");
+        for seed in seeds {
+            let sim = days::simulate(scenario, *seed, days::GRACE);
+            let long = sim.unanswered.longest().iter();
+            for (minion, wait) in long.filter(|(minion, wait)| wait.length > minion.limit()) {
+                failures.push(format!("{name} {seed}: minion {minion:?}: {wait:?}"));
+            }
+            failures.extend(sim.violations.iter().map(|it| format!("{name} {seed}: {it}")));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against starts on VMs that are gone which count for longer than it takes to read that in the
+/// inventory, since another VM has no minion.
+#[test]
+fn starts_on_vms_that_are_gone_expire_beside_vacant_ones() {
+    let scenarios = ["departures", "departures-takeovers", "departures-rapid"];
+    assert_starts_expire(&scenarios, &[1, 8, 23]);
+}
+
+/// Guards against starts on VMs without a minion which count on although they can't be carried out any
+/// more and nothing of them can be running.
+#[test]
+fn starts_on_vacant_vms_expire() {
+    assert_starts_expire(&["absences"], &[1, 9, 40]);
+}
+
+/// Guards against starts that count for longer than the platform allows in whatever trouble.
+#[test]
+fn unanswered_starts_expire_after_all_faults() {
+    let scenarios = ["late", "late-takeovers", "late-agents", "all", "mute-all", "agent-takeovers"];
+    assert_starts_expire(&scenarios, &[1, 2]);
+}
+
+/// Guards against jobs that wait beside spare capacity while VMs are taken away one after the other.
+#[test]
+fn no_job_is_idle_for_long_while_vms_leave_in_series() {
+    let scenarios = ["departures", "departures-takeovers"];
+    assert_none_idle(&scenarios, &[8, 32, 35], |sim| &sim.idle.calm);
+}
+
 /// Guards against a measure that sees nothing: without entries, everything ends with its lease.
 #[test]
 fn jobs_without_a_planner_are_idle() {
--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -128,6 +128,18 @@
     assert_eq!(outcome.accepted, outcome.complete);
 }
 
+/// Guards against starts on VMs that are gone which count for longer than the platform allows, since
+/// there is always another VM without a minion: VMs are taken away one after the other while orders are
+/// late and planners are killed.
+#[test]
+fn vms_that_leave_in_series_keep_no_start_waiting() {
+    let trouble = Trouble { departures: true, gangs: true, ..Trouble::default() };
+    let outcome = run_jobs(60, 247, 0, Conditions::default(), trouble);
+    assert_eq!(lost(&outcome), Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
 /// Guards against jobs that have nothing running for three seconds, after four without a disturbance,
 /// because planners were lost in series together with an agent, or all entries at once.
 #[test]
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -53,6 +53,7 @@
             "series" => trouble.series = false,
             "power" => trouble.power = false,
             "cancels" => trouble.cancels = false,
+            "departures" => trouble.departures = false,
             "spells" => return Trouble::WITHOUT_SPELLS,
             _ => {}
         }
@@ -76,6 +77,7 @@
             trouble: trouble(&args.without),
         })?;
         let lost = outcome.standstills.iter().filter(|it| it.is_broken()).count();
+        println!("{}", outcome.unanswered);
         println!(
             "seed={seed} accepted={} complete={} faults={} longest_standstill_ms={} standstills={} \
              lost={lost} broken={}",
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -36,9 +36,11 @@
 mod idle;
 mod minions;
 mod spells;
+mod unanswered;
 mod waits;
 
 pub use idle::Standstill;
+pub use unanswered::Figures;
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -79,6 +81,8 @@
     pub standstills: Vec<Standstill>,
     /// Longest time for which a job had nothing running although there was capacity for it.
     pub longest_standstill: Duration,
+    /// Longest times for which unanswered starts counted.
+    pub unanswered: Figures,
 }
 
 /// Longest wait for network events before the next step.
@@ -192,6 +196,10 @@
     minions: Vec<Minion>,
     /// Agents whose VMs are gone for good, or until they are replaced.
     gone: BTreeSet<u8>,
+    /// When VMs were gone.
+    departures: Vec<unanswered::Departure>,
+    /// Number of VMs on which each agent was before.
+    vms: Vec<u32>,
     /// Actual properties of tasks, by job and step.
     truth: BTreeMap<(String, u32), Truth>,
     jobs: BTreeMap<String, Job>,
@@ -256,6 +264,8 @@
         members_seen: BTreeMap::new(),
         minions,
         gone: BTreeSet::new(),
+        departures: Vec::new(),
+        vms: vec![0; usize::from(agents)],
         truth: BTreeMap::new(),
         jobs: BTreeMap::new(),
         pending: BTreeMap::new(),
@@ -464,6 +474,9 @@
     fn finish(mut self) -> io::Result<Outcome> {
         self.end_idle(clock::now());
         waits::find_reasons(&self.options.folder, &mut self.outcome.standstills)?;
+        let figures = unanswered::measure(&self.options.folder, &self.departures)?;
+        self.outcome.broken.extend(figures.broken());
+        self.outcome.unanswered = figures;
         for (id, job) in &self.jobs {
             if job.is_accepted && !job.is_complete {
                 self.outcome.broken.push(format!("{id} was accepted and is not complete"));
@@ -498,11 +511,7 @@
 
     fn handle_store_request(&mut self, now: Duration, caller: CallerId, request: &Request) {
         if request.path() == "/machines" {
-            let present =
-                (0_u8..).zip(&self.minions).filter(|(agent, _)| !self.gone.contains(agent));
-            let id = |minion: &Minion| minion.is_up.then(|| minion.incarnation.id.clone());
-            let ids = present.map(|(_, minion)| id(minion).unwrap_or_default());
-            let response = platform::inventory(ids);
+            let response = platform::inventory(self.vms().into_iter());
             self.answer_list(caller, response);
             return;
         }
@@ -524,6 +533,25 @@
         }
     }
 
+    /// Returns the names of the VMs with the identifiers of their minions, which are empty for VMs
+    /// without one.
+    fn vms(&self) -> Vec<(String, String)> {
+        let name = |agent: u8, number: u32| format!("vm{agent}-{number}");
+        let mut vms = Vec::new();
+        for ((agent, minion), number) in (0_u8..).zip(&self.minions).zip(&self.vms) {
+            if !self.gone.contains(&agent) {
+                let id = minion.is_up.then(|| minion.incarnation.id.clone());
+                vms.push((name(agent, *number), id.unwrap_or_default()));
+            } else if self.spells.is_replaced(agent) {
+                vms.push((name(agent, *number + 1), String::new()));
+            }
+        }
+        if self.options.trouble.departures {
+            vms.push(("spare".to_owned(), String::new()));
+        }
+        vms
+    }
+
     /// Answers with a response that may contain lists, and with odd rows if these are wanted. The
     /// items of a refused write are not a list of others.
     fn answer_list(&mut self, caller: CallerId, response: Response) {
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -12,7 +12,7 @@
 use sapphire_store::call::{Call, Reply};
 use serde_json::{Value, json};
 
-use super::{Options, Proxies, SPELLS_JOB_INTERVAL, Soak, minions};
+use super::{Options, Proxies, SPELLS_JOB_INTERVAL, Soak, minions, unanswered::Departure};
 use crate::{
     fleet::{ENTRIES, Fleet, Node},
     proxy::Mode,
@@ -49,6 +49,10 @@
 const DUPLICATE_SHARE: f64 = 0.3;
 const DUPLICATE_MS: Range<u64> = 50..5_000;
 
+/// Interval at which VMs are taken away in series, and that at which planners are killed meanwhile.
+const DEPARTURE_MS: Range<u64> = 1_200..2_400;
+const DEPARTURES_PLANNER_INTERVAL: Duration = Duration::from_secs(7);
+
 /// Kind of a spell.
 #[derive(Clone, Debug, PartialEq)]
 enum Kind {
@@ -192,6 +196,9 @@
                 spells.rng = earlier;
             }
             spells.draw_series(options.trouble, start, length, agents);
+            if options.trouble.departures {
+                spells.draw_departures(start, length, agents);
+            }
             spells.end = spells.spells.iter().map(|spell| spell.until).max().unwrap_or_default();
         }
         spells
@@ -336,6 +343,31 @@
         }
     }
 
+    /// Draws VMs that are taken away one after the other while orders are late and planners are killed.
+    fn draw_departures(&mut self, start: Duration, length: Duration, agents: u8) {
+        let millis = Duration::from_millis;
+        let rng = &mut Pcg32::seed_from_u64(self.series_rng.random::<u64>());
+        let mut add = |from, until, kind| {
+            self.spells.push(Spell { from, until, kind, is_begun: false });
+        };
+        let end = start + length;
+        add(start, end, Kind::LateOrders(rng.random_range(0.1..0.4)));
+        add(start + millis(3_000), end, Kind::Planners(DEPARTURES_PLANNER_INTERVAL));
+        let mut from = start + millis(rng.random_range(1_000..3_000));
+        for agent in (0..agents).cycle() {
+            if from >= end {
+                break;
+            }
+            add(from, from + millis(1), Kind::VmGone(agent));
+            from += millis(rng.random_range(DEPARTURE_MS));
+        }
+    }
+
+    /// Returns whether another VM is to take the place of one that is gone.
+    pub(super) fn is_replaced(&self, agent: u8) -> bool {
+        self.replacements.iter().any(|(_, other)| *other == agent)
+    }
+
     /// Adds a spell that begins within `within_ms` of `start`.
     fn add(&mut self, start: Duration, within_ms: u64, length_ms: Range<u64>, kind: Kind) {
         let from = start + Duration::from_millis(self.rng.random_range(0..within_ms.max(1)));
@@ -478,6 +510,7 @@
         for agent in std::mem::take(&mut self.spells.departures) {
             self.record_fault(&format!("taken away {:?}", Node::Agent(agent)), Duration::ZERO);
             self.gone.insert(agent);
+            self.departures.push(Departure::begin(agent));
             fleet.take_away(Node::Agent(agent));
             self.disturb(now, Node::Agent(agent));
         }
@@ -490,6 +523,9 @@
             let born_ms = minion.incarnation.born_ms + 1;
             *minion = minions::start(agent, born_ms, true);
             self.gone.remove(&agent);
+            self.vms[usize::from(agent)] += 1;
+            let departure = self.departures.iter_mut().rfind(|it| it.agent == agent);
+            departure.into_iter().for_each(Departure::end);
             self.spells.removed.remove(&agent);
             fleet.bring_back(Node::Agent(agent))?;
             minion.incarnation.id = format!("m{agent}-{born_ms}");
@@ -503,6 +539,7 @@
     fn begin_spell(&mut self, now: Duration, kind: &Kind, fleet: &mut Fleet) {
         match *kind {
             Kind::Operations => self.operate(now, fleet),
+            Kind::VmGone(agent) if self.gone.contains(&agent) => {}
             Kind::VmGone(agent) => {
                 self.minions[usize::from(agent)].terminate(&self.truth);
                 self.spells.departures.push(agent);
--- a/crates/soak/src/soak/waits.rs
+++ b/crates/soak/src/soak/waits.rs
@@ -5,7 +5,7 @@
 use super::Standstill;
 use crate::fleet::ENTRIES;
 
-const DAY: Duration = Duration::from_secs(86_400);
+pub(super) const DAY: Duration = Duration::from_secs(86_400);
 
 /// A line of an entry's log, with its time of the day.
 struct Line<'a> {
@@ -14,15 +14,19 @@
     text: &'a str,
 }
 
+/// Reads the entries' logs in a folder.
+pub(super) fn read_logs(folder: &Path) -> io::Result<Vec<String>> {
+    let read = |entry| fs::read(folder.join(format!("e{entry}.log")));
+    let logs = (0..ENTRIES).map(read);
+    logs.map(|log| log.map(|log| String::from_utf8_lossy(&log).into_owned())).collect()
+}
+
 /// Completes each standstill with the reasons that the entries' logs in a folder give for it.
 pub(super) fn find_reasons(folder: &Path, standstills: &mut [Standstill]) -> io::Result<()> {
     if standstills.is_empty() {
         return Ok(());
     }
-    let read = |entry| fs::read(folder.join(format!("e{entry}.log")));
-    let logs: Vec<Vec<u8>> = (0..ENTRIES).map(read).collect::<io::Result<_>>()?;
-    let texts: Vec<String> =
-        logs.iter().map(|log| String::from_utf8_lossy(log).into_owned()).collect();
+    let texts = read_logs(folder)?;
     let mut lines: Vec<Line<'_>> = Vec::new();
     for (entry, text) in (0..).zip(&texts) {
         let of_time = |text| Some(Line { at: time_of_day(text)?, entry, text });
@@ -36,7 +40,7 @@
 }
 
 /// Parses the time at the beginning of a line, as in `2026-12-05T02:41:14.106798841Z`.
-fn time_of_day(line: &str) -> Option<Duration> {
+pub(super) fn time_of_day(line: &str) -> Option<Duration> {
     let (date_time, _) = line.split_once("Z ")?;
     let (_, time) = date_time.split_once('T')?;
     let mut parts = time.split(':');
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -35,6 +35,9 @@
     /// Jobs are cancelled, many at once and promptly after they were submitted; some submissions
     /// arrive again after they were accepted.
     pub cancels: bool,
+    /// VMs are taken away one after the other while orders are late and planners are killed; their
+    /// replacements are without a minion for long.
+    pub departures: bool,
 }
 
 impl Trouble {
@@ -54,6 +57,7 @@
         series: false,
         power: false,
         cancels: false,
+        departures: false,
     };
     /// All kinds enabled.
     pub const ALL: Trouble = Trouble {
@@ -67,6 +71,7 @@
         series: true,
         power: true,
         cancels: true,
+        departures: true,
         ..Trouble::WITHOUT_SPELLS
     };
 
@@ -83,5 +88,6 @@
             || self.series
             || self.power
             || self.cancels
+            || self.departures
     }
 }
--- a/crates/standins/src/jobs_platform.rs
+++ b/crates/standins/src/jobs_platform.rs
@@ -142,13 +142,14 @@
     configure_version(store, now, idle_routes, 1);
 }
 
-/// Returns the inventory of VMs: the identifiers of their minions, empty for those without one.
-pub fn inventory(minions: impl Iterator<Item = String>) -> Response {
-    let row = |(index, id): (usize, String)| {
+/// Returns the inventory of VMs: their names, and the identifiers of their minions, which are empty
+/// for those without one.
+pub fn inventory(vms: impl Iterator<Item = (String, String)>) -> Response {
+    let row = |(name, id): (String, String)| {
         let state = if id.is_empty() { "down" } else { "up" };
-        json!({ "machine": format!("vm{index}"), "pool": "desk", "state": state, "id": id })
+        json!({ "machine": name, "pool": "desk", "state": state, "id": id })
     };
-    let machines: Vec<Value> = minions.enumerate().map(row).collect();
+    let machines: Vec<Value> = vms.map(row).collect();
     Response::new(200, json!({ "machines": machines, "next_token": null }).to_string())
 }
 
