planner: starts on a VM that is gone don't count again when its agent reports them

Minions whose VMs are gone are remembered for as long as an agent may report starts on them, and such reports are passed over. A VM's loss of knowledge has a line now: inventory shows on which VMs minions are.

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -50,7 +50,7 @@
             self.inventory.fates.clear();
             self.inventory.fault = None;
             let is_due = now.steady >= self.inventory.next_learning;
-            if !self.options.has_inventory || !is_due || !self.has_unknown_vms() {
+            if !self.options.has_inventory || !is_due || self.with_unknown_vms().is_empty() {
                 return;
             }
         } else if !self.options.has_inventory {
@@ -91,6 +91,13 @@
         }
         let listed = std::mem::take(&mut self.inventory.pages);
         let has_learnt = self.learn_vms(&listed);
+        if has_learnt {
+            let unknown = lines::describe(&self.with_unknown_vms());
+            let known = self.inventory.vms.len();
+            self.log(format!(
+                "inventory shows on which VMs minions are: known={known} unknown={unknown}"
+            ));
+        }
         self.delay_learning(now, has_learnt);
         let is_vacant = |(_, tenant): &(&VmName, &Tenant)| !matches!(tenant, Tenant::Minion(_));
         let vms = listed.vms.iter().filter(is_vacant);
@@ -176,10 +183,14 @@
         inventory.next_learning = now.steady + delay;
     }
 
-    /// Returns whether it isn't known on which VM the minion of some worker is.
-    fn has_unknown_vms(&self) -> bool {
-        let mut minions = self.workers.values().filter_map(|worker| worker.incarnation.as_ref());
-        minions.any(|minion| !self.inventory.vms.contains_key(&minion.id))
+    /// Returns the workers of whose minions it isn't known on which VMs they are.
+    fn with_unknown_vms(&self) -> Vec<WorkerName> {
+        let is_unknown = |worker: &Worker| {
+            let minion = worker.incarnation.as_ref();
+            minion.is_some_and(|minion| !self.inventory.vms.contains_key(&minion.id))
+        };
+        let workers = self.workers.iter().filter(|(_, worker)| is_unknown(worker));
+        workers.map(|(name, _)| name.clone()).collect()
     }
 
     /// Records why the inventory doesn't show which VMs are gone, and logs a change.
@@ -247,6 +258,14 @@
         is_expired && worker.is_vacant || hangs && (is_expired || !worker.runs.is_empty())
     }
 
+    /// Returns whether the VM is gone that unanswered starts of a worker were sent to.
+    ///
+    /// Guards against starts that count again because an agent outlives its minion's VM in the inventory.
+    pub(crate) fn is_known_gone(&self, worker: &str) -> bool {
+        let minion = self.unanswered.minion(worker);
+        minion.is_some_and(|minion| self.inventory.gone.contains_key(minion))
+    }
+
     /// Returns whether the latest inventory shows that the VM of a worker with unanswered starts runs no
     /// minion.
     pub(crate) fn is_known_vacant(&self, worker: &str) -> bool {
@@ -259,6 +278,8 @@
     fn lose_vm(&mut self, now: Moment, name: &str, minion: &str) {
         self.log(format!("worker={name} minion={minion} its VM is gone; declared lost"));
         self.unanswered.forget(name, minion);
+        self.inventory.gone.retain(|_, at| now.steady < *at + options::START_EXPIRY);
+        self.inventory.gone.insert(minion.to_owned(), now.steady);
         if self.workers.contains_key(name) {
             self.lose_runs(now, name, "its VM is gone");
             self.workers.remove(name);
--- a/crates/planner/src/state/inventory.rs
+++ b/crates/planner/src/state/inventory.rs
@@ -26,6 +26,9 @@
     /// What the latest complete inventory shows of the minions that are missed, with the beginning of
     /// that read.
     pub(crate) fates: BTreeMap<String, (Fate, Duration)>,
+    /// Minions whose VMs are gone, with the time at which that was shown. Contains those that agents may
+    /// still report starts on.
+    pub(crate) gone: BTreeMap<String, Duration>,
     /// VMs without a minion in the latest complete inventory.
     pub(crate) vacant: Vec<VmName>,
     /// Reason for which the latest read doesn't show which VMs are gone; `None` while no minion is
@@ -46,6 +49,7 @@
             pages: Page::default(),
             vms: BTreeMap::new(),
             fates: BTreeMap::new(),
+            gone: BTreeMap::new(),
             vacant: Vec::new(),
             fault: None,
             logged: (None, Duration::ZERO),
--- a/crates/planner/tests/inventory/vacant.rs
+++ b/crates/planner/tests/inventory/vacant.rs
@@ -193,6 +193,25 @@
     assert!(after <= TWO_READS, "{after} ms");
 }
 
+/// Guards against a start on a VM that is gone which counts again, since its agent lives on for a moment
+/// and reports it.
+#[test]
+fn an_agent_that_outlives_its_vm_makes_no_start_count_again() {
+    let mut scene = scene();
+    let name = scene.lost.clone();
+    let run = scene.fixture.starts().remove(0);
+    let gone = page(vec![runs(scene.other)]);
+    let after = scene.placed_after(20_000, &gone).expect("the task goes on");
+    assert!(after <= TWO_READS, "{after} ms");
+    for _ in 0..3 {
+        let row = Unanswered { run: Some(run.clone()), age_ms: 4_000 };
+        let report = Poll { is_minion_gone: true, unanswered: vec![row], ..Poll::default() };
+        report_gone(&mut scene.fixture, &name, report);
+        scene.placed_after(STEP, &gone);
+    }
+    assert_eq!(scene.fixture.planner.unanswered_starts().count(), 0);
+}
+
 /// Sends a poll of an agent that has no minion.
 fn report_gone(fixture: &mut Fixture, name: &str, report: Poll) {
     let sequence = fixture.sequence.entry(name.to_owned()).or_default();
