planner: changes of planners don't prolong the wait for an unanswered start

So each change added the age of the record, up to 2 s, and the time without a planner.

Steady clocks begin anywhere but pass at the same pace. Feeds have the planner's steady clock now, the record has the time of expiry by it and the term that wrote it, and an entry that has heard a feed of that term tells the expiry by its own clock; a late message makes it later, never earlier. Only a start that isn't sent any more is told so: one whose order is outstanding may have been sent again after the write and counts from the loss of its planner, as before. So does a start of a planner of which the successor has heard nothing, as a process that has just begun.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{FeedPoll, Lead};
+use sapphire_jobs::{FeedPoll, Lead, remote_clock::RemoteClock};
 use sapphire_planner::{keys, options as planner};
 use sapphire_store::{
     call::{Call, Condition, Item, Reply, Revision},
@@ -61,6 +61,23 @@
         self.leadership.seen_terms.iter().map(|(term, at)| (*term, *at))
     }
 
+    /// Returns what is known of the clocks of the latest planners, by term.
+    pub fn planner_clocks(&self) -> impl Iterator<Item = (Revision, RemoteClock)> {
+        self.leadership.clocks.iter().map(|(term, clock)| (*term, *clock))
+    }
+
+    /// Records what a feed tells of its planner's clock.
+    fn record_clock(&mut self, now: Duration, feed: &sapphire_jobs::Feed) {
+        if feed.clock_ms == 0 {
+            return;
+        }
+        let clocks = &mut self.leadership.clocks;
+        clocks.insert(feed.term, RemoteClock::new(Duration::from_millis(feed.clock_ms), now));
+        if clocks.len() > MAX_SEEN_TERMS {
+            clocks.pop_first();
+        }
+    }
+
     fn drive_leader_reads(&mut self, now: Duration) {
         let leadership = &mut self.leadership;
         if !leadership.is_watching && leadership.watch_from > 0 && now >= leadership.watch_at {
@@ -359,6 +376,7 @@
             self.leadership.query_at = now + options::LEADER_QUERY_DELAY;
             return;
         };
+        self.record_clock(now, &feed);
         if feed.term < self.leadership.leader.as_ref().map_or(0, |leader| leader.term) {
             return;
         }
--- a/crates/front/src/state/leadership.rs
+++ b/crates/front/src/state/leadership.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::Lead;
+use sapphire_jobs::{Lead, remote_clock::RemoteClock};
 use sapphire_planner::keys;
 use sapphire_store::{call::Revision, lease};
 
@@ -22,6 +22,8 @@
     pub(crate) leader: Option<Lead>,
     /// The latest terms, each with a time at which it had begun.
     pub(crate) seen_terms: BTreeMap<Revision, Duration>,
+    /// What the latest feeds tell of the clocks of their planners, by term.
+    pub(crate) clocks: BTreeMap<Revision, RemoteClock>,
     /// Since when the leader key is known to have no holder.
     pub(crate) vacant_since: Option<Duration>,
     /// A read of the leader key is in progress.
@@ -67,6 +69,7 @@
             holder: lease::Holder::new(keys::LEAD, value, settings.leader_lease),
             leader: None,
             seen_terms: BTreeMap::new(),
+            clocks: BTreeMap::new(),
             vacant_since: None,
             is_reading: false,
             is_watching: false,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod inventory;
 pub mod length;
 pub mod limits;
+pub mod remote_clock;
 pub mod resources;
 pub mod task;
 
--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -54,6 +54,7 @@
         let are_runs_logged = self.log_runs(self.handover.latest, &mut segment);
         let record = UnansweredStarts {
             term: self.startup.term_number,
+            lead_term: self.term,
             write: self.handover.latest,
             is_incomplete: self.handover.is_incomplete,
             are_runs_logged,
@@ -185,7 +186,8 @@
             self.log_recorded(&record);
             let known = record.workers.iter().filter(|on| !on.vm.is_empty());
             self.inventory.vms.extend(known.map(|on| (on.minion.clone(), on.vm.clone())));
-            self.unanswered.restore(now, self.start_grace(), record, &self.workers);
+            let clock = self.startup.clocks.get(&record.lead_term).copied();
+            self.unanswered.restore(now, self.start_grace(), clock, record, &self.workers);
         }
     }
 
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -10,6 +10,7 @@
     Supply,
     catalog::Catalog,
     length,
+    remote_clock::RemoteClock,
     task::{JobId, Task, WorkerName},
 };
 use sapphire_plan::{
@@ -166,6 +167,11 @@
         self.startup.seen_terms = terms.into_iter().collect();
     }
 
+    /// Sets what this entry knows of the clocks of earlier planners, by their terms.
+    pub fn expect_clocks(&mut self, clocks: impl IntoIterator<Item = (u64, RemoteClock)>) {
+        self.startup.clocks = clocks.into_iter().collect();
+    }
+
     /// Returns the number of cordoned zones.
     pub fn cordoned_zones(&self) -> usize {
         self.cordons.count()
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use sapphire_jobs::{Fleet, Member, task::WorkerName};
+use sapphire_jobs::{Fleet, Member, remote_clock::RemoteClock, task::WorkerName};
 use sapphire_store::call::{Item, Revision};
 
 /// Phase of the start of a term.
@@ -45,6 +45,8 @@
     pub(crate) recording_silent: BTreeSet<WorkerName>,
     /// Terms that this entry has seen, each with a time at which it had begun.
     pub(crate) seen_terms: BTreeMap<Revision, Duration>,
+    /// Clocks of the planners of terms, as far as this entry has heard of them.
+    pub(crate) clocks: BTreeMap<Revision, RemoteClock>,
     /// Time of the latest search for inherited groups that can't go on.
     pub(crate) groups_checked_at: Duration,
     /// Time since which the planner serves.
@@ -81,6 +83,7 @@
             recorded_silent: BTreeSet::new(),
             recording_silent: BTreeSet::new(),
             seen_terms: BTreeMap::new(),
+            clocks: BTreeMap::new(),
             groups_checked_at: Duration::ZERO,
             served_at: None,
             unaccounted_logged: None,
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -10,6 +10,7 @@
 use sapphire_jobs::{
     Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask,
     inventory::VmName,
+    remote_clock::RemoteClock,
     task::{RunNumber, Task, WorkerName},
 };
 
@@ -293,7 +294,10 @@
                 let retained = start.retained.map(|expires_at| (expires_at, 0));
                 let rows = [inherited, reported, retained].into_iter().flatten();
                 let run = task.run(start.number);
-                let rows = rows.map(|(until, sender)| recorded_task(now, &run, until, sender));
+                let ordered = fleet.get(worker).and_then(|worker| worker.runs.get(task));
+                let is_final = ordered.is_none_or(|run| run.is_started);
+                let rows =
+                    rows.map(|(until, sender)| recorded_task(now, &run, until, sender, is_final));
                 record.entry(worker).or_default().tasks.extend(rows);
             }
         }
@@ -304,7 +308,7 @@
             let until = now.steady + sent_until + options::START_EXPIRY + options::TIMING_MARGIN;
             let ordered = worker.runs.iter().filter(|(_, run)| !run.is_started);
             let rows = ordered.map(|(task, run)| {
-                recorded_task(now, &task.run(run.number), until, worker.generation)
+                recorded_task(now, &task.run(run.number), until, worker.generation, false)
             });
             let mut rows = rows.peekable();
             if rows.peek().is_some() {
@@ -332,11 +336,13 @@
     /// have reported already.
     ///
     /// The record has the time that is left of each start, which is counted from now on: wall clocks
-    /// may differ by any amount.
+    /// may differ by any amount. That of a start which isn't sent any more ends by the earlier
+    /// planner's `clock`, if that is known.
     pub(crate) fn restore(
         &mut self,
         now: Moment,
         grace: Grace,
+        clock: Option<RemoteClock>,
         starts: UnansweredStarts,
         fleet: &BTreeMap<WorkerName, Worker>,
     ) {
@@ -351,6 +357,9 @@
                     Some(left) => shifted(now.steady, left),
                     None => now.steady + options::START_EXPIRY + grace.agent,
                 };
+                let until = task.until_clock_ms.map(Duration::from_millis);
+                let until = clock.zip(until).map(|(clock, until)| clock.local(until));
+                let expires_at = until.map_or(expires_at, |until| until.min(expires_at));
                 let start = self.start(&worker, Task { job, occurrence, step, index }, run);
                 if generation == 0 {
                     start.retained = start.retained.max(Some(expires_at));
@@ -362,7 +371,8 @@
                 start.is_recorded = true;
             }
             if let Some(known) = fleet.get(&worker) {
-                let sender = Sender { generation: known.generation, is_in_session: false };
+                let generation = known.generation;
+                let sender = Sender { generation, is_in_session: false };
                 let settle = |start: &mut Start| start.settle_inherited(now.steady, sender);
                 self.for_each_start(&worker, settle);
             }
@@ -501,15 +511,17 @@
     !run.is_started && run.is_sent
 }
 
-/// Returns a row of the handover record.
+/// Returns a row of the handover record. `is_final` says that the start isn't sent any more.
 fn recorded_task(
     now: Moment,
     run: &sapphire_jobs::Run,
     until: Duration,
     generation: u64,
+    is_final: bool,
 ) -> UnansweredTask {
     let in_ms = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
     let left = in_ms(until) - in_ms(now.steady);
+    let until_clock_ms = u64::try_from(in_ms(until)).unwrap_or(0);
     let until = now.unix + until.saturating_sub(now.steady);
     UnansweredTask {
         job: run.job.clone(),
@@ -520,6 +532,7 @@
         until_ms: u64::try_from(until.as_millis()).unwrap_or(u64::MAX),
         generation,
         left_ms: Some(left),
+        until_clock_ms: is_final.then_some(until_clock_ms),
     }
 }
 
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of starts that may still be carried out after the processes that know of them are lost.
 
+mod clocks;
 mod isolated;
 pub(crate) mod random;
 mod record;
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -392,6 +392,19 @@
     item(keys::UNANSWERED.to_owned(), record.encode_to_vec())
 }
 
+/// Adds what a planner has written to the records of the store, as if all of it had been carried out.
+pub(crate) fn merge(items: &mut Vec<Item>, fixture: &Fixture) {
+    let calls = fixture.calls.iter().map(|(_, call)| call).chain(&fixture.records);
+    for call in calls {
+        let Call::Commit { puts, .. } = call else { continue };
+        for put in puts {
+            items.retain(|item| item.key != put.key);
+            let value = Some(put.value.clone());
+            items.push(Item { key: put.key.clone(), value, revision: 60 });
+        }
+    }
+}
+
 /// Returns the handover record that a call writes.
 pub(crate) fn record_of(call: &Call) -> Vec<u8> {
     let Call::Commit { puts, .. } = call else { panic!("the record is committed") };
--- a/crates/proofs/examples/standstills.rs
+++ b/crates/proofs/examples/standstills.rs
@@ -68,10 +68,11 @@
     let mut sim = days::simulate(scenario, seed, Duration::from_secs_f64(args.grace));
     let figures = &sim.idle;
     let (all, calm, full) = (figures.all.longest(), figures.calm.longest(), figures.full.longest());
-    let is_sound = sim.standstills.is_empty() && sim.violations.is_empty();
+    let unanswered = sim.unanswered.longest().clone();
+    let expires = unanswered.iter().all(|(minion, wait)| wait.length <= minion.limit());
+    let is_sound = sim.standstills.is_empty() && sim.violations.is_empty() && expires;
     let is_told = args.story && !(is_sound && calm.values().all(|it| it.length < idle::LIMIT));
     let log = if is_told { std::mem::take(&mut sim.log) } else { Vec::new() };
-    let unanswered = sim.unanswered.longest().clone();
     Day {
         standstills: sim.standstills,
         all,
@@ -153,6 +154,10 @@
             let (since, length) = (since.as_secs_f64(), length.as_secs_f64());
             println!("  seed {seed}: job {job} stands still from {since:.1} s for {length:.1} s");
         }
+        let unanswered = day.unanswered.iter().filter(|_| args.days);
+        for (minion, wait) in unanswered.filter(|(minion, wait)| wait.length > minion.limit()) {
+            println!("  seed {seed}: unanswered start, minion {minion:?}: {wait:?}");
+        }
         day.violations.iter().for_each(|violation| println!("  seed {seed}: {violation}"));
         day.log.iter().for_each(|line| println!("    {line}"));
     }
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -109,6 +109,7 @@
                     let mut planner = Planner::new(options, term, catalog, self.moment());
                     planner.expect_entries(self.entries[entry].front.other_entries());
                     planner.expect_terms(self.entries[entry].front.seen_terms());
+                    planner.expect_clocks(self.entries[entry].front.planner_clocks());
                     self.entries[entry].planner = Some(planner);
                     self.planner_event(entry, generation, planner::event::Event::Tick);
                 }
--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -64,6 +64,7 @@
                 let mut planner = Planner::new(options, term, self.catalog.clone(), now);
                 planner.expect_entries(self.front.other_entries());
                 planner.expect_terms(self.front.seen_terms());
+                planner.expect_clocks(self.front.planner_clocks());
                 self.planner = Some(planner);
                 self.handle_planner_event(now, planner::event::Event::Tick);
             }
