planner: an agent without a minion knows when its starts were sent

Cause: only an agent in a session of the planner settles what the record says, and an agent without a minion is in none. It has dropped all orders with its minion, and reports each start that may still be carried out. So its reports count now; what it doesn't report can't be carried out any more, and counts until the inventory or the lease shows that nothing of it is running.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -83,7 +83,8 @@
         }
         let token = self.workers.get(name).map_or(0, |worker| worker.token);
         let is_in_session = token > 0 && poll.fenced_token == token;
-        let sender = Sender { generation: poll.generation, is_in_session };
+        let has_no_minion = poll.is_minion_gone && poll.incarnation.is_none();
+        let sender = Sender { generation: poll.generation, is_in_session, has_no_minion };
         self.unanswered.report(now.steady, name, sender, &poll.unanswered);
     }
 
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -63,6 +63,8 @@
     pub(crate) generation: u64,
     /// It is in the latest session that this planner has granted.
     pub(crate) is_in_session: bool,
+    /// It has no minion, and has dropped all orders with the earlier one.
+    pub(crate) has_no_minion: bool,
 }
 
 /// How much longer starts count of which no list has shown what they have come to.
@@ -103,7 +105,7 @@
     /// it has taken the place of the one that sent the start, that one may have sent it until now,
     /// but no longer than the record says. Otherwise it reports the start itself as long as it may be
     /// carried out, provided that it has dropped the orders of earlier sessions, so that it no longer
-    /// waits for an answer.
+    /// waits for an answer: in a session of this planner, or because it has no minion.
     fn settle_inherited(&mut self, now: Duration, sender: Sender) {
         let Some(inherited) = self.inherited else { return };
         if inherited.generation != sender.generation {
@@ -112,6 +114,11 @@
             self.inherited = None;
         } else if sender.is_in_session {
             self.inherited = None;
+        } else if sender.has_no_minion {
+            // What it doesn't report can't be carried out any more, but may have been until now.
+            let expires_at = inherited.expires_at.min(now + options::TIMING_MARGIN);
+            self.retained = self.retained.max(Some(expires_at));
+            self.inherited = None;
         }
     }
 }
@@ -372,7 +379,7 @@
             }
             if let Some(known) = fleet.get(&worker) {
                 let generation = known.generation;
-                let sender = Sender { generation, is_in_session: false };
+                let sender = Sender { generation, is_in_session: false, has_no_minion: false };
                 let settle = |start: &mut Start| start.settle_inherited(now.steady, sender);
                 self.for_each_start(&worker, settle);
             }
--- a/crates/planner/tests/handover/clocks.rs
+++ b/crates/planner/tests/handover/clocks.rs
@@ -1,11 +1,13 @@
 //! Tests of the time for which recorded starts count over changes of planners whose steady clocks differ.
 
 use prost::Message as _;
-use sapphire_jobs::{UnansweredOn, UnansweredStarts, UnansweredTask, remote_clock::RemoteClock};
+use sapphire_jobs::{
+    Poll, Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask, remote_clock::RemoteClock,
+};
 use sapphire_planner::keys;
 use sapphire_store::call::{Item, Reply};
 
-use crate::harness::{Fixture, fleet, item, job, merge, minion, ms, step};
+use crate::harness::{Fixture, fleet, item, job, merge, minion, ms, run, step};
 
 /// Time for which the start may be carried out from when the first planner is lost, and the longest
 /// lease of its run.
@@ -112,3 +114,30 @@
     let counted = counted(false, true);
     assert!(counted >= LEFT + LEASE + VACANT, "{counted} ms");
 }
+
+/// Guards against a start that counts by the record of a lost planner although its agent, which lives on
+/// without a minion, knows when it was last sent.
+#[test]
+fn an_agent_without_a_minion_knows_when_its_starts_were_sent() {
+    let mut items = vec![fleet(1, &["gone"]), record(0, false)];
+    items.push(item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()));
+    let mut fixture = Fixture::term(51, clock(51, 0), 0);
+    fixture.answers_records = true;
+    fixture.reply(Reply::Items { items, has_more: false, revision: 40 });
+    fixture.reply(Reply::Committed(60));
+    // The record has 9 s left, but the start was sent 10 s ago.
+    let begun = fixture.now;
+    let sent_ago = 10_000;
+    while fixture.planner.unanswered_starts().count() > 0 {
+        let age_ms = sent_ago + fixture.now - begun;
+        let row = Unanswered { run: Some(run("j", 0, 1)), age_ms };
+        let unanswered = if age_ms < 12_000 { vec![row] } else { Vec::new() };
+        let report = Poll { is_minion_gone: true, unanswered, ..Poll::default() };
+        fixture.report_without_minion("gone", report);
+        fixture.advance(450);
+        assert!(fixture.now < begun + 60_000);
+    }
+    let counted = fixture.now - begun;
+    let bound = 12_300 - sent_ago + LEASE;
+    assert!(counted >= bound && counted <= bound + 900, "{counted} ms");
+}
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -337,6 +337,21 @@
         }
     }
 
+    /// Sends a poll of an agent that has no minion; its identity is filled in.
+    pub(crate) fn report_without_minion(&mut self, name: &str, report: Poll) {
+        let sequence = self.sequence.entry(name.to_owned()).or_default();
+        *sequence += 1;
+        let poll = Poll {
+            agent: name.to_owned(),
+            address: format!("{name}:1"),
+            generation: 1,
+            sequence: *sequence,
+            ..report
+        };
+        self.requester += 1;
+        self.handle(Event::Poll(self.requester, Box::new(poll)));
+    }
+
     /// Restarts an agent; its minion goes on running.
     pub(crate) fn restart_agent(&mut self, name: &str) {
         *self.generations.entry(name.to_owned()).or_insert(1) += 1;
--- a/crates/planner/tests/inventory/vacant.rs
+++ b/crates/planner/tests/inventory/vacant.rs
@@ -6,10 +6,9 @@
     inventory::{Page, Tenant},
 };
 use sapphire_planner::{event::Event, keys};
-use sapphire_store::call::{Call, Item, Put};
 
 use super::{STEP, ordered, other_of, with_inventory};
-use crate::harness::{Fixture, item, job, minion, step};
+use crate::harness::{Fixture, item, job, merge, minion, step};
 
 /// Time for which a start may be carried out after it was sent.
 const MAX_DELAY: u64 = 12_000;
@@ -156,20 +155,6 @@
     assert!(!scene.fixture.log.iter().any(is_lost), "{:?}", scene.fixture.log);
 }
 
-/// Returns what the store contains after the calls of a planner.
-fn stored(fixture: &Fixture) -> Vec<Item> {
-    let calls = fixture.calls.iter().map(|(_, call)| call).chain(&fixture.records);
-    let mut items: Vec<Item> = Vec::new();
-    for call in calls {
-        let Call::Commit { puts, .. } = call else { continue };
-        for Put { key, value, .. } in puts {
-            items.retain(|item| item.key != *key);
-            items.push(Item { key: key.clone(), value: Some(value.clone()), revision: 60 });
-        }
-    }
-    items
-}
-
 /// Guards against a successor that knows of no VM, so that any one without a minion hides all that are
 /// gone: the stored list of workers names them.
 #[test]
@@ -178,7 +163,8 @@
     scene.fixture.poll(scene.other, Vec::new(), Vec::new());
     scene.fixture.advance(100);
     let job = job("j", 10, step(1, false));
-    let mut items = stored(&scene.fixture);
+    let mut items = Vec::new();
+    merge(&mut items, &scene.fixture);
     items.push(item(keys::job("j"), job.encode_to_vec()));
     let list = items.iter().find(|item| item.key == keys::FLEET);
     let members = list.and_then(|item| item.value.clone()).expect("the list is written");
@@ -206,27 +192,12 @@
     for _ in 0..3 {
         let row = Unanswered { run: Some(run.clone()), age_ms: 4_000 };
         let report = Poll { is_minion_gone: true, unanswered: vec![row], ..Poll::default() };
-        report_gone(&mut scene.fixture, &name, report);
+        scene.fixture.report_without_minion(&name, report);
         scene.placed_after(STEP, &gone);
     }
     assert_eq!(scene.fixture.planner.unanswered_starts().count(), 0);
 }
 
-/// Sends a poll of an agent that has no minion.
-fn report_gone(fixture: &mut Fixture, name: &str, report: Poll) {
-    let sequence = fixture.sequence.entry(name.to_owned()).or_default();
-    *sequence += 1;
-    let poll = Poll {
-        agent: name.to_owned(),
-        address: format!("{name}:1"),
-        generation: 1,
-        sequence: *sequence,
-        ..report
-    };
-    fixture.requester += 1;
-    fixture.handle(Event::Poll(fixture.requester, Box::new(poll)));
-}
-
 /// Guards against a task that waits for a run that a next incarnation may have begun, although its
 /// agent is in contact and finds no minion, and neither does the inventory.
 #[test]
@@ -242,7 +213,7 @@
         let row = Unanswered { run: Some(run.clone()), age_ms };
         let unanswered = if age_ms < MAX_DELAY { vec![row] } else { Vec::new() };
         let report = Poll { is_minion_gone: true, unanswered, ..Poll::default() };
-        report_gone(&mut scene.fixture, &name, report);
+        scene.fixture.report_without_minion(&name, report);
         placed = scene.placed_after(STEP, &vacant).map(|_| scene.fixture.now - scene.ordered_at);
     }
     let after = placed.expect("the task goes on");
