--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -543,7 +543,9 @@
             Kind::VmGone(agent) => {
                 self.minions[usize::from(agent)].terminate(&self.truth);
                 self.spells.departures.push(agent);
-                if self.spells.series_rng.random_bool(REPLACED_SHARE) {
+                // Series of departures leave too little capacity otherwise.
+                let is_series = self.options.trouble.departures;
+                if self.spells.series_rng.random_bool(REPLACED_SHARE) || is_series {
                     let delay = self.spells.series_rng.random_range(REPLACEMENT_MS);
                     self.spells.replacements.push((now + Duration::from_millis(delay), agent));
                 }
