planner: the VM of a new minion is learnt within half a second

Such reads follow at the interval of the others now, 0.4 s, less often while they show nothing new, and for at most an eleventh of the time. A VM that is lost within that time still holds its starts. The bound of reads of an inventory that tells nothing is 18 in ten minutes, by the doubling from 0.4 s (14 from 2 s).

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -28,9 +28,10 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Interval between reads that learn on which VMs minions are, and the longest one, after reads that
 /// have shown none of them.
-pub(crate) const LEARNING_INTERVAL: Duration = Duration::from_secs(2);
+pub(crate) const LEARNING_INTERVAL: Duration = READ_INTERVAL;
 const MAX_LEARNING_INTERVAL: Duration = Duration::from_secs(64);
-/// Least interval between such reads, in multiples of their duration.
+/// Least interval between such reads, in multiples of their duration, so that a fleet of many pages is
+/// read for a share of the time only.
 const LEARNING_FACTOR: u32 = 10;
 /// Minimum interval between two lines on the use of the inventory.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
