planner: a late poll makes no start on a VM that is gone count for its lease

The VMs of minions that are gone are remembered as long as an agent may report starts on them, so that the next two reads show it again. The test fails without.

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -175,6 +175,8 @@
         minions.extend(members.values().map(|member| member.minion.as_str()));
         let sent_to: Vec<(WorkerName, String)> = self.unanswered.minions().collect();
         minions.extend(sent_to.iter().map(|(_, minion)| minion.as_str()));
+        // Late polls may report starts on them again.
+        minions.extend(self.inventory.gone.keys().map(String::as_str));
         let mut vms = std::mem::take(&mut self.inventory.vms);
         vms.retain(|minion, _| minions.contains(minion.as_str()));
         let mut has_learnt = false;
--- a/crates/planner/tests/inventory/vacant.rs
+++ b/crates/planner/tests/inventory/vacant.rs
@@ -15,6 +15,9 @@
 /// Time that two reads of the inventory take, with the intervals before and between them.
 const TWO_READS: u64 = 1_800;
 
+/// Time without a poll after which a worker is missed.
+const SILENCE: u64 = 1_300;
+
 /// The VM of a worker, and what it runs.
 fn vm(name: &str, tenant: Tenant) -> (String, Tenant) {
     (format!("vm-{name}"), tenant)
@@ -198,6 +201,34 @@
     assert_eq!(scene.fixture.planner.unanswered_starts().count(), 0);
 }
 
+/// Guards against a start on a VM that is gone which counts for its lease, since a late poll of its
+/// agent, still with the minion, reports it once the VM was forgotten.
+#[test]
+fn a_late_poll_makes_no_start_on_a_vm_that_is_gone_count_for_long() {
+    let mut scene = scene();
+    let name = scene.lost.clone();
+    let run = scene.fixture.starts().remove(0);
+    let gone = page(vec![runs(scene.other)]);
+    let after = scene.placed_after(20_000, &gone).expect("the task goes on");
+    assert!(after <= TWO_READS, "{after} ms");
+    // The inventory is read once more, for a new worker.
+    scene.fixture.poll("c", Vec::new(), Vec::new());
+    let with_new = page(vec![runs(scene.other), runs("c")]);
+    for _ in 0..8 {
+        scene.placed_after(STEP, &with_new);
+        scene.fixture.poll("c", Vec::new(), Vec::new());
+        scene.fixture.advance(500);
+    }
+    let row = Unanswered { run: Some(run), age_ms: 4_000 };
+    scene.fixture.report(&name, Poll { unanswered: vec![row], ..Poll::default() });
+    assert_eq!(scene.fixture.planner.unanswered_starts().count(), 1);
+    let begin = scene.fixture.now;
+    while scene.fixture.planner.unanswered_starts().count() > 0 {
+        scene.placed_after(STEP, &gone);
+        assert!(scene.fixture.now <= begin + SILENCE + TWO_READS);
+    }
+}
+
 /// Guards against a task that waits for a run that a next incarnation may have begun, although its
 /// agent is in contact and finds no minion, and neither does the inventory.
 #[test]
