--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -197,11 +197,13 @@
         has_learnt
     }
 
-    /// Delays the next read while no minion is missed, for longer if this one has shown nothing new.
+    /// Delays the next read while no minion is missed, for longer if this one has shown none of those
+    /// that are looked for.
     fn delay_learning(&mut self, now: Moment, has_learnt: bool) {
+        let is_futile = !has_learnt && !self.with_unknown_vms().is_empty();
         let inventory = &mut self.inventory;
         let longer = (inventory.learning_interval * 2).min(MAX_LEARNING_INTERVAL);
-        inventory.learning_interval = if has_learnt { LEARNING_INTERVAL } else { longer };
+        inventory.learning_interval = if is_futile { longer } else { LEARNING_INTERVAL };
         let took = now.steady.saturating_sub(inventory.began);
         let delay = inventory.learning_interval.max(took * LEARNING_FACTOR);
         inventory.next_learning = now.steady + delay;
--- a/crates/planner/tests/inventory/vacant.rs
+++ b/crates/planner/tests/inventory/vacant.rs
@@ -252,22 +252,42 @@
     assert!(after <= MAX_DELAY + 300 + TWO_READS, "{after} ms");
 }
 
+/// Lets a new worker join, and returns after what time the inventory is read.
+fn read_after_join(fixture: &mut Fixture) -> u64 {
+    let next = Incarnation { id: "m-next".to_owned(), born_ms: 2, ..minion("c") };
+    fixture.inventory_reads = 0;
+    let begin = fixture.now;
+    while fixture.inventory_reads == 0 && fixture.now < begin + 60_000 {
+        for name in ["a", "b"] {
+            fixture.poll(name, Vec::new(), Vec::new());
+        }
+        let report = Poll { incarnation: Some(next.clone()), ..Poll::default() };
+        fixture.report("c", report);
+        fixture.advance(50);
+    }
+    fixture.now - begin
+}
+
 /// Guards against a start on a VM that is gone which counts for its lease, since it was lost before the
 /// planner had learnt on which VM its minion was: a new minion is looked up within half a second.
 #[test]
 fn the_vm_of_a_new_minion_is_learnt_soon() {
     let mut scene = scene();
-    let next = Incarnation { id: "m-next".to_owned(), born_ms: 2, ..minion("c") };
     scene.fixture.advance(1_000);
-    scene.fixture.inventory_reads = 0;
-    let begin = scene.fixture.now;
-    while scene.fixture.inventory_reads == 0 {
-        for name in ["a", "b"] {
-            scene.fixture.poll(name, Vec::new(), Vec::new());
-        }
-        let report = Poll { incarnation: Some(next.clone()), ..Poll::default() };
-        scene.fixture.report("c", report);
-        scene.fixture.advance(50);
-        assert!(scene.fixture.now <= begin + 500);
+    let after = read_after_join(&mut scene.fixture);
+    assert!(after <= 500, "{after} ms");
+}
+
+/// Guards against the same after reads for minions that were missed, which had nothing new to show.
+#[test]
+fn the_vm_of_a_new_minion_is_learnt_soon_after_others_were_missed() {
+    let mut scene = scene();
+    let listed = page(vec![runs(&scene.lost), runs(scene.other)]);
+    scene.placed_after(5_000, &listed);
+    for _ in 0..4 {
+        scene.fixture.poll(&scene.lost.clone(), Vec::new(), Vec::new());
+        scene.placed_after(STEP, &listed);
     }
+    let after = read_after_join(&mut scene.fixture);
+    assert!(after <= 500, "{after} ms");
 }
