planner: a start counts no more once the stored record lacks it

Callers saw jobs wait beside free capacity while entries were lost in series: a start that one planner had released, since its VM was gone or a later list had shown what it had come to, counted again under the next one, with its reads of the inventory, or 22.8 s where it could not read one.

Cause: a release was in the memory of one planner. The stored handover record was written again a second later at the earliest, and if that write failed it was not repeated: the marks that it was out of date had been taken by the failed write.

A start that is released holds up nothing for its planner, as before: an order leaves only after the write of a record, which lacks the start. But it counts, and is logged as released, until a write without it was carried out; such writes are made at once and repeated until one was. So no successor can find a released start in the record.

Both tests of handover::settled failed before.

--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -58,7 +58,7 @@
             write: self.handover.latest,
             is_incomplete: self.handover.is_incomplete,
             are_runs_logged,
-            ..self.unanswered.record(now, &self.workers, &self.inventory.vms)
+            ..self.unanswered.record(now, self.handover.latest, &self.workers, &self.inventory.vms)
         };
         let (key, value) = (keys::unanswered(slot), Bytes::from(record.encode_to_vec()));
         let revision = self.handover.revisions[slot];
@@ -104,7 +104,7 @@
             }
             Reply::Refused(items) => {
                 self.run_log.lost(write);
-                let slot = self.handover.in_flight.remove(&write);
+                let slot = self.handover.failed(write);
                 self.unanswered.invalidate_record();
                 if let Some(slot) = slot.filter(|_| !self.is_deposed_by(&items)) {
                     self.adopt_record(slot, &items);
@@ -112,7 +112,7 @@
             }
             reply => {
                 self.run_log.lost(write);
-                self.handover.in_flight.remove(&write);
+                self.handover.failed(write);
                 self.unanswered.invalidate_record();
                 self.handover.retry_at = now.steady + options::RETRY_DELAY;
                 let waiting = self.unrecorded_starts();
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -95,7 +95,8 @@
 
     /// Logs the starts that have counted for long.
     pub(crate) fn log_released(&mut self, now: Moment) {
-        for Released { task, number, worker, expires_at } in self.unanswered.take_released() {
+        let released = self.unanswered.take_released(self.handover.durable);
+        for Released { task, number, worker, expires_at } in released {
             let age = (now.steady + options::START_EXPIRY).saturating_sub(expires_at);
             if age >= LONG_WAIT {
                 let age = age.as_millis();
--- a/crates/planner/src/state/handover.rs
+++ b/crates/planner/src/state/handover.rs
@@ -26,6 +26,8 @@
     pub(crate) in_flight: BTreeMap<Write, Slot>,
     /// The record contains starts that can no longer be carried out.
     pub(crate) is_outdated: bool,
+    /// What the record says that is settled is not what this planner knows.
+    pub(crate) is_settling: bool,
     /// Starts of earlier terms may be missing from the record.
     pub(crate) is_incomplete: bool,
     /// Time of the latest write.
@@ -45,16 +47,16 @@
     /// Returns whether the record is to be written now. `has_additions` and `has_removals` say
     /// whether it lacks starts that agents have reported, and contains some that are over.
     ///
-    /// While orders wait, a write does not wait for long for the replies to those before, which may
-    /// be late or lost.
+    /// While orders wait, or a successor would settle again what is settled, a write does not wait for
+    /// long for the replies to those before, which may be late or lost.
     pub(crate) fn is_due(&self, now: Duration, has_additions: bool, has_removals: bool) -> bool {
         let is_older = |delay: Duration| now >= self.written_at + delay;
-        let is_awaited = self.required > self.durable;
+        let is_awaited = self.required > self.durable || has_removals || self.is_settling;
         match self.in_flight.len() {
             0 if now >= self.retry_at => {
                 is_awaited
                     || (has_additions && is_older(options::WRITE_DELAY))
-                    || ((has_removals || self.is_outdated) && is_older(options::CLEANUP_DELAY))
+                    || (self.is_outdated && is_older(options::CLEANUP_DELAY))
             }
             1 if is_awaited && is_older(options::REPEAT_DELAY) => true,
             1..keys::SLOTS => self.required > self.latest && is_older(options::GATHER_DELAY),
@@ -69,10 +71,17 @@
         self.latest += 1;
         self.in_flight.insert(self.latest, slot);
         self.is_outdated = false;
+        self.is_settling = false;
         self.written_at = now;
         Some(slot)
     }
 
+    /// Records that a write was not carried out, or that it isn't known. Returns the slot that it went to.
+    pub(crate) fn failed(&mut self, write: Write) -> Option<Slot> {
+        self.is_settling = true;
+        self.in_flight.remove(&write)
+    }
+
     /// Records that a write has been carried out.
     pub(crate) fn written(&mut self, write: Write, revision: Revision) {
         if let Some(slot) = self.in_flight.remove(&write) {
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -17,6 +17,7 @@
 use crate::{
     event::Moment,
     options,
+    state::handover::Write,
     worker::{Run, Worker},
 };
 
@@ -49,6 +50,15 @@
     pub(crate) expires_at: Duration,
 }
 
+/// A start that holds up nothing any more, but counts for a successor until the stored handover record
+/// lacks it.
+#[derive(Clone, Debug)]
+struct Settled {
+    start: Released,
+    /// First write of the record without it.
+    written_in: Option<Write>,
+}
+
 /// An unanswered start of which only the planner that ordered it knows.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Inherited {
@@ -146,10 +156,8 @@
 pub(crate) struct Starts {
     by_task: BTreeMap<Task, BTreeMap<WorkerName, Start>>,
     by_worker: BTreeMap<WorkerName, Record>,
-    /// The handover record contains starts that have been removed since.
-    has_removals: bool,
-    /// Starts that were removed and not logged yet.
-    released: Vec<Released>,
+    /// Starts that were removed and that the stored handover record may contain.
+    settled: Vec<Settled>,
 }
 
 impl Starts {
@@ -271,10 +279,10 @@
         }
     }
 
-    /// Returns whether the handover record lacks starts, and whether it contains some that are over.
+    /// Returns whether the handover record lacks starts, and whether it may contain some that are over.
     pub(crate) fn changes(&self) -> (bool, bool) {
         let mut starts = self.by_task.values().flat_map(BTreeMap::values);
-        (starts.any(|start| !start.is_recorded), self.has_removals)
+        (starts.any(|start| !start.is_recorded), !self.settled.is_empty())
     }
 
     /// Returns whether there are unanswered starts.
@@ -283,15 +291,18 @@
     }
 
     /// Returns the handover record for a successor: the unanswered starts, and those that were
-    /// ordered and are not known to be answered.
+    /// ordered and are not known to be answered. `write` is the number of its write.
     pub(crate) fn record(
         &mut self,
         now: Moment,
+        write: Write,
         fleet: &BTreeMap<WorkerName, Worker>,
         vms: &BTreeMap<String, VmName>,
     ) -> UnansweredStarts {
         let mut record: BTreeMap<&WorkerName, UnansweredOn> = BTreeMap::new();
-        self.has_removals = false;
+        for settled in &mut self.settled {
+            settled.written_in.get_or_insert(write);
+        }
         for (task, starts) in &mut self.by_task {
             for (worker, start) in starts {
                 start.is_recorded = true;
@@ -439,15 +450,20 @@
         starts.filter_map(Start::expires_at).max()
     }
 
-    /// Returns the starts that count.
+    /// Returns the starts that count, also if only for a successor.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&Task, &WorkerName)> {
         let starts = self.by_task.iter();
-        starts.flat_map(|(task, starts)| starts.keys().map(move |worker| (task, worker)))
+        let starts =
+            starts.flat_map(|(task, starts)| starts.keys().map(move |worker| (task, worker)));
+        let settled = self.settled.iter().map(|Settled { start, .. }| (&start.task, &start.worker));
+        starts.chain(settled)
     }
 
-    /// Takes the starts that have been removed since.
-    pub(crate) fn take_released(&mut self) -> Vec<Released> {
-        std::mem::take(&mut self.released)
+    /// Takes the starts that the stored handover record lacks since a write was carried out: no
+    /// successor counts them again.
+    pub(crate) fn take_released(&mut self, durable: Write) -> Vec<Released> {
+        let is_durable = |settled: &mut Settled| settled.written_in.is_some_and(|it| it <= durable);
+        self.settled.extract_if(.., is_durable).map(|settled| settled.start).collect()
     }
 
     /// Returns the tasks with unanswered starts on a worker.
@@ -464,6 +480,7 @@
     fn start(&mut self, worker: &str, task: Task, number: RunNumber) -> &mut Start {
         let record = self.by_worker.entry(worker.to_owned()).or_default();
         record.tasks.insert(task.clone());
+        self.settled.retain(|Settled { start, .. }| start.task != task || start.worker != worker);
         let starts = self.by_task.entry(task).or_default();
         let start = starts.entry(worker.to_owned()).or_default();
         if start.expires_at().is_none() {
@@ -497,13 +514,13 @@
                 return true;
             }
             if let Some(start) = starts.remove(worker) {
-                self.has_removals |= start.is_recorded;
-                self.released.push(Released {
+                let start = Released {
                     task: task.clone(),
                     number: start.number,
                     worker: worker.to_owned(),
                     expires_at: start.known_until,
-                });
+                };
+                self.settled.push(Settled { start, written_in: None });
             }
             if starts.is_empty() {
                 by_task.remove(task);
@@ -526,7 +543,6 @@
     generation: u64,
     is_final: bool,
 ) -> UnansweredTask {
-    let in_ms = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
     let left = in_ms(until) - in_ms(now.steady);
     let until_clock_ms = u64::try_from(in_ms(until)).unwrap_or(0);
     let until = now.unix + until.saturating_sub(now.steady);
@@ -543,6 +559,11 @@
     }
 }
 
+/// Returns a time in ms.
+fn in_ms(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
+
 /// Returns a time that is some ms later, or earlier if they are negative.
 fn shifted(time: Duration, by_ms: i64) -> Duration {
     let by = Duration::from_millis(by_ms.unsigned_abs());
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -4,6 +4,7 @@
 mod isolated;
 pub(crate) mod random;
 mod record;
+mod settled;
 pub(crate) mod world;
 
 use sapphire_jobs::Step;
--- /dev/null
+++ b/crates/planner/tests/handover/settled.rs
@@ -0,0 +1,183 @@
+//! Tests of what a planner has settled and its successor must not settle anew: starts that count no
+//! more.
+
+use prost::Message as _;
+use sapphire_jobs::{
+    Notice, Poll, Unanswered,
+    inventory::{Page, Tenant},
+    remote_clock::RemoteClock,
+};
+use sapphire_planner::{
+    event::{Event, Operation},
+    keys,
+    options::Options,
+};
+use sapphire_store::call::{Call, Item, Reply};
+
+use crate::harness::{
+    Fixture, START, TERM, fleet, item, job, merge, minion, ms, options, run, step,
+};
+
+/// Interval between two steps, in ms.
+const STEP: u64 = 50;
+const RELEASED: &str = "unanswered start counts no more";
+/// Age of a start that an agent reports at first.
+const AGE: u64 = 4_000;
+
+/// Returns an inventory in which only the VM of a worker runs a minion.
+fn only(name: &str) -> Page {
+    let mut page = Page::default();
+    page.add(format!("vm-{name}"), Tenant::Minion(minion(name).id));
+    page.add("vm-new".to_owned(), Tenant::None);
+    page
+}
+
+fn both() -> Page {
+    let mut page = only("stays");
+    page.add("vm-leaves".to_owned(), Tenant::Minion(minion("leaves").id));
+    page
+}
+
+/// A worker's unanswered start of a job, as its agent reports it.
+fn unanswered(age_ms: u64) -> Poll {
+    let unanswered = vec![Unanswered { run: Some(run("j", 0, 1)), age_ms }];
+    Poll { unanswered, ..Poll::default() }
+}
+
+/// A planner whose store keeps what was carried out.
+struct Scene {
+    fixture: Fixture,
+    stored: Vec<Item>,
+    inventory: Page,
+    /// Whether the store carries out writes of the handover record and answers them.
+    has_store: bool,
+}
+
+impl Scene {
+    /// Returns the planner of a term that has read the store.
+    fn begin(term: u64, now: u64, stored: Vec<Item>, clock: Option<(u64, RemoteClock)>) -> Self {
+        let mut fixture = Fixture::term(term, now, 0);
+        fixture.planner.set_options(Options { has_inventory: true, ..options() });
+        fixture.planner.expect_clocks(clock);
+        let items = stored.clone();
+        fixture.reply(Reply::Items { items, has_more: false, revision: 40 });
+        let mut scene = Scene { fixture, stored, inventory: both(), has_store: true };
+        scene.answer();
+        scene
+    }
+
+    /// Answers what the planner has asked for.
+    fn answer(&mut self) {
+        loop {
+            self.answer_reads();
+            let is_write = |(operation, _): &(Operation, Call)| {
+                matches!(operation, Operation::Unanswered(_) | Operation::Fleet)
+            };
+            let Some(at) = self.fixture.calls.iter().position(is_write) else { return };
+            let (operation, call) = self.fixture.calls.remove(at);
+            let reply = if self.has_store {
+                self.fixture.records = vec![call];
+                let calls = std::mem::take(&mut self.fixture.calls);
+                merge(&mut self.stored, &self.fixture);
+                self.fixture.calls = calls;
+                Reply::Committed(70)
+            } else {
+                Reply::NotDone("busy".to_owned())
+            };
+            self.fixture.handle(Event::Store(operation, reply));
+        }
+    }
+
+    fn answer_reads(&mut self) {
+        for _ in 0..std::mem::take(&mut self.fixture.inventory_reads) {
+            self.fixture.handle(Event::Inventory(Some(self.inventory.clone())));
+        }
+    }
+
+    /// Lets a step pass in which the worker `stays` polls and the store carries out nothing yet.
+    fn step(&mut self) {
+        self.fixture.poll("stays", Vec::new(), Vec::new());
+        self.fixture.advance(STEP);
+        self.answer_reads();
+    }
+
+    /// Lets time pass in which the worker `stays` polls.
+    fn run(&mut self, time: u64) {
+        for _ in 0..time / STEP {
+            self.step();
+            self.answer();
+        }
+    }
+
+    fn has_released(&self) -> bool {
+        self.fixture.log.iter().any(|line| line.contains(RELEASED))
+    }
+
+    /// Returns the planner that takes over now.
+    fn successor(&self) -> Scene {
+        let (term, now) = (self.fixture.planner.term(), self.fixture.now);
+        let clock = RemoteClock::new(ms(now), ms(now));
+        let mut next = Scene::begin(term + 1, now, self.stored.clone(), Some((term, clock)));
+        next.inventory = self.inventory.clone();
+        next
+    }
+
+    fn counts(&self) -> usize {
+        self.fixture.planner.unanswered_starts().count()
+    }
+}
+
+/// Returns a planner that knows of a start on the worker `leaves`, whose VM then is gone.
+fn with_lost_vm() -> Scene {
+    let stored = vec![
+        fleet(1, &[]),
+        item(keys::job("j"), job("j", TERM, step(1, false)).encode_to_vec()),
+        crate::harness::no_starts(1),
+    ];
+    let mut scene = Scene::begin(TERM, START, stored, None);
+    // The job is cancelled, so that nothing but the start concerns the record.
+    let cancelled = vec!["j".to_owned()];
+    scene.fixture.handle(Event::Notice(Notice { cancelled, ..Notice::default() }));
+    for name in ["stays", "leaves"] {
+        scene.fixture.poll(name, Vec::new(), Vec::new());
+        scene.fixture.poll(name, Vec::new(), Vec::new());
+        scene.answer();
+    }
+    scene.run(1_000);
+    scene.fixture.report("leaves", unanswered(AGE));
+    scene.run(1_000);
+    assert_eq!(scene.counts(), 1);
+    scene.inventory = only("stays");
+    scene
+}
+
+/// Guards against a start that counts again under each successor: it is in the stored record when the
+/// planner that has found its VM gone is lost.
+#[test]
+fn a_start_that_was_released_does_not_count_again() {
+    let mut scene = with_lost_vm();
+    for _ in 0..10_000 / STEP {
+        scene.step();
+        if scene.has_released() {
+            assert_eq!(scene.successor().counts(), 0, "{:#?}", scene.fixture.log);
+            return;
+        }
+        scene.answer();
+    }
+    panic!("the start counts for too long: {:#?}", scene.fixture.log);
+}
+
+/// Guards against the same while the record can't be written: the start is released once it can.
+#[test]
+fn a_start_is_released_once_the_record_says_so() {
+    let mut scene = with_lost_vm();
+    scene.has_store = false;
+    scene.run(5_000);
+    let has_found = |line: &String| line.contains("worker=leaves") && line.contains("VM is gone");
+    assert!(scene.fixture.log.iter().any(has_found));
+    assert!(!scene.has_released());
+    scene.has_store = true;
+    scene.run(500);
+    assert!(scene.has_released());
+    assert_eq!(scene.successor().counts(), 0);
+}
