planner: the wait for starts that a record lacks ends once for all planners

Callers would see nothing start at all: after a handover record that could not be read or was that of another term, each planner waited 12.3 s, or 22.8 s with lost workers, from its own take-over on, so that planners lost in series waited for ever.

Cause: the record said that it is incomplete, and not until when.

It now says when the starts that it may lack can't be carried out any more, as time left and by its planner's steady clock, and whether a worker was lost meanwhile that no list will show. Successors go on counting; nothing is placed before, so no start is added to those that are missing.

handover::settled::ten_planners_wait_once_for_starts_that_the_record_lacks and a_worker_that_an_earlier_planner_has_lost_prolongs_the_wait_for_missing_starts failed before.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,8 +12,8 @@
 
 pub use sapphire_schema::jobs::{
     Backlog, Ended, Ending, Feed, FeedPoll, Fleet, GoneMinion, Incarnation, Job, Lead, Member,
-    Notice, Orders, OrganisationBacklog, Poll, Progress, Rejection, Relay, Relayed, Row, Run,
-    RunSegment, Running, RunsOn, Schedule, SpeedShard, Start, State, Step, Supply, Tally,
+    MissingStarts, Notice, Orders, OrganisationBacklog, Poll, Progress, Rejection, Relay, Relayed,
+    Row, Run, RunSegment, Running, RunsOn, Schedule, SpeedShard, Start, State, Step, Supply, Tally,
     Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask, Usage, Usages, Verdict,
     WorkerSpeed,
 };
--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{GoneMinion, UnansweredStarts, UnansweredTask};
+use sapphire_jobs::{
+    GoneMinion, MissingStarts, UnansweredStarts, UnansweredTask, remote_clock::RemoteClock,
+};
 use sapphire_plan::quorum::Standing;
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
@@ -18,7 +20,7 @@
     keys, options,
     planner::Planner,
     state::handover::{Slot, Write},
-    wait,
+    unanswered, wait,
     worker::{Run, Worker},
 };
 
@@ -61,6 +63,7 @@
             is_incomplete: self.handover.is_incomplete,
             are_runs_logged,
             gone: self.gone_minions(now),
+            missing: self.missing_starts(now),
             ..self.unanswered.record(now, self.handover.latest, &self.workers, &self.inventory.vms)
         };
         let (key, value) = (keys::unanswered(slot), Bytes::from(record.encode_to_vec()));
@@ -190,6 +193,9 @@
             let known = record.workers.iter().filter(|on| !on.vm.is_empty());
             self.inventory.vms.extend(known.map(|on| (on.minion.clone(), on.vm.clone())));
             let clock = self.startup.clocks.get(&record.lead_term).copied();
+            if record.term == previous {
+                self.load_missing(now, clock, &record);
+            }
             let (gone, record) = self.load_gone(now, record);
             self.unanswered.restore(now, self.start_grace(), clock, record, &self.workers);
             for GoneMinion { worker, minion, .. } in gone {
@@ -222,6 +228,27 @@
         (gone, record)
     }
 
+    /// Loads when the starts can't be carried out any more that the record lacks, by the clock of the
+    /// planner that wrote it if that is known.
+    fn load_missing(&mut self, now: Moment, clock: Option<RemoteClock>, record: &UnansweredStarts) {
+        let Some(missing) = &record.missing else { return };
+        let until = Duration::from_millis(missing.until_clock_ms);
+        let by_clock = clock.map(|clock| clock.local(until));
+        let by_age = unanswered::shifted(now.steady, missing.left_ms);
+        self.handover.missing_until = Some(by_clock.map_or(by_age, |until| until.min(by_age)));
+        self.startup.has_lost_workers |= missing.has_lost_workers;
+    }
+
+    /// Returns for a successor when the starts can't be carried out any more that the record lacks.
+    fn missing_starts(&self, now: Moment) -> Option<MissingStarts> {
+        let until = self.handover.missing_until.filter(|_| self.handover.is_incomplete)?;
+        Some(MissingStarts {
+            left_ms: unanswered::in_ms(until) - unanswered::in_ms(now.steady),
+            until_clock_ms: u64::try_from(until.as_millis()).unwrap_or(u64::MAX),
+            has_lost_workers: self.startup.has_lost_workers,
+        })
+    }
+
     /// Logs the starts of a loaded record, each with the generation of its agent's process.
     fn log_recorded(&mut self, record: &UnansweredStarts) {
         for on in &record.workers {
@@ -234,6 +261,13 @@
         }
     }
 
+    /// Records that a worker is lost, so that no list of it shows what starts have come to that the record
+    /// may lack.
+    pub(crate) fn lose_for_missing_starts(&mut self) {
+        self.startup.has_lost_workers |= self.handover.is_incomplete;
+        self.handover.is_settling |= self.handover.is_incomplete;
+    }
+
     /// Ends the wait for starts that the record of the previous planner may lack, once all of them
     /// have expired and lists have shown what they have come to.
     pub(crate) fn check_expired(&mut self, now: Moment) {
@@ -241,13 +275,17 @@
         if !self.handover.is_incomplete {
             return;
         }
-        let until = recovered_at + options::START_EXPIRY;
+        let until = self.handover.missing_until.unwrap_or_else(|| {
+            self.handover.is_settling = true;
+            recovered_at + options::START_EXPIRY
+        });
+        self.handover.missing_until = Some(until);
         let is_shown = |worker: &Worker| Self::is_shown(worker, until);
         let are_shown = !self.startup.has_lost_workers && self.workers.values().all(is_shown);
         let grace = self.options.longest_lease_expiry();
         if now.steady >= until && (are_shown || now.steady >= until + grace) {
             self.handover.is_incomplete = false;
-            self.handover.is_outdated = true;
+            self.handover.is_settling = true;
             self.needs_pass = true;
             self.log("all starts of earlier terms have expired".to_owned());
         }
--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -346,7 +346,7 @@
             return;
         }
         self.log(format!("worker={name} minion={minion} its VM runs no minion; declared lost"));
-        self.startup.has_lost_workers |= self.handover.is_incomplete;
+        self.lose_for_missing_starts();
         self.release_member(now, name);
     }
 
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -397,7 +397,7 @@
             }
             self.lose_runs(now, &name, "lease expired");
             self.workers.remove(&name);
-            self.startup.has_lost_workers |= self.handover.is_incomplete;
+            self.lose_for_missing_starts();
             if self.startup.is_recovered() {
                 self.remove_member(&name);
             }
--- a/crates/planner/src/state/handover.rs
+++ b/crates/planner/src/state/handover.rs
@@ -30,6 +30,8 @@
     pub(crate) is_settling: bool,
     /// Starts of earlier terms may be missing from the record.
     pub(crate) is_incomplete: bool,
+    /// Time at which the missing starts can't be carried out any more, once it is known.
+    pub(crate) missing_until: Option<Duration>,
     /// Time of the latest write.
     pub(crate) written_at: Duration,
     /// Time before which a failed write is not repeated.
--- a/crates/planner/src/takeover.rs
+++ b/crates/planner/src/takeover.rs
@@ -62,7 +62,7 @@
 
     /// Returns the workers because of which no group may be tried for a reason.
     pub(crate) fn workers_of_obstacle(&self, now: Moment, reason: Reason) -> Vec<WorkerName> {
-        let until = self.startup.recovered_at.map(|at| at + options::START_EXPIRY);
+        let until = self.handover.missing_until.filter(|_| self.startup.is_recovered());
         match (reason, until) {
             (Reason::Takeover, _) | (Reason::Handover, None) => self.unaccounted_workers(),
             (Reason::Handover, Some(until)) if now.steady >= until => {
@@ -79,10 +79,12 @@
         match reason {
             Reason::Takeover => Some(self.recovery_deadline()),
             Reason::Handover => {
-                let recovered_at = self.startup.recovered_at;
-                let recovered_at = recovered_at.unwrap_or_else(|| self.recovery_deadline());
-                let expiry = options::START_EXPIRY + self.options.longest_lease_expiry();
-                Some(recovered_at + expiry)
+                let until = self.handover.missing_until.unwrap_or_else(|| {
+                    let recovered_at = self.startup.recovered_at;
+                    let recovered_at = recovered_at.unwrap_or_else(|| self.recovery_deadline());
+                    recovered_at + options::START_EXPIRY
+                });
+                Some(until + self.options.longest_lease_expiry())
             }
             // The planner gives up after this time.
             Reason::Lease | Reason::Store => {
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -560,12 +560,12 @@
 }
 
 /// Returns a time in ms.
-fn in_ms(time: Duration) -> i64 {
+pub(crate) fn in_ms(time: Duration) -> i64 {
     i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
 }
 
 /// Returns a time that is some ms later, or earlier if they are negative.
-fn shifted(time: Duration, by_ms: i64) -> Duration {
+pub(crate) fn shifted(time: Duration, by_ms: i64) -> Duration {
     let by = Duration::from_millis(by_ms.unsigned_abs());
     if by_ms < 0 { time.saturating_sub(by) } else { time + by }
 }
--- a/crates/planner/tests/handover/settled.rs
+++ b/crates/planner/tests/handover/settled.rs
@@ -1,5 +1,5 @@
 //! Tests of what a planner has settled and its successor must not settle anew: starts that count no
-//! more, and VMs that are gone.
+//! more, VMs that are gone, and the wait for starts that an incomplete record lacks.
 
 use prost::Message as _;
 use sapphire_jobs::{
@@ -221,6 +221,57 @@
     assert!(next.fixture.log.iter().any(is_told), "{:#?}", next.fixture.log);
 }
 
+fn is_over(line: &String) -> bool {
+    line == "all starts of earlier terms have expired"
+}
+
+/// Guards against all work waiting for ever: planners that take over from each other count the wait for
+/// starts that the record may lack from their own beginning.
+#[test]
+fn ten_planners_wait_once_for_starts_that_the_record_lacks() {
+    const SERVED: u64 = 3_000;
+    let broken = Item {
+        value: Some(b"\xff\xff".to_vec().into()),
+        ..item(keys::UNANSWERED.to_owned(), Vec::new())
+    };
+    let mut scene = Scene::begin(TERM, START, vec![fleet(1, &["stays"]), broken], None);
+    let begun = scene.fixture.now;
+    for planner in 0..10 {
+        scene.run(SERVED);
+        if scene.fixture.log.iter().any(is_over) {
+            let waited = scene.fixture.now - begun;
+            assert!(waited >= 12_000, "{waited} ms");
+            assert!(planner <= 12_300 / SERVED + 1, "{planner} planners");
+            let next = scene.successor();
+            assert!(!next.fixture.log.iter().any(|line| line.contains("is incomplete")));
+            return;
+        }
+        scene = scene.successor();
+        scene.fixture.poll("stays", Vec::new(), Vec::new());
+    }
+    panic!("nothing is placed for {} ms", scene.fixture.now - begun);
+}
+
+/// Guards against a task that runs twice: a worker was lost under an earlier planner while the record
+/// lacked starts, so that the next incarnation of its minion may run one.
+#[test]
+fn a_worker_that_an_earlier_planner_has_lost_prolongs_the_wait_for_missing_starts() {
+    let broken = Item {
+        value: Some(b"\xff\xff".to_vec().into()),
+        ..item(keys::UNANSWERED.to_owned(), Vec::new())
+    };
+    let mut scene = Scene::begin(TERM, START, vec![fleet(1, &["stays", "leaves"]), broken], None);
+    scene.run(14_000);
+    let recovered = |line: &String| line.contains("knows what earlier orders have come to");
+    assert!(scene.fixture.log.iter().any(recovered), "{:#?}", scene.fixture.log);
+    let mut next = scene.successor();
+    next.fixture.poll("stays", Vec::new(), Vec::new());
+    next.run(17_000);
+    assert!(!next.fixture.log.iter().any(is_over), "{:#?}", next.fixture.log);
+    next.run(5_000);
+    assert!(next.fixture.log.iter().any(is_over), "{:#?}", next.fixture.log);
+}
+
 /// The record must stay readable by a planner of the version before.
 #[test]
 fn a_record_without_settled_vms_is_read() {
