--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -198,6 +198,11 @@
         self.options = options;
     }
 
+    /// Returns whether the planner serves agents and entries: it has read the store.
+    pub fn is_serving(&self) -> bool {
+        self.startup.is_serving()
+    }
+
     /// Returns the job table.
     pub fn table(&self) -> &Table {
         &self.table
--- a/crates/proofs/examples/standstills.rs
+++ b/crates/proofs/examples/standstills.rs
@@ -16,7 +16,7 @@
     simulation::{
         idle::{self, Idle},
         standstill::Standstill,
-        unanswered::{Minion, Wait},
+        unanswered::{Again, Minion, Wait},
     },
 };
 
@@ -60,6 +60,8 @@
     full: Longest,
     /// Longest time for which an unanswered start counted, by what was known of its minion.
     unanswered: BTreeMap<Minion, Wait>,
+    /// Starts that counted again after a planner had settled them.
+    again: Vec<Again>,
     violations: Vec<String>,
     log: Vec<String>,
 }
@@ -70,7 +72,9 @@
     let (all, calm, full) = (figures.all.longest(), figures.calm.longest(), figures.full.longest());
     let unanswered = sim.unanswered.longest().clone();
     let expires = unanswered.iter().all(|(minion, wait)| wait.length <= minion.limit());
-    let is_sound = sim.standstills.is_empty() && sim.violations.is_empty() && expires;
+    let again = sim.unanswered.again().to_vec();
+    let is_settled = again.is_empty();
+    let is_sound = sim.standstills.is_empty() && sim.violations.is_empty() && expires && is_settled;
     let is_told = args.story && !(is_sound && calm.values().all(|it| it.length < idle::LIMIT));
     let log = if is_told { std::mem::take(&mut sim.log) } else { Vec::new() };
     Day {
@@ -79,6 +83,7 @@
         calm,
         full,
         unanswered,
+        again,
         violations: sim.violations,
         log,
     }
@@ -140,6 +145,9 @@
     report_idle("of that after 4 s without faults", results, |day| &day.calm);
     report_idle("the same however full the service is", results, |day| &day.full);
     report_unanswered(results);
+    let again: Vec<usize> = results.values().map(|day| day.again.len()).collect();
+    let days = again.iter().filter(|count| **count > 0).count();
+    println!("  starts that counted again: {}, on {days} days", again.iter().sum::<usize>());
     for (seed, day) in results {
         for (reason, it) in day.calm.iter().filter(|_| args.days) {
             let (since, length) = (it.since.as_secs_f64(), it.length.as_secs_f64());
@@ -158,6 +166,9 @@
         for (minion, wait) in unanswered.filter(|(minion, wait)| wait.length > minion.limit()) {
             println!("  seed {seed}: unanswered start, minion {minion:?}: {wait:?}");
         }
+        for again in day.again.iter().filter(|_| args.days) {
+            println!("  seed {seed}: counted again: {again:?}");
+        }
         day.violations.iter().for_each(|violation| println!("  seed {seed}: {violation}"));
         day.log.iter().for_each(|line| println!("    {line}"));
     }
--- a/crates/proofs/src/jobs/simulation/unanswered.rs
+++ b/crates/proofs/src/jobs/simulation/unanswered.rs
@@ -1,6 +1,10 @@
-//! Measures for how long unanswered starts count, and checks that against what the platform allows.
+//! Measures for how long unanswered starts count, and checks that against what the platform allows. Counts
+//! those that count again after a planner had settled them.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use sapphire_jobs::task::Task;
 
@@ -57,6 +61,9 @@
     /// while a planner served.
     absent: Duration,
     gone: Duration,
+    /// It counts, or has counted no more since it was last sent.
+    is_counting: bool,
+    is_settled: bool,
 }
 
 /// Times for which unanswered starts have counted.
@@ -64,6 +71,18 @@
 pub struct Figures {
     starts: BTreeMap<(Task, usize), Start>,
     longest: BTreeMap<Minion, Wait>,
+    again: Vec<Again>,
+}
+
+/// A start that counts again although it had counted no more and was not sent since.
+#[derive(Clone, Debug)]
+pub struct Again {
+    /// Its task.
+    pub task: Task,
+    /// The agent that sent it.
+    pub agent: usize,
+    /// Time from the start of the load.
+    pub at: Duration,
 }
 
 impl Figures {
@@ -72,6 +91,24 @@
         &self.longest
     }
 
+    /// Returns the starts that have counted again.
+    pub fn again(&self) -> &[Again] {
+        &self.again
+    }
+
+    /// Updates which starts count, at a time from the start of the load.
+    fn follow(&mut self, counting: &BTreeSet<(Task, usize)>, at: Duration) {
+        for (key, start) in &mut self.starts {
+            let is_counting = counting.contains(key);
+            if is_counting && start.is_settled {
+                let (task, agent) = key.clone();
+                self.again.push(Again { task, agent, at });
+            }
+            start.is_settled = !is_counting && (start.is_settled || start.is_counting);
+            start.is_counting = is_counting;
+        }
+    }
+
     /// Records that a start was sent.
     pub(super) fn sent(&mut self, task: Task, agent: usize, at: Duration) {
         let start = self.starts.entry((task, agent)).or_default();
@@ -93,9 +130,13 @@
         let planners = planners.filter_map(|entry| entry.planner.as_ref());
         let Some(planner) = planners.max_by_key(|planner| planner.term()) else { return };
         let agent_of = |worker: &str| worker.strip_prefix('a').and_then(|name| name.parse().ok());
-        let counting: Vec<(Task, usize)> = (planner.unanswered_starts())
+        if !planner.is_serving() {
+            return;
+        }
+        let counting: BTreeSet<(Task, usize)> = (planner.unanswered_starts())
             .filter_map(|(task, worker)| Some((task.clone(), agent_of(worker)?)))
             .collect();
+        self.unanswered.follow(&counting, self.now - self.load_start);
         for (task, agent) in counting {
             let is_gone = self.gone.contains(&agent);
             let is_absent = !self.minions[agent].is_up;
--- a/crates/proofs/tests/stands_still/mod.rs
+++ b/crates/proofs/tests/stands_still/mod.rs
@@ -159,7 +159,7 @@
 }
 
 /// Simulates scenarios with each seed. Panics with the unanswered starts that counted for longer than
-/// the platform allows, and the violations.
+/// the platform allows, those that counted again, and the violations.
 fn assert_starts_expire(scenarios: &[&str], seeds: &[u64]) {
     let mut failures = Vec::new();
     for name in scenarios {
@@ -170,6 +170,8 @@
             for (minion, wait) in long.filter(|(minion, wait)| wait.length > minion.limit()) {
                 failures.push(format!("{name} {seed}: minion {minion:?}: {wait:?}"));
             }
+            let again = sim.unanswered.again().iter();
+            failures.extend(again.map(|it| format!("{name} {seed}: counts again: {it:?}")));
             failures.extend(sim.violations.iter().map(|it| format!("{name} {seed}: {it}")));
         }
     }
@@ -184,6 +186,13 @@
     assert_starts_expire(&scenarios, &[1, 8, 23]);
 }
 
+/// Guards against starts that count again under a successor although a planner has settled them.
+#[test]
+fn settled_starts_do_not_count_again() {
+    assert_starts_expire(&["departures-takeovers"], &[4, 7]);
+    assert_starts_expire(&["departures-rapid"], &[2, 3, 15]);
+}
+
 /// Guards against starts on VMs without a minion which count on although they can't be carried out any
 /// more and nothing of them can be running.
 #[test]
--- a/crates/soak/src/soak/unanswered.rs
+++ b/crates/soak/src/soak/unanswered.rs
@@ -1,7 +1,8 @@
-//! For how long unanswered starts counted, by the logs of the entries, and whether that is longer than
-//! the platform allows.
+//! For how long unanswered starts counted, by the logs of the entries, whether that is longer than the
+//! platform allows, and which of them counted again after a planner had settled them.
 
 use std::{
+    collections::{BTreeMap, BTreeSet},
     fmt, io,
     path::Path,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -16,6 +17,9 @@
 /// Time for which work that could run may have nothing running.
 const MAX_IDLE: Duration = Duration::from_secs(3);
 
+/// Part of the line that says that a planner has settled a start.
+const RELEASED: &str = "unanswered start counts no more";
+
 /// Time for which the VM of an agent was gone.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Departure {
@@ -54,30 +58,40 @@
     sent: Wait,
     /// From when their VMs were gone, if that was later.
     gone: Wait,
+    /// Starts that counted again, with the line that shows each.
+    again: BTreeMap<Start, String>,
 }
 
+/// A start: its run, as `TASK#NUMBER`, and its worker.
+type Start = (String, String);
+
 impl Figures {
-    /// Describes the times that are longer than allowed. A VM that is gone may count until the platform
-    /// shows it, after four seconds without a disturbance.
+    /// Describes the times that are longer than allowed, and the starts that counted again. A VM that is
+    /// gone may count until the platform shows it, after four seconds without a disturbance.
     pub(super) fn broken(&self) -> impl Iterator<Item = String> {
         let limits = [
             (&self.sent, MAX_DELAY + MAX_LEASE + MAX_IDLE, "after it was sent"),
             (&self.gone, MAX_IDLE + CONTACT_TIME, "after its VM was gone"),
         ];
         let broken = limits.into_iter().filter(|(wait, limit, _)| wait.length > *limit);
-        broken.map(|(wait, limit, from)| {
+        let again = self.again.iter().map(|((run, worker), line)| {
+            format!("the start of {run} on {worker} counted again: {line}")
+        });
+        let long = broken.map(|(wait, limit, from)| {
             let Wait { length, line } = wait;
             format!(
                 "an unanswered start counted for {length:?} {from}, {limit:?} are allowed: {line}"
             )
-        })
+        });
+        long.chain(again)
     }
 }
 
 impl fmt::Display for Figures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (sent, gone) = (self.sent.length.as_millis(), self.gone.length.as_millis());
-        write!(f, "unanswered_ms={sent} unanswered_gone_ms={gone}")
+        let again = self.again.len();
+        write!(f, "unanswered_ms={sent} unanswered_gone_ms={gone} counted_again={again}")
     }
 }
 
@@ -86,7 +100,7 @@
     let texts = waits::read_logs(folder)?;
     let mut figures = Figures::default();
     let lines = texts.iter().flat_map(|text| text.lines());
-    for line in lines.filter(|line| line.contains("unanswered start counts no more")) {
+    for line in lines.filter(|line| line.contains(RELEASED)) {
         let Some((at, agent, age)) = parse(line) else { continue };
         let in_day =
             |time: Duration| Duration::from_nanos((time.as_nanos() % waits::DAY.as_nanos()) as u64);
@@ -104,16 +118,68 @@
             *wait = Wait { length, line: line.to_owned() };
         }
     }
+    figures.again = counted_again(&texts);
     Ok(figures)
 }
 
+/// Returns the starts that a planner had settled, by the logs, and that it or another one knew again without
+/// having ordered them since.
+fn counted_again(texts: &[String]) -> BTreeMap<Start, String> {
+    let lines = texts.iter().flat_map(|text| text.lines());
+    let is_told = |line: &&str| {
+        let marks = [RELEASED, " orders start=", " recorded starts="];
+        marks.iter().any(|mark| line.contains(mark))
+    };
+    let mut lines: Vec<(Duration, &str)> = (lines.filter(is_told))
+        .filter_map(|line| Some((waits::time_of_day(line)?, line)))
+        .collect();
+    lines.sort_by_key(|(at, _)| *at);
+    let mut settled: BTreeSet<Start> = BTreeSet::new();
+    let mut ordered: BTreeMap<Start, Duration> = BTreeMap::new();
+    let mut again = BTreeMap::new();
+    for (at, line) in lines {
+        let worker = field(line, "worker=").unwrap_or_default().to_owned();
+        let starts = |name| {
+            let runs = field(line, name).unwrap_or_default().split(',');
+            // Behind the run stands the process that sent it.
+            let run = |run: &str| run.split('@').next().unwrap_or_default().to_owned();
+            runs.map(|it| (run(it), worker.clone())).collect::<Vec<Start>>()
+        };
+        if line.contains(RELEASED) {
+            let (task, run) = (field(line, "task="), field(line, "run="));
+            let run = format!("{}#{}", task.unwrap_or_default(), run.unwrap_or_default());
+            let start = (run, worker.clone());
+            let age = field(line, "age_ms=").and_then(|age| age.parse().ok()).unwrap_or(0);
+            let sent = at.saturating_sub(Duration::from_millis(age));
+            if ordered.get(&start).is_some_and(|again| *again > sent) {
+                // Its run was ordered again meanwhile.
+                continue;
+            }
+            if !settled.insert(start.clone()) {
+                again.insert(start, line.to_owned());
+            }
+        } else if line.contains(" orders start=") {
+            for start in starts("start=") {
+                settled.remove(&start);
+                ordered.insert(start, at);
+            }
+        } else {
+            let known = starts("starts=").into_iter().filter(|start| settled.contains(start));
+            again.extend(known.map(|start| (start, line.to_owned())));
+        }
+    }
+    again
+}
+
 /// Parses the time of the day, the agent and the age of the start in a line.
 fn parse(line: &str) -> Option<(Duration, u8, Duration)> {
-    let field = |name: &str| {
-        let (_, rest) = line.split_once(name)?;
-        rest.split(' ').next()
-    };
-    let agent = field("worker=a")?.parse().ok()?;
-    let age = Duration::from_millis(field("age_ms=")?.parse().ok()?);
+    let agent = field(line, "worker=a")?.parse().ok()?;
+    let age = Duration::from_millis(field(line, "age_ms=")?.parse().ok()?);
     Some((waits::time_of_day(line)?, agent, age))
 }
+
+/// Returns the value of a field in a line.
+fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    let (_, rest) = line.split_once(name)?;
+    rest.split(' ').next()
+}
