soak: a start is lost with its VM while planners are killed

The users' case of a start without an answer whose VM is gone for good one second later, with planners killed 3 and 12 s after that, was played by a script whose platform has no inventory of VMs.

--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -140,6 +140,20 @@
     assert_eq!(outcome.accepted, outcome.complete);
 }
 
+/// Guards against a task that waits for a start on a VM that is gone for good, while planners are killed
+/// 3 and 12 seconds later: the inventory shows that nothing can carry the start out.
+#[test]
+fn a_task_whose_vm_is_gone_goes_on_over_lost_planners() {
+    let trouble = Trouble { lost_start: true, ..Trouble::default() };
+    let outcome = run_jobs(1, 249, 0, Conditions::default(), trouble);
+    assert_eq!(lost(&outcome), Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!((outcome.accepted, outcome.complete), (1, 1));
+    assert!(outcome.longest_standstill < Duration::from_secs(3), "{outcome:?}");
+    let killed = outcome.faults.iter().filter(|it| it.starts_with("kill planner")).count();
+    assert_eq!(killed, 2, "{:?}", outcome.faults);
+}
+
 /// Guards against jobs that have nothing running for three seconds, after four without a disturbance,
 /// because planners were lost in series together with an agent, or all entries at once.
 #[test]
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -24,7 +24,7 @@
     #[argh(option, default = "PathBuf::from(\"target/release/sapphired\")")]
     program: PathBuf,
     /// kinds of trouble to leave out, separated by commas; "spells" stands for all that come in
-    /// spells
+    /// spells, and "drawn" for all that are drawn, so that a start is lost with its VM
     #[argh(option, default = "String::new()")]
     without: String,
     /// loopback network of all seeds, from 1 to 240; by default each has its own
@@ -54,6 +54,7 @@
             "power" => trouble.power = false,
             "cancels" => trouble.cancels = false,
             "departures" => trouble.departures = false,
+            "drawn" => trouble = Trouble { lost_start: true, ..Trouble::default() },
             "spells" => return Trouble::WITHOUT_SPELLS,
             _ => {}
         }
--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -110,6 +110,10 @@
             self.log_order(&received, "lost");
             return;
         }
+        if self.spells.loses_start(now, &received.order, agent) {
+            self.log_order(&received, "not answered, its VM is about to leave");
+            return;
+        }
         if matches!(received.order, Order::Start { .. }) && self.spells.takes_away(now, agent) {
             let minion = &mut self.minions[usize::from(agent)];
             minion.terminate(&self.truth);
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -53,6 +53,10 @@
 const DEPARTURE_MS: Range<u64> = 1_200..2_400;
 const DEPARTURES_PLANNER_INTERVAL: Duration = Duration::from_secs(7);
 
+/// Time from the start that has no answer until its VM is gone, and from then until planners are killed.
+const LOST_START_DELAY: Duration = Duration::from_secs(1);
+const LOST_START_KILLS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(12)];
+
 /// Kind of a spell.
 #[derive(Clone, Debug, PartialEq)]
 enum Kind {
@@ -162,6 +166,8 @@
     series_rng: Pcg32,
     /// Submissions that were accepted may arrive again.
     has_duplicates: bool,
+    /// The next start has no answer, and its VM is gone after that.
+    loses_start: bool,
 }
 
 impl Spells {
@@ -183,6 +189,7 @@
             removed: BTreeSet::new(),
             series_rng: Pcg32::seed_from_u64(options.seed ^ 0x5e21e5),
             has_duplicates: options.trouble.cancels,
+            loses_start: options.trouble.lost_start,
         };
         if options.trouble.has_spells() {
             let length = SPELLS_JOB_INTERVAL * options.jobs;
@@ -388,7 +395,7 @@
 
     /// Returns whether there are spells, other than of slow minions, or replacements to come.
     pub(super) fn has_faults(&self) -> bool {
-        !self.replacements.is_empty() || !self.spells.iter().all(Spell::is_slow)
+        self.loses_start || !self.replacements.is_empty() || !self.spells.iter().all(Spell::is_slow)
     }
 
     /// Returns whether a spell disturbs processes, minions or links.
@@ -442,6 +449,25 @@
         share > 0.0 && self.series_rng.random_bool(share)
     }
 
+    /// Returns whether an attempt of a start is lost, and has its VM and planners lost later.
+    pub(super) fn loses_start(&mut self, now: Duration, order: &Order, agent: u8) -> bool {
+        if !self.loses_start || !matches!(order, Order::Start { .. }) {
+            return false;
+        }
+        self.loses_start = false;
+        let gone_at = now + LOST_START_DELAY;
+        let mut add = |from, until, kind| {
+            self.spells.push(Spell { from, until, kind, is_begun: false });
+            self.end = self.end.max(until);
+        };
+        add(gone_at, gone_at + Duration::from_millis(1), Kind::VmGone(agent));
+        for delay in LOST_START_KILLS {
+            let from = gone_at + delay;
+            add(from, from + TAKEOVER_TIME, Kind::Planners(PLANNING_TIME));
+        }
+        true
+    }
+
     /// Returns whether a minion leaves that gets a start. Draws whether its agent leaves too, and
     /// its replacement. A minion that leaves without its agent accepts connections but does nothing.
     pub(super) fn takes_away(&mut self, now: Duration, agent: u8) -> bool {
@@ -545,7 +571,9 @@
                 self.spells.departures.push(agent);
                 // Series of departures leave too little capacity otherwise.
                 let is_series = self.options.trouble.departures;
-                if self.spells.series_rng.random_bool(REPLACED_SHARE) || is_series {
+                let may_return = !self.options.trouble.lost_start;
+                let is_drawn = may_return && self.spells.series_rng.random_bool(REPLACED_SHARE);
+                if is_drawn || is_series {
                     let delay = self.spells.series_rng.random_range(REPLACEMENT_MS);
                     self.spells.replacements.push((now + Duration::from_millis(delay), agent));
                 }
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -38,6 +38,9 @@
     /// VMs are taken away one after the other while orders are late and planners are killed; their
     /// replacements are without a minion for long.
     pub departures: bool,
+    /// The first start has no answer at its first attempt, its VM is gone for good one second later, and
+    /// the planner is killed 3 and 12 seconds after that.
+    pub lost_start: bool,
 }
 
 impl Trouble {
@@ -58,8 +61,9 @@
         power: false,
         cancels: false,
         departures: false,
+        lost_start: false,
     };
-    /// All kinds enabled.
+    /// All kinds that are drawn.
     pub const ALL: Trouble = Trouble {
         slow: true,
         failing: true,
@@ -89,5 +93,6 @@
             || self.power
             || self.cancels
             || self.departures
+            || self.lost_start
     }
 }
