--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -458,6 +458,34 @@
     lose_for_good(RECORDED);
 }
 
+/// Guards against a task that runs twice: its first attempt had no answer, its second one had. A second
+/// later its agent is gone for good, and planners are lost 3 and 12 s after that. Before the attempt can't
+/// be carried out any more, the minion starts again under its name, carries it out and runs the task until
+/// the longest lease ends, while nobody is there who could list it.
+#[test]
+fn a_next_incarnation_without_an_agent_runs_the_first_attempt() {
+    let (mut world, worker) = ordered();
+    let sent_at = world.now;
+    world.run(300);
+    world.answer(&worker);
+    world.run(1_000);
+    let gone_at = world.now;
+    world.lose_agent(&worker);
+    let lose_planner_at = |world: &mut World, time: u64| {
+        world.run(gone_at + time - world.now);
+        world.lose_planner();
+        world.run(500);
+        world.take_over();
+    };
+    lose_planner_at(&mut world, 3_000);
+    world.run(sent_at + 11_700 - world.now);
+    world.begin_late(&worker, "j");
+    lose_planner_at(&mut world, 12_000);
+    assert_no_conflict(&mut world, "j");
+    let restarted_at = world.starts.last().map_or(0, |(at, ..)| *at);
+    assert!(restarted_at >= sent_at + 11_700 + 10_000, "{} ms", restarted_at - sent_at);
+}
+
 /// Loses processes some time after the second attempt of a start was answered; the first had no
 /// answer. The successor adopts the run, which then ends with the minion's incarnation.
 fn lose_answered_on_second_attempt(time: u64, lost: Lost, outcome: Outcome) {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -603,7 +603,7 @@
             step["gang"] = true.into();
         }
         let entry = self.rng.random_range(0..ENTRIES);
-        if let Some((long, of_long)) = self.draw_long_gang() {
+        if let Some((long, of_long)) = self.draw_long_job() {
             (step, truth) = (long, of_long);
         }
         let tasks = step["count"].as_u64().map_or(tasks, |count| count as u32);
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -55,6 +55,8 @@
 
 /// Time from the start that has no answer until its VM is gone, and from then until planners are killed.
 const LOST_START_DELAY: Duration = Duration::from_secs(1);
+/// Work of the task of which the start is lost.
+const LOST_START_WORK: Duration = Duration::from_secs(4);
 const LOST_START_KILLS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(12)];
 
 /// Kind of a spell.
@@ -729,8 +731,15 @@
     }
 
     /// Draws a long gang with checkpoints in place of a job: its step as submitted, and its actual
-    /// properties.
-    pub(super) fn draw_long_gang(&mut self) -> Option<(Value, Truth)> {
+    /// properties. It is a single task if its first start is to be lost.
+    pub(super) fn draw_long_job(&mut self) -> Option<(Value, Truth)> {
+        if self.options.trouble.lost_start {
+            let step = json!({
+                "count": 1, "cpu": 1_000, "mem_mb": 1_000, "gpu": 1,
+                "estimate_ms": LOST_START_WORK.as_millis() as u64,
+            });
+            return Some((step, Soak::task_truth(LOST_START_WORK, 1)));
+        }
         if !self.options.trouble.has_spells() || !self.spells.rng.random_bool(LONG_SHARE) {
             return None;
         }
