planner: a gang whose starts were only recorded is ordered again as the same run

Callers saw gangs with nothing running for 6.7 to 12 s in calm time after entries and agents had lost power together: a planner had recorded the start of a gang and was lost before its agents had it. The workers were in contact again and ran nothing of it.

Cause: a single task whose unanswered starts are all of one run on one worker may be ordered there again, since a minion carries out one of several starts of the same run. For gangs that was ruled out, as all members would have to return to their workers.

Members with unanswered starts now return to their workers under the same run number and the others are assigned anew, as far as nothing is known to have stopped, refused or ended that run. Not so for gangs that save checkpoints: all members must carry the same one, and that of the recorded starts isn't known. Those wait as before.

--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -22,8 +22,8 @@
 
 use crate::{
     event::Moment,
-    group::Group,
-    placement::Placement,
+    group::{Assignments, Group},
+    placement::{self, Placement, Repeated},
     planner::Planner,
     pool::Pool,
     table::Entry,
@@ -218,14 +218,14 @@
         }
     }
 
-    /// Returns what a group needs from the workers. `repeated` is its task whose run is ordered
+    /// Returns what a group needs from the workers. `repeated` has its tasks whose run is ordered
     /// again, and whose unanswered starts therefore do not count.
     pub(crate) fn demand(
         &self,
         now: Moment,
         entry: &Entry,
         key: &GroupKey,
-        repeated: Option<&Task>,
+        repeated: Option<&Assignments>,
     ) -> Option<Demand> {
         let step = entry.step(key.step)?;
         let group = entry.groups.get(key)?;
@@ -258,12 +258,13 @@
         &self,
         entry: &Entry,
         key: &GroupKey,
-        repeated: Option<&Task>,
+        repeated: Option<&Assignments>,
     ) -> BTreeMap<WorkerName, u32> {
         let first = GroupKey { index: 0, ..*key };
         let tasks = group_tasks(&entry.job.id, &first, u32::MAX);
+        let is_repeated = |task: &Task| repeated.is_some_and(|it| it.contains_key(&task.index));
         let is_other =
-            |task: &&Task| (&tasks.start..&tasks.end).contains(task) && Some(*task) != repeated;
+            |task: &&Task| (&tasks.start..&tasks.end).contains(task) && !is_repeated(task);
         let count = |(name, worker): (&WorkerName, &Worker)| {
             let running = worker.runs.range::<Task, _>(&tasks.start..&tasks.end).count();
             let pending = self.pending_tasks(name, worker).into_iter().filter(is_other).count();
@@ -293,8 +294,8 @@
         pool.release_claim(id, key);
         match self.standing(id, key, group, demand.tasks) {
             Standing::Free => {}
-            Standing::Repeatable(worker, number)
-                if self.repeat(now, pool, waiting, &worker, number) =>
+            Standing::Repeatable(workers, number)
+                if self.repeat(now, pool, waiting, &workers, number) =>
             {
                 return Outcome::Placed;
             }
@@ -325,8 +326,7 @@
                 self.hold_claim_again(pool, id, key, &demand);
                 return Outcome::Waits(Reason::Running);
             }
-            let placement =
-                Placement { demand: &demand, assignments: &assignments, repeated: None };
+            let placement = Placement::new(&demand, &assignments);
             self.place(now, pool, id, key, &placement);
             return Outcome::Placed;
         }
@@ -382,8 +382,7 @@
             && let Some(assignments) = self.start_on_slower(now, pool, &urgent, guaranteed)
         {
             if !self.may_still_run(id, key, demand.tasks) {
-                let placement =
-                    Placement { demand: &demand, assignments: &assignments, repeated: None };
+                let placement = Placement::new(&demand, &assignments);
                 self.place(now, pool, id, key, &placement);
                 return Outcome::Placed;
             }
@@ -432,52 +431,49 @@
     }
 
     /// Returns what the unanswered starts of a group's tasks allow. A run that its minion will not
-    /// start again is not repeated, and neither is one of a gang, all of whose members would have
-    /// to return to their workers.
+    /// start again is not repeated, and neither is one of a gang that saves checkpoints: all its members
+    /// must carry the same one, and that of the unanswered starts isn't known.
     ///
     /// Guards against two simultaneous runs of one task: the next incarnation of a minion may carry
     /// out an unanswered start whatever has become of it in the present one. This holds for a later
     /// run on the same worker as well, whose start may be unanswered too.
     fn standing(&self, id: &str, key: &GroupKey, group: &Group, tasks: u32) -> Standing {
         let tasks_of_group = group_tasks(id, key, tasks);
+        let step = self.table.entries.get(id).and_then(|entry| entry.step(key.step));
+        let is_saving_gang = tasks > 1 && step.is_none_or(|step| step.checkpoints);
         match self.unanswered.standing(&tasks_of_group.start..&tasks_of_group.end) {
-            Standing::Repeatable(_, number) if tasks > 1 || !group.may_repeat(number) => {
+            Standing::Repeatable(_, number) if is_saving_gang || !group.may_repeat(number) => {
                 Standing::Blocked
             }
             standing => standing,
         }
     }
 
-    /// Orders the run of a task again that has unanswered starts on a worker. Returns whether the
-    /// worker has the resources for it.
+    /// Orders a run of a group again of which tasks have unanswered starts, each of these tasks on the
+    /// worker of its starts. Returns whether there are resources for all tasks.
     fn repeat(
         &mut self,
         now: Moment,
         pool: &mut Pool,
         waiting: &Waiting,
-        worker: &str,
+        workers: &Assignments,
         number: RunNumber,
     ) -> bool {
         let Waiting { job: id, key, .. } = waiting;
         let Some(entry) = self.table.entries.get(&**id) else { return false };
-        let task = group_tasks(id, key, 1).start;
-        let Some(demand) = self.demand(now, entry, key, Some(&task)) else { return false };
-        if demand.avoid.iter().any(|name| name == worker) {
-            return false;
-        }
-        let Some(at) = pool.index.get(worker).copied() else { return false };
-        // The pending starts of a place contain those of this run.
-        let place = &pool.places[at];
-        let place = Place { pending: place.pending.minus(demand.resources), ..place.clone() };
-        let Some(mut assignments) = assignment::assign(&[place], &demand, Reach::Remote) else {
+        let Some(demand) = self.demand(now, entry, key, Some(workers)) else { return false };
+        let tasks = demand.tasks;
+        let Some(others) = placement::others_of_repeated(pool, &demand, workers) else {
             return false;
         };
-        if self.may_still_run(id, key, 1) {
+        if self.may_still_run(id, key, tasks) {
             return false;
         }
-        assignments.iter_mut().for_each(|assignment| assignment.place = at);
-        let placement =
-            Placement { demand: &demand, assignments: &assignments, repeated: Some(number) };
+        let placement = Placement {
+            demand: &demand,
+            assignments: &others,
+            repeated: Some(Repeated { number, workers }),
+        };
         self.place(now, pool, id, key, &placement);
         true
     }
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -1,9 +1,12 @@
 //! Starts a group on the workers that were chosen for it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use sapphire_jobs::task::{GroupKey, RunNumber, Task};
-use sapphire_plan::assignment::{Assignment, Demand};
+use sapphire_jobs::{
+    resources::Resources,
+    task::{GroupKey, RunNumber, Task},
+};
+use sapphire_plan::assignment::{self, Assignment, Demand, Place, Reach};
 
 use crate::{
     event::Moment,
@@ -19,8 +22,23 @@
 pub(crate) struct Placement<'a> {
     pub(crate) demand: &'a Demand,
     pub(crate) assignments: &'a [Assignment],
-    /// Number of an earlier run that is ordered again; `None` for a new run.
-    pub(crate) repeated: Option<RunNumber>,
+    /// The earlier run that is ordered again; `None` for a new run.
+    pub(crate) repeated: Option<Repeated<'a>>,
+}
+
+/// An earlier run that is ordered again.
+#[derive(Clone, Copy)]
+pub(crate) struct Repeated<'a> {
+    pub(crate) number: RunNumber,
+    /// The tasks that return to their workers, beside those that are assigned.
+    pub(crate) workers: &'a Assignments,
+}
+
+impl<'a> Placement<'a> {
+    /// Returns the placement of a new run.
+    pub(crate) fn new(demand: &'a Demand, assignments: &'a [Assignment]) -> Self {
+        Placement { demand, assignments, repeated: None }
+    }
 }
 
 /// What the runs of a group's tasks have in common.
@@ -41,13 +59,14 @@
         key: &GroupKey,
         placement: &Placement<'_>,
     ) {
-        let Placement { demand, assignments, repeated } = *placement;
+        let Placement { demand, repeated, .. } = *placement;
         let first = (self.startup.term_number - 1) * options::RUNS_PER_TERM + 1;
         let Some(entry) = self.table.entries.get_mut(id) else { return };
         let Some(group) = entry.groups.get_mut(key) else { return };
-        let unfinished = allocate(pool, key.index, demand, assignments);
-        let is_remote = is_remote(pool, demand, assignments);
-        let number = repeated.unwrap_or_else(|| first.max(group.run.saturating_add(1)));
+        let unfinished = allocate(pool, key.index, placement);
+        let is_remote = is_remote(pool, demand, &unfinished);
+        let number = repeated.map(|it| it.number);
+        let number = number.unwrap_or_else(|| first.max(group.run.saturating_add(1)));
         // A run that is ordered again is taken up when a list shows it.
         group.ended_run = group.ended_run.min(number - 1);
         let waited = now.steady.saturating_sub(group.waiting_since);
@@ -117,29 +136,70 @@
 
 /// Allocates the resources of a group's tasks, which are numbered from `first`, and returns the
 /// worker of each.
-fn allocate(
-    pool: &mut Pool,
-    first: u32,
-    demand: &Demand,
-    assignments: &[Assignment],
-) -> Assignments {
-    let mut unfinished = BTreeMap::new();
+fn allocate(pool: &mut Pool, first: u32, placement: &Placement<'_>) -> Assignments {
+    let Placement { demand, assignments, repeated } = placement;
+    let mut unfinished = repeated.map_or_else(BTreeMap::new, |it| it.workers.clone());
+    for worker in unfinished.values() {
+        if let Some(at) = pool.index.get(worker) {
+            pool.allocate(*at, demand.resources);
+        }
+    }
     let mut next = first;
-    for assignment in assignments {
+    for assignment in *assignments {
         pool.allocate(assignment.place, demand.resources.times(assignment.tasks.into()));
         let place = &pool.places[assignment.place];
         for _ in 0..assignment.tasks {
+            while unfinished.contains_key(&next) {
+                next += 1;
+            }
             unfinished.insert(next, place.worker.to_string());
-            next += 1;
         }
     }
     unfinished
 }
 
+/// Returns where the other tasks of a group start if some return to their workers; `None` if there are
+/// no resources for all of them, or if a worker is to be avoided.
+pub(crate) fn others_of_repeated(
+    pool: &Pool,
+    demand: &Demand,
+    workers: &Assignments,
+) -> Option<Vec<Assignment>> {
+    let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
+    workers.values().for_each(|worker| *counts.entry(worker).or_default() += 1);
+    if counts.keys().any(|worker| demand.avoid.iter().any(|name| name == worker)) {
+        return None;
+    }
+    let mut others = Demand { tasks: demand.tasks - workers.len() as u32, ..demand.clone() };
+    let mut places = pool.places.clone();
+    for (worker, count) in &counts {
+        let place = &mut places[*pool.index.get(*worker)?];
+        let resources = demand.resources.times(u64::from(*count));
+        // The pending starts of a place contain those of this run.
+        let here = Place { pending: place.pending.minus(resources), ..place.clone() };
+        let returning = Demand { tasks: *count, ..demand.clone() };
+        assignment::assign(&[here], &returning, Reach::Remote)?;
+        place.free = place.free.minus(resources);
+        *others.present.entry((*worker).to_owned()).or_default() += count;
+    }
+    if others.tasks == 0 {
+        return Some(Vec::new());
+    }
+    if demand.wants_one_rack {
+        let is_of_run = |place: &&Place| counts.contains_key(&*place.worker);
+        let racks: BTreeSet<_> =
+            places.iter().filter(is_of_run).map(|it| it.rack.clone()).collect();
+        let elsewhere = places.iter_mut().filter(|place| !racks.contains(&place.rack));
+        elsewhere.for_each(|place| place.free = Resources::default());
+    }
+    assignment::assign(&places, &others, Reach::Remote)
+}
+
 /// Returns whether a group would run away from its data, or on several racks although it prefers
 /// one.
-fn is_remote(pool: &Pool, demand: &Demand, assignments: &[Assignment]) -> bool {
-    let mut racks = assignments.iter().map(|assignment| &*pool.places[assignment.place].rack);
+fn is_remote(pool: &Pool, demand: &Demand, workers: &Assignments) -> bool {
+    let places = workers.values().filter_map(|worker| pool.index.get(worker));
+    let mut racks = places.map(|at| &*pool.places[*at].rack);
     let first = racks.clone().next();
     let is_scattered = demand.wants_one_rack && racks.clone().any(|rack| Some(rack) != first);
     let is_away = !demand.near_rack.is_empty() && racks.any(|rack| *rack != *demand.near_rack);
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     event::Moment,
+    group::Assignments,
     options,
     state::handover::Write,
     worker::{Run, Worker},
@@ -91,9 +92,9 @@
 pub(crate) enum Standing {
     /// There are none: the task may start anywhere.
     Free,
-    /// All are starts of one run on one worker. That run may be ordered there again: a minion
-    /// carries out one of several starts of the same run.
-    Repeatable(WorkerName, RunNumber),
+    /// All are starts of one run, those of each task on one worker. That run may be ordered there again:
+    /// a minion carries out one of several starts of the same run.
+    Repeatable(Assignments, RunNumber),
     /// The task may not start until they expire.
     Blocked,
 }
@@ -405,14 +406,18 @@
 
     /// Returns what the unanswered starts of the tasks in a range allow.
     pub(crate) fn standing(&self, tasks: Range<&Task>) -> Standing {
-        let mut found = self.by_task.range::<Task, _>(tasks).flat_map(|(_, starts)| starts);
-        match (found.next(), found.next()) {
-            (None, _) => Standing::Free,
-            (Some((worker, start)), None) if start.number > 0 => {
-                Standing::Repeatable(worker.clone(), start.number)
+        let mut workers = Assignments::new();
+        let mut number = None;
+        for (task, starts) in self.by_task.range::<Task, _>(tasks) {
+            for (worker, start) in starts {
+                let is_of_run = *number.get_or_insert(start.number) == start.number;
+                let earlier = workers.insert(task.index, worker.clone());
+                if start.number == 0 || !is_of_run || earlier.is_some() {
+                    return Standing::Blocked;
+                }
             }
-            _ => Standing::Blocked,
         }
+        number.map_or(Standing::Free, |number| Standing::Repeatable(workers, number))
     }
 
     /// Returns the workers on which the tasks in a range have unanswered starts.
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -673,3 +673,50 @@
     assert_eq!(world.orders_of("j"), 2, "{}", world.history.join("\n"));
     assert!(world.conflicts.is_empty(), "{:#?}\n{}", world.conflicts, world.history.join("\n"));
 }
+
+/// Loses all processes after a gang was placed and its starts were recorded, but not sent. Returns the
+/// world in which the agents are back and the next planner has taken over.
+fn only_recorded(gang: &Step) -> World {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.run(1_000);
+    world.record_outcome = Outcome::Unanswered;
+    world.submit("j", gang);
+    world.run(100);
+    assert_eq!(world.orders_of("j"), 0, "{}", world.history.join("\n"));
+    world.lose_planner();
+    for name in ["a", "b", "c"] {
+        world.lose_agent(name);
+    }
+    world.run(500);
+    world.record_outcome = Outcome::Answered(10);
+    for name in ["a", "b", "c"] {
+        world.start_agent(name);
+    }
+    world.take_over();
+    world
+}
+
+/// Guards against a gang that waits until its starts expire, which a lost planner recorded and never
+/// sent, although all their workers are in contact.
+#[test]
+fn a_gang_whose_starts_were_only_recorded_starts_again() {
+    for gang in [step(2, true), Step { wants_one_rack: true, per_worker: 1, ..step(3, true) }] {
+        let mut world = only_recorded(&gang);
+        let begun = world.now;
+        world.run_until_sent("j", 30_000);
+        let waited = world.now - begun;
+        assert!(waited <= 1_500, "{waited} ms\n{}", world.history.join("\n"));
+        assert_no_conflict(&mut world, "j");
+    }
+}
+
+/// Guards against members of a run with different checkpoints: a planner that was lost may have ordered
+/// the run with a checkpoint that its successor doesn't know.
+#[test]
+fn a_gang_with_checkpoints_is_not_repeated() {
+    let mut world = only_recorded(&Step { checkpoints: true, ..step(2, true) });
+    let begun = world.now;
+    world.run_until_sent("j", 30_000);
+    assert!(world.now - begun >= 12_000, "{}", world.history.join("\n"));
+    assert_no_conflict(&mut world, "j");
+}
