planner: a later start on a silent worker prolongs the wait for earlier ones

A minion that had started again under its name carried out a start 10.5 s late, and 3.9 s after that the start of another task. The planner counted the first one for the longest lease from its own expiry, but a start prolongs the lease of everything that runs on its minion.

While no list shows what became of them, all starts on a worker now count for the longest lease from when the last of them can't be carried out any more. Where a list, a VM that is gone or an agent without a minion shows it, nothing changes.

handover::a_later_start_prolongs_the_lease_of_an_earlier_one failed before.

--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -248,11 +248,18 @@
         starts.any(|start| start.expires_at().is_some_and(|until| now >= until))
     }
 
+    /// Returns the time at which the last start on a worker expires.
+    fn latest_expiry(&self, worker: &str) -> Duration {
+        let starts = self.tasks_on(worker).filter_map(|task| self.by_task.get(task)?.get(worker));
+        starts.filter_map(Start::expires_at).max().unwrap_or_default()
+    }
+
     /// Removes starts that have expired, once a later list of the minion has shown what they have
     /// come to, once there was no such minion later, or after a further time without either.
     ///
     /// Guards against a task that runs twice: while an agent is away, the next incarnation of its
-    /// minion may have carried the start out just before it expired, and run the task since.
+    /// minion may have carried the start out just before it expired, and run the task since. Other starts
+    /// that it carries out later prolong its lease.
     pub(crate) fn expire(
         &mut self,
         now: Duration,
@@ -270,7 +277,10 @@
             let shown_at = listed_at.max(absent_at);
             // The expiry contains this margin.
             let is_shown = |until: Duration| shown_at + options::TIMING_MARGIN >= until;
-            let is_kept = |until: &Duration| now < *until + grace.run && !is_shown(*until);
+            // A start that is carried out prolongs the lease of all that its minion runs.
+            let latest = self.latest_expiry(&worker);
+            let is_kept =
+                |until: &Duration| now < latest.max(*until) + grace.run && !is_shown(*until);
             self.for_each_start(&worker, |start| {
                 start.reported = start.reported.filter(is_kept);
                 start.retained = start.retained.filter(is_kept);
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -486,6 +486,35 @@
     assert!(restarted_at >= sent_at + 11_700 + 10_000, "{} ms", restarted_at - sent_at);
 }
 
+/// Guards against a task that runs twice: its start and a later one of another task have no answer, and
+/// their agent is gone. The minion's next incarnation carries out both, and the later one prolongs the lease
+/// of all that runs there.
+#[test]
+fn a_later_start_prolongs_the_lease_of_an_earlier_one() {
+    let (mut world, worker) = ordered();
+    let sent_at = world.now;
+    world.run(300);
+    world.answer(&worker);
+    for (name, agent) in &mut world.agents {
+        (agent.is_mute, agent.is_draining) = (*name == worker, *name != worker);
+    }
+    world.run(900);
+    world.submit("k", &step(1, false));
+    world.run_until_sent("k", 1_000);
+    let later_sent_at = world.now;
+    assert!(later_sent_at >= sent_at + 1_200);
+    world.run(300);
+    world.lose_agent(&worker);
+    for agent in world.agents.values_mut() {
+        (agent.is_mute, agent.is_draining) = (false, false);
+    }
+    world.run(sent_at + 11_700 - world.now);
+    world.begin_late(&worker, "j");
+    world.run(later_sent_at + 11_700 - world.now);
+    world.begin_another_late(&worker, "k");
+    assert_no_conflict(&mut world, "j");
+}
+
 /// Loses processes some time after the second attempt of a start was answered; the first had no
 /// answer. The successor adopts the run, which then ends with the minion's incarnation.
 fn lose_answered_on_second_attempt(time: u64, lost: Lost, outcome: Outcome) {
--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -353,12 +353,17 @@
     /// Has the next incarnation of a minion carry out a start that was sent to the one before.
     pub(crate) fn begin_late(&mut self, name: &str, id: &str) {
         self.restart_minion(name);
+        self.begin_another_late(name, id);
+    }
+
+    /// Has the present incarnation of a minion carry out a start late that was sent to the one before.
+    pub(crate) fn begin_another_late(&mut self, name: &str, id: &str) {
         let now = self.now;
         let is_open = |sent: &&Sent| sent.expires_at.is_some_and(|at| now < at);
         let found = self.sent.iter().filter(is_open);
         let found = { found }.find(|sent| sent.worker == name && sent.run.job == id);
         let run = found.map(|sent| sent.run.clone()).expect("it was sent");
-        let agent = self.agents.get_mut(name).expect("looked up above");
+        let agent = self.agents.get_mut(name).expect("it is known");
         agent.running.push((run, now));
         agent.lease_until = now + LONGEST_LEASE;
         self.note(&format!("{id} begins late on {name}"));
