planner: a run that has ended is not ordered again by a successor

A task waited 12 s anew: a successor ordered a run again on the worker of its unanswered start, whose minion refused it as old, since it had stopped that run under the planner before. The first attempt of the repeated order had no answer.

Cause: what has stopped, refused or ended a run was in the memory of one planner; the handover record gave the run's number, by which the next one took it for one that may be repeated.

The record now leaves the number out of such starts, which already means that no run of them may be repeated, and is written again soon after a run was closed.

handover::a_run_that_has_ended_is_not_repeated_by_a_successor failed before.

--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -198,6 +198,7 @@
         if let Some(group) = entry.groups.get_mut(&GroupKey::of(task, is_gang)) {
             group.closed_run = group.closed_run.max(number);
         }
+        self.handover.is_outdated |= self.unanswered.is_any();
     }
 
     /// Removes a run from its worker.
@@ -315,6 +316,7 @@
         let Some(active) = group.active_mut() else { return };
         active.is_stopping = true;
         group.closed_run = group.closed_run.max(number);
+        self.handover.is_outdated |= self.unanswered.is_any();
         let Some(active) = group.active() else { return };
         let unfinished: Vec<(u32, WorkerName)> =
             active.unfinished.iter().map(|(index, worker)| (*index, worker.clone())).collect();
--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use prost::Message as _;
 use sapphire_jobs::{
-    GoneMinion, MissingStarts, UnansweredStarts, UnansweredTask, remote_clock::RemoteClock,
+    GoneMinion, MissingStarts, UnansweredStarts, UnansweredTask,
+    remote_clock::RemoteClock,
+    task::{GroupKey, Task},
 };
 use sapphire_plan::quorum::Standing;
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
@@ -56,6 +58,13 @@
         let slot = self.handover.begin_write(now.steady)?;
         let mut segment = Record::default();
         let are_runs_logged = self.log_runs(self.handover.latest, &mut segment);
+        let table = &self.table;
+        let is_closed = |task: &Task, number| {
+            let Some(entry) = table.entries.get(&task.job) else { return false };
+            let is_gang = entry.step(task.step).is_some_and(|step| step.is_gang);
+            let group = entry.groups.get(&GroupKey::of(task, is_gang));
+            group.is_some_and(|group| !group.may_repeat(number))
+        };
         let record = UnansweredStarts {
             term: self.startup.term_number,
             lead_term: self.term,
@@ -64,7 +73,13 @@
             are_runs_logged,
             gone: self.gone_minions(now),
             missing: self.missing_starts(now),
-            ..self.unanswered.record(now, self.handover.latest, &self.workers, &self.inventory.vms)
+            ..self.unanswered.record(
+                now,
+                self.handover.latest,
+                is_closed,
+                &self.workers,
+                &self.inventory.vms,
+            )
         };
         let (key, value) = (keys::unanswered(slot), Bytes::from(record.encode_to_vec()));
         let revision = self.handover.revisions[slot];
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -302,11 +302,13 @@
     }
 
     /// Returns the handover record for a successor: the unanswered starts, and those that were
-    /// ordered and are not known to be answered. `write` is the number of its write.
+    /// ordered and are not known to be answered. `write` is the number of its write. `is_closed` says of a
+    /// run that its minion won't start it again; the record then leaves out its number.
     pub(crate) fn record(
         &mut self,
         now: Moment,
         write: Write,
+        is_closed: impl Fn(&Task, RunNumber) -> bool,
         fleet: &BTreeMap<WorkerName, Worker>,
         vms: &BTreeMap<String, VmName>,
     ) -> UnansweredStarts {
@@ -322,7 +324,8 @@
                 let reported = start.reported.map(|expires_at| (expires_at, sender));
                 let retained = start.retained.map(|expires_at| (expires_at, 0));
                 let rows = [inherited, reported, retained].into_iter().flatten();
-                let run = task.run(start.number);
+                let is_closed = is_closed(task, start.number);
+                let run = task.run(if is_closed { 0 } else { start.number });
                 let ordered = fleet.get(worker).and_then(|worker| worker.runs.get(task));
                 let is_final = ordered.is_none_or(|run| run.is_started);
                 let rows =
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -7,7 +7,7 @@
 mod settled;
 pub(crate) mod world;
 
-use sapphire_jobs::Step;
+use sapphire_jobs::{Ending, Step};
 use sapphire_planner::keys;
 
 use crate::harness::{resources, step};
@@ -749,3 +749,24 @@
     assert!(world.now - begun >= 12_000, "{}", world.history.join("\n"));
     assert_no_conflict(&mut world, "j");
 }
+
+/// Guards against a run that a successor orders again although its minion won't start it: an earlier
+/// planner has seen its end. Each attempt may have no answer and holds up the task for 12 s more.
+#[test]
+fn a_run_that_has_ended_is_not_repeated_by_a_successor() {
+    let (mut world, worker) = ordered();
+    world.run(500);
+    world.answer(&worker);
+    world.run(500);
+    world.end_runs(&worker, "j", Ending::Stopped);
+    world.run(1_500);
+    let before = world.orders_of("j");
+    world.lose_planner();
+    world.lose_agent(&worker);
+    world.run(100);
+    world.start_agent(&worker);
+    world.take_over();
+    world.run(5_000);
+    assert_eq!(world.orders_of("j"), before, "{}", world.history.join("\n"));
+    assert_no_conflict(&mut world, "j");
+}
