soak, proofs: the wait for a start counts from the last start on its minion

The longest time for which a start may count was taken from when that start was sent: 12 s until it is carried out, 10.2 s of lease and 3 s. PROTOCOL.md says of deadline_ms that it "applies to everything that runs on that minion", so that a later start which is carried out late prolongs the run of an earlier one, and the planner waits for that since the fix of lost_starts.

The bound of 25.2 s is the same; it counts from the last start that is settled together with it.

--- a/crates/proofs/src/jobs/simulation/unanswered.rs
+++ b/crates/proofs/src/jobs/simulation/unanswered.rs
@@ -31,8 +31,8 @@
 }
 
 impl Minion {
-    /// Returns the longest time for which a start may count: from when it was sent, from when it can't
-    /// be carried out any more, or from when the VM is gone.
+    /// Returns the longest time for which a start may count: from when the last one on its minion was
+    /// sent, from when it can't be carried out any more, or from when the VM is gone.
     pub fn limit(self) -> Duration {
         match self {
             Minion::Listed => MAX_DELAY + MAX_LEASE + MAX_IDLE,
@@ -137,6 +137,13 @@
             .filter_map(|(task, worker)| Some((task.clone(), agent_of(worker)?)))
             .collect();
         self.unanswered.follow(&counting, self.now - self.load_start);
+        // Each start that is carried out prolongs the lease of all that its minion runs.
+        let mut last_sent: BTreeMap<usize, Duration> = BTreeMap::new();
+        for key in &counting {
+            let sent = self.unanswered.starts.get(key).map_or(Duration::ZERO, |start| start.sent);
+            let last = last_sent.entry(key.1).or_default();
+            *last = sent.max(*last);
+        }
         for (task, agent) in counting {
             let is_gone = self.gone.contains(&agent);
             let is_absent = !self.minions[agent].is_up;
@@ -152,7 +159,7 @@
             let (minion, length) = match (is_gone, is_absent) {
                 (true, _) => (Minion::Gone, start.gone),
                 (false, true) => (Minion::Absent, start.absent),
-                (false, false) => (Minion::Listed, now - start.sent),
+                (false, false) => (Minion::Listed, now - last_sent[&agent].max(start.sent)),
             };
             let end = now - self.load_start;
             let wait = Wait { task, length, end };
--- a/crates/soak/src/soak/unanswered.rs
+++ b/crates/soak/src/soak/unanswered.rs
@@ -14,6 +14,8 @@
 const MAX_DELAY: Duration = Duration::from_secs(12);
 /// Longest lease of a run, `hold_max_ms` on a clock that is 2% slow.
 const MAX_LEASE: Duration = Duration::from_millis(10_200);
+/// Time within which starts are settled together.
+const SAME_TIME: Duration = Duration::from_millis(100);
 /// Time for which work that could run may have nothing running.
 const MAX_IDLE: Duration = Duration::from_secs(3);
 
@@ -54,7 +56,7 @@
 /// Longest times for which unanswered starts counted.
 #[derive(Clone, Debug, Default)]
 pub struct Figures {
-    /// From when they were last sent.
+    /// From when the last start on their minion was sent.
     sent: Wait,
     /// From when their VMs were gone, if that was later.
     gone: Wait,
@@ -70,7 +72,11 @@
     /// gone may count until the platform shows it, after four seconds without a disturbance.
     pub(super) fn broken(&self) -> impl Iterator<Item = String> {
         let limits = [
-            (&self.sent, MAX_DELAY + MAX_LEASE + MAX_IDLE, "after it was sent"),
+            (
+                &self.sent,
+                MAX_DELAY + MAX_LEASE + MAX_IDLE,
+                "after the last one on its minion was sent",
+            ),
             (&self.gone, MAX_IDLE + CONTACT_TIME, "after its VM was gone"),
         ];
         let broken = limits.into_iter().filter(|(wait, limit, _)| wait.length > *limit);
@@ -100,8 +106,15 @@
     let texts = waits::read_logs(folder)?;
     let mut figures = Figures::default();
     let lines = texts.iter().flat_map(|text| text.lines());
-    for line in lines.filter(|line| line.contains(RELEASED)) {
-        let Some((at, agent, age)) = parse(line) else { continue };
+    let lines = lines.filter(|line| line.contains(RELEASED));
+    let released: Vec<_> = lines.filter_map(|line| Some((parse(line)?, line))).collect();
+    for ((at, agent, own_age), line) in &released {
+        let (at, agent) = (*at, *agent);
+        // Each start that is carried out prolongs the lease of all that its minion runs.
+        let is_together = |other: Duration| other.abs_diff(at) < SAME_TIME;
+        let ages = released.iter().filter(|((other, ..), _)| is_together(*other));
+        let ages = ages.filter(|((_, other, _), _)| *other == agent).map(|((.., age), _)| *age);
+        let age = ages.min().unwrap_or(*own_age);
         let in_day =
             |time: Duration| Duration::from_nanos((time.as_nanos() % waits::DAY.as_nanos()) as u64);
         // A VM that takes its place ends the wait as well.
@@ -115,7 +128,7 @@
             None => (&mut figures.sent, age),
         };
         if length > wait.length {
-            *wait = Wait { length, line: line.to_owned() };
+            *wait = Wait { length, line: (*line).to_owned() };
         }
     }
     figures.again = counted_again(&texts);
