planner: a worker gets no task before its VM is known

A worker whose minion has joined on an unknown VM now gets no tasks until the inventory has shown it, for 0.6 s at most, and the inventory is read at once, not sooner than 0.4 s after the last read.

inventory::vacant::a_worker_gets_no_task_before_its_vm_is_known fails without the check, as run.

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -34,6 +34,8 @@
 /// Least interval between such reads, in multiples of their duration, so that a fleet of many pages is
 /// read for a share of the time only.
 const LEARNING_FACTOR: u32 = 10;
+/// Longest time for which a worker gets no tasks because it isn't known on which VM its minion is.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(600);
 /// Minimum interval between two lines on the use of the inventory.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -81,6 +83,28 @@
         is_due
     }
 
+    /// Has the inventory read soon after a minion has joined on a VM that isn't known.
+    pub(crate) fn learn_joined(&mut self, now: Moment, worker: &str, minion: &str) {
+        let inventory = &mut self.inventory;
+        inventory.joined.retain(|_, until| now.steady < *until);
+        if !self.options.has_inventory || inventory.vms.contains_key(minion) {
+            return;
+        }
+        inventory.joined.insert(worker.to_owned(), now.steady + JOIN_TIMEOUT);
+        inventory.learning_interval = LEARNING_INTERVAL;
+        let earliest = now.steady.max(inventory.began + LEARNING_INTERVAL);
+        inventory.next_learning = inventory.next_learning.min(earliest);
+    }
+
+    /// Returns whether a worker gets no tasks yet, since it isn't known on which VM its minion is.
+    ///
+    /// Guards against a start that counts for its lease on a VM that is gone soon after its minion has joined:
+    /// nothing would tell that VM from others without a minion.
+    pub(crate) fn awaits_vm(&self, now: Moment, worker: &str, minion: &str) -> bool {
+        let until = self.inventory.joined.get(worker);
+        until.is_some_and(|until| now.steady < *until) && !self.inventory.vms.contains_key(minion)
+    }
+
     fn read_inventory(&mut self, now: Moment, token: String) {
         self.inventory.requested_at = Some(now.steady);
         self.effects.push(Effect::Inventory(token));
@@ -195,6 +219,7 @@
             }
         }
         self.inventory.vms = vms;
+        self.needs_pass |= has_learnt;
         has_learnt
     }
 
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -187,6 +187,9 @@
             self.log(format!("worker={name} minion={id} token={token}"));
             self.suspects.forget(name);
             self.identify_machine(name);
+            if let Some(minion) = &poll.incarnation {
+                self.learn_joined(now, name, &minion.id);
+            }
             // A new incarnation may run tasks that were ordered since it started; its first list
             // shows them. An incarnation that has ended without a successor runs nothing.
             if had_minion && poll.incarnation.is_none() {
--- a/crates/planner/src/pool.rs
+++ b/crates/planner/src/pool.rs
@@ -129,7 +129,8 @@
         for (name, worker) in &self.workers {
             let Some(minion) = &worker.incarnation else { continue };
             let is_recorded = self.startup.is_recorded(name, &minion.id);
-            if minion.service != service || !worker.takes_starts(now.steady) || !is_recorded {
+            let is_ready = is_recorded && !self.awaits_vm(now, name, &minion.id);
+            if minion.service != service || !worker.takes_starts(now.steady) || !is_ready {
                 continue;
             }
             let is_cordoned = self.cordons.contains(worker);
--- a/crates/planner/src/state/inventory.rs
+++ b/crates/planner/src/state/inventory.rs
@@ -26,6 +26,9 @@
     /// The VMs on which minions were seen, by the identifiers of the minions. Contains those of workers,
     /// and those that unanswered starts were sent to.
     pub(crate) vms: BTreeMap<String, VmName>,
+    /// Workers whose minions have joined on VMs that aren't known yet, with the time until which they get no
+    /// tasks for that reason.
+    pub(crate) joined: BTreeMap<WorkerName, Duration>,
     /// What the latest complete inventory shows of the minions that are missed, with the beginning of
     /// that read.
     pub(crate) fates: BTreeMap<String, (Fate, Duration)>,
@@ -51,6 +54,7 @@
             learning_interval: LEARNING_INTERVAL,
             pages: Page::default(),
             vms: BTreeMap::new(),
+            joined: BTreeMap::new(),
             fates: BTreeMap::new(),
             gone: BTreeMap::new(),
             vacant: Vec::new(),
--- a/crates/planner/tests/inventory/vacant.rs
+++ b/crates/planner/tests/inventory/vacant.rs
@@ -283,3 +283,25 @@
     let after = read_after_join(&mut scene.fixture);
     assert!(after <= 500, "{after} ms");
 }
+
+/// Guards against a task that waits for its lease for a start on a VM that is gone: it had joined just before
+/// and was not told from another one without a minion.
+#[test]
+fn a_worker_gets_no_task_before_its_vm_is_known() {
+    let mut fixture = with_inventory(Fixture::new(vec![crate::harness::fleet(1, &[])]));
+    fixture.join("a", Vec::new(), Vec::new());
+    fixture.inventory_reads = 0;
+    let jobs = vec![job("j", crate::harness::TERM, step(1, false))];
+    fixture.handle(Event::Notice(sapphire_jobs::Notice { jobs, ..Default::default() }));
+    fixture.advance(50);
+    assert_eq!((fixture.worker_of("j").as_str(), fixture.inventory_reads), ("", 1));
+    fixture.handle(Event::Inventory(Some(page(vec![runs("a")]))));
+    assert_eq!(fixture.worker_of("j"), "a");
+}
+
+/// Guards against a worker that gets no tasks since the inventory can't be read.
+#[test]
+fn a_worker_whose_vm_can_not_be_learnt_gets_tasks() {
+    let (fixture, worker, _) = ordered();
+    assert_eq!(fixture.worker_of("j"), worker);
+}
