--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -220,6 +220,7 @@
 pub fn run(options: Options) -> io::Result<Outcome> {
     let (net, conditions) = (Net(options.net), options.conditions);
     fs::create_dir_all(&options.folder)?;
+    remove_logs(&options.folder)?;
     let mut hub = Hub::new()?;
     let store_listener = hub.listen(net.store(), Limits::default())?;
     let mut minion_listeners = BTreeMap::new();
@@ -279,6 +280,17 @@
     soak.run(&proxies)
 }
 
+/// Removes the logs of an earlier run from a folder, which would count as those of this one.
+fn remove_logs(folder: &Path) -> io::Result<()> {
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|extension| extension == "log") {
+            fs::remove_file(path)?;
+        }
+    }
+    Ok(())
+}
+
 /// Proxies that can be made faulty: for each entry one before the store, and one before the entry's
 /// internal address if the links between processes are to be faulty too.
 struct Proxies {
