--- a/crates/planner/src/state/handover.rs
+++ b/crates/planner/src/state/handover.rs
@@ -26,7 +26,8 @@
     pub(crate) in_flight: BTreeMap<Write, Slot>,
     /// The record contains starts that can no longer be carried out.
     pub(crate) is_outdated: bool,
-    /// What the record says that is settled is not what this planner knows.
+    /// The record lacks what this planner has settled: VMs that are gone, or the end of the wait for starts
+    /// that are missing. A write of it may also have failed.
     pub(crate) is_settling: bool,
     /// Starts of earlier terms may be missing from the record.
     pub(crate) is_incomplete: bool,
