planner, runner: log the evidence by which a run counts as ended, with its age

A run can count as ended although its minion has not listed the end: its agent reports no minion, lists lack it, its start was refused, its VM is gone, its lease has expired. The record of the incident could not tell these apart: an agent said "nothing listens at its address", the planner "minion ended", and neither how many observations there were, how old they were, nor when the minion was last heard of.

Each such end now goes through one function, which logs the evidence with its ages under the task's name and counts it by kind (metrics losses_*). A run that a minion lists as running after it counted as ended is logged with the evidence that was wrong (losses_found_running), and an agent logs that a minion it declared lost is there again. Polls carry what the agent has observed. No decision changes.

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -15,7 +15,9 @@
     task::WorkerName,
 };
 
-use crate::{effect::Effect, event::Moment, lines, options, planner::Planner, worker::Worker};
+use crate::{
+    effect::Effect, event::Moment, lines, loss::Evidence, options, planner::Planner, worker::Worker,
+};
 
 mod fate;
 mod fault;
@@ -346,7 +348,8 @@
         self.inventory.gone.insert(minion.to_owned(), (name.to_owned(), now.steady));
         self.handover.is_settling = true;
         if self.workers.contains_key(name) {
-            self.lose_runs(now, name, "its VM is gone");
+            let text = format!("its VM is gone{}", self.inventory_ages(now, name));
+            self.lose_runs(now, name, Evidence::Gone, &text);
             self.workers.remove(name);
         }
         self.release_member(now, name);
@@ -365,7 +368,8 @@
                 return;
             }
             self.unanswered.retain_silent(now.steady, name, worker);
-            self.lose_runs(now, name, "its VM runs no minion");
+            let text = format!("its VM runs no minion{}", self.inventory_ages(now, name));
+            self.lose_runs(now, name, Evidence::Vacant, &text);
             self.workers.remove(name);
         } else if !self.startup.unaccounted.contains_key(name) {
             return;
@@ -375,6 +379,13 @@
         self.release_member(now, name);
     }
 
+    /// Describes how old the latest read is, and how long ago a worker was last heard of, for a log line.
+    fn inventory_ages(&self, now: Moment, worker: &str) -> String {
+        let read = now.steady.saturating_sub(self.inventory.began).as_millis();
+        let ages = self.workers.get(worker).map(|worker| worker.ages(now.steady));
+        format!(" read_age_ms={read}{}", ages.unwrap_or_default())
+    }
+
     /// Records that nothing is running on a worker any more.
     fn release_member(&mut self, now: Moment, name: &str) {
         self.startup.unaccounted.remove(name);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod keys;
 mod lines;
 pub mod load;
+pub mod loss;
 pub mod options;
 mod pass;
 mod placement;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -27,12 +27,13 @@
     event::{Event, Moment},
     inventory,
     load::Load,
+    loss,
     options::{self, Options},
     queue::Settings,
     state::{
         self, commits::Commits, delays::Delays, feeds::Feeds, handover::Handover, intake::Intake,
-        inventory::Inventory, run_log::RunLog, shares::Shares, standstills::Standstills,
-        startup::Startup, waits::Waits,
+        inventory::Inventory, losses::Losses, run_log::RunLog, shares::Shares,
+        standstills::Standstills, startup::Startup, waits::Waits,
     },
     stops,
     table::{Entry, Table},
@@ -84,6 +85,8 @@
     pub(crate) delays: Delays,
     /// Jobs that have nothing at work.
     pub(crate) standstills: Standstills,
+    /// Runs that count as ended although their minions have not listed their ends.
+    pub(crate) losses: Losses,
     pub(crate) cordons: Cordons,
     /// End of the lease on the leader key.
     pub(crate) lease_expires_at: Duration,
@@ -137,6 +140,7 @@
             waits: Waits::default(),
             delays: Delays::default(),
             standstills: Standstills::default(),
+            losses: Losses::default(),
             cordons: Cordons::default(),
             lease_expires_at: Duration::MAX,
             standing: Standing::Leader,
@@ -228,6 +232,12 @@
         &self.delays.summary
     }
 
+    /// Returns the figures of the runs that count as ended although their minions have not listed their
+    /// ends.
+    pub fn losses(&self) -> &loss::Summary {
+        &self.losses.summary
+    }
+
     /// Returns the longest time for which an open job of which a task is due has had nothing at work.
     pub fn longest_standstill(&self) -> Duration {
         self.standstills.longest()
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use sapphire_jobs::{
-    Ending, Incarnation, Orders, Poll, Start,
+    Incarnation, Orders, Poll, Start,
     task::{GroupKey, Task, WorkerName},
 };
 
 use crate::{
     effect::Effect,
     event::{Moment, Requester},
+    loss::Evidence,
     options,
     planner::Planner,
     run_log,
@@ -26,6 +27,20 @@
     left.id == right.id && left.born_ms == right.born_ms
 }
 
+/// Describes why an agent takes its minion for absent.
+fn absence(poll: &Poll) -> String {
+    poll.absence.as_ref().map_or_else(String::new, |absence| {
+        format!(
+            ": cause={} age_ms={} observations={} answered_ms_ago={} heartbeat_ms_ago={}",
+            absence.cause().as_str_name(),
+            absence.age_ms,
+            absence.observations,
+            absence.answer_age_ms,
+            absence.heartbeat_age_ms
+        )
+    })
+}
+
 impl Planner {
     /// Handles an agent's poll. It is answered later, unless it begins a session or is stale.
     pub(crate) fn handle_poll(&mut self, now: Moment, requester: Requester, poll: Poll) {
@@ -193,7 +208,8 @@
             // A new incarnation may run tasks that were ordered since it started; its first list
             // shows them. An incarnation that has ended without a successor runs nothing.
             if had_minion && poll.incarnation.is_none() {
-                self.lose_runs(now, name, "minion ended");
+                let text = format!("minion ended{}", absence(poll));
+                self.lose_runs(now, name, Evidence::NoMinion, &text);
             }
         }
         let is_draining = poll.incarnation.as_ref().is_some_and(|minion| minion.is_draining);
@@ -201,7 +217,7 @@
             self.log(format!("worker={name} drains"));
         }
         if poll.is_minion_gone && poll.incarnation.is_none() {
-            self.remove_vacant(now, name);
+            self.remove_vacant(now, name, &absence(poll));
         }
         self.needs_pass |= is_new_session || is_draining != was_draining;
         is_new_session
@@ -209,8 +225,9 @@
 
     /// Ends all runs of a worker without a minion and removes the worker from the stored list:
     /// nothing runs there, and a successor need not wait for it.
-    fn remove_vacant(&mut self, now: Moment, name: &str) {
-        self.lose_runs(now, name, "worker has no minion");
+    fn remove_vacant(&mut self, now: Moment, name: &str, absence: &str) {
+        let text = format!("worker has no minion{absence}");
+        self.lose_runs(now, name, Evidence::NoMinion, &text);
         self.remove_member(name);
         self.check_recovered(now);
     }
@@ -369,10 +386,8 @@
             .map(|(name, (task, run))| (name.clone(), task.clone(), run.number))
             .collect();
         for (name, task, number) in unsent {
-            self.log(format!(
-                "task={task} run={number} worker={name} withdrawn: its order was not sent"
-            ));
-            self.run_ended(now, &name, &task, number, Ending::Lost, "");
+            let text = "withdrawn: its order was not sent";
+            self.lose_run(now, &name, &task, number, Evidence::Unsent, text);
         }
     }
 
@@ -395,10 +410,12 @@
             .collect();
         for (name, why) in lost {
             self.log(format!("worker={name} {why}, lease expired; declared lost"));
+            let mut text = format!("lease expired, {why}");
             if let Some(worker) = self.workers.get(&name) {
                 self.unanswered.retain_silent(now.steady, &name, worker);
+                text += &worker.ages(now.steady);
             }
-            self.lose_runs(now, &name, "lease expired");
+            self.lose_runs(now, &name, Evidence::Expired, &text);
             self.workers.remove(&name);
             self.lose_for_missing_starts();
             if self.startup.is_recovered() {
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -5,12 +5,13 @@
 use sapphire_jobs::{
     Ending, LISTED_ENDS, Poll, Rejection,
     resources::Resources,
-    task::{GroupKey, Task},
+    task::{GroupKey, RunNumber, Task},
 };
 
 use crate::{
     event::Moment,
     group::{Active, Phase as GroupPhase},
+    loss::Evidence,
     options,
     planner::Planner,
     state::run_log::Row,
@@ -129,6 +130,7 @@
         };
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let mut lost = Vec::new();
+        let list_age = now.steady.saturating_sub(worker.listed_at);
         for (task, run) in worker.runs.iter_mut().filter(|(_, run)| run.is_started) {
             if is_listed(task, run.number) {
                 run.missing_lists = 0;
@@ -137,12 +139,17 @@
                 run.missing_lists += 1;
             }
             if run.missing_lists >= MISSING_LISTS && now.steady >= run.last_listed + MISSING_TIME {
-                lost.push((task.clone(), run.number));
+                let absent = now.steady.saturating_sub(run.last_listed);
+                lost.push((task.clone(), run.number, run.missing_lists, absent));
             }
         }
-        for (task, number) in lost {
-            self.log(format!("task={task} run={number} worker={name} missing from lists; lost"));
-            self.run_ended(now, name, &task, number, Ending::Lost, "");
+        for (task, number, lists, absent) in lost {
+            let text = format!(
+                "missing from lists; lost: lists={lists} last_listed_ms_ago={} list_age_ms={}",
+                absent.as_millis(),
+                list_age.as_millis()
+            );
+            self.lose_run(now, name, &task, number, Evidence::Missing, &text);
         }
     }
 
@@ -162,11 +169,13 @@
             .filter(|(task, run)| !is_listed(task, run.number) && !is_stopping(run))
             .map(|(task, run)| (task.clone(), run.number))
             .collect();
+        let list_age = now.steady.saturating_sub(worker.listed_at).as_millis();
+        let token = worker.token;
         for (task, number) in missing {
-            self.log(format!(
-                "task={task} run={number} worker={name} not in the session's first list; lost"
-            ));
-            self.run_ended(now, name, &task, number, Ending::Lost, "");
+            let text = format!(
+                "not in the session's first list; lost: token={token} list_age_ms={list_age}"
+            );
+            self.lose_run(now, name, &task, number, Evidence::Unlisted, &text);
         }
     }
 
@@ -202,12 +211,12 @@
         if !is_known || !worker::is_definite(rejection) {
             return;
         }
-        self.log(format!("task={task} run={number} worker={name} refused={rejection:?}"));
         if matches!(rejection, Rejection::Unhealthy | Rejection::NoRoom) {
             self.suspects.failed(name, now.steady);
         }
         self.close_run(task, number);
-        self.run_ended(now, name, task, number, Ending::Lost, "");
+        let text = format!("refused={rejection:?}");
+        self.lose_run(now, name, task, number, Evidence::Refused, &text);
     }
 
     /// Adopts a run that an earlier planner started, or stops one that should not exist.
@@ -218,10 +227,16 @@
         let number = running.run.as_ref().map_or(0, |run| run.run);
         let earlier = self.workers.get(name).and_then(|worker| worker.runs.get(task));
         if let Some(earlier) = earlier.map(|run| run.number) {
+            let text = format!("a later run is listed; lost: run={number}");
+            self.lose_run(now, name, task, earlier, Evidence::Later, &text);
+        }
+        if let Some((evidence, at)) = self.losses.contradict(task, number) {
+            let age = now.steady.saturating_sub(at).as_millis();
             self.log(format!(
-                "task={task} run={earlier} worker={name} a later run is listed; lost"
+                "task={task} run={number} worker={name} is listed as running, but counted as ended \
+                 {age} ms ago: evidence={}",
+                evidence.name()
             ));
-            self.run_ended(now, name, task, earlier, Ending::Lost, "");
         }
         let (resources, is_wanted) = self.adoption(now, name, task, number);
         let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
@@ -281,14 +296,28 @@
         }
     }
 
+    /// Ends a run as lost. `text` says what shows that it has ended.
+    pub(crate) fn lose_run(
+        &mut self,
+        now: Moment,
+        name: &str,
+        task: &Task,
+        number: RunNumber,
+        evidence: Evidence,
+        text: &str,
+    ) {
+        self.log(format!("task={task} run={number} worker={name} {text}"));
+        self.losses.add(now.steady, task, number, evidence);
+        self.run_ended(now, name, task, number, Ending::Lost, "");
+    }
+
     /// Ends all runs of a worker as lost.
-    pub(crate) fn lose_runs(&mut self, now: Moment, name: &str, why: &str) {
+    pub(crate) fn lose_runs(&mut self, now: Moment, name: &str, evidence: Evidence, why: &str) {
         let Some(worker) = self.workers.get(name) else { return };
         let runs: Vec<(Task, u32)> =
             worker.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
         for (task, number) in runs {
-            self.log(format!("task={task} run={number} worker={name} lost: {why}"));
-            self.run_ended(now, name, &task, number, Ending::Lost, "");
+            self.lose_run(now, name, &task, number, evidence, &format!("lost: {why}"));
         }
     }
 }
--- a/crates/planner/src/state/mod.rs
+++ b/crates/planner/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod handover;
 pub(crate) mod intake;
 pub(crate) mod inventory;
+pub(crate) mod losses;
 pub(crate) mod run_log;
 pub(crate) mod shares;
 pub(crate) mod speeds;
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -227,6 +227,15 @@
         self.is_fenced && self.runs.values().any(|run| !run.is_received && is_due(run))
     }
 
+    /// Describes how long ago its agent and its minion were last heard of, for a log line.
+    pub(crate) fn ages(&self, now: Duration) -> String {
+        format!(
+            " contact_ms_ago={} listed_ms_ago={}",
+            now.saturating_sub(self.last_contact).as_millis(),
+            now.saturating_sub(self.listed_at).as_millis()
+        )
+    }
+
     /// Returns the time at which the latest start that its agent may have sent expires.
     pub fn expiry_of_starts(&self, now: Duration) -> Duration {
         now.min(self.starts_until) + options::START_EXPIRY
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -2,6 +2,7 @@
 //! planner's orders on to it, and reports to the planner what runs and what has ended. It does no
 //! I/O and reads no clock.
 
+mod absence;
 pub mod effect;
 pub mod event;
 mod leader;
--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -3,9 +3,12 @@
 
 use std::time::Duration;
 
-use sapphire_jobs::{Ended, Incarnation, LISTED_ENDS, Rejection, Running, task::Task};
+use sapphire_jobs::{
+    AbsenceCause, Ended, Incarnation, LISTED_ENDS, Rejection, Running, task::Task,
+};
 
 use crate::{
+    absence::Absence,
     effect::Effect,
     event::Ticket,
     machine::{LongPoll, Machine, Session},
@@ -148,11 +151,21 @@
             return;
         }
         self.probe.next = now + options::PROBE_DELAY;
+        if self.probe.refused_connections == 0 {
+            self.probe.refused_since = now;
+        }
         self.probe.refused_connections += 1;
         if self.probe.refused_connections >= options::MAX_REFUSED_CONNECTIONS
             && self.minion.is_none()
         {
-            self.log("no minion is running: nothing listens at its address".to_owned());
+            let (refused, since) = (self.probe.refused_connections, self.probe.refused_since);
+            let absence = Absence::new(AbsenceCause::NotListening, since, refused, None);
+            let age = absence.age(now).as_millis();
+            self.log(format!(
+                "no minion is running: nothing listens at its address: observations={refused} \
+                 age_ms={age}"
+            ));
+            self.absence = Some(absence);
             self.is_minion_gone = true;
             self.has_changes = true;
         }
@@ -197,17 +210,17 @@
         match reply {
             Reply::Unknown => {}
             Reply::NotListening => {
+                if minion.refused_connections == 0 {
+                    minion.refused_since = now;
+                }
                 minion.refused_connections += 1;
-                if minion.refused_connections >= options::MAX_REFUSED_CONNECTIONS {
-                    let id = minion.incarnation.id.clone();
-                    self.log(format!("minion={id} declared lost: nothing listens at its address"));
-                    self.forget_minion();
+                let (refused, since) = (minion.refused_connections, minion.refused_since);
+                if refused >= options::MAX_REFUSED_CONNECTIONS {
+                    self.declare_lost(now, AbsenceCause::NotListening, since, refused);
                 }
             }
             Reply::WrongInstance => {
-                let id = minion.incarnation.id.clone();
-                self.log(format!("minion={id} declared lost: another one answers at its address"));
-                self.forget_minion();
+                self.declare_lost(now, AbsenceCause::Replaced, now, 1);
             }
             _ => {
                 minion.refused_connections = 0;
@@ -217,6 +230,27 @@
         }
     }
 
+    /// Declares the minion lost, and logs what shows it.
+    fn declare_lost(
+        &mut self,
+        now: Duration,
+        cause: AbsenceCause,
+        since: Duration,
+        observations: u32,
+    ) {
+        let Some(minion) = &self.minion else { return };
+        let absence = Absence::new(cause, since, observations, Some(minion));
+        let why = match cause {
+            AbsenceCause::Replaced => "another one answers at its address",
+            _ => "nothing listens at its address",
+        };
+        let (id, running, known) =
+            (&minion.incarnation.id, minion.running.len(), absence.describe(now));
+        self.log(format!("minion={id} declared lost: {why}: running={running} {known}"));
+        self.absence = Some(absence);
+        self.forget_minion();
+    }
+
     fn long_poll_answered(&mut self, now: Duration, long_poll: LongPoll, reply: Reply) {
         let is_answered = !matches!(reply, Reply::Unknown | Reply::NotListening);
         self.unanswered_long_polls = if is_answered { 0 } else { self.unanswered_long_polls + 1 };
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -2,9 +2,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use sapphire_jobs::{Ended, Incarnation, Lead, Running, Verdict, task::Task};
+use sapphire_jobs::{AbsenceCause, Ended, Incarnation, Lead, Running, Verdict, task::Task};
 
 use crate::{
+    absence::Absence,
     effect::Effect,
     event::{Event, Ticket},
     minion::{Call, Heartbeat},
@@ -35,8 +36,11 @@
     pub(crate) has_answered: bool,
     /// When the minion last answered a call.
     pub(crate) last_answer: Duration,
-    /// Connections refused in a row.
+    /// When its latest heartbeat arrived.
+    pub(crate) last_heartbeat: Duration,
+    /// Connections refused in a row, and when the first of them was.
     pub(crate) refused_connections: u32,
+    pub(crate) refused_since: Duration,
     /// When the long poll that brought the latest list was sent.
     pub(crate) list_requested_at: Duration,
     /// When the latest list arrived.
@@ -74,8 +78,9 @@
 pub(crate) struct Probe {
     /// Ticket of the probe in flight.
     pub(crate) ticket: Option<Ticket>,
-    /// Connections refused in a row.
+    /// Connections refused in a row, and when the first of them was.
     pub(crate) refused_connections: u32,
+    pub(crate) refused_since: Duration,
     /// When the next probe is due.
     pub(crate) next: Duration,
 }
@@ -128,6 +133,8 @@
     pub(crate) minion: Option<Minion>,
     /// Whether the minion that was known has ended, or probes have shown that none is running.
     pub(crate) is_minion_gone: bool,
+    /// What showed that the last minion is gone.
+    pub(crate) absence: Option<Absence>,
     pub(crate) probe: Probe,
     pub(crate) departure: Option<Departure>,
     pub(crate) session: Session,
@@ -191,6 +198,7 @@
             options,
             minion: None,
             is_minion_gone: false,
+            absence: None,
             probe: Probe::default(),
             session: Session::default(),
             leader: None,
@@ -309,6 +317,7 @@
                 let incarnation = Incarnation { is_silent, ..heartbeat.incarnation };
                 self.has_changes |= minion.incarnation.is_draining != incarnation.is_draining
                     || minion.incarnation.capacity != incarnation.capacity;
+                minion.last_heartbeat = now;
                 minion.incarnation = incarnation;
                 minion.sequence = heartbeat.sequence;
                 minion.address = heartbeat.address;
@@ -338,8 +347,16 @@
         address: String,
         sequence: u64,
     ) {
+        if let Some(absence) = self.absence.take_if(|absence| absence.is_of(&incarnation)) {
+            self.log(format!(
+                "minion={} was declared lost and is there again: {}",
+                incarnation.id,
+                absence.describe(now)
+            ));
+        }
         self.forget_minion();
         self.is_minion_gone = false;
+        self.absence = None;
         self.unanswered.set_minion(&incarnation.id);
         self.minion = Some(Minion {
             incarnation,
@@ -352,7 +369,9 @@
             first_contact: now,
             has_answered: false,
             last_answer: now,
+            last_heartbeat: now,
             refused_connections: 0,
+            refused_since: Duration::ZERO,
             list_requested_at: Duration::ZERO,
             list_received_at: now,
             lists: 0,
@@ -408,7 +427,10 @@
         };
         if minion.incarnation.is_draining {
             let has_ended = !minion.ended.is_empty();
-            self.log(format!("minion={id} deregistered"));
+            let absence = Absence::new(AbsenceCause::Deregistered, now, 1, Some(minion));
+            let (running, known) = (minion.running.len(), absence.describe(now));
+            self.log(format!("minion={id} deregistered: running={running} {known}"));
+            self.absence = Some(absence);
             if has_ended {
                 let departure = Departure { since: now, reported_in: None };
                 self.departure.get_or_insert(departure);
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -61,6 +61,7 @@
             unanswered,
             is_leaving: self.terminating_since.is_some(),
             is_minion_gone: self.is_minion_gone && self.minion.is_none(),
+            absence: self.absence.as_ref().map(|absence| absence.message(now)),
             ..Poll::default()
         };
         if let Some(minion) = &self.minion {
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -4,7 +4,7 @@
 
 use cadence::Gauged as _;
 use sapphire_net::clock;
-use sapphire_planner::{self as planner, delay, event::Moment, inventory, wait};
+use sapphire_planner::{self as planner, delay, event::Moment, inventory, loss, wait};
 
 use super::{Role, Work};
 use crate::reactor;
@@ -65,6 +65,7 @@
                 self.record_standstill(planner.longest_standstill());
                 self.record_unanswered(planner.oldest_unanswered_start(now));
                 self.record_inventory_fault(planner.inventory_fault());
+                self.record_losses(planner.losses());
             }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
@@ -78,6 +79,7 @@
         self.record_standstill(Duration::ZERO);
         self.record_unanswered(Duration::ZERO);
         self.record_inventory_fault(None);
+        self.record_losses(&loss::Summary::default());
     }
 
     /// Records the figures of the groups that are due and wait.
@@ -117,6 +119,17 @@
         let _ = self.metrics.gauge("waits.unanswered_oldest_ms", oldest_ms);
     }
 
+    /// Records the figures of the runs that count as ended although their minions have not listed their
+    /// ends.
+    fn record_losses(&self, losses: &loss::Summary) {
+        // A metric that can't be recorded is not worth an error.
+        for evidence in loss::Evidence::ALL {
+            let _ =
+                self.metrics.gauge(&format!("losses.{}", evidence.name()), losses.count(evidence));
+        }
+        let _ = self.metrics.gauge("losses.found_running", losses.found_running);
+    }
+
     /// Records why the inventory of VMs is of no use.
     fn record_inventory_fault(&self, current: Option<inventory::Fault>) {
         // A metric that can't be recorded is not worth an error.
