proofs: minions that live on while signs say that they have ended

The simulated platform ended a minion with its deregistration, refused connections only of minions that had ended, and always showed the present inventory. So conclusions from these signs were never wrong in virtual time.

Adds listeners that refuse connections while tasks run on, minions that go on after their deregistration, an inventory that is old or lacks live minions, and refused first tries of orders, each as scenarios of its own and together with changes of planners, lost agents, late orders and trouble of the store.

--- a/crates/proofs/src/jobs/days.rs
+++ b/crates/proofs/src/jobs/days.rs
@@ -8,8 +8,12 @@
 
 use super::{
     load::{self, Arrival, Kind, Site},
-    simulation::{Simulation, options::Options},
-    sites,
+    simulation::{
+        Simulation,
+        options::Options,
+        suspicions::{Linger, Misread},
+    },
+    sites, suspicions,
 };
 
 /// Times until which the load is high, until which there are faults, and until which jobs are
@@ -97,6 +101,8 @@
     has_departures: bool,
     /// Whether minions leave for long while their VMs and agents stay.
     has_absences: bool,
+    /// Troubles in which minions that live on resemble minions that have ended.
+    suspicions: suspicions::Kinds,
 }
 
 const NONE: Scenario = Scenario {
@@ -113,6 +119,7 @@
     silent: Silent::None,
     has_departures: false,
     has_absences: false,
+    suspicions: suspicions::Kinds::NONE,
 };
 
 /// All scenarios.
@@ -187,11 +194,84 @@
         has_store: true,
         ..NONE
     },
+    Scenario { name: "refusing", suspicions: REFUSING, ..NONE },
+    Scenario {
+        name: "refusing-takeovers",
+        suspicions: REFUSING,
+        takeovers: Takeovers::Rapid,
+        ..NONE
+    },
+    Scenario {
+        name: "refusing-agents",
+        suspicions: REFUSING,
+        has_agents: true,
+        has_late: true,
+        ..NONE
+    },
+    Scenario { name: "refusing-store", suspicions: REFUSING, has_store: true, ..NONE },
+    Scenario { name: "lingering", suspicions: LINGERING, ..NONE },
+    Scenario {
+        name: "lingering-takeovers",
+        suspicions: LINGERING,
+        takeovers: Takeovers::Rapid,
+        ..NONE
+    },
+    Scenario {
+        name: "lingering-agents",
+        suspicions: LINGERING,
+        has_agents: true,
+        has_late: true,
+        ..NONE
+    },
+    Scenario { name: "lingering-unlisted", suspicions: UNLISTED, ..NONE },
+    Scenario { name: "inventory-old", suspicions: OLD_INVENTORY, ..NONE },
+    Scenario { name: "inventory-lacking", suspicions: LACKING_INVENTORY, ..NONE },
+    Scenario {
+        name: "inventory-takeovers",
+        suspicions: INVENTORY,
+        takeovers: Takeovers::Rapid,
+        ..NONE
+    },
+    Scenario {
+        name: "inventory-agents",
+        suspicions: INVENTORY,
+        has_agents: true,
+        has_late: true,
+        ..NONE
+    },
+    Scenario { name: "refused-starts", suspicions: REFUSED_STARTS, ..NONE },
+    Scenario { name: "refused-starts-late", suspicions: REFUSED_STARTS, has_late: true, ..NONE },
+    Scenario {
+        name: "suspicions",
+        suspicions: suspicions::Kinds::ALL,
+        takeovers: Takeovers::Series,
+        has_agents: true,
+        has_late: true,
+        has_store: true,
+        ..NONE
+    },
+    Scenario { name: "crashes", suspicions: CRASHES, ..NONE },
 ];
 
+const REFUSING: suspicions::Kinds =
+    suspicions::Kinds { has_refusals: true, ..suspicions::Kinds::NONE };
+const LINGERING: suspicions::Kinds =
+    suspicions::Kinds { has_lingering: true, ..suspicions::Kinds::NONE };
+const UNLISTED: suspicions::Kinds = suspicions::Kinds { has_unlisted: true, ..LINGERING };
+const OLD_INVENTORY: suspicions::Kinds =
+    suspicions::Kinds { has_old_inventory: true, ..suspicions::Kinds::NONE };
+const LACKING_INVENTORY: suspicions::Kinds =
+    suspicions::Kinds { has_lacking_inventory: true, ..suspicions::Kinds::NONE };
+const INVENTORY: suspicions::Kinds =
+    suspicions::Kinds { has_old_inventory: true, ..LACKING_INVENTORY };
+const REFUSED_STARTS: suspicions::Kinds =
+    suspicions::Kinds { has_refused_starts: true, ..suspicions::Kinds::NONE };
+const CRASHES: suspicions::Kinds =
+    suspicions::Kinds { has_crashes: true, ..suspicions::Kinds::NONE };
+
 /// Change of the conditions.
 #[derive(Clone, Copy, Debug)]
-enum Change {
+pub(super) enum Change {
     Slowdown(usize, f64),
     Mute(usize, bool),
     PausePlanner(f64),
@@ -208,6 +288,11 @@
     PauseAgent(usize, f64),
     StoreUp(bool),
     StoreLatency(u64),
+    RefuseConnections(usize, f64),
+    Drain(usize, f64, Linger),
+    Misread(usize, Option<Misread>),
+    InventoryLag(f64),
+    RefusedOrders(f64),
 }
 
 /// Looks up a scenario.
@@ -341,6 +426,7 @@
     if scenario.has_absences {
         changes.extend(absences(&mut rng, workers));
     }
+    changes.extend(suspicions::draw(scenario.suspicions, seed, workers, FAULTS_END));
     changes.sort_by(|left, right| left.0.total_cmp(&right.0));
     changes
 }
@@ -438,7 +524,7 @@
 }
 
 /// Chooses a share of the workers, one at least.
-fn choose(rng: &mut Pcg32, workers: usize, share: f64) -> Vec<usize> {
+pub(super) fn choose(rng: &mut Pcg32, workers: usize, share: f64) -> Vec<usize> {
     let count = ((workers as f64 * share).round() as usize).max(1);
     let mut all: Vec<usize> = (0..workers).collect();
     (0..count).map(|_| all.swap_remove(rng.random_range(0..all.len()))).collect()
@@ -485,6 +571,15 @@
         Change::Isolate(agent, is_isolated) => sim.set_agent_isolated(agent, is_isolated),
         Change::PauseAgent(agent, time) => sim.pause_agent(agent, Duration::from_secs_f64(time)),
         Change::StoreUp(is_up) => sim.set_store_up(is_up),
+        Change::RefuseConnections(worker, time) => {
+            sim.refuse_connections(worker, Duration::from_secs_f64(time));
+        }
+        Change::Drain(worker, leaves_after, linger) => {
+            sim.drain_lingering(worker, Duration::from_secs_f64(leaves_after), linger);
+        }
+        Change::Misread(worker, misread) => sim.misread_inventory(worker, misread),
+        Change::InventoryLag(lag) => sim.set_inventory_lag(Duration::from_secs_f64(lag)),
+        Change::RefusedOrders(share) => sim.refused_orders = share,
         Change::StoreLatency(latency) => sim.set_store_latency(Duration::from_millis(latency)),
     }
 }
--- a/crates/proofs/src/jobs/mod.rs
+++ b/crates/proofs/src/jobs/mod.rs
@@ -16,3 +16,4 @@
 pub mod minion;
 pub mod simulation;
 pub mod sites;
+mod suspicions;
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -160,7 +160,7 @@
                     self.send_store(entry, origin, call);
                 }
                 Effect::Inventory(_) => {
-                    let page = planner::event::Event::Inventory(Some(self.inventory()));
+                    let page = planner::event::Event::Inventory(Some(self.read_inventory()));
                     let generation = self.entries[entry].generation;
                     self.after(STORE_LATENCY, Action::Planner(entry, generation, page));
                 }
@@ -177,16 +177,12 @@
     }
 
     /// The platform's inventory of the VMs that are not gone for good.
-    fn inventory(&self) -> inventory::Page {
+    pub(super) fn inventory(&self) -> inventory::Page {
         let mut page = inventory::Page::default();
-        let present =
-            self.minions.iter().enumerate().filter(|(agent, _)| !self.gone.contains(agent));
-        for (agent, minion) in present {
-            let tenant = match minion.is_up {
-                true => inventory::Tenant::Minion(minion.incarnation.id.clone()),
-                false => inventory::Tenant::None,
-            };
-            page.add(format!("vm{agent}"), tenant);
+        for agent in (0..self.minions.len()).filter(|agent| !self.gone.contains(agent)) {
+            if let Some(tenant) = self.tenant(agent) {
+                page.add(format!("vm{agent}"), tenant);
+            }
         }
         for number in 0..self.vacant_vms {
             page.add(format!("vacant{number}"), inventory::Tenant::None);
--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -11,6 +11,7 @@
 use super::{
     Action, LOCAL_LATENCY, MAX_LEASE, Simulation,
     settings::{CORDONS, runner_options},
+    suspicions::Crash,
     zone,
 };
 use crate::jobs::{
@@ -219,6 +220,7 @@
         node.is_up = false;
         node.generation += 1;
         self.gone.insert(agent);
+        self.note_crash(agent, Crash::Worker);
         self.minions[agent].terminate(&self.truth);
         self.after(replaced_after, Action::ReplaceWorker(agent));
         self.log_line(&format!("m{agent} is gone"));
@@ -229,6 +231,7 @@
         if !self.is_worker_up(agent) {
             return;
         }
+        self.note_crash(agent, Crash::Minion);
         self.minions[agent].terminate(&self.truth);
         self.after(time, Action::StartMinion(agent));
         self.log_line(&format!("m{agent} ends, its VM stays"));
@@ -262,19 +265,26 @@
     }
 
     pub(super) fn deregister(&mut self, agent: usize, id: &str) {
-        let minion = &mut self.minions[agent];
+        let minion = &self.minions[agent];
         if !minion.is_up || !minion.incarnation.is_draining || minion.incarnation.id != id {
             return;
         }
-        minion.terminate(&self.truth);
-        let event = runner::event::Event::Deregistered(id.to_owned());
-        let generation = self.agents[agent].generation;
-        self.after(LOCAL_LATENCY, Action::Runner(agent, generation, event));
+        let has_deregistered = self.take_deregistered(agent);
+        if !has_deregistered {
+            let event = runner::event::Event::Deregistered(id.to_owned());
+            let generation = self.agents[agent].generation;
+            self.after(LOCAL_LATENCY, Action::Runner(agent, generation, event));
+            if self.linger(agent, id) {
+                return;
+            }
+        }
+        self.minions[agent].terminate(&self.truth);
         self.after(REPLACEMENT_DELAY, Action::StartMinion(agent));
         self.log_line(&format!("m{agent} leaves id={id}"));
     }
 
     pub(super) fn start_minion(&mut self, agent: usize) {
+        self.note_earlier(agent);
         let old = &self.minions[agent];
         let (slowness, restoration) = (old.slowness, old.restoration);
         let born_ms = old.incarnation.born_ms + 1;
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -37,7 +37,7 @@
             self.unanswered.sent(task, agent, request.sent);
         }
         let minion = &self.minions[agent];
-        if !minion.is_up {
+        if !minion.is_up || self.is_refusing(&request) {
             self.reply(&request, MinionReply::NotListening);
             return;
         }
@@ -162,6 +162,7 @@
     ) {
         let agent = request.agent;
         self.started.entry(task.job.clone()).or_insert(self.now);
+        self.note_recovery(task);
         let others_running = self.minions.iter().enumerate().filter(|(index, minion)| {
             *index != agent && minion.is_up && minion.active.contains_key(task)
         });
@@ -297,7 +298,7 @@
     /// Sends a heartbeat from a minion to its agent.
     pub(super) fn send_heartbeat(&mut self, agent: usize) {
         let minion = &self.minions[agent];
-        if minion.is_up {
+        if minion.is_up && !self.is_without_heartbeats(agent) {
             let heartbeat = Heartbeat {
                 incarnation: minion.incarnation.clone(),
                 address: format!("m{agent}"),
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -12,6 +12,7 @@
 mod settings;
 pub mod standstill;
 mod store_calls;
+pub mod suspicions;
 pub mod unanswered;
 
 use std::{
@@ -129,6 +130,7 @@
     CheckStandstills,
     MeasureIdle,
     MeasureUnanswered,
+    RecordInventory,
 }
 
 /// Call of an agent to its minion.
@@ -258,6 +260,9 @@
     pub idle: idle::Figures,
     /// For how long unanswered starts counted.
     pub unanswered: unanswered::Figures,
+    troubles: suspicions::Troubles,
+    /// How long tasks of minions that crashed took until they ran again.
+    pub recoveries: Vec<(suspicions::Crash, Duration)>,
     /// VMs without a minion besides those of the workers.
     pub vacant_vms: usize,
     /// Descriptions of the violated invariants.
@@ -330,6 +335,8 @@
             standstills: Vec::new(),
             idle: idle::Figures::default(),
             unanswered: unanswered::Figures::default(),
+            troubles: suspicions::Troubles::default(),
+            recoveries: Vec::new(),
             vacant_vms: 0,
             violations: Vec::new(),
             log: Vec::new(),
@@ -522,6 +529,7 @@
             Action::CheckStandstills => self.check_standstills(),
             Action::MeasureIdle => self.measure_idle(),
             Action::MeasureUnanswered => self.measure_unanswered(),
+            Action::RecordInventory => self.record_inventory(),
         }
     }
 
