--- a/crates/proofs/tests/proofs.rs
+++ b/crates/proofs/tests/proofs.rs
@@ -8,4 +8,5 @@
 mod runs;
 mod scenarios;
 mod stands_still;
+mod suspicions;
 mod zones;
