runner: tests of minions that seem to be absent, with the order of events forced

Failure: an agent reports the end of its minion, and drops the session, after three refused connections, after three refused probes, or when the minion deregisters while it drains. None of these shows that the minion has ended, so that a planner starts its tasks a second time.

The tests state the promise: until the lease is certainly over, the minion and its session stay, the poll has `absence` set, and the ends that the minion lists later are reported.

--- a/crates/runner/tests/runner.rs
+++ b/crates/runner/tests/runner.rs
@@ -4,4 +4,5 @@
 mod cordons;
 mod harness;
 mod orders;
+mod presence;
 mod storms;
