planner: tests of minions that seem to be absent, with the order of events forced

Failure: a run counts as ended, and the next one is ordered elsewhere, while its minion goes on: connections are refused, the minion deregisters, or the inventory doesn't show it while its agent is silent.

`presence::site` joins a planner with agents of the crate `runner` and minions whose clocks are as slow as they may be; a test sets how a minion meets calls, what the inventory shows and what the agents hear of. It notes each run that begins beside another run of its task. `presence::reported` feeds the planner polls with `absence` set.

--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -12,6 +12,7 @@
 mod load;
 mod odd;
 mod placed;
+mod presence;
 mod progress;
 mod reserve;
 mod shares;
