soak: listeners that close, minions that go on after their deregistration, wrong inventories

The stand-ins could not show it: their listeners were always open, no minion drained, and the inventory was always exact and up to date.

Three kinds of trouble, each drawn by a generator of its own, so that what the other kinds draw from a seed stays the same: listeners (closed for 20 ms to 2 s, their connections reset, while tasks and heartbeats go on), drains (minions serve on for up to 5 s after their deregistration, or run on for up to 2 s with a closed listener), and inventory (1 to 6 s old, or without the row or the identifier of a live minion, also while its agent is paused or dead). Minions that drain are no capacity in the check of standstills.

--- a/crates/net/src/hub.rs
+++ b/crates/net/src/hub.rs
@@ -12,6 +12,10 @@
     Events, Interest, Poll, Token,
     net::{TcpListener, TcpStream},
 };
+use nix::{
+    libc,
+    sys::socket::{setsockopt, sockopt},
+};
 use slab::Slab;
 
 use crate::{
@@ -133,6 +137,31 @@
         Ok(key)
     }
 
+    /// Closes a listener, so that the system refuses further connections to its address, and resets
+    /// the connections that were accepted there.
+    pub fn close_listener(&mut self, listener: ListenerId) {
+        let is_of = |(key, socket): (usize, &Socket)| match socket {
+            Socket::Inbound(connection, caller) if connection.listener == listener => {
+                Some((key, *caller))
+            }
+            _ => None,
+        };
+        let accepted: Vec<(usize, CallerId)> = self.sockets.iter().filter_map(is_of).collect();
+        for (key, caller) in accepted {
+            if let Some(Socket::Inbound(connection, _)) = self.sockets.get(key) {
+                let reset = libc::linger { l_onoff: 1, l_linger: 0 };
+                // Without the option the connection is closed in order.
+                let _ = setsockopt(&connection.stream.socket, sockopt::Linger, &reset);
+            }
+            if self.callers.contains_key(&caller) {
+                self.events.push_back(Event::Disconnected(caller));
+            }
+            self.close(key);
+        }
+        self.close(listener);
+        self.inbound.remove(&listener);
+    }
+
     /// Starts a call. Its result is reported by [`Event::Answer`], at the latest after the timeout
     /// unless the response has begun and keeps arriving.
     pub fn call(&mut self, target: SocketAddr, request: &Request, timeout: Duration) -> CallId {
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -27,6 +27,9 @@
     /// spells, and "drawn" for all that are drawn, so that a start is lost with its VM
     #[argh(option, default = "String::new()")]
     without: String,
+    /// kinds of trouble without all others, separated by commas
+    #[argh(option, default = "String::new()")]
+    only: String,
     /// loopback network of all seeds, from 1 to 240; by default each has its own
     #[argh(option)]
     net: Option<u8>,
@@ -35,28 +38,42 @@
     keep: bool,
 }
 
-/// Returns all kinds of trouble but some.
-fn trouble(without: &str) -> Trouble {
-    let mut trouble = Trouble::ALL;
+/// Returns the field of a kind of trouble.
+fn kind<'a>(trouble: &'a mut Trouble, name: &str) -> Option<&'a mut bool> {
+    Some(match name {
+        "late_orders" => &mut trouble.late_orders,
+        "gangs" => &mut trouble.gangs,
+        "links" => &mut trouble.links,
+        "zones" => &mut trouble.zones,
+        "slow" => &mut trouble.slow,
+        "failing" => &mut trouble.failing,
+        "unanswered" => &mut trouble.unanswered,
+        "leaving" => &mut trouble.leaving,
+        "planners" => &mut trouble.planners,
+        "operations" => &mut trouble.operations,
+        "mute_takeovers" => &mut trouble.mute_takeovers,
+        "series" => &mut trouble.series,
+        "power" => &mut trouble.power,
+        "cancels" => &mut trouble.cancels,
+        "departures" => &mut trouble.departures,
+        "listeners" => &mut trouble.listeners,
+        "drains" => &mut trouble.drains,
+        "inventory" => &mut trouble.inventory,
+        _ => return None,
+    })
+}
+
+/// Returns all kinds of trouble but some, or only some.
+fn trouble(without: &str, only: &str) -> Trouble {
+    let mut trouble = if only.is_empty() { Trouble::ALL } else { Trouble::default() };
+    for name in only.split(',') {
+        kind(&mut trouble, name).into_iter().for_each(|field| *field = true);
+    }
     for name in without.split(',') {
         match name {
-            "late_orders" => trouble.late_orders = false,
-            "links" => trouble.links = false,
-            "zones" => trouble.zones = false,
-            "slow" => trouble.slow = false,
-            "failing" => trouble.failing = false,
-            "unanswered" => trouble.unanswered = false,
-            "leaving" => trouble.leaving = false,
-            "planners" => trouble.planners = false,
-            "operations" => trouble.operations = false,
-            "mute_takeovers" => trouble.mute_takeovers = false,
-            "series" => trouble.series = false,
-            "power" => trouble.power = false,
-            "cancels" => trouble.cancels = false,
-            "departures" => trouble.departures = false,
             "drawn" => trouble = Trouble { lost_start: true, ..Trouble::default() },
             "spells" => return Trouble::WITHOUT_SPELLS,
-            _ => {}
+            _ => kind(&mut trouble, name).into_iter().for_each(|field| *field = false),
         }
     }
     trouble
@@ -75,7 +92,7 @@
             faults: args.faults,
             net: args.net.unwrap_or((seed % 240) as u8 + 1),
             conditions: Conditions::default(),
-            trouble: trouble(&args.without),
+            trouble: trouble(&args.without, &args.only),
         })?;
         let lost = outcome.standstills.iter().filter(|it| it.is_broken()).count();
         println!("{}", outcome.unanswered);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -33,7 +33,9 @@
 };
 
 mod cancels;
+mod drains;
 mod idle;
+mod inventory;
 mod minions;
 mod spells;
 mod unanswered;
@@ -200,6 +202,10 @@
     departures: Vec<unanswered::Departure>,
     /// Number of VMs on which each agent was before.
     vms: Vec<u32>,
+    /// Minions that drain.
+    drains: Vec<drains::Drain>,
+    /// The inventory at each of its changes.
+    inventories: Vec<(Duration, Vec<(String, String)>)>,
     /// Actual properties of tasks, by job and step.
     truth: BTreeMap<(String, u32), Truth>,
     jobs: BTreeMap<String, Job>,
@@ -267,6 +273,8 @@
         gone: BTreeSet::new(),
         departures: Vec::new(),
         vms: vec![0; usize::from(agents)],
+        drains: Vec::new(),
+        inventories: Vec::new(),
         truth: BTreeMap::new(),
         jobs: BTreeMap::new(),
         pending: BTreeMap::new(),
@@ -422,9 +430,11 @@
             }
             self.send_requests(now);
             self.drive_spells(now, &mut fleet, proxies)?;
+            self.record_inventory(now);
             let has_late_orders = now < self.late_until || !self.late_orders.is_empty();
             let has_faults =
                 faults > 0 || !undos.is_empty() || has_late_orders || self.spells.has_faults();
+            let has_faults = has_faults || !self.drains.is_empty();
             if jobs > 0 || has_faults || !self.cordons.is_empty() {
                 self.busy_until = now;
             }
@@ -523,7 +533,7 @@
 
     fn handle_store_request(&mut self, now: Duration, caller: CallerId, request: &Request) {
         if request.path() == "/machines" {
-            let response = platform::inventory(self.vms().into_iter());
+            let response = platform::inventory(self.listed_vms(now).into_iter());
             self.answer_list(caller, response);
             return;
         }
@@ -594,6 +604,9 @@
     fn send_heartbeats(&mut self) {
         self.sequence += 1;
         for (agent, minion) in (0..).zip(&self.minions).filter(|(_, minion)| minion.is_up) {
+            if self.drains.iter().any(|drain| drain.agent == agent && drain.is_deregistered) {
+                continue;
+            }
             let address = self.net.minion(agent).to_string();
             let request = platform::heartbeat(minion, &address, self.sequence);
             let call = self.hub.call(self.net.heartbeats(agent), &request, HEARTBEAT_INTERVAL);
--- a/crates/soak/src/soak/idle.rs
+++ b/crates/soak/src/soak/idle.rs
@@ -184,6 +184,7 @@
         };
         let is_open = |(agent, minion): &(u8, &Minion)| {
             minion.is_up
+                && !minion.incarnation.is_draining
                 && !self.spells.is_away(now, *agent)
                 && !self.cordons.contains_key(&minion.incarnation.zone)
         };
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -12,7 +12,9 @@
 use sapphire_store::call::{Call, Reply};
 use serde_json::{Value, json};
 
-use super::{Options, Proxies, SPELLS_JOB_INTERVAL, Soak, minions, unanswered::Departure};
+use super::{
+    Options, Proxies, SPELLS_JOB_INTERVAL, Soak, drains::Plan, minions, unanswered::Departure,
+};
 use crate::{
     fleet::{ENTRIES, Fleet, Node},
     proxy::Mode,
@@ -53,6 +55,17 @@
 const DEPARTURE_MS: Range<u64> = 1_200..2_400;
 const DEPARTURES_PLANNER_INTERVAL: Duration = Duration::from_secs(7);
 
+/// Interval between the moments at which listeners are closed, and the time for which they are.
+const REFUSING_INTERVAL_MS: Range<u64> = 100..1_500;
+const REFUSING_MS: Range<u64> = 20..2_000;
+/// Interval between the minions that drain.
+const DRAIN_INTERVAL_MS: Range<u64> = 500..2_500;
+/// Interval between the times in which the inventory is wrong, and their length.
+const HIDDEN_INTERVAL_MS: Range<u64> = 300..2_500;
+const HIDDEN_MS: Range<u64> = 1_500..6_000;
+/// Age of an inventory.
+const STALE_MS: Range<u64> = 1_000..6_000;
+
 /// Time from the start that has no answer until its VM is gone, and from then until planners are killed.
 const LOST_START_DELAY: Duration = Duration::from_secs(1);
 /// Work of the task of which the start is lost.
@@ -92,6 +105,16 @@
     Cancels,
     /// A share of the starts and stops is not answered and carried out late.
     LateOrders(f64),
+    /// A minion's listener is closed while its tasks run on.
+    Refusing(u8),
+    /// A minion drains, deregisters and goes on.
+    Drain(Plan),
+    /// The inventory is that of some time ago.
+    StaleInventory(Duration),
+    /// The inventory lacks the row of a minion, or only its identifier.
+    Hidden { agent: u8, has_row: bool },
+    /// An agent is paused while its minion runs on.
+    AgentPaused(u8),
 }
 
 impl Kind {
@@ -111,7 +134,12 @@
             | Kind::SlowEntry { .. }
             | Kind::Power { .. }
             | Kind::Cancels
-            | Kind::LateOrders(_) => true,
+            | Kind::LateOrders(_)
+            | Kind::Refusing(_)
+            | Kind::Drain(_)
+            | Kind::StaleInventory(_)
+            | Kind::Hidden { .. }
+            | Kind::AgentPaused(_) => true,
         }
     }
 }
@@ -134,7 +162,12 @@
     fn is_disturbing(&self) -> bool {
         !matches!(
             self.kind,
-            Kind::Slow { .. } | Kind::Leaving | Kind::Cancels | Kind::VmGone(_) | Kind::Operations
+            Kind::Slow { .. }
+                | Kind::Leaving
+                | Kind::Cancels
+                | Kind::VmGone(_)
+                | Kind::Operations
+                | Kind::Drain(_)
         ) && !matches!(self.kind, Kind::AgentDead { for_good: true, .. })
     }
 }
@@ -208,6 +241,8 @@
             if options.trouble.departures {
                 spells.draw_departures(start, length, agents);
             }
+            spells.draw_listeners_and_drains(options, start, length, agents);
+            spells.draw_inventories(options, start, length, agents);
             spells.end = spells.spells.iter().map(|spell| spell.until).max().unwrap_or_default();
         }
         spells
@@ -372,6 +407,82 @@
         }
     }
 
+    /// Draws closed listeners, one after the other and overlapping, and minions that drain.
+    fn draw_listeners_and_drains(
+        &mut self,
+        options: &Options,
+        start: Duration,
+        length: Duration,
+        agents: u8,
+    ) {
+        let rng = &mut Pcg32::seed_from_u64(options.seed ^ 0x115_7e4e5);
+        let mut from = start;
+        while options.trouble.listeners && from < start + length {
+            from += Duration::from_millis(rng.random_range(REFUSING_INTERVAL_MS));
+            let until = from + Duration::from_millis(rng.random_range(REFUSING_MS));
+            let kind = Kind::Refusing(rng.random_range(0..agents));
+            self.spells.push(Spell { from, until, kind, is_begun: false });
+        }
+        let rng = &mut Pcg32::seed_from_u64(options.seed ^ 0xd4a_1e5);
+        let mut from = start;
+        while options.trouble.drains && from < start + length {
+            from += Duration::from_millis(rng.random_range(DRAIN_INTERVAL_MS));
+            let plan = Plan::draw(rng, agents);
+            let until = from + plan.length();
+            self.spells.push(Spell { from, until, kind: Kind::Drain(plan), is_begun: false });
+        }
+    }
+
+    /// Draws inventories that are old or lack minions, some of them while an agent is paused or dead.
+    fn draw_inventories(
+        &mut self,
+        options: &Options,
+        start: Duration,
+        length: Duration,
+        agents: u8,
+    ) {
+        let rng = &mut Pcg32::seed_from_u64(options.seed ^ 0x1_47e4_7047);
+        let millis = Duration::from_millis;
+        let mut from = start;
+        while options.trouble.inventory && from < start + length {
+            from += millis(rng.random_range(HIDDEN_INTERVAL_MS));
+            let until = from + millis(rng.random_range(HIDDEN_MS));
+            let agent = rng.random_range(0..agents);
+            let kind = match rng.random_range(0..3) {
+                0 => Kind::StaleInventory(millis(rng.random_range(STALE_MS))),
+                kind => Kind::Hidden { agent, has_row: kind == 1 },
+            };
+            self.spells.push(Spell { from, until, kind, is_begun: false });
+            // An agent has to be silent for a while before the inventory is read for its minion.
+            let silent_from = from.saturating_sub(millis(rng.random_range(0..2_500))).max(start);
+            let kind = match rng.random_range(0..4) {
+                0 => continue,
+                1 => Kind::AgentDead { agent, for_good: false },
+                _ => Kind::AgentPaused(agent),
+            };
+            let until = silent_from + millis(rng.random_range(HIDDEN_MS));
+            self.spells.push(Spell { from: silent_from, until, kind, is_begun: false });
+        }
+    }
+
+    /// Returns whether a minion's listener is closed.
+    pub(super) fn refuses(&self, now: Duration, agent: u8) -> bool {
+        self.present(now).any(|kind| *kind == Kind::Refusing(agent))
+    }
+
+    /// Returns how old the inventory is, and the agents whose minions it lacks, with whether it still
+    /// has their rows.
+    pub(super) fn inventory(&self, now: Duration) -> (Duration, Vec<(u8, bool)>) {
+        let age =
+            |kind: &Kind| if let Kind::StaleInventory(age) = kind { Some(*age) } else { None };
+        let hidden = |kind: &Kind| match *kind {
+            Kind::Hidden { agent, has_row } => Some((agent, has_row)),
+            _ => None,
+        };
+        let age = self.present(now).filter_map(age).max().unwrap_or_default();
+        (age, self.present(now).filter_map(hidden).collect())
+    }
+
     /// Returns whether another VM is to take the place of one that is gone.
     pub(super) fn is_replaced(&self, agent: u8) -> bool {
         self.replacements.iter().any(|(_, other)| *other == agent)
@@ -412,7 +523,7 @@
         self.removed.contains(&agent)
             || self.present(now).any(|kind| match kind {
                 Kind::CutOff(other) => *other == agent,
-                Kind::AgentDead { agent: other, .. } => *other == agent,
+                Kind::AgentDead { agent: other, .. } | Kind::AgentPaused(other) => *other == agent,
                 Kind::Power { has_agents } => *has_agents,
                 _ => false,
             })
@@ -531,7 +642,9 @@
                 self.kill_planner(now, fleet, *interval);
             }
         }
-        self.slow_entries(now, &present, fleet);
+        self.pause_processes(now, &present, fleet);
+        self.drive_drains(now);
+        self.drive_listeners(now)?;
         if self.options.trouble.series {
             self.cut_links(now, &present, proxies);
         }
@@ -594,6 +707,7 @@
                 }
             }
             Kind::PlannerCut { .. } => self.spells.cut_planner = self.planner(now),
+            Kind::Drain(plan) => self.begin_drain(now, plan),
             Kind::Cancels => {
                 for _ in 0..self.spells.series_rng.random_range(BURST) {
                     self.add_job(now);
@@ -635,11 +749,12 @@
         (0..ENTRIES).map(Node::Entry).chain((0..agents).map(Node::Agent)).collect()
     }
 
-    /// Stops and resumes the slow entries.
-    fn slow_entries(&mut self, now: Duration, present: &[Kind], fleet: &Fleet) {
+    /// Stops and resumes the slow entries and the paused agents.
+    fn pause_processes(&mut self, now: Duration, present: &[Kind], fleet: &Fleet) {
         let phase = (now.as_millis() % SLOW_PERIOD_MS) as f64 / SLOW_PERIOD_MS as f64;
         let is_paused = |kind: &Kind| match *kind {
             Kind::SlowEntry { entry, share } if phase >= share => Some(Node::Entry(entry)),
+            Kind::AgentPaused(agent) => Some(Node::Agent(agent)),
             _ => None,
         };
         let paused: BTreeSet<Node> = present.iter().filter_map(is_paused).collect();
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -41,6 +41,14 @@
     /// The first start has no answer at its first attempt, its VM is gone for good one second later, and
     /// the planner is killed 3 and 12 seconds after that.
     pub lost_start: bool,
+    /// The listeners of minions are closed for a moment while their tasks run on and their heartbeats
+    /// go on.
+    pub listeners: bool,
+    /// Minions drain and go on for some seconds after their deregistration.
+    pub drains: bool,
+    /// The inventory of VMs is some seconds old or lacks live minions, also while their agents are
+    /// paused or killed.
+    pub inventory: bool,
 }
 
 impl Trouble {
@@ -62,6 +70,9 @@
         cancels: false,
         departures: false,
         lost_start: false,
+        listeners: false,
+        drains: false,
+        inventory: false,
     };
     /// All kinds that are drawn.
     pub const ALL: Trouble = Trouble {
@@ -76,6 +87,9 @@
         power: true,
         cancels: true,
         departures: true,
+        listeners: true,
+        drains: true,
+        inventory: true,
         ..Trouble::WITHOUT_SPELLS
     };
 
@@ -94,5 +108,8 @@
             || self.cancels
             || self.departures
             || self.lost_start
+            || self.listeners
+            || self.drains
+            || self.inventory
     }
 }
--- a/crates/standins/src/jobs_platform.rs
+++ b/crates/standins/src/jobs_platform.rs
@@ -210,18 +210,28 @@
 /// Heartbeat that a minion sends to its agent; `address` is where the minion takes orders, and
 /// `sequence` increases from one heartbeat to the next.
 pub fn heartbeat(minion: &Minion, address: &str, sequence: u64) -> Request {
-    let body = json!({
+    let Incarnation { is_draining, remaining_ms, .. } = minion.incarnation;
+    let mut body = json!({
         "service": "desk", "address": address, "zone": minion.incarnation.zone, "version": "v1", "slots": 8,
-        "state": "ready", "labels": minion.incarnation.labels, "call_seq": sequence,
+        "state": if is_draining { "draining" } else { "ready" },
+        "labels": minion.incarnation.labels, "call_seq": sequence,
         "born": minion.incarnation.born_ms,
         "capacity": {
             "cpu": CAPACITY.millicores, "mem_mb": CAPACITY.memory_mib,
             "gpu": CAPACITY.accelerators,
         },
     });
+    if is_draining {
+        body["remaining_ms"] = remaining_ms.into();
+    }
     Request::new("PUT", &format!("/instances/{}", minion.incarnation.id), body.to_string())
 }
 
+/// Deregistration that a minion sends to its agent before it ends.
+pub fn deregistration(minion: &Minion) -> Request {
+    Request::new("DELETE", &format!("/instances/{}", minion.incarnation.id), "")
+}
+
 fn parse_task(name: &str) -> Option<Task> {
     let parts: Vec<&str> = name.split('.').collect();
     let [job, occurrence, step, index] = parts[..] else { return None };
