--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -63,6 +63,8 @@
 /// Interval between the times in which the inventory is wrong, and their length.
 const HIDDEN_INTERVAL_MS: Range<u64> = 300..2_500;
 const HIDDEN_MS: Range<u64> = 1_500..6_000;
+/// Time for which agents are paused or dead meanwhile.
+const SILENT_MS: Range<u64> = 3_000..7_000;
 /// Age of an inventory.
 const STALE_MS: Range<u64> = 1_000..6_000;
 
@@ -460,7 +462,7 @@
                 1 => Kind::AgentDead { agent, for_good: false },
                 _ => Kind::AgentPaused(agent),
             };
-            let until = silent_from + millis(rng.random_range(HIDDEN_MS));
+            let until = silent_from + millis(rng.random_range(SILENT_MS));
             self.spells.push(Spell { from: silent_from, until, kind, is_begun: false });
         }
     }
