--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -1,7 +1,7 @@
 //! Tests of the hub as server and client against plain sockets.
 
 use std::{
-    io::{Read as _, Write as _},
+    io::{ErrorKind, Read as _, Write as _},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     process,
     sync::atomic::{AtomicU8, Ordering},
@@ -445,3 +445,32 @@
     let ratio = ratios[ROUNDS / 2];
     assert!(ratio < MAX_RATIO, "a chunk of the long body takes {ratio:.2} times as long");
 }
+
+/// Guards against a closed listener that still accepts callers, or whose callers wait for a response.
+#[test]
+fn a_closed_listener_refuses_and_resets_callers() {
+    let address = free_address();
+    let mut hub = Hub::new().expect("the system gives an event queue");
+    let listener = hub.listen(address, Limits::default()).expect("the port is free");
+    let mut socket = TcpStream::connect(address).expect("the hub listens");
+    socket.set_read_timeout(Some(WAIT)).expect("a timeout can be set");
+    socket.write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").expect("the request can be sent");
+    let mut received = None;
+    while received.is_none() {
+        hub.poll(WAIT).expect("the event queue works");
+        while let Some(event) = hub.next_event() {
+            if let Event::Request { caller, .. } = event {
+                received = Some(caller);
+            }
+        }
+    }
+    hub.close_listener(listener);
+    assert!(
+        matches!(hub.next_event(), Some(Event::Disconnected(caller)) if Some(caller) == received)
+    );
+    let read = socket.read(&mut [0; 1]).map_err(|error| error.kind());
+    assert_eq!(read, Err(ErrorKind::ConnectionReset));
+    let connected = TcpStream::connect(address).map_err(|error| error.kind());
+    assert_eq!(connected.err(), Some(ErrorKind::ConnectionRefused));
+    hub.listen(address, Limits::default()).expect("the port is free again");
+}
--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -199,3 +199,21 @@
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
 }
+
+/// Guards against tasks that run twice because a live minion's listener was closed for a moment.
+#[test]
+fn a_listener_that_closes_for_a_moment_ends_no_run() {
+    let trouble = Trouble { listeners: true, ..Trouble::default() };
+    let outcome = run_soak(248, 0, Conditions::default(), trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
+/// Guards against tasks that run twice because a minion that drains goes on after its deregistration.
+#[test]
+fn a_minion_that_goes_on_after_its_deregistration_runs_no_task_twice() {
+    let trouble = Trouble { drains: true, ..Trouble::default() };
+    let outcome = run_soak(10, 0, Conditions::default(), trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
--- a/crates/soak/src/soak/drains.rs
+++ b/crates/soak/src/soak/drains.rs
@@ -59,13 +59,17 @@
 }
 
 impl Soak {
-    /// Has a minion drain, unless it does already or is gone.
+    /// Has a minion drain that runs tasks: the one that was drawn, or the next one after it.
     pub(super) fn begin_drain(&mut self, now: Duration, plan: Plan) {
-        let agent = plan.agent;
-        let minion = &mut self.minions[usize::from(agent)];
-        if !minion.is_up || minion.incarnation.is_draining || self.gone.contains(&agent) {
-            return;
-        }
+        let count = self.minions.len();
+        let is_busy = |agent: &usize| {
+            let minion = &self.minions[*agent];
+            minion.is_up && !minion.incarnation.is_draining && !minion.active.is_empty()
+        };
+        let mut agents = (0..count).map(|step| (usize::from(plan.agent) + step) % count);
+        let Some(agent) = agents.find(is_busy) else { return };
+        let minion = &mut self.minions[agent];
+        let agent = agent as u8;
         minion.incarnation.is_draining = true;
         let born_ms = minion.incarnation.born_ms;
         let (is_deregistered, has_ended) = (false, false);
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -59,7 +59,7 @@
 const REFUSING_INTERVAL_MS: Range<u64> = 100..1_500;
 const REFUSING_MS: Range<u64> = 20..2_000;
 /// Interval between the minions that drain.
-const DRAIN_INTERVAL_MS: Range<u64> = 500..2_500;
+const DRAIN_INTERVAL_MS: Range<u64> = 300..1_500;
 /// Interval between the times in which the inventory is wrong, and their length.
 const HIDDEN_INTERVAL_MS: Range<u64> = 300..2_500;
 const HIDDEN_MS: Range<u64> = 1_500..6_000;
