runner: an unhealthy minion that refuses the token does not count as fenced

Failure: a new incarnation that answered the fencing call with 429 or 503 counted as fenced, and no further call gave it a token until a planner began a session. It has done nothing then, so a late start for the incarnation before it, of a run that is done, could be carried out. PROTOCOL.md: '429 or 503 from an unhealthy minion, which has then done nothing'.

--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -82,12 +82,13 @@
                 let counts = format!("running={} ended={}", running.len(), ended.len());
                 self.mark_fenced(now, &counts);
             }
-            Reply::Refused(rejection) => self.mark_fenced(now, &format!("refused={rejection:?}")),
+            // An unhealthy minion that refuses a call has done nothing, so it has no token yet.
+            Reply::Refused(Rejection::Fenced) => self.mark_fenced(now, "refused=Fenced"),
             _ => {}
         }
     }
 
-    /// Marks the minion as fenced, after it has sent a list or refused the call.
+    /// Marks the minion as fenced, after it has sent a list or refused the token as too low.
     fn mark_fenced(&mut self, now: Duration, outcome: &str) {
         let token = self.provisional_token();
         let Some(minion) = &mut self.minion else { return };
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -240,6 +240,27 @@
     assert!(!fixture.calls.iter().any(|(_, call)| is_fencing(call)));
 }
 
+/// Guards against a late order that a new incarnation carries out because an unhealthy one, which has
+/// refused the token and done nothing, counts as fenced.
+#[test]
+fn a_new_incarnation_that_is_unhealthy_is_not_fenced() {
+    let mut fixture = Fixture::fenced();
+    fixture.calls.clear();
+    fixture.heartbeat(1_000, 2, 1, false);
+    fixture.handle(1_050, Event::Tick);
+    let is_fencing = |call: &Call| matches!(call, Call::LongPoll { token, .. } if *token > TOKEN);
+    let fencing_call = fixture.take_call(is_fencing);
+    let refused = Reply::Refused(Rejection::Unhealthy);
+    fixture.handle(1_060, Event::MinionReply(fencing_call, refused));
+    fixture.handle(2_000, Event::Tick);
+    let fencing_call = fixture.take_call(is_fencing);
+    // A minion that has received a higher token refuses the orders of earlier sessions as well.
+    let refused = Reply::Refused(Rejection::Fenced);
+    fixture.handle(2_010, Event::MinionReply(fencing_call, refused));
+    fixture.handle(3_000, Event::Tick);
+    assert!(!fixture.calls.iter().any(|(_, call)| is_fencing(call)));
+}
+
 /// Guards against work that was done and is done again elsewhere: a minion deregisters right after
 /// it has listed its last end, and the planner would count the run as lost with it.
 #[test]
