planner: test that the inventory alone ends no run of a mute minion

Failure: a minion sends no list for over 2 s while its agent polls, and two reads of the inventory list its VM without a minion; its run counts as ended and the next one is placed elsewhere while most of the lease is left. The same with an inventory that lists the minion passes.

--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -10,6 +10,7 @@
 mod isolation;
 mod late;
 mod load;
+mod mute;
 mod odd;
 mod placed;
 mod progress;
