sapphired: one failed poll of a worker's list ends none of its tasks

Failure: an agent reported all tasks of its worker as ended when one long poll failed and the answer before it was older than the lease, although the worker extended the lease with each renewal. The gang was interrupted. Now the list has to be unreadable for a lease; then no lease is extended, and the tasks count as ended once the latest one is over. After a failed poll the list is asked for at once. A renewal that is refused with 404 reads from the list how the tasks ended, so that an end just before it does not count as an interruption.

--- a/crates/sapphired/src/worker.rs
+++ b/crates/sapphired/src/worker.rs
@@ -6,7 +6,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     thread,
     time::{Duration, Instant},
 };
@@ -41,8 +41,28 @@
     Stop(id::Attempt),
 }
 
-/// Attempts that were started on the worker and have not been reported as ended.
-type Running = Arc<Mutex<BTreeSet<id::Attempt>>>;
+/// What is known of the tasks on the worker, shared by both threads.
+struct Grants {
+    /// Attempts that were started on the worker and have not been reported as ended.
+    running: BTreeSet<id::Attempt>,
+    /// Time at which the latest lease that the worker may have received ends.
+    lease_until: Instant,
+    /// The list of tasks can't be read, so that no lease is extended.
+    is_unreachable: bool,
+}
+
+impl Grants {
+    /// Notes a lease that is about to be sent. The call may be carried out until it times out.
+    fn grant(&mut self, lease: Duration) {
+        self.lease_until = self.lease_until.max(Instant::now() + CALL_TIMEOUT + lease);
+    }
+}
+
+type Shared = Arc<Mutex<Grants>>;
+
+fn lock(grants: &Shared) -> MutexGuard<'_, Grants> {
+    grants.lock().expect("no thread panics while it holds this")
+}
 
 /// Queue of calls to the worker. The ends of tasks and their checkpoints are reported as events.
 pub struct Worker {
@@ -60,12 +80,14 @@
         events: &Sender<event::Event>,
     ) -> eyre::Result<Self> {
         let (calls, queue) = unbounded();
-        let running = Running::default();
+        let grants =
+            Grants { running: BTreeSet::new(), lease_until: Instant::now(), is_unreachable: false };
+        let grants = Arc::new(Mutex::new(grants));
         let client = Client {
             base: format!("http://{address}"),
             agent: agent(CALL_TIMEOUT),
             lease,
-            running: running.clone(),
+            grants: grants.clone(),
             events: events.clone(),
         };
         runtime::spawn("worker", move || client.serve(&queue))?;
@@ -73,7 +95,7 @@
             base: format!("http://{address}"),
             agent: agent(POLL_TIMEOUT),
             lease,
-            running,
+            grants,
             events: events.clone(),
         };
         runtime::spawn("worker-watch", move || watcher.serve())?;
@@ -103,7 +125,7 @@
     base: String,
     agent: ureq::Agent,
     lease: Duration,
-    running: Running,
+    grants: Shared,
     events: Sender<event::Event>,
 }
 
@@ -134,13 +156,29 @@
         request.send(body.to_string().as_bytes()).map(|_| ())
     }
 
-    /// Extends a lease. If the worker answers 404, it has restarted or the lease has expired there:
-    /// the tasks no longer run and are reported as ended.
+    /// Extends a lease. If the worker answers 404, the tasks no longer run, and its list says how they
+    /// ended. If it doesn't, the worker has restarted.
+    ///
+    /// Guards against a gang that counts as interrupted although its tasks have just been done.
     fn renew(&self, attempt: &str, lease: Duration) {
+        {
+            let mut grants = lock(&self.grants);
+            if grants.is_unreachable {
+                return;
+            }
+            grants.grant(lease);
+        }
         let body = json!({ "attempt": attempt, "lease_ms": millis(lease) });
         if let Err(ureq::Error::StatusCode(404)) = self.send("renew", &body) {
-            self.forget(attempt);
-            let _ = self.events.send(task_ended(attempt, None, "the worker no longer runs it"));
+            let tasks = list(&self.agent, &self.base, 0).map_or_else(Vec::new, |it| it.tasks);
+            match tasks.iter().find(|task| task.attempt == attempt) {
+                Some(task) => report(&self.grants, &self.events, task),
+                None => {
+                    self.forget(attempt);
+                    let reason = "the worker no longer runs it";
+                    let _ = self.events.send(task_ended(attempt, None, reason));
+                }
+            }
         }
     }
 
@@ -154,10 +192,11 @@
     }
 
     fn run(&self, run: &effect::Run) {
-        self.running
-            .lock()
-            .expect("no thread panics while it holds this")
-            .insert(run.attempt.clone());
+        {
+            let mut grants = lock(&self.grants);
+            grants.running.insert(run.attempt.clone());
+            grants.grant(run.lease);
+        }
         let body = json!({
             "attempt": run.attempt,
             "tasks": run.tasks,
@@ -186,8 +225,7 @@
     }
 
     fn stop(&self, attempt: &str) {
-        let is_running =
-            self.running.lock().expect("no thread panics while it holds this").contains(attempt);
+        let is_running = lock(&self.grants).running.contains(attempt);
         if !is_running {
             let _ = self.events.send(task_ended(attempt, None, "stopped"));
             return;
@@ -199,7 +237,7 @@
     }
 
     fn forget(&self, attempt: &str) {
-        self.running.lock().expect("no thread panics while it holds this").remove(attempt);
+        lock(&self.grants).running.remove(attempt);
     }
 }
 
@@ -235,28 +273,33 @@
     base: String,
     agent: ureq::Agent,
     lease: Duration,
-    running: Running,
+    grants: Shared,
     events: Sender<event::Event>,
 }
 
 impl Watcher {
+    /// Polls the list of tasks. After a failed poll, asks for what has changed since an earlier version,
+    /// which the worker answers at once.
     fn serve(&self) {
-        let mut version = 0;
-        let mut last_contact = Instant::now();
+        let mut version = 0_u64;
+        let mut failing_since = None;
         loop {
-            match self.poll(version) {
+            let after = if failing_since.is_none() { version } else { version.wrapping_sub(1) };
+            match list(&self.agent, &self.base, after) {
                 Some(tasks) => {
-                    last_contact = Instant::now();
+                    failing_since = None;
+                    lock(&self.grants).is_unreachable = false;
                     // A lower version means that the worker has restarted; its earlier tasks no
                     // longer run.
                     if tasks.version < version {
                         self.report_all_lost("the worker restarted");
                     }
                     version = tasks.version;
-                    tasks.tasks.iter().for_each(|task| self.report(task));
+                    tasks.tasks.iter().for_each(|task| report(&self.grants, &self.events, task));
                 }
                 None => {
-                    if last_contact.elapsed() > self.lease {
+                    let since = *failing_since.get_or_insert_with(Instant::now);
+                    if since.elapsed() >= self.lease && self.await_leases() {
                         self.report_all_lost("the worker does not answer");
                     }
                     thread::sleep(RETRY_DELAY);
@@ -265,36 +308,47 @@
         }
     }
 
-    fn poll(&self, after: u64) -> Option<Tasks> {
-        let url = format!("{}/tasks?after={after}", self.base);
-        let text = self.agent.get(url).call().ok()?.body_mut().read_to_string().ok()?;
-        serde_json::from_str(&text).ok()
-    }
-
-    fn report(&self, task: &Task) {
-        let event = match task.state {
-            State::Running => return,
-            State::Checkpointed => event::Event::Checkpointed(task.attempt.clone()),
-            State::Exited => task_ended(&task.attempt, Some(task.exit_code), &task.reason),
-            State::Stopped => task_ended(&task.attempt, None, &task.reason),
-        };
-        if task.state != State::Checkpointed {
-            let mut running = self.running.lock().expect("no thread panics while it holds this");
-            running.remove(&task.attempt);
-        }
-        let _ = self.events.send(event);
+    /// Has no lease extended any more. Returns whether all have ended.
+    ///
+    /// Guards against tasks that are reported as ended while the worker goes on with them: calls that
+    /// extend their leases may reach it although its list can't be read.
+    fn await_leases(&self) -> bool {
+        let mut grants = lock(&self.grants);
+        grants.is_unreachable = true;
+        Instant::now() >= grants.lease_until
     }
 
-    /// Reports all running attempts as ended: the worker has restarted, or it has been unreachable
-    /// for longer than a lease and has therefore stopped its tasks itself.
+    /// Reports all running attempts as ended: the worker has restarted, or their leases have ended
+    /// there.
     fn report_all_lost(&self, reason: &str) {
-        let mut running = self.running.lock().expect("no thread panics while it holds this");
-        for attempt in std::mem::take(&mut *running) {
+        let running = std::mem::take(&mut lock(&self.grants).running);
+        for attempt in running {
             let _ = self.events.send(task_ended(&attempt, None, reason));
         }
     }
 }
 
+/// Requests the list of the tasks that have changed since a version.
+fn list(agent: &ureq::Agent, base: &str, after: u64) -> Option<Tasks> {
+    let url = format!("{base}/tasks?after={after}");
+    let text = agent.get(url).call().ok()?.body_mut().read_to_string().ok()?;
+    serde_json::from_str(&text).ok()
+}
+
+/// Reports the state of a task that has ended or has written a checkpoint.
+fn report(grants: &Shared, events: &Sender<event::Event>, task: &Task) {
+    let event = match task.state {
+        State::Running => return,
+        State::Checkpointed => event::Event::Checkpointed(task.attempt.clone()),
+        State::Exited => task_ended(&task.attempt, Some(task.exit_code), &task.reason),
+        State::Stopped => task_ended(&task.attempt, None, &task.reason),
+    };
+    if task.state != State::Checkpointed {
+        lock(grants).running.remove(&task.attempt);
+    }
+    let _ = events.send(event);
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/sapphired/tests/processes/mod.rs
+++ b/crates/sapphired/tests/processes/mod.rs
@@ -1,5 +1,7 @@
 //! What callers observe when a process is killed, paused or shut down.
 
+use std::{thread, time::Duration};
+
 use serde_json::{Value, json};
 
 use crate::fleet::Fleet;
@@ -67,6 +69,25 @@
     assert_eq!(body["attempts"], 1);
 }
 
+/// Guards against a gang that is interrupted although its workers extend its lease: one long poll, which
+/// has waited for longer than the lease, fails.
+#[test]
+fn a_gang_goes_on_while_one_poll_of_its_workers_fails() {
+    let fleet = start_with_rules("failed-poll");
+    let (status, body) = fleet.request(0, "POST", "/v1/jobs", &job("k", "sleep 7000ms"));
+    assert_eq!(status, 201, "{body}");
+    fleet.wait_until(0, "/v1/jobs/norte.review.k", |body| state(body) == "running");
+    // The lease of the workers is 3 s, and nothing has changed there meanwhile.
+    thread::sleep(Duration::from_secs(4));
+    for worker in &fleet.workers {
+        let reply = fleet.request_url(&format!("http://{worker}/fail-poll"), "POST", "{}");
+        assert_eq!(reply.map(|(status, _)| status), Some(200));
+    }
+    let body =
+        fleet.wait_until(0, "/v1/jobs/norte.review.k", |body| !["running"].contains(&state(body)));
+    assert_eq!((state(&body), &body["attempts"]), ("done", &json!(1)), "{body}");
+}
+
 /// An agent is shut down gracefully (SIGTERM) while a gang runs on it. The gang is not interrupted,
 /// and the agent exits with code 0 once the gang has ended.
 #[test]
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -39,6 +39,8 @@
     version: u64,
     tasks: BTreeMap<String, Task>,
     started: u64,
+    /// The next poll, or one that waits, is answered with an error.
+    fails_poll: bool,
 }
 
 impl State {
@@ -121,6 +123,10 @@
                 }
                 Reply::new(200, "reset")
             }
+            (Method::Post, "/fail-poll") => {
+                self.lock().fails_poll = true;
+                Reply::new(200, "the next poll fails")
+            }
             (Method::Post, "/run") => self.run(&attempt, &body),
             (Method::Post, "/renew") => self.renew(&attempt, &body),
             (Method::Post, "/checkpoint") => {
@@ -175,6 +181,9 @@
         let deadline = Instant::now() + POLL_TIMEOUT;
         let mut state = self.lock();
         loop {
+            if std::mem::take(&mut state.fails_poll) {
+                return Reply::new(500, "failed as it was told");
+            }
             let remaining = deadline.saturating_duration_since(Instant::now());
             if state.version != after || remaining.is_zero() {
                 return Reply::new(200, list(&state, after).to_string());
