runner, planner: a minion that seems to be absent keeps its runs until its lease is over

Cause: three refused connections, or the deregistration of a minion that drains, counted as the end of all runs of the minion. The agent forgot minion and session, the planner ended the runs ("minion ended") and started them elsewhere, while the minion went on. Class: absence at one source is taken as the end of a run.

Fix: both are a suspicion. The agent keeps minion and session and reports the absence in each poll; the planner grants no lease and starts nothing there, and the runs count until their ends are listed, another incarnation answers, or the lease is over. If the minion answers again, nothing has happened. The agent reports that nothing runs once all leases are over that it or its process before has passed on, or that calls for the incarnation before have prolonged. Starts of which the minion received no attempt are refused at once. A session that a minion never received begins anew with its next heartbeat; it got no orders until its lease was over. A take-over doesn't prolong the wait for an agent that is older than the longest lease. The wait is logged by agent and planner, with its evidence.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphire_jobs::{
-    Incarnation, Orders, Poll, Start,
+    Absence, Incarnation, Orders, Poll, Start,
     task::{GroupKey, Task, WorkerName},
 };
 
@@ -27,9 +27,9 @@
     left.id == right.id && left.born_ms == right.born_ms
 }
 
-/// Describes why an agent takes its minion for absent.
-fn absence(poll: &Poll) -> String {
-    poll.absence.as_ref().map_or_else(String::new, |absence| {
+/// Describes why an agent takes its minion for absent, for a log line.
+fn absence(absence: Option<&Absence>) -> String {
+    absence.map_or_else(String::new, |absence| {
         format!(
             ": cause={} age_ms={} observations={} answered_ms_ago={} heartbeat_ms_ago={}",
             absence.cause().as_str_name(),
@@ -64,6 +64,9 @@
             return;
         }
         let is_new_session = self.track_incarnations(now, &name, &poll);
+        let worker = self.workers.get_mut(&name).expect("inserted above");
+        self.needs_pass |= worker.absence.is_some() != poll.absence.is_some();
+        worker.absence.clone_from(&poll.absence);
         self.record_unanswered(now, &name, &poll);
         let lease_expiry = self.options.lease_expiry();
         let worker = self.workers.get_mut(&name).expect("inserted above");
@@ -208,7 +211,7 @@
             // A new incarnation may run tasks that were ordered since it started; its first list
             // shows them. An incarnation that has ended without a successor runs nothing.
             if had_minion && poll.incarnation.is_none() {
-                let text = format!("minion ended{}", absence(poll));
+                let text = format!("minion ended{}", absence(poll.absence.as_ref()));
                 self.lose_runs(now, name, Evidence::NoMinion, &text);
             }
         }
@@ -217,7 +220,7 @@
             self.log(format!("worker={name} drains"));
         }
         if poll.is_minion_gone && poll.incarnation.is_none() {
-            self.remove_vacant(now, name, &absence(poll));
+            self.remove_vacant(now, name, &absence(poll.absence.as_ref()));
         }
         self.needs_pass |= is_new_session || is_draining != was_draining;
         is_new_session
@@ -396,16 +399,18 @@
         let is_silent =
             |worker: &Worker| now.steady >= worker.last_contact + options::SILENCE_TIMEOUT;
         // A minion that hangs may never acknowledge the session of an agent that has been restarted.
-        // No lease is granted in that session.
+        // No lease is granted in that session, nor while the minion seems to be absent.
         let hangs = |worker: &Worker| {
-            !worker.is_listed(now.steady) && (worker.is_fenced || !worker.runs.is_empty())
+            let may_hang = worker.is_fenced && worker.absence.is_none();
+            !worker.is_listed(now.steady) && (may_hang || !worker.runs.is_empty())
         };
         let lost: Vec<(WorkerName, &str)> = (self.workers.iter())
             .filter(|(_, worker)| now.steady >= worker.lease_expires_at)
             .filter_map(|(name, worker)| match worker {
                 worker if is_silent(worker) => Some((name.clone(), "silent")),
-                worker if hangs(worker) => Some((name.clone(), "minion hangs")),
-                _ => None,
+                worker if !hangs(worker) => None,
+                worker if worker.absence.is_some() => Some((name.clone(), "minion is absent")),
+                _ => Some((name.clone(), "minion hangs")),
             })
             .collect();
         for (name, why) in lost {
@@ -414,6 +419,7 @@
             if let Some(worker) = self.workers.get(&name) {
                 self.unanswered.retain_silent(now.steady, &name, worker);
                 text += &worker.ages(now.steady);
+                text += &absence(worker.absence.as_ref());
             }
             self.lose_runs(now, &name, Evidence::Expired, &text);
             self.workers.remove(&name);
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -22,7 +22,7 @@
     planner::{Planner, estimate_kind},
     state::startup::Phase,
     table::Entry,
-    worker::Cause,
+    worker::{Cause, Worker},
 };
 
 /// Time without a list of a worker after which the stored list calls it silent. Most report sooner, and
@@ -377,15 +377,18 @@
     }
 
     /// Checks whether all orders of earlier planners are accounted for: each worker has
-    /// acknowledged this term's token, has no minion, or its lease has certainly expired.
+    /// acknowledged this term's token, has no minion, or its lease has certainly expired. None is granted
+    /// while its minion seems to be absent.
     pub(crate) fn check_recovered(&mut self, now: Moment) {
         if self.startup.is_recovered() || !self.startup.is_serving() {
             return;
         }
         let workers = &self.workers;
-        let is_accounted_for = |name: &WorkerName, _: &mut Duration| {
-            workers.get(name).is_some_and(|worker| worker.is_fenced || worker.is_vacant)
-        };
+        let is_over =
+            |worker: &Worker| worker.absence.is_some() && now.steady >= worker.lease_expires_at;
+        let is_known = |worker: &Worker| worker.is_fenced || worker.is_vacant || is_over(worker);
+        let is_accounted_for =
+            |name: &WorkerName, _: &mut Duration| workers.get(name).is_some_and(is_known);
         let accounted = self.startup.unaccounted.extract_if(.., is_accounted_for);
         let accounted: Vec<WorkerName> = accounted.map(|(name, _)| name).collect();
         let lost = self.startup.unaccounted.extract_if(.., |_, until| now.steady >= *until);
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use sapphire_jobs::{
-    Incarnation, Orders, Rejection, Running,
+    Absence, Incarnation, Orders, Rejection, Running,
     resources::Resources,
     task::{JobId, RunNumber, Task},
 };
@@ -154,8 +154,11 @@
     pub is_fenced: bool,
     /// The session began with a new incarnation of the minion, in which no earlier run goes on.
     pub is_new_incarnation: bool,
-    /// The worker has no minion, and any earlier minion has ended.
+    /// The worker has no minion, and nothing of any earlier one is running.
     pub is_vacant: bool,
+    /// What its agent has observed of a minion that seems to be absent. It shows nothing of what the
+    /// minion runs.
+    pub absence: Option<Absence>,
     /// The agent is shutting down.
     pub is_leaving: bool,
     /// Time of the agent's latest poll.
@@ -212,7 +215,7 @@
         let minion = self.incarnation.as_ref();
         let is_closed = minion.is_none_or(|minion| minion.is_draining || minion.is_silent);
         let is_in_contact = now < self.last_contact + options::SILENCE_TIMEOUT;
-        self.is_fenced && !is_closed && !self.is_leaving && is_in_contact
+        self.is_fenced && !is_closed && !self.is_leaving && is_in_contact && self.absence.is_none()
     }
 
     /// Returns whether there are orders that the agent has not received; starts only if they may be
@@ -314,14 +317,14 @@
         true
     }
 
-    /// Returns whether the minion has sent a list in this session and a short time ago. Only then is a
-    /// lease granted.
+    /// Returns whether the minion has sent a list in this session and a short time ago, and doesn't seem
+    /// to be absent since. Only then is a lease granted.
     ///
     /// Guards against work that waits for ever for a minion that hangs while its agent polls, and
     /// against a task that runs twice: a minion that carries out calls and answers none would keep
     /// the leases that a new planner grants, of runs that the planner doesn't know.
     pub fn is_listed(&self, now: Duration) -> bool {
-        self.is_fenced && now < self.listed_at + options::LIST_TIMEOUT
+        self.is_fenced && now < self.listed_at + options::LIST_TIMEOUT && self.absence.is_none()
     }
 
     /// Returns the time for which starts may be sent to the minion, given its latest list; none before
@@ -330,7 +333,8 @@
     /// Guards against starts that are sent to a minion that hangs until it is declared lost, and count
     /// for long after that.
     pub fn start_window(&self, now: Duration) -> Duration {
-        let until = if self.is_fenced { self.listed_at + options::START_WINDOW } else { now };
+        let is_open = self.is_fenced && self.absence.is_none();
+        let until = if is_open { self.listed_at + options::START_WINDOW } else { now };
         until.saturating_sub(now)
     }
 
--- a/crates/planner/tests/presence/crashed.rs
+++ b/crates/planner/tests/presence/crashed.rs
@@ -1,6 +1,6 @@
 //! Tests of minions that have really ended: their tasks go on elsewhere in bounded time.
 
-use super::{LONG, MARGIN, assert_once, running, site::LEASE_BOUND};
+use super::{LONG, LONGEST_LEASE, MARGIN, assert_once, running, site::LEASE_BOUND};
 
 /// Guards against a task that waits for longer than the lease of a minion that has crashed, whose VM is
 /// still listed with it.
@@ -20,6 +20,8 @@
 #[test]
 fn a_change_of_planners_prolongs_no_wait_for_a_crashed_minion() {
     let (mut site, name) = running(LONG);
+    // The leases of an earlier process of the agent are over.
+    site.run(LONGEST_LEASE);
     site.crash(name);
     site.run(500);
     let granted_at = site.workers[name].granted_at;
--- a/crates/planner/tests/presence/mod.rs
+++ b/crates/planner/tests/presence/mod.rs
@@ -9,6 +9,7 @@
 mod drained;
 mod refused;
 mod reported;
+mod restarted;
 mod site;
 mod starts;
 mod unlisted;
@@ -17,6 +18,8 @@
 
 /// Time that a message takes at most, and the planner's next pass.
 const MARGIN: u64 = 600;
+/// Longest lease that a minion accepts, with the drift of its clock and the margin.
+const LONGEST_LEASE: u64 = 10_000 + 200 + 300;
 /// Run time of a task that goes on for all of a test.
 const LONG: u64 = 40_000;
 
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -22,6 +22,7 @@
         entries: (0..3).map(|entry| format!("e{entry}")).collect(),
         minion_address: format!("m{agent}"),
         stop_timeout: Duration::from_millis(400),
+        longest_lease: super::MAX_LEASE,
     }
 }
 
--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -93,6 +93,7 @@
         let token = self.provisional_token();
         let Some(minion) = &mut self.minion else { return };
         minion.is_fenced = true;
+        minion.fenced_at = minion.fenced_at.max(now);
         let (id, born_ms) = (&minion.incarnation.id, minion.incarnation.born_ms);
         let after = now.saturating_sub(minion.first_contact).as_millis();
         let text = format!(
@@ -124,9 +125,9 @@
 
     /// Probes whether a minion is running while no heartbeat of one has arrived.
     ///
-    /// Guards against a planner that waits for the lease of a minion that ended while this agent
-    /// was down. An agent that has just started can't know of that. But where nothing listens,
-    /// nothing runs, and a minion that listens there later has started later.
+    /// Guards against a planner that knows nothing of a minion that ended while this agent was down.
+    /// Where nothing listens, a minion may run tasks until the leases are over that the agent's earlier
+    /// process has passed on.
     pub(crate) fn drive_probe(&mut self, now: Duration) {
         let is_known = self.minion.is_some() || self.is_minion_gone;
         if is_known || self.options.minion_address.is_empty() || self.probe.ticket.is_some() {
@@ -147,27 +148,24 @@
     fn probe_answered(&mut self, now: Duration, reply: &Reply) {
         self.probe.ticket = None;
         if *reply != Reply::NotListening {
-            self.probe.refused_connections = 0;
-            self.probe.next = now + options::ANSWERED_PROBE_DELAY;
+            self.absence = None;
+            self.probe.next = now + options::LONG_PROBE_DELAY;
             return;
         }
-        self.probe.next = now + options::PROBE_DELAY;
-        if self.probe.refused_connections == 0 {
-            self.probe.refused_since = now;
+        let was_shown = self.absence.as_ref().is_some_and(Absence::is_shown);
+        let delay = if was_shown { options::LONG_PROBE_DELAY } else { options::PROBE_DELAY };
+        self.probe.next = now + delay;
+        if self.minion.is_some() {
+            return;
+        }
+        match &mut self.absence {
+            Some(absence) => absence.repeat(),
+            None => self.absence = Some(Absence::new(AbsenceCause::NotListening, now, None)),
         }
-        self.probe.refused_connections += 1;
-        if self.probe.refused_connections >= options::MAX_REFUSED_CONNECTIONS
-            && self.minion.is_none()
-        {
-            let (refused, since) = (self.probe.refused_connections, self.probe.refused_since);
-            let absence = Absence::new(AbsenceCause::NotListening, since, refused, None);
-            let age = absence.age(now).as_millis();
-            self.log(format!(
-                "no minion is running: nothing listens at its address: observations={refused} \
-                 age_ms={age}"
-            ));
-            self.absence = Some(absence);
-            self.is_minion_gone = true;
+        let shown = self.absence.as_ref().filter(|absence| absence.is_shown() && !was_shown);
+        if let Some(absence) = shown {
+            let text = format!("no minion answers: {}", absence.describe(now));
+            self.log(text);
             self.has_changes = true;
         }
     }
@@ -201,57 +199,64 @@
         }
     }
 
-    /// Notes that the minion has answered, or declares it lost when the reply shows that it has
-    /// ended.
+    /// Notes that the minion has answered or refuses connections, or declares it lost when another
+    /// incarnation answers.
+    ///
+    /// Guards against a task that runs twice: a minion that refuses connections may do so for a moment
+    /// and run its tasks all the while.
     fn update_presence(&mut self, now: Duration, reply: &Reply) {
-        if self.departure.is_some() {
-            return;
-        }
         let Some(minion) = &mut self.minion else { return };
         match reply {
             Reply::Unknown => {}
             Reply::NotListening => {
-                if minion.refused_connections == 0 {
-                    minion.refused_since = now;
+                let was_shown = minion.absence.as_ref().is_some_and(Absence::is_shown);
+                match &mut minion.absence {
+                    Some(absence) => absence.repeat(),
+                    None => {
+                        let absence = Absence::new(AbsenceCause::NotListening, now, Some(minion));
+                        minion.absence = Some(absence);
+                    }
                 }
-                minion.refused_connections += 1;
-                let (refused, since) = (minion.refused_connections, minion.refused_since);
-                if refused >= options::MAX_REFUSED_CONNECTIONS {
-                    self.declare_lost(now, AbsenceCause::NotListening, since, refused);
+                let Some(absence) = minion.absence.as_ref().filter(|it| it.is_shown()) else {
+                    return;
+                };
+                if !was_shown {
+                    let id = &minion.incarnation.id;
+                    let text = format!("minion={id} seems to be absent: {}", absence.describe(now));
+                    let has_answered = minion.has_answered;
+                    self.log(text);
+                    self.has_changes = true;
+                    // A heartbeat alone may be a late one of a minion that has ended long ago.
+                    if !has_answered {
+                        self.withdraw_session();
+                        self.forget_minion();
+                    }
                 }
             }
             Reply::WrongInstance => {
-                self.declare_lost(now, AbsenceCause::Replaced, now, 1);
+                let absence = Absence::new(AbsenceCause::Replaced, now, Some(minion));
+                let id = &minion.incarnation.id;
+                let text = format!("minion={id} declared lost: {}", absence.describe(now));
+                self.absence = Some(absence);
+                self.log(text);
+                self.forget_minion();
             }
             _ => {
-                minion.refused_connections = 0;
+                let absence = minion.absence.take().filter(Absence::is_shown);
+                let back = absence.map(|absence| {
+                    let id = &minion.incarnation.id;
+                    format!("minion={id} answers again: {}", absence.describe(now))
+                });
                 minion.has_answered = true;
                 minion.last_answer = now;
+                if let Some(text) = back {
+                    self.log(text);
+                    self.has_changes = true;
+                }
             }
         }
     }
 
-    /// Declares the minion lost, and logs what shows it.
-    fn declare_lost(
-        &mut self,
-        now: Duration,
-        cause: AbsenceCause,
-        since: Duration,
-        observations: u32,
-    ) {
-        let Some(minion) = &self.minion else { return };
-        let absence = Absence::new(cause, since, observations, Some(minion));
-        let why = match cause {
-            AbsenceCause::Replaced => "another one answers at its address",
-            _ => "nothing listens at its address",
-        };
-        let (id, running, known) =
-            (&minion.incarnation.id, minion.running.len(), absence.describe(now));
-        self.log(format!("minion={id} declared lost: {why}: running={running} {known}"));
-        self.absence = Some(absence);
-        self.forget_minion();
-    }
-
     fn long_poll_answered(&mut self, now: Duration, long_poll: LongPoll, reply: Reply) {
         let is_answered = !matches!(reply, Reply::Unknown | Reply::NotListening);
         self.unanswered_long_polls = if is_answered { 0 } else { self.unanswered_long_polls + 1 };
@@ -327,6 +332,9 @@
         }
         minion.acknowledged = minion.acknowledged.max(long_poll.acknowledged);
         if long_poll.token == token && minion.fenced_token < token {
+            if minion.fenced_token == 0 {
+                minion.fenced_at = now;
+            }
             minion.fenced_token = token;
             self.has_changes = true;
         }
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -38,9 +38,10 @@
     pub(crate) last_answer: Duration,
     /// When its latest heartbeat arrived.
     pub(crate) last_heartbeat: Duration,
-    /// Connections refused in a row, and when the first of them was.
-    pub(crate) refused_connections: u32,
-    pub(crate) refused_since: Duration,
+    /// What shows that it refuses connections, until it answers again.
+    pub(crate) absence: Option<Absence>,
+    /// Its deregistration, after it had reported that it drains.
+    pub(crate) departure: Option<Absence>,
     /// When the long poll that brought the latest list was sent.
     pub(crate) list_requested_at: Duration,
     /// When the latest list arrived.
@@ -59,10 +60,26 @@
     /// Whether this incarnation has answered a call with a token above those of the sessions before
     /// it, so that it refuses their orders.
     pub(crate) is_fenced: bool,
+    /// When it first answered such a call, or its first contact until then. Calls with a deadline by the
+    /// clock of the incarnation before may have prolonged its lease until then.
+    pub(crate) fenced_at: Duration,
     /// First ticket of the calls that are meant for this incarnation.
     pub(crate) first_ticket: Ticket,
 }
 
+impl Minion {
+    /// Returns what shows that it is absent, if so.
+    pub(crate) fn shown_absence(&self) -> Option<&Absence> {
+        self.absence.as_ref().filter(|absence| absence.is_shown()).or(self.departure.as_ref())
+    }
+
+    /// Returns all that shows that it is absent, to be changed.
+    pub(crate) fn absences(&mut self) -> impl Iterator<Item = &mut Absence> {
+        let absence = self.absence.as_mut().filter(|absence| absence.is_shown());
+        absence.into_iter().chain(self.departure.as_mut())
+    }
+}
+
 /// A long poll in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LongPoll {
@@ -78,25 +95,10 @@
 pub(crate) struct Probe {
     /// Ticket of the probe in flight.
     pub(crate) ticket: Option<Ticket>,
-    /// Connections refused in a row, and when the first of them was.
-    pub(crate) refused_connections: u32,
-    pub(crate) refused_since: Duration,
     /// When the next probe is due.
     pub(crate) next: Duration,
 }
 
-/// Departure of a minion that has deregistered while the planner may not know all of its ends.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Departure {
-    since: Duration,
-    /// Sequence of the first poll that reports all the ends.
-    pub(crate) reported_in: Option<u64>,
-}
-
-/// Longest time for which the ends of a minion that has deregistered are reported before the minion
-/// itself is reported as gone.
-const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// The session that the planner has granted to the current incarnation of the minion.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Session {
@@ -131,12 +133,11 @@
 pub struct Machine {
     pub(crate) options: Options,
     pub(crate) minion: Option<Minion>,
-    /// Whether the minion that was known has ended, or probes have shown that none is running.
+    /// Whether the minion that was known, or any that an earlier process knew, runs nothing any more.
     pub(crate) is_minion_gone: bool,
-    /// What showed that the last minion is gone.
+    /// What shows that there is no minion, while none is known.
     pub(crate) absence: Option<Absence>,
     pub(crate) probe: Probe,
-    pub(crate) departure: Option<Departure>,
     pub(crate) session: Session,
     /// The entry that plans, if it is known.
     pub(crate) leader: Option<Lead>,
@@ -176,6 +177,8 @@
     pub(crate) logged_unreadable: (usize, Duration),
     /// When the process was asked to terminate.
     pub(crate) terminating_since: Option<Duration>,
+    /// Time of the first event.
+    started_at: Option<Duration>,
     /// Time of the latest event.
     last_event: Duration,
     /// When the process last resumed after it had been paused.
@@ -217,12 +220,12 @@
             waiting_long_poll: None,
             immediate_long_poll: None,
             fencing_call: None,
-            departure: None,
             wants_list: false,
             next_long_poll: Duration::ZERO,
             unanswered_long_polls: 0,
             logged_unreadable: (0, Duration::ZERO),
             terminating_since: None,
+            started_at: None,
             last_event: Duration::ZERO,
             resumed_at: Duration::ZERO,
             last_ticket: 0,
@@ -259,19 +262,16 @@
             self.wants_list = true;
         }
         self.last_event = now;
+        self.started_at.get_or_insert(now);
     }
 
     /// Makes the calls that are due, and exits once the process may terminate.
     fn advance(&mut self, now: Duration) {
-        if self.departure.is_some_and(|departure| now >= departure.since + DEPARTURE_TIMEOUT) {
-            self.forget_minion();
-        }
-        if self.departure.is_none() {
-            self.update_silence(now);
-            self.drive_probe(now);
-            self.drive_orders(now);
-            self.drive_long_polls(now);
-        }
+        self.update_silence(now);
+        self.end_absence(now);
+        self.drive_probe(now);
+        self.drive_orders(now);
+        self.drive_long_polls(now);
         self.drive_polls(now);
         self.drive_leader_queries(now);
         if let Some(since) = self.terminating_since
@@ -318,6 +318,8 @@
                 self.has_changes |= minion.incarnation.is_draining != incarnation.is_draining
                     || minion.incarnation.capacity != incarnation.capacity;
                 minion.last_heartbeat = now;
+                // It goes on after all, or its deregistration was that of an earlier incarnation.
+                self.has_changes |= minion.departure.take().is_some();
                 minion.incarnation = incarnation;
                 minion.sequence = heartbeat.sequence;
                 minion.address = heartbeat.address;
@@ -347,13 +349,6 @@
         address: String,
         sequence: u64,
     ) {
-        if let Some(absence) = self.absence.take_if(|absence| absence.is_of(&incarnation)) {
-            self.log(format!(
-                "minion={} was declared lost and is there again: {}",
-                incarnation.id,
-                absence.describe(now)
-            ));
-        }
         self.forget_minion();
         self.is_minion_gone = false;
         self.absence = None;
@@ -370,8 +365,8 @@
             has_answered: false,
             last_answer: now,
             last_heartbeat: now,
-            refused_connections: 0,
-            refused_since: Duration::ZERO,
+            absence: None,
+            departure: None,
             list_requested_at: Duration::ZERO,
             list_received_at: now,
             lists: 0,
@@ -380,13 +375,14 @@
             fenced_token: 0,
             acknowledged: 0,
             is_fenced: false,
+            fenced_at: now,
             first_ticket: self.last_ticket + 1,
         });
         self.wants_list = true;
         self.next_long_poll = now;
     }
 
-    /// Forgets the minion, which has ended, and its session.
+    /// Forgets the minion, of which nothing is running any more, and its session.
     ///
     /// Guards against a task that runs twice: a minion of which only a heartbeat is known may have ended
     /// long ago, and says nothing about one that has started since. Only a probe of the configured
@@ -400,10 +396,20 @@
         self.waiting_long_poll = None;
         self.immediate_long_poll = None;
         self.fencing_call = None;
-        self.departure = None;
         self.has_changes = true;
     }
 
+    /// Has the session begin anew with the next heartbeat: the minion has not received its token.
+    ///
+    /// Guards against a minion that gets no orders until its lease is over: the planner knows of no
+    /// reason to grant another session.
+    pub(crate) fn withdraw_session(&mut self) {
+        let Session { token, .. } = self.session;
+        if token > 0 {
+            self.session.highest_token = token - 1;
+        }
+    }
+
     /// Drops the orders of the session, which are invalid now. Starts in flight may still be
     /// carried out and stay recorded as unanswered.
     pub(crate) fn drop_orders(&mut self) {
@@ -419,25 +425,22 @@
     /// earlier incarnation under the same name, delayed on its way. A minion that has not reported
     /// that it drains is asked for a list, and declared lost only if nothing listens there.
     ///
-    /// Guards against work that was done and is done again: the planner counts each run whose end
-    /// it does not know as lost with the minion, so the ends are reported first.
+    /// Guards against a task that runs twice, and against work that is done again: a minion that has
+    /// deregistered may go on for a while. Its ends still count, and its runs until their lease is over.
     fn deregistered(&mut self, now: Duration, id: &str) {
-        let Some(minion) = self.minion.as_ref().filter(|minion| minion.incarnation.id == id) else {
+        let Some(minion) = self.minion.as_mut().filter(|minion| minion.incarnation.id == id) else {
             return;
         };
         if minion.incarnation.is_draining {
-            let has_ended = !minion.ended.is_empty();
-            let absence = Absence::new(AbsenceCause::Deregistered, now, 1, Some(minion));
-            let (running, known) = (minion.running.len(), absence.describe(now));
-            self.log(format!("minion={id} deregistered: running={running} {known}"));
-            self.absence = Some(absence);
-            if has_ended {
-                let departure = Departure { since: now, reported_in: None };
-                self.departure.get_or_insert(departure);
-                self.has_changes = true;
-            } else {
-                self.forget_minion();
+            if minion.departure.is_some() {
+                return;
             }
+            let departure = Absence::new(AbsenceCause::Deregistered, now, Some(minion));
+            let text = format!("minion={id} leaves: {}", departure.describe(now));
+            minion.departure = Some(departure);
+            self.log(text);
+            self.has_changes = true;
+            self.wants_list = true;
         } else {
             self.log(format!("minion={id} deregistered, but does not drain; requests a list"));
             self.wants_list = true;
@@ -457,6 +460,45 @@
         }
     }
 
+    /// Forgets an absent minion once the leases that it may have are over, and reports that nothing of
+    /// it is running. The planner has to have been told of the absence, so that it grants no more.
+    fn end_absence(&mut self, now: Duration) {
+        let lease_end = self.lease_end();
+        if now < lease_end {
+            return;
+        }
+        if let Some(minion) = &self.minion {
+            let Some(absence) = minion.shown_absence() else { return };
+            let is_answering = minion.absence.is_none() && !minion.incarnation.is_silent;
+            if is_answering || !absence.is_reported {
+                return;
+            }
+            let text = format!(
+                "minion={} its lease is over; declared lost: {}",
+                minion.incarnation.id,
+                absence.describe(now)
+            );
+            self.absence = Some(absence.clone());
+            self.log(text);
+            self.forget_minion();
+        } else if self.absence.as_ref().is_some_and(Absence::is_refused) && !self.is_minion_gone {
+            self.log("no minion is running: all leases of earlier ones are over".to_owned());
+            self.is_minion_gone = true;
+            self.has_changes = true;
+        }
+    }
+
+    /// Returns the time at which all leases that the minion may have are over: those that this process
+    /// has passed on, and any that the process before it passed on, or that calls for the incarnation
+    /// before have prolonged.
+    fn lease_end(&self) -> Duration {
+        let Options { longest_lease, .. } = self.options;
+        let fenced_at = self.minion.as_ref().map_or(Duration::ZERO, |minion| minion.fenced_at);
+        let earlier = self.started_at.unwrap_or_default().max(fenced_at) + longest_lease;
+        let drift = longest_lease * options::CLOCK_DRIFT_MILLI / 1_000;
+        self.session.lease_until.max(earlier) + drift + options::TIMING_MARGIN
+    }
+
     fn terminate(&mut self, now: Duration) {
         if self.terminating_since.is_none() {
             self.log("asked to terminate".to_owned());
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -18,6 +18,8 @@
     pub minion_address: String,
     /// Longest time for which a task that is being stopped may go on.
     pub stop_timeout: Duration,
+    /// Longest lease that a minion accepts, whatever it is granted.
+    pub longest_lease: Duration,
 }
 
 /// Time for which the minion waits for a run to end before it answers a long poll. Each answer
@@ -34,6 +36,8 @@
 pub const MAX_CALL_DELAY: Duration = Duration::from_secs(12);
 /// Maximum drift of a minion's clock: how much it may run slow, in thousandths.
 pub const CLOCK_DRIFT_MILLI: u32 = 20;
+/// Allowance for timers that fire late, and for the age of a reading of the minion's clock.
+pub const TIMING_MARGIN: Duration = Duration::from_millis(300);
 /// Delay before the second repetition of an unanswered call, doubled with each further one. The
 /// first repetition is sent at once, since a single order may be lost. Growing delays bound the
 /// cost of a minion that answers nothing: each call to it takes a connection.
@@ -64,13 +68,14 @@
 pub const PAUSE_THRESHOLD: Duration = Duration::from_millis(700);
 /// Delay between probes for a minion of which no heartbeat has arrived.
 pub const PROBE_DELAY: Duration = Duration::from_millis(120);
-/// The same after a probe was answered: the heartbeat is expected to follow.
-pub const ANSWERED_PROBE_DELAY: Duration = Duration::from_millis(1_000);
+/// The same after a probe was answered, since the heartbeat is expected to follow, and while nothing
+/// listens.
+pub const LONG_PROBE_DELAY: Duration = Duration::from_millis(1_000);
 /// Delay between queries of entries for the leader.
 pub const LEADER_QUERY_DELAY: Duration = Duration::from_millis(120);
 /// Timeout of such a query.
 pub const LEADER_QUERY_TIMEOUT: Duration = Duration::from_millis(400);
-/// Number of refused connections in a row after which the agent declares the minion lost.
+/// Number of refused connections in a row after which the agent reports the minion as absent.
 pub const MAX_REFUSED_CONNECTIONS: u32 = 3;
 
 /// Delay before the next attempt of a call, after this many in a row without an answer.
--- a/crates/runner/src/order.rs
+++ b/crates/runner/src/order.rs
@@ -41,6 +41,8 @@
     /// Ticket of the call in flight.
     pub(crate) call: Option<Ticket>,
     pub(crate) attempts: u32,
+    /// Attempts that were not carried out, since the connection was refused.
+    pub(crate) refused_connections: u32,
     /// Time before which the order is not sent again.
     pub(crate) retry_at: Duration,
     /// Time of the latest attempt to start the run.
@@ -57,9 +59,20 @@
             kind,
             call: None,
             attempts: 0,
+            refused_connections: 0,
             retry_at: Duration::ZERO,
             started_at: None,
             absent_since: None,
         }
     }
+
+    /// Returns whether it is a start that is not being sent at present.
+    pub(crate) fn is_open_start(&self) -> bool {
+        matches!(self.kind, Kind::Start(_)) && self.call.is_none()
+    }
+
+    /// Returns the number of attempts that the minion may have received.
+    pub(crate) fn deliveries(&self) -> u32 {
+        self.attempts - self.refused_connections
+    }
 }
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -5,6 +5,7 @@
 use sapphire_jobs::{Rejection, Run, Running, Start, Verdict, task::Task};
 
 use crate::{
+    absence::Absence,
     event::Ticket,
     machine::Machine,
     minion::{Call, Reply},
@@ -15,6 +16,8 @@
 /// Limit of calls with orders in flight at once, so that a minion that answers slowly does not take
 /// a connection for each order.
 const MAX_CALLS: usize = 4;
+/// Why nothing is started on an absent minion.
+const ABSENT: &str = "nothing listens at the minion's address";
 
 impl Machine {
     /// Accepts an order to start a run. An order for a run that is known already changes nothing.
@@ -45,6 +48,11 @@
             self.verdict(run, rejection);
             return;
         }
+        if self.is_minion_absent() {
+            self.log(format!("task={task} run={} refused: {ABSENT}", run.run));
+            self.verdict(run, Rejection::Unhealthy);
+            return;
+        }
         if self.unanswered.has_other_run(now, &task, run.run) {
             self.log(format!(
                 "task={task} run={} refused: an earlier start is unanswered",
@@ -88,6 +96,8 @@
         }
         if let Some((rejection, why)) = self.closed() {
             self.withdraw_starts(rejection, why);
+        } else if self.is_minion_absent() {
+            self.withdraw_undelivered(Rejection::Unhealthy, ABSENT);
         }
         let mut free = MAX_CALLS
             .saturating_sub(self.orders.values().filter(|order| order.call.is_some()).count());
@@ -104,6 +114,12 @@
         }
     }
 
+    /// Whether the minion refuses connections.
+    fn is_minion_absent(&self) -> bool {
+        let absence = self.minion.as_ref().and_then(|minion| minion.absence.as_ref());
+        absence.is_some_and(Absence::is_shown)
+    }
+
     /// Why nothing may be started on the minion, if so.
     fn closed(&self) -> Option<(Rejection, &'static str)> {
         if self.minion.as_ref().is_some_and(|minion| minion.incarnation.is_draining) {
@@ -115,25 +131,28 @@
         }
     }
 
-    /// Withdraws the starts for a minion on which nothing may be started. Those that were never
-    /// sent are refused, and those without an answer become stops, so that they can't be carried
-    /// out later.
+    /// Withdraws the starts for a minion on which nothing may be started. Those that it never received
+    /// are refused, and those without an answer become stops, so that they can't be carried out later.
     fn withdraw_starts(&mut self, rejection: Rejection, why: &str) {
-        let is_open = |order: &Order| matches!(order.kind, Kind::Start(_)) && order.call.is_none();
-        let unsent: Vec<Run> = (self.orders.iter())
-            .filter(|(_, order)| is_open(order) && order.attempts == 0)
+        self.withdraw_undelivered(rejection, why);
+        for order in self.orders.values_mut().filter(|order| order.is_open_start()) {
+            order.kind = Kind::Stop(None);
+            order.retry_at = Duration::ZERO;
+        }
+    }
+
+    /// Refuses the starts that the minion never received.
+    fn withdraw_undelivered(&mut self, rejection: Rejection, why: &str) {
+        let undelivered: Vec<Run> = (self.orders.iter())
+            .filter(|(_, order)| order.is_open_start() && order.deliveries() == 0)
             .map(|(task, order)| task.run(order.number))
             .collect();
-        for run in unsent {
+        for run in undelivered {
             let task = Task::read(&run);
             self.log(format!("task={task} run={} refused: {why}", run.run));
             self.orders.remove(&task);
             self.verdict(run, rejection);
         }
-        for order in self.orders.values_mut().filter(|order| is_open(order)) {
-            order.kind = Kind::Stop(None);
-            order.retry_at = Duration::ZERO;
-        }
     }
 
     /// Sends an order if it is due; returns whether a call was made.
@@ -176,7 +195,8 @@
         };
         let task = task.clone();
         order.call = None;
-        let (number, attempts) = (order.number, order.attempts);
+        order.refused_connections += u32::from(reply == Reply::NotListening);
+        let (number, attempts, deliveries) = (order.number, order.attempts, order.deliveries());
         let is_start = matches!(order.kind, Kind::Start(_));
         match reply {
             Reply::Done if is_start => {
@@ -194,7 +214,7 @@
             // that refuses the run as old can no longer start it; any other one gets a stop, which
             // invalidates a late start. Only a list shows the outcome.
             Reply::Refused(rejection)
-                if is_start && attempts > 1 && rejection != Rejection::Fenced =>
+                if is_start && deliveries > 1 && rejection != Rejection::Fenced =>
             {
                 let is_invalid = rejection == Rejection::Old;
                 order.kind = if is_invalid { Kind::Refused(now) } else { Kind::Stop(None) };
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -5,9 +5,10 @@
 use sapphire_jobs::{Orders, Poll, Run, Running, task::Task};
 
 use crate::{
+    absence::Absence,
     effect::Effect,
     event::Ticket,
-    machine::{Machine, PendingPoll},
+    machine::{Machine, Minion, PendingPoll},
     options,
     order::{Kind, Order},
 };
@@ -26,8 +27,8 @@
         self.has_changes = false;
         self.sequence += 1;
         self.last_poll = now;
-        if let Some(departure) = &mut self.departure {
-            departure.reported_in.get_or_insert(self.sequence);
+        for absence in self.minion.iter_mut().flat_map(Minion::absences) {
+            absence.reported_in.get_or_insert(self.sequence);
         }
         let poll = Box::new(self.report(now));
         let ticket = self.next_ticket();
@@ -37,6 +38,15 @@
         self.effects.push(Effect::Poll { ticket, address, poll });
     }
 
+    /// Returns what shows that the minion is absent, or that there is none.
+    fn shown_absence(&self) -> Option<&Absence> {
+        let absence = match &self.minion {
+            Some(minion) => minion.shown_absence(),
+            None => self.absence.as_ref(),
+        };
+        absence.filter(|absence| absence.is_shown())
+    }
+
     /// Builds a poll from the state of the agent and its minion.
     fn report(&mut self, now: Duration) -> Poll {
         for (_, reported_in) in &mut self.verdicts {
@@ -61,7 +71,7 @@
             unanswered,
             is_leaving: self.terminating_since.is_some(),
             is_minion_gone: self.is_minion_gone && self.minion.is_none(),
-            absence: self.absence.as_ref().map(|absence| absence.message(now)),
+            absence: self.shown_absence().map(|absence| absence.message(now)),
             ..Poll::default()
         };
         if let Some(minion) = &self.minion {
@@ -88,9 +98,8 @@
         let Some(at) = self.polls.iter().position(|poll| poll.ticket == ticket) else { return };
         let poll = self.polls.remove(at);
         self.failed_polls = 0;
-        let reported_in = self.departure.and_then(|departure| departure.reported_in);
-        if reported_in.is_some_and(|reported_in| poll.sequence >= reported_in) {
-            self.forget_minion();
+        for absence in self.minion.iter_mut().flat_map(Minion::absences) {
+            absence.is_reported |= absence.reported_in.is_some_and(|it| poll.sequence >= it);
         }
         if orders.term < self.session.term {
             // The answering planner has been replaced.
@@ -107,8 +116,10 @@
             return;
         }
         // The lease counts from the sending of the poll, so that a late answer does not extend it.
-        let until = poll.sent_at + Duration::from_millis(orders.lease_ms);
-        self.session.lease_until = self.session.lease_until.max(until);
+        if orders.lease_ms > 0 {
+            let until = poll.sent_at + Duration::from_millis(orders.lease_ms);
+            self.session.lease_until = self.session.lease_until.max(until);
+        }
         let starts_until = poll.sent_at + Duration::from_millis(orders.starts_ms);
         self.session.starts_until = self.session.starts_until.max(starts_until);
         if orders.noted > self.session.acknowledged {
--- a/crates/runner/tests/harness/mod.rs
+++ b/crates/runner/tests/harness/mod.rs
@@ -46,6 +46,7 @@
             entries: vec!["e:1".to_owned()],
             minion_address: String::new(),
             stop_timeout: ms(400),
+            longest_lease: ms(10_000),
         });
         let starts_ms = LEASE.as_millis() as u64;
         Fixture { machine, polls: Vec::new(), calls: Vec::new(), log: Vec::new(), starts_ms }
@@ -111,6 +112,25 @@
         self.handle(now, Event::MinionReply(ticket, reply));
     }
 
+    /// Lets time pass in which polls are answered without a lease and the minion answers nothing. Returns
+    /// when the agent reports that nothing is running.
+    pub(crate) fn gone_after(&mut self, begin: u64) -> u64 {
+        for now in (begin..30_000).step_by(10) {
+            if self.polls.last().is_some_and(|(_, poll)| poll.is_minion_gone) {
+                return now;
+            }
+            for (ticket, _) in std::mem::take(&mut self.polls) {
+                let orders = Orders { term: 7, token: TOKEN, ..Orders::default() };
+                self.handle(now, Event::Orders(ticket, Box::new(orders)));
+            }
+            for (ticket, _) in std::mem::take(&mut self.calls) {
+                self.handle(now, Event::MinionReply(ticket, Reply::Unknown));
+            }
+            self.handle(now, Event::Tick);
+        }
+        panic!("the agent reports for ever that its minion may be running: {:#?}", self.log);
+    }
+
     /// An agent in a session, whose minion has acknowledged the token.
     pub(crate) fn fenced() -> Self {
         Fixture::new().into_session()
--- a/crates/runner/tests/presence/mod.rs
+++ b/crates/runner/tests/presence/mod.rs
@@ -137,6 +137,7 @@
         entries: vec!["e:1".to_owned()],
         minion_address: "m:1".to_owned(),
         stop_timeout: ms(400),
+        longest_lease: ms(10_000),
     };
     let mut fixture = Fixture { machine: Machine::new(options), ..Fixture::new() };
     let lead = Lead { name: "e".to_owned(), address: "e:1".to_owned(), term: 7, generation: 1 };
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -264,6 +264,7 @@
         entries: settings.entries.clone(),
         minion_address: settings.tasks.clone(),
         stop_timeout: Duration::from_millis(bounds.stop_ms),
+        longest_lease: Duration::from_millis(bounds.lease_limit_ms),
     });
     let role = Role {
         settings_file: reload::File::new(PathBuf::from(path), started.steady),
