planner: the inventory of VMs ends no run before its lease is over

While an agent is out of contact for 1.3 s, or its minion sends no list for 2 s, two reads of the inventory that lack the minion, or show another one on its VM, ended its runs after 1.7 s and more.

It may lack a minion that runs, or show the one before it; a successor can't tell that one from a later one.

Fix: what the inventory shows counts once the lease of the worker is over. Until then an inventory changes nothing; after that it still ends the wait for unanswered starts, which would be up to 22.8 s.

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -164,13 +164,27 @@
         let before = std::mem::take(&mut self.inventory.fates);
         for (worker, minion) in missed.into_iter().filter(|_| is_usable) {
             let Some(fate) = self.fate(listed, &minion) else { continue };
-            let known = before.get(&minion).filter(|(earlier, _)| *earlier == fate);
             self.inventory.fates.insert(minion.clone(), (fate, self.inventory.began));
-            match (fate, known) {
-                (Fate::Gone, Some(_)) => self.lose_vm(now, &worker, &minion),
-                (Fate::Vacant, Some((_, read_at))) => self.vacate(now, &worker, &minion, *read_at),
-                (_, None) => {}
+            let known = before.get(&minion).filter(|(earlier, _)| *earlier == fate);
+            let Some((_, read_at)) = known else { continue };
+            if !self.is_over(now, &worker) {
+                continue;
             }
+            match fate {
+                Fate::Gone => self.lose_vm(now, &worker, &minion),
+                Fate::Vacant => self.vacate(now, &worker, &minion, *read_at),
+            }
+        }
+    }
+
+    /// Returns whether the leases of a worker are over, so that what the inventory shows of it counts.
+    ///
+    /// Guards against a task that runs twice: nothing bounds the age of an inventory, and it may lack a
+    /// minion that runs tasks, or show an earlier one in its place, while its agent is out of contact.
+    fn is_over(&self, now: Moment, worker: &str) -> bool {
+        match self.workers.get(worker) {
+            Some(worker) => now.steady >= worker.lease_expires_at,
+            None => !self.startup.unaccounted.contains_key(worker),
         }
     }
 
