runner: the lines on an absent minion have the limit of the wait and the latest heartbeat

A minion that refuses connections while its heartbeats go on was logged and reported with the age of its heartbeat at the first refusal, which says the opposite of what a trace needs. Found by review.

--- a/crates/runner/src/absence.rs
+++ b/crates/runner/src/absence.rs
@@ -16,7 +16,7 @@
     /// Time of the first of the observations in a row.
     since: Duration,
     observations: u32,
-    /// When the minion had last answered, and sent a heartbeat, at the first observation.
+    /// When the minion last answered, and when its latest heartbeat arrived.
     last_answer: Duration,
     last_heartbeat: Duration,
     /// Number of tasks that it was running by then.
@@ -45,6 +45,11 @@
         self.observations += 1;
     }
 
+    /// Records a heartbeat that arrives meanwhile.
+    pub(crate) fn heartbeat_received(&mut self, now: Duration) {
+        self.last_heartbeat = now;
+    }
+
     /// Returns whether there are enough observations to report it.
     pub(crate) fn is_shown(&self) -> bool {
         let is_refused = self.cause == AbsenceCause::NotListening;
--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -224,7 +224,8 @@
                     let id = &minion.incarnation.id;
                     let text = format!("minion={id} seems to be absent: {}", absence.describe(now));
                     let has_answered = minion.has_answered;
-                    self.log(text);
+                    let left = self.lease_end().saturating_sub(now).as_millis();
+                    self.log(format!("{text} limit_ms={left}"));
                     self.has_changes = true;
                     // A heartbeat alone may be a late one of a minion that has ended long ago.
                     if !has_answered {
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -320,6 +320,9 @@
                 minion.last_heartbeat = now;
                 // It goes on after all, or its deregistration was that of an earlier incarnation.
                 self.has_changes |= minion.departure.take().is_some();
+                if let Some(absence) = &mut minion.absence {
+                    absence.heartbeat_received(now);
+                }
                 minion.incarnation = incarnation;
                 minion.sequence = heartbeat.sequence;
                 minion.address = heartbeat.address;
@@ -438,7 +441,8 @@
             let departure = Absence::new(AbsenceCause::Deregistered, now, Some(minion));
             let text = format!("minion={id} leaves: {}", departure.describe(now));
             minion.departure = Some(departure);
-            self.log(text);
+            let left = self.lease_end().saturating_sub(now).as_millis();
+            self.log(format!("{text} limit_ms={left}"));
             self.has_changes = true;
             self.wants_list = true;
         } else {
@@ -491,7 +495,7 @@
     /// Returns the time at which all leases that the minion may have are over: those that this process
     /// has passed on, and any that the process before it passed on, or that calls for the incarnation
     /// before have prolonged.
-    fn lease_end(&self) -> Duration {
+    pub(crate) fn lease_end(&self) -> Duration {
         let Options { longest_lease, .. } = self.options;
         let fenced_at = self.minion.as_ref().map_or(Duration::ZERO, |minion| minion.fenced_at);
         let earlier = self.started_at.unwrap_or_default().max(fenced_at) + longest_lease;
