proofs, soak: starts on VMs that are gone may count until the lease of their minions is over

The limit of 3 s from the moment at which a VM is gone asks that the inventory is believed at once. So the longest lease of the platform is added, 10 s on a clock that is 2% slow, as in the limit for listed minions; a start on a VM that is gone is checked as before after it.

--- a/crates/proofs/src/jobs/simulation/unanswered.rs
+++ b/crates/proofs/src/jobs/simulation/unanswered.rs
@@ -36,7 +36,8 @@
     pub fn limit(self) -> Duration {
         match self {
             Minion::Listed => MAX_DELAY + MAX_LEASE + MAX_IDLE,
-            Minion::Absent | Minion::Gone => MAX_IDLE,
+            // What shows that the minion is absent may be wrong of one that runs on its lease.
+            Minion::Absent | Minion::Gone => MAX_LEASE + MAX_IDLE,
         }
     }
 }
--- a/crates/soak/src/soak/unanswered.rs
+++ b/crates/soak/src/soak/unanswered.rs
@@ -69,7 +69,8 @@
 
 impl Figures {
     /// Describes the times that are longer than allowed, and the starts that counted again. A VM that is
-    /// gone may count until the platform shows it, after four seconds without a disturbance.
+    /// gone may count until the lease of its minion is over, since an inventory may lack one that runs, and
+    /// until the platform shows it, after four seconds without a disturbance.
     pub(super) fn broken(&self) -> impl Iterator<Item = String> {
         let limits = [
             (
@@ -77,7 +78,7 @@
                 MAX_DELAY + MAX_LEASE + MAX_IDLE,
                 "after the last one on its minion was sent",
             ),
-            (&self.gone, MAX_IDLE + CONTACT_TIME, "after its VM was gone"),
+            (&self.gone, MAX_LEASE + MAX_IDLE + CONTACT_TIME, "after its VM was gone"),
         ];
         let broken = limits.into_iter().filter(|(wait, limit, _)| wait.length > *limit);
         let again = self.again.iter().map(|((run, worker), line)| {
