--- a/crates/planner/tests/inventory/mod.rs
+++ b/crates/planner/tests/inventory/mod.rs
@@ -205,8 +205,11 @@
     // The lease of the worker, the time for which the earlier planner may have gone on in an outage of
     // the store, and two steps.
     let limit = 6_420 + 5_000 + 2 * STEP;
-    pass_time(&mut fixture, limit, "b", &page(&["b"]));
+    let reads = pass_time(&mut fixture, limit, "b", &page(&["b"]));
     assert_eq!(fixture.worker_of("j"), "b");
+    // One each step at most, until the worker is lost.
+    assert!(reads as u64 <= (6_420 + 5_000) / STEP, "{reads} reads");
+    assert_eq!(pass_time(&mut fixture, 10_000, "b", &page(&["b"])), 0);
 }
 
 /// Guards against a successor that trusts the name of a minion that has been replaced since: nothing
