--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -211,7 +211,8 @@
             if record.term == previous {
                 self.load_missing(now, clock, &record);
             }
-            let (gone, record) = self.load_gone(now, record);
+            let (gone, mut record) = self.load_gone(now, record);
+            self.drop_lapsed(&mut record);
             self.unanswered.restore(now, self.start_grace(), clock, record, &self.workers);
             for GoneMinion { worker, minion, .. } in gone {
                 if self.unanswered.minion(&worker).is_none() {
@@ -243,6 +244,13 @@
         (gone, record)
     }
 
+    /// Leaves out the starts on workers that the stored list lacks: all leases there are over.
+    fn drop_lapsed(&self, record: &mut UnansweredStarts) {
+        if !self.unanswered.calls_outlive_incarnations && !self.handover.is_incomplete {
+            record.workers.retain(|on| self.startup.members.contains_key(&on.worker));
+        }
+    }
+
     /// Loads when the starts can't be carried out any more that the record lacks, by the clock of the
     /// planner that wrote it if that is known.
     fn load_missing(&mut self, now: Moment, clock: Option<RemoteClock>, record: &UnansweredStarts) {
@@ -296,7 +304,9 @@
         });
         self.handover.missing_until = Some(until);
         let is_shown = |worker: &Worker| Self::is_shown(worker, until);
-        let are_shown = !self.startup.has_lost_workers && self.workers.values().all(is_shown);
+        // The leases of a worker that is lost are over.
+        let may_go_on = self.startup.has_lost_workers && self.unanswered.calls_outlive_incarnations;
+        let are_shown = !may_go_on && self.workers.values().all(is_shown);
         let grace = self.options.longest_lease_expiry();
         if now.steady >= until && (are_shown || now.steady >= until + grace) {
             self.handover.is_incomplete = false;
--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -381,7 +381,9 @@
             if now.steady < worker.starts_until {
                 return;
             }
-            self.unanswered.retain_silent(now.steady, name, worker);
+            if self.unanswered.calls_outlive_incarnations {
+                self.unanswered.retain_silent(now.steady, name, worker);
+            }
             let text = format!("its VM runs no minion{}", self.inventory_ages(now, name));
             self.lose_runs(now, name, Evidence::Vacant, &text);
             self.workers.remove(name);
@@ -403,6 +405,7 @@
     /// Records that nothing is running on a worker any more.
     fn release_member(&mut self, now: Moment, name: &str) {
         self.startup.unaccounted.remove(name);
+        self.unanswered.lapse(now.steady, name);
         self.retain_logged(name);
         self.remove_member(name);
         self.handover.is_outdated = true;
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -32,6 +32,9 @@
     pub shares: Option<share::Options>,
     /// Limit of the work that is stopped for urgent jobs; `None` for no limit.
     pub stops: Option<stops::Options>,
+    /// Whether a minion that starts again under its identifier may carry out calls that were meant for
+    /// its earlier incarnation. If it can't, such a call ends with the leases of that incarnation.
+    pub calls_outlive_incarnations: bool,
     /// Whether the platform's inventory of VMs can be read.
     pub has_inventory: bool,
     /// Prefix of the keys of cordons in the store.
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -110,6 +110,7 @@
     /// Creates the planner of a term and begins to read the store.
     pub fn new(options: Options, term: u64, catalog: Arc<Catalog>, now: Moment) -> Self {
         let speeds = options.speeds;
+        let unanswered = unanswered::Starts::new(options.calls_outlive_incarnations);
         let mut planner = Planner {
             options,
             term,
@@ -128,7 +129,7 @@
             awaited_slowness: BTreeMap::new(),
             stops: stops::State::default(),
             shares: Shares::default(),
-            unanswered: unanswered::Starts::default(),
+            unanswered,
             handover: Handover::default(),
             run_log: RunLog::default(),
             early_cancels: BTreeSet::new(),
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphire_jobs::{
-    Absence, Incarnation, Orders, Poll, Start,
+    Absence, Incarnation, LateCall, Orders, Poll, Start,
     task::{GroupKey, Task, WorkerName},
 };
 
@@ -59,10 +59,20 @@
             // that it has found the planner.
             let is_cordoned = self.cordons.contains(known);
             let token = known.token;
-            let orders = Orders { term: self.term, token, is_cordoned, ..Orders::default() };
+            let calls_outlive_incarnations = self.unanswered.calls_outlive_incarnations;
+            let orders = Orders {
+                term: self.term,
+                token,
+                is_cordoned,
+                calls_outlive_incarnations,
+                ..Orders::default()
+            };
             self.effects.push(Effect::Orders(requester, Box::new(orders)));
             return;
         }
+        if let Some(call) = &poll.late_call {
+            self.count_on_late_calls(&name, call);
+        }
         let is_new_session = self.track_incarnations(now, &name, &poll);
         let worker = self.workers.get_mut(&name).expect("inserted above");
         self.needs_pass |= worker.absence.is_some() != poll.absence.is_some();
@@ -103,10 +113,31 @@
         let token = self.workers.get(name).map_or(0, |worker| worker.token);
         let is_in_session = token > 0 && poll.fenced_token == token;
         let has_no_minion = poll.is_minion_gone && poll.incarnation.is_none();
-        let sender = Sender { generation: poll.generation, is_in_session, has_no_minion };
+        let born_ms = poll.incarnation.as_ref().map_or(0, |minion| minion.born_ms);
+        let sender = Sender { generation: poll.generation, is_in_session, has_no_minion, born_ms };
         self.unanswered.report(now.steady, name, sender, &poll.unanswered);
     }
 
+    /// Reckons from now on with minions that carry out calls which were meant for an earlier incarnation,
+    /// as one has done. Successors learn of it from the stored list of workers.
+    fn count_on_late_calls(&mut self, name: &str, call: &LateCall) {
+        if self.startup.calls_outlive_incarnations {
+            return;
+        }
+        let run = call
+            .run
+            .as_ref()
+            .map_or(String::new(), |run| format!("task={} run={} ", Task::read(run), run.run));
+        self.log(format!(
+            "{run}worker={name} minion={} carried out by the incarnation of born_ms={}, but sent to \
+             that of born_ms={}: calls outlive incarnations",
+            call.minion, call.born_ms, call.sent_to_ms
+        ));
+        self.startup.calls_outlive_incarnations = true;
+        self.startup.is_fleet_dirty = true;
+        self.unanswered.calls_outlive_incarnations = true;
+    }
+
     /// Removes the unanswered starts that have expired.
     pub(crate) fn expire_unanswered(&mut self, now: Moment) {
         self.unanswered.expire(now.steady, self.start_grace(), &self.workers);
@@ -137,6 +168,7 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(long_poll) = worker.long_poll.take() else { return };
         let mut orders = worker.empty_orders(self.term);
+        orders.calls_outlive_incarnations = self.unanswered.calls_outlive_incarnations;
         orders.is_cordoned = self.cordons.contains(worker);
         worker.is_cordon_sent = orders.is_cordoned;
         worker.entries_sent = Delivery::default();
@@ -231,6 +263,7 @@
     fn remove_vacant(&mut self, now: Moment, name: &str, absence: &str) {
         let text = format!("worker has no minion{absence}");
         self.lose_runs(now, name, Evidence::NoMinion, &text);
+        self.unanswered.lapse(now.steady, name);
         self.remove_member(name);
         self.check_recovered(now);
     }
@@ -295,6 +328,7 @@
         let window = if is_silent { Duration::ZERO } else { self.start_window(now) };
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         let mut orders = worker.empty_orders(self.term);
+        orders.calls_outlive_incarnations = self.unanswered.calls_outlive_incarnations;
         if worker.is_listed(now.steady) && !is_silent && is_recorded {
             let lease = self.options.lease.as_millis();
             orders.lease_ms = u64::try_from(lease).unwrap_or(u64::MAX);
@@ -417,12 +451,15 @@
             self.log(format!("worker={name} {why}, lease expired; declared lost"));
             let mut text = format!("lease expired, {why}");
             if let Some(worker) = self.workers.get(&name) {
-                self.unanswered.retain_silent(now.steady, &name, worker);
+                if self.unanswered.calls_outlive_incarnations {
+                    self.unanswered.retain_silent(now.steady, &name, worker);
+                }
                 text += &worker.ages(now.steady);
                 text += &absence(worker.absence.as_ref());
             }
             self.lose_runs(now, &name, Evidence::Expired, &text);
             self.workers.remove(&name);
+            self.unanswered.lapse(now.steady, &name);
             self.lose_for_missing_starts();
             if self.startup.is_recovered() {
                 self.remove_member(&name);
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -175,6 +175,8 @@
                 self.startup.term_number = fleet.terms;
                 self.startup.recorded = minions(&fleet.members);
                 self.startup.recorded_silent = silent(&fleet.members);
+                self.startup.calls_outlive_incarnations = fleet.calls_outlive_incarnations;
+                self.unanswered.calls_outlive_incarnations |= fleet.calls_outlive_incarnations;
                 for member in fleet.members {
                     self.load_member(member);
                 }
@@ -396,6 +398,7 @@
         self.startup.has_lost_workers |= !lost.is_empty();
         for worker in &lost {
             self.remove_member(worker);
+            self.unanswered.lapse(now.steady, worker);
             self.log(format!("worker={worker} no contact since the term began; declared lost"));
         }
         self.account_for(now, accounted);
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -39,6 +39,9 @@
     pub(crate) unaccounted: BTreeMap<WorkerName, Duration>,
     /// Those of them that have not been granted a lease for a while, with the first term of that time.
     pub(crate) silent: BTreeMap<WorkerName, Revision>,
+    /// A minion has carried out a call that was meant for an earlier incarnation of it, in this term or an
+    /// earlier one.
+    pub(crate) calls_outlive_incarnations: bool,
     /// Workers that the stored list may call silent. A successor would rely on it.
     pub(crate) recorded_silent: BTreeSet<WorkerName>,
     /// The same of the list that is being written.
@@ -80,6 +83,7 @@
             recording: BTreeMap::new(),
             unaccounted: BTreeMap::new(),
             silent: BTreeMap::new(),
+            calls_outlive_incarnations: false,
             recorded_silent: BTreeSet::new(),
             recording_silent: BTreeSet::new(),
             seen_terms: BTreeMap::new(),
@@ -132,6 +136,10 @@
             silent_since: silent_since(name),
             ..member.clone()
         };
-        Fleet { terms: self.term_number, members: self.members.iter().map(member).collect() }
+        Fleet {
+            terms: self.term_number,
+            members: self.members.iter().map(member).collect(),
+            calls_outlive_incarnations: self.calls_outlive_incarnations,
+        }
     }
 }
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -27,6 +27,8 @@
 struct Start {
     /// Number of the run; 0 if it is unknown, or if there are several.
     number: RunNumber,
+    /// Start time of the incarnation that it was sent to; 0 if it is unknown.
+    born_ms: u64,
     /// Time at which it expires, as reported by the current process of its agent.
     reported: Option<Duration>,
     /// Time at which it expires, as reported by an earlier process of its agent, or as that process
@@ -76,6 +78,8 @@
     pub(crate) is_in_session: bool,
     /// It has no minion, and has dropped all orders with the earlier one.
     pub(crate) has_no_minion: bool,
+    /// Start time of the incarnation of its minion; 0 without one.
+    pub(crate) born_ms: u64,
 }
 
 /// How much longer starts count of which no list has shown what they have come to.
@@ -100,6 +104,11 @@
 }
 
 impl Start {
+    /// Returns whether it was sent to another incarnation than the one with a start time.
+    fn is_for_other(&self, born_ms: u64) -> bool {
+        self.born_ms != 0 && self.born_ms != born_ms
+    }
+
     /// Records that it can't be carried out any more.
     fn clear(&mut self) {
         (self.reported, self.retained, self.inherited) = (None, None, None);
@@ -141,13 +150,18 @@
     minion: Option<String>,
     /// Latest time at which that minion was known not to be running.
     absent_at: Duration,
+    /// Time at which all leases that it had been given by then were over.
+    lapsed_at: Duration,
     tasks: BTreeSet<Task>,
 }
 
 /// Unanswered starts on all workers.
 ///
-/// Guards against a task that runs twice and against a worker that is overloaded. A stop that was
-/// answered, a later run or a token fences an earlier start in one incarnation of a minion only.
+/// Guards against a task that runs twice and against a worker that is overloaded. An incarnation may
+/// carry out a start that was sent to it until its leases are over: what it begins later has no lease.
+///
+/// Where calls outlive incarnations, a stop that was answered, a later run or a token fences an earlier
+/// start in one incarnation of a minion only.
 /// The next incarnation carries the start out unless it has seen a token by then. All that runs ends
 /// with the present incarnation, so that the next one can run nothing but such starts. No process
 /// need be there to prevent this as long as the starts that are pending on a worker are by
@@ -155,6 +169,8 @@
 /// worker's capacity, and they respect the limit of each step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Starts {
+    /// Whether an incarnation may carry out what was sent to an earlier one of the same name.
+    pub(crate) calls_outlive_incarnations: bool,
     by_task: BTreeMap<Task, BTreeMap<WorkerName, Start>>,
     by_worker: BTreeMap<WorkerName, Record>,
     /// Starts that were removed and that the stored handover record may contain.
@@ -162,6 +178,10 @@
 }
 
 impl Starts {
+    pub(crate) fn new(calls_outlive_incarnations: bool) -> Self {
+        Starts { calls_outlive_incarnations, ..Starts::default() }
+    }
+
     /// Handles an agent's report on the unanswered starts that it sent to minions of one name. Those
     /// that it does not report any more count until [`Self::expire`] removes them.
     pub(crate) fn report(
@@ -172,11 +192,29 @@
         rows: &[Unanswered],
     ) {
         self.for_each_start(worker, |start| start.settle_inherited(now, sender));
+        let is_void = |born_ms: u64| born_ms != 0 && born_ms != sender.born_ms;
+        // In a session the minion has shown which incarnation it is.
+        let ends_earlier =
+            !self.calls_outlive_incarnations && sender.is_in_session && sender.born_ms != 0;
+        if ends_earlier {
+            self.for_each_start(worker, |start| {
+                if start.is_for_other(sender.born_ms) {
+                    start.clear();
+                }
+            });
+        }
+        let lapsed_at = self.by_worker.get(worker).map_or(Duration::ZERO, |it| it.lapsed_at);
         for row in rows {
             let Some(run) = &row.run else { continue };
-            let left = options::START_EXPIRY.saturating_sub(Duration::from_millis(row.age_ms));
+            let age = Duration::from_millis(row.age_ms);
+            let has_lapsed = now.saturating_sub(age) < lapsed_at;
+            if has_lapsed || ends_earlier && is_void(row.born_ms) {
+                continue;
+            }
+            let left = options::START_EXPIRY.saturating_sub(age);
             let start = self.start(worker, Task::read(run), run.run);
             start.reported = start.reported.max(Some(now + left));
+            start.born_ms = row.born_ms;
         }
         self.prune(worker);
     }
@@ -188,6 +226,7 @@
         for (task, run) in worker.runs.iter().filter(|(_, run)| may_be_sent(run)) {
             let start = self.start(name, task.clone(), run.number);
             start.retained = start.retained.max(Some(worker.expiry_of_starts(now)));
+            start.born_ms = worker.born_ms();
         }
     }
 
@@ -232,6 +271,17 @@
         }
     }
 
+    /// Removes the starts on a worker all leases of which are over, unless a next incarnation may carry
+    /// them out.
+    pub(crate) fn lapse(&mut self, now: Duration, worker: &str) {
+        if self.calls_outlive_incarnations {
+            return;
+        }
+        self.by_worker.entry(worker.to_owned()).or_default().lapsed_at = now;
+        self.for_each_start(worker, Start::clear);
+        self.prune(worker);
+    }
+
     /// Records that a minion was not running at a time, so that nothing that was carried out before is
     /// going on.
     pub(crate) fn set_absent(&mut self, worker: &str, minion: &str, at: Duration) {
@@ -326,10 +376,13 @@
                 let rows = [inherited, reported, retained].into_iter().flatten();
                 let is_closed = is_closed(task, start.number);
                 let run = task.run(if is_closed { 0 } else { start.number });
+                let born_ms = start.born_ms;
                 let ordered = fleet.get(worker).and_then(|worker| worker.runs.get(task));
                 let is_final = ordered.is_none_or(|run| run.is_started);
-                let rows =
-                    rows.map(|(until, sender)| recorded_task(now, &run, until, sender, is_final));
+                let rows = rows.map(|(until, sender)| UnansweredTask {
+                    born_ms,
+                    ..recorded_task(now, &run, until, sender, is_final)
+                });
                 record.entry(worker).or_default().tasks.extend(rows);
             }
         }
@@ -339,8 +392,9 @@
             let sent_until = options::OUTAGE_STARTS + options::START_WINDOW;
             let until = now.steady + sent_until + options::START_EXPIRY + options::TIMING_MARGIN;
             let ordered = worker.runs.iter().filter(|(_, run)| !run.is_started);
-            let rows = ordered.map(|(task, run)| {
-                recorded_task(now, &task.run(run.number), until, worker.generation, false)
+            let rows = ordered.map(|(task, run)| UnansweredTask {
+                born_ms: worker.born_ms(),
+                ..recorded_task(now, &task.run(run.number), until, worker.generation, false)
             });
             let mut rows = rows.peekable();
             if rows.peek().is_some() {
@@ -393,6 +447,7 @@
                 let until = clock.zip(until).map(|(clock, until)| clock.local(until));
                 let expires_at = until.map_or(expires_at, |until| until.min(expires_at));
                 let start = self.start(&worker, Task { job, occurrence, step, index }, run);
+                start.born_ms = task.born_ms;
                 if generation == 0 {
                     start.retained = start.retained.max(Some(expires_at));
                 } else {
@@ -404,7 +459,9 @@
             }
             if let Some(known) = fleet.get(&worker) {
                 let generation = known.generation;
-                let sender = Sender { generation, is_in_session: false, has_no_minion: false };
+                let born_ms = known.born_ms();
+                let sender =
+                    Sender { generation, is_in_session: false, has_no_minion: false, born_ms };
                 let settle = |start: &mut Start| start.settle_inherited(now.steady, sender);
                 self.for_each_start(&worker, settle);
             }
@@ -574,6 +631,7 @@
         generation,
         left_ms: Some(left),
         until_clock_ms: is_final.then_some(until_clock_ms),
+        born_ms: 0,
     }
 }
 
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -196,6 +196,11 @@
         Resources::read(resources)
     }
 
+    /// Returns the start time of the incarnation of its minion; 0 if it isn't known.
+    pub fn born_ms(&self) -> u64 {
+        self.incarnation.as_ref().map_or(0, |incarnation| incarnation.born_ms)
+    }
+
     /// Returns the resources of all runs that are ordered, running or being stopped.
     ///
     /// Guards against overloading a minion that does not refuse tasks beyond its capacity: a task
--- a/crates/planner/tests/handover/clocks.rs
+++ b/crates/planner/tests/handover/clocks.rs
@@ -130,7 +130,7 @@
     let sent_ago = 10_000;
     while fixture.planner.unanswered_starts().count() > 0 {
         let age_ms = sent_ago + fixture.now - begun;
-        let row = Unanswered { run: Some(run("j", 0, 1)), age_ms };
+        let row = Unanswered { run: Some(run("j", 0, 1)), age_ms, born_ms: 0 };
         let unanswered = if age_ms < 12_000 { vec![row] } else { Vec::new() };
         let report = Poll { is_minion_gone: true, unanswered, ..Poll::default() };
         fixture.report_without_minion("gone", report);
--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -32,7 +32,7 @@
 
 /// Returns a world in which the start of job `j`, a step of one task, has been sent to the first of
 /// the returned workers, whose minion does not answer.
-fn ordered() -> (World, String) {
+pub(crate) fn ordered() -> (World, String) {
     let mut world = World::new(&["a", "b"]);
     let worker = order(&mut world, &step(1, false));
     (world, worker)
@@ -40,7 +40,7 @@
 
 /// Submits job `j` and waits until its start may have been sent. Returns the worker; an empty name
 /// if no start has been sent.
-fn order(world: &mut World, step: &Step) -> String {
+pub(crate) fn order(world: &mut World, step: &Step) -> String {
     world.agents.values_mut().for_each(|agent| agent.is_mute = true);
     world.submit("j", step);
     world.run_until_sent("j", 3_000);
--- a/crates/planner/tests/handover/random.rs
+++ b/crates/planner/tests/handover/random.rs
@@ -63,13 +63,10 @@
     world.run(draw.below(200) * 10);
 }
 
-/// Guards against a task that runs twice, and against a worker that is overloaded, in orders of losses
-/// that no other test covers.
-#[test]
-fn drawn_losses_cause_no_conflict() {
+fn assert_no_conflict(new: fn(&[&str]) -> World) {
     for seed in 0..WORLDS {
         let (mut draw, mut jobs) = (Draw(seed), 0);
-        let mut world = World::new(&NAMES);
+        let mut world = new(&NAMES);
         for _ in 0..EVENTS {
             act(&mut world, &mut draw, &mut jobs);
             let history = || world.history.join("\n");
@@ -82,3 +79,16 @@
         }
     }
 }
+
+/// Guards against a task that runs twice, and against a worker that is overloaded, in orders of losses
+/// that no other test covers.
+#[test]
+fn drawn_losses_cause_no_conflict() {
+    assert_no_conflict(World::new);
+}
+
+/// Guards against the same where a start ends with the leases of the incarnation that it was sent to.
+#[test]
+fn drawn_losses_cause_no_conflict_within_incarnations() {
+    assert_no_conflict(World::of_one_incarnation);
+}
--- a/crates/planner/tests/handover/settled.rs
+++ b/crates/planner/tests/handover/settled.rs
@@ -42,7 +42,7 @@
 
 /// A worker's unanswered start of a job, as its agent reports it.
 fn unanswered(age_ms: u64) -> Poll {
-    let unanswered = vec![Unanswered { run: Some(run("j", 0, 1)), age_ms }];
+    let unanswered = vec![Unanswered { run: Some(run("j", 0, 1)), age_ms, born_ms: 0 }];
     Poll { unanswered, ..Poll::default() }
 }
 
--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -8,16 +8,17 @@
 use bytes::Bytes;
 use prost::Message as _;
 use sapphire_jobs::{
-    Ended, Ending, Incarnation, Job, Notice, Orders, Poll, Run, Running, Step, Unanswered,
-    resources::Resources, task::Task,
+    Ended, Ending, Incarnation, Job, LateCall, Notice, Orders, Poll, Run, Running, Step,
+    Unanswered, remote_clock::RemoteClock, resources::Resources, task::Task,
 };
 use sapphire_planner::{
     event::{Event, Operation},
     keys,
+    options::Options,
 };
 use sapphire_store::call::{Call, Item, Reply};
 
-use crate::harness::{Fixture, START, TERM, ended, fleet, job, minion, ms, no_starts};
+use crate::harness::{Fixture, START, TERM, ended, fleet, job, minion, ms, no_starts, options};
 
 /// Time for which a minion may carry out a start after it was sent.
 const MAX_CALL_DELAY: u64 = 12_000;
@@ -62,6 +63,9 @@
 pub(crate) struct Sent {
     pub(crate) run: Run,
     pub(crate) worker: String,
+    /// Incarnation of the minion that it was sent to, and token of the session.
+    born_ms: u64,
+    token: u64,
     /// Time from which on it cannot be carried out; none while its agent may repeat it.
     expires_at: Option<u64>,
 }
@@ -85,6 +89,8 @@
     born_ms: u64,
     requester: Option<u64>,
     token: u64,
+    /// A start that its minion has carried out although it was meant for an earlier incarnation.
+    late_call: Option<LateCall>,
     /// Starts without an answer, with the time at which the agent got the order.
     pending: Vec<(Run, u64)>,
     /// Starts that the agent no longer waits for, with the time at which they were last sent.
@@ -119,6 +125,8 @@
     pub(crate) done: BTreeSet<String>,
     /// Orders, writes and losses, in order.
     pub(crate) history: Vec<String>,
+    /// Whether a minion carries out starts that were sent to an earlier incarnation of it.
+    calls_outlive_incarnations: bool,
     planner: Option<Fixture>,
     term: u64,
     revision: u64,
@@ -146,6 +154,15 @@
 impl World {
     /// Returns a world with a planner that serves idle workers of these names.
     pub(crate) fn new(names: &[&str]) -> Self {
+        World::with_calls(names, true)
+    }
+
+    /// The same with minions of which no incarnation carries out starts for an earlier one.
+    pub(crate) fn of_one_incarnation(names: &[&str]) -> Self {
+        World::with_calls(names, false)
+    }
+
+    fn with_calls(names: &[&str], calls_outlive_incarnations: bool) -> Self {
         let mut world = World {
             now: START,
             agents: BTreeMap::new(),
@@ -163,6 +180,7 @@
             conflicts: Vec::new(),
             done: BTreeSet::new(),
             history: Vec::new(),
+            calls_outlive_incarnations,
             planner: None,
             term: TERM - 1,
             revision: TERM,
@@ -231,9 +249,16 @@
         self.seen = 0;
         let recorded = self.items.get(keys::UNANSWERED).map(|item| item.revision);
         self.note(&format!("term {} begins, record={recorded:?}", self.term));
-        let mut planner = Fixture::term(self.term, self.now, self.skew);
+        let calls_outlive_incarnations = self.calls_outlive_incarnations;
+        let options = Options { calls_outlive_incarnations, ..options() };
+        let mut planner = Fixture::term_with(options, self.term, self.now, self.skew);
         planner.generations.clone_from(&self.generations);
         planner.planner.expect_terms(self.began.iter().copied());
+        if !self.calls_outlive_incarnations {
+            // All planners have the same steady clock, and each entry hears of it.
+            let clock = |(term, at): &(u64, Duration)| (*term, RemoteClock::new(*at, *at));
+            planner.planner.expect_clocks(self.began.iter().map(clock));
+        }
         self.began.push((self.term, ms(self.now)));
         self.planner = Some(planner);
     }
@@ -284,6 +309,12 @@
     pub(crate) fn reconnect(&mut self, name: &str) {
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.is_cut_off = false;
+        if !self.calls_outlive_incarnations {
+            // Without an answer of a planner it has sent no starts.
+            let until = self.now.min(agent.polled_at + START_WINDOW);
+            self.abandon(name, until);
+        }
+        let Some(agent) = self.agents.get_mut(name) else { return };
         // It goes on sending the starts that it still has.
         for (run, _) in &agent.pending {
             let is_this = |sent: &&mut Sent| sent.worker == name && sent.run == *run;
@@ -350,6 +381,11 @@
         self.note(&format!("minion {name} starts again"));
     }
 
+    /// Returns the number of unanswered starts that count.
+    pub(crate) fn open_starts(&self) -> usize {
+        self.planner.as_ref().map_or(0, |planner| planner.planner.unanswered_starts().count())
+    }
+
     /// Has the next incarnation of a minion carry out a start that was sent to the one before.
     pub(crate) fn begin_late(&mut self, name: &str, id: &str) {
         self.restart_minion(name);
@@ -370,16 +406,31 @@
     }
 
     /// Has the next incarnation of a minion carry out late what was sent to the one before, if there is
-    /// such a start and no agent.
+    /// such a start and no agent. Where no incarnation does so, the present one carries it out.
     pub(crate) fn begin_open(&mut self, name: &str) {
         let is_open =
-            |sent: &&Sent| sent.worker == name && sent.expires_at.is_some_and(|at| self.now < at);
-        let found = self.sent.iter().find(is_open).map(|sent| sent.run.job.clone());
-        if let Some(id) = found.filter(|_| !self.agents[name].is_up) {
-            self.begin_late(name, &id);
+            |sent: &&Sent| sent.worker == name && sent.expires_at.is_some() && self.is_open(sent);
+        let found = self.sent.iter().find(is_open).map(|sent| sent.run.clone());
+        let Some(run) = found.filter(|_| !self.agents[name].is_up) else { return };
+        if self.calls_outlive_incarnations {
+            self.begin_late(name, &run.job);
+            return;
+        }
+        let now = self.now;
+        self.note(&format!("{} begins late on {name}", run.job));
+        let agent = self.agents.get_mut(name).expect("looked up above");
+        if agent.running.iter().all(|(other, _)| *other != run) {
+            agent.running.push((run, now));
         }
     }
 
+    /// Has a minion carry out calls for an earlier incarnation from now on, which its agent has found.
+    pub(crate) fn find_late_call(&mut self, name: &str) {
+        self.calls_outlive_incarnations = true;
+        let agent = self.agents.get_mut(name).expect("it is known");
+        agent.late_call = Some(LateCall { minion: minion(name).id, ..LateCall::default() });
+    }
+
     /// Lets a minion answer the latest attempts of its starts. Earlier attempts have no answer.
     pub(crate) fn answer(&mut self, name: &str) {
         let now = self.now;
@@ -461,7 +512,15 @@
         if !agent.is_up || agent.is_cut_off || is_waiting || self.planner.is_none() {
             return;
         }
-        let row = |run: &Run, age_ms| Unanswered { run: Some(run.clone()), age_ms };
+        let born_of = |run: &Run| {
+            let sent = self.sent.iter().rev();
+            let mut sent = sent.filter(|sent| sent.worker == name && sent.run == *run);
+            sent.next().map_or(0, |sent| sent.born_ms)
+        };
+        let row = |run: &Run, age_ms| {
+            let born_ms = born_of(run);
+            Unanswered { run: Some(run.clone()), age_ms, born_ms }
+        };
         let timed_out = agent.pending.iter().filter(|(_, at)| now - at >= CALL_TIMEOUT);
         let timed_out =
             timed_out.map(|(run, at)| row(run, CALL_TIMEOUT + (now - at) % CALL_TIMEOUT));
@@ -482,6 +541,7 @@
             ended: agent.ended.clone(),
             pending: agent.pending.iter().map(|(run, _)| run.clone()).collect(),
             unanswered: timed_out.chain(abandoned).collect(),
+            late_call: agent.late_call.clone(),
             ..Poll::default()
         };
         if let Some(planner) = &mut self.planner {
@@ -553,7 +613,8 @@
         let agent = self.agents.get_mut(name).expect("looked up above");
         if agent.is_mute {
             agent.pending.push((run.clone(), now));
-            self.sent.push(Sent { run, worker: name.to_owned(), expires_at: None });
+            let (born_ms, token) = (agent.born_ms, agent.token);
+            self.sent.push(Sent { run, worker: name.to_owned(), born_ms, token, expires_at: None });
         } else {
             agent.running.push((run, now));
         }
@@ -563,8 +624,7 @@
     /// valid placement.
     fn check(&mut self, name: &str, run: &Run) {
         let (task, number) = (Task::read(run), run.run);
-        let is_open = |sent: &&Sent| sent.expires_at.is_none_or(|at| self.now < at);
-        let open: Vec<&Sent> = self.sent.iter().filter(is_open).collect();
+        let open: Vec<&Sent> = self.sent.iter().filter(|sent| self.is_open(sent)).collect();
         let mut found = Vec::new();
         for sent in &open {
             let is_same = sent.worker == name && sent.run.run == run.run;
@@ -609,6 +669,17 @@
         self.conflicts.extend(found.into_iter().map(|text| format!("{prefix}: {text}")));
     }
 
+    /// Returns whether a start may be carried out: by the incarnation that it was sent to until that has
+    /// seen a later token or its leases are over, or by any one.
+    fn is_open(&self, sent: &Sent) -> bool {
+        let agent = &self.agents[&sent.worker];
+        let is_valid = agent.born_ms == sent.born_ms
+            && agent.token <= sent.token
+            && self.now < agent.lease_until;
+        let may_be_taken = self.calls_outlive_incarnations || is_valid;
+        may_be_taken && sent.expires_at.is_none_or(|at| self.now < at)
+    }
+
     /// Lets an agent drop its outstanding starts, as at the beginning of a session.
     fn abandon(&mut self, name: &str, now: u64) {
         let agent = self.agents.get_mut(name).expect("the caller knows it");
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -98,6 +98,7 @@
         speeds: Default::default(),
         shares: None,
         stops: None,
+        calls_outlive_incarnations: true,
         has_inventory: false,
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
@@ -163,31 +164,37 @@
     }
 
     fn begin(cordoned: Option<Vec<&'static str>>) -> Self {
-        Fixture::begin_term(TERM, START, 0, cordoned, None)
+        Fixture::begin_term(options(), TERM, START, 0, cordoned)
     }
 
     /// Returns the planner of a term that begins at `now` and has requested the first page of records
     /// from the store. Its wall clock is ahead by `skew` ms. The store answers no writes of the
     /// handover record.
     pub(crate) fn term(term: u64, now: u64, skew: i64) -> Self {
-        let fixture = Fixture::begin_term(term, now, skew, Some(Vec::new()), None);
+        Fixture::term_with(options(), term, now, skew)
+    }
+
+    /// The same with these options.
+    pub(crate) fn term_with(options: Options, term: u64, now: u64, skew: i64) -> Self {
+        let fixture = Fixture::begin_term(options, term, now, skew, Some(Vec::new()));
         Fixture { answers_records: false, ..fixture }
     }
 
     /// Returns a planner that learns speeds and has read the given records from the store.
     pub(crate) fn with_speeds(items: Vec<Item>) -> Self {
-        let mut fixture = Fixture::begin_term(TERM, START, 0, Some(Vec::new()), Some(1.25));
+        let options = Options { speeds: speed::Options { unequal_from: Some(1.25) }, ..options() };
+        let mut fixture = Fixture::begin_term(options, TERM, START, 0, Some(Vec::new()));
         fixture.reply(Reply::Items { items, has_more: false, revision: 40 });
         fixture.reply(Reply::Committed(60));
         fixture
     }
 
     fn begin_term(
+        options: Options,
         term: u64,
         now: u64,
         skew: i64,
         cordoned: Option<Vec<&'static str>>,
-        unequal_from: Option<f64>,
     ) -> Self {
         let queue = Queue {
             name: "q".to_owned(),
@@ -198,7 +205,6 @@
             ..Queue::default()
         };
         let catalog = Catalog::new(Parts { queues: vec![queue], ..Parts::default() });
-        let options = Options { speeds: speed::Options { unequal_from }, ..options() };
         let moment = Moment { steady: ms(now), unix: ms(now.saturating_add_signed(skew)) };
         let mut fixture = Fixture {
             planner: Planner::new(options, term, Arc::new(catalog), moment),
@@ -434,7 +440,8 @@
         minion: minion(name).id,
         ..Member::default()
     };
-    let fleet = Fleet { terms, members: members.iter().map(member).collect() };
+    let members = members.iter().map(member).collect();
+    let fleet = Fleet { terms, members, ..Fleet::default() };
     item(keys::FLEET.to_owned(), fleet.encode_to_vec())
 }
 
--- a/crates/planner/tests/inventory/vacant.rs
+++ b/crates/planner/tests/inventory/vacant.rs
@@ -202,7 +202,7 @@
     let after = scene.placed(20_000, &gone).expect("the task goes on");
     assert!(after <= LEASE_END + TWO_READS, "{after} ms");
     for _ in 0..3 {
-        let row = Unanswered { run: Some(run.clone()), age_ms: 4_000 };
+        let row = Unanswered { run: Some(run.clone()), age_ms: 4_000, born_ms: 0 };
         let report = Poll { is_minion_gone: true, unanswered: vec![row], ..Poll::default() };
         scene.fixture.report_without_minion(&name, report);
         scene.placed_after(STEP, &gone);
@@ -228,7 +228,7 @@
         scene.fixture.poll("c", Vec::new(), Vec::new());
         scene.fixture.advance(500);
     }
-    let row = Unanswered { run: Some(run), age_ms: 4_000 };
+    let row = Unanswered { run: Some(run), age_ms: 4_000, born_ms: 0 };
     scene.fixture.report(&name, Poll { unanswered: vec![row], ..Poll::default() });
     assert_eq!(scene.fixture.planner.unanswered_starts().count(), 0);
 }
@@ -245,7 +245,7 @@
     let mut placed = None;
     while placed.is_none() && scene.fixture.now < begin + 40_000 {
         let age_ms = scene.fixture.now - scene.ordered_at;
-        let row = Unanswered { run: Some(run.clone()), age_ms };
+        let row = Unanswered { run: Some(run.clone()), age_ms, born_ms: 0 };
         let unanswered = if age_ms < MAX_DELAY { vec![row] } else { Vec::new() };
         let report = Poll { is_minion_gone: true, unanswered, ..Poll::default() };
         scene.fixture.report_without_minion(&name, report);
--- a/crates/planner/tests/late/mod.rs
+++ b/crates/planner/tests/late/mod.rs
@@ -191,7 +191,7 @@
 /// Returns the report of an agent whose start had no answer and was stopped.
 fn stopped(start: &Run) -> Poll {
     let verdict = Verdict { run: Some(start.clone()), rejection: Rejection::Old.into() };
-    let unanswered = Unanswered { run: Some(start.clone()), age_ms: 300 };
+    let unanswered = Unanswered { run: Some(start.clone()), age_ms: 300, born_ms: 0 };
     Poll { verdicts: vec![verdict], unanswered: vec![unanswered], ..Poll::default() }
 }
 
@@ -230,7 +230,7 @@
 #[test]
 fn a_lost_run_with_an_unanswered_start_is_ordered_again_under_its_number() {
     let (mut fixture, start) = ordered();
-    let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms: 350 }];
+    let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms: 350, born_ms: 0 }];
     let incarnation = Some(Incarnation { born_ms: 2, ..minion("a") });
     for _ in 0..2 {
         let (incarnation, unanswered) = (incarnation.clone(), unanswered.clone());
@@ -252,7 +252,7 @@
     fixture.report("a", stopped(&start));
     let before = fixture.orders.len();
     for age_ms in (500..5_000).step_by(500) {
-        let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms }];
+        let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms, born_ms: 0 }];
         fixture.report("a", Poll { unanswered, ..Poll::default() });
         fixture.advance(500);
     }
@@ -512,7 +512,7 @@
     let run = run("j", 0, 1_001);
     assert_eq!(fixture.starts(), vec![run.clone()]);
     let running = vec![Running { run: Some(run.clone()), ..Running::default() }];
-    let unanswered = vec![Unanswered { run: Some(run.clone()), age_ms: 350 }];
+    let unanswered = vec![Unanswered { run: Some(run.clone()), age_ms: 350, born_ms: 0 }];
     let report = Poll { running, unanswered, ..Poll::default() };
     fixture.report("a", report.clone());
     (fixture, run, report)
@@ -550,7 +550,7 @@
 #[test]
 fn starts_of_two_incarnations_are_not_open_at_once() {
     let (mut fixture, start) = ordered();
-    let unanswered = vec![Unanswered { run: Some(start), age_ms: 350 }];
+    let unanswered = vec![Unanswered { run: Some(start), age_ms: 350, born_ms: 0 }];
     let report = Poll {
         incarnation: Some(Incarnation { born_ms: 2, ..minion("a") }),
         unanswered,
@@ -582,7 +582,7 @@
 fn starts_of_two_terms_are_not_open_at_once() {
     let (fixture, start) = ordered();
     let mut next = successor(&fixture, &["a"], None);
-    let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms: 350 }];
+    let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms: 350, born_ms: 0 }];
     for _ in 0..3 {
         next.report("a", Poll { unanswered: unanswered.clone(), ..Poll::default() });
         next.advance(200);
@@ -633,7 +633,7 @@
     assert!(record.is_some());
     let mut next = successor(&fixture, &["a"], record);
     next.handle(Event::Notice(Notice { jobs: Vec::new(), cancelled: vec!["j".to_owned()] }));
-    let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms: 1_350 }];
+    let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms: 1_350, born_ms: 0 }];
     for _ in 0..3 {
         next.report("a", Poll { unanswered: unanswered.clone(), ..Poll::default() });
         next.advance(200);
@@ -836,7 +836,7 @@
     items.extend([progress, item(keys::UNANSWERED.to_owned(), record.unwrap_or_default())]);
     let mut next = Fixture::new(items);
     let incarnation = Some(Incarnation { born_ms: 2, ..minion("a") });
-    let unanswered = vec![Unanswered { run: Some(run), age_ms: 1_400 }];
+    let unanswered = vec![Unanswered { run: Some(run), age_ms: 1_400, born_ms: 0 }];
     for _ in 0..3 {
         let (incarnation, unanswered) = (incarnation.clone(), unanswered.clone());
         next.report("a", Poll { incarnation, unanswered, ..Poll::default() });
--- a/crates/planner/tests/odd/mod.rs
+++ b/crates/planner/tests/odd/mod.rs
@@ -241,13 +241,16 @@
             "fleet",
             vec![{
                 let members = vec![member(""), member("a"), member("a")];
-                item(keys::FLEET.to_owned(), Fleet { terms: 5, members }.encode_to_vec())
+                item(
+                    keys::FLEET.to_owned(),
+                    Fleet { terms: 5, members, ..Fleet::default() }.encode_to_vec(),
+                )
             }],
         ),
         (
             "terms",
             vec![{
-                let fleet = Fleet { terms: u32::MAX, members: Vec::new() };
+                let fleet = Fleet { terms: u32::MAX, ..Fleet::default() };
                 item(keys::FLEET.to_owned(), fleet.encode_to_vec())
             }],
         ),
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -5,6 +5,7 @@
 mod cordons;
 mod handover;
 mod harness;
+mod incarnations;
 mod intake;
 mod inventory;
 mod isolation;
--- a/crates/planner/tests/stands_still/site.rs
+++ b/crates/planner/tests/stands_still/site.rs
@@ -483,7 +483,7 @@
         if machine.is_gone {
             return;
         }
-        let row = |run: &Run, age_ms| Unanswered { run: Some(run.clone()), age_ms };
+        let row = |run: &Run, age_ms| Unanswered { run: Some(run.clone()), age_ms, born_ms: 0 };
         let timed_out = machine.pending.iter().filter(|(_, at)| now - at >= CALL_TIMEOUT);
         let timed_out = timed_out.map(|(run, at)| row(run, (now - at) % CALL_TIMEOUT));
         machine.abandoned.retain(|(_, at)| now - at < MAX_CALL_DELAY);
--- a/crates/planner/tests/takeover/random.rs
+++ b/crates/planner/tests/takeover/random.rs
@@ -1,5 +1,7 @@
 //! Drawn orders of silences and changes of planners.
 
+use std::ops::Range;
+
 use sapphire_jobs::{Ending, Step};
 use sapphire_planner::keys;
 
@@ -15,8 +17,8 @@
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
 /// Number of drawn worlds.
 const WORLDS: u64 = 200;
-/// Number of drawn worlds with faulty writes of the list of workers.
-const SEEDS_OF_LISTS: u64 = 600;
+/// Seeds of drawn worlds with faulty writes of the list of workers.
+const LISTS: Range<u64> = 10_000..10_600;
 /// Number of events in each.
 const EVENTS: usize = 50;
 
@@ -91,26 +93,37 @@
     world.run(draw.below(200) * 10);
 }
 
-/// Guards against a task that runs twice, and against a worker that is overloaded, in orders of
-/// silences and changes of planners that no other test covers.
-#[test]
-fn drawn_silences_cause_no_conflict() {
-    for seed in 0..WORLDS {
+/// Applies drawn events to worlds, and asserts that no start conflicts with another.
+fn assert_no_conflict(
+    seeds: Range<u64>,
+    new: fn(&[&str]) -> World,
+    act: fn(&mut World, &mut Draw, &mut usize),
+) {
+    for seed in seeds {
         let (mut draw, mut jobs) = (Draw(seed), 0);
-        let mut world = World::new(&NAMES);
+        let mut world = new(&NAMES);
         for _ in 0..EVENTS {
             act(&mut world, &mut draw, &mut jobs);
             let history = || world.history.join("\n");
-            assert!(
-                world.conflicts.is_empty(),
-                "seed {seed}: {:#?}\n{}",
-                world.conflicts,
-                history()
-            );
+            let conflicts = &world.conflicts;
+            assert!(conflicts.is_empty(), "seed {seed}: {conflicts:#?}\n{}", history());
         }
     }
 }
 
+/// Guards against a task that runs twice, and against a worker that is overloaded, in orders of
+/// silences and changes of planners that no other test covers.
+#[test]
+fn drawn_silences_cause_no_conflict() {
+    assert_no_conflict(0..WORLDS, World::new, act);
+}
+
+/// Guards against the same where a start ends with the leases of the incarnation that it was sent to.
+#[test]
+fn drawn_silences_cause_no_conflict_within_incarnations() {
+    assert_no_conflict(0..WORLDS, World::of_one_incarnation, act);
+}
+
 /// Draws what becomes of writes of the list of workers, and starts that are carried out late.
 fn act_on_lists(world: &mut World, draw: &mut Draw, jobs: &mut usize) {
     let name = NAMES[draw.below(4) as usize];
@@ -135,14 +148,11 @@
 /// carried out late.
 #[test]
 fn drawn_writes_of_the_list_of_workers_cause_no_conflict() {
-    for seed in 0..SEEDS_OF_LISTS {
-        let (mut draw, mut jobs) = (Draw(10_000 + seed), 0);
-        let mut world = World::new(&NAMES);
-        for _ in 0..EVENTS {
-            act_on_lists(&mut world, &mut draw, &mut jobs);
-            let history = || world.history.join("\n");
-            let conflicts = &world.conflicts;
-            assert!(conflicts.is_empty(), "seed {seed}: {conflicts:#?}\n{}", history());
-        }
-    }
+    assert_no_conflict(LISTS, World::new, act_on_lists);
+}
+
+/// Guards against leases that are prolonged after the list of workers has said when they end.
+#[test]
+fn drawn_writes_of_the_list_of_workers_cause_no_conflict_within_incarnations() {
+    assert_no_conflict(LISTS, World::of_one_incarnation, act_on_lists);
 }
--- a/crates/planner/tests/waits/mod.rs
+++ b/crates/planner/tests/waits/mod.rs
@@ -284,7 +284,8 @@
     jobs = vec![Job { accepted_ms: START, ..whole("other", 1) }];
     fixture.handle(Event::Notice(Notice { jobs, ..Notice::default() }));
     for round in 0..30 {
-        let unanswered = vec![Unanswered { run: Some(start.clone()), age_ms: 300 + round * 100 }];
+        let unanswered =
+            vec![Unanswered { run: Some(start.clone()), age_ms: 300 + round * 100, born_ms: 0 }];
         let verdicts = vec![verdict.clone()];
         fixture.report("a", Poll { verdicts, unanswered, ..Poll::default() });
         fixture.advance(100);
--- a/crates/proofs/examples/lost_starts.rs
+++ b/crates/proofs/examples/lost_starts.rs
@@ -48,6 +48,9 @@
     /// load, as a multiple of the usual one
     #[argh(option, default = "1.0")]
     load: f64,
+    /// no incarnation of a minion carries out calls for an earlier one
+    #[argh(switch)]
+    one_incarnation: bool,
     /// print the whole log of each day that fails
     #[argh(switch)]
     story: bool,
@@ -171,8 +174,10 @@
     arrivals
 }
 
-fn simulation(seed: u64, arrivals: &[Arrival]) -> Simulation {
-    let mut sim = Simulation::new(Options::new(&sites::ATLANTICA, arrivals.to_vec(), seed));
+fn simulation(seed: u64, arrivals: &[Arrival], one_incarnation: bool) -> Simulation {
+    let options = Options::new(&sites::ATLANTICA, arrivals.to_vec(), seed)
+        .calls_outlive_incarnations(!one_incarnation);
+    let mut sim = Simulation::new(options);
     sim.late_orders = 0.6;
     sim
 }
@@ -383,17 +388,18 @@
     log: Vec<String>,
 }
 
-fn simulate(it: Scenario, seed: u64, load: f64, story: bool) -> Day {
+fn simulate(it: Scenario, seed: u64, args: &Args) -> Day {
+    let (load, story) = (args.load, args.story);
     let arrivals = draw(seed, load);
     let mut first_order = LATE_FROM;
     if !matches!(it.store, Store::Fine) {
-        let mut sim = simulation(seed, &arrivals);
+        let mut sim = simulation(seed, &arrivals, args.one_incarnation);
         sim.run_until(secs(LATE_FROM));
         sim.late_orders = 1.0;
         first_order =
             await_order(&mut sim, LATE_FROM, LOAD_END).map_or(LATE_FROM, |(time, _)| time);
     }
-    let mut sim = simulation(seed, &arrivals);
+    let mut sim = simulation(seed, &arrivals, args.one_incarnation);
     let has_order = inject(&mut sim, it, seed, first_order);
     sim.run_until(secs(LATE_UNTIL));
     sim.late_orders = 0.0;
@@ -452,7 +458,7 @@
                         if seed >= args.first + args.seeds {
                             break;
                         }
-                        let day = simulate(it, seed, args.load, args.story);
+                        let day = simulate(it, seed, &args);
                         days.lock().expect("no thread panics").insert(seed, day);
                     }
                 });
--- a/crates/proofs/examples/standstills.rs
+++ b/crates/proofs/examples/standstills.rs
@@ -47,6 +47,9 @@
     /// print the idle times of each day on which one is longer than allowed
     #[argh(switch)]
     days: bool,
+    /// no incarnation of a minion carries out calls for an earlier one
+    #[argh(switch)]
+    one_incarnation: bool,
     /// print the whole log of each day that fails
     #[argh(switch)]
     story: bool,
@@ -67,6 +70,8 @@
 }
 
 fn simulate(scenario: days::Scenario, seed: u64, args: &Args) -> Day {
+    let scenario =
+        if args.one_incarnation { scenario.with_calls_of_one_incarnation() } else { scenario };
     let mut sim = days::simulate(scenario, seed, Duration::from_secs_f64(args.grace));
     let figures = &sim.idle;
     let (all, calm, full) = (figures.all.longest(), figures.calm.longest(), figures.full.longest());
--- a/crates/proofs/examples/suspicions.rs
+++ b/crates/proofs/examples/suspicions.rs
@@ -47,6 +47,9 @@
     /// name of the scenario, or `all-scenarios`
     #[argh(option, default = "\"all-scenarios\".to_owned()")]
     scenario: String,
+    /// no incarnation of a minion carries out calls for an earlier one
+    #[argh(switch)]
+    one_incarnation: bool,
     /// print the whole log of each day that breaks a promise
     #[argh(switch)]
     story: bool,
@@ -68,6 +71,8 @@
 }
 
 fn simulate(scenario: days::Scenario, seed: u64, args: &Args) -> Day {
+    let scenario =
+        if args.one_incarnation { scenario.with_calls_of_one_incarnation() } else { scenario };
     let mut sim = days::simulate(scenario, seed, days::GRACE);
     let mut wrong = BTreeMap::new();
     for evidence in sim.log.iter().filter_map(|line| wrong_evidence(line)) {
--- a/crates/proofs/src/jobs/days.rs
+++ b/crates/proofs/src/jobs/days.rs
@@ -103,6 +103,8 @@
     has_absences: bool,
     /// Troubles in which minions that live on resemble minions that have ended.
     suspicions: suspicions::Kinds,
+    /// Whether a minion carries out calls that an earlier incarnation of it has received.
+    calls_outlive_incarnations: bool,
 }
 
 const NONE: Scenario = Scenario {
@@ -120,8 +122,16 @@
     has_departures: false,
     has_absences: false,
     suspicions: suspicions::Kinds::NONE,
+    calls_outlive_incarnations: true,
 };
 
+impl Scenario {
+    /// The same with minions of which no incarnation carries out calls for an earlier one.
+    pub fn with_calls_of_one_incarnation(self) -> Self {
+        Scenario { calls_outlive_incarnations: false, ..self }
+    }
+}
+
 /// All scenarios.
 pub const SCENARIOS: &[Scenario] = &[
     NONE,
@@ -305,7 +315,9 @@
 pub fn simulate(scenario: Scenario, seed: u64, grace: Duration) -> Simulation {
     let arrivals = draw(seed);
     let last_arrival = arrivals.iter().map(|arrival| arrival.at).max().unwrap_or_default();
-    let mut sim = Simulation::new(Options::new(&GANGS, arrivals, seed));
+    let options = Options::new(&GANGS, arrivals, seed)
+        .calls_outlive_incarnations(scenario.calls_outlive_incarnations);
+    let mut sim = Simulation::new(options);
     let changes = changes(scenario, seed, sim.agents());
     let last_change = changes.last().map_or(0.0, |(at, _)| *at);
     let from = last_arrival.max(Duration::from_secs_f64(last_change)) + grace;
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -102,7 +102,10 @@
                     self.planner_event(entry, generation, event);
                 }
                 Effect::Plan(term) => {
-                    let options = planner_options(entry, self.policy, self.features);
+                    let options = planner::options::Options {
+                        calls_outlive_incarnations: self.calls_outlive_incarnations,
+                        ..planner_options(entry, self.policy, self.features)
+                    };
                     let catalog = std::sync::Arc::new(
                         read_catalog(&Bytes::new(), 1).expect("the fake configuration is valid"),
                     );
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -41,7 +41,9 @@
             self.reply(&request, MinionReply::NotListening);
             return;
         }
-        if !request.target.is_empty() && request.target != minion.incarnation.id {
+        let is_other = request.target != minion.incarnation.id
+            || !self.calls_outlive_incarnations && request.born_ms != minion.incarnation.born_ms;
+        if !request.target.is_empty() && is_other {
             self.reply(&request, MinionReply::WrongInstance);
             return;
         }
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -283,6 +283,8 @@
     earlier_runs: BTreeMap<JobId, Runs>,
     policy: Policy,
     features: Features,
+    /// Whether a minion carries out calls that an earlier incarnation of it has received.
+    calls_outlive_incarnations: bool,
     /// Number of reads of the configuration.
     pub catalog_reads: usize,
     /// Number of watches of the configuration.
@@ -346,6 +348,7 @@
             earlier_waste: 0.0,
             earlier_runs: BTreeMap::new(),
             policy: options.policy,
+            calls_outlive_incarnations: options.calls_outlive_incarnations,
             features: options.features,
             arrivals: options.arrivals,
         };
--- a/crates/proofs/src/jobs/simulation/options.rs
+++ b/crates/proofs/src/jobs/simulation/options.rs
@@ -25,6 +25,7 @@
     pub(super) speeds: f64,
     pub(super) features: Features,
     pub(super) has_slow: bool,
+    pub(super) calls_outlive_incarnations: bool,
 }
 
 impl<'a> Options<'a> {
@@ -32,7 +33,16 @@
     /// component of the planner; `seed` is that of the random generator.
     pub fn new(site: &'a Site, arrivals: Vec<Arrival>, seed: u64) -> Self {
         let (policy, features) = (Policy::default(), Features::default());
-        Options { site, arrivals, seed, policy, speeds: 1.0, features, has_slow: true }
+        Options {
+            site,
+            arrivals,
+            seed,
+            policy,
+            speeds: 1.0,
+            features,
+            has_slow: true,
+            calls_outlive_incarnations: true,
+        }
     }
 
     /// Sets the planning policy.
@@ -51,6 +61,12 @@
         Options { features, ..self }
     }
 
+    /// Sets whether a minion carries out calls that an earlier incarnation of it has received, and
+    /// whether planners reckon with it.
+    pub fn calls_outlive_incarnations(self, calls_outlive_incarnations: bool) -> Self {
+        Options { calls_outlive_incarnations, ..self }
+    }
+
     /// Removes the slowest workers of the site.
     pub fn without_slow_workers(self) -> Self {
         Options { has_slow: false, ..self }
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -44,6 +44,7 @@
         speeds: features.speeds,
         shares: features.shares,
         stops: features.stops,
+        calls_outlive_incarnations: true,
         has_inventory: true,
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
--- a/crates/proofs/tests/late/mod.rs
+++ b/crates/proofs/tests/late/mod.rs
@@ -46,12 +46,23 @@
     seeds: impl Iterator<Item = u64> + Clone,
     arrivals: fn(u64) -> Vec<Arrival>,
     faults: fn(&mut Simulation, u64),
+) {
+    assert_invariants_where(true, seeds, arrivals, faults);
+}
+
+/// The same where minions carry out calls for an earlier incarnation, or where they don't.
+fn assert_invariants_where(
+    calls_outlive_incarnations: bool,
+    seeds: impl Iterator<Item = u64> + Clone,
+    arrivals: fn(u64) -> Vec<Arrival>,
+    faults: fn(&mut Simulation, u64),
 ) {
     let mut failures = Vec::new();
     let count = seeds.clone().count();
     for seed in seeds {
         let arrivals = arrivals(seed);
-        let options = Options::new(&sites::ATLANTICA, arrivals.clone(), seed);
+        let options = Options::new(&sites::ATLANTICA, arrivals.clone(), seed)
+            .calls_outlive_incarnations(calls_outlive_incarnations);
         let mut sim = Simulation::new(options);
         sim.late_orders = LATE_SHARE;
         faults(&mut sim, seed);
@@ -372,6 +383,24 @@
     assert_invariants(73_000..=73_049, draw, |sim, _| lose_agent_and_planner(sim));
 }
 
+/// Guards against a task that runs twice because a start counts no more once its incarnation or the
+/// lease of that is over: the same orders of losses, and agents that are away for longer than a start
+/// may be late.
+#[test]
+fn late_starts_break_no_promise_within_incarnations() {
+    assert_invariants_where(false, 71_000..=71_019, draw, restart_all);
+    assert_invariants_where(false, 73_000..=73_019, draw, |sim, _| lose_agent_and_planner(sim));
+    assert_invariants_where(false, 73_000..=73_019, draw, |sim, _| {
+        restart_minions_after(sim, AWAY, |sim| {
+            let planner = sim.planner_entry().unwrap_or_default();
+            sim.kill_entry(planner, secs(1.0));
+            for agent in 0..sim.agents() {
+                sim.kill_agent(agent, secs(14.0));
+            }
+        });
+    });
+}
+
 /// Guards against starts of one term that a minion's next incarnation carries out while its agent
 /// is paused. No process is lost before.
 #[test]
--- a/crates/proofs/tests/stands_still/mod.rs
+++ b/crates/proofs/tests/stands_still/mod.rs
@@ -161,9 +161,22 @@
 /// Simulates scenarios with each seed. Panics with the unanswered starts that counted for longer than
 /// the platform allows, those that counted again, and the violations.
 fn assert_starts_expire(scenarios: &[&str], seeds: &[u64]) {
+    assert_starts_expire_on(scenarios, seeds, |scenario| scenario);
+}
+
+/// The same with minions of which no incarnation carries out calls for an earlier one.
+fn assert_starts_expire_within_incarnations(scenarios: &[&str], seeds: &[u64]) {
+    assert_starts_expire_on(scenarios, seeds, days::Scenario::with_calls_of_one_incarnation);
+}
+
+fn assert_starts_expire_on(
+    scenarios: &[&str],
+    seeds: &[u64],
+    change: fn(days::Scenario) -> days::Scenario,
+) {
     let mut failures = Vec::new();
     for name in scenarios {
-        let scenario = days::scenario(name).expect("the scenario is known");
+        let scenario = change(days::scenario(name).expect("the scenario is known"));
         for seed in seeds {
             let sim = days::simulate(scenario, *seed, days::GRACE);
             let long = sim.unanswered.longest().iter();
@@ -193,6 +206,17 @@
     assert_starts_expire(&["departures-rapid"], &[2, 3, 15]);
 }
 
+/// Guards against starts that count again, or for longer than the platform allows, where they end with the
+/// leases of the incarnation that they were sent to.
+#[test]
+fn starts_expire_within_incarnations() {
+    let departures = ["departures", "departures-takeovers", "departures-rapid"];
+    assert_starts_expire_within_incarnations(&departures, &[1, 2, 3, 4, 7, 8, 15, 23]);
+    assert_starts_expire_within_incarnations(&["absences", "all"], &[1, 2, 9]);
+    assert_starts_expire_within_incarnations(&["mute-late", "mute-agents"], &[1, 13]);
+    assert_starts_expire_within_incarnations(&["suspicions", "late-agents"], &[1, 14]);
+}
+
 /// Guards against starts on VMs without a minion which count on although they can't be carried out any
 /// more and nothing of them can be running.
 #[test]
--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -78,9 +78,12 @@
             Reply::Listed { born_ms, .. } if self.is_other_incarnation(*born_ms) => {
                 self.restarted(now, *born_ms);
             }
-            Reply::Listed { running, ended, .. } => {
+            Reply::Listed { clock, running, ended, .. } => {
                 let counts = format!("running={} ended={}", running.len(), ended.len());
                 self.mark_fenced(now, &counts);
+                // The call was sent after the first contact.
+                let requested_at = self.minion.as_ref().map(|minion| minion.first_contact);
+                self.find_late_call(requested_at.unwrap_or_default(), *clock, running, ended);
             }
             // An unhealthy minion that refuses a call has done nothing, so it has no token yet.
             Reply::Refused(Rejection::Fenced) => self.mark_fenced(now, "refused=Fenced"),
@@ -353,6 +356,8 @@
         minion.is_list_partial = is_partial;
         minion.list_requested_at = long_poll.sent_at;
         minion.list_received_at = now;
+        self.find_late_call(long_poll.sent_at, clock, &running, &ended);
+        let Some(minion) = &mut self.minion else { return };
         minion.lists += 1;
         minion.started.retain(|_, (_, started_at)| *started_at >= long_poll.sent_at);
         minion.running = running
@@ -376,4 +381,39 @@
         }
         self.resolve_orders(long_poll.sent_at, is_partial);
     }
+
+    /// Looks in a list for a start that was sent before this incarnation began, and so to an earlier one. By
+    /// its `clock`, which it has read after `requested_at` and which may be slow, it can't have begun before
+    /// some time.
+    ///
+    /// Guards against tasks that run twice on a platform whose minions carry out calls that name an
+    /// earlier incarnation: the planner has to wait for such calls.
+    fn find_late_call(
+        &mut self,
+        requested_at: Duration,
+        clock: Duration,
+        running: &[Running],
+        ended: &[Ended],
+    ) {
+        if self.late_call.is_some() {
+            return;
+        }
+        let drift = clock * options::CLOCK_DRIFT_MILLI / 1_000;
+        let age = clock + drift + options::TIMING_MARGIN;
+        let Some(born_after) = requested_at.checked_sub(age) else { return };
+        let running = running.iter().filter_map(|running| running.run.as_ref());
+        let ended = ended.iter().filter_map(|ended| ended.run.as_ref());
+        let found = self.unanswered.find_late_call(born_after, running.chain(ended));
+        let Some(found) = found else { return };
+        if let Some(run) = &found.run {
+            let (task, number) = (Task::read(run), run.run);
+            self.log(format!(
+                "task={task} run={number} minion={} born_ms={} has carried out a start that was sent \
+                 to its incarnation of born_ms={}",
+                found.minion, found.born_ms, found.sent_to_ms
+            ));
+        }
+        self.late_call = Some(found);
+        self.has_changes = true;
+    }
 }
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use sapphire_jobs::{AbsenceCause, Ended, Incarnation, Lead, Running, Verdict, task::Task};
+use sapphire_jobs::{
+    AbsenceCause, Ended, Incarnation, LateCall, Lead, Running, Verdict, task::Task,
+};
 
 use crate::{
     absence::Absence,
@@ -153,6 +155,9 @@
     pub(crate) refusals: Refusals,
     /// Starts that may still be carried out, including those of earlier sessions.
     pub(crate) unanswered: unanswered::Starts,
+    /// First start that an incarnation of the minion has carried out although it was meant for an
+    /// earlier one.
+    pub(crate) late_call: Option<LateCall>,
     /// Verdicts, each with the sequence of the first poll that reported it.
     pub(crate) verdicts: Vec<(Verdict, Option<u64>)>,
     pub(crate) polls: Vec<PendingPoll>,
@@ -212,6 +217,7 @@
             orders: BTreeMap::new(),
             refusals: Refusals::default(),
             unanswered: unanswered::Starts::default(),
+            late_call: None,
             verdicts: Vec::new(),
             polls: Vec::new(),
             last_poll: Duration::ZERO,
@@ -355,7 +361,7 @@
         self.forget_minion();
         self.is_minion_gone = false;
         self.absence = None;
-        self.unanswered.set_minion(&incarnation.id);
+        self.unanswered.set_minion(&incarnation.id, incarnation.born_ms);
         self.minion = Some(Minion {
             incarnation,
             address,
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -59,6 +59,7 @@
         };
         let pending: Vec<Run> = runs(starts);
         let stopping = runs(stops);
+        self.lapse_starts(now);
         let unanswered = self.unanswered.report(now, &pending);
         let mut poll = Poll {
             agent: self.options.name.clone(),
@@ -72,6 +73,7 @@
             is_leaving: self.terminating_since.is_some(),
             is_minion_gone: self.is_minion_gone && self.minion.is_none(),
             absence: self.shown_absence().map(|absence| absence.message(now)),
+            late_call: self.late_call.clone(),
             ..Poll::default()
         };
         if let Some(minion) = &self.minion {
@@ -110,11 +112,13 @@
         if !orders.entries.is_empty() {
             self.entries.clone_from(&orders.entries);
         }
+        self.unanswered.set_outliving(orders.calls_outlive_incarnations);
         self.begin_session(&orders);
         self.update_cordon(poll.sequence, orders.is_cordoned);
         if orders.token != self.session.token {
             return;
         }
+        self.lapse_starts(now);
         // The lease counts from the sending of the poll, so that a late answer does not extend it.
         if orders.lease_ms > 0 {
             let until = poll.sent_at + Duration::from_millis(orders.lease_ms);
@@ -137,6 +141,16 @@
         }
     }
 
+    /// Drops the attempts to start runs that nothing can come of any more: their lease is over.
+    ///
+    /// Guards against starts that a planner counts again which doesn't know when the lease was over.
+    fn lapse_starts(&mut self, now: Duration) {
+        let drift = self.options.longest_lease * options::CLOCK_DRIFT_MILLI / 1_000;
+        if now >= self.session.lease_until + drift + options::TIMING_MARGIN {
+            self.unanswered.lapse();
+        }
+    }
+
     /// Records whether the zone is cordoned, unless the answer to a later poll has arrived before.
     fn update_cordon(&mut self, sequence: u64, is_cordoned: bool) {
         if sequence < self.session.latest_answer {
--- a/crates/runner/tests/harness/mod.rs
+++ b/crates/runner/tests/harness/mod.rs
@@ -35,6 +35,8 @@
     pub(crate) log: Vec<String>,
     /// Time for which the planner's answers allow starts, in ms.
     pub(crate) starts_ms: u64,
+    /// Whether minions carry out calls for an earlier incarnation, as the planner's answers say.
+    pub(crate) calls_outlive_incarnations: bool,
 }
 
 impl Fixture {
@@ -49,7 +51,14 @@
             longest_lease: ms(10_000),
         });
         let starts_ms = LEASE.as_millis() as u64;
-        Fixture { machine, polls: Vec::new(), calls: Vec::new(), log: Vec::new(), starts_ms }
+        Fixture {
+            machine,
+            polls: Vec::new(),
+            calls: Vec::new(),
+            log: Vec::new(),
+            starts_ms,
+            calls_outlive_incarnations: true,
+        }
     }
 
     /// Has the agent handle an event at a time in ms, and collects the effects.
@@ -82,8 +91,10 @@
     pub(crate) fn answer_polls(&mut self, now: u64, starts: Vec<Start>, stops: Vec<Run>) {
         let mut pending = std::mem::take(&mut self.polls);
         let (ticket, _) = pending.pop().expect("the agent has polled");
+        let calls_outlive_incarnations = self.calls_outlive_incarnations;
         for (ticket, _) in pending {
-            let orders = Orders { term: 7, token: TOKEN, ..Orders::default() };
+            let orders =
+                Orders { term: 7, token: TOKEN, calls_outlive_incarnations, ..Orders::default() };
             self.handle(now, Event::Orders(ticket, Box::new(orders)));
         }
         let orders = Orders {
@@ -93,6 +104,7 @@
             starts_ms: self.starts_ms,
             starts,
             stops,
+            calls_outlive_incarnations,
             ..Orders::default()
         };
         self.handle(now, Event::Orders(ticket, Box::new(orders)));
@@ -136,6 +148,11 @@
         Fixture::new().into_session()
     }
 
+    /// The same with minions that carry out no calls for an earlier incarnation.
+    pub(crate) fn fenced_in_incarnations() -> Self {
+        Fixture { calls_outlive_incarnations: false, ..Fixture::new() }.into_session()
+    }
+
     /// The agent in a session, whose minion has acknowledged the token.
     pub(crate) fn into_session(self) -> Self {
         let mut fixture = self;
--- a/crates/runner/tests/runner.rs
+++ b/crates/runner/tests/runner.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod cordons;
 mod harness;
+mod incarnations;
 mod orders;
 mod presence;
 mod storms;
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -72,6 +72,7 @@
         shares: settings.shares.map(|shares| share::Options { window: millis(shares.window_ms) }),
         stops: settings.stops.map(|stops| stops::Options { limit: ratio(stops.limit_milli) }),
         has_inventory: !settings.inventory.is_empty(),
+        calls_outlive_incarnations: settings.calls_outlive_incarnations,
         cordon_prefix: platform::cordon::PREFIX.to_owned(),
         read_cordon: platform::cordon::read,
         cordon_deadline: millis(bounds.cordon_ms),
--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -8,6 +8,11 @@
     run_jobs(20, seed, faults, conditions, trouble)
 }
 
+/// Conditions under which no incarnation of a minion carries out calls for an earlier one.
+fn within_incarnations() -> Conditions {
+    Conditions { calls_outlive_incarnations: false, ..Conditions::default() }
+}
+
 fn run_jobs(
     jobs: u32,
     seed: u64,
@@ -16,13 +21,14 @@
     trouble: Trouble,
 ) -> soak::Outcome {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{seed}"));
+    let networks = if conditions.calls_outlive_incarnations { 0xf0 } else { 0xe0 };
     let options = soak::Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_sapphired")),
         folder,
         seed,
         jobs,
         faults,
-        net: seed as u8 | 0xf0,
+        net: seed as u8 & 0x0f | networks,
         conditions,
         trouble,
     };
@@ -217,3 +223,35 @@
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
 }
+
+/// Guards against a job that stands still once a VM is gone after an unanswered start, while planners are
+/// killed: the start ends with the lease of the minion.
+#[test]
+fn a_task_whose_vm_is_gone_goes_on_within_incarnations() {
+    let trouble = Trouble { lost_start: true, ..Trouble::default() };
+    let outcome = run_jobs(1, 244, 0, within_incarnations(), trouble);
+    assert_eq!(lost(&outcome), Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!((outcome.accepted, outcome.complete), (1, 1));
+}
+
+/// Guards against tasks that run twice, and against jobs that stand still, where starts end with the
+/// incarnations that they were sent to: minions crash, orders are late, and planners are killed.
+#[test]
+fn late_orders_break_no_promise_within_incarnations() {
+    let trouble = Trouble { late_orders: true, gangs: true, planners: true, ..Trouble::default() };
+    let outcome = run_jobs(30, 246, 4, within_incarnations(), trouble);
+    assert_eq!(lost(&outcome), Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
+
+/// Guards against the same while VMs are taken away one after the other.
+#[test]
+fn vms_that_leave_in_series_keep_no_start_waiting_within_incarnations() {
+    let trouble = Trouble { departures: true, gangs: true, ..Trouble::default() };
+    let outcome = run_jobs(40, 250, 0, within_incarnations(), trouble);
+    assert_eq!(lost(&outcome), Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+}
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -29,6 +29,7 @@
             entries: file.addresses("entries", 0),
             metrics: file.optional_address("metrics"),
             inventory: file.optional_address("inventory"),
+            calls_outlive_incarnations: file.switch("calls_outlive_incarnations", false),
             bounds: Some(bounds(file)),
             policy: Some(policy(file)),
             speeds: file.optional_section("speeds", read_speeds),
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -134,6 +134,11 @@
     let read = |parts: &str| sapphire_settings::jobs::read_entry(&file(parts));
     let absent = read("").expect("the file is valid");
     assert_eq!((absent.speeds, absent.shares, absent.stops), (None, None, None));
+    assert!(!absent.calls_outlive_incarnations);
+    let given = read("calls_outlive_incarnations: true\n").expect("the file is valid");
+    assert!(given.calls_outlive_incarnations);
+    let faults = read("calls_outlive_incarnations: 3\n").expect_err("has faults");
+    assert_eq!((faults[0].line, faults[0].key.as_str()), (9, "calls_outlive_incarnations"));
     let parts = "speeds:\n  unequal_from: 1.25\nshares:\n  window: 20s\nstops:\n  limit: 0.2\n";
     let given = read(parts).expect("the file is valid");
     let (speeds, shares, stops) = (given.speeds, given.shares, given.stops);
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -33,6 +33,9 @@
     /// loopback network of all seeds, from 1 to 240; by default each has its own
     #[argh(option)]
     net: Option<u8>,
+    /// no incarnation of a minion carries out calls for an earlier one
+    #[argh(switch)]
+    one_incarnation: bool,
     /// keep the logs of all seeds
     #[argh(switch)]
     keep: bool,
@@ -91,7 +94,10 @@
             jobs: args.jobs,
             faults: args.faults,
             net: args.net.unwrap_or((seed % 240) as u8 + 1),
-            conditions: Conditions::default(),
+            conditions: Conditions {
+                calls_outlive_incarnations: !args.one_incarnation,
+                ..Conditions::default()
+            },
             trouble: trouble(&args.without, &args.only),
         })?;
         let lost = outcome.standstills.iter().filter(|it| it.is_broken()).count();
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -127,6 +127,8 @@
     program: PathBuf,
     folder: PathBuf,
     ways: Ways,
+    /// Whether minions carry out calls for an earlier incarnation, as the entries' settings say.
+    calls_outlive_incarnations: bool,
     processes: Vec<Process>,
     /// Processes that are not started again: their machines are gone or have no power.
     gone: BTreeSet<Node>,
@@ -150,12 +152,14 @@
         program: &Path,
         folder: &Path,
         ways: Ways,
+        calls_outlive_incarnations: bool,
     ) -> io::Result<Self> {
         let mut fleet = Fleet {
             net,
             program: program.to_owned(),
             folder: folder.to_owned(),
             ways,
+            calls_outlive_incarnations,
             processes: Vec::new(),
             gone: BTreeSet::new(),
         };
@@ -204,12 +208,14 @@
                 let text = format!(
                     "platform: kv\nname: {name}\nregion: r\nzone: z\naddress: \"{}\"\n\
                      callers: \"{}\"\nready: \"{}\"\nstore: \"{}\"\n\
-                     inventory: \"{}\"\nentries: [{entries}]\n",
+                     inventory: \"{}\"\nentries: [{entries}]\n\
+                     calls_outlive_incarnations: {}\n",
                     net.internal(entry),
                     net.callers(entry),
                     net.ready(entry),
                     net.store_proxy(entry),
-                    net.store()
+                    net.store(),
+                    self.calls_outlive_incarnations
                 );
                 ("entry", name, text)
             }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -376,7 +376,9 @@
             _ => Ways::Direct,
         };
         let agents = self.minions.len() as u8;
-        let mut fleet = Fleet::start(self.net, agents, Path::new(&program), &folder, ways)?;
+        let outlive = self.options.conditions.calls_outlive_incarnations;
+        let mut fleet =
+            Fleet::start(self.net, agents, Path::new(&program), &folder, ways, outlive)?;
         let start = clock::now();
         let (mut next_job, mut next_fault) =
             (start + STARTUP_DELAY, start + STARTUP_DELAY + FAULT_INTERVAL);
--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -161,7 +161,10 @@
             self.log_order(received, "no minion");
             return Response::new(503, "");
         }
-        if !received.minion_id.is_empty() && received.minion_id != minion.incarnation.id {
+        let is_other = received.minion_id != minion.incarnation.id
+            || !self.options.conditions.calls_outlive_incarnations
+                && received.born_ms != minion.incarnation.born_ms;
+        if !received.minion_id.is_empty() && is_other {
             self.log_order(received, "wrong instance");
             return Response::new(421, "");
         }
