planner: the handover record lacks starts for a minion that was replaced

Cause: a worker whose minion is replaced under another identifier goes from one to the next without a report of none between. Its starts were released at once, since the new minion answers 421, but its runs without an answer stayed in the handover record as outstanding until the first list of the new one; a planner that took over before that list read them as starts on it.

Runs that were ordered on an incarnation that the present one doesn't carry out calls for are no longer recorded, and are not kept when the agent is replaced.

The test failed before: incarnations::starts_for_a_replaced_minion_leave_the_record.

--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -221,7 +221,14 @@
             let longest = now.steady + self.options.longest_lease_expiry();
             worker.lease_expires_at = worker.lease_expires_at.max(longest);
         }
+        let is_named = |new: &Incarnation| {
+            let known = worker.incarnation.as_ref();
+            known.is_some_and(|known| known.id == new.id)
+                && self.unanswered.calls_outlive_incarnations
+        };
         let had_minion = worker.incarnation.is_some();
+        worker.has_void_orders |=
+            is_new_minion && had_minion && !poll.incarnation.as_ref().is_some_and(is_named);
         let was_draining = worker.incarnation.as_ref().is_some_and(|minion| minion.is_draining);
         if is_new_minion {
             worker.pending_ends.clear();
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -43,6 +43,7 @@
         }
         let is_first = !worker.is_fenced;
         worker.is_fenced = true;
+        worker.has_void_orders = false;
         let minion = poll.incarnation.as_ref().map_or("", |minion| minion.id.as_str());
         self.add_member(now, name, &poll.address, minion);
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -223,6 +223,9 @@
     /// process knew of them.
     pub(crate) fn retain_lost(&mut self, now: Duration, name: &str, worker: &Worker) {
         self.for_each_start(name, |start| start.retained = start.retained.max(start.reported));
+        if worker.has_void_orders {
+            return;
+        }
         for (task, run) in worker.runs.iter().filter(|(_, run)| may_be_sent(run)) {
             let start = self.start(name, task.clone(), run.number);
             start.retained = start.retained.max(Some(worker.expiry_of_starts(now)));
@@ -386,7 +389,7 @@
                 record.entry(worker).or_default().tasks.extend(rows);
             }
         }
-        for (name, worker) in fleet {
+        for (name, worker) in fleet.iter().filter(|(_, worker)| !worker.has_void_orders) {
             // Its agent may go on sending the start for a while after it last hears of this planner,
             // which may go on for a while after it was replaced.
             let sent_until = options::OUTAGE_STARTS + options::START_WINDOW;
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -154,6 +154,9 @@
     pub is_fenced: bool,
     /// The session began with a new incarnation of the minion, in which no earlier run goes on.
     pub is_new_incarnation: bool,
+    /// The runs were ordered on an incarnation that the present one doesn't carry out calls for. They end
+    /// with its first list.
+    pub has_void_orders: bool,
     /// The worker has no minion, and nothing of any earlier one is running.
     pub is_vacant: bool,
     /// What its agent has observed of a minion that seems to be absent. It shows nothing of what the
--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -9,7 +9,7 @@
 use prost::Message as _;
 use sapphire_jobs::{
     Ended, Ending, Incarnation, Job, LateCall, Notice, Orders, Poll, Run, Running, Step,
-    Unanswered, remote_clock::RemoteClock, resources::Resources, task::Task,
+    Unanswered, UnansweredStarts, remote_clock::RemoteClock, resources::Resources, task::Task,
 };
 use sapphire_planner::{
     event::{Event, Operation},
@@ -87,6 +87,8 @@
     ended: Vec<Ended>,
     last_end: u64,
     born_ms: u64,
+    /// The minion has replaced one of another name.
+    is_replaced: bool,
     requester: Option<u64>,
     token: u64,
     /// A start that its minion has carried out although it was meant for an earlier incarnation.
@@ -381,11 +383,29 @@
         self.note(&format!("minion {name} starts again"));
     }
 
+    /// Replaces a minion by one of another name.
+    pub(crate) fn replace_minion(&mut self, name: &str) {
+        self.restart_minion(name);
+        let agent = self.agents.get_mut(name).expect("it is known");
+        agent.is_replaced = true;
+        agent.abandoned.clear();
+    }
+
     /// Returns the number of unanswered starts that count.
     pub(crate) fn open_starts(&self) -> usize {
         self.planner.as_ref().map_or(0, |planner| planner.planner.unanswered_starts().count())
     }
 
+    /// Returns the jobs with starts in the latest handover record.
+    pub(crate) fn recorded_jobs(&self) -> BTreeSet<String> {
+        let records = self.items.iter().filter(|(key, _)| key.starts_with(keys::UNANSWERED));
+        let records = records.filter_map(|(_, item)| item.value.clone());
+        let records = records.filter_map(|value| UnansweredStarts::decode(value).ok());
+        let latest = records.max_by_key(|record| (record.term, record.write));
+        let workers = latest.unwrap_or_default().workers.into_iter();
+        workers.flat_map(|on| on.tasks).map(|task| task.job).collect()
+    }
+
     /// Has the next incarnation of a minion carry out a start that was sent to the one before.
     pub(crate) fn begin_late(&mut self, name: &str, id: &str) {
         self.restart_minion(name);
@@ -535,6 +555,7 @@
             incarnation: Some(Incarnation {
                 is_draining: agent.is_draining,
                 born_ms: agent.born_ms,
+                id: if agent.is_replaced { format!("{name}-next") } else { minion(name).id },
                 ..minion(name)
             }),
             running: agent.running.iter().map(running).collect(),
--- a/crates/planner/tests/incarnations/mod.rs
+++ b/crates/planner/tests/incarnations/mod.rs
@@ -116,3 +116,19 @@
         assert!(waited >= OUTLIVING, "{waited} ms\n{}", world.history.join("\n"));
     }
 }
+
+/// Guards against starts on a worker whose minion was replaced by one of another name that a successor
+/// counts again, since they were still in the record.
+#[test]
+fn starts_for_a_replaced_minion_leave_the_record() {
+    let (mut world, worker) = ordered();
+    world.run(1_000);
+    assert_eq!(world.open_starts(), 1, "{}", world.history.join("\n"));
+    world.replace_minion(&worker);
+    for _ in 0..200 {
+        world.run(10);
+        let is_over = world.open_starts() == 0;
+        let is_left = is_over && world.starts.len() < 2 && world.recorded_jobs().contains("j");
+        assert!(!is_left, "{}: {}", world.now, world.history.join("\n"));
+    }
+}
