planner: the stored list says when the leases of silent workers are over

Cause: no record had the end of a worker's lease, so that a successor counted the lease and the longest outage of an earlier planner from the first term that it knew to have granted none.

A planner that has not heard of a worker with runs or unanswered starts for 1.3 s writes the end of its leases into the list of workers, and grants none while the list may say so; a poll has it written anew first. A successor counts to that end, by the clock of the planner that wrote it if it has heard it. Not where calls outlive incarnations: a late renewal may give a next incarnation another lease.

Price: two writes for each silence of such a worker; and one that falls silent just before an outage of the store gets no lease before the store is back.

A worker that is lost in the same second as its planner is still waited for, as nobody has recorded its silence.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,9 +11,9 @@
 pub mod task;
 
 pub use sapphire_schema::jobs::{
-    Absence, AbsenceCause, Backlog, Ended, Ending, Feed, FeedPoll, Fleet, GoneMinion, Incarnation,
-    Job, LateCall, Lead, Member, MissingStarts, Notice, Orders, OrganisationBacklog, Poll,
-    Progress, Rejection, Relay, Relayed, Row, Run, RunSegment, Running, RunsOn, Schedule,
+    Absence, AbsenceCause, Backlog, Ended, Ending, Expiry, Feed, FeedPoll, Fleet, GoneMinion,
+    Incarnation, Job, LateCall, Lead, Member, MissingStarts, Notice, Orders, OrganisationBacklog,
+    Poll, Progress, Rejection, Relay, Relayed, Row, Run, RunSegment, Running, RunsOn, Schedule,
     SpeedShard, Start, State, Step, Supply, Tally, Unanswered, UnansweredOn, UnansweredStarts,
     UnansweredTask, Usage, Usages, Verdict, WorkerSpeed,
 };
--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -405,6 +405,7 @@
     /// Records that nothing is running on a worker any more.
     fn release_member(&mut self, now: Moment, name: &str) {
         self.startup.unaccounted.remove(name);
+        self.startup.leases.remove(name);
         self.unanswered.lapse(now.steady, name);
         self.retain_logged(name);
         self.remove_member(name);
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -309,6 +309,7 @@
         self.check_recovered(now);
         self.follow_takeover(now);
         self.check_expired(now);
+        self.record_leases(now);
         self.write_fleet(now);
         self.follow_speeds(now);
         self.follow_delays(now);
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -88,6 +88,8 @@
         worker.sequence = poll.sequence;
         worker.last_contact = now.steady;
         worker.is_leaving = poll.is_leaving;
+        self.end_silence(now, &name);
+        let worker = self.workers.get_mut(&name).expect("inserted above");
         let is_fenced = poll.fenced_token == worker.token && poll.incarnation.is_some();
         let earlier = worker.long_poll.replace(LongPoll { requester, since: now.steady });
         if let Some(earlier) = earlier {
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{Fleet, Member, Progress, length, task::WorkerName};
+use sapphire_jobs::{Expiry, Fleet, Member, Progress, length, task::WorkerName};
 use sapphire_plan::speed::Belief;
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
@@ -22,6 +22,7 @@
     planner::{Planner, estimate_kind},
     state::startup::Phase,
     table::Entry,
+    unanswered,
     worker::{Cause, Worker},
 };
 
@@ -90,7 +91,7 @@
                 Key::Job(id) => self.load_job(now, id, value),
                 Key::Progress(id) => progress.push((id, value, item.revision)),
                 Key::Cancel(id) => cancelled.push(id),
-                Key::Fleet => self.load_fleet(value, item.revision),
+                Key::Fleet => self.load_fleet(now, value, item.revision),
                 Key::Shares => self.load_shares(now, value, item.revision),
                 Key::Unanswered(slot) => handover.push((slot, value, item.revision)),
                 Key::Runs => runs.push((item.key.as_str(), value)),
@@ -163,7 +164,7 @@
     }
 
     /// Loads the list of workers of earlier planners.
-    fn load_fleet(&mut self, value: &Bytes, revision: Revision) {
+    fn load_fleet(&mut self, now: Moment, value: &Bytes, revision: Revision) {
         self.startup.fleet_revision = revision;
         let decoded = Fleet::decode(&value[..]).map_err(|error| error.to_string());
         let is_possible = |fleet: &Fleet| fleet.terms <= options::MAX_TERMS;
@@ -178,7 +179,7 @@
                 self.startup.calls_outlive_incarnations = fleet.calls_outlive_incarnations;
                 self.unanswered.calls_outlive_incarnations |= fleet.calls_outlive_incarnations;
                 for member in fleet.members {
-                    self.load_member(member);
+                    self.load_member(now, member);
                 }
             }
             Err(error) => {
@@ -193,11 +194,17 @@
     /// Loads a worker of earlier planners. The lease that it may have ends some time after the beginning
     /// of the first term in which it was granted none, and after the longest outage in which a planner
     /// of the term before may have gone on.
-    fn load_member(&mut self, member: Member) {
+    /// The record may also have the end of all its leases.
+    fn load_member(&mut self, now: Moment, member: Member) {
         let name = member.name.clone();
         let began = self.startup.seen_terms.get(&member.silent_since);
         let silent_since = began.map_or(self.startup.began, |began| *began);
         let until = silent_since + self.options.lease_expiry() + options::MAX_STORE_OUTAGE;
+        let lease_end = self.lease_end(now, member.lease.as_ref());
+        let until = lease_end.map_or(until, |end| end.min(until));
+        if lease_end.is_some() {
+            self.startup.leases.insert(name.clone(), until);
+        }
         self.startup.unaccounted.insert(name.clone(), until);
         if member.silent_since > 0 {
             self.startup.silent.insert(name.clone(), member.silent_since);
@@ -205,7 +212,18 @@
         if !member.vm.is_empty() {
             self.inventory.vms.insert(member.minion.clone(), member.vm.clone());
         }
-        self.startup.members.insert(name, Member { silent_since: 0, ..member });
+        self.startup.members.insert(name, Member { silent_since: 0, lease: None, ..member });
+    }
+
+    /// Returns the end of a worker's leases that an earlier planner has recorded, by the clock of that
+    /// planner if it is known. Where calls outlive incarnations, a next incarnation may have got another
+    /// lease by a late call.
+    fn lease_end(&self, now: Moment, lease: Option<&Expiry>) -> Option<Duration> {
+        let lease = lease.filter(|_| !self.unanswered.calls_outlive_incarnations)?;
+        let by_left = unanswered::shifted(now.steady, lease.left_ms);
+        let clock = self.startup.clocks.get(&lease.term);
+        let by_clock = clock.map(|clock| clock.local(Duration::from_millis(lease.clock_ms)));
+        Some(by_clock.map_or(by_left, |end| end.min(by_left)))
     }
 
     /// Returns whether workers of the earlier term are still about to report.
@@ -229,6 +247,49 @@
         }
     }
 
+    /// Has the stored list say when the leases of the workers are over that are out of contact, so that a
+    /// successor knows the time. While it says so, they are granted none.
+    ///
+    /// Guards against work that stands for the longest lease after each change of planners, although
+    /// the worker that it waits for was silent before.
+    pub(crate) fn record_leases(&mut self, now: Moment) {
+        if !self.startup.is_serving() {
+            return;
+        }
+        let mut leases = BTreeMap::new();
+        if !self.unanswered.calls_outlive_incarnations {
+            let startup = &self.startup;
+            let has_waited = startup.served_at.is_some_and(|at| now.steady >= at + SILENCE);
+            let unaccounted = startup.unaccounted.iter();
+            leases.extend(
+                unaccounted
+                    .filter(|(name, _)| has_waited || startup.leases.contains_key(*name))
+                    .map(|(name, until)| (name.clone(), *until)),
+            );
+            let silent = self.workers.iter().filter(|(name, worker)| {
+                now.steady >= worker.last_contact + options::SILENCE_TIMEOUT
+                    && !startup.unaccounted.contains_key(*name)
+                    && (!worker.runs.is_empty() || self.unanswered.is_any_on(name))
+            });
+            leases.extend(silent.map(|(name, worker)| (name.clone(), worker.lease_expires_at)));
+        }
+        if leases != self.startup.leases {
+            self.startup.leases = leases;
+            self.startup.is_fleet_dirty = true;
+        }
+    }
+
+    /// Has the stored list no longer call a worker silent that has polled, so that it is granted leases.
+    /// A worker of earlier planners has to be accounted for first.
+    pub(crate) fn end_silence(&mut self, now: Moment, name: &str) {
+        let is_silent = !self.startup.unaccounted.contains_key(name)
+            && self.startup.leases.remove(name).is_some();
+        if is_silent {
+            self.startup.is_fleet_dirty = true;
+            self.write_fleet(now);
+        }
+    }
+
     /// Closes loaded jobs that have ended, and adds the due occurrences of the others.
     fn prepare_loaded_jobs(&mut self, now: Moment) {
         let is_over = |entry: &Entry| entry.is_over();
@@ -253,7 +314,7 @@
         }
         startup.is_fleet_dirty = false;
         startup.is_writing_fleet = true;
-        let fleet = startup.fleet();
+        let fleet = startup.fleet(now.steady, self.term);
         startup.recording = minions(&fleet.members);
         startup.recording_silent = silent(&fleet.members);
         let value = Bytes::from(fleet.encode_to_vec());
@@ -284,7 +345,9 @@
                 self.startup.recorded = std::mem::take(&mut self.startup.recording);
                 let startup = &mut self.startup;
                 startup.recorded_silent = std::mem::take(&mut startup.recording_silent);
-                let has_reported = |name| !startup.unaccounted.contains_key(name);
+                let has_reported = |name| {
+                    !startup.unaccounted.contains_key(name) && !startup.leases.contains_key(name)
+                };
                 startup.is_fleet_dirty |= startup.recorded_silent.iter().any(has_reported);
                 if self.startup.phase == Phase::Recording {
                     self.handover.written(self.handover.latest, revision);
@@ -363,7 +426,8 @@
     pub(crate) fn add_member(&mut self, now: Moment, worker: &str, address: &str, minion: &str) {
         let (name, address) = (worker.to_owned(), address.to_owned());
         let vm = self.inventory.vms.get(minion).cloned().unwrap_or_default();
-        let member = Member { name, address, minion: minion.to_owned(), silent_since: 0, vm };
+        let minion = minion.to_owned();
+        let member = Member { name, address, minion, silent_since: 0, vm, lease: None };
         if self.startup.members.get(worker) != Some(&member) {
             self.startup.members.insert(worker.to_owned(), member);
             self.startup.is_fleet_dirty = true;
@@ -427,6 +491,7 @@
         for worker in workers {
             self.retain_logged(&worker);
             self.startup.silent.remove(&worker);
+            self.startup.leases.remove(&worker);
             self.startup.is_fleet_dirty |= self.startup.recorded_silent.contains(&worker);
         }
         self.write_fleet(now);
@@ -460,7 +525,8 @@
 
 /// Returns the workers that a record calls silent.
 fn silent(members: &[Member]) -> BTreeSet<WorkerName> {
-    let silent = members.iter().filter(|member| member.silent_since > 0);
+    let silent = members.iter();
+    let silent = silent.filter(|member| member.silent_since > 0 || member.lease.is_some());
     silent.map(|member| member.name.clone()).collect()
 }
 
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -5,9 +5,11 @@
     time::Duration,
 };
 
-use sapphire_jobs::{Fleet, Member, remote_clock::RemoteClock, task::WorkerName};
+use sapphire_jobs::{Expiry, Fleet, Member, remote_clock::RemoteClock, task::WorkerName};
 use sapphire_store::call::{Item, Revision};
 
+use crate::unanswered::in_ms;
+
 /// Phase of the start of a term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -39,6 +41,8 @@
     pub(crate) unaccounted: BTreeMap<WorkerName, Duration>,
     /// Those of them that have not been granted a lease for a while, with the first term of that time.
     pub(crate) silent: BTreeMap<WorkerName, Revision>,
+    /// Workers that the stored list is to call silent, with the time at which all their leases are over.
+    pub(crate) leases: BTreeMap<WorkerName, Duration>,
     /// A minion has carried out a call that was meant for an earlier incarnation of it, in this term or an
     /// earlier one.
     pub(crate) calls_outlive_incarnations: bool,
@@ -83,6 +87,7 @@
             recording: BTreeMap::new(),
             unaccounted: BTreeMap::new(),
             silent: BTreeMap::new(),
+            leases: BTreeMap::new(),
             calls_outlive_incarnations: false,
             recorded_silent: BTreeSet::new(),
             recording_silent: BTreeSet::new(),
@@ -127,13 +132,19 @@
         self.recorded_silent.contains(worker) || is_being_recorded
     }
 
-    /// Returns the list of workers in the form in which it is stored.
-    pub(crate) fn fleet(&self) -> Fleet {
+    /// Returns the list of workers in the form in which it is stored in a term.
+    pub(crate) fn fleet(&self, now: Duration, term: Revision) -> Fleet {
         let silent_since = |name: &WorkerName| {
             self.unaccounted.get(name).and_then(|_| self.silent.get(name)).copied().unwrap_or(0)
         };
+        let lease = |name: &WorkerName| {
+            let until = *self.leases.get(name)?;
+            let clock_ms = u64::try_from(until.as_millis()).unwrap_or(u64::MAX);
+            Some(Expiry { term, clock_ms, left_ms: in_ms(until) - in_ms(now) })
+        };
         let member = |(name, member): (&WorkerName, &Member)| Member {
             silent_since: silent_since(name),
+            lease: lease(name),
             ..member.clone()
         };
         Fleet {
--- a/crates/planner/src/unanswered.rs
+++ b/crates/planner/src/unanswered.rs
@@ -354,6 +354,11 @@
         !self.by_task.is_empty()
     }
 
+    /// Returns whether there are unanswered starts on a worker.
+    pub(crate) fn is_any_on(&self, worker: &str) -> bool {
+        self.tasks_on(worker).next().is_some()
+    }
+
     /// Returns the handover record for a successor: the unanswered starts, and those that were
     /// ordered and are not known to be answered. `write` is the number of its write. `is_closed` says of a
     /// run that its minion won't start it again; the record then leaves out its number.
--- a/crates/planner/tests/incarnations/mod.rs
+++ b/crates/planner/tests/incarnations/mod.rs
@@ -47,6 +47,23 @@
     assert_sent_after_lease(&mut world, &worker);
 }
 
+/// Guards against the same wait, counted again by each planner.
+#[test]
+fn planners_in_series_wait_once_for_the_lease_of_a_silent_worker() {
+    for apart in [1_400, 1_700, 2_500, 3_500] {
+        let (mut world, worker) = ordered();
+        world.lose_worker(&worker);
+        world.run(apart);
+        for _ in 0..2 {
+            world.lose_planner();
+            world.run(300);
+            world.take_over();
+            world.run(apart.min(1_500));
+        }
+        assert_sent_after_lease(&mut world, &worker);
+    }
+}
+
 /// Guards against a task that runs twice: a minion whose agent is lost carries the start out late.
 #[test]
 fn a_late_start_of_the_same_incarnation_is_waited_for() {
