planner: a start relies on cancellations that were read a short time ago

Cause: nothing bounded the age of what a planner knows of cancellations. It reads them 2.5 s after the read before, or 0.3 s after one that failed, without end; it goes on with what it read at the beginning of its term however long it takes to record that term, and drops notices meanwhile; and agents may send a start for 2 s after a poll, whatever the age was then.

Now starts may be sent until `cancel_ms`, less 0.7 s, after the latest complete read was requested. The rule is in the time that agents are given as well, so that it holds if the planner is lost. The read is made every 0.8 s while jobs are open.

The fake stores of the planner's tests answer the read now; `cordons:: starts_end_when_the_list_is_too_old` has a longer bound on cancellations, so that the list of cordons is what limits it.

--- a/crates/planner/src/cordons.rs
+++ b/crates/planner/src/cordons.rs
@@ -24,8 +24,6 @@
 const READ_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Longest time for which the store is asked to keep a watch open.
 const WATCH_WAIT: Duration = Duration::from_secs(12);
-/// Time that is left for a start to reach its minion.
-const START_MARGIN: Duration = Duration::from_millis(700);
 
 /// A read of the list, page by page.
 #[derive(Debug, Default)]
@@ -73,8 +71,14 @@
     ///
     /// Guards against a start in a zone that was cordoned long ago: neither the planner's list of
     /// cordons nor an agent's latest answer may be too old. In an outage the operators can't reach
-    /// the store either, so the latest list remains valid.
+    /// the store either, so the latest list remains valid. What is known of cancellations may not be too
+    /// old in an outage either: an entry may have written one.
     pub(crate) fn start_window(&self, now: Moment) -> Duration {
+        self.cordon_window(now).min(self.cancellation_window(now))
+    }
+
+    /// Returns the time for which starts may be sent that rely on the list of cordons.
+    fn cordon_window(&self, now: Moment) -> Duration {
         let Some(verified_at) = self.cordons.verified_at else { return Duration::ZERO };
         match self.standing {
             Standing::Isolated => Duration::ZERO,
@@ -85,7 +89,7 @@
             }
             Standing::Leader => {
                 let age = now.steady.saturating_sub(verified_at);
-                let left = self.options.cordon_deadline.saturating_sub(age + START_MARGIN);
+                let left = self.options.cordon_deadline.saturating_sub(age + options::START_MARGIN);
                 left.min(options::START_WINDOW).min(self.options.lease)
             }
         }
--- a/crates/planner/src/handover.rs
+++ b/crates/planner/src/handover.rs
@@ -106,6 +106,9 @@
         match self.standing {
             Standing::Isolated => Some(wait::Reason::Lease),
             Standing::Outage => Some(wait::Reason::Store),
+            Standing::Leader if self.cancellation_window(now).is_zero() => {
+                Some(wait::Reason::Intake)
+            }
             Standing::Leader if !self.may_start(now) => Some(wait::Reason::Cordons),
             Standing::Leader => self.handover.is_incomplete.then_some(wait::Reason::Handover),
         }
--- a/crates/planner/src/intake.rs
+++ b/crates/planner/src/intake.rs
@@ -36,15 +36,15 @@
     ///
     /// Guards against an entry that dies after it has written a job and before it notifies the
     /// planner: the job's caller was told that it is accepted, and without this read it would never
-    /// start.
+    /// start. Or its caller was told that it is cancelled, and it would start.
     pub(crate) fn read_intake(&mut self, now: Moment) {
-        if !self.startup.is_serving()
-            || self.intake.is_reading
-            || now.steady < self.intake.next_read
-        {
+        let is_idle = self.table.open.is_empty();
+        let next = if is_idle { self.intake.next_read } else { self.intake.next_fresh_read };
+        if !self.startup.is_serving() || self.intake.is_reading || now.steady < next {
             return;
         }
         self.intake.is_reading = true;
+        self.intake.requested_at = now.steady;
         let prefix = keys::INTAKE.to_owned();
         let call = match &self.intake.scan {
             Some(scan) => Call::Scan { prefix, after: scan.after.clone(), may_be_stale: false },
@@ -59,16 +59,18 @@
     /// Handles the reply to a read of newly submitted jobs and cancellations.
     pub(crate) fn handle_intake(&mut self, now: Moment, reply: Reply) {
         self.intake.is_reading = false;
-        self.intake.next_read = now.steady + options::INTAKE_INTERVAL;
+        self.intake.schedule(now.steady);
         let items = match reply {
             Reply::Changes { items, revision } => {
                 self.intake.revision = revision.max(self.intake.revision);
+                self.verify_intake(now, self.intake.requested_at);
                 items
             }
             Reply::HistoryGone => {
                 self.log("the store's history is gone; reading all submissions again".to_owned());
-                self.intake.scan = Some(Scan::default());
-                self.intake.next_read = now.steady;
+                let requested_at = now.steady;
+                self.intake.scan = Some(Scan { requested_at, ..Scan::default() });
+                self.intake.read_at(now.steady);
                 self.read_intake(now);
                 return;
             }
@@ -78,7 +80,7 @@
             }
             _ => {
                 // A later read would find a cancellation too late.
-                self.intake.next_read = now.steady + options::WATCH_RETRY;
+                self.intake.read_at(now.steady + options::WATCH_RETRY);
                 return;
             }
         };
@@ -116,10 +118,36 @@
             Some(last) => {
                 scan.after.clone_from(&last.key);
                 self.intake.scan = Some(scan);
-                self.intake.next_read = now.steady;
+                self.intake.read_at(now.steady);
                 self.read_intake(now);
             }
-            None => self.intake.revision = self.intake.revision.max(first),
+            None => {
+                self.intake.revision = self.intake.revision.max(first);
+                self.verify_intake(now, scan.requested_at);
+            }
+        }
+    }
+
+    /// Records that all submissions and cancellations are known that were written before a time. Logs the
+    /// end of a time in which nothing was started since they were not.
+    fn verify_intake(&mut self, now: Moment, requested_at: Duration) {
+        let age = now.steady.saturating_sub(self.intake.verified_at);
+        if self.cancellation_window(now).is_zero() && !self.table.open.is_empty() {
+            let limit = self.options.cancel_deadline.as_millis();
+            self.log(format!(
+                "cancellations are known again after {} ms, limit_ms={limit}",
+                age.as_millis()
+            ));
         }
+        self.intake.verified_at = self.intake.verified_at.max(requested_at);
+    }
+
+    /// Returns the time for which starts may be sent that rely on the cancellations that are known.
+    ///
+    /// Guards against a start of a job whose cancellation was acknowledged long ago by an entry that has
+    /// ended, or doesn't reach this planner, while the planner can't read it either.
+    pub(crate) fn cancellation_window(&self, now: Moment) -> Duration {
+        let age = now.steady.saturating_sub(self.intake.verified_at);
+        self.options.cancel_deadline.saturating_sub(age + options::START_MARGIN)
     }
 }
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -43,6 +43,8 @@
     pub read_cordon: cordon::Read,
     /// Time after the cordon of a zone from which on nothing may be started there.
     pub cordon_deadline: Duration,
+    /// Time after the acknowledgement of a cancellation from which on nothing of its job may be started.
+    pub cancel_deadline: Duration,
 }
 
 /// Time without a poll after which a worker gets no new tasks. Agents poll at least every
@@ -96,13 +98,17 @@
 /// Time after the sending of its latest poll that was answered for which an agent sends starts. Limits
 /// how long a start that was lost with its agent blocks its task.
 pub const START_WINDOW: Duration = Duration::from_millis(2_000);
+/// Time that is left for a start to reach its minion.
+pub const START_MARGIN: Duration = Duration::from_millis(700);
 /// Delay before a failed write is retried.
 pub const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay before a failed watch is restarted.
 pub const WATCH_RETRY: Duration = Duration::from_millis(300);
 /// Interval at which the store is read for jobs that no entry has notified the planner of. This is
 /// rare: their entry died between the write and the notice.
-pub const INTAKE_INTERVAL: Duration = Duration::from_millis(2_500);
+pub const INTAKE_INTERVAL: Duration = Duration::from_millis(1_500);
+/// The same while jobs are open. Starts rely on the latest read.
+pub const FRESH_INTAKE_INTERVAL: Duration = Duration::from_millis(800);
 /// Run numbers reserved for each term, per task. Far more than a task is started in one term.
 pub const RUNS_PER_TERM: u32 = 1_000;
 /// Largest number of a term. The run numbers of the terms around it have to be numbers as well.
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -324,6 +324,7 @@
     pub fn advance(&mut self, now: Moment) -> Vec<Effect> {
         self.update_standing(now);
         self.log_released(now);
+        self.read_intake(now);
         if self.needs_pass && self.may_place(now) && now.steady >= self.next_pass {
             self.needs_pass = false;
             self.load.passes += 1;
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -373,7 +373,7 @@
                 Phase::Ordered | Phase::Running => {}
             }
         }
-        self.log_orders(name, &orders);
+        self.log_orders(now, name, &orders);
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         for sent in orders.starts.iter().filter_map(|start| start.run.as_ref()) {
             if let Some(run) = worker.runs.get_mut(&Task::read(sent)) {
@@ -400,8 +400,9 @@
         })
     }
 
-    /// Logs starts and stops.
-    fn log_orders(&mut self, name: &str, orders: &Orders) {
+    /// Logs starts and stops, and how old is what the starts rely on: the planner's knowledge of
+    /// cancellations.
+    fn log_orders(&mut self, now: Moment, name: &str, orders: &Orders) {
         let names = |runs: Vec<&sapphire_jobs::Run>| {
             let name = |run: &&sapphire_jobs::Run| format!("{}#{}", Task::read(run), run.run);
             runs.iter().map(name).collect::<Vec<_>>().join(",")
@@ -409,7 +410,10 @@
         if !orders.starts.is_empty() || !orders.stops.is_empty() {
             let starts = names(orders.starts.iter().filter_map(|it| it.run.as_ref()).collect());
             let stops = names(orders.stops.iter().collect());
-            self.log(format!("worker={name} orders start={starts} stop={stops}"));
+            let age = now.steady.saturating_sub(self.intake.verified_at).as_millis();
+            self.log(format!(
+                "worker={name} orders start={starts} stop={stops} cancellations_ms_ago={age}"
+            ));
         }
     }
 
--- a/crates/planner/src/wait/reason.rs
+++ b/crates/planner/src/wait/reason.rs
@@ -35,6 +35,8 @@
     Startup,
     /// The planner's list of cordons is missing or too old.
     Cordons,
+    /// The cancellations that the planner knows are too old.
+    Intake,
     /// No entry reaches the store, so that no start can be recorded.
     Store,
     /// The lease on the leader key has ended, and another entry may have taken over.
@@ -45,7 +47,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Reason; 19] = [
+    pub const ALL: [Reason; 20] = [
         Reason::Capacity,
         Reason::Cordoned,
         Reason::Suspect,
@@ -62,6 +64,7 @@
         Reason::Takeover,
         Reason::Startup,
         Reason::Cordons,
+        Reason::Intake,
         Reason::Store,
         Reason::Lease,
         Reason::Handover,
@@ -86,6 +89,7 @@
             Reason::Takeover => "takeover",
             Reason::Startup => "startup",
             Reason::Cordons => "cordons",
+            Reason::Intake => "intake",
             Reason::Store => "store",
             Reason::Lease => "lease",
             Reason::Handover => "handover",
--- a/crates/planner/tests/cordons/mod.rs
+++ b/crates/planner/tests/cordons/mod.rs
@@ -5,11 +5,11 @@
 use sapphire_jobs::{
     Ending, Job, Notice, Poll, Rejection, Running, Step, Verdict, resources::Resources,
 };
-use sapphire_planner::{event::Event, keys};
+use sapphire_planner::{event::Event, keys, options::Options};
 use sapphire_store::call::Reply;
 
 use crate::harness::{
-    Fixture, START, TERM, ended, fleet, item, job, no_starts, resources, run, step,
+    Fixture, START, TERM, ended, fleet, item, job, ms, no_starts, options, resources, run, step,
 };
 
 /// Time after its cordon from which on nothing may be started in a zone, in ms.
@@ -257,7 +257,10 @@
 /// longer.
 #[test]
 fn starts_end_when_the_list_is_too_old() {
-    let mut fixture = idle(&["a"]);
+    // Only the list limits the time for starts.
+    let options = Options { cancel_deadline: ms(60_000), ..options() };
+    let mut fixture = Fixture::with_options(options, vec![fleet(1, &["a"]), no_starts(1)]);
+    fixture.join("a", Vec::new(), Vec::new());
     fixture.cordoned = None;
     fixture.advance(1_600);
     let unknown_since = fixture.now - 1_600;
--- a/crates/planner/tests/handover/clocks.rs
+++ b/crates/planner/tests/handover/clocks.rs
@@ -63,7 +63,7 @@
     let mut time = VACANT;
     for term in 51..51 + PLANNERS {
         let mut fixture = Fixture::term(term, clock(term, time), 0);
-        fixture.answers_records = true;
+        (fixture.answers_records, fixture.answers_intake) = (true, true);
         let heard_at = time - VACANT;
         let heard =
             RemoteClock::new(ms(clock(term - 1, heard_at)), ms(clock(term, heard_at + LATENCY)));
@@ -122,7 +122,7 @@
     let mut items = vec![fleet(1, &["gone"]), record(0, false)];
     items.push(item(keys::job("j"), job("j", 10, step(1, false)).encode_to_vec()));
     let mut fixture = Fixture::term(51, clock(51, 0), 0);
-    fixture.answers_records = true;
+    (fixture.answers_records, fixture.answers_intake) = (true, true);
     fixture.reply(Reply::Items { items, has_more: false, revision: 40 });
     fixture.reply(Reply::Committed(60));
     // The record has 9 s left, but the start was sent 10 s ago.
--- a/crates/planner/tests/handover/isolated.rs
+++ b/crates/planner/tests/handover/isolated.rs
@@ -50,7 +50,7 @@
 /// Returns the planner of the next term, which takes over at a time with the record of an earlier one.
 fn successor(record: Vec<u8>, now: u64) -> Fixture {
     let mut fixture = Fixture::term(TERM + 1, now, 0);
-    fixture.answers_records = true;
+    (fixture.answers_records, fixture.answers_intake) = (true, true);
     let items = vec![
         fleet(2, &["a", "b"]),
         item(keys::UNANSWERED.to_owned(), record),
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -103,6 +103,7 @@
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
         cordon_deadline: ms(5_000),
+        cancel_deadline: ms(3_000),
     }
 }
 
@@ -130,6 +131,9 @@
     pub(crate) answers_records: bool,
     /// Writes of the handover record that the store has answered.
     pub(crate) records: Vec<Call>,
+    /// Whether the store answers reads of submissions, and has no new ones. Otherwise they are added to
+    /// `calls`.
+    pub(crate) answers_intake: bool,
     /// Reads of the inventory of VMs that were not answered.
     pub(crate) inventory_reads: usize,
     /// Difference between the planner's wall clock and its steady clock, in ms.
@@ -153,6 +157,14 @@
         fixture
     }
 
+    /// Returns a planner with these options that has read the given records from the store.
+    pub(crate) fn with_options(options: Options, items: Vec<Item>) -> Self {
+        let mut fixture = Fixture::begin_term(options, TERM, START, 0, Some(Vec::new()));
+        fixture.reply(Reply::Items { items, has_more: false, revision: 40 });
+        fixture.reply(Reply::Committed(60));
+        fixture
+    }
+
     /// Returns a planner that has requested the first page of records from the store.
     pub(crate) fn reading() -> Self {
         Fixture::begin(Some(Vec::new()))
@@ -177,16 +189,13 @@
     /// The same with these options.
     pub(crate) fn term_with(options: Options, term: u64, now: u64, skew: i64) -> Self {
         let fixture = Fixture::begin_term(options, term, now, skew, Some(Vec::new()));
-        Fixture { answers_records: false, ..fixture }
+        Fixture { answers_records: false, answers_intake: false, ..fixture }
     }
 
     /// Returns a planner that learns speeds and has read the given records from the store.
     pub(crate) fn with_speeds(items: Vec<Item>) -> Self {
-        let options = Options { speeds: speed::Options { unequal_from: Some(1.25) }, ..options() };
-        let mut fixture = Fixture::begin_term(options, TERM, START, 0, Some(Vec::new()));
-        fixture.reply(Reply::Items { items, has_more: false, revision: 40 });
-        fixture.reply(Reply::Committed(60));
-        fixture
+        let speeds = speed::Options { unequal_from: Some(1.25) };
+        Fixture::with_options(Options { speeds, ..options() }, items)
     }
 
     fn begin_term(
@@ -223,6 +232,7 @@
             bad_cordons: Vec::new(),
             answers_records: true,
             records: Vec::new(),
+            answers_intake: true,
             inventory_reads: 0,
             skew,
         };
@@ -233,7 +243,7 @@
     pub(crate) fn handle(&mut self, event: Event) {
         let unix = ms(self.now.saturating_add_signed(self.skew));
         let moment = Moment { steady: ms(self.now), unix };
-        let (mut is_read, mut recorded) = (false, None);
+        let (mut is_read, mut recorded, mut is_intake) = (false, None, false);
         for effect in self.planner.handle(moment, event) {
             match effect {
                 Effect::Orders(requester, orders) => self.orders.push((requester, *orders)),
@@ -244,6 +254,7 @@
                     self.records.push(call);
                     recorded = Some(write);
                 }
+                Effect::Store(Operation::Intake, _) if self.answers_intake => is_intake = true,
                 Effect::Store(operation, call) => self.calls.push((operation, call)),
                 Effect::Inventory(_) => self.inventory_reads += 1,
                 Effect::Deposed => self.is_deposed = true,
@@ -257,6 +268,10 @@
                 None => self.unread_cordons += 1,
             }
         }
+        if is_intake {
+            let reply = Reply::Changes { items: Vec::new(), revision: 40 };
+            self.handle(Event::Store(Operation::Intake, reply));
+        }
         if let Some(write) = recorded {
             self.handle(Event::Store(Operation::Unanswered(write), Reply::Committed(70)));
         }
--- a/crates/planner/tests/intake/mod.rs
+++ b/crates/planner/tests/intake/mod.rs
@@ -37,6 +37,7 @@
 #[test]
 fn submissions_during_the_first_scan_are_found() {
     let mut fixture = Fixture::reading();
+    fixture.answers_intake = false;
     fixture.reply(page(vec![fleet(1, &[]), submitted("m")], true, 100));
     fixture.reply(page(vec![submitted("n")], false, 105));
     fixture.reply(Reply::Committed(106));
@@ -51,6 +52,7 @@
 #[test]
 fn submissions_during_a_later_scan_are_found() {
     let mut fixture = Fixture::new(vec![fleet(1, &[])]);
+    fixture.answers_intake = false;
     fixture.advance(3_000);
     take_call(&mut fixture);
     answer(&mut fixture, Reply::HistoryGone);
@@ -70,6 +72,7 @@
 #[test]
 fn a_page_without_a_reply_is_read_again() {
     let mut fixture = Fixture::new(vec![fleet(1, &[])]);
+    fixture.answers_intake = false;
     fixture.advance(3_000);
     take_call(&mut fixture);
     answer(&mut fixture, Reply::HistoryGone);
@@ -91,6 +94,7 @@
 #[test]
 fn a_rejected_first_page_is_read_again_after_a_delay() {
     let mut fixture = Fixture::reading();
+    fixture.answers_intake = false;
     let mut calls = 0;
     for _ in 0..20 {
         while let Some((operation, _)) = fixture.calls.pop() {
--- a/crates/planner/tests/presence/site.rs
+++ b/crates/planner/tests/presence/site.rs
@@ -618,8 +618,11 @@
         }
     }
 
-    fn apply(&mut self, _: &Operation, call: store::Call) -> store::Reply {
+    fn apply(&mut self, operation: &Operation, call: store::Call) -> store::Reply {
         match call {
+            store::Call::WatchPrefix { .. } if *operation == Operation::Intake => {
+                store::Reply::Changes { items: Vec::new(), revision: self.revision }
+            }
             store::Call::Scan { prefix, after, .. } => {
                 let is_listed = |key: &String| key.starts_with(&prefix) && *key > after;
                 let items = self.items.iter().filter(|(key, _)| is_listed(key));
--- a/crates/planner/tests/stands_still/site.rs
+++ b/crates/planner/tests/stands_still/site.rs
@@ -244,6 +244,7 @@
                     let items = keys.map(|key| self.items[key].clone()).collect();
                     Reply::Items { items, has_more: false, revision: 60 }
                 }
+                Call::WatchPrefix { .. } => Reply::Changes { items: Vec::new(), revision: 60 },
                 _ => Reply::Unavailable("not simulated".to_owned()),
             };
             let is_intake = operation == Operation::Intake;
--- a/crates/planner/tests/unasked/mod.rs
+++ b/crates/planner/tests/unasked/mod.rs
@@ -34,6 +34,7 @@
 /// Answers the reads of submissions with a cancellation from `readable_from` on, and not before. Returns
 /// the time after which the job is cancelled.
 fn cancelled_after(fixture: &mut Fixture, readable_from: u64) -> u64 {
+    fixture.answers_intake = false;
     let since = fixture.now;
     while fixture.now < since + 10_000 {
         while take_read(fixture).is_some() {
@@ -57,6 +58,7 @@
 #[test]
 fn a_cancellation_is_read_soon_after_a_read_that_failed() {
     let mut fixture = Fixture::new(vec![fleet(1, &[])]);
+    fixture.answers_intake = false;
     let notice = Notice { jobs: vec![job("j", TERM, step(1, false))], ..Notice::default() };
     fixture.handle(Event::Notice(notice));
     take_read(&mut fixture);
@@ -70,6 +72,7 @@
 #[test]
 fn a_cancellation_during_a_take_over_is_read_in_time() {
     let mut fixture = Fixture::reading();
+    fixture.answers_intake = false;
     let items = vec![fleet(1, &[]), no_starts(1), submitted(TERM - 1)];
     fixture.reply(Reply::Items { items, has_more: true, revision: 100 });
     // The cancellation is written into the range of the first page.
@@ -80,6 +83,85 @@
     assert!(took < CANCEL_LIMIT, "cancelled after {took} ms");
 }
 
+/// Guards against a start of a job whose cancellation was acknowledged by an entry that ended, while the
+/// store rejects the planner's reads.
+#[test]
+fn nothing_starts_while_cancellations_can_not_be_read() {
+    let mut fixture = Fixture::new(vec![fleet(1, &["a"])]);
+    fixture.join("a", Vec::new(), Vec::new());
+    fixture.answers_intake = false;
+    let jobs = vec![job("j", TERM, step(1, false))];
+    let since = fixture.now;
+    while fixture.now < since + 6_000 {
+        while take_read(&mut fixture).is_some() {
+            fixture.handle(Event::Store(Operation::Intake, Reply::NotDone("429".to_owned())));
+        }
+        fixture.poll("a", Vec::new(), Vec::new());
+        fixture.advance(100);
+        if fixture.now == since + 3_000 {
+            fixture.handle(Event::Notice(Notice { jobs: jobs.clone(), ..Notice::default() }));
+        }
+        assert!(fixture.starts().is_empty(), "after {} ms", fixture.now - since);
+    }
+    fixture.answers_intake = true;
+    fixture.advance(400);
+    fixture.handle(Event::Store(
+        Operation::Intake,
+        Reply::Changes { items: Vec::new(), revision: 200 },
+    ));
+    fixture.poll("a", Vec::new(), Vec::new());
+    fixture.advance(100);
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+/// Guards against a start of a job that was cancelled after the next planner had read the store, while it
+/// recorded its term: the notice arrived before it served.
+#[test]
+fn nothing_starts_on_a_reading_of_the_store_that_is_old() {
+    for took in [500, 2_000, 4_200, 8_000] {
+        let mut fixture = Fixture::reading();
+        fixture.answers_intake = false;
+        let items = vec![fleet(1, &["a"]), no_starts(1), submitted(TERM - 1)];
+        fixture.reply(Reply::Items { items, has_more: false, revision: 100 });
+        let record = fixture.calls.pop().expect("the term is being recorded");
+        let cancelled = vec!["j".to_owned()];
+        fixture.handle(Event::Notice(Notice { jobs: Vec::new(), cancelled }));
+        let acknowledged = fixture.now;
+        fixture.advance(took);
+        fixture.handle(Event::Store(record.0, Reply::Committed(106)));
+        fixture.join("a", Vec::new(), Vec::new());
+        let mut started = None;
+        while fixture.now < acknowledged + took + 6_000 {
+            fixture.poll("a", Vec::new(), Vec::new());
+            fixture.advance(100);
+            started = started.or((!fixture.starts().is_empty()).then_some(fixture.now));
+        }
+        let started = started.map(|at| at - acknowledged);
+        assert!(started.is_none_or(|after| after < CANCEL_LIMIT), "{took}: {started:?}");
+    }
+}
+
+/// Guards against an agent that goes on sending a start while its planner is lost: what the planner knew
+/// of cancellations and the time for which starts may be sent are together below the limit.
+#[test]
+fn the_time_for_starts_is_shorter_the_older_the_reading_is() {
+    let mut fixture = Fixture::new(vec![fleet(1, &["a"])]);
+    fixture.join("a", Vec::new(), Vec::new());
+    let jobs = vec![job("j", TERM, step(1, false))];
+    fixture.handle(Event::Notice(Notice { jobs, ..Notice::default() }));
+    fixture.answers_intake = false;
+    let since = fixture.now;
+    let mut is_open = false;
+    while fixture.now < since + 4_000 {
+        fixture.poll("a", Vec::new(), Vec::new());
+        fixture.advance(100);
+        let starts_ms = fixture.orders.last().map_or(0, |(_, orders)| orders.starts_ms);
+        is_open |= starts_ms > 0;
+        assert!(fixture.now - since + starts_ms < CANCEL_LIMIT || starts_ms == 0, "{starts_ms}");
+    }
+    assert!(is_open);
+}
+
 /// Returns a planner of which two workers list the same run of a task, so that its group knows of one of
 /// them only.
 fn listed_twice() -> Fixture {
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -49,6 +49,7 @@
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
         cordon_deadline: CORDON_DEADLINE,
+        cancel_deadline: CANCEL_DEADLINE,
     }
 }
 
@@ -56,6 +57,8 @@
 pub(super) const CORDONS: &str = "cordons/";
 /// Time after the cordon of a zone from which on nothing may be started there.
 pub(super) const CORDON_DEADLINE: Duration = Duration::from_secs(5);
+/// Time after the acknowledgement of a cancellation from which on nothing of the job may start.
+const CANCEL_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Decodes a cordon, whose key names the zone.
 fn read_cordon(key: &str, _value: &Bytes) -> cordon::Record {
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -76,6 +76,7 @@
         cordon_prefix: platform::cordon::PREFIX.to_owned(),
         read_cordon: platform::cordon::read,
         cordon_deadline: millis(bounds.cordon_ms),
+        cancel_deadline: millis(bounds.cancel_ms),
     }
 }
 
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -84,6 +84,7 @@
         checkpoint_ms: millis("checkpoint", default.checkpoint_ms),
         store_lease_ms: millis("store_lease", default.store_lease_ms),
         cordon_ms: millis("cordon", default.cordon_ms),
+        cancel_ms: millis("cancel", default.cancel_ms),
         remote_factor: section.count("remote_factor", Some(default.remote_factor), 1..=1_000),
     }
 }
@@ -100,6 +101,7 @@
         checkpoint_ms: 2_000,
         store_lease_ms: 1_000,
         cordon_ms: 5_000,
+        cancel_ms: 3_000,
     }
 }
 
