front: a job is cancelled that this entry may still write

A caller who cancelled a job while its submission was on its way, or had had no answer, was told 410; then the write was done and the job ran. "DELETE cancels the job and returns 2xx or 410" (PROTOCOL.md), so the 410 acknowledges it too.

Cause: an entry that doesn't know a job looks it up in the store. While it may still write the job itself, a read that finds nothing doesn't show what comes of that write.

Now the cancellation is written in that case, whether the write has been sent, had no answer, or was begun while the look-up was made; it is in force whichever of both comes first. Where another entry writes the job the 410 stays: open.

Failed before: entry::a_job_that_is_being_submitted_is_cancelled and entry::a_job_that_is_submitted_during_the_look_up_of_its_cancellation_is_cancelled.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -199,12 +199,20 @@
         }
     }
 
+    /// Cancels a job.
+    ///
+    /// Guards against a job that runs although its caller was told that it doesn't exist: while this entry
+    /// may still write it, a read that finds nothing doesn't show what comes of that write. The
+    /// cancellation is written first or last, and is in force in both cases.
     fn cancel(&mut self, now: Duration, caller: Caller, id: &str, timeout: Duration) {
         match self.view.state(id) {
             Some(State::Complete | State::Failed | State::Cancelled) => {
                 self.answer(caller, Answer::Cancelled);
             }
             Some(_) => self.enqueue_write(now, caller, id, Payload::Cancel, timeout),
+            None if self.is_unresolved(now, id) => {
+                self.enqueue_write(now, caller, id, Payload::Cancel, timeout);
+            }
             None => self.look_up(now, caller, id, Purpose::Cancel, timeout),
         }
     }
@@ -232,7 +240,13 @@
     pub(crate) fn job_looked_up(&mut self, now: Duration, id: JobId, reply: Reply) {
         match reply {
             Reply::Value(value) if value.revision == 0 => {
+                let is_unresolved = self.is_unresolved(now, &id);
                 for lookup in self.lookups.remove(&id).unwrap_or_default() {
+                    if is_unresolved && matches!(lookup.purpose, Purpose::Cancel) {
+                        let timeout = lookup.deadline.saturating_sub(now);
+                        self.enqueue_write(now, lookup.caller, &id, Payload::Cancel, timeout);
+                        continue;
+                    }
                     let answer = match lookup.purpose {
                         Purpose::Reject { reason, after } => {
                             if reason == answer::ABOVE_SHARE {
--- a/crates/front/tests/entry/mod.rs
+++ b/crates/front/tests/entry/mod.rs
@@ -14,6 +14,7 @@
     Backlog, Feed, Lead, OrganisationBacklog, Row, Schedule, State, Step, Supply,
     resources::Resources,
 };
+use sapphire_planner::keys;
 use sapphire_store::call::{Call, Condition, Item, Reply, Value};
 
 use crate::harness::{Fixture, is_refused, ms, submit_one_step};
@@ -541,3 +542,59 @@
         assert!(!matches!(answer, Some(Answer::Malformed(_))), "{answer:?}");
     }
 }
+
+/// Returns an entry that has sent the write of job 1, and the operation of that write.
+fn submitting() -> (Fixture, Operation) {
+    let mut fixture = Fixture::configured(1_000);
+    assert_eq!(fixture.request(1_100, "/q/1", "k", submit_one_step()), None);
+    let operation = fixture.calls.last().cloned().expect("the job is written");
+    (fixture, operation)
+}
+
+/// Returns whether the latest call to the store writes the cancellation of job 1.
+fn writes_cancellation(fixture: &Fixture) -> bool {
+    let Some(Call::Commit { puts, .. }) = fixture.sent.last() else { return false };
+    puts.iter().any(|put| put.key == keys::cancel("1"))
+}
+
+/// Guards against a job that runs although its caller was told that it doesn't exist: the job is cancelled
+/// while its submission is on its way to the store, or has had no answer.
+#[test]
+fn a_job_that_is_being_submitted_is_cancelled() {
+    for is_answered in [false, true] {
+        let (mut fixture, operation) = submitting();
+        if is_answered {
+            fixture.store_reply(1_200, 1_100, operation, Reply::Unavailable("none".to_owned()));
+        }
+        assert_eq!(fixture.request(1_210, "/q/1", "k", Action::Cancel), None);
+        assert!(writes_cancellation(&fixture), "{:?}", fixture.sent.last());
+        let cancel = Operation::Cancel("1".to_owned());
+        fixture.store_reply(1_230, 1_210, cancel, Reply::Committed(9));
+        let caller = fixture.caller;
+        assert!(fixture.answers.contains(&(caller, Answer::Cancelled)));
+    }
+}
+
+/// Guards against the same when the submission comes while the store is read for the job.
+#[test]
+fn a_job_that_is_submitted_during_the_look_up_of_its_cancellation_is_cancelled() {
+    let mut fixture = Fixture::configured(1_000);
+    assert_eq!(fixture.request(1_050, "/q/1", "k", Action::Cancel), None);
+    let caller = fixture.caller;
+    assert_eq!(fixture.request(1_060, "/q/1", "k", submit_one_step()), None);
+    let missing = Reply::Value(Value { revision: 0, bytes: Bytes::new() });
+    fixture.store_reply(1_070, 1_050, Operation::LookUp("1".to_owned()), missing);
+    fixture.handle(1_080, Event::Tick);
+    assert!(!fixture.answers.iter().any(|(to, _)| *to == caller), "{:?}", fixture.answers);
+    assert!(writes_cancellation(&fixture), "{:?}", fixture.sent.last());
+}
+
+/// Guards against a caller who is told that a job is cancelled which doesn't exist.
+#[test]
+fn a_job_that_was_never_submitted_is_reported_missing_to_who_cancels_it() {
+    let mut fixture = Fixture::configured(1_000);
+    assert_eq!(fixture.request(1_050, "/q/1", "k", Action::Cancel), None);
+    let missing = Reply::Value(Value { revision: 0, bytes: Bytes::new() });
+    fixture.store_reply(1_070, 1_050, Operation::LookUp("1".to_owned()), missing);
+    assert_eq!(fixture.answers.last().map(|(_, answer)| answer.clone()), Some(Answer::NoJob));
+}
