planner, runner: log which leases are withheld, and ends that come after their runs counted as ended

The record of the incident shows a lease that ended 4.0 s after the last poll it was granted for, although the planner had heard of the worker in between. Nothing said what had withheld it, when it was last granted, or that the end of the first run arrived after the second one had begun.

The planner now determines in one place why a worker whose agent polls is granted no lease, logs it once it has lasted 0.5 s, with the time left, and adds it with the age of the latest grant to each loss (metrics leases_withheld_*). An end as done that arrives after its run counted as ended is logged with the evidence that freed the task, its age and the later run (losses_found_done). An agent logs answers without a lease, and the end of a lease with what it has not reported yet. No decision changes.

--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -20,6 +20,8 @@
 mod intake;
 pub mod inventory;
 pub mod keys;
+pub mod lease;
+mod leases;
 mod lines;
 pub mod load;
 pub mod loss;
--- a/crates/planner/src/loss/summary.rs
+++ b/crates/planner/src/loss/summary.rs
@@ -8,6 +8,8 @@
     counts: [u64; Evidence::ALL.len()],
     /// Runs that a minion has listed as running after they counted as ended.
     pub found_running: u64,
+    /// Runs that a minion has listed as done after they counted as ended.
+    pub found_done: u64,
 }
 
 impl Summary {
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -25,7 +25,7 @@
     delay,
     effect::Effect,
     event::{Event, Moment},
-    inventory,
+    inventory, lease,
     load::Load,
     loss,
     options::{self, Options},
@@ -87,6 +87,8 @@
     pub(crate) standstills: Standstills,
     /// Runs that count as ended although their minions have not listed their ends.
     pub(crate) losses: Losses,
+    /// Leases that were withheld from workers whose agents polled.
+    pub(crate) lease_summary: lease::Summary,
     pub(crate) cordons: Cordons,
     /// End of the lease on the leader key.
     pub(crate) lease_expires_at: Duration,
@@ -142,6 +144,7 @@
             delays: Delays::default(),
             standstills: Standstills::default(),
             losses: Losses::default(),
+            lease_summary: lease::Summary::default(),
             cordons: Cordons::default(),
             lease_expires_at: Duration::MAX,
             standing: Standing::Leader,
@@ -239,6 +242,11 @@
         &self.losses.summary
     }
 
+    /// Returns the figures of the leases that were withheld from workers whose agents polled.
+    pub fn leases(&self) -> &lease::Summary {
+        &self.lease_summary
+    }
+
     /// Returns the longest time for which an open job of which a task is due has had nothing at work.
     pub fn longest_standstill(&self) -> Duration {
         self.standstills.longest()
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -329,20 +329,19 @@
     /// so often that each of its polls is answered when the next one arrives.
     fn grant(&mut self, now: Moment, name: &str) -> Orders {
         let lease_expiry = self.options.lease_expiry();
-        // Guards against a task that runs twice: a successor would count with an earlier end of all
-        // that runs there, or with nothing there if the stored list lacks the worker.
-        let minion = self.workers.get(name).and_then(|worker| worker.incarnation.as_ref());
-        let is_recorded = minion.is_some_and(|it| self.startup.is_recorded(name, &it.id));
+        let obstacle = self.lease_obstacle(now, name);
+        self.record_grant(now, name, obstacle);
         let is_silent = self.startup.is_recorded_silent(name);
         let window = if is_silent { Duration::ZERO } else { self.start_window(now) };
         let worker = self.workers.get_mut(name).expect("the caller has listed it");
         let mut orders = worker.empty_orders(self.term);
         orders.calls_outlive_incarnations = self.unanswered.calls_outlive_incarnations;
-        if worker.is_listed(now.steady) && !is_silent && is_recorded {
+        if obstacle.is_none() {
             let lease = self.options.lease.as_millis();
             orders.lease_ms = u64::try_from(lease).unwrap_or(u64::MAX);
             let until = worker.last_contact + lease_expiry;
             worker.lease_expires_at = worker.lease_expires_at.max(until);
+            worker.granted_contact = worker.last_contact;
         }
         // The agent refuses the starts that it has for a cordoned zone, so that their outcome is
         // known and they can go elsewhere.
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -192,12 +192,29 @@
             let task = Task::read(run);
             self.close_run(&task, run.run);
             let (ending, checkpoint) = (ended.ending(), &ended.checkpoint);
+            if ending == Ending::Done {
+                self.log_late_end(now, name, &task, run.run);
+            }
             change = self.run_ended(now, name, &task, run.run, ending, checkpoint);
         }
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         worker.pending_ends.insert(ended.number, change);
     }
 
+    /// Logs that a run is listed as done which counted as ended before.
+    fn log_late_end(&mut self, now: Moment, name: &str, task: &Task, number: RunNumber) {
+        let Some((evidence, at)) = self.losses.contradict_done(task, number) else { return };
+        let age = now.steady.saturating_sub(at).as_millis();
+        let group = self.group_of(task).map(|(_, _, group)| group);
+        let later = group.filter(|group| group.run != number && group.active().is_some());
+        let later = later.map_or_else(String::new, |group| format!(" later_run={}", group.run));
+        let evidence = evidence.name();
+        self.log(format!(
+            "task={task} run={number} worker={name} is listed as done, but counted as ended {age} ms \
+             ago: evidence={evidence}{later}"
+        ));
+    }
+
     /// Handles the answer to a start: a rejected run counts as lost.
     fn handle_verdict(
         &mut self,
--- a/crates/planner/src/state/losses.rs
+++ b/crates/planner/src/state/losses.rs
@@ -35,4 +35,16 @@
         self.summary.found_running += 1;
         Some(loss)
     }
+
+    /// Takes a run that is listed as done although it counts as ended; returns what showed that it had
+    /// ended, and when.
+    pub(crate) fn contradict_done(
+        &mut self,
+        task: &Task,
+        run: RunNumber,
+    ) -> Option<(Evidence, Duration)> {
+        let loss = self.recent.remove(&(task.clone(), run))?;
+        self.summary.found_done += 1;
+        Some(loss)
+    }
 }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -10,7 +10,7 @@
 
 use sapphire_plan::pace;
 
-use crate::{event::Requester, options, state::feeds::Delivery};
+use crate::{event::Requester, lease, options, state::feeds::Delivery};
 
 /// Phase of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -170,6 +170,10 @@
     pub starts_until: Duration,
     /// Time at which the last granted lease has certainly expired.
     pub lease_expires_at: Duration,
+    /// Time of the agent's latest poll for which a lease was granted.
+    pub granted_contact: Duration,
+    /// The lease that is withheld from it although its agent polls.
+    pub withheld: Option<lease::Withheld>,
     /// Runs that may be on the worker.
     pub runs: BTreeMap<Task, Run>,
     /// Ends that were listed and are not acknowledged yet, by number, with the change of progress
@@ -238,12 +242,19 @@
         self.is_fenced && self.runs.values().any(|run| !run.is_received && is_due(run))
     }
 
-    /// Describes how long ago its agent and its minion were last heard of, for a log line.
+    /// Describes how long ago its agent and its minion were last heard of, how old the poll is that its
+    /// lease was granted for, and what has withheld a lease since, for a log line.
     pub(crate) fn ages(&self, now: Duration) -> String {
+        let age = |at: Duration| now.saturating_sub(at).as_millis();
+        let withheld = self.withheld.map_or_else(String::new, |withheld| {
+            let (name, since) = (withheld.obstacle.name(), age(withheld.since));
+            format!(" withheld={name} withheld_ms={since}")
+        });
         format!(
-            " contact_ms_ago={} listed_ms_ago={}",
-            now.saturating_sub(self.last_contact).as_millis(),
-            now.saturating_sub(self.listed_at).as_millis()
+            " contact_ms_ago={} listed_ms_ago={} granted_ms_ago={}{withheld}",
+            age(self.last_contact),
+            age(self.listed_at),
+            age(self.granted_contact)
         )
     }
 
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod effect;
 pub mod event;
 mod leader;
+mod lease;
 mod long_polls;
 pub mod machine;
 pub mod minion;
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -10,6 +10,7 @@
     absence::Absence,
     effect::Effect,
     event::{Event, Ticket},
+    lease::Watch,
     minion::{Call, Heartbeat},
     options::{self, Options},
     order::Order,
@@ -141,6 +142,7 @@
     pub(crate) absence: Option<Absence>,
     pub(crate) probe: Probe,
     pub(crate) session: Session,
+    pub(crate) lease_watch: Watch,
     /// The entry that plans, if it is known.
     pub(crate) leader: Option<Lead>,
     /// Addresses of entries to ask for the leader.
@@ -209,6 +211,7 @@
             absence: None,
             probe: Probe::default(),
             session: Session::default(),
+            lease_watch: Watch::default(),
             leader: None,
             entries,
             next_entry: 0,
@@ -274,6 +277,7 @@
     /// Makes the calls that are due, and exits once the process may terminate.
     fn advance(&mut self, now: Duration) {
         self.update_silence(now);
+        self.watch_lease(now);
         self.end_absence(now);
         self.drive_probe(now);
         self.drive_orders(now);
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -124,6 +124,7 @@
             let until = poll.sent_at + Duration::from_millis(orders.lease_ms);
             self.session.lease_until = self.session.lease_until.max(until);
         }
+        self.record_grant(now, orders.lease_ms > 0);
         let starts_until = poll.sent_at + Duration::from_millis(orders.starts_ms);
         self.session.starts_until = self.session.starts_until.max(starts_until);
         if orders.noted > self.session.acknowledged {
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -4,7 +4,7 @@
 
 use cadence::Gauged as _;
 use sapphire_net::clock;
-use sapphire_planner::{self as planner, delay, event::Moment, inventory, loss, wait};
+use sapphire_planner::{self as planner, delay, event::Moment, inventory, lease, loss, wait};
 
 use super::{Role, Work};
 use crate::reactor;
@@ -66,6 +66,7 @@
                 self.record_unanswered(planner.oldest_unanswered_start(now));
                 self.record_inventory_fault(planner.inventory_fault());
                 self.record_losses(planner.losses());
+                self.record_leases(planner.leases());
             }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
@@ -80,6 +81,7 @@
         self.record_unanswered(Duration::ZERO);
         self.record_inventory_fault(None);
         self.record_losses(&loss::Summary::default());
+        self.record_leases(&lease::Summary::default());
     }
 
     /// Records the figures of the groups that are due and wait.
@@ -128,6 +130,18 @@
                 self.metrics.gauge(&format!("losses.{}", evidence.name()), losses.count(evidence));
         }
         let _ = self.metrics.gauge("losses.found_running", losses.found_running);
+        let _ = self.metrics.gauge("losses.found_done", losses.found_done);
+    }
+
+    /// Records the figures of the leases that were withheld from workers whose agents polled.
+    fn record_leases(&self, leases: &lease::Summary) {
+        // A metric that can't be recorded is not worth an error.
+        for obstacle in lease::Obstacle::ALL {
+            let name = format!("leases.withheld_{}", obstacle.name());
+            let _ = self.metrics.gauge(&name, leases.count(obstacle));
+        }
+        let longest_ms = u64::try_from(leases.longest.as_millis()).unwrap_or(u64::MAX);
+        let _ = self.metrics.gauge("leases.withheld_longest_ms", longest_ms);
     }
 
     /// Records why the inventory of VMs is of no use.
