planner tests: orders of events around a lease that ends while its run is done

A planner and agents on one clock, with the leases of all deployments: minions that refuse calls, hang or have deregistered, agents that are cut off or paused, polls that are lost, late or closed, and writes of the list of workers that are slow or have no answer.

The harness takes the leases as a parameter; its older tests keep theirs. Its commits give all keys one revision, as the store does.

--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod causes;
 mod cordons;
+mod expired;
 mod handover;
 mod harness;
 mod incarnations;
--- a/crates/planner/tests/presence/mod.rs
+++ b/crates/planner/tests/presence/mod.rs
@@ -10,7 +10,7 @@
 mod refused;
 mod reported;
 mod restarted;
-mod site;
+pub(crate) mod site;
 mod starts;
 mod unlisted;
 
--- a/crates/planner/tests/presence/site.rs
+++ b/crates/planner/tests/presence/site.rs
@@ -5,7 +5,7 @@
 
 use prost::Message as _;
 use sapphire_jobs::{
-    Ended, Ending, Incarnation, Lead, Notice, Rejection, Run, Running, Step,
+    Ended, Ending, Incarnation, Lead, Notice, Orders, Poll, Rejection, Run, Running, Step,
     inventory::{Page, Tenant},
     task::Task,
 };
@@ -21,7 +21,7 @@
     minion::{Call, Heartbeat, Reply},
     options as runner,
 };
-use sapphire_store::call::{self as store, Item};
+use sapphire_store::call::{self as store, Item, Put};
 
 use crate::harness::{Fixture, START, TERM, ended, fleet, job, minion, ms, no_starts, options};
 
@@ -32,38 +32,102 @@
 /// Time after which an agent's poll counts as unanswered.
 const POLL_TIMEOUT: u64 = 1_000;
 /// Longest time after the last poll in which a lease was granted until it has certainly ended.
-pub(super) const LEASE_BOUND: u64 = 6_000 + 120 + 300;
+pub(crate) const LEASE_BOUND: u64 = 6_000 + 120 + 300;
+
+/// Time after which a write of the planner counts as unanswered.
+const STORE_TIMEOUT: u64 = 420;
+
+/// Bounds of a site, in ms.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    /// The lease that the planner grants.
+    pub(crate) granted: u64,
+    /// Longest lease that a minion accepts.
+    pub(crate) longest: u64,
+    /// Whether calls may be carried out by a next incarnation. If so, the stored list of workers names no
+    /// ends of leases.
+    pub(crate) calls_outlive_incarnations: bool,
+}
+
+impl Bounds {
+    pub(crate) const DEFAULT: Bounds =
+        Bounds { granted: 6_000, longest: 10_000, calls_outlive_incarnations: true };
+
+    /// Longest time after the last poll in which a lease was granted until it has certainly ended.
+    pub(crate) fn bound(self) -> u64 {
+        self.granted * 102 / 100 + 300
+    }
+}
+
+/// A run that has ended as done, with what its agent and the planner were told of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Done {
+    pub(crate) worker: &'static str,
+    pub(crate) run: Run,
+    pub(crate) at: u64,
+    number: u64,
+    pub(crate) listed_at: Option<u64>,
+    /// Whether the lease lapsed before the end was acknowledged.
+    pub(crate) lapsed_at: Option<u64>,
+    pub(crate) acknowledged_at: Option<u64>,
+}
+
+impl Done {
+    /// Returns whether the end counts: it was acknowledged before the lease of its minion lapsed, or
+    /// listed 100 ms before that.
+    pub(crate) fn is_noted(&self) -> bool {
+        let is_before_lapse = |at: u64| self.lapsed_at.is_none_or(|lapsed| at <= lapsed);
+        let listed = self.listed_at.map(|at| at + 100);
+        listed.into_iter().chain(self.acknowledged_at).any(is_before_lapse)
+    }
+}
+
+/// How the store meets writes of the list of workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Writes {
+    /// Time until the answer. The write is carried out at its end.
+    pub(crate) time: u64,
+    /// Answers that take longer than the timeout of the planner's process are lost.
+    pub(crate) has_timeout: bool,
+}
 
 /// How a minion meets the calls of its agent.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(super) enum Conduct {
+pub(crate) enum Conduct {
     #[default]
     Answers,
     /// Connections are refused, while it goes on.
     Refuses,
+    /// New connections are refused; calls before are answered.
+    RefusesNew,
+    /// All connections are refused but those of long polls that wait.
+    RefusesOrders,
     /// No call has an answer, and none is carried out.
     Silent,
 }
 
 /// A minion, which runs tasks until they are over, are stopped, or its lease ends.
-pub(super) struct Program {
-    pub(super) incarnation: Incarnation,
-    pub(super) conduct: Conduct,
-    pub(super) is_beating: bool,
+pub(crate) struct Program {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) conduct: Conduct,
+    pub(crate) is_beating: bool,
     /// It has ended, and nothing listens there.
-    pub(super) is_gone: bool,
-    pub(super) running: Vec<(Run, u64)>,
-    pub(super) ended: Vec<Ended>,
+    pub(crate) is_gone: bool,
+    pub(crate) running: Vec<(Run, u64)>,
+    pub(crate) ended: Vec<Ended>,
     beats: u64,
     last_end: u64,
     token: u64,
     /// When its clock began, for a minion that has restarted.
-    pub(super) clock_began: u64,
+    pub(crate) clock_began: u64,
     /// End of its lease by its clock.
     lease_until: Duration,
     /// Starts that had no answer, which may still be carried out.
     lost_starts: Vec<Call>,
-    pub(super) run_time: u64,
+    pub(crate) run_time: u64,
+    longest_lease: u64,
+    /// Time of work after which a task has saved a checkpoint; `None` if it saves none.
+    pub(crate) checkpoint_time: Option<u64>,
 }
 
 /// Returns what the clock of a minion shows, which is as slow as the clocks of minions may be.
@@ -71,25 +135,53 @@
     ms(START + (now - START) * 980 / 1_000)
 }
 
+fn options_of(bounds: Bounds) -> Options {
+    Options {
+        lease: ms(bounds.granted),
+        longest_lease: ms(bounds.longest),
+        calls_outlive_incarnations: bounds.calls_outlive_incarnations,
+        ..options()
+    }
+}
+
 /// A call of an agent that has no answer yet.
 struct Pending {
     ticket: agent::Ticket,
     call: Call,
     due: u64,
+    is_refused: bool,
 }
 
 /// A worker: an agent beside a minion.
-pub(super) struct Worker {
+pub(crate) struct Worker {
     agent: Machine,
-    pub(super) program: Program,
+    pub(crate) program: Program,
     /// Neither its polls nor their answers get through.
-    pub(super) is_cut_off: bool,
+    pub(crate) is_cut_off: bool,
+    /// Only its polls get lost, or only their answers.
+    pub(crate) loses_polls: bool,
+    pub(crate) loses_answers: bool,
+    /// Its polls arrive when they are delivered.
+    pub(crate) holds_polls: bool,
+    held: Vec<(u64, Box<Poll>)>,
+    /// Time that the planner's answers take.
+    pub(crate) answer_time: u64,
+    /// Its process handles no event; they pile up.
+    pub(crate) is_paused: bool,
+    piled_up: Vec<agent::Event>,
+    answers: Vec<(u64, agent::Ticket, Orders)>,
+    /// Time of its latest poll that arrived with a checkpoint.
+    pub(crate) saved_heard_at: u64,
+    /// When a poll was last answered with a lease.
+    pub(crate) leased_at: u64,
     /// Time of its latest poll that was answered with a lease, whether the answer got through or not.
-    pub(super) granted_at: u64,
+    pub(crate) granted_at: u64,
+    /// Whether its latest poll reports that its minion seems to be absent.
+    pub(crate) reports_absent: bool,
     /// Whether its latest poll reports that there is no minion.
-    pub(super) reports_gone: bool,
+    pub(crate) reports_gone: bool,
     /// Highest token that was granted to it.
-    pub(super) token: u64,
+    pub(crate) token: u64,
     generation: u64,
     calls: Vec<Pending>,
     /// Polls without an answer, with the number of the request and the time of each.
@@ -97,31 +189,43 @@
 }
 
 /// All processes, and what the store has committed.
-pub(super) struct Site {
-    pub(super) now: u64,
-    pub(super) planner: Fixture,
-    pub(super) workers: BTreeMap<&'static str, Worker>,
+pub(crate) struct Site {
+    pub(crate) now: u64,
+    pub(crate) planner: Fixture,
+    pub(crate) workers: BTreeMap<&'static str, Worker>,
     /// What the inventory shows; `None` if it can't be read.
-    pub(super) inventory: Option<Page>,
+    pub(crate) inventory: Option<Page>,
     /// Time that a read of the inventory takes.
-    pub(super) read_time: u64,
+    pub(crate) read_time: u64,
     /// Reads of the inventory that are answered later, with the time and the answer.
     reads: Vec<(u64, Page)>,
     /// Starts that were carried out, with their time and worker.
-    pub(super) starts: Vec<(u64, &'static str, Run)>,
+    pub(crate) starts: Vec<(u64, &'static str, Run)>,
+    pub(crate) bounds: Bounds,
+    pub(crate) writes: Writes,
+    written: Vec<(u64, u64, Operation, store::Call)>,
+    /// Runs that have ended as done.
+    pub(crate) done: Vec<Done>,
+    /// Starts that carried a checkpoint.
+    pub(crate) resumed: Vec<Run>,
+    /// Lines of the planner's log, with their times.
+    pub(crate) lines: Vec<(u64, String)>,
+    /// Leases that were granted: the worker, the time of the poll, and that of the answer.
+    pub(crate) grants: Vec<(&'static str, u64, u64)>,
     /// Runs that were ordered to stop.
-    pub(super) stops: Vec<Run>,
+    pub(crate) stops: Vec<Run>,
     /// Runs that began while another run of their task was running or done.
-    pub(super) twice: Vec<String>,
+    pub(crate) twice: Vec<String>,
     items: BTreeMap<String, Item>,
     revision: u64,
     term: u64,
     requester: u64,
     seen: usize,
+    logged: usize,
 }
 
 impl Program {
-    fn new(name: &str, born_ms: u64, run_time: u64) -> Self {
+    fn new(name: &str, born_ms: u64, run_time: u64, longest_lease: u64) -> Self {
         Program {
             incarnation: Incarnation { born_ms, ..minion(name) },
             conduct: Conduct::Answers,
@@ -136,6 +240,8 @@
             lease_until: Duration::ZERO,
             lost_starts: Vec::new(),
             run_time,
+            longest_lease,
+            checkpoint_time: None,
         }
     }
 
@@ -156,7 +262,9 @@
     fn list(&self, now: u64) -> Reply {
         let row = |(run, began): &(Run, u64)| {
             let percent = u32::try_from((now - began) * 99 / self.run_time).unwrap_or(99).min(99);
-            Running { run: Some(run.clone()), percent, ..Running::default() }
+            let is_saved = self.checkpoint_time.is_some_and(|time| now >= began + time);
+            let checkpoint = if is_saved { "saved".to_owned() } else { String::new() };
+            Running { run: Some(run.clone()), percent, checkpoint, ..Running::default() }
         };
         Reply::Listed {
             born_ms: self.incarnation.born_ms,
@@ -170,7 +278,8 @@
     /// Takes a lease, a token and an acknowledgement; returns whether the token is high enough.
     fn accept(&mut self, now: u64, token: u64, deadline: Option<Duration>) -> bool {
         // A longer lease is shortened.
-        let deadline = deadline.map(|deadline| deadline.min(self.clock(now) + ms(10_000)));
+        let deadline =
+            deadline.map(|deadline| deadline.min(self.clock(now) + ms(self.longest_lease)));
         if token < self.token {
             return false;
         }
@@ -191,13 +300,24 @@
             entries: vec!["e:1".to_owned()],
             minion_address: format!("m-{name}:1"),
             stop_timeout: ms(400),
-            longest_lease: ms(10_000),
+            longest_lease: ms(program.longest_lease),
         });
         Worker {
             agent,
             program,
             is_cut_off: false,
+            loses_polls: false,
+            loses_answers: false,
+            holds_polls: false,
+            held: Vec::new(),
+            answer_time: 0,
+            is_paused: false,
+            piled_up: Vec::new(),
+            answers: Vec::new(),
+            saved_heard_at: 0,
+            leased_at: 0,
             granted_at: 0,
+            reports_absent: false,
             reports_gone: false,
             token: 0,
             generation,
@@ -210,17 +330,29 @@
 impl Site {
     /// Returns a site with a planner that serves idle workers of these names. Each task runs for
     /// `run_time` ms.
-    pub(super) fn new(names: &[&'static str], run_time: u64) -> Self {
-        let worker =
-            |name: &&'static str| (*name, Worker::new(name, 1, Program::new(name, 1, run_time)));
+    pub(crate) fn new(names: &[&'static str], run_time: u64) -> Self {
+        Site::with_bounds(names, run_time, Bounds::DEFAULT)
+    }
+
+    /// The same with these bounds.
+    pub(crate) fn with_bounds(names: &[&'static str], run_time: u64, bounds: Bounds) -> Self {
+        let program = |name| Program::new(name, 1, run_time, bounds.longest);
+        let worker = |name: &&'static str| (*name, Worker::new(name, 1, program(name)));
         let mut site = Site {
             now: START,
-            planner: Fixture::term(TERM, START, 0),
+            planner: Fixture::term_with(options_of(bounds), TERM, START, 0),
             workers: names.iter().map(worker).collect(),
             inventory: None,
             read_time: TICK,
             reads: Vec::new(),
             starts: Vec::new(),
+            bounds,
+            writes: Writes::default(),
+            written: Vec::new(),
+            done: Vec::new(),
+            resumed: Vec::new(),
+            lines: Vec::new(),
+            grants: Vec::new(),
             stops: Vec::new(),
             twice: Vec::new(),
             items: BTreeMap::new(),
@@ -228,6 +360,7 @@
             term: TERM,
             requester: 0,
             seen: 0,
+            logged: 0,
         };
         site.inventory = Some(site.page_without(&[]));
         for item in [fleet(1, names), no_starts(1)] {
@@ -240,8 +373,10 @@
 
     /// Has the inventory read, and the agents follow the planner.
     fn lead(&mut self) {
-        self.planner.planner.set_options(Options { has_inventory: true, ..options() });
-        self.seen = 0;
+        self.planner
+            .planner
+            .set_options(Options { has_inventory: true, ..options_of(self.bounds) });
+        (self.seen, self.logged) = (0, 0);
         let names: Vec<&'static str> = self.workers.keys().copied().collect();
         names.into_iter().for_each(|name| self.follow(name));
     }
@@ -253,7 +388,7 @@
     }
 
     /// Returns an inventory of the VMs of all workers, without these.
-    pub(super) fn page_without(&self, absent: &[&str]) -> Page {
+    pub(crate) fn page_without(&self, absent: &[&str]) -> Page {
         let mut page = Page::default();
         for (name, worker) in &self.workers {
             if !absent.contains(name) {
@@ -265,7 +400,7 @@
     }
 
     /// Returns an inventory in which the VM of this worker runs something else.
-    pub(super) fn page_with(&self, name: &str, tenant: Tenant) -> Page {
+    pub(crate) fn page_with(&self, name: &str, tenant: Tenant) -> Page {
         let mut page = self.page_without(&[name]);
         page.add(format!("vm-{name}"), tenant);
         page
@@ -277,16 +412,17 @@
         self.items.insert(key, item);
     }
 
-    pub(super) fn submit(&mut self, id: &str, step: Step) {
+    pub(crate) fn submit(&mut self, id: &str, step: Step) {
         let job = job(id, self.term, step);
         self.write(keys::job(id), job.encode_to_vec());
         self.planner_handles(Event::Notice(Notice { jobs: vec![job], ..Notice::default() }));
     }
 
     /// Replaces the planner by one that reads what the store has committed.
-    pub(super) fn take_over(&mut self) {
+    pub(crate) fn take_over(&mut self) {
         self.term += 1;
-        self.planner = Fixture::term(self.term, self.now, 0);
+        self.planner = Fixture::term_with(options_of(self.bounds), self.term, self.now, 0);
+        self.written.clear();
         self.reads.clear();
         let names: Vec<&'static str> = self.workers.keys().copied().collect();
         for name in names {
@@ -296,36 +432,38 @@
     }
 
     /// Starts the next process of an agent; its minion goes on.
-    pub(super) fn restart_agent(&mut self, name: &'static str) {
+    pub(crate) fn restart_agent(&mut self, name: &'static str) {
         let worker = self.workers.get_mut(name).expect("it is known");
         let Worker { granted_at, generation, .. } = *worker;
-        let program = std::mem::replace(&mut worker.program, Program::new(name, 0, 1));
+        let program =
+            std::mem::replace(&mut worker.program, Program::new(name, 0, 1, self.bounds.longest));
         *worker = Worker { granted_at, ..Worker::new(name, generation + 1, program) };
         self.follow(name);
     }
 
     /// Ends a minion without a word; nothing listens at its address then.
-    pub(super) fn crash(&mut self, name: &str) {
+    pub(crate) fn crash(&mut self, name: &str) {
         let program = self.program(name);
         program.running.clear();
         program.is_gone = true;
     }
 
     /// Starts the next incarnation of a minion that has crashed, under its name.
-    pub(super) fn start_minion(&mut self, name: &str) {
+    pub(crate) fn start_minion(&mut self, name: &str) {
         let program = self.program(name);
-        *program = Program::new(name, program.incarnation.born_ms + 1, program.run_time);
+        let born_ms = program.incarnation.born_ms + 1;
+        *program = Program::new(name, born_ms, program.run_time, program.longest_lease);
     }
 
     /// The same, with a clock that starts anew.
-    pub(super) fn start_minion_with_new_clock(&mut self, name: &str) {
+    pub(crate) fn start_minion_with_new_clock(&mut self, name: &str) {
         self.start_minion(name);
         let began = self.now - START;
         self.program(name).clock_began = began;
     }
 
     /// Replaces the minions of all workers by ones of other names, as the inventory shows.
-    pub(super) fn replace_minions(&mut self) {
+    pub(crate) fn replace_minions(&mut self) {
         let names: Vec<&'static str> = self.workers.keys().copied().collect();
         for name in names {
             self.start_minion(name);
@@ -337,29 +475,29 @@
     }
 
     /// Carries out the starts that had no answer. Returns their number.
-    pub(super) fn carry_out_late(&mut self, name: &'static str) -> usize {
+    pub(crate) fn carry_out_late(&mut self, name: &'static str) -> usize {
         let starts = std::mem::take(&mut self.program(name).lost_starts);
         let replies = starts.into_iter().map(|call| self.carry_out(name, call));
         replies.filter(|reply| *reply == Reply::Done).count()
     }
 
-    pub(super) fn program(&mut self, name: &str) -> &mut Program {
+    pub(crate) fn program(&mut self, name: &str) -> &mut Program {
         &mut self.workers.get_mut(name).expect("it is known").program
     }
 
     /// Has a minion drain, as its next heartbeat says.
-    pub(super) fn drain(&mut self, name: &'static str) {
+    pub(crate) fn drain(&mut self, name: &'static str) {
         self.program(name).incarnation.is_draining = true;
         self.beat(name);
     }
 
-    pub(super) fn deregister(&mut self, name: &'static str) {
+    pub(crate) fn deregister(&mut self, name: &'static str) {
         let id = self.program(name).incarnation.id.clone();
         self.agent_handles(name, agent::Event::Deregistered(id));
     }
 
     /// Returns the worker that the only task of a job runs on; empty if there is none.
-    pub(super) fn runs_on(&self, id: &str) -> &'static str {
+    pub(crate) fn runs_on(&self, id: &str) -> &'static str {
         let is_there = |(_, worker): &(&&'static str, &Worker)| {
             !worker.program.is_gone && worker.program.running.iter().any(|(run, _)| run.job == id)
         };
@@ -367,19 +505,19 @@
     }
 
     /// Returns when and where the runs of a job have begun.
-    pub(super) fn starts_of(&self, id: &str) -> Vec<(u64, &'static str, u32)> {
+    pub(crate) fn starts_of(&self, id: &str) -> Vec<(u64, &'static str, u32)> {
         let starts = self.starts.iter().filter(|(_, _, run)| run.job == id);
         starts.map(|(at, name, run)| (*at, *name, run.run)).collect()
     }
 
-    pub(super) fn run(&mut self, time: u64) {
+    pub(crate) fn run(&mut self, time: u64) {
         for _ in 0..time / TICK {
             self.tick();
         }
     }
 
     /// Runs until a further run of a job begins; returns after what time that is, if it is.
-    pub(super) fn run_until_started(&mut self, id: &str, limit: u64) -> Option<u64> {
+    pub(crate) fn run_until_started(&mut self, id: &str, limit: u64) -> Option<u64> {
         let (begin, starts) = (self.now, self.starts_of(id).len());
         while self.now < begin + limit {
             self.tick();
@@ -394,6 +532,7 @@
         self.now += TICK;
         self.planner_handles(Event::Tick);
         self.answer_reads();
+        self.answer_writes();
         let names: Vec<&'static str> = self.workers.keys().copied().collect();
         for name in names {
             self.advance_program(name);
@@ -401,7 +540,10 @@
                 self.beat(name);
             }
             self.answer_calls(name);
-            self.fail_polls(name, POLL_TIMEOUT);
+            self.deliver_answers(name);
+            if !self.workers[name].is_paused {
+                self.fail_polls(name, POLL_TIMEOUT);
+            }
             self.agent_handles(name, agent::Event::Tick);
         }
     }
@@ -422,16 +564,32 @@
 
     fn advance_program(&mut self, name: &str) {
         let now = self.now;
+        let (&name, worker) = self.workers.get_key_value(name).expect("it is known");
+        let ends = worker.program.last_end;
         let program = self.program(name);
         let run_time = program.run_time;
         let is_over = |(_, began): &&(Run, u64)| now >= began + run_time;
         let over: Vec<Run> =
             program.running.iter().filter(is_over).map(|(run, _)| run.clone()).collect();
         over.iter().for_each(|run| program.end(run, Ending::Done));
-        if program.clock(now) >= program.lease_until {
+        let has_lapsed = program.clock(now) >= program.lease_until;
+        if has_lapsed {
             let lapsed: Vec<Run> = program.running.iter().map(|(run, _)| run.clone()).collect();
             lapsed.iter().for_each(|run| program.end(run, Ending::Lapsed));
         }
+        let done = (ends + 1..).zip(over).map(|(number, run)| Done {
+            worker: name,
+            run,
+            at: now,
+            number,
+            listed_at: None,
+            lapsed_at: None,
+            acknowledged_at: None,
+        });
+        self.done.extend(done);
+        for done in self.done.iter_mut().filter(|done| done.worker == name && has_lapsed) {
+            done.lapsed_at.get_or_insert(now);
+        }
     }
 
     /// Answers the calls of an agent that are due.
@@ -442,16 +600,22 @@
         let conduct =
             if worker.program.is_gone { Conduct::Refuses } else { worker.program.conduct };
         let is_due = |pending: &mut Pending| match (&pending.call, conduct) {
-            (Call::LongPoll { .. }, Conduct::Answers) if has_ended => true,
             (_, Conduct::Refuses) => true,
+            (_, Conduct::RefusesNew | Conduct::RefusesOrders) if pending.is_refused => true,
             (_, Conduct::Silent) => now >= pending.due + 300,
+            (Call::LongPoll { .. }, _) if has_ended => true,
             _ => now >= pending.due,
         };
         let due: Vec<Pending> = worker.calls.extract_if(.., is_due).collect();
         for pending in due {
             let reply = match conduct {
-                Conduct::Answers => self.carry_out(name, pending.call),
                 Conduct::Refuses => Reply::NotListening,
+                Conduct::RefusesNew | Conduct::RefusesOrders if pending.is_refused => {
+                    Reply::NotListening
+                }
+                Conduct::Answers | Conduct::RefusesNew | Conduct::RefusesOrders => {
+                    self.carry_out(name, pending.call)
+                }
                 Conduct::Silent => {
                     if matches!(pending.call, Call::Start { .. }) {
                         self.program(name).lost_starts.push(pending.call);
@@ -477,15 +641,24 @@
         match call {
             Call::LongPoll { acknowledged, .. } => {
                 program.ended.retain(|end| end.number > acknowledged);
-                program.list(now)
+                let list = program.list(now);
+                for done in self.done.iter_mut().filter(|done| done.worker == name) {
+                    done.listed_at.get_or_insert(now);
+                    if done.number <= acknowledged {
+                        done.acknowledged_at.get_or_insert(now);
+                    }
+                }
+                list
             }
             Call::Start { start, .. } => {
                 let run = start.run.unwrap_or_default();
+                let is_resumed = !start.checkpoint.is_empty();
                 if deadline.is_some_and(|deadline| program.clock(now) >= deadline) {
                     return Reply::Refused(Rejection::Late);
                 }
                 if !program.running.iter().any(|(other, _)| *other == run) {
                     program.running.push((run.clone(), now));
+                    self.resumed.extend(is_resumed.then(|| run.clone()));
                     self.note_start(name, run);
                 }
                 Reply::Done
@@ -536,6 +709,12 @@
     fn agent_handles(&mut self, name: &'static str, event: agent::Event) {
         let now = self.now;
         let worker = self.workers.get_mut(name).expect("it is known");
+        if worker.is_paused {
+            if event != agent::Event::Tick {
+                worker.piled_up.push(event);
+            }
+            return;
+        }
         let mut polls = Vec::new();
         let mut asks = false;
         for effect in worker.agent.handle(ms(now), event) {
@@ -545,7 +724,13 @@
                         Call::LongPoll { wait, .. } => u64::try_from(wait.as_millis()).unwrap_or(0),
                         _ => 0,
                     };
-                    worker.calls.push(Pending { ticket, call, due: now + wait.max(TICK) });
+                    let is_refused = match worker.program.conduct {
+                        Conduct::RefusesNew => true,
+                        Conduct::RefusesOrders => wait == 0,
+                        _ => false,
+                    };
+                    let due = now + wait.max(TICK);
+                    worker.calls.push(Pending { ticket, call, due, is_refused });
                 }
                 Effect::Poll { ticket, poll, .. } => polls.push((ticket, poll)),
                 Effect::QueryLeader { .. } => asks = true,
@@ -558,8 +743,11 @@
             let worker = self.workers.get_mut(name).expect("it is known");
             worker.polls.push((ticket, requester, now));
             worker.reports_gone = poll.is_minion_gone;
-            if !worker.is_cut_off {
-                self.planner_handles(Event::Poll(requester, poll));
+            worker.reports_absent = poll.absence.is_some();
+            if worker.holds_polls {
+                worker.held.push((requester, poll));
+            } else if !worker.is_cut_off && !worker.loses_polls {
+                self.poll_arrives(name, requester, poll);
             }
         }
         if asks && !self.workers[name].is_cut_off {
@@ -567,10 +755,83 @@
         }
     }
 
+    fn poll_arrives(&mut self, name: &str, requester: u64, poll: Box<Poll>) {
+        let worker = self.workers.get_mut(name).expect("it is known");
+        if poll.running.iter().any(|it| !it.checkpoint.is_empty()) {
+            worker.saved_heard_at = self.now;
+        }
+        self.planner_handles(Event::Poll(requester, poll));
+    }
+
+    /// Has the held polls of an agent arrive that it has given up, with the end of the connection right
+    /// behind each.
+    pub(crate) fn deliver_given_up(&mut self, name: &'static str) {
+        let worker = self.workers.get_mut(name).expect("it is known");
+        let polls = &worker.polls;
+        let is_given_up =
+            |(held, _): &mut (u64, Box<Poll>)| !polls.iter().any(|(_, open, _)| open == held);
+        let given_up: Vec<_> = worker.held.extract_if(.., is_given_up).collect();
+        for (requester, poll) in given_up {
+            self.poll_arrives(name, requester, poll);
+            self.planner_handles(Event::Disconnected(requester));
+        }
+    }
+
+    /// Has an agent handle what has piled up while it was paused.
+    pub(crate) fn resume(&mut self, name: &'static str) {
+        let worker = self.workers.get_mut(name).expect("it is known");
+        worker.is_paused = false;
+        let events = std::mem::take(&mut worker.piled_up);
+        events.into_iter().for_each(|event| self.agent_handles(name, event));
+    }
+
+    /// Closes the connections of an agent's polls, as both ends see at once.
+    pub(crate) fn close_polls(&mut self, name: &'static str) {
+        self.fail_polls(name, 0);
+    }
+
+    fn deliver_answers(&mut self, name: &'static str) {
+        let now = self.now;
+        let worker = self.workers.get_mut(name).expect("it is known");
+        let due: Vec<_> = worker.answers.extract_if(.., |(at, ..)| now >= *at).collect();
+        for (_, ticket, orders) in due {
+            let worker = self.workers.get_mut(name).expect("it is known");
+            worker.polls.retain(|(other, ..)| *other != ticket);
+            worker.token = worker.token.max(orders.token);
+            self.agent_handles(name, agent::Event::Orders(ticket, Box::new(orders)));
+        }
+    }
+
+    /// Carries out the writes of the list of workers that are due, and answers them.
+    fn answer_writes(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.written)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, done_at, ..)| now >= *at || now >= *done_at);
+        self.written = later;
+        for (at, done_at, operation, call) in due {
+            if now >= done_at {
+                let reply = self.apply(&operation, call);
+                if at != u64::MAX {
+                    self.planner_handles(Event::Store(operation, reply));
+                }
+            } else {
+                let reply = store::Reply::Unavailable("no answer".to_owned());
+                self.planner_handles(Event::Store(operation.clone(), reply));
+                // It is still carried out.
+                self.written.push((u64::MAX, done_at, operation, call));
+            }
+        }
+    }
+
     fn planner_handles(&mut self, event: Event) {
         self.planner.now = self.now;
         self.planner.handle(event);
         self.answer_store();
+        let now = self.now;
+        let lines = self.planner.log.iter().skip(self.logged);
+        self.lines.extend(lines.map(|line| (now, line.clone())));
+        self.logged = self.planner.log.len();
         for _ in 0..std::mem::take(&mut self.planner.inventory_reads) {
             if let Some(page) = self.inventory.clone() {
                 self.reads.push((self.now + self.read_time, page));
@@ -587,11 +848,18 @@
             let sent_at = worker.polls[at].2;
             if orders.lease_ms > 0 {
                 worker.granted_at = worker.granted_at.max(sent_at);
+                worker.leased_at = self.now;
+                self.grants.push((name, sent_at, self.now));
+            }
+            if worker.is_cut_off || worker.loses_answers {
+                continue;
             }
-            if worker.is_cut_off {
+            let (ticket, ..) = worker.polls[at];
+            if worker.answer_time > 0 {
+                worker.answers.push((self.now + worker.answer_time, ticket, orders));
                 continue;
             }
-            let (ticket, ..) = worker.polls.remove(at);
+            worker.polls.remove(at);
             worker.token = worker.token.max(orders.token);
             self.agent_handles(name, agent::Event::Orders(ticket, Box::new(orders)));
         }
@@ -612,6 +880,13 @@
                 return;
             }
             for (operation, call) in calls {
+                let Writes { time, has_timeout } = self.writes;
+                if operation == Operation::Fleet && time > 0 {
+                    let limit = if has_timeout { STORE_TIMEOUT } else { time };
+                    let (at, done_at) = (self.now + limit.min(time), self.now + time);
+                    self.written.push((at, done_at, operation, call));
+                    continue;
+                }
                 let reply = self.apply(&operation, call);
                 self.planner.handle(Event::Store(operation, reply));
             }
@@ -629,9 +904,27 @@
                 let items = items.map(|(_, item)| item.clone()).collect();
                 store::Reply::Items { items, has_more: false, revision: self.revision }
             }
-            store::Call::Commit { puts, removes, .. } => {
+            store::Call::Commit { conditions, puts, removes } => {
+                let is_current = |it: &store::Condition| {
+                    let found = self.items.get(&it.key).map_or(0, |item| item.revision);
+                    it.key != keys::FLEET || found == it.revision
+                };
+                let is_checked = *operation == Operation::Fleet && self.writes.time > 0;
+                if is_checked && !conditions.iter().all(is_current) {
+                    let lead = Item {
+                        key: keys::LEAD.to_owned(),
+                        value: Some(Vec::new().into()),
+                        revision: self.term,
+                    };
+                    let items = self.items.get(keys::FLEET).cloned().into_iter().chain([lead]);
+                    return store::Reply::Refused(items.collect());
+                }
+                self.revision += 1;
                 for put in puts {
-                    self.write(put.key, put.value.to_vec());
+                    let Put { key, value, .. } = put;
+                    let item =
+                        Item { key: key.clone(), value: Some(value), revision: self.revision };
+                    self.items.insert(key, item);
                 }
                 for key in removes {
                     self.items.remove(&key);
