tests: a minion that was found gone wrongly joins again before a take-over

The inventory lacks a live minion while its worker is cut off, and its lease ends just before the read is answered. The minion joins again and gets a task; then its planner is lost. The test varies what becomes of the writes of the handover record and of the list of workers, and when the planner is lost.

--- a/crates/planner/tests/handover/mod.rs
+++ b/crates/planner/tests/handover/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod random;
 mod record;
 mod settled;
+mod verdicts;
 pub(crate) mod world;
 
 use sapphire_jobs::{Ending, Step};
--- /dev/null
+++ b/crates/planner/tests/handover/verdicts.rs
@@ -0,0 +1,78 @@
+//! Tests of verdicts that the minion which they are about contradicts, while planners change.
+
+use sapphire_jobs::{Ending, Step, resources::Resources};
+
+use super::world::{Inventory, Outcome, World};
+use crate::harness::{minion, step};
+
+const OUTCOMES: [Outcome; 4] =
+    [Outcome::Answered(10), Outcome::Answered(900), Outcome::Unanswered, Outcome::Lost];
+/// Worker that runs a task of another job.
+const BUSY: &str = "a";
+/// Worker whose minion is found gone wrongly, and joins again.
+const RETURNS: &str = "b";
+/// Time that a task takes, in ms.
+const RUN_TIME: u64 = 60_000;
+/// Time after the return of a minion in which writes have another outcome.
+const FAULTY_WRITES: u64 = 600;
+/// Time after the return of a minion until which its planner is lost.
+const LONGEST_TERM: u64 = 3_000;
+
+/// Submits a job of a task that takes a whole worker.
+fn submit(world: &mut World, id: &str) {
+    let room = Resources::read(minion("a").capacity.as_ref()).message();
+    world.run_times.insert(id.to_owned(), RUN_TIME);
+    world.submit(id, &Step { room: Some(room), estimate_ms: RUN_TIME, ..step(1, false) });
+}
+
+/// Returns a world in which the minion of a worker is connected again just after the inventory has
+/// shown that its VM is gone. The other worker has a task.
+/// From just before that on, writes of the handover record and of the list of workers have these outcomes.
+fn wrongly_gone(record: Outcome, fleet: Outcome) -> World {
+    let mut world = World::of_one_incarnation(&[BUSY, RETURNS]);
+    world.restart_term(|world| world.inventory = Some(Inventory::default()));
+    world.run(2_000);
+    submit(&mut world, "j");
+    world.run(500);
+    assert_eq!(world.tasks_on(BUSY).len(), 1);
+    world.cut_off(RETURNS);
+    world.inventory.as_mut().expect("set above").lacks.insert(RETURNS.to_owned());
+    world.run(2_500);
+    let lease_end = world.planned_lease_end(RETURNS).next_multiple_of(10);
+    // The lease ends between two ticks, when the read is answered.
+    world.inventory.as_mut().expect("set above").answers_from = lease_end;
+    world.run(lease_end - world.now - 10);
+    (world.record_outcome, world.fleet_outcome) = (record, fleet);
+    world.run(10);
+    assert!(world.has_logged("its VM is gone"), "{:#?}", world.history);
+    world.reconnect(RETURNS);
+    world
+}
+
+/// Guards against a task that runs twice: a minion that was found gone wrongly has joined again and
+/// runs a task, and a successor acts on the stored verdict.
+#[test]
+fn a_minion_that_reports_is_not_gone_for_a_successor() {
+    let (mut conflicts, mut given) = (Vec::new(), 0);
+    for (record, fleet) in OUTCOMES.iter().flat_map(|it| OUTCOMES.map(|fleet| (*it, fleet))) {
+        for term in (0..LONGEST_TERM).step_by(300) {
+            let mut world = wrongly_gone(record, fleet);
+            submit(&mut world, "k");
+            world.run(term.min(FAULTY_WRITES));
+            let answered = Outcome::Answered(10);
+            (world.record_outcome, world.fleet_outcome) = (answered, answered);
+            world.run(term.saturating_sub(FAULTY_WRITES));
+            world.cut_off(RETURNS);
+            world.lose_planner();
+            given += world.tasks_on(RETURNS).len();
+            world.take_over();
+            world.run(500);
+            world.end_runs(BUSY, "j", Ending::Done);
+            world.run(4_000);
+            let case = format!("record {record:?}, list {fleet:?}, {term} ms");
+            conflicts.extend(world.conflicts.iter().map(|found| format!("{case}: {found}")));
+        }
+    }
+    assert!(given > 0, "the worker gets no task");
+    assert!(conflicts.is_empty(), "{given} tasks given; {conflicts:#?}");
+}
--- a/crates/planner/tests/handover/world.rs
+++ b/crates/planner/tests/handover/world.rs
@@ -9,7 +9,11 @@
 use prost::Message as _;
 use sapphire_jobs::{
     Ended, Ending, Incarnation, Job, LateCall, Notice, Orders, Poll, Run, Running, Step,
-    Unanswered, UnansweredStarts, remote_clock::RemoteClock, resources::Resources, task::Task,
+    Unanswered, UnansweredStarts,
+    inventory::{Page, Tenant},
+    remote_clock::RemoteClock,
+    resources::Resources,
+    task::Task,
 };
 use sapphire_planner::{
     event::{Event, Operation},
@@ -139,6 +143,17 @@
     /// Tasks whose end was acknowledged.
     noted: BTreeSet<Task>,
     away_since: Option<u64>,
+    /// The platform's inventory; `None` if none is configured.
+    pub(crate) inventory: Option<Inventory>,
+}
+
+/// The platform's inventory of VMs.
+#[derive(Default)]
+pub(crate) struct Inventory {
+    /// Workers whose minions it lacks.
+    pub(crate) lacks: BTreeSet<String>,
+    /// Time from which on it answers reads.
+    pub(crate) answers_from: u64,
 }
 
 impl Agent {
@@ -192,6 +207,7 @@
             steps: BTreeMap::new(),
             noted: BTreeSet::new(),
             away_since: None,
+            inventory: None,
         };
         for item in [fleet(1, names), no_starts(1)] {
             world.write(&item.key, item.value.unwrap_or_default().to_vec());
@@ -252,7 +268,8 @@
         let recorded = self.items.get(keys::UNANSWERED).map(|item| item.revision);
         self.note(&format!("term {} begins, record={recorded:?}", self.term));
         let calls_outlive_incarnations = self.calls_outlive_incarnations;
-        let options = Options { calls_outlive_incarnations, ..options() };
+        let has_inventory = self.inventory.is_some();
+        let options = Options { calls_outlive_incarnations, has_inventory, ..options() };
         let mut planner = Fixture::term_with(options, self.term, self.now, self.skew);
         planner.generations.clone_from(&self.generations);
         planner.planner.expect_terms(self.began.iter().copied());
@@ -342,6 +359,19 @@
         self.note(&format!("runs of {id} on {name} end {ending:?}"));
     }
 
+    /// Returns the time at which the planner takes the lease of a worker for over.
+    pub(crate) fn planned_lease_end(&self, name: &str) -> u64 {
+        let planner = self.planner.as_ref().expect("there is a planner");
+        let worker = &planner.planner.workers()[name];
+        u64::try_from(worker.lease_expires_at.as_millis()).expect("a time in ms")
+    }
+
+    /// Returns whether the present planner has logged a line with this text.
+    pub(crate) fn has_logged(&self, text: &str) -> bool {
+        let planner = self.planner.as_ref();
+        planner.is_some_and(|planner| planner.log.iter().any(|line| line.contains(text)))
+    }
+
     /// Returns the time of the latest poll of a worker.
     pub(crate) fn heard_at(&self, name: &str) -> u64 {
         self.agents[name].polled_at
@@ -497,6 +527,7 @@
         self.now += TICK;
         self.away_since = self.is_store_away.then(|| self.away_since.unwrap_or(self.now));
         self.deliver();
+        self.answer_inventory();
         self.with_planner(|planner| planner.handle(Event::Tick));
         let time_of = |run: &Run| *self.run_times.get(&run.job).unwrap_or(&RUN_TIME);
         for agent in self.agents.values_mut() {
@@ -759,6 +790,23 @@
         }
     }
 
+    /// Answers a read of the inventory.
+    fn answer_inventory(&mut self) {
+        let Some(inventory) = &self.inventory else { return };
+        if self.now < inventory.answers_from {
+            return;
+        }
+        let mut page = Page::default();
+        for name in self.agents.keys().filter(|name| !inventory.lacks.contains(*name)) {
+            page.add(format!("vm-{name}"), Tenant::Minion(minion(name).id));
+        }
+        self.with_planner(|planner| {
+            if std::mem::take(&mut planner.inventory_reads) > 0 {
+                planner.handle(Event::Inventory(Some(page)));
+            }
+        });
+    }
+
     /// Carries out a call of the planner of a term.
     fn apply(&mut self, operation: &Operation, call: &Call, term: u64) -> Reply {
         match call {
