planner: a minion that reports takes back that its VM is gone

What callers saw: a task that runs twice. The inventory lacks a live minion while its worker is silent; its lease ends, and it is declared lost. It joins again and gets tasks. Each planner that takes over within the next seconds takes it out of the list of workers and starts its tasks elsewhere at once.

Cause: nothing took the verdict back.

Now a poll in session with a list of the minion takes it back, and what the latest inventory showed of it before that list. Less doesn't suffice: a poll alone shows that the agent lives. The worker's token is given after the loss, or by a planner that has read the verdict, so that a minion which has acknowledged it was there later. The record is written again at once.

No task can be given to the worker while a successor could read the verdict: a start leaves once the first write of the record is durable that was begun after it was ordered, thus after the list, and of all records the latest counts. A write that is carried out late has a lower number. So the entry of the worker needs no number of its own to tell which is later.

Measured: the test's cases now include a planner that has read the verdict.

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -354,6 +354,19 @@
         gone.filter(|gone| gone.age_ms < expiry).collect()
     }
 
+    /// Takes back what the inventory has shown of a minion, which has sent a list at a time in the present
+    /// session. Its token is later than the loss of the worker, so that the minion has outlived that.
+    ///
+    /// Guards against a task that runs twice: a successor acts on what the record says is gone.
+    pub(crate) fn retract_fate(&mut self, worker: &str, minion: &str, listed_at: Duration) {
+        let inventory = &mut self.inventory;
+        inventory.fates.retain(|missed, (_, read_at)| missed != minion || listed_at < *read_at);
+        if inventory.gone.remove(minion).is_some() {
+            self.handover.is_settling = true;
+            self.log(format!("worker={worker} minion={minion} reports; its VM is not gone"));
+        }
+    }
+
     /// Ends all that may have been running on a worker whose VM is gone.
     fn lose_vm(&mut self, now: Moment, name: &str, minion: &str) {
         self.log(format!("worker={name} minion={minion} its VM is gone; declared lost"));
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -45,12 +45,13 @@
         worker.is_fenced = true;
         worker.has_void_orders = false;
         let minion = poll.incarnation.as_ref().map_or("", |minion| minion.id.as_str());
+        let age = Duration::from_millis(poll.list_age_ms);
+        let listed_at = now.steady.saturating_sub(age);
+        self.retract_fate(name, minion, listed_at);
         self.add_member(now, name, &poll.address, minion);
         let worker = self.workers.get_mut(name).expect("the caller has inserted it");
         let is_new_list = poll.lists != worker.list_number;
         worker.list_number = poll.lists;
-        let age = Duration::from_millis(poll.list_age_ms);
-        let listed_at = now.steady.saturating_sub(age);
         worker.listed_at = listed_at;
         let mut outdated = Vec::new();
         for running in &poll.running {
--- a/crates/planner/tests/handover/verdicts.rs
+++ b/crates/planner/tests/handover/verdicts.rs
@@ -25,8 +25,8 @@
     world.submit(id, &Step { room: Some(room), estimate_ms: RUN_TIME, ..step(1, false) });
 }
 
-/// Returns a world in which the minion of a worker is connected again just after the inventory has
-/// shown that its VM is gone. The other worker has a task.
+/// Returns a world in which the inventory has just shown that the VM of a live minion is gone. The other
+/// worker has a task.
 /// From just before that on, writes of the handover record and of the list of workers have these outcomes.
 fn wrongly_gone(record: Outcome, fleet: Outcome) -> World {
     let mut world = World::of_one_incarnation(&[BUSY, RETURNS]);
@@ -45,18 +45,25 @@
     (world.record_outcome, world.fleet_outcome) = (record, fleet);
     world.run(10);
     assert!(world.has_logged("its VM is gone"), "{:#?}", world.history);
-    world.reconnect(RETURNS);
     world
 }
 
 /// Guards against a task that runs twice: a minion that was found gone wrongly has joined again and
-/// runs a task, and a successor acts on the stored verdict.
+/// runs a task, and a successor acts on the stored verdict. The planner that it has joined may have read
+/// that as well.
 #[test]
 fn a_minion_that_reports_is_not_gone_for_a_successor() {
     let (mut conflicts, mut given) = (Vec::new(), 0);
-    for (record, fleet) in OUTCOMES.iter().flat_map(|it| OUTCOMES.map(|fleet| (*it, fleet))) {
+    let outcomes = OUTCOMES.iter().flat_map(|it| OUTCOMES.map(|fleet| (*it, fleet)));
+    for ((record, fleet), has_read) in outcomes.flat_map(|it| [(it, false), (it, true)]) {
         for term in (0..LONGEST_TERM).step_by(300) {
             let mut world = wrongly_gone(record, fleet);
+            if has_read {
+                world.run(100);
+                world.lose_planner();
+                world.take_over();
+            }
+            world.reconnect(RETURNS);
             submit(&mut world, "k");
             world.run(term.min(FAULTY_WRITES));
             let answered = Outcome::Answered(10);
@@ -69,7 +76,7 @@
             world.run(500);
             world.end_runs(BUSY, "j", Ending::Done);
             world.run(4_000);
-            let case = format!("record {record:?}, list {fleet:?}, {term} ms");
+            let case = format!("record {record:?}, list {fleet:?}, read {has_read}, {term} ms");
             conflicts.extend(world.conflicts.iter().map(|found| format!("{case}: {found}")));
         }
     }
