tests: reads of the inventory before and after a minion's list do not add up

Two reads in a row have to lack a minion. A list in between did not count if no read was completed meanwhile and another worker was missed, so that one read after it was enough to declare a live minion gone.

--- a/crates/planner/tests/handover/verdicts.rs
+++ b/crates/planner/tests/handover/verdicts.rs
@@ -11,6 +11,8 @@
 const BUSY: &str = "a";
 /// Worker whose minion is found gone wrongly, and joins again.
 const RETURNS: &str = "b";
+/// Log line on that.
+const GONE: &str = "its VM is gone";
 /// Time that a task takes, in ms.
 const RUN_TIME: u64 = 60_000;
 /// Time after the return of a minion in which writes have another outcome.
@@ -25,27 +27,29 @@
     world.submit(id, &Step { room: Some(room), estimate_ms: RUN_TIME, ..step(1, false) });
 }
 
-/// Returns a world in which the inventory has just shown that the VM of a live minion is gone. The other
-/// worker has a task.
-/// From just before that on, writes of the handover record and of the list of workers have these outcomes.
-fn wrongly_gone(record: Outcome, fleet: Outcome) -> World {
-    let mut world = World::of_one_incarnation(&[BUSY, RETURNS]);
+/// Returns a world in which one worker has a task, and the others were cut off a moment ago. The inventory
+/// lacks the live minion of [`RETURNS`].
+fn cut_off(others: &[&str]) -> World {
+    let mut world = World::of_one_incarnation(&[&[BUSY], others].concat());
     world.restart_term(|world| world.inventory = Some(Inventory::default()));
     world.run(2_000);
     submit(&mut world, "j");
     world.run(500);
     assert_eq!(world.tasks_on(BUSY).len(), 1);
-    world.cut_off(RETURNS);
+    others.iter().for_each(|name| world.cut_off(name));
     world.inventory.as_mut().expect("set above").lacks.insert(RETURNS.to_owned());
     world.run(2_500);
+    world
+}
+
+/// Has a read of the inventory answered between two ticks, just as the lease of the worker ends. From then
+/// on, writes of the handover record and of the list of workers have these outcomes.
+fn read_at_lease_end(world: &mut World, record: Outcome, fleet: Outcome) {
     let lease_end = world.planned_lease_end(RETURNS).next_multiple_of(10);
-    // The lease ends between two ticks, when the read is answered.
-    world.inventory.as_mut().expect("set above").answers_from = lease_end;
+    world.inventory.as_mut().expect("there is one").answers_from = lease_end;
     world.run(lease_end - world.now - 10);
     (world.record_outcome, world.fleet_outcome) = (record, fleet);
     world.run(10);
-    assert!(world.has_logged("its VM is gone"), "{:#?}", world.history);
-    world
 }
 
 /// Guards against a task that runs twice: a minion that was found gone wrongly has joined again and
@@ -57,7 +61,9 @@
     let outcomes = OUTCOMES.iter().flat_map(|it| OUTCOMES.map(|fleet| (*it, fleet)));
     for ((record, fleet), has_read) in outcomes.flat_map(|it| [(it, false), (it, true)]) {
         for term in (0..LONGEST_TERM).step_by(300) {
-            let mut world = wrongly_gone(record, fleet);
+            let mut world = cut_off(&[RETURNS]);
+            read_at_lease_end(&mut world, record, fleet);
+            assert!(world.has_logged(GONE), "{:#?}", world.history);
             if has_read {
                 world.run(100);
                 world.lose_planner();
@@ -83,3 +89,18 @@
     assert!(given > 0, "the worker gets no task");
     assert!(conflicts.is_empty(), "{given} tasks given; {conflicts:#?}");
 }
+
+/// Guards against a live minion that is found gone by one read of the inventory since it has reported.
+#[test]
+fn reads_before_and_after_a_list_do_not_add_up() {
+    // The other worker is missed meanwhile, so that the earlier read counts.
+    let mut world = cut_off(&[RETURNS, "c"]);
+    world.inventory.as_mut().expect("there is one").answers_from = u64::MAX;
+    world.run(500);
+    world.reconnect(RETURNS);
+    world.run(400);
+    world.cut_off(RETURNS);
+    world.run(2_000);
+    read_at_lease_end(&mut world, Outcome::Answered(10), Outcome::Answered(10));
+    assert!(!world.has_logged(GONE), "{:#?}", world.history);
+}
