planner: a worker that is lost during a take-over leaves the stored list

What callers saw: nothing by itself; a successor waits up to 11.4 s for the leases of a worker that its predecessor has declared lost.

Cause: the list keeps a worker whose lease expires while workers of earlier planners are not accounted for, and nothing removes it once they are. It then stays until it joins again or a later planner has waited for it.

Now those that are lost leave the list when all are accounted for. Each has acknowledged a token of this term, or all its leases are over: else it would not be accounted for.

Measured: the test failed before (the list had the workers a and b, only a is there) and holds now.

--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -477,6 +477,7 @@
             return;
         }
         self.startup.recovered_at = Some(now.steady);
+        self.remove_lost_members();
         self.handover.is_outdated |= !self.startup.are_runs_logged;
         self.needs_pass = true;
         let term = self.term;
@@ -485,6 +486,16 @@
         self.fail_exhausted(now);
     }
 
+    /// Removes the workers from the stored list that were lost while others weren't accounted for yet.
+    ///
+    /// Guards against a successor that waits for the leases of workers which are over.
+    fn remove_lost_members(&mut self) {
+        let (startup, workers) = (&mut self.startup, &self.workers);
+        let count = startup.members.len();
+        startup.members.retain(|name, _| workers.contains_key(name));
+        startup.is_fleet_dirty |= startup.members.len() < count;
+    }
+
     /// Records that nothing else runs on some workers than what is known.
     fn account_for(&mut self, now: Moment, workers: Vec<WorkerName>) {
         self.needs_pass |= !workers.is_empty();
--- a/crates/planner/tests/handover/verdicts.rs
+++ b/crates/planner/tests/handover/verdicts.rs
@@ -1,6 +1,8 @@
 //! Tests of verdicts that the minion which they are about contradicts, while planners change.
 
-use sapphire_jobs::{Ending, Step, resources::Resources};
+use prost::Message as _;
+use sapphire_jobs::{Ending, Fleet, Step, resources::Resources};
+use sapphire_planner::keys;
 
 use super::world::{Inventory, Outcome, World};
 use crate::harness::{minion, step};
@@ -104,3 +106,22 @@
     read_at_lease_end(&mut world, Outcome::Answered(10), Outcome::Answered(10));
     assert!(!world.has_logged(GONE), "{:#?}", world.history);
 }
+
+/// Guards against a successor that waits for a worker which its predecessor has declared lost while it
+/// waited for another one.
+#[test]
+fn a_worker_that_is_lost_during_a_takeover_leaves_the_list() {
+    let mut world = World::of_one_incarnation(&["a", "b", "c"]);
+    world.cut_off("c");
+    world.lose_planner();
+    world.take_over();
+    world.run(1_000);
+    world.cut_off("b");
+    world.run(13_000);
+    assert!(world.has_logged("worker=b silent, lease expired; declared lost"));
+    assert!(world.has_logged("worker=c no contact since the term began; declared lost"));
+    let stored = world.items[keys::FLEET].value.clone().expect("the list is stored");
+    let fleet = Fleet::decode(stored).expect("the list is valid");
+    let names: Vec<&str> = fleet.members.iter().map(|member| member.name.as_str()).collect();
+    assert_eq!(names, ["a"]);
+}
