proofs: bounds of the deployments; ends that were listed in calm time

The examples get `--bounds NAME|all`.

An end that a minion has listed counts as taken note of 100 ms later, unless its lease has expired or there was a disruption near. A start after that breaks a promise; if there was a disruption soon after the end counted, it is recorded apart, since it is open whether the rule excepts that.

Agents, planners and the links between them can be held up, as on a busy machine, and answers to writes of the list of workers be late or lost.

--- a/crates/proofs/examples/lost_starts.rs
+++ b/crates/proofs/examples/lost_starts.rs
@@ -16,7 +16,11 @@
 use sapphire_jobs::State;
 use sapphire_proofs::jobs::{
     load::{self, Arrival},
-    simulation::{Simulation, options::Options},
+    simulation::{
+        Simulation,
+        bounds::{self, Bounds},
+        options::Options,
+    },
     sites,
 };
 
@@ -51,6 +55,9 @@
     /// no incarnation of a minion carries out calls for an earlier one
     #[argh(switch)]
     one_incarnation: bool,
+    /// name of the set of bounds in time, or `all` for those of the deployments
+    #[argh(option, default = "\"default\".to_owned()")]
+    bounds: String,
     /// print the whole log of each day that fails
     #[argh(switch)]
     story: bool,
@@ -174,9 +181,15 @@
     arrivals
 }
 
-fn simulation(seed: u64, arrivals: &[Arrival], one_incarnation: bool) -> Simulation {
+fn simulation(
+    seed: u64,
+    arrivals: &[Arrival],
+    one_incarnation: bool,
+    set: &'static Bounds,
+) -> Simulation {
     let options = Options::new(&sites::ATLANTICA, arrivals.to_vec(), seed)
-        .calls_outlive_incarnations(!one_incarnation);
+        .calls_outlive_incarnations(!one_incarnation)
+        .bounds(set);
     let mut sim = Simulation::new(options);
     sim.late_orders = 0.6;
     sim
@@ -388,18 +401,18 @@
     log: Vec<String>,
 }
 
-fn simulate(it: Scenario, seed: u64, args: &Args) -> Day {
+fn simulate(it: Scenario, seed: u64, set: &'static Bounds, args: &Args) -> Day {
     let (load, story) = (args.load, args.story);
     let arrivals = draw(seed, load);
     let mut first_order = LATE_FROM;
     if !matches!(it.store, Store::Fine) {
-        let mut sim = simulation(seed, &arrivals, args.one_incarnation);
+        let mut sim = simulation(seed, &arrivals, args.one_incarnation, set);
         sim.run_until(secs(LATE_FROM));
         sim.late_orders = 1.0;
         first_order =
             await_order(&mut sim, LATE_FROM, LOAD_END).map_or(LATE_FROM, |(time, _)| time);
     }
-    let mut sim = simulation(seed, &arrivals, args.one_incarnation);
+    let mut sim = simulation(seed, &arrivals, args.one_incarnation, set);
     let has_order = inject(&mut sim, it, seed, first_order);
     sim.run_until(secs(LATE_UNTIL));
     sim.late_orders = 0.0;
@@ -419,14 +432,15 @@
     Day { has_order, failure, is_broken, waits, log }
 }
 
-fn report(it: Scenario, days: &BTreeMap<u64, Day>) {
+fn report(it: Scenario, set: &Bounds, days: &BTreeMap<u64, Day>) {
     let count = |is_counted: fn(&Day) -> bool| days.values().filter(|day| is_counted(day)).count();
     let broken = count(|day| day.is_broken);
     let unfinished = count(|day| day.failure.is_some() && !day.is_broken);
     let waits: Vec<f64> = days.values().flat_map(|day| day.waits.iter().copied()).collect();
     println!(
-        "{}: days {}, with an order {}, broken {broken}, not done {unfinished}, mean wait {:.3} s",
+        "{} {}: days {}, with an order {}, broken {broken}, not done {unfinished}, mean wait {:.3} s",
         it.name,
+        set.name,
         days.len(),
         count(|day| day.has_order),
         waits.iter().sum::<f64>() / waits.len().max(1) as f64,
@@ -447,7 +461,8 @@
         let names: Vec<&str> = SCENARIOS.iter().map(|it| it.name).collect();
         eprintln!("no such scenario; there are: {}", names.join(" "));
     }
-    for it in selected {
+    let sets = bounds::selected(&args.bounds);
+    for (it, set) in selected.iter().flat_map(|it| sets.iter().map(move |set| (*it, *set))) {
         let next = AtomicU64::new(args.first);
         let days = Mutex::new(BTreeMap::new());
         thread::scope(|scope| {
@@ -458,12 +473,12 @@
                         if seed >= args.first + args.seeds {
                             break;
                         }
-                        let day = simulate(it, seed, &args);
+                        let day = simulate(it, seed, set, &args);
                         days.lock().expect("no thread panics").insert(seed, day);
                     }
                 });
             }
         });
-        report(it, &days.into_inner().expect("no thread panics"));
+        report(it, set, &days.into_inner().expect("no thread panics"));
     }
 }
--- a/crates/proofs/examples/standstills.rs
+++ b/crates/proofs/examples/standstills.rs
@@ -14,6 +14,7 @@
 use sapphire_proofs::jobs::{
     days,
     simulation::{
+        bounds,
         idle::{self, Idle},
         standstill::Standstill,
         unanswered::{Again, Minion, Wait},
@@ -50,6 +51,9 @@
     /// no incarnation of a minion carries out calls for an earlier one
     #[argh(switch)]
     one_incarnation: bool,
+    /// name of the set of bounds in time, or `all` for those of the deployments
+    #[argh(option, default = "\"default\".to_owned()")]
+    bounds: String,
     /// print the whole log of each day that fails
     #[argh(switch)]
     story: bool,
@@ -142,8 +146,9 @@
     let standing = results.values().filter(|day| !day.standstills.is_empty()).count();
     let broken = results.values().filter(|day| !day.violations.is_empty()).count();
     println!(
-        "{}: days {}, with a standstill {standing}, with another violation {broken}",
+        "{} {}: days {}, with a standstill {standing}, with another violation {broken}",
         scenario.name,
+        scenario.bounds().name,
         results.len()
     );
     report_idle("idle beside spare capacity", results, |day| &day.all);
@@ -183,7 +188,10 @@
     let args: Args = argh::from_env();
     let is_selected =
         |it: &&days::Scenario| args.scenario == "all-scenarios" || it.name == args.scenario;
-    for scenario in days::SCENARIOS.iter().filter(is_selected).copied() {
+    let scenarios = days::SCENARIOS.iter().filter(is_selected);
+    let sets = bounds::selected(&args.bounds);
+    for (scenario, set) in scenarios.flat_map(|it| sets.iter().map(move |set| (*it, *set))) {
+        let scenario = scenario.with_bounds(set);
         let next = AtomicU64::new(args.first);
         let results = Mutex::new(BTreeMap::new());
         thread::scope(|scope| {
--- a/crates/proofs/examples/suspicions.rs
+++ b/crates/proofs/examples/suspicions.rs
@@ -11,7 +11,10 @@
     time::Duration,
 };
 
-use sapphire_proofs::jobs::{days, simulation::suspicions::Crash};
+use sapphire_proofs::jobs::{
+    days,
+    simulation::{bounds, suspicions::Crash},
+};
 
 const THREADS: usize = 2;
 /// Scenarios of `all-scenarios`.
@@ -32,6 +35,15 @@
     "refused-starts-late",
     "suspicions",
     "crashes",
+    "held-up-agents",
+    "held-up-planners",
+    "held-up-links",
+    "slow-fleet-writes",
+    "held-up",
+    "held-up-agents-suspicions",
+    "held-up-planners-suspicions",
+    "held-up-links-suspicions",
+    "slow-fleet-writes-suspicions",
 ];
 
 /// Simulates days on which live minions resemble minions that have ended; counts those that break a promise and the
@@ -50,6 +62,9 @@
     /// no incarnation of a minion carries out calls for an earlier one
     #[argh(switch)]
     one_incarnation: bool,
+    /// name of the set of bounds in time, or `all` for those of the deployments
+    #[argh(option, default = "\"default\".to_owned()")]
+    bounds: String,
     /// print the whole log of each day that breaks a promise
     #[argh(switch)]
     story: bool,
@@ -58,6 +73,7 @@
 /// Result of one day.
 struct Day {
     violations: Vec<String>,
+    starts_after_disruptions: Vec<String>,
     /// Number of runs that were listed after they had counted as ended, by evidence.
     wrong: BTreeMap<String, usize>,
     recoveries: Vec<(Crash, Duration)>,
@@ -80,7 +96,13 @@
     }
     let is_told = args.story && !sim.violations.is_empty();
     let log = if is_told { std::mem::take(&mut sim.log) } else { Vec::new() };
-    Day { violations: sim.violations, wrong, recoveries: sim.recoveries, log }
+    Day {
+        violations: sim.violations,
+        starts_after_disruptions: sim.starts_after_disruptions,
+        wrong,
+        recoveries: sim.recoveries,
+        log,
+    }
 }
 
 fn report(name: &str, results: &BTreeMap<u64, Day>) {
@@ -90,11 +112,15 @@
     };
     let broken = results.values().filter(|day| !day.violations.is_empty()).count();
     println!(
-        "{name}: days {}, broken {broken}; with runs at once {}, with a start after an end {}",
+        "{name}: days {}, broken {broken}; with runs at once {}, with a start after an end {}, after one that was only \
+         listed in calm time {}",
         results.len(),
         count("runs twice at once"),
         count("starts after a run had ended done"),
+        count("listed in calm time"),
     );
+    let disrupted = results.values().filter(|day| !day.starts_after_disruptions.is_empty()).count();
+    println!("  with such a start, but a disruption soon after the end counted: days {disrupted}");
     let mut wrong: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
     for (evidence, runs) in results.values().flat_map(|day| &day.wrong) {
         let (days, sum) = wrong.entry(evidence).or_default();
@@ -121,6 +147,7 @@
     }
     for (seed, day) in results {
         day.violations.iter().for_each(|violation| println!("  seed {seed}: {violation}"));
+        day.starts_after_disruptions.iter().for_each(|start| println!("  seed {seed}: {start}"));
         day.log.iter().for_each(|line| println!("    {line}"));
     }
 }
@@ -129,8 +156,10 @@
     let args: Args = argh::from_env();
     let is_selected =
         |it: &&&str| args.scenario == "all-scenarios" || **it == args.scenario.as_str();
-    for name in SCENARIOS.iter().filter(is_selected) {
-        let scenario = days::scenario(name).expect("the scenario is known");
+    let names = SCENARIOS.iter().filter(is_selected);
+    let sets = bounds::selected(&args.bounds);
+    for (name, set) in names.flat_map(|name| sets.iter().map(move |set| (name, *set))) {
+        let scenario = days::scenario(name).expect("the scenario is known").with_bounds(set);
         let next = AtomicU64::new(args.first);
         let results = Mutex::new(BTreeMap::new());
         thread::scope(|scope| {
@@ -147,6 +176,6 @@
                 });
             }
         });
-        report(name, &results.into_inner().expect("no thread panics"));
+        report(&format!("{name} {}", set.name), &results.into_inner().expect("no thread panics"));
     }
 }
--- a/crates/proofs/src/jobs/days.rs
+++ b/crates/proofs/src/jobs/days.rs
@@ -10,6 +10,8 @@
     load::{self, Arrival, Kind, Site},
     simulation::{
         Simulation,
+        bounds::{self, Bounds},
+        delays::FleetWrites,
         options::Options,
         suspicions::{Linger, Misread},
     },
@@ -23,9 +25,8 @@
 const LOAD_END: f64 = 36.0;
 /// Latest time at which changes of planners in succession begin.
 const LATEST_TAKEOVER: f64 = 30.0;
-/// Speed of the slowest clock that a minion may have, and the longest lease that it grants.
+/// Speed of the slowest clock that a minion may have.
 const SLOWEST_CLOCK: f64 = 0.98;
-const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// Load after [`HIGH_LOAD_END`], as a multiple of that before.
 const LOW_LOAD: f64 = 0.2;
 /// Time after the last submission and the end of the last fault from which no job may stand still.
@@ -105,6 +106,7 @@
     suspicions: suspicions::Kinds,
     /// Whether a minion carries out calls that an earlier incarnation of it has received.
     calls_outlive_incarnations: bool,
+    bounds: &'static Bounds,
 }
 
 const NONE: Scenario = Scenario {
@@ -123,6 +125,7 @@
     has_absences: false,
     suspicions: suspicions::Kinds::NONE,
     calls_outlive_incarnations: true,
+    bounds: &bounds::DEFAULT,
 };
 
 impl Scenario {
@@ -130,6 +133,16 @@
     pub fn with_calls_of_one_incarnation(self) -> Self {
         Scenario { calls_outlive_incarnations: false, ..self }
     }
+
+    /// Its bounds in time.
+    pub fn bounds(self) -> &'static Bounds {
+        self.bounds
+    }
+
+    /// The same with other bounds in time.
+    pub fn with_bounds(self, bounds: &'static Bounds) -> Self {
+        Scenario { bounds, ..self }
+    }
 }
 
 /// All scenarios.
@@ -261,6 +274,31 @@
         ..NONE
     },
     Scenario { name: "crashes", suspicions: CRASHES, ..NONE },
+    Scenario { name: "held-up-agents", suspicions: HELD_UP_AGENTS, ..NONE },
+    Scenario { name: "held-up-planners", suspicions: HELD_UP_PLANNERS, ..NONE },
+    Scenario { name: "held-up-links", suspicions: HELD_UP_LINKS, ..NONE },
+    Scenario { name: "slow-fleet-writes", suspicions: SLOW_FLEET_WRITES, ..NONE },
+    Scenario { name: "held-up", suspicions: HELD_UP, ..NONE },
+    Scenario {
+        name: "held-up-agents-suspicions",
+        suspicions: suspicions::Kinds { has_held_agents: true, ..suspicions::Kinds::ALL },
+        ..NONE
+    },
+    Scenario {
+        name: "held-up-planners-suspicions",
+        suspicions: suspicions::Kinds { has_held_planners: true, ..suspicions::Kinds::ALL },
+        ..NONE
+    },
+    Scenario {
+        name: "held-up-links-suspicions",
+        suspicions: suspicions::Kinds { has_held_links: true, ..suspicions::Kinds::ALL },
+        ..NONE
+    },
+    Scenario {
+        name: "slow-fleet-writes-suspicions",
+        suspicions: suspicions::Kinds { has_slow_fleet_writes: true, ..suspicions::Kinds::ALL },
+        ..NONE
+    },
 ];
 
 const REFUSING: suspicions::Kinds =
@@ -279,6 +317,22 @@
 const CRASHES: suspicions::Kinds =
     suspicions::Kinds { has_crashes: true, ..suspicions::Kinds::NONE };
 
+const HELD_UP_AGENTS: suspicions::Kinds =
+    suspicions::Kinds { has_held_agents: true, ..suspicions::Kinds::NONE };
+const HELD_UP_PLANNERS: suspicions::Kinds =
+    suspicions::Kinds { has_held_planners: true, ..suspicions::Kinds::NONE };
+const HELD_UP_LINKS: suspicions::Kinds =
+    suspicions::Kinds { has_held_links: true, ..suspicions::Kinds::NONE };
+const SLOW_FLEET_WRITES: suspicions::Kinds =
+    suspicions::Kinds { has_slow_fleet_writes: true, ..suspicions::Kinds::NONE };
+const HELD_UP: suspicions::Kinds = suspicions::Kinds {
+    has_held_agents: true,
+    has_held_planners: true,
+    has_held_links: true,
+    has_slow_fleet_writes: true,
+    ..suspicions::Kinds::NONE
+};
+
 /// Change of the conditions.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Change {
@@ -303,6 +357,10 @@
     Misread(usize, Option<Misread>),
     InventoryLag(f64),
     RefusedOrders(f64),
+    HoldUpAgent(usize, f64),
+    HoldUpPlanner(f64),
+    HoldUpLink(usize, f64, bool, bool),
+    FleetWrites(Option<FleetWrites>),
 }
 
 /// Looks up a scenario.
@@ -316,7 +374,8 @@
     let arrivals = draw(seed);
     let last_arrival = arrivals.iter().map(|arrival| arrival.at).max().unwrap_or_default();
     let options = Options::new(&GANGS, arrivals, seed)
-        .calls_outlive_incarnations(scenario.calls_outlive_incarnations);
+        .calls_outlive_incarnations(scenario.calls_outlive_incarnations)
+        .bounds(scenario.bounds);
     let mut sim = Simulation::new(options);
     let changes = changes(scenario, seed, sim.agents());
     let last_change = changes.last().map_or(0.0, |(at, _)| *at);
@@ -327,7 +386,8 @@
     if scenario.has_mute {
         for worker in 0..sim.agents() {
             let minion = sim.minion(worker);
-            (minion.clock_rate, minion.max_lease) = (SLOWEST_CLOCK, LONGEST_LEASE);
+            (minion.clock_rate, minion.max_lease) =
+                (SLOWEST_CLOCK, scenario.bounds.longest_slow_lease);
         }
     }
     for (at, change) in changes {
@@ -592,6 +652,18 @@
         Change::Misread(worker, misread) => sim.misread_inventory(worker, misread),
         Change::InventoryLag(lag) => sim.set_inventory_lag(Duration::from_secs_f64(lag)),
         Change::RefusedOrders(share) => sim.refused_orders = share,
+        Change::HoldUpAgent(agent, time) => {
+            sim.hold_up_agent(agent, Duration::from_secs_f64(time));
+        }
+        Change::HoldUpPlanner(time) => {
+            if let Some(planner) = sim.planner_entry() {
+                sim.hold_up_entry(planner, Duration::from_secs_f64(time));
+            }
+        }
+        Change::HoldUpLink(agent, time, polls, answers) => {
+            sim.hold_up_link(agent, Duration::from_secs_f64(time), polls, answers);
+        }
+        Change::FleetWrites(fleet_writes) => sim.set_fleet_writes(fleet_writes),
         Change::StoreLatency(latency) => sim.set_store_latency(Duration::from_millis(latency)),
     }
 }
--- a/crates/proofs/src/jobs/minion.rs
+++ b/crates/proofs/src/jobs/minion.rs
@@ -119,6 +119,8 @@
     pub slowness: f64,
     /// Time that a run which continues from a checkpoint takes to restore it.
     pub restoration: Duration,
+    /// Time for which a task goes on after it was ordered to stop.
+    stop_delay: Duration,
     /// Factor by which its tasks are slower than on a healthy minion.
     pub slowdown: f64,
     /// Whether its tasks make no progress.
@@ -157,6 +159,7 @@
             drain_reported_at: None,
             slowness: 1.0,
             restoration: Duration::ZERO,
+            stop_delay: STOP_DELAY,
             slowdown: 1.0,
             stalls: false,
             fails: false,
@@ -177,6 +180,11 @@
         Minion { slowness, restoration, ..self }
     }
 
+    /// The same minion with another time for which tasks go on after they were ordered to stop.
+    pub fn with_stop_delay(self, stop_delay: Duration) -> Self {
+        Minion { stop_delay, ..self }
+    }
+
     /// Reading of its clock at a simulation time.
     pub fn clock(&self, now: Duration) -> Duration {
         now.saturating_sub(self.clock_origin).mul_f64(self.clock_rate)
@@ -218,7 +226,7 @@
                 if let Some(active) = self.active.get_mut(task)
                     && active.number == *number
                 {
-                    active.stop_at.get_or_insert(now + STOP_DELAY);
+                    active.stop_at.get_or_insert(now + self.stop_delay);
                 }
                 Reply::Done
             }
--- a/crates/proofs/src/jobs/simulation/agents.rs
+++ b/crates/proofs/src/jobs/simulation/agents.rs
@@ -15,8 +15,8 @@
         if node.generation != generation || !node.is_up {
             return;
         }
-        if self.now < node.paused_until {
-            let until = node.paused_until;
+        let until = node.paused_until.max(node.held_until);
+        if self.now < until {
             if !matches!(event, runner::event::Event::Tick) {
                 self.at(until, Action::Runner(agent, generation, event));
             }
@@ -49,6 +49,7 @@
                 let Some(entry) = Self::entry_of(&address) else { return };
                 let latency = self.latency(region, self.entries[entry].region);
                 if self.is_connected(region, self.entries[entry].region) {
+                    let latency = self.poll_latency(agent, latency);
                     self.after(latency, Action::Poll { entry, agent, generation, ticket, poll });
                 }
                 let lost = runner::event::Event::PollFailed { ticket, is_declined: false };
--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -23,7 +23,7 @@
         self.front_event(entry, generation, front::event::Event::Tick);
         self.planner_event(entry, generation, planner::event::Event::Tick);
         let node = &mut self.entries[entry];
-        if self.now < node.paused_until {
+        if self.now < node.paused_until.max(node.held_until) {
             return;
         }
         if let Some(planner) = &node.planner {
@@ -44,8 +44,8 @@
         if node.generation != generation || !node.is_up {
             return;
         }
-        if self.now < node.paused_until {
-            let until = node.paused_until;
+        let until = node.paused_until.max(node.held_until);
+        if self.now < until {
             if !matches!(event, front::event::Event::Tick) {
                 self.at(until, Action::Front(entry, generation, event));
             }
@@ -104,7 +104,7 @@
                 Effect::Plan(term) => {
                     let options = planner::options::Options {
                         calls_outlive_incarnations: self.calls_outlive_incarnations,
-                        ..planner_options(entry, self.policy, self.features)
+                        ..planner_options(entry, self.policy, self.features, self.bounds)
                     };
                     let catalog = std::sync::Arc::new(
                         read_catalog(&Bytes::new(), 1).expect("the fake configuration is valid"),
@@ -133,8 +133,8 @@
         if node.generation != generation || !node.is_up {
             return;
         }
-        if self.now < node.paused_until {
-            let until = node.paused_until;
+        let until = node.paused_until.max(node.held_until);
+        if self.now < until {
             if !matches!(event, planner::event::Event::Tick) {
                 self.at(until, Action::Planner(entry, generation, event));
             }
@@ -222,6 +222,7 @@
             return;
         }
         let latency = self.latency(region, self.agents[agent].region);
+        let latency = self.answer_latency(agent, latency);
         let event = match orders {
             Some(orders) => runner::event::Event::Orders(ticket, Box::new(orders)),
             None => runner::event::Event::PollFailed { ticket, is_declined: true },
@@ -301,7 +302,7 @@
     /// Answers a query for the current leader, if the entry knows it.
     pub(super) fn leader(&mut self, entry: usize, from: Requester, generation: u64) {
         let node = &self.entries[entry];
-        if !node.is_up || self.now < node.paused_until {
+        if !node.is_up || self.now < node.paused_until.max(node.held_until) {
             return;
         }
         let Some(leader): Option<Lead> = node.front.leader().cloned() else { return };
--- a/crates/proofs/src/jobs/simulation/faults.rs
+++ b/crates/proofs/src/jobs/simulation/faults.rs
@@ -9,7 +9,7 @@
 use sapphire_store::call::{Call, Put};
 
 use super::{
-    Action, LOCAL_LATENCY, MAX_LEASE, Simulation,
+    Action, LOCAL_LATENCY, Simulation,
     settings::{CORDONS, runner_options},
     suspicions::Crash,
     zone,
@@ -59,7 +59,8 @@
     pub(super) fn start_agent(&mut self, agent: usize) {
         let generation = self.agents[agent].generation;
         let node = &mut self.agents[agent];
-        node.machine = runner::machine::Machine::new(runner_options(agent, generation));
+        node.machine =
+            runner::machine::Machine::new(runner_options(agent, generation, self.bounds));
         node.is_up = true;
         self.after(Duration::ZERO, Action::AgentTick(agent, generation));
     }
@@ -190,13 +191,15 @@
         let born_ms = old.incarnation.born_ms + 1;
         let incarnation = Incarnation { born_ms, is_draining: false, ..old.incarnation.clone() };
         let minion = Minion::new(incarnation)
-            .with_clock(self.now, MAX_LEASE)
-            .with_pace(slowness, restoration);
+            .with_clock(self.now, self.bounds.longest_lease)
+            .with_pace(slowness, restoration)
+            .with_stop_delay(self.bounds.stop_delay);
         let old = std::mem::replace(&mut self.minions[agent], minion);
         self.earlier_waste += old.waste;
         for (job, runs) in old.runs {
             self.earlier_runs.entry(job).or_default().add(runs);
         }
+        self.disrupt(agent);
         self.log_line(&format!("m{agent} crashes and starts again, born_ms={born_ms}"));
     }
 
@@ -244,8 +247,9 @@
         let incarnation =
             Incarnation { id, born_ms: 1, is_draining: false, ..old.incarnation.clone() };
         let minion = Minion::new(incarnation)
-            .with_clock(self.now, MAX_LEASE)
-            .with_pace(old.slowness, old.restoration);
+            .with_clock(self.now, self.bounds.longest_lease)
+            .with_pace(old.slowness, old.restoration)
+            .with_stop_delay(self.bounds.stop_delay);
         self.add_minion(self.agents[agent].region, minion, Duration::ZERO);
         self.log_line(&format!("m{number} is added in place of m{agent}"));
     }
@@ -293,8 +297,9 @@
             Incarnation { id, born_ms, is_draining: false, ..old.incarnation.clone() };
         self.log_line(&format!("m{agent} starts id={}", incarnation.id));
         let minion = Minion::new(incarnation)
-            .with_clock(self.now, MAX_LEASE)
-            .with_pace(slowness, restoration);
+            .with_clock(self.now, self.bounds.longest_lease)
+            .with_pace(slowness, restoration)
+            .with_stop_delay(self.bounds.stop_delay);
         let old = std::mem::replace(&mut self.minions[agent], minion);
         self.earlier_waste += old.waste;
         for (job, runs) in old.runs {
--- a/crates/proofs/src/jobs/simulation/leftovers.rs
+++ b/crates/proofs/src/jobs/simulation/leftovers.rs
@@ -1,18 +1,15 @@
 //! Checks that no run goes on for long once its task is done.
 
-use std::time::Duration;
-
 use sapphire_jobs::task::{RunNumber, Task};
 
 use super::Simulation;
 
-/// Time for which a run may go on after the end of another run of its task was acknowledged, and after
-/// the last fault: the time in which a machine is in touch again, and that of a cancellation and a stop.
-const LIMIT: Duration = Duration::from_millis(4_000 + 3_000 + 400);
-
 impl Simulation {
     pub(super) fn check_leftovers(&mut self) {
         self.follow_disturbances();
+        // Time for which a run may go on after the end of another run of its task was acknowledged, and after the last
+        // fault: the time in which a machine is in touch again, and that of a cancellation and a stop.
+        let limit = self.bounds.contact + self.bounds.cancel + self.bounds.stop;
         let mut found: Vec<(usize, Task, RunNumber)> = Vec::new();
         for (agent, minion) in self.minions.iter().enumerate().filter(|(_, minion)| minion.is_up) {
             let calm_since = self.workers_disturbed_at.get(&agent).copied().unwrap_or_default();
@@ -21,7 +18,7 @@
                 let ends = self.completions.get(task).into_iter().flatten();
                 let Some(noted_at) = ends.filter_map(|it| it.noted_at).min() else { continue };
                 let since = noted_at.max(active.started_at).max(calm_since);
-                if self.now > since + LIMIT {
+                if self.now > since + limit {
                     found.push((agent, task.clone(), active.number));
                 }
             }
@@ -35,19 +32,21 @@
 
     /// Whether there is a fault of the entries, the store, the links or the calls to all minions.
     pub(super) fn has_core_fault(&self) -> bool {
+        let has_late_orders =
+            self.late_orders > 0.0 || self.refused_orders > 0.0 || self.lost_stops > 0.0;
+        has_late_orders || self.has_outage()
+    }
+
+    /// Whether there is a fault of the entries, the store or the links.
+    pub(super) fn has_outage(&self) -> bool {
         let is_away = |entry: &super::EntryNode| {
             !entry.is_up || !entry.reaches_store || self.now < entry.paused_until
         };
-        let has_late_orders =
-            self.late_orders > 0.0 || self.refused_orders > 0.0 || self.lost_stops > 0.0;
         let has_store_fault = !self.is_store_up
             || self.is_store_refusing
             || self.is_store_mute
             || !self.store_latency.is_zero();
-        has_late_orders
-            || has_store_fault
-            || !self.partitioned.is_empty()
-            || self.entries.iter().any(is_away)
+        has_store_fault || !self.partitioned.is_empty() || self.entries.iter().any(is_away)
     }
 
     /// Records which faults there are now.
--- a/crates/proofs/src/jobs/simulation/minions.rs
+++ b/crates/proofs/src/jobs/simulation/minions.rs
@@ -22,11 +22,6 @@
 };
 use crate::jobs::minion::{Runs, Truth};
 
-/// Time after a job's cancellation in which agents may still send starts of its tasks.
-const CANCEL_GRACE: Duration = Duration::from_secs(3);
-/// Time after an agent has learnt that its minion drains in which it may still send it starts.
-const DRAIN_GRACE: Duration = Duration::from_millis(2_500);
-
 impl Simulation {
     pub(super) fn minion_call(&mut self, request: Request) {
         use runner::minion::{Call as Order, Reply as MinionReply};
@@ -107,6 +102,7 @@
         for ended in std::mem::take(&mut self.minions[agent].acknowledged) {
             self.check_acknowledged(agent, &ended);
         }
+        self.note_listed(&request, &reply);
         self.reply(&request, reply);
     }
 
@@ -195,7 +191,7 @@
         }
         // Bounds in time apply to when the agent sent the order; it may be carried out later.
         if let Some(at) = self.cancelled.get(&task.job)
-            && request.sent > *at + CANCEL_GRACE
+            && request.sent > *at + self.bounds.cancel
         {
             self.report_violation(task, "starts long after its job was cancelled", agent);
         }
@@ -205,7 +201,7 @@
         }
         if self.minions[agent]
             .drain_reported_at
-            .is_some_and(|drain_reported_at| request.sent > drain_reported_at + DRAIN_GRACE)
+            .is_some_and(|drain_reported_at| request.sent > drain_reported_at + self.bounds.drain)
         {
             self.report_violation(task, "starts on a worker that drains", agent);
         }
@@ -247,14 +243,23 @@
     /// [`check_acknowledged`](Self::check_acknowledged).
     fn check_done(&mut self, agent: usize, task: &Task, number: RunNumber, is_inherited: bool) {
         let text = format!("run {number} starts after a run had ended done");
-        let mut is_acknowledged = false;
+        let ends: Vec<Completion> = self.completions.get(task).cloned().unwrap_or_default();
+        let mut noted = ends.iter().filter(|end| end.is_acknowledged).peekable();
+        if noted.peek().is_some() && !is_inherited {
+            let listed = format!("{text} that was listed in calm time");
+            if noted.clone().any(|end| end.counted_at.is_none()) {
+                self.report_violation(task, &text, agent);
+            } else if noted.any(|end| !self.is_disturbed(end)) {
+                self.report_violation(task, &listed, agent);
+            } else {
+                let text = format!("{task} {listed}, disrupted since");
+                self.log_line(&format!("m{agent} {text}"));
+                self.starts_after_disruptions.push(text);
+            }
+        }
         for completion in self.completions.get_mut(task).into_iter().flatten() {
-            is_acknowledged |= completion.is_acknowledged;
             completion.starts.push(text.clone());
         }
-        if is_acknowledged && !is_inherited {
-            self.report_violation(task, &text, agent);
-        }
     }
 
     /// Records that an end as done is acknowledged, unless the minion's lease has expired since,
@@ -282,6 +287,7 @@
             return;
         };
         completion.is_acknowledged = true;
+        completion.counted_at = None;
         for text in std::mem::take(&mut completion.starts) {
             self.report_violation(&task, &format!("{text} that was noted later"), agent);
         }
@@ -316,6 +322,7 @@
     pub(super) fn step(&mut self) {
         self.after(STEP, Action::Step);
         self.expire_leases();
+        self.follow_disruptions();
         let mut runs: BTreeMap<(Task, u32), Vec<(usize, Task)>> = BTreeMap::new();
         for (index, minion) in self.minions.iter().enumerate().filter(|(_, it)| it.is_up) {
             for (task, active) in &minion.active {
@@ -360,7 +367,7 @@
         }
         if members.len() < truth.members as usize {
             let has_waited_alone = |(at, task): &(usize, Task)| {
-                self.now >= self.minions[*at].active[task].started_at + Duration::from_secs(3)
+                self.now >= self.minions[*at].active[task].started_at + self.bounds.gang
             };
             if members.iter().any(has_waited_alone) {
                 for (at, task) in members {
@@ -415,6 +422,9 @@
                     number,
                     at: self.now,
                     is_acknowledged: false,
+                    is_listed: false,
+                    counted_at: None,
+                    is_disturbed: false,
                     noted_at: None,
                     starts,
                 };
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -2,7 +2,10 @@
 //! virtual time, and records violated invariants.
 
 mod agents;
+pub mod bounds;
 mod callers;
+mod calm;
+pub mod delays;
 mod entries;
 mod faults;
 pub mod idle;
@@ -33,7 +36,10 @@
 use sapphire_runner as runner;
 use sapphire_store::call::Call;
 
-use self::options::{Features, Options};
+use self::{
+    bounds::Bounds,
+    options::{Features, Options},
+};
 use super::{
     load::{Arrival, Site, Worker},
     minion::{Minion, Runs, Truth},
@@ -49,8 +55,6 @@
 const STORE_LATENCY: Duration = Duration::from_millis(4);
 /// Time for which the store keeps its history of changes.
 const HISTORY_RETENTION: Duration = Duration::from_secs(20);
-/// Maximum lease of a minion: the same that the planner grants.
-const MAX_LEASE: Duration = Duration::from_secs(6);
 /// Interval in which tasks make progress.
 const STEP: Duration = Duration::from_millis(5);
 const ENTRY_TICK: Duration = Duration::from_millis(50);
@@ -69,6 +73,8 @@
     is_up: bool,
     reaches_store: bool,
     paused_until: Duration,
+    /// Until when it handles nothing although there is no fault.
+    held_until: Duration,
 }
 
 struct AgentNode {
@@ -79,6 +85,8 @@
     /// Whether it is cut off from everything but its minion.
     is_isolated: bool,
     paused_until: Duration,
+    /// Until when it handles nothing although there is no fault.
+    held_until: Duration,
 }
 
 /// Scheduled action. Numbers beside the index of a process are its generation.
@@ -131,6 +139,7 @@
     MeasureIdle,
     MeasureUnanswered,
     RecordInventory,
+    CountListed(Box<calm::Listing>),
 }
 
 /// Call of an agent to its minion.
@@ -180,7 +189,13 @@
     born_ms: u64,
     number: RunNumber,
     at: Duration,
+    /// Whether the end is taken note of: acknowledged, or listed in calm time.
     is_acknowledged: bool,
+    /// Whether the minion has listed it, when it counted as taken note of for that reason alone, and whether there was a
+    /// disruption soon after.
+    is_listed: bool,
+    counted_at: Option<Duration>,
+    is_disturbed: bool,
     /// When the end was acknowledged, whether or not the lease had expired by then.
     noted_at: Option<Duration>,
     /// Descriptions of the starts of the same task since then.
@@ -261,10 +276,15 @@
     /// For how long unanswered starts counted.
     pub unanswered: unanswered::Figures,
     troubles: suspicions::Troubles,
+    delays: delays::Delays,
+    disruptions: calm::Disruptions,
+    bounds: &'static Bounds,
     /// How long tasks of minions that crashed took until they ran again.
     pub recoveries: Vec<(suspicions::Crash, Duration)>,
     /// VMs without a minion besides those of the workers.
     pub vacant_vms: usize,
+    /// Starts after an end that was only listed, with a disruption soon after the end counted as taken note of.
+    pub starts_after_disruptions: Vec<String>,
     /// Descriptions of the violated invariants.
     pub violations: Vec<String>,
     /// Log lines, each with its time and process.
@@ -338,8 +358,12 @@
             idle: idle::Figures::default(),
             unanswered: unanswered::Figures::default(),
             troubles: suspicions::Troubles::default(),
+            delays: delays::Delays::default(),
+            disruptions: calm::Disruptions::default(),
+            bounds: options.bounds,
             recoveries: Vec::new(),
             vacant_vms: 0,
+            starts_after_disruptions: Vec::new(),
             violations: Vec::new(),
             log: Vec::new(),
             late_orders: 0.0,
@@ -400,6 +424,7 @@
             is_up: true,
             reaches_store: true,
             paused_until: Duration::ZERO,
+            held_until: Duration::ZERO,
         });
         self.after(Duration::from_millis(index as u64), Action::EntryTick(index, 1));
     }
@@ -432,8 +457,9 @@
             ..Incarnation::default()
         };
         let minion = Minion::new(incarnation)
-            .with_clock(Duration::ZERO, MAX_LEASE)
-            .with_pace(slowness, site.conditions.restoration);
+            .with_clock(Duration::ZERO, self.bounds.longest_lease)
+            .with_pace(slowness, site.conditions.restoration.max(self.bounds.restoration))
+            .with_stop_delay(self.bounds.stop_delay);
         self.add_minion(region, minion, first_heartbeat);
     }
 
@@ -441,7 +467,8 @@
     fn add_minion(&mut self, region: usize, minion: Minion, first_heartbeat: Duration) {
         let number = self.agents.len();
         self.minions.push(minion);
-        let machine = runner::machine::Machine::new(settings::runner_options(number, 1));
+        let machine =
+            runner::machine::Machine::new(settings::runner_options(number, 1, self.bounds));
         self.agents.push(AgentNode {
             machine,
             region,
@@ -449,9 +476,11 @@
             is_up: true,
             is_isolated: false,
             paused_until: Duration::ZERO,
+            held_until: Duration::ZERO,
         });
         self.after(Duration::from_millis(number as u64), Action::AgentTick(number, 1));
         self.after(first_heartbeat, Action::Heartbeat(number));
+        self.disrupt(number);
     }
 
     /// Draws the workers' speeds, uniformly on a logarithmic scale.
@@ -533,6 +562,7 @@
             Action::MeasureIdle => self.measure_idle(),
             Action::MeasureUnanswered => self.measure_unanswered(),
             Action::RecordInventory => self.record_inventory(),
+            Action::CountListed(listing) => self.count_listed(&listing),
         }
     }
 
--- a/crates/proofs/src/jobs/simulation/options.rs
+++ b/crates/proofs/src/jobs/simulation/options.rs
@@ -2,6 +2,7 @@
 
 use sapphire_plan::{policy::Policy, share, speed, stops};
 
+use super::bounds::{self, Bounds};
 use crate::jobs::load::{Arrival, Site};
 
 /// Components of the planner that an operator switches on, as in the settings of an entry.
@@ -26,6 +27,7 @@
     pub(super) features: Features,
     pub(super) has_slow: bool,
     pub(super) calls_outlive_incarnations: bool,
+    pub(super) bounds: &'static Bounds,
 }
 
 impl<'a> Options<'a> {
@@ -42,6 +44,7 @@
             features,
             has_slow: true,
             calls_outlive_incarnations: true,
+            bounds: &bounds::DEFAULT,
         }
     }
 
@@ -67,6 +70,11 @@
         Options { calls_outlive_incarnations, ..self }
     }
 
+    /// Sets the bounds in time.
+    pub fn bounds(self, bounds: &'static Bounds) -> Self {
+        Options { bounds, ..self }
+    }
+
     /// Removes the slowest workers of the site.
     pub fn without_slow_workers(self) -> Self {
         Options { has_slow: false, ..self }
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -11,18 +11,22 @@
 use sapphire_planner as planner;
 use sapphire_runner as runner;
 
-use super::options::Features;
+use super::{bounds::Bounds, options::Features};
 use crate::jobs::{load, sites};
 
-pub(super) fn runner_options(agent: usize, process_generation: u64) -> runner::options::Options {
+pub(super) fn runner_options(
+    agent: usize,
+    process_generation: u64,
+    bounds: &Bounds,
+) -> runner::options::Options {
     runner::options::Options {
         name: format!("a{agent}"),
         address: format!("a{agent}"),
         generation: process_generation,
         entries: (0..3).map(|entry| format!("e{entry}")).collect(),
         minion_address: format!("m{agent}"),
-        stop_timeout: Duration::from_millis(400),
-        longest_lease: super::MAX_LEASE,
+        stop_timeout: bounds.stop,
+        longest_lease: bounds.longest_lease,
     }
 }
 
@@ -30,15 +34,16 @@
     entry: usize,
     policy: Policy,
     features: Features,
+    bounds: &Bounds,
 ) -> planner::options::Options {
     planner::options::Options {
         name: format!("e{entry}"),
-        lease: Duration::from_secs(6),
-        longest_lease: super::MAX_LEASE,
+        lease: bounds.lease,
+        longest_lease: bounds.longest_lease,
         clock_drift_milli: 20,
-        stop_timeout: Duration::from_millis(400),
+        stop_timeout: bounds.stop,
         status_retention: Duration::from_secs(120),
-        reclaim_deadline: Duration::from_millis(2_900),
+        reclaim_deadline: bounds.reclaim,
         remote_factor: 3,
         policy,
         speeds: features.speeds,
@@ -49,7 +54,7 @@
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
         cordon_deadline: CORDON_DEADLINE,
-        cancel_deadline: CANCEL_DEADLINE,
+        cancel_deadline: bounds.cancel,
     }
 }
 
@@ -57,8 +62,6 @@
 pub(super) const CORDONS: &str = "cordons/";
 /// Time after the cordon of a zone from which on nothing may be started there.
 pub(super) const CORDON_DEADLINE: Duration = Duration::from_secs(5);
-/// Time after the acknowledgement of a cancellation from which on nothing of the job may start.
-const CANCEL_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Decodes a cordon, whose key names the zone.
 fn read_cordon(key: &str, _value: &Bytes) -> cordon::Record {
--- a/crates/proofs/src/jobs/simulation/store_calls.rs
+++ b/crates/proofs/src/jobs/simulation/store_calls.rs
@@ -53,6 +53,8 @@
             Some(reply) => {
                 let elapsed = self.now.saturating_sub(sent);
                 let after = latency + self.store_latency / 2;
+                let delay = self.answer_delay(&origin);
+                let after = after + delay.unwrap_or(timeout);
                 if self.is_store_mute || elapsed + after > timeout {
                     let reply = Reply::Unavailable("no answer".to_owned());
                     let after = timeout.saturating_sub(elapsed);
--- a/crates/proofs/src/jobs/simulation/suspicions.rs
+++ b/crates/proofs/src/jobs/simulation/suspicions.rs
@@ -75,10 +75,14 @@
     /// Whether the listener of a minion refuses the connection of a call. A long poll that waits has its connection
     /// already, and an order that is late as well.
     pub(super) fn is_refusing(&self, request: &Request) -> bool {
-        let until = self.troubles.refusing_until.get(&request.agent);
         let is_new =
             self.now <= request.sent + super::LOCAL_LATENCY && request.generation.is_some();
-        is_new && until.is_some_and(|until| self.now < *until)
+        is_new && self.refuses(request.agent)
+    }
+
+    /// Whether the listener of a minion refuses connections.
+    pub(super) fn refuses(&self, agent: usize) -> bool {
+        self.troubles.refusing_until.get(&agent).is_some_and(|until| self.now < *until)
     }
 
     /// Makes a minion drain like [`Simulation::drain_minion`], and go on after its deregistration.
--- a/crates/proofs/src/jobs/suspicions.rs
+++ b/crates/proofs/src/jobs/suspicions.rs
@@ -7,7 +7,10 @@
 
 use super::{
     days::{Change, choose},
-    simulation::suspicions::{Linger, Misread},
+    simulation::{
+        delays::FleetWrites,
+        suspicions::{Linger, Misread},
+    },
 };
 
 /// Kinds of trouble on a day.
@@ -27,6 +30,12 @@
     pub(super) has_refused_starts: bool,
     /// Minions crash, some with their VM and agent.
     pub(super) has_crashes: bool,
+    /// Agents, planners, and the links between them handle nothing for some seconds while there is no fault.
+    pub(super) has_held_agents: bool,
+    pub(super) has_held_planners: bool,
+    pub(super) has_held_links: bool,
+    /// Answers to writes of the list of workers are late or lost while the store is calm otherwise.
+    pub(super) has_slow_fleet_writes: bool,
 }
 
 impl Kinds {
@@ -38,9 +47,13 @@
         has_lacking_inventory: false,
         has_refused_starts: false,
         has_crashes: false,
+        has_held_agents: false,
+        has_held_planners: false,
+        has_held_links: false,
+        has_slow_fleet_writes: false,
     };
 
-    /// All but crashes.
+    /// All but crashes and what is held up.
     pub(super) const ALL: Kinds = Kinds {
         has_refusals: true,
         has_lingering: true,
@@ -48,7 +61,7 @@
         has_old_inventory: true,
         has_lacking_inventory: true,
         has_refused_starts: true,
-        has_crashes: false,
+        ..Kinds::NONE
     };
 }
 
@@ -77,6 +90,24 @@
     if kinds.has_crashes {
         drawn.extend(crashes(&mut generator(0x1a06), workers, end));
     }
+    if kinds.has_held_agents {
+        let hold = |worker, time, _: &mut Pcg32| Change::HoldUpAgent(worker, time);
+        drawn.extend(hold_ups(&mut generator(0x1a07), workers, end, 14, hold));
+    }
+    if kinds.has_held_planners {
+        let hold = |_, time, _: &mut Pcg32| Change::HoldUpPlanner(time);
+        drawn.extend(hold_ups(&mut generator(0x1a08), workers, end, 3, hold));
+    }
+    if kinds.has_held_links {
+        let hold = |worker, time, rng: &mut Pcg32| {
+            let which = rng.random_range(0..3);
+            Change::HoldUpLink(worker, time, which != 0, which != 1)
+        };
+        drawn.extend(hold_ups(&mut generator(0x1a09), workers, end, 14, hold));
+    }
+    if kinds.has_slow_fleet_writes {
+        drawn.extend(slow_fleet_writes(&mut generator(0x1a0a), end));
+    }
     drawn
 }
 
@@ -171,6 +202,41 @@
     drawn
 }
 
+/// Draws processes or links that are held up, once or several times in succession.
+fn hold_ups(
+    rng: &mut Pcg32,
+    workers: usize,
+    end: f64,
+    count: usize,
+    hold: impl Fn(usize, f64, &mut Pcg32) -> Change,
+) -> Vec<(f64, Change)> {
+    let mut drawn = Vec::new();
+    for _ in 0..count {
+        let (mut at, worker) = (rng.random_range(3.5..end), rng.random_range(0..workers));
+        for _ in 0..rng.random_range(1..4) {
+            let time = rng.random_range(1.0..5.0);
+            drawn.push((at, hold(worker, time, rng)));
+            at += time + rng.random_range(0.02..1.0);
+        }
+    }
+    drawn
+}
+
+/// Draws spells in which answers to writes of the list of workers are late or lost.
+fn slow_fleet_writes(rng: &mut Pcg32, end: f64) -> Vec<(f64, Change)> {
+    let mut drawn = Vec::new();
+    let mut at = rng.random_range(3.5..6.0);
+    while at < end {
+        let lost = if rng.random_bool(0.5) { rng.random_range(0.5..1.0) } else { 0.0 };
+        let latency = Duration::from_millis(rng.random_range(100..600));
+        let time = rng.random_range(2.0..6.0);
+        drawn.push((at, Change::FleetWrites(Some(FleetWrites { latency, lost }))));
+        drawn.push((at + time, Change::FleetWrites(None)));
+        at += time + rng.random_range(0.5..3.0);
+    }
+    drawn
+}
+
 /// Draws minions that crash one at a time, every second one with its VM and agent.
 fn crashes(rng: &mut Pcg32, workers: usize, end: f64) -> Vec<(f64, Change)> {
     let mut drawn = Vec::new();
