soak: bounds of deployments, ends that were listed, and processes that are held up

The soak knew one set of bounds, took an end as noted only once it was acknowledged, and held no agent or planner up on its own.

- Conditions::bounds has the bounds of the settings, the minions and the checks; the default is what they were.
- An end that its minion has listed counts as taken note of 100 ms later, unless the lease has lapsed by then or a disruption is near.
A start after it breaks the promise.
If only a process was stopped by a signal, the start is printed apart (frozen): the platform excuses a freeze, but not a process that the machine is too busy to run.
All other starts after an end as done are printed as excused.
They come in series, overlap, and have generators of their own.
They are not in Trouble::ALL, so that older seeds draw what they drew.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -3,7 +3,11 @@
 
 use std::{env, path::PathBuf, process};
 
-use sapphire_soak::{conditions::Conditions, soak, trouble::Trouble};
+use sapphire_soak::{
+    conditions::{Bounds, Conditions},
+    soak,
+    trouble::Trouble,
+};
 
 /// Run entries and agents as processes under injected faults, one seed after the other.
 #[derive(argh::FromArgs)]
@@ -36,6 +40,15 @@
     /// no incarnation of a minion carries out calls for an earlier one
     #[argh(switch)]
     one_incarnation: bool,
+    /// with the bounds of a deployment that the seed draws; by default those that older seeds had
+    #[argh(switch)]
+    bounds: bool,
+    /// with all kinds of trouble in which something is held up, which older seeds didn't have
+    #[argh(switch)]
+    hold_ups: bool,
+    /// longest lease in milliseconds, in place of that of the bounds
+    #[argh(option)]
+    lease: Option<u32>,
     /// keep the logs of all seeds
     #[argh(switch)]
     keep: bool,
@@ -62,6 +75,12 @@
         "listeners" => &mut trouble.listeners,
         "drains" => &mut trouble.drains,
         "inventory" => &mut trouble.inventory,
+        "held_agents" => &mut trouble.held_agents,
+        "held_planners" => &mut trouble.held_planners,
+        "agent_links" => &mut trouble.agent_links,
+        "lost_answers" => &mut trouble.lost_answers,
+        "slow_store" => &mut trouble.slow_store,
+        "hanging" => &mut trouble.hanging,
         _ => return None,
     })
 }
@@ -85,7 +104,13 @@
 fn main() -> std::io::Result<()> {
     let args: Args = argh::from_env();
     let mut broken = 0;
+    let mut trouble = trouble(&args.without, &args.only);
+    if args.hold_ups {
+        trouble = trouble.with_hold_ups();
+    }
     for seed in args.first..args.first + args.seeds {
+        let mut bounds = if args.bounds { Bounds::of_seed(seed) } else { Bounds::default() };
+        bounds.lease_limit = args.lease.unwrap_or(bounds.lease_limit);
         let folder = env::temp_dir().join(format!("sapphire-soak-{}-{seed}", process::id()));
         let outcome = soak::run(soak::Options {
             program: args.program.clone(),
@@ -96,20 +121,23 @@
             net: args.net.unwrap_or((seed % 240) as u8 + 1),
             conditions: Conditions {
                 calls_outlive_incarnations: !args.one_incarnation,
+                bounds,
                 ..Conditions::default()
             },
-            trouble: trouble(&args.without, &args.only),
+            trouble,
         })?;
         let lost = outcome.standstills.iter().filter(|it| it.is_broken()).count();
         println!("{}", outcome.unanswered);
         println!(
             "seed={seed} accepted={} complete={} faults={} longest_standstill_ms={} standstills={} \
-             lost={lost} broken={}",
+             lost={lost} frozen={} started_again={} broken={}",
             outcome.accepted,
             outcome.complete,
             outcome.faults.len(),
             outcome.longest_standstill.as_millis(),
             outcome.standstills.len(),
+            outcome.frozen.len(),
+            outcome.repeats.len(),
             outcome.broken.len()
         );
         let (broken_ones, others): (Vec<_>, Vec<_>) =
@@ -121,6 +149,9 @@
         for text in &outcome.broken {
             println!("  {text}");
         }
+        for (mark, texts) in [("frozen", &outcome.frozen), ("excused", &outcome.repeats)] {
+            texts.iter().for_each(|text| println!("  {mark}: {text}"));
+        }
         let is_broken = lost > 0 || !outcome.broken.is_empty();
         if !is_broken && !args.keep {
             std::fs::remove_dir_all(&folder)?;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -13,6 +13,8 @@
     unistd::Pid,
 };
 
+use crate::conditions::{Bounds, Conditions};
+
 /// Number of entries.
 pub(crate) const ENTRIES: u8 = 3;
 /// Number of agents, each with a minion of its own; twice as many with spells.
@@ -127,8 +129,8 @@
     program: PathBuf,
     folder: PathBuf,
     ways: Ways,
-    /// Whether minions carry out calls for an earlier incarnation, as the entries' settings say.
-    calls_outlive_incarnations: bool,
+    /// What the settings say of the platform.
+    conditions: Conditions,
     processes: Vec<Process>,
     /// Processes that are not started again: their machines are gone or have no power.
     gone: BTreeSet<Node>,
@@ -152,14 +154,14 @@
         program: &Path,
         folder: &Path,
         ways: Ways,
-        calls_outlive_incarnations: bool,
+        conditions: Conditions,
     ) -> io::Result<Self> {
         let mut fleet = Fleet {
             net,
             program: program.to_owned(),
             folder: folder.to_owned(),
             ways,
-            calls_outlive_incarnations,
+            conditions,
             processes: Vec::new(),
             gone: BTreeSet::new(),
         };
@@ -202,6 +204,8 @@
         let entries: Vec<String> =
             (0..ENTRIES).map(|entry| format!("\"{}\"", address_of(entry))).collect();
         let entries = entries.join(", ");
+        let Bounds { lease_limit, cancel, stop, reclaim, .. } = self.conditions.bounds;
+        let bounds = format!("bounds:\n  lease_limit: {lease_limit}ms\n  stop: {stop}ms\n");
         match node {
             Node::Entry(entry) => {
                 let name = format!("e{entry}");
@@ -209,13 +213,14 @@
                     "platform: kv\nname: {name}\nregion: r\nzone: z\naddress: \"{}\"\n\
                      callers: \"{}\"\nready: \"{}\"\nstore: \"{}\"\n\
                      inventory: \"{}\"\nentries: [{entries}]\n\
-                     calls_outlive_incarnations: {}\n",
+                     calls_outlive_incarnations: {}\n{bounds}  cancel: {cancel}ms\n  \
+                     reclaim: {reclaim}ms\n",
                     net.internal(entry),
                     net.callers(entry),
                     net.ready(entry),
                     net.store_proxy(entry),
                     net.store(),
-                    self.calls_outlive_incarnations
+                    self.conditions.calls_outlive_incarnations
                 );
                 ("entry", name, text)
             }
@@ -223,7 +228,7 @@
                 let name = format!("a{agent}");
                 let text = format!(
                     "platform: kv\nname: {name}\nregion: r\nzone: z\naddress: \"{}\"\n\
-                     minion: \"{}\"\ntasks: \"{}\"\nentries: [{entries}]\n",
+                     minion: \"{}\"\ntasks: \"{}\"\nentries: [{entries}]\n{bounds}",
                     net.agent(agent),
                     net.heartbeats(agent),
                     net.minion(agent)
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -3,10 +3,7 @@
 use std::{
     io::{self, Read as _, Write as _},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU8, Ordering},
-    },
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -26,6 +23,33 @@
     CutRequests,
     /// Holds back what the server sends.
     CutAnswers,
+    /// Forwards what the server sends later, by this time.
+    SlowAnswers(Duration),
+    /// Discards what the server sends, and from then on all that it sends on that connection.
+    LoseAnswers,
+}
+
+/// Connections that a mode holds for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Scope {
+    All,
+    /// Those that were there when the mode was set.
+    Existing,
+}
+
+/// Mode of a proxy's connections, which are numbered from 0.
+struct State {
+    mode: Mode,
+    /// Number from which on connections are in `Mode::Pass`.
+    limit: u64,
+    connections: u64,
+}
+
+impl State {
+    fn mode(state: &Mutex<State>, number: u64) -> Mode {
+        let state = state.lock().expect("no thread panics while holding the lock");
+        if number < state.limit { state.mode } else { Mode::Pass }
+    }
 }
 
 /// Time by which [`Mode::Delay`] delays each chunk.
@@ -33,6 +57,9 @@
 /// Interval at which a connection whose bytes are held back checks the mode again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time without data after which what a server sends is another answer.
+const ANSWER_GAP: Duration = Duration::from_millis(50);
+
 /// Largest chunk that is read and forwarded at a time, in bytes.
 const CHUNK_BYTES: usize = 4 << 10;
 
@@ -59,7 +86,7 @@
 
 /// A proxy for one server.
 pub(crate) struct Proxy {
-    mode: Arc<AtomicU8>,
+    state: Arc<Mutex<State>>,
 }
 
 impl Proxy {
@@ -84,31 +111,47 @@
         let replacements: Arc<[_]> = replacements.into();
         let listener = TcpListener::bind(listen)?;
         let link = rate.map(|rate| Arc::new(Link { rate, free_at: Mutex::new(Instant::now()) }));
-        let mode = Arc::new(AtomicU8::new(Mode::Pass as u8));
-        let shared = mode.clone();
+        let state = State { mode: Mode::Pass, limit: u64::MAX, connections: 0 };
+        let state = Arc::new(Mutex::new(state));
+        let shared = state.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 let Ok(upstream) = TcpStream::connect(server) else { continue };
+                let number = {
+                    let mut state = shared.lock().expect("no thread panics while holding the lock");
+                    state.connections += 1;
+                    state.connections - 1
+                };
                 let pairs = [
                     (client.try_clone(), upstream.try_clone(), None, Mode::CutRequests),
                     (Ok(upstream), Ok(client), link.clone(), Mode::CutAnswers),
                 ];
                 for pair in pairs {
                     if let (Ok(from), Ok(to), link, cut) = pair {
-                        let (mode, replacements) = (shared.clone(), replacements.clone());
+                        let (state, replacements) = (shared.clone(), replacements.clone());
                         thread::spawn(move || {
-                            forward(from, to, &mode, link.as_deref(), cut, &replacements);
+                            let mode = || State::mode(&state, number);
+                            forward(from, to, mode, link.as_deref(), cut, &replacements);
                         });
                     }
                 }
             }
         });
-        Ok(Proxy { mode })
+        Ok(Proxy { state })
     }
 
     /// Sets the mode of all connections, present and future.
     pub(crate) fn set(&self, mode: Mode) {
-        self.mode.store(mode as u8, Ordering::Relaxed);
+        self.set_within(Scope::All, mode);
+    }
+
+    /// Sets the mode of some connections; the others pass. Setting the same mode again has no effect.
+    pub(crate) fn set_within(&self, scope: Scope, mode: Mode) {
+        let mut state = self.state.lock().expect("no thread panics while holding the lock");
+        if state.mode != mode {
+            state.mode = mode;
+            state.limit = if scope == Scope::All { u64::MAX } else { state.connections };
+        }
     }
 }
 
@@ -117,13 +160,16 @@
 fn forward(
     mut from: TcpStream,
     mut to: TcpStream,
-    mode: &AtomicU8,
+    mode: impl Fn() -> Mode,
     link: Option<&Link>,
     cut: Mode,
     replacements: &[(Vec<u8>, Vec<u8>)],
 ) {
     let mut chunk = [0; CHUNK_BYTES];
-    let is_mode = |wanted: Mode| mode.load(Ordering::Relaxed) == wanted as u8;
+    let is_mode = |wanted: Mode| mode() == wanted;
+    let is_answer = cut == Mode::CutAnswers;
+    let mut is_lost = false;
+    let mut forwarded_at = Instant::now();
     while let Ok(count) = from.read(&mut chunk) {
         while is_mode(Mode::Silence) || is_mode(cut) {
             thread::sleep(CHECK_INTERVAL);
@@ -131,6 +177,16 @@
         if is_mode(Mode::Delay) {
             thread::sleep(DELAY);
         }
+        is_lost |= is_answer && is_mode(Mode::LoseAnswers);
+        if is_lost && count > 0 {
+            continue;
+        }
+        if let (Mode::SlowAnswers(delay), true) = (mode(), is_answer)
+            && forwarded_at.elapsed() > ANSWER_GAP
+        {
+            thread::sleep(delay);
+        }
+        forwarded_at = Instant::now();
         if let Some(link) = link {
             link.transmit(count);
         }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -26,7 +26,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    conditions::Conditions,
+    conditions::{Conditions, millis},
     fleet::{AGENTS, ENTRIES, Fleet, Net, Node, Ways},
     proxy::{Mode, Proxy},
     trouble::Trouble,
@@ -34,8 +34,10 @@
 
 mod cancels;
 mod drains;
+mod hold_ups;
 mod idle;
 mod inventory;
+mod listed;
 mod minions;
 mod spells;
 mod unanswered;
@@ -83,6 +85,11 @@
     pub standstills: Vec<Standstill>,
     /// Longest time for which a job had nothing running although there was capacity for it.
     pub longest_standstill: Duration,
+    /// Starts after an end as done that was listed while only a process was stopped by a signal. They
+    /// would break a promise if the machine had been too busy to run it.
+    pub frozen: Vec<String>,
+    /// Other starts after an end as done that break no promise.
+    pub repeats: Vec<String>,
     /// Longest times for which unanswered starts counted.
     pub unanswered: Figures,
 }
@@ -166,6 +173,10 @@
     busy_until: Duration,
     /// Last time at which a process, a minion or a link was disturbed.
     disturbed_until: Duration,
+    /// Last time of a disruption by the platform's words, other than of a process that is only stopped
+    /// for a while; and the last time at which one was.
+    disrupted_until: Duration,
+    frozen_until: Duration,
     /// Last time at which each agent's processes or links were disturbed.
     agents_disturbed: Vec<Duration>,
     /// Checkpoints that the runs of each task, or of its gang, have saved.
@@ -237,7 +248,7 @@
     let proxies = Proxies::start(net, &options, agents)?;
     let mut store = conditions.history.map_or_else(Store::default, Store::with_history);
     platform::configure(&mut store, clock::now(), conditions.idle_routes);
-    let minion = |agent| minions::start(agent, 1, options.trouble.has_spells());
+    let minion = |agent| minions::start(agent, 1, &options);
     let minions = (0..agents).map(minion).collect();
     let spells = spells::Spells::new(&options, clock::now() + STARTUP_DELAY, agents);
     let log = fs::OpenOptions::new()
@@ -252,6 +263,8 @@
         spells,
         busy_until: Duration::ZERO,
         disturbed_until: clock::now() + STARTUP_DELAY,
+        disrupted_until: clock::now(),
+        frozen_until: Duration::ZERO,
         agents_disturbed: vec![Duration::ZERO; usize::from(agents)],
         checkpoints: BTreeMap::new(),
         overdue: BTreeSet::new(),
@@ -320,7 +333,7 @@
 impl Proxies {
     fn start(net: Net, options: &Options, agents: u8) -> io::Result<Self> {
         let link = options.conditions.link;
-        let has_agents = options.trouble.series;
+        let has_agents = options.trouble.has_proxies();
         let before_store = |entry| if has_agents { net.store_cut(entry) } else { net.store() };
         let store = |entry| Proxy::start(net.store_proxy(entry), before_store(entry), link);
         let store_cut = |entry| Proxy::start(net.store_cut(entry), net.store(), None);
@@ -371,14 +384,14 @@
         let program = self.options.program.clone();
         let folder = self.options.folder.clone();
         let ways = match self.options.trouble {
-            Trouble { series: true, .. } => Ways::AgentProxies,
+            trouble if trouble.has_proxies() => Ways::AgentProxies,
             Trouble { links: true, .. } => Ways::EntryProxies,
             _ => Ways::Direct,
         };
         let agents = self.minions.len() as u8;
-        let outlive = self.options.conditions.calls_outlive_incarnations;
+        let conditions = self.options.conditions;
         let mut fleet =
-            Fleet::start(self.net, agents, Path::new(&program), &folder, ways, outlive)?;
+            Fleet::start(self.net, agents, Path::new(&program), &folder, ways, conditions)?;
         let start = clock::now();
         let (mut next_job, mut next_fault) =
             (start + STARTUP_DELAY, start + STARTUP_DELAY + FAULT_INTERVAL);
@@ -443,6 +456,14 @@
             if !undos.is_empty() || has_late_orders || self.spells.is_disturbing(now) {
                 self.disturbed_until = now;
             }
+            for (_, undo) in &undos {
+                let is_freeze = matches!(undo, Undo::Resume(_));
+                let until =
+                    if is_freeze { &mut self.frozen_until } else { &mut self.disrupted_until };
+                *until = now.max(*until);
+            }
+            self.record_disruptions(now);
+            self.watch_listed(now);
             self.watch_idle(now);
             self.watch_cancelled(now);
             if jobs == 0 && !has_faults {
@@ -499,7 +520,8 @@
         self.end_idle(clock::now());
         waits::find_reasons(&self.options.folder, &mut self.outcome.standstills)?;
         let figures = unanswered::measure(&self.options.folder, &self.departures)?;
-        self.outcome.broken.extend(figures.broken());
+        let lease_limit = millis(self.options.conditions.bounds.lease_limit);
+        self.outcome.broken.extend(figures.broken(lease_limit));
         self.outcome.unanswered = figures;
         for (id, job) in &self.jobs {
             if job.is_accepted && !job.is_complete {
@@ -769,7 +791,11 @@
         };
         self.record_fault(&format!("{text} {node:?}"), time);
         let mode = |mode: Mode| proxies.store[usize::from(entry)].set(mode);
+        let disrupted_until = self.disrupted_until;
         self.disturb(now + time, if kind < 3 { node } else { Node::Entry(entry) });
+        if kind == 2 {
+            self.disrupted_until = disrupted_until;
+        }
         match kind {
             0 => fleet.signal(node, Signal::SIGKILL),
             1 => fleet.signal(node, Signal::SIGTERM),
@@ -786,6 +812,7 @@
     /// Records that a process or its links are disturbed.
     fn disturb(&mut self, until: Duration, node: Node) {
         self.disturbed_until = self.disturbed_until.max(until);
+        self.disrupted_until = self.disrupted_until.max(until);
         if let Node::Agent(agent) = node {
             let disturbed = &mut self.agents_disturbed[usize::from(agent)];
             *disturbed = until.max(*disturbed);
--- a/crates/soak/src/soak/cancels.rs
+++ b/crates/soak/src/soak/cancels.rs
@@ -5,12 +5,8 @@
 use sapphire_jobs::task::{RunNumber, Task};
 
 use super::{CALLER_TIMEOUT, Pending, REQUEST_DELAY, Soak};
-use crate::fleet::ENTRIES;
+use crate::{conditions::millis, fleet::ENTRIES};
 
-/// Time from the acknowledgement of a cancellation from which on no task is started.
-const CANCEL_BOUND: Duration = Duration::from_secs(3);
-/// Time within which a task has to end after that.
-const STOP_BOUND: Duration = Duration::from_millis(400);
 /// Calm time after which a cancellation counts as acknowledged.
 const ACKNOWLEDGEMENT_BOUND: Duration = Duration::from_secs(5);
 /// Time after a disturbance from which on a machine is in touch.
@@ -53,20 +49,23 @@
     /// Returns whether an order to start a task of a job came too late after its cancellation.
     pub(super) fn is_started_late(&self, agent: usize, id: &str, received_at: Duration) -> bool {
         let is_in_touch = received_at >= self.agents_disturbed[agent] + CONTACT_TIME;
-        let is_late = |from: Duration| received_at > from + CANCEL_BOUND;
+        let bound = millis(self.options.conditions.bounds.cancel);
+        let is_late = |from: Duration| received_at > from + bound;
         is_in_touch && self.cancelled_from(id).is_some_and(is_late)
     }
 
     /// Checks that no task of a cancelled job runs on.
     pub(super) fn watch_cancelled(&mut self, now: Duration) {
+        let bounds = self.options.conditions.bounds;
+        let (cancel, stop) = (millis(bounds.cancel), millis(bounds.stop));
         let mut overdue: Vec<(usize, Task, RunNumber, Duration)> = Vec::new();
         for (agent, minion) in self.minions.iter().enumerate().filter(|(_, minion)| minion.is_up) {
             for (task, active) in &minion.active {
                 let Some(from) = self.cancelled_from(&task.job) else { continue };
                 let from = from.max(self.disturbed_until + CONTACT_TIME);
-                let is_late_start = active.started_at > from + CANCEL_BOUND;
+                let is_late_start = active.started_at > from + cancel;
                 let start = if is_late_start { active.started_at + CONTACT_TIME } else { from };
-                if now > start + CANCEL_BOUND + STOP_BOUND {
+                if now > start + cancel + stop {
                     overdue.push((agent, task.clone(), active.number, now - from));
                 }
             }
@@ -82,7 +81,8 @@
 
     /// Returns whether what happens after the last cancellation has been checked.
     pub(super) fn cancellations_are_over(&self, now: Duration) -> bool {
-        let is_over = |id| self.cancelled_from(id).is_none_or(|from| now > from + CANCEL_BOUND * 2);
+        let twice = millis(self.options.conditions.bounds.cancel) * 2;
+        let is_over = |id| self.cancelled_from(id).is_none_or(|from| now > from + twice);
         self.jobs.keys().all(|id| is_over(id))
     }
 }
--- a/crates/soak/src/soak/drains.rs
+++ b/crates/soak/src/soak/drains.rs
@@ -104,8 +104,7 @@
                 minion.terminate(&self.truth);
                 self.write_log(&format!("m{agent} ends, {count} tasks with it"));
             } else if drain.has_ended && now >= began + plan.length() {
-                let has_spells = self.options.trouble.has_spells();
-                *minion = minions::start(agent, born_ms + 1, has_spells);
+                *minion = minions::start(agent, born_ms + 1, &self.options);
                 minion.incarnation.id = format!("m{agent}-{}", born_ms + 1);
                 self.write_log(&format!("m{agent} starts again, born_ms={}", born_ms + 1));
                 continue;
--- a/crates/soak/src/soak/minions.rs
+++ b/crates/soak/src/soak/minions.rs
@@ -21,10 +21,9 @@
 use sapphire_runner::minion::Call as Order;
 use sapphire_standins::jobs_platform as platform;
 
-use super::Soak;
+use super::{Options, Soak, listed::Listing};
+use crate::conditions::millis;
 
-/// Time for which a gang member waits for the others before it ends.
-const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after the end of a fault within which it may still have effects.
 const FAULT_AFTERMATH: Duration = Duration::from_secs(5);
 
@@ -33,8 +32,8 @@
 
 /// Time from the start of a task to its end on a minion that fails all its tasks.
 const FAILURE_DELAY: Duration = Duration::from_millis(250);
-/// Time that a run with a checkpoint takes to restore it.
-const RESTORATION: Duration = Duration::from_millis(250);
+/// Share of the bound on stops that a task takes to stop, at most.
+const STOP_SHARE: f64 = 0.7;
 /// Factor by which a gang that prefers one rack is slower on several; the default of the settings.
 const REMOTE_FACTOR: f64 = 3.0;
 /// Number of racks with spells; one otherwise.
@@ -67,24 +66,34 @@
 
 /// A run of a task that ended with `done`.
 pub(super) struct Completion {
-    agent: u8,
-    born_ms: u64,
-    number: RunNumber,
-    at: Duration,
+    pub(super) agent: u8,
+    pub(super) born_ms: u64,
+    pub(super) number: RunNumber,
+    pub(super) at: Duration,
+    pub(super) listing: Listing,
     /// The end was acknowledged to the minion.
     is_acknowledged: bool,
     /// Descriptions of the starts of the same task since.
-    starts: Vec<String>,
+    pub(super) starts: Vec<String>,
+}
+
+impl Completion {
+    pub(super) fn is_of(&self, agent: u8, born_ms: u64, number: RunNumber) -> bool {
+        (self.agent, self.born_ms, self.number) == (agent, born_ms, number)
+    }
 }
 
 /// Returns an agent's minion that started at `born_ms`.
-pub(super) fn start(agent: u8, born_ms: u64, has_spells: bool) -> Minion {
+pub(super) fn start(agent: u8, born_ms: u64, options: &Options) -> Minion {
     let mut incarnation = platform::incarnation(agent, born_ms);
-    if has_spells {
+    if options.trouble.has_spells() {
         incarnation.rack = format!("r{}", agent % RACKS);
         incarnation.labels[1].clone_from(&incarnation.rack);
     }
-    Minion::new(incarnation).with_pace(1.0, RESTORATION)
+    let bounds = options.conditions.bounds;
+    Minion::new(incarnation)
+        .with_pace(1.0, millis(bounds.restore))
+        .with_clock(Duration::ZERO, millis(bounds.lease_limit))
 }
 
 impl Soak {
@@ -106,6 +115,10 @@
         let born_ms = minion.incarnation.born_ms;
         let received =
             Received { agent, order, minion_id: platform::minion_id(request), born_ms, at: now };
+        if self.spells.hangs(now, agent) {
+            self.log_order(&received, "not answered, the minion hangs");
+            return;
+        }
         if self.spells.loses(now, &received.order) {
             self.log_order(&received, "lost");
             return;
@@ -143,12 +156,21 @@
             }
         }
         let response = self.carry_out(now, &received);
-        self.respond(agent, caller, &response);
+        self.respond(now, &received, caller, &response);
     }
 
     /// Answers a call to a minion, unless the minion is in a spell without answers.
-    fn respond(&mut self, agent: u8, caller: CallerId, response: &Response) {
-        if !self.spells.is_mute(agent) {
+    fn respond(
+        &mut self,
+        now: Duration,
+        received: &Received,
+        caller: CallerId,
+        response: &Response,
+    ) {
+        if !self.spells.is_mute(received.agent) {
+            if matches!(received.order, Order::LongPoll { .. }) && response.status == 200 {
+                self.record_listed(now, received.agent);
+            }
             self.hub.answer(caller, response);
         }
     }
@@ -180,6 +202,12 @@
             start.checkpoint = progress.to_owned();
         }
         let (response, is_carried_out) = platform::execute(minion, now, &order, &self.truth);
+        if let Order::Stop { task, .. } = &order
+            && let Some(active) = minion.active.get_mut(task)
+        {
+            let latest = now + millis(self.options.conditions.bounds.stop).mul_f64(STOP_SHARE);
+            active.stop_at = active.stop_at.map(|at| at.min(latest));
+        }
         if !matches!(received.order, Order::LongPoll { .. }) {
             let body = String::from_utf8_lossy(&response.body).into_owned();
             self.log_order(received, &format!("{} {body}", response.status));
@@ -187,7 +215,7 @@
         if let (Some((task, number)), true) = (run, is_carried_out)
             && before != Some(number)
         {
-            self.check_start(received, &task, number, before);
+            self.check_start(now, received, &task, number, before);
         }
         for ended in std::mem::take(&mut self.minions[usize::from(agent)].acknowledged) {
             self.check_acknowledged(now, agent, &ended);
@@ -233,6 +261,7 @@
     /// was active on the minion already.
     fn check_start(
         &mut self,
+        now: Duration,
         received: &Received,
         task: &Task,
         number: RunNumber,
@@ -269,6 +298,7 @@
             broken.push("starts in a cordoned zone");
         }
         let start = format!("{task} run {number} starts on m{agent}{origin}");
+        self.check_listed(now, task, &start);
         let mut is_acknowledged = false;
         for completion in self.completions.get_mut(task).into_iter().flatten() {
             is_acknowledged |= completion.is_acknowledged;
@@ -321,7 +351,7 @@
         let (task, minion) = (Task::read(run), &self.minions[usize::from(agent)]);
         let (born_ms, lapsed) = (minion.incarnation.born_ms, minion.last_expired_at);
         let is_same_run = |completion: &&mut Completion| {
-            (completion.agent, completion.born_ms, completion.number) == (agent, born_ms, run.run)
+            completion.is_of(agent, born_ms, run.run)
                 && lapsed.is_none_or(|lapsed| lapsed < completion.at)
         };
         let Some(completion) =
@@ -373,14 +403,15 @@
             let _ = self.carry_out(now, &received);
         }
         for poll in std::mem::take(&mut self.long_polls) {
-            if !self.minions[usize::from(poll.received.agent)].is_up {
+            let agent = poll.received.agent;
+            if !self.minions[usize::from(agent)].is_up {
                 continue;
             }
-            if now >= poll.deadline
-                || !self.minions[usize::from(poll.received.agent)].ended.is_empty()
-            {
+            if self.spells.hangs(now, agent) {
+                self.long_polls.push(poll);
+            } else if now >= poll.deadline || !self.minions[usize::from(agent)].ended.is_empty() {
                 let response = self.carry_out(now, &poll.received);
-                self.respond(poll.received.agent, poll.caller, &response);
+                self.respond(now, &poll.received, poll.caller, &response);
             } else {
                 self.long_polls.push(poll);
             }
@@ -403,7 +434,8 @@
         members_seen.extend(&present);
         let is_stopped =
             members.iter().any(|member| active(member).stop_at.is_some_and(|stop| now >= stop));
-        let has_waited = |member: &(usize, Task)| now >= active(member).started_at + GANG_TIMEOUT;
+        let timeout = millis(self.options.conditions.bounds.gang);
+        let has_waited = |member: &(usize, Task)| now >= active(member).started_at + timeout;
         let endings: Vec<Ending> = if is_stopped {
             let is_stop_requested = |member| active(member).stop_at.is_some();
             let ending =
@@ -512,6 +544,7 @@
                 born_ms,
                 number,
                 at,
+                listing: Listing::Unlisted,
                 is_acknowledged: false,
                 starts,
             };
@@ -533,8 +566,7 @@
     pub(super) fn crash(&mut self, agent: u8) {
         let minion = &mut self.minions[usize::from(agent)];
         let born_ms = minion.incarnation.born_ms + 1;
-        let has_spells = self.options.trouble.has_spells();
-        let mut incarnation = start(agent, born_ms, has_spells).incarnation;
+        let mut incarnation = start(agent, born_ms, &self.options).incarnation;
         if self.options.trouble.late_orders && self.trouble_rng.random_bool(0.5) {
             incarnation.id = format!("m{agent}-{born_ms}");
         } else {
@@ -542,7 +574,7 @@
         }
         let id = incarnation.id.clone();
         let is_up = minion.is_up;
-        *minion = start(agent, born_ms, has_spells);
+        *minion = start(agent, born_ms, &self.options);
         (minion.incarnation, minion.is_up) = (incarnation, is_up);
         self.write_log(&format!("m{agent} crashed and restarted as id={id} born_ms={born_ms}"));
     }
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -13,16 +13,19 @@
 use serde_json::{Value, json};
 
 use super::{
-    Options, Proxies, SPELLS_JOB_INTERVAL, Soak, drains::Plan, minions, unanswered::Departure,
+    Options, Proxies, SPELLS_JOB_INTERVAL, Soak, drains::Plan, hold_ups, minions,
+    unanswered::Departure,
 };
 use crate::{
     fleet::{ENTRIES, Fleet, Node},
-    proxy::Mode,
+    proxy::{Mode, Scope},
     trouble::Trouble,
 };
 
 /// Share of the jobs that are long gangs.
 const LONG_SHARE: f64 = 0.35;
+/// Share of the jobs that are single tasks of some seconds where something is held up.
+const SINGLE_SHARE: f64 = 0.6;
 /// Share of the stops that are lost in a spell of lost stops.
 const LOST_SHARE: f64 = 0.5;
 /// Time for which each planner of a fast series plans.
@@ -76,7 +79,7 @@
 
 /// Kind of a spell.
 #[derive(Clone, Debug, PartialEq)]
-enum Kind {
+pub(super) enum Kind {
     /// Minions are slower by a factor.
     Slow { agents: Vec<u8>, factor: f64 },
     /// All tasks that a minion starts fail.
@@ -117,6 +120,18 @@
     Hidden { agent: u8, has_row: bool },
     /// An agent is paused while its minion runs on.
     AgentPaused(u8),
+    /// The planner is paused.
+    PlannerPaused,
+    /// What an agent and the entries send to each other is held back, in one direction or both.
+    LinkSilent { agent: u8, mode: Mode, scope: Scope },
+    /// Answers to the calls of an agent to entries are lost.
+    AnswersLost(u8),
+    /// The store's answers to an entry are late by this time.
+    StoreSlow { entry: u8, delay: Duration },
+    /// The store's answers to an entry are lost.
+    StoreLost(u8),
+    /// A minion neither carries out calls nor answers them.
+    Hanging(u8),
 }
 
 impl Kind {
@@ -141,18 +156,24 @@
             | Kind::Drain(_)
             | Kind::StaleInventory(_)
             | Kind::Hidden { .. }
-            | Kind::AgentPaused(_) => true,
+            | Kind::AgentPaused(_)
+            | Kind::PlannerPaused
+            | Kind::LinkSilent { .. }
+            | Kind::AnswersLost(_)
+            | Kind::StoreSlow { .. }
+            | Kind::StoreLost(_)
+            | Kind::Hanging(_) => true,
         }
     }
 }
 
 /// A spell, from its beginning to its end.
 #[derive(Clone, Debug)]
-struct Spell {
-    from: Duration,
-    until: Duration,
-    kind: Kind,
-    is_begun: bool,
+pub(super) struct Spell {
+    pub(super) from: Duration,
+    pub(super) until: Duration,
+    pub(super) kind: Kind,
+    pub(super) is_begun: bool,
 }
 
 impl Spell {
@@ -178,7 +199,7 @@
 #[derive(Debug)]
 pub(super) struct Spells {
     rng: Pcg32,
-    spells: Vec<Spell>,
+    pub(super) spells: Vec<Spell>,
     /// End of the last spell.
     end: Duration,
     /// Minions whose agents are to leave with them.
@@ -195,6 +216,8 @@
     version: u64,
     /// Entry whose links are cut as that of the planner.
     cut_planner: Option<u8>,
+    /// Entry that is paused as the planner.
+    paused_planner: Option<u8>,
     /// Processes that are stopped to make them slow.
     paused: BTreeSet<Node>,
     /// Agents that are dead for good.
@@ -205,6 +228,8 @@
     has_duplicates: bool,
     /// The next start has no answer, and its VM is gone after that.
     loses_start: bool,
+    /// Draws the jobs of runs in which something is held up; `None` without such spells.
+    hold_ups_rng: Option<Pcg32>,
 }
 
 impl Spells {
@@ -222,11 +247,14 @@
             next_kill: Duration::ZERO,
             version: 1,
             cut_planner: None,
+            paused_planner: None,
             paused: BTreeSet::new(),
             removed: BTreeSet::new(),
             series_rng: Pcg32::seed_from_u64(options.seed ^ 0x5e21e5),
             has_duplicates: options.trouble.cancels,
             loses_start: options.trouble.lost_start,
+            hold_ups_rng: (options.trouble.has_hold_ups())
+                .then(|| Pcg32::seed_from_u64(options.seed ^ 0x0401_d0b5)),
         };
         if options.trouble.has_spells() {
             let length = SPELLS_JOB_INTERVAL * options.jobs;
@@ -245,6 +273,7 @@
             }
             spells.draw_listeners_and_drains(options, start, length, agents);
             spells.draw_inventories(options, start, length, agents);
+            spells.draw_hold_ups(options, start, length, agents);
             spells.end = spells.spells.iter().map(|spell| spell.until).max().unwrap_or_default();
         }
         spells
@@ -498,7 +527,7 @@
     }
 
     /// Returns the spells in force.
-    fn present(&self, now: Duration) -> impl Iterator<Item = &Kind> {
+    pub(super) fn present(&self, now: Duration) -> impl Iterator<Item = &Kind> {
         let is_present = move |spell: &&Spell| (spell.from..spell.until).contains(&now);
         self.spells.iter().filter(is_present).map(|spell| &spell.kind)
     }
@@ -524,7 +553,7 @@
     pub(super) fn is_away(&self, now: Duration, agent: u8) -> bool {
         self.removed.contains(&agent)
             || self.present(now).any(|kind| match kind {
-                Kind::CutOff(other) => *other == agent,
+                Kind::CutOff(other) | Kind::LinkSilent { agent: other, .. } => *other == agent,
                 Kind::AgentDead { agent: other, .. } | Kind::AgentPaused(other) => *other == agent,
                 Kind::Power { has_agents } => *has_agents,
                 _ => false,
@@ -647,7 +676,7 @@
         self.pause_processes(now, &present, fleet);
         self.drive_drains(now);
         self.drive_listeners(now)?;
-        if self.options.trouble.series {
+        if self.options.trouble.has_proxies() {
             self.cut_links(now, &present, proxies);
         }
         for agent in std::mem::take(&mut self.spells.departures) {
@@ -664,7 +693,7 @@
         for (_, agent) in due {
             let minion = &mut self.minions[usize::from(agent)];
             let born_ms = minion.incarnation.born_ms + 1;
-            *minion = minions::start(agent, born_ms, true);
+            *minion = minions::start(agent, born_ms, &self.options);
             self.gone.remove(&agent);
             self.vms[usize::from(agent)] += 1;
             let departure = self.departures.iter_mut().rfind(|it| it.agent == agent);
@@ -709,6 +738,7 @@
                 }
             }
             Kind::PlannerCut { .. } => self.spells.cut_planner = self.planner(now),
+            Kind::PlannerPaused => self.spells.paused_planner = self.planner(now),
             Kind::Drain(plan) => self.begin_drain(now, plan),
             Kind::Cancels => {
                 for _ in 0..self.spells.series_rng.random_range(BURST) {
@@ -753,10 +783,12 @@
 
     /// Stops and resumes the slow entries and the paused agents.
     fn pause_processes(&mut self, now: Duration, present: &[Kind], fleet: &Fleet) {
+        let planner = self.spells.paused_planner.map(Node::Entry);
         let phase = (now.as_millis() % SLOW_PERIOD_MS) as f64 / SLOW_PERIOD_MS as f64;
         let is_paused = |kind: &Kind| match *kind {
             Kind::SlowEntry { entry, share } if phase >= share => Some(Node::Entry(entry)),
             Kind::AgentPaused(agent) => Some(Node::Agent(agent)),
+            Kind::PlannerPaused => planner,
             _ => None,
         };
         let paused: BTreeSet<Node> = present.iter().filter_map(is_paused).collect();
@@ -782,20 +814,40 @@
             if is_cut_off {
                 self.disturb(now, Node::Agent(agent));
             }
+            let link = |kind: &Kind| match *kind {
+                Kind::LinkSilent { agent: other, mode, scope } if other == agent => {
+                    Some((scope, mode))
+                }
+                _ => None,
+            };
+            let (scope, silent) = present.iter().find_map(link).unzip();
+            let scope = scope.unwrap_or(Scope::All);
+            let is_lost = present.contains(&Kind::AnswersLost(agent));
             let cut = is_cut_off.then_some(Mode::Silence);
             for (entry, proxy) in (0..).zip(&ways.to_entries) {
-                proxy.set(cut.or(mode_to(false, entry)).unwrap_or(Mode::Pass));
+                let mode = cut.or(mode_to(false, entry)).or(silent);
+                let mode = mode.or(is_lost.then_some(Mode::LoseAnswers)).unwrap_or(Mode::Pass);
+                proxy.set_within(scope, mode);
             }
-            let to_agents = (0..ENTRIES).find_map(|entry| mode_to(false, entry));
+            let to_agents = (0..ENTRIES).find_map(|entry| mode_to(false, entry)).or(silent);
             // The planner is the client of the agent, so requests are what it sends.
             let to_agents = to_agents.map(|mode| match mode {
+                Mode::Silence => Mode::Silence,
                 Mode::CutRequests => Mode::CutAnswers,
                 _ => Mode::CutRequests,
             });
-            ways.to_agent.set(cut.or(to_agents).unwrap_or(Mode::Pass));
+            ways.to_agent.set_within(scope, cut.or(to_agents).unwrap_or(Mode::Pass));
         }
         for (entry, proxy) in (0..).zip(&proxies.store_cuts) {
-            proxy.set(mode_to(true, entry).unwrap_or(Mode::Pass));
+            let store = |kind: &Kind| match *kind {
+                Kind::StoreSlow { entry: other, delay } if other == entry => {
+                    Some(Mode::SlowAnswers(delay))
+                }
+                Kind::StoreLost(other) if other == entry => Some(Mode::LoseAnswers),
+                _ => None,
+            };
+            let mode = mode_to(true, entry).or(present.iter().find_map(store));
+            proxy.set(mode.unwrap_or(Mode::Pass));
         }
     }
 
@@ -857,6 +909,16 @@
             });
             return Some((step, Soak::task_truth(LOST_START_WORK, 1)));
         }
+        if let Some(rng) = &mut self.spells.hold_ups_rng
+            && rng.random_bool(SINGLE_SHARE)
+        {
+            let work = Duration::from_millis(rng.random_range(hold_ups::WORK_MS));
+            let step = json!({
+                "count": 1, "cpu": 1_000, "mem_mb": 1_000, "gpu": 1,
+                "estimate_ms": work.as_millis() as u64,
+            });
+            return Some((step, Soak::task_truth(work, 1)));
+        }
         if !self.options.trouble.has_spells() || !self.spells.rng.random_bool(LONG_SHARE) {
             return None;
         }
--- a/crates/soak/src/soak/unanswered.rs
+++ b/crates/soak/src/soak/unanswered.rs
@@ -12,8 +12,8 @@
 
 /// Longest time after it was sent for which a start may be carried out.
 const MAX_DELAY: Duration = Duration::from_secs(12);
-/// Longest lease of a run, `hold_max_ms` on a clock that is 2% slow.
-const MAX_LEASE: Duration = Duration::from_millis(10_200);
+/// Factor by which a lease is longer on a clock that is 2% slow.
+const CLOCK_FACTOR: f64 = 1.02;
 /// Time within which starts are settled together.
 const SAME_TIME: Duration = Duration::from_millis(100);
 /// Time for which work that could run may have nothing running.
@@ -71,14 +71,15 @@
     /// Describes the times that are longer than allowed, and the starts that counted again. A VM that is
     /// gone may count until the lease of its minion is over, since an inventory may lack one that runs, and
     /// until the platform shows it, after four seconds without a disturbance.
-    pub(super) fn broken(&self) -> impl Iterator<Item = String> {
+    pub(super) fn broken(&self, lease_limit: Duration) -> impl Iterator<Item = String> {
+        let max_lease = lease_limit.mul_f64(CLOCK_FACTOR);
         let limits = [
             (
                 &self.sent,
-                MAX_DELAY + MAX_LEASE + MAX_IDLE,
+                MAX_DELAY + max_lease + MAX_IDLE,
                 "after the last one on its minion was sent",
             ),
-            (&self.gone, MAX_LEASE + MAX_IDLE + CONTACT_TIME, "after its VM was gone"),
+            (&self.gone, max_lease + MAX_IDLE + CONTACT_TIME, "after its VM was gone"),
         ];
         let broken = limits.into_iter().filter(|(wait, limit, _)| wait.length > *limit);
         let again = self.again.iter().map(|((run, worker), line)| {
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -49,6 +49,18 @@
     /// The inventory of VMs is some seconds old or lacks live minions, also while their agents are
     /// paused or killed.
     pub inventory: bool,
+    /// Agents are held up, one after the other, while their minions go on.
+    pub held_agents: bool,
+    /// Planners are held up.
+    pub held_planners: bool,
+    /// Links between an agent and the entries are silent in one direction or both, without a reset.
+    pub agent_links: bool,
+    /// The answers to an agent's polls are lost.
+    pub lost_answers: bool,
+    /// The store's answers to one entry are slow or lost.
+    pub slow_store: bool,
+    /// Minions refuse connections or hang for some seconds while their tasks go on.
+    pub hanging: bool,
 }
 
 impl Trouble {
@@ -73,6 +85,12 @@
         listeners: false,
         drains: false,
         inventory: false,
+        held_agents: false,
+        held_planners: false,
+        agent_links: false,
+        lost_answers: false,
+        slow_store: false,
+        hanging: false,
     };
     /// All kinds that are drawn.
     pub const ALL: Trouble = Trouble {
@@ -93,6 +111,37 @@
         ..Trouble::WITHOUT_SPELLS
     };
 
+    /// Returns this with all kinds in which something is held up.
+    pub const fn with_hold_ups(self) -> Trouble {
+        Trouble {
+            held_agents: true,
+            held_planners: true,
+            agent_links: true,
+            lost_answers: true,
+            slow_store: true,
+            hanging: true,
+            ..self
+        }
+    }
+
+    /// Returns whether any of the kinds is enabled in which something is held up.
+    pub fn has_hold_ups(&self) -> bool {
+        self.held_agents
+            || self.held_planners
+            || self.hanging
+            || self.slow_store
+            || self.has_agent_links()
+    }
+
+    /// Returns whether agents have proxies of their own, and the store second ones.
+    pub fn has_proxies(&self) -> bool {
+        self.series || self.slow_store || self.has_agent_links()
+    }
+
+    fn has_agent_links(&self) -> bool {
+        self.agent_links || self.lost_answers
+    }
+
     /// Returns whether any of the kinds is enabled that come in spells. Such a run has twice the
     /// agents, on three racks, and jobs that are longer gangs with checkpoints.
     pub fn has_spells(&self) -> bool {
@@ -111,5 +160,6 @@
             || self.listeners
             || self.drains
             || self.inventory
+            || self.has_hold_ups()
     }
 }
