soak: agents are held up right before a run on their minions ends

An agent that is held up at any moment seldom has a poll open at its minion that lists an end. Half of those that are held up now are so for 3.7 to 5 s, from 150 ms before the end of a run on, and the jobs of these kinds have up to four tasks, so that most minions run some.

--- a/crates/soak/src/soak/hold_ups.rs
+++ b/crates/soak/src/soak/hold_ups.rs
@@ -4,6 +4,8 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
+use sapphire_jobs::task::Task;
+use sapphire_proofs::jobs::minion::Active;
 
 use super::{
     Options, Soak,
@@ -16,6 +18,12 @@
 
 /// Time for which a process or a link is held up.
 const HELD_MS: Range<u64> = 1_500..5_000;
+/// The same for half of the agents that are held up, right before a run ends: a lease of 3.6 s ends
+/// meanwhile.
+const LONG_HELD_MS: Range<u64> = 3_700..5_000;
+/// Work that such a run has left at most, and the time until it is looked for again.
+const REMAINING: Duration = Duration::from_millis(150);
+const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time within which the answers to polls are lost.
 const LOST_MS: Range<u64> = 200..1_500;
 /// Time for which the store is slow, and by how much.
@@ -31,7 +39,8 @@
 const SERIES_MS: Range<u64> = 50..800;
 /// Share of the spells during which the next one begins.
 const OVERLAP_SHARE: f64 = 0.3;
-/// Work of single tasks, which end while their agents are held up.
+/// Tasks of a job, and their work. They keep most minions busy, and end while their agents are held up.
+pub(super) const TASKS: Range<u32> = 1..5;
 pub(super) const WORK_MS: Range<u64> = 1_000..5_000;
 
 /// Kinds of trouble of this module, in the order in which they are drawn.
@@ -53,7 +62,15 @@
         let is_first = rng.random_bool(0.5);
         let delay = Duration::from_millis(rng.random_range(STORE_DELAY_MS));
         match self {
-            Group::Agents => (Kind::AgentPaused(agent), HELD_MS),
+            Group::Agents => {
+                // Minions with low numbers get most tasks.
+                let agent = agent.min(rng.random_range(0..agents));
+                if is_first {
+                    let held = Duration::from_millis(rng.random_range(LONG_HELD_MS));
+                    return (Kind::EndHeld(held), LONG_HELD_MS);
+                }
+                (Kind::AgentPaused(agent), HELD_MS)
+            }
             Group::Planners => (Kind::PlannerPaused, HELD_MS),
             Group::Links => {
                 let mode = [Mode::Silence, Mode::CutRequests, Mode::CutAnswers][variant];
@@ -122,6 +139,23 @@
 }
 
 impl Soak {
+    /// Pauses the agent of a minion on which a run is about to end, now or as soon as there is one.
+    pub(super) fn hold_end(&mut self, now: Duration, held: Duration) {
+        let is_ending = |(task, active): (&Task, &Active)| {
+            let truth = self.truth.get(&(task.job.clone(), task.step));
+            truth.is_some_and(|it| it.members == 1 && active.progress + REMAINING >= it.work)
+        };
+        let mut minions = (0..).zip(&self.minions);
+        let found = minions.find(|(_, minion)| minion.active.iter().any(is_ending));
+        if let Some((agent, _)) = found {
+            self.spells.end = self.spells.end.max(now + held);
+            self.spells.push(now, now + held, Kind::AgentPaused(agent));
+        } else if now < self.spells.end() {
+            let from = now + RETRY_DELAY;
+            self.spells.push(from, from + RETRY_DELAY, Kind::EndHeld(held));
+        }
+    }
+
     /// Records for how long disruptions by spells have gone on, apart from processes that are only
     /// stopped for a while.
     pub(super) fn record_disruptions(&mut self, now: Duration) {
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -24,7 +24,7 @@
 
 /// Share of the jobs that are long gangs.
 const LONG_SHARE: f64 = 0.35;
-/// Share of the jobs that are single tasks of some seconds where something is held up.
+/// Share of the jobs that are tasks of some seconds where something is held up.
 const SINGLE_SHARE: f64 = 0.6;
 /// Share of the stops that are lost in a spell of lost stops.
 const LOST_SHARE: f64 = 0.5;
@@ -120,6 +120,8 @@
     Hidden { agent: u8, has_row: bool },
     /// An agent is paused while its minion runs on.
     AgentPaused(u8),
+    /// An agent is paused for that time right before a run on its minion ends.
+    EndHeld(Duration),
     /// The planner is paused.
     PlannerPaused,
     /// What an agent and the entries send to each other is held back, in one direction or both.
@@ -157,6 +159,7 @@
             | Kind::StaleInventory(_)
             | Kind::Hidden { .. }
             | Kind::AgentPaused(_)
+            | Kind::EndHeld(_)
             | Kind::PlannerPaused
             | Kind::LinkSilent { .. }
             | Kind::AnswersLost(_)
@@ -191,6 +194,7 @@
                 | Kind::VmGone(_)
                 | Kind::Operations
                 | Kind::Drain(_)
+                | Kind::EndHeld(_)
         ) && !matches!(self.kind, Kind::AgentDead { for_good: true, .. })
     }
 }
@@ -201,7 +205,7 @@
     rng: Pcg32,
     pub(super) spells: Vec<Spell>,
     /// End of the last spell.
-    end: Duration,
+    pub(super) end: Duration,
     /// Minions whose agents are to leave with them.
     departures: Vec<u8>,
     /// Minions that are to be replaced, and when.
@@ -645,7 +649,9 @@
             begun.push((spell.kind.clone(), spell.until - spell.from));
         }
         for (kind, length) in begun {
-            self.record_fault(&format!("spell {kind:?}"), length);
+            if !matches!(kind, Kind::EndHeld(_)) {
+                self.record_fault(&format!("spell {kind:?}"), length);
+            }
             self.begin_spell(now, &kind, fleet);
         }
         let present: Vec<Kind> = self.spells.present(now).cloned().collect();
@@ -740,6 +746,7 @@
             Kind::PlannerCut { .. } => self.spells.cut_planner = self.planner(now),
             Kind::PlannerPaused => self.spells.paused_planner = self.planner(now),
             Kind::Drain(plan) => self.begin_drain(now, plan),
+            Kind::EndHeld(held) => self.hold_end(now, held),
             Kind::Cancels => {
                 for _ in 0..self.spells.series_rng.random_range(BURST) {
                     self.add_job(now);
@@ -914,7 +921,7 @@
         {
             let work = Duration::from_millis(rng.random_range(hold_ups::WORK_MS));
             let step = json!({
-                "count": 1, "cpu": 1_000, "mem_mb": 1_000, "gpu": 1,
+                "count": rng.random_range(hold_ups::TASKS), "cpu": 1_000, "mem_mb": 1_000, "gpu": 1,
                 "estimate_ms": work.as_millis() as u64,
             });
             return Some((step, Soak::task_truth(work, 1)));
