sapphired: a test with an agent that is held up while a listed end waits

With the short lease, an agent is held up for longer than the lease while a run on its minion ends. The minion has listed the end to the agent, but the planner learns of it only after the lease has ended and the task has started elsewhere.

--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -2,7 +2,11 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use sapphire_soak::{conditions::Conditions, soak, trouble::Trouble};
+use sapphire_soak::{
+    conditions::{Bounds, Conditions},
+    soak,
+    trouble::Trouble,
+};
 
 fn run_soak(seed: u64, faults: u32, conditions: Conditions, trouble: Trouble) -> soak::Outcome {
     run_jobs(20, seed, faults, conditions, trouble)
@@ -255,3 +259,16 @@
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
 }
+
+/// Guards against a task that starts again although its minion had listed its end as done to its agent,
+/// since the agent was held up until the lease had ended. With the short lease, one agent after the other
+/// is held up while its minion goes on.
+#[test]
+fn a_listed_end_counts_while_its_agent_is_held_up() {
+    let trouble = Trouble { held_agents: true, ..Trouble::default() };
+    let conditions = Conditions { bounds: Bounds::of_seed(5), ..within_incarnations() };
+    let outcome = run_jobs(30, 73_102, 0, conditions, trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+    assert_eq!(outcome.frozen, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+}
