runner: a minion is asked for a list at once when its lease is over

Callers saw a task that was done start again 0.3 s before its end was heard. One way there: a minion has refused connections or hung, so that its agent waits up to 1.6 s between two calls, and the planner takes the lease for over in between. The agent knows when the lease has ended; until the planner takes it for over, 0.3 s and the drift of the clock are left.

The agent now asks for a list at that time without those delays, for 0.7 s at most. A minion that answers shows what its runs have come to before the task is placed elsewhere; one that doesn't costs a few calls.

--- a/crates/runner/src/lease.rs
+++ b/crates/runner/src/lease.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::machine::{Machine, Minion};
+use crate::{
+    machine::{Machine, Minion},
+    options,
+};
 
 /// Time without a lease in the planner's answers before that is logged.
 const LINE_DELAY: Duration = Duration::from_millis(500);
@@ -16,6 +19,8 @@
     is_logged: bool,
     /// End of the lease that was last logged as over.
     over_until: Duration,
+    /// Time before which the minion is not asked again for a list after the end of its lease.
+    next_request: Duration,
 }
 
 impl Minion {
@@ -76,4 +81,22 @@
             "the lease is over: over_ms={over} {text} poll_waits_ms={waiting} failed_polls={failed}"
         ));
     }
+
+    /// Returns whether the minion is to be asked at once what its runs have come to, since its lease has
+    /// ended and no list shows it.
+    ///
+    /// Guards against a task that runs again although it is done: the planner takes the lease for over a
+    /// moment later, and a minion that hung or refused connections until then may answer again.
+    pub(crate) fn awaits_last_list(&mut self, now: Duration) -> bool {
+        let drift = self.options.longest_lease * options::CLOCK_DRIFT_MILLI / 1_000;
+        let over_at = self.session.lease_until + drift;
+        let is_time = now >= over_at && now < over_at + options::LAST_LIST_TIME;
+        let is_unknown = |minion: &Minion| minion.is_in_use() && minion.list_requested_at < over_at;
+        let is_due = now >= self.lease_watch.next_request;
+        if !is_time || !is_due || !self.minion.as_ref().is_some_and(is_unknown) {
+            return false;
+        }
+        self.lease_watch.next_request = now + options::LIST_DELAY;
+        true
+    }
 }
--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -28,7 +28,7 @@
         let has_ends = minion.ended.keys().any(|number| *number > self.session.acknowledged);
         let is_acknowledging = minion.acknowledged < self.session.acknowledged;
         let is_recent = now < minion.list_requested_at + options::LIST_DELAY;
-        self.wants_list |= !is_recent && self.awaits_list(now);
+        self.wants_list |= !is_recent && (self.awaits_list(now) || self.awaits_last_list(now));
         if self.wants_list && self.immediate_long_poll.is_none() {
             self.wants_list = false;
             self.immediate_long_poll = self.send_long_poll(now, Duration::ZERO);
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -38,6 +38,9 @@
 pub const CLOCK_DRIFT_MILLI: u32 = 20;
 /// Allowance for timers that fire late, and for the age of a reading of the minion's clock.
 pub const TIMING_MARGIN: Duration = Duration::from_millis(300);
+/// Time after the end of a lease for which a minion that runs tasks is asked for a list without the delays
+/// of [`RETRY_DELAY`]. It covers the margin after which the planner takes the lease for over.
+pub const LAST_LIST_TIME: Duration = Duration::from_millis(700);
 /// Delay before the second repetition of an unanswered call, doubled with each further one. The
 /// first repetition is sent at once, since a single order may be lost. Growing delays bound the
 /// cost of a minion that answers nothing: each call to it takes a connection.
--- a/crates/runner/tests/presence/mod.rs
+++ b/crates/runner/tests/presence/mod.rs
@@ -92,6 +92,29 @@
     }
 }
 
+/// Guards against a task that starts again although it is done: a minion that has refused connections is
+/// asked again only long after its lease, while the planner takes the lease for over.
+#[test]
+fn a_minion_is_asked_for_its_ends_once_its_lease_is_over() {
+    let mut fixture = Fixture::fenced();
+    fixture.answer_polls(100, vec![start_of(0)], Vec::new());
+    let ticket = fixture.take_call(is_start);
+    fixture.handle(110, Event::MinionReply(ticket, Reply::Done));
+    fixture.answer_polls(120, Vec::new(), Vec::new());
+    // Of the longest lease that was granted, with the drift of the minion's clock.
+    let over_at = 120 + 6_000 + 200;
+    let mut asked = Vec::new();
+    for now in (130..over_at + 300).step_by(10) {
+        if answer_calls(&mut fixture, now, &Reply::NotListening) > 0 {
+            asked.push(now);
+        }
+        answer_polls(&mut fixture, now);
+        fixture.handle(now, Event::Tick);
+    }
+    let last = asked.iter().filter(|at| (over_at..over_at + 300).contains(at)).count();
+    assert!(last >= 2, "the minion was asked {last} times: {asked:?}");
+}
+
 /// Guards against a task that runs twice: a minion deregisters, and lists the end of its run later.
 #[test]
 fn a_minion_that_has_deregistered_is_still_asked_for_its_ends() {
