planner, runner: the agents of silent workers with runs are asked to poll

An agent whose polls or their answers get lost polls again after 1 s, and asks for the planner only after two of these. A planner heard nothing meanwhile and asked nothing, until the lease of the worker was over and its tasks started elsewhere, ends that the agent knew of among them.

A planner now asks the agents of workers that have been silent for 1.3 s and have runs, each 0.4 s and each 0.1 s once their lease is over; those of an earlier planner's workers too, until they have reported. It uses the message that announces a leader. An agent that follows that leader already drops polls that were sent over 0.2 s before, which would have arrived, and polls again. The first question of each silence is logged, their number with the loss.

Failed before: presence::a_planner_that_hears_nothing_is_polled_again (runner). The simulated site of the planner's tests passes the message on.

--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -50,6 +50,10 @@
 /// Time without a poll after which a worker gets no new tasks. Agents poll at least every
 /// [`POLL_TIMEOUT`], so that one lost poll on a slow link does not reach this limit.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Interval at which the agents of silent workers are asked to poll.
+pub const ASK_INTERVAL: Duration = Duration::from_millis(400);
+/// The same once the lease is over.
+pub const LAST_ASK_INTERVAL: Duration = Duration::from_millis(100);
 /// Most polls that an agent has open.
 pub const MAX_OPEN_POLLS: u64 = 2;
 /// Time without a list of its minion after which a worker is granted no lease. Its runs end with the
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -303,6 +303,7 @@
     fn tick(&mut self, now: Moment) {
         self.feeds.refresh(now.steady);
         self.expire_workers(now);
+        self.ask_silent(now);
         self.withdraw_unsent(now);
         self.expire_unanswered(now);
         self.follow_inventory(now);
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -87,6 +87,7 @@
         worker.address.clone_from(&poll.address);
         worker.sequence = poll.sequence;
         worker.last_contact = now.steady;
+        worker.asked = None;
         worker.is_leaving = poll.is_leaving;
         self.end_silence(now, &name);
         let worker = self.workers.get_mut(&name).expect("inserted above");
@@ -442,8 +443,6 @@
 
     /// Declares workers lost whose lease has certainly expired.
     pub(crate) fn expire_workers(&mut self, now: Moment) {
-        let is_silent =
-            |worker: &Worker| now.steady >= worker.last_contact + options::SILENCE_TIMEOUT;
         // A minion that hangs may never acknowledge the session of an agent that has been restarted.
         // No lease is granted in that session, nor while the minion seems to be absent.
         let hangs = |worker: &Worker| {
@@ -453,7 +452,7 @@
         let lost: Vec<(WorkerName, &str)> = (self.workers.iter())
             .filter(|(_, worker)| now.steady >= worker.lease_expires_at)
             .filter_map(|(name, worker)| match worker {
-                worker if is_silent(worker) => Some((name.clone(), "silent")),
+                worker if worker.is_silent(now.steady) => Some((name.clone(), "silent")),
                 worker if !hangs(worker) => None,
                 worker if worker.absence.is_some() => Some((name.clone(), "minion is absent")),
                 _ => Some((name.clone(), "minion hangs")),
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -56,6 +56,8 @@
     pub(crate) clocks: BTreeMap<Revision, RemoteClock>,
     /// Time of the latest search for inherited groups that can't go on.
     pub(crate) groups_checked_at: Duration,
+    /// Time at which the agents of workers that have not reported were last asked to poll.
+    pub(crate) asked_at: Duration,
     /// Time since which the planner serves.
     pub(crate) served_at: Option<Duration>,
     /// Their number in the latest log line, with the time of that line.
@@ -94,6 +96,7 @@
             seen_terms: BTreeMap::new(),
             clocks: BTreeMap::new(),
             groups_checked_at: Duration::ZERO,
+            asked_at: now,
             served_at: None,
             unaccounted_logged: None,
             is_fleet_dirty: true,
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -166,6 +166,8 @@
     pub is_leaving: bool,
     /// Time of the agent's latest poll.
     pub last_contact: Duration,
+    /// Time at which its agent was last asked to poll, and how often that was since its latest poll.
+    pub asked: Option<(Duration, u32)>,
     /// Time until which the agent may send the starts that it was ordered.
     pub starts_until: Duration,
     /// Time at which the last granted lease has certainly expired.
@@ -250,8 +252,9 @@
             let (name, since) = (withheld.obstacle.name(), age(withheld.since));
             format!(" withheld={name} withheld_ms={since}")
         });
+        let asked = self.asked.map_or_else(String::new, |(_, times)| format!(" asked={times}"));
         format!(
-            " contact_ms_ago={} listed_ms_ago={} granted_ms_ago={}{withheld}",
+            " contact_ms_ago={} listed_ms_ago={} granted_ms_ago={}{withheld}{asked}",
             age(self.last_contact),
             age(self.listed_at),
             age(self.granted_contact)
@@ -336,6 +339,11 @@
         true
     }
 
+    /// Returns whether its agent has not polled for a while.
+    pub fn is_silent(&self, now: Duration) -> bool {
+        now >= self.last_contact + options::SILENCE_TIMEOUT
+    }
+
     /// Returns whether the minion has sent a list in this session and a short time ago, and doesn't seem
     /// to be absent since. Only then is a lease granted.
     ///
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -136,6 +136,8 @@
     pub(crate) answers_intake: bool,
     /// Reads of the inventory of VMs that were not answered.
     pub(crate) inventory_reads: usize,
+    /// Addresses of the agents that were told who plans.
+    pub(crate) announced: Vec<String>,
     /// Difference between the planner's wall clock and its steady clock, in ms.
     pub(crate) skew: i64,
 }
@@ -234,6 +236,7 @@
             records: Vec::new(),
             answers_intake: true,
             inventory_reads: 0,
+            announced: Vec::new(),
             skew,
         };
         fixture.handle(Event::Tick);
@@ -257,6 +260,7 @@
                 Effect::Store(Operation::Intake, _) if self.answers_intake => is_intake = true,
                 Effect::Store(operation, call) => self.calls.push((operation, call)),
                 Effect::Inventory(_) => self.inventory_reads += 1,
+                Effect::Announce(addresses) => self.announced.extend(addresses),
                 Effect::Deposed => self.is_deposed = true,
                 Effect::Log(text) => self.log.push(text),
                 _ => {}
--- a/crates/planner/tests/presence/site.rs
+++ b/crates/planner/tests/presence/site.rs
@@ -837,6 +837,14 @@
                 self.reads.push((self.now + self.read_time, page));
             }
         }
+        for address in std::mem::take(&mut self.planner.announced) {
+            let is_told = |(name, worker): &(&&'static str, &Worker)| {
+                format!("{name}:1") == address && !worker.is_cut_off
+            };
+            if let Some(name) = self.workers.iter().find(is_told).map(|(name, _)| *name) {
+                self.follow(name);
+            }
+        }
         let answers = self.planner.orders.split_off(self.seen);
         self.seen = self.planner.orders.len();
         for (requester, orders) in answers {
--- a/crates/runner/src/leader.rs
+++ b/crates/runner/src/leader.rs
@@ -8,10 +8,13 @@
 
 impl Machine {
     /// Follows the reported leader unless its term is below the highest one known.
-    pub(crate) fn follow_leader(&mut self, leader: Lead) {
+    pub(crate) fn follow_leader(&mut self, now: Duration, leader: Lead) {
         let known = self.leader.as_ref().map_or(0, |leader| leader.term).max(self.session.term);
-        let has_changed = self.leader.as_ref() != Some(&leader);
-        if leader.term < known || !has_changed {
+        if leader.term < known {
+            return;
+        }
+        if self.leader.as_ref() == Some(&leader) {
+            self.poll_anew(now);
             return;
         }
         self.log(format!(
@@ -24,6 +27,21 @@
         self.has_changes = true;
     }
 
+    /// Polls again instead of waiting for the answers to earlier polls, since the planner has said that it hears
+    /// nothing.
+    ///
+    /// Guards against ends that wait for a connection which has gone silent until their lease is over.
+    fn poll_anew(&mut self, now: Duration) {
+        let sent_at = self.polls.iter().map(|poll| poll.sent_at).max();
+        let Some(sent_at) = sent_at.filter(|at| now >= *at + options::POLL_DELIVERY) else {
+            return;
+        };
+        let waited = now.saturating_sub(sent_at).as_millis();
+        self.log(format!("the planner hears no poll: the latest was sent {waited} ms ago"));
+        self.polls.clear();
+        self.has_changes = true;
+    }
+
     /// Gives up the leader, which can't be reached or has been replaced.
     pub(crate) fn lose_leader(&mut self, now: Duration) {
         if let Some(leader) = self.leader.take() {
