planner: a worker that is back after a silence is granted a lease at once

A poll is answered after 0.6 s, or once there are orders, and only then is a lease granted for it. On a worker that is back after a silence little is left of the lease; if the poll gets lost within these 0.6 s, its runs lapse although it was heard in time.

The poll of a worker with runs is now answered at once if less than half of a lease is left and the answer adds 0.5 s or more.

Failed before: expired::agents::a_worker_that_is_back_is_granted_a_lease_at_once (no lease within 0.1 s of the list, both leases).

--- a/crates/planner/src/leases.rs
+++ b/crates/planner/src/leases.rs
@@ -14,6 +14,11 @@
 /// Time for which a lease is withheld before that is logged. Sessions that begin take a shorter time.
 const LINE_DELAY: Duration = Duration::from_millis(500);
 
+/// Part of a lease below which the rest of one is short.
+const SHORT_SHARE: u32 = 2;
+/// Least time by which an answer that is sent at once has to extend a lease.
+const LEAST_GAIN: Duration = Duration::from_millis(500);
+
 impl Planner {
     /// Returns why a worker is granted no lease, if so.
     ///
@@ -55,6 +60,20 @@
         worker.last_contact + self.options.expiry_of(self.lease_left(worker, name))
     }
 
+    /// Returns whether the poll of a worker with runs is to be answered at once, since little is left of its
+    /// lease and a longer one can be granted.
+    ///
+    /// Guards against runs that lapse on a worker that is back after a silence, and whose poll is lost
+    /// before it is answered.
+    pub(crate) fn is_grant_due(&self, now: Moment, name: &str, worker: &Worker) -> bool {
+        let is_short =
+            worker.lease_expires_at < now.steady + self.options.lease_expiry() / SHORT_SHARE;
+        if !is_short || worker.runs.is_empty() || self.lease_obstacle(now, name).is_some() {
+            return false;
+        }
+        self.lease_until(worker, name) >= worker.lease_expires_at + LEAST_GAIN
+    }
+
     /// Records whether a worker with runs was granted a lease, and logs when it has been withheld for
     /// long.
     pub(crate) fn record_grant(&mut self, now: Moment, name: &str, obstacle: Option<Obstacle>) {
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -300,8 +300,12 @@
             let has_acknowledged = worker.acknowledged > worker.acknowledged_sent
                 && waited >= options::POLL_TIMEOUT / 3;
             let is_cordon_new = self.cordons.contains(worker) != worker.is_cordon_sent;
-            if worker.has_orders(may_start, durable) || has_acknowledged || is_cordon_new || is_over
-            {
+            let is_due = worker.has_orders(may_start, durable)
+                || has_acknowledged
+                || is_cordon_new
+                || is_over
+                || self.is_grant_due(now, &name, worker);
+            if is_due {
                 self.send_orders(now, &name, long_poll.requester);
             }
         }
--- a/crates/planner/tests/expired/agents.rs
+++ b/crates/planner/tests/expired/agents.rs
@@ -102,6 +102,20 @@
     assert_kept(&[play], LEFT);
 }
 
+/// Guards against runs that lapse on a worker that is back in time, and whose poll is lost before it is
+/// answered.
+#[test]
+fn a_worker_that_is_back_is_granted_a_lease_at_once() {
+    for bounds in super::BOUNDS {
+        let mut scene = Scene::new(bounds, 40_000);
+        let time = scene.expiry() * 6 / 10;
+        scene.contact_after(time, 100);
+        let back_at = scene.began + time;
+        let leased_at = scene.worker().leased_at;
+        assert!(leased_at > back_at, "lease {}: {leased_at}, back at {back_at}", bounds.granted);
+    }
+}
+
 /// Closes the polls of an agent that is cut off.
 fn close(scene: &mut Scene) {
     scene.worker().is_cut_off = true;
