planner: no lease goes past an end that a successor may know earlier

A successor that saw the leader key 0.35 s or more before this planner knew of it counts from an earlier time, and starts tasks that still run.

A lease of which nothing is left counts as withheld, and is logged.

--- a/crates/planner/src/leases.rs
+++ b/crates/planner/src/leases.rs
@@ -33,9 +33,7 @@
             Some(Obstacle::Absent)
         } else if now.steady >= worker.listed_at + options::LIST_TIMEOUT {
             Some(Obstacle::Unlisted)
-        } else if self.lease_left(worker, name) < self.options.lease
-            && self.lease_until(worker, name) <= worker.lease_expires_at
-        {
+        } else if self.gains_nothing(worker, name) {
             Some(Obstacle::Silent)
         } else if !minion.is_some_and(|minion| self.startup.is_recorded(name, &minion.id)) {
             Some(Obstacle::Unrecorded)
@@ -55,6 +53,13 @@
         left.min(self.options.lease)
     }
 
+    /// Returns whether a recorded end of its leases leaves none for a worker that it doesn't have already.
+    fn gains_nothing(&self, worker: &Worker, name: &str) -> bool {
+        let left = self.lease_left(worker, name);
+        let is_later = self.lease_until(worker, name) > worker.lease_expires_at;
+        left < self.options.lease && (left.is_zero() || !is_later)
+    }
+
     /// Returns the time at which that lease would certainly be over.
     fn lease_until(&self, worker: &Worker, name: &str) -> Duration {
         worker.last_contact + self.options.expiry_of(self.lease_left(worker, name))
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -223,23 +223,18 @@
     }
 
     /// Returns the workers that a stored list calls silent, with the time at which all their leases are over
-    /// as a successor would reckon at the earliest: by the recorded end, and by the beginning of the first
-    /// term that granted none. It is known only of what this term has recorded: a successor may know more
-    /// of the clocks of earlier terms.
+    /// as a successor would reckon at the earliest. It is known only of ends that this term has recorded: a
+    /// successor may know more of the clocks of earlier terms, and an earlier time for the beginning of this
+    /// one.
     fn silent(&self, members: &[Member]) -> BTreeMap<WorkerName, Duration> {
-        let latest = self.startup.began + self.options.lease_expiry() + options::MAX_STORE_OUTAGE;
-        let own =
-            |term: Revision, end: Duration| if term == self.term { end } else { Duration::ZERO };
-        let silent = members.iter().filter_map(|member| {
-            let since = Some(member.silent_since).filter(|since| *since > 0);
-            let by_term = since.map(|since| own(since, latest));
-            let lease = member.lease.as_ref();
-            let by_lease =
-                lease.map(|lease| own(lease.term, Duration::from_millis(lease.clock_ms)));
-            let end = by_term.into_iter().chain(by_lease).min()?;
-            Some((member.name.clone(), end))
-        });
-        silent.collect()
+        let silent = members.iter();
+        let silent = silent.filter(|member| member.silent_since > 0 || member.lease.is_some());
+        let end = |member: &Member| {
+            let own = member.lease.as_ref().filter(|lease| lease.term == self.term);
+            let own = own.filter(|_| member.silent_since == 0);
+            own.map_or(Duration::ZERO, |lease| Duration::from_millis(lease.clock_ms))
+        };
+        silent.map(|member| (member.name.clone(), end(member))).collect()
     }
 
     /// Returns whether workers of the earlier term are still about to report.
--- a/crates/planner/tests/expired/store.rs
+++ b/crates/planner/tests/expired/store.rs
@@ -79,3 +79,41 @@
     }
     assert!(late.is_empty(), "{late:#?}");
 }
+
+/// Guards against a task that runs twice: a worker of an earlier planner is granted a lease while the list
+/// calls it silent, and a successor has seen the term of that list before its planner knew of it.
+#[test]
+fn a_successor_takes_no_granted_lease_for_over() {
+    for bounds in BOUNDS {
+        for earlier in [0, 350, 800, 1_200] {
+            let mut scene = Scene::new(bounds, 60_000);
+            scene.worker().is_cut_off = true;
+            scene.site.take_over();
+            let (began, term) = (scene.site.now, scene.site.planner.planner.term());
+            scene.site.run(1_500);
+            scene.worker().is_cut_off = false;
+            scene.site.writes = writes(60_000, true);
+            scene.site.run(bounds.bound() + 2_800);
+            scene.worker().is_cut_off = true;
+            scene.site.writes = Writes::default();
+            scene.site.take_over_seeing(&[(term, began - earlier)]);
+            scene.site.run(8_000);
+            let why = format!("lease {}, seen {earlier} ms before", bounds.granted);
+            assert!(scene.site.twice.is_empty(), "{why}: {:?}", scene.site.twice);
+        }
+    }
+}
+
+/// Guards against a lease that is withheld without a word: nothing is left of it by the recorded end.
+#[test]
+fn a_lease_of_which_nothing_is_left_is_withheld() {
+    for bounds in BOUNDS {
+        let mut scene = Scene::new(bounds, 40_000);
+        scene.cut_until(2_000);
+        scene.site.writes = writes(60_000, true);
+        scene.cut_until((scene.expiry() - 1_000).min(4_000));
+        scene.site.run(8_000);
+        let longest = scene.site.planner.planner.leases().longest;
+        assert!(longest.as_millis() >= 1_000, "lease {}: {longest:?}", bounds.granted);
+    }
+}
--- a/crates/planner/tests/presence/site.rs
+++ b/crates/planner/tests/presence/site.rs
@@ -420,8 +420,14 @@
 
     /// Replaces the planner by one that reads what the store has committed.
     pub(crate) fn take_over(&mut self) {
+        self.take_over_seeing(&[]);
+    }
+
+    /// The same by an entry that has seen these terms, each with a time at which it had begun.
+    pub(crate) fn take_over_seeing(&mut self, seen: &[(u64, u64)]) {
         self.term += 1;
         self.planner = Fixture::term_with(options_of(self.bounds), self.term, self.now, 0);
+        self.planner.planner.expect_terms(seen.iter().map(|(term, at)| (*term, ms(*at))));
         self.written.clear();
         self.reads.clear();
         let names: Vec<&'static str> = self.workers.keys().copied().collect();
