planner: a worker whose agent is back has time for the first list of its session

Found by review: an agent that starts again in the last second of a lease polls, so that its worker isn't silent, and counted as one whose minion hangs as soon as the lease was over, sooner than if it had stayed silent. The first list of a session takes a poll that the planner holds for 0.6 s.

A worker whose session isn't fenced has 1 s from its first poll, others that are back 0.4 s as before; the inventory's verdicts wait for the same.

Failed before: placed::a_worker_whose_agent_is_back_before_the_lease_ends_has_ time_for_a_list (lost 0.58 s after the agent was back).

--- a/crates/planner/src/inventory.rs
+++ b/crates/planner/src/inventory.rs
@@ -183,7 +183,10 @@
     /// minion that runs tasks, or show an earlier one in its place, while its agent is out of contact.
     fn is_over(&self, now: Moment, worker: &str) -> bool {
         match self.workers.get(worker) {
-            Some(worker) => now.steady >= worker.lost_at(now.steady, self.options.lease_expiry()),
+            Some(worker) => {
+                let lost_at = worker.lost_at(now.steady, self.options.lease_expiry());
+                now.steady >= lost_at && !worker.is_just_back(now.steady)
+            }
             None => !self.startup.unaccounted.contains_key(worker),
         }
     }
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -365,9 +365,14 @@
         self.lease_expires_at.max(heard_at + lease_expiry + options::INQUIRY_TIMEOUT)
     }
 
-    /// Returns whether its agent polls again since so short a time that a list may be on its way.
+    /// Returns whether its agent polls again since so short a time that a list may be on its way. A session
+    /// that begins may take a poll that is held.
     pub fn is_just_back(&self, now: Duration) -> bool {
-        !self.is_silent(now) && now < self.contact_since + options::INQUIRY_TIMEOUT
+        let time = match self.is_fenced {
+            true => options::INQUIRY_TIMEOUT,
+            false => options::INQUIRY_TIMEOUT + options::POLL_TIMEOUT,
+        };
+        !self.is_silent(now) && now < self.contact_since + time
     }
 
     /// Returns whether the minion has sent a list in this session and a short time ago, and doesn't seem
--- a/crates/planner/tests/placed/mod.rs
+++ b/crates/planner/tests/placed/mod.rs
@@ -166,6 +166,32 @@
     assert!(took < 7_500, "lost after {took} ms");
 }
 
+/// Guards against a run that is lost as that of a minion that hangs, although its agent is back in time: the
+/// first list of a session takes a poll that the planner holds.
+#[test]
+fn a_worker_whose_agent_is_back_before_the_lease_ends_has_time_for_a_list() {
+    let mut fixture = Fixture::new(Vec::new());
+    fixture.join("a", Vec::new(), Vec::new());
+    let notice = Notice { jobs: vec![job("j", TERM, step(1, false))], ..Notice::default() };
+    fixture.handle(Event::Notice(notice));
+    report(&mut fixture, "a");
+    let since = fixture.now;
+    let has_run = |fixture: &Fixture| {
+        fixture.planner.workers().get("a").is_some_and(|worker| !worker.runs.is_empty())
+    };
+    fixture.advance(5_870);
+    fixture.restart_agent("a");
+    fixture.tokens.remove("a");
+    let incarnation = Some(minion("a"));
+    fixture.report_list("a", 0, Poll { incarnation, ..Poll::default() });
+    while fixture.now < since + 6_750 {
+        fixture.advance(50);
+        assert!(has_run(&fixture), "lost after {} ms", fixture.now - since);
+    }
+    fixture.advance(600);
+    assert!(!has_run(&fixture), "its minion sends no list");
+}
+
 /// Guards against runs that lapse although their agent is in contact: it reports changes so often that
 /// the planner answers each of its polls only when the next one arrives.
 #[test]
