runner: only a planner's announcement has an agent poll again, and drops no poll that is on its way

Found by review: a question says what had not been heard when it was sent, and may cross a poll. A late reply to a query for the leader was taken for a question too.

Polls are dropped from an age of 0.3 s on, and announcements are an event of their own. presence::a_planner_that_hears_nothing_is_polled_again asks for that: the polls of 0.1 s and 0.25 s it keeps now were dropped before.

--- a/crates/proofs/src/jobs/simulation/entries.rs
+++ b/crates/proofs/src/jobs/simulation/entries.rs
@@ -201,7 +201,7 @@
             };
             let node: &AgentNode = &self.agents[agent];
             let latency = self.latency(self.entries[entry].region, node.region);
-            let event = runner::event::Event::Leader(leader.clone());
+            let event = runner::event::Event::Announced(leader.clone());
             let generation = node.generation;
             let is_connected = self.is_connected(self.entries[entry].region, node.region);
             if !node.is_isolated && is_connected {
--- a/crates/runner/src/event.rs
+++ b/crates/runner/src/event.rs
@@ -25,8 +25,10 @@
         /// Whether an answer came that says that the process there is not the planner.
         is_declined: bool,
     },
-    /// The planner or an entry has reported which entry is the leader.
+    /// An entry has said which entry is the leader.
     Leader(Lead),
+    /// The planner has announced itself: it is new, or has heard nothing for a while.
+    Announced(Lead),
     /// The process was asked to terminate.
     Terminate,
     /// Time has passed.
--- a/crates/runner/src/leader.rs
+++ b/crates/runner/src/leader.rs
@@ -8,13 +8,10 @@
 
 impl Machine {
     /// Follows the reported leader unless its term is below the highest one known.
-    pub(crate) fn follow_leader(&mut self, now: Duration, leader: Lead) {
+    pub(crate) fn follow_leader(&mut self, leader: Lead) {
         let known = self.leader.as_ref().map_or(0, |leader| leader.term).max(self.session.term);
-        if leader.term < known {
-            return;
-        }
-        if self.leader.as_ref() == Some(&leader) {
-            self.poll_anew(now);
+        let has_changed = self.leader.as_ref() != Some(&leader);
+        if leader.term < known || !has_changed {
             return;
         }
         self.log(format!(
@@ -27,6 +24,15 @@
         self.has_changes = true;
     }
 
+    /// Follows a planner that announces itself. One that is followed already has heard nothing for a while.
+    pub(crate) fn announced(&mut self, now: Duration, leader: Lead) {
+        if self.leader.as_ref() == Some(&leader) {
+            self.poll_anew(now);
+        } else {
+            self.follow_leader(leader);
+        }
+    }
+
     /// Polls again instead of waiting for the answers to earlier polls, since the planner has said that it hears
     /// nothing.
     ///
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -251,7 +251,8 @@
             Event::MinionReply(ticket, reply) => self.minion_replied(now, ticket, reply),
             Event::Orders(ticket, orders) => self.orders_received(now, ticket, *orders),
             Event::PollFailed { ticket, is_declined } => self.poll_failed(now, ticket, is_declined),
-            Event::Leader(leader) => self.follow_leader(now, leader),
+            Event::Leader(leader) => self.follow_leader(leader),
+            Event::Announced(leader) => self.announced(now, leader),
             Event::Terminate => self.terminate(now),
             Event::Tick => {}
         }
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -64,9 +64,9 @@
 pub const ACKNOWLEDGE_WINDOW: Duration = Duration::from_millis(20);
 /// Timeout of a poll: the time for which the planner holds it, and two messages between regions.
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time after which a poll has been lost if the planner says that it hears nothing: above that of several
-/// messages between regions.
-pub const POLL_DELIVERY: Duration = Duration::from_millis(200);
+/// Age from which on a poll has been lost if the planner says that it hears nothing: above the time that the
+/// poll and the question take, which may have crossed.
+pub const POLL_DELIVERY: Duration = Duration::from_millis(300);
 /// Least time between two polls, so that several ends go into one.
 pub const POLL_DELAY: Duration = Duration::from_millis(8);
 /// Time between two events from which on the agent assumes that its process was paused: far above
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -144,7 +144,7 @@
             let response = match (request.method.as_str(), request.path()) {
                 ("POST", internal::LEADER) => match Lead::decode(request.body.clone()) {
                     Ok(lead) => {
-                        self.handle_machine_event(cx, MachineEvent::Leader(lead));
+                        self.handle_machine_event(cx, MachineEvent::Announced(lead));
                         Response::new(200, "")
                     }
                     Err(error) => {
