--- a/crates/planner/tests/expired/minions.rs
+++ b/crates/planner/tests/expired/minions.rs
@@ -95,3 +95,37 @@
     });
     assert_kept(&[play], LEFT);
 }
+
+const GONE: [Play; 2] = [
+    ("cut off, restarts after its end was listed", |s| {
+        s.until(s.run_time - 50);
+        s.worker().is_cut_off = true;
+        s.until(s.run_time + 300);
+        let name = s.name;
+        s.site.crash(name);
+        s.site.run(50);
+        s.site.start_minion(name);
+        s.site.run(200);
+        s.worker().is_cut_off = false;
+    }),
+    ("drains and leaves during a change of planners", |s| {
+        let name = s.name;
+        s.site.drain(name);
+        s.until(s.run_time - 50);
+        s.worker().is_cut_off = true;
+        s.until(s.run_time + 300);
+        s.site.deregister(name);
+        s.site.crash(name);
+        s.worker().program.is_beating = false;
+        s.site.run(800);
+        s.worker().is_cut_off = false;
+        s.site.take_over();
+    }),
+];
+
+/// Guards against a task that is done and starts again although its agent knows the end: it drops what its
+/// minion has listed once that is gone.
+#[test]
+fn an_end_that_was_listed_outlives_its_minion() {
+    assert_kept(&GONE, 1_500);
+}
