--- a/crates/soak/src/soak/hold_ups.rs
+++ b/crates/soak/src/soak/hold_ups.rs
@@ -19,7 +19,7 @@
 /// Time for which a process or a link is held up.
 const HELD_MS: Range<u64> = 1_500..5_000;
 /// The same for half of the agents that are held up, right before a run ends: a lease of 3.6 s ends
-/// meanwhile.
+/// meanwhile, one of 5.4 s only if two such spells overlap.
 const LONG_HELD_MS: Range<u64> = 3_700..5_000;
 /// Work that such a run has left at most, and the time until it is looked for again.
 const REMAINING: Duration = Duration::from_millis(150);
