--- a/crates/planner/src/effect.rs
+++ b/crates/planner/src/effect.rs
@@ -19,8 +19,8 @@
     /// Read the page of the platform's inventory of VMs that has this token, or the first one if it is
     /// empty.
     Inventory(String),
-    /// Announce to the agents at these addresses that this entry plans. Those that know it poll at once
-    /// if the answer to an earlier poll is overdue.
+    /// Announce to the agents at these addresses that this entry plans. Those that follow it
+    /// already poll again if their latest poll must have got lost.
     Announce(Vec<String>),
     /// Write a log line.
     Log(String),
--- a/crates/planner/src/lease/obstacle.rs
+++ b/crates/planner/src/lease/obstacle.rs
@@ -9,7 +9,7 @@
     Unlisted,
     /// Its minion seems to be absent.
     Absent,
-    /// The stored list of workers calls it silent.
+    /// The stored list of workers calls it silent, and says no later end of its leases than it has.
     Silent,
     /// The stored list of workers doesn't name its minion.
     Unrecorded,
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod group;
 mod handover;
 mod idle;
+mod inquiry;
 mod intake;
 pub mod inventory;
 pub mod keys;
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -249,7 +249,7 @@
             let text = format!("a later run is listed; lost: run={number}");
             self.lose_run(now, name, task, earlier, Evidence::Later, &text);
         }
-        if let Some((evidence, at)) = self.losses.contradict(task, number) {
+        if let Some((evidence, at)) = self.losses.contradict_running(task, number) {
             let age = now.steady.saturating_sub(at).as_millis();
             self.log(format!(
                 "task={task} run={number} worker={name} is listed as running, but counted as ended \
--- a/crates/planner/src/state/losses.rs
+++ b/crates/planner/src/state/losses.rs
@@ -26,7 +26,7 @@
 
     /// Takes a run that is listed as running although it counts as ended; returns what showed that it
     /// had ended, and when.
-    pub(crate) fn contradict(
+    pub(crate) fn contradict_running(
         &mut self,
         task: &Task,
         run: RunNumber,
