--- a/crates/planner/tests/expired/agents.rs
+++ b/crates/planner/tests/expired/agents.rs
@@ -57,7 +57,7 @@
 const PAUSES: [Play; 3] = [
     ("paused for 1.5 s", |s| s.pause_until(CALM + 1_500)),
     ("paused for 3.3 s", |s| s.pause_until(CALM + 3_300)),
-    ("paused until after the loss", |s| s.pause_until(s.expiry() + SHORT)),
+    ("paused until after the lease", |s| s.pause_until(s.expiry() + SHORT)),
 ];
 
 /// Guards against a task that is done and starts again because its agent was paused before its end.
@@ -69,7 +69,7 @@
 /// Guards against a task that is done and starts again because its agent is paused from its end on.
 #[test]
 fn a_pause_at_the_end_starts_no_task_that_is_done() {
-    let play: Play = ("paused at the end until after the loss", |s| {
+    let play: Play = ("paused at the end until after the lease", |s| {
         s.until(s.run_time - 20);
         s.pause_until(s.run_time + s.expiry() + SHORT);
     });
@@ -77,8 +77,8 @@
 }
 
 const LONG_CUTS: [Play; 2] = [
-    ("cut off until after the loss", |s| s.cut_until(s.expiry() + SHORT)),
-    ("polls lost until after the loss", |s| {
+    ("cut off until after the lease", |s| s.cut_until(s.expiry() + SHORT)),
+    ("polls lost until after the lease", |s| {
         s.worker().loses_polls = true;
         s.until(s.expiry() + SHORT);
         s.worker().loses_polls = false;
@@ -95,7 +95,7 @@
 /// Guards against the same where the cut begins right before the end, so that it lasts for longer.
 #[test]
 fn a_cut_from_the_end_on_that_outlasts_the_lease_starts_no_task_that_is_done() {
-    let play: Play = ("cut off from the end on until after the loss", |s| {
+    let play: Play = ("cut off from the end on until after the lease", |s| {
         s.until(s.run_time - 200);
         s.cut_until(s.run_time + s.expiry() + SHORT);
     });
--- a/crates/planner/tests/expired/minions.rs
+++ b/crates/planner/tests/expired/minions.rs
@@ -21,12 +21,14 @@
 }
 
 const REFUSALS: [Play; 7] = [
-    ("refuses until before the loss", |s| s.conduct_until(Conduct::Refuses, s.expiry() - 300)),
-    ("refuses until after the loss", |s| s.conduct_until(Conduct::Refuses, s.expiry() + 100)),
-    ("refuses new calls until before the loss", |s| {
+    ("refuses until before the end of the lease", |s| {
+        s.conduct_until(Conduct::Refuses, s.expiry() - 300)
+    }),
+    ("refuses until after the lease", |s| s.conduct_until(Conduct::Refuses, s.expiry() + 100)),
+    ("refuses new calls until before the end of the lease", |s| {
         s.conduct_until(Conduct::RefusesNew, s.expiry() - 300);
     }),
-    ("refuses new calls until after the loss", |s| {
+    ("refuses new calls until after the lease", |s| {
         s.conduct_until(Conduct::RefusesNew, s.expiry() + 100);
     }),
     ("refuses all but long polls", |s| {
@@ -36,7 +38,7 @@
         }
     }),
     ("refuses and answers in turn until its task is done", |s| flap(s, s.run_time - 50)),
-    ("refuses and answers in turn until after the loss", |s| flap(s, s.expiry() + 100)),
+    ("refuses and answers in turn until after the lease", |s| flap(s, s.expiry() + 100)),
 ];
 
 /// Guards against a task that is done and starts again because some or all calls were refused.
@@ -47,8 +49,10 @@
 
 const HANGS: [Play; 4] = [
     ("hangs for 3 s", |s| s.conduct_until(Conduct::Silent, CALM + 3_000)),
-    ("hangs until before the loss", |s| s.conduct_until(Conduct::Silent, s.expiry() - 300)),
-    ("hangs until after the loss", |s| s.conduct_until(Conduct::Silent, s.expiry() + 100)),
+    ("hangs until before the end of the lease", |s| {
+        s.conduct_until(Conduct::Silent, s.expiry() - 300)
+    }),
+    ("hangs until after the lease", |s| s.conduct_until(Conduct::Silent, s.expiry() + 100)),
     ("hangs for 6 s from the end on", |s| {
         s.until(s.run_time - 20);
         s.conduct_until(Conduct::Silent, s.run_time + 6_000);
