--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -275,6 +275,10 @@
         # Fails all that it starts, while its health is good.
         self.fails = False
 
+    @property
+    def labels(self):
+        return ["a", self.rack]
+
     def clock_ms(self):
         return int((steady() - self.began) * 1000)
 
@@ -287,7 +291,7 @@
             self.sequence += 1
             body = {"service": "desk", "address": self.server.address, "zone": self.zone,
                     "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
-                    "capacity": self.capacity, "labels": ["a", self.rack], "born": self.born,
+                    "capacity": self.capacity, "labels": self.labels, "born": self.born,
                     "clock_ms": self.clock_ms(), "call_seq": self.sequence}
             if self.state == "draining":
                 body["remaining_ms"] = int(DRAIN_S * 1000)
@@ -369,7 +373,7 @@
                 except asyncio.TimeoutError:
                     pass
             now = steady()
-            rows = [[task, run["run"], "", min(100, int(100 * (now - run["began"]) / run["work"]))]
+            rows = [[task, run["run"], run.get("saved", ""), min(100, int(100 * (now - run["began"]) / run["work"]))]
                     for task, run in self.running.items()]
             return 200, self.answer(running=rows, finished=self.finished[:500])
         if target == "/run-start":
@@ -519,7 +523,7 @@
 
     async def list_machines(self, method, target, headers, body):
         rows = [{"machine": f"m-{minion.name}", "pool": "desk", "state": "up", "zone": minion.zone,
-                 "labels": ["a", minion.rack], "capacity": minion.capacity, "id": minion.id}
+                 "labels": minion.labels, "capacity": minion.capacity, "id": minion.id}
                 for minion in self.minions if not minion.has_left]
         return 200, {"machines": rows, "next_token": None}
 
