--- a/review/4/case.py
+++ b/review/4/case.py
@@ -59,4 +59,4 @@
     ]
 
 
-platform.play(HERE, case)
+platform.play(HERE, case, minions=11)
--- a/review/7/case.py
+++ b/review/further/panic/case.py
@@ -6,7 +6,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(HERE))
+sys.path.insert(0, os.path.dirname(os.path.dirname(HERE)))
 
 import platform_2 as platform  # noqa: E402
 
