--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -38,9 +38,15 @@
         body_bytes: section.size("body", Some(DEFAULT_BODY_BYTES), 1024..=MAX_BODY_BYTES),
         requests: section.count("requests", Some(DEFAULT_REQUESTS), 1..=100_000),
         jobs: section.count("jobs", Some(DEFAULT_JOBS), 1..=4_000),
+        process: Some(shared::process_limits(section)),
     }
 }
 
 fn default_limits() -> Limits {
-    Limits { body_bytes: DEFAULT_BODY_BYTES, requests: DEFAULT_REQUESTS, jobs: DEFAULT_JOBS }
+    Limits {
+        body_bytes: DEFAULT_BODY_BYTES,
+        requests: DEFAULT_REQUESTS,
+        jobs: DEFAULT_JOBS,
+        process: Some(shared::default_process_limits()),
+    }
 }
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use sapphire_schema::settings::{Bounds, JobAgent, JobEntry, Policy, Shares, Speeds, Stops};
+use sapphire_schema::settings::{
+    Bounds, JobAgent, JobEntry, Policy, ProcessLimits, Shares, Speeds, Stops,
+};
 
 use crate::{finding, section, shared};
 
@@ -36,6 +38,7 @@
             shares: file.optional_section("shares", read_shares),
             stops: file.optional_section("stops", read_stops),
             logging: Some(shared::logging(file)),
+            limits: Some(limits(file)),
         }
     })
 }
@@ -58,6 +61,7 @@
             metrics: file.optional_address("metrics"),
             bounds: Some(bounds(file)),
             logging: Some(shared::logging(file)),
+            limits: Some(limits(file)),
         }
     })
 }
@@ -65,6 +69,11 @@
 /// Platforms for which there is an adapter.
 const PLATFORMS: [&str; 1] = ["kv"];
 
+fn limits(file: &mut section::Section<'_>) -> ProcessLimits {
+    file.optional_section("limits", shared::process_limits)
+        .unwrap_or_else(shared::default_process_limits)
+}
+
 fn bounds(file: &mut section::Section<'_>) -> Bounds {
     file.optional_section("bounds", read_bounds).unwrap_or_else(default_bounds)
 }
--- a/crates/settings/src/shared.rs
+++ b/crates/settings/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphire_schema::settings::{Logging, Metrics, Timing};
+use sapphire_schema::settings::{Logging, Metrics, ProcessLimits, Timing};
 
 use crate::section::Section;
 
@@ -84,3 +84,21 @@
     let read = |inner: &mut Section<'_>| Metrics { address: inner.optional_address("address") };
     section.optional_section("metrics", read).unwrap_or_default()
 }
+
+/// Default memory of a process, in bytes.
+const DEFAULT_MEMORY: u64 = 128 << 20;
+/// Default number of descriptors of a process.
+const DEFAULT_DESCRIPTORS: u32 = 4_096;
+
+/// Reads what a process may use of its machine; every value has a default.
+pub(crate) fn process_limits(section: &mut Section<'_>) -> ProcessLimits {
+    ProcessLimits {
+        memory_bytes: section.size("memory", Some(DEFAULT_MEMORY), 16 << 20..=1 << 40),
+        descriptors: section.count("descriptors", Some(DEFAULT_DESCRIPTORS), 64..=1 << 20),
+    }
+}
+
+/// What a process may use of its machine if its settings don't say so.
+pub(crate) fn default_process_limits() -> ProcessLimits {
+    ProcessLimits { memory_bytes: DEFAULT_MEMORY, descriptors: DEFAULT_DESCRIPTORS }
+}
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -152,3 +152,12 @@
     let expected = [(10, "speeds.unequal_from"), (12, "shares.window"), (14, "stops.limit")];
     assert_eq!(reported, expected);
 }
+
+/// Guards against a process that starts with limits of its machine that can't hold.
+#[test]
+fn limits_of_a_process_out_of_range_are_refused_with_their_line() {
+    let text = "platform: kv\nname: a0\nregion: r\nzone: z\naddress: 127.0.0.1:1\n\
+                minion: 127.0.0.1:2\nlimits:\n  memory: 1 MiB\n  descriptors: 3\n  files: 9\n";
+    let findings = sapphire_settings::jobs::read_agent(text).expect_err("the limits are faulty");
+    insta::assert_snapshot!(finding::report("agent.yaml", &findings));
+}
