net: what the connections of a listener take together is bounded

What callers saw: 96 clients, each within the limits of its connection, made an entry of 64 MiB take 108 MB at `callers`, 1,110 MB at its internal address and 108 MB at the readiness port, an agent 277 MB at its minion's interface: on the machines of the deployments the process is killed, and everybody's requests with it.

Cause: head, body and time were limited for a connection; nothing added the connections up.

Change: each listener has an account (`Limits::memory_bytes`): what its connections take for requests that arrive or are being served and for unread responses, beyond 16 KiB each. When it is full, the connection that takes most gives way: its request, which has not been passed on, is refused with 503 and `Retry-After`; a response that isn't read is given up. A request that is being served is never given up; a new one that doesn't fit is refused instead. Small requests don't count, so ordinary callers are served meanwhile. Received bytes that have not been read count as memory, so the receive buffers of the system are small (`SO_RCVBUF`).

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -151,6 +151,11 @@
         taken.len()
     }
 
+    /// Memory in bytes that the received part takes.
+    pub(crate) fn memory(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns the complete body.
     pub(crate) fn finish(self) -> Bytes {
         Bytes::from(self.bytes)
--- a/crates/net/src/hub.rs
+++ b/crates/net/src/hub.rs
@@ -23,6 +23,7 @@
     message::{Limits, Request, Response},
     outbound, parse, server,
     stream::Stream,
+    turned_away::TurnedAway,
 };
 
 pub use crate::call::{CallId, Failure};
@@ -80,6 +81,14 @@
     Outbound(Box<outbound::Connection>),
 }
 
+/// What the connections of a listener take.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    connections: usize,
+    /// Memory in bytes, as [`Limits::memory_bytes`] counts it.
+    memory: usize,
+}
+
 /// What a socket is ready for.
 #[derive(Clone, Copy, Debug, Default)]
 struct Readiness {
@@ -117,12 +126,13 @@
     pools: BTreeMap<SocketAddr, Pool>,
     events: VecDeque<Event>,
     last_id: u64,
-    inbound: BTreeMap<ListenerId, usize>,
+    inbound: BTreeMap<ListenerId, Usage>,
     is_closing: bool,
     /// Time of the last [`Event::NotAccepted`].
     last_not_accepted: Option<Duration>,
     /// Sockets whose turn ended before all available bytes were read.
     unfinished: BTreeSet<usize>,
+    turned_away: TurnedAway,
 }
 
 impl Hub {
@@ -143,6 +153,7 @@
             is_closing: false,
             last_not_accepted: None,
             unfinished: BTreeSet::new(),
+            turned_away: TurnedAway::default(),
         })
     }
 
@@ -152,11 +163,13 @@
     /// If the system does not allow to listen at the address.
     pub fn listen(&mut self, address: SocketAddr, limits: Limits) -> io::Result<ListenerId> {
         let mut listener = TcpListener::bind(address)?;
+        // Connections inherit it. Without it the system keeps as much as it likes.
+        let _ = setsockopt(&listener, sockopt::RcvBuf, &limits.receive_bytes);
         let entry = self.sockets.vacant_entry();
         let key = entry.key();
         self.poll.registry().register(&mut listener, Token(key), Interest::READABLE)?;
         entry.insert(Socket::Listener { listener, limits });
-        self.inbound.insert(key, 0);
+        self.inbound.insert(key, Usage::default());
         Ok(key)
     }
 
@@ -255,6 +268,11 @@
         self.callers.len()
     }
 
+    /// Returns the numbers of callers that were turned away since the last call.
+    pub fn take_turned_away(&mut self) -> TurnedAway {
+        mem::take(&mut self.turned_away)
+    }
+
     /// Waits for events, for a deadline or until `wait` is over, and handles the sockets.
     ///
     /// # Errors
@@ -330,7 +348,8 @@
                     return;
                 }
             };
-            if self.inbound.get(&key).is_some_and(|open| *open >= limits.connections) {
+            let open = self.inbound.get(&key).map_or(0, |usage| usage.connections);
+            if open >= limits.connections {
                 self.close_stalled(key);
             }
             let entry = self.sockets.vacant_entry();
@@ -343,7 +362,7 @@
             let stream = Stream::new(socket);
             let connection = server::Connection::new(stream, key, limits, clock::now());
             entry.insert(Socket::Inbound(Box::new(connection), 0));
-            *self.inbound.entry(key).or_default() += 1;
+            self.inbound.entry(key).or_default().connections += 1;
         }
     }
 
@@ -361,19 +380,95 @@
     /// so block all other callers. The connection whose deadline is the earliest is closed; one
     /// whose request is being served never is.
     fn close_stalled(&mut self, listener: ListenerId) {
-        let stalled = self.sockets.iter().filter_map(|(key, socket)| match socket {
+        let stalled = self
+            .connections_of(listener)
+            .filter_map(|(key, connection)| connection.deadline.map(|deadline| (deadline, key)));
+        if let Some((_, key)) = stalled.min() {
+            self.turned_away.stalled += 1;
+            self.close(key);
+        }
+    }
+
+    fn connections_of(
+        &self,
+        listener: ListenerId,
+    ) -> impl Iterator<Item = (usize, &server::Connection)> {
+        self.sockets.iter().filter_map(move |(key, socket)| match socket {
             Socket::Inbound(connection, _) if connection.listener == listener => {
-                connection.deadline.map(|deadline| (deadline, key))
+                Some((key, &**connection))
             }
             _ => None,
-        });
-        if let Some((_, key)) = stalled.min() {
-            self.close(key);
+        })
+    }
+
+    /// Updates what a connection takes of the memory of its listener, and has connections give way
+    /// until the listener is within its limit. Returns the step that remains to be done.
+    ///
+    /// Guards against many callers that each send or leave unread no more than one may, and so
+    /// exhaust the memory of the process together.
+    fn limit_memory(&mut self, key: usize, mut step: server::Step) -> server::Step {
+        self.account(key);
+        if matches!(step, server::Step::Disconnected | server::Step::Close) {
+            return step;
         }
+        let Some(Socket::Inbound(connection, _)) = self.sockets.get(key) else { return step };
+        let (listener, limit) = (connection.listener, connection.limits.memory_bytes);
+        while self.inbound.get(&listener).is_some_and(|usage| usage.memory > limit) {
+            // A request that is being served is not given up, but a new one need not be passed on.
+            let is_new = |of| of == key && matches!(step, server::Step::Request(_));
+            let largest = self
+                .connections_of(listener)
+                .filter(|(of, it)| it.accounted > 0 && (it.deadline.is_some() || is_new(*of)))
+                .max_by_key(|(_, it)| it.accounted);
+            let Some((largest, _)) = largest else { break };
+            let next = self.give_way(largest);
+            let is_over = matches!(next, server::Step::Close);
+            if largest != key {
+                if is_over {
+                    self.close(largest);
+                }
+                continue;
+            }
+            step = next;
+            if is_over {
+                break;
+            }
+        }
+        step
+    }
+
+    /// Refuses the request of a connection, or gives up its response.
+    fn give_way(&mut self, key: usize) -> server::Step {
+        let Some(Socket::Inbound(connection, _)) = self.sockets.get_mut(key) else {
+            return server::Step::Wait;
+        };
+        let step = match connection.phase {
+            server::Phase::Reading | server::Phase::Answering { .. } => {
+                connection.refuse(503, clock::now())
+            }
+            server::Phase::Writing { .. } => {
+                self.turned_away.memory += 1;
+                server::Step::Close
+            }
+        };
+        self.account(key);
+        step
+    }
+
+    /// Updates what a connection takes of the memory of its listener.
+    fn account(&mut self, key: usize) {
+        let Some(Socket::Inbound(connection, _)) = self.sockets.get_mut(key) else { return };
+        if let Some(status) = connection.refused.take() {
+            self.turned_away.count_refusal(status);
+        }
+        let Some(usage) = self.inbound.get_mut(&connection.listener) else { return };
+        let excess = connection.excess();
+        usage.memory = usage.memory - connection.accounted + excess;
+        connection.accounted = excess;
     }
 
     fn inbound_step(&mut self, key: usize, step: server::Step) {
-        match step {
+        match self.limit_memory(key, step) {
             server::Step::Wait => {}
             server::Step::Again => {
                 self.unfinished.insert(key);
@@ -430,8 +525,9 @@
             Socket::Listener { .. } => {}
             Socket::Inbound(connection, caller) => {
                 self.callers.remove(&caller);
-                if let Some(open) = self.inbound.get_mut(&connection.listener) {
-                    *open -= 1;
+                if let Some(usage) = self.inbound.get_mut(&connection.listener) {
+                    usage.connections -= 1;
+                    usage.memory -= connection.accounted;
                 }
             }
             Socket::Outbound(connection) => self.remove_outbound(key, connection.target),
@@ -499,6 +595,11 @@
                 let result = Err(Failure::Timeout);
                 self.events.push_back(Event::Answer { call: call.id, result });
             }
+            if let Some(Socket::Inbound(connection, _)) = self.sockets.get(key)
+                && connection.is_transferring()
+            {
+                self.turned_away.late += 1;
+            }
             self.close(key);
         }
         for pool in self.pools.values_mut() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,3 +15,4 @@
 mod server;
 mod stream;
 mod transfer;
+pub mod turned_away;
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -55,6 +55,12 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// Memory in bytes that the request takes, about.
+    pub(crate) fn memory(&self) -> usize {
+        let headers = self.headers.iter().map(|header| header.name.len() + header.value.len());
+        self.method.len() + self.target.len() + headers.sum::<usize>() + self.body.len()
+    }
+
     /// Returns the value of a header, ignoring the case of its name.
     pub fn header(&self, name: &str) -> Option<&str> {
         find(&self.headers, name)
@@ -96,13 +102,25 @@
     pub head_bytes: usize,
     /// Size of the body, in bytes.
     pub body_bytes: usize,
+    /// Memory in bytes that all connections of the listener may take together for requests that
+    /// arrive or are being served and for responses, beyond [`CONNECTION_BYTES`] for each. The
+    /// largest gives way.
+    pub memory_bytes: usize,
+    /// Bytes that the system may keep for a connection that are received and not read yet.
+    pub receive_bytes: usize,
     /// Time in which a request must arrive completely, from its first byte, and in which the caller
     /// must begin to read the response; a caller that reads on is given longer.
     pub request_timeout: Duration,
     /// Time after which a connection without a request is closed.
     pub idle_timeout: Duration,
+    /// Makes the response to a request that is refused with a status code and was not passed on.
+    pub refusal: fn(u16) -> Response,
 }
 
+/// Memory in bytes that each connection may take whatever the others take, so that small requests are
+/// served while large ones have to give way.
+pub const CONNECTION_BYTES: usize = 16 << 10;
+
 impl Default for Limits {
     /// Limits for callers that are other processes of this system.
     fn default() -> Self {
@@ -110,8 +128,18 @@
             connections: 1_024,
             head_bytes: 16 << 10,
             body_bytes: 8 << 20,
+            memory_bytes: 64 << 20,
+            receive_bytes: 64 << 10,
             request_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(30),
+            refusal,
         }
     }
 }
+
+/// Response without a body to a request that is refused. Asks the caller to come back if the process
+/// was short of resources.
+pub fn refusal(status: u16) -> Response {
+    let response = Response::new(status, "");
+    if status == 503 { response.with("Retry-After", "1") } else { response }
+}
--- a/crates/net/src/reader.rs
+++ b/crates/net/src/reader.rs
@@ -28,6 +28,8 @@
 struct Begun<T> {
     message: T,
     keep_alive: bool,
+    /// Length of its head in bytes.
+    head: usize,
     body: Body,
 }
 
@@ -86,7 +88,12 @@
                 let Some(head) = (self.parse_head)(input, self.bounds)? else { return Ok(None) };
                 let body = Body::new(head.framing, self.bounds)?;
                 input.drain(..head.length);
-                Begun { message: head.message, keep_alive: head.keep_alive, body }
+                Begun {
+                    message: head.message,
+                    keep_alive: head.keep_alive,
+                    head: head.length,
+                    body,
+                }
             }
         };
         if begun.body.read(input, has_ended)? {
@@ -105,4 +112,9 @@
     pub(crate) fn reset(&mut self) {
         self.begun = None;
     }
+
+    /// Memory in bytes that an incomplete message takes.
+    pub(crate) fn memory(&self) -> usize {
+        self.begun.as_ref().map_or(0, |begun| begun.head + begun.body.memory())
+    }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    message::{Limits, Request, Response},
+    message::{CONNECTION_BYTES, Limits, Request, Response},
     parse,
     reader::{Progress, Reader},
     stream::{Fill, Stream},
@@ -48,7 +48,7 @@
     pub(crate) stream: Stream,
     pub(crate) listener: usize,
     pub(crate) phase: Phase,
-    limits: Limits,
+    pub(crate) limits: Limits,
     /// Time at which the present phase times out; none while a request is being served.
     pub(crate) deadline: Option<Duration>,
     /// Progress of the response that is being written.
@@ -59,6 +59,12 @@
     has_ended: bool,
     /// Whether the response to the present request must have no body.
     omits_body: bool,
+    /// Memory in bytes that the request takes that has been passed on.
+    passed_on: usize,
+    /// What the listener has accounted for, of the value of `excess`.
+    pub(crate) accounted: usize,
+    /// Status code of a refusal that has not been counted.
+    pub(crate) refused: Option<u16>,
 }
 
 impl Connection {
@@ -77,6 +83,9 @@
             is_readable: false,
             has_ended: false,
             omits_body: false,
+            passed_on: 0,
+            accounted: 0,
+            refused: None,
         }
     }
 
@@ -141,15 +150,36 @@
                 self.stream.shrink();
                 self.phase = Phase::Answering { keep_alive: keep_alive && !self.has_ended };
                 self.omits_body = message.method == "HEAD";
+                self.passed_on = message.memory();
                 self.deadline = None;
                 Step::Request(message)
             }
-            Progress::Malformed(status) => {
-                self.stream.input = Vec::new();
-                self.phase = Phase::Answering { keep_alive: false };
-                self.omits_body = false;
-                self.answer(&Response::new(status, ""), now)
-            }
+            Progress::Malformed(status) => self.refuse(status, now),
+        }
+    }
+
+    /// Refuses the present request, which has not been passed on.
+    pub(crate) fn refuse(&mut self, status: u16, now: Duration) -> Step {
+        self.refused = Some(status);
+        self.reader.reset();
+        self.stream.input = Vec::new();
+        self.phase = Phase::Answering { keep_alive: false };
+        let response = (self.limits.refusal)(status);
+        self.answer(&response, now)
+    }
+
+    /// Memory in bytes that the connection takes beyond [`CONNECTION_BYTES`].
+    pub(crate) fn excess(&self) -> usize {
+        let memory = self.stream.memory() + self.reader.memory() + self.passed_on;
+        memory.saturating_sub(CONNECTION_BYTES)
+    }
+
+    /// Whether a request or a response is being transferred.
+    pub(crate) fn is_transferring(&self) -> bool {
+        match self.phase {
+            Phase::Reading => self.reader.has_begun() || !self.stream.input.is_empty(),
+            Phase::Answering { .. } => false,
+            Phase::Writing { .. } => true,
         }
     }
 
@@ -163,6 +193,7 @@
     /// Sends the response to the outstanding request.
     pub(crate) fn answer(&mut self, response: &Response, now: Duration) -> Step {
         let Phase::Answering { keep_alive } = self.phase else { return Step::Wait };
+        self.passed_on = 0;
         parse::write_response(self.stream.output(), response, keep_alive, self.omits_body);
         self.phase = Phase::Writing { keep_alive };
         self.transfer = Transfer::new(now + self.limits.request_timeout);
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Memory in bytes that both buffers take.
+    pub(crate) fn memory(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
     /// Buffer of what is to be written; bytes may be appended.
     pub(crate) fn output(&mut self) -> &mut Vec<u8> {
         &mut self.output
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -16,7 +16,7 @@
 use sapphire_jobs::{Lead, Orders};
 use sapphire_net::{
     hub::{CallId, CallerId, Event as NetEvent, Failure, Hub, ListenerId},
-    message::{Limits, Request, Response},
+    message::{Request, Response},
 };
 use sapphire_platform as platform;
 use sapphire_runner::{
@@ -32,7 +32,7 @@
 use crate::{
     exposition, internal, jobs_entry, logging,
     reactor::{self, Event, Net},
-    reload,
+    reload, shares, turned_away,
 };
 
 /// Interval at which timeouts are checked.
@@ -64,6 +64,7 @@
     registry: exposition::Registry,
     metrics: StatsdClient,
     skipped_log: platform::skipped_log::SkippedLog,
+    turned_away: turned_away::Report,
 }
 
 impl Role {
@@ -75,9 +76,12 @@
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         self.handle_machine_event(cx, MachineEvent::Tick);
-        if self.settings_file.is_due(reactor::now().steady) {
+        let now = reactor::now().steady;
+        if self.settings_file.is_due(now) {
             self.reload();
         }
+        let turned_away = self.net.borrow_mut().take_turned_away();
+        self.turned_away.report(now, turned_away, &self.metrics, &self.logger);
     }
 
     fn handle(&mut self, cx: CX![], event: Event) {
@@ -246,12 +250,13 @@
 pub fn run(settings: &JobAgent, path: &Path) -> eyre::Result<()> {
     let logger = logging::start_bounded(&settings.logging.clone().unwrap_or_default())?;
     let mut hub = Hub::new().wrap_err("cannot create the event loop")?;
+    let shares = shares::Shares::new(&settings.limits.unwrap_or_default());
     let listeners = Listeners {
-        minion: jobs_entry::listen(&mut hub, &settings.minion, minion_limits())?,
-        internal: jobs_entry::listen(&mut hub, &settings.address, Limits::default())?,
+        minion: jobs_entry::listen(&mut hub, &settings.minion, shares.minion())?,
+        internal: jobs_entry::listen(&mut hub, &settings.address, shares.internal())?,
     };
     if !settings.metrics.is_empty() {
-        jobs_entry::listen(&mut hub, &settings.metrics, minion_limits())?;
+        jobs_entry::listen(&mut hub, &settings.metrics, shares.probes())?;
     }
     let started = reactor::now();
     let registry = exposition::Registry::default();
@@ -276,6 +281,7 @@
         metrics: registry.client(),
         registry,
         skipped_log: platform::skipped_log::SkippedLog::default(),
+        turned_away: turned_away::Report::default(),
     };
     let signals = reactor::Signals::catch()?;
     logger.info(
@@ -289,9 +295,3 @@
     let actor = actor!(stakker, Role::init(role), ret_shutdown!(stakker));
     reactor::run(&mut stakker, &actor, &net, &signals, |actor, event| call!([actor], handle(event)))
 }
-
-/// Limits for requests of the minion, which opens few connections and may send large bodies. They
-/// apply to the metrics as well.
-fn minion_limits() -> Limits {
-    Limits { connections: 64, body_bytes: 4 << 20, ..Limits::default() }
-}
--- a/crates/sapphired/src/jobs_entry/mod.rs
+++ b/crates/sapphired/src/jobs_entry/mod.rs
@@ -40,7 +40,7 @@
 use crate::{
     exposition, logging,
     reactor::{self, Event, Net},
-    reload,
+    reload, shares, turned_away,
 };
 
 /// Interval at which timeouts are checked.
@@ -132,6 +132,7 @@
     terminating_since: Option<Duration>,
     meter: meter::Meter,
     skipped_log: platform::skipped_log::SkippedLog,
+    turned_away: turned_away::Report,
 }
 
 /// An effect of either state machine that is still to be performed.
@@ -160,6 +161,8 @@
         if self.settings_file.is_due(now.steady) {
             self.reload();
         }
+        let turned_away = self.net.borrow_mut().take_turned_away();
+        self.turned_away.report(now.steady, turned_away, &self.metrics, &self.logger);
         if let Some(since) = self.terminating_since {
             let is_quiet = self.net.borrow().callers() == 0 && self.front.is_idle();
             let waited = now.steady.saturating_sub(since);
@@ -262,13 +265,14 @@
 pub fn run(settings: &JobEntry, path: &Path) -> eyre::Result<()> {
     let logger = logging::start_bounded(&settings.logging.clone().unwrap_or_default())?;
     let mut hub = Hub::new().wrap_err("cannot create the event loop")?;
+    let shares = shares::Shares::new(&settings.limits.unwrap_or_default());
     let listeners = Listeners {
-        callers: listen(&mut hub, &settings.callers, options::callers())?,
-        ready: listen(&mut hub, &settings.ready, options::callers())?,
-        internal: listen(&mut hub, &settings.address, Limits::default())?,
+        callers: listen(&mut hub, &settings.callers, shares.callers())?,
+        ready: listen(&mut hub, &settings.ready, shares.probes())?,
+        internal: listen(&mut hub, &settings.address, shares.internal())?,
     };
     if !settings.metrics.is_empty() {
-        listen(&mut hub, &settings.metrics, options::callers())?;
+        listen(&mut hub, &settings.metrics, shares.probes())?;
     }
     let registry = exposition::Registry::default();
     let started = reactor::now();
@@ -294,6 +298,7 @@
         terminating_since: None,
         meter: meter::Meter::default(),
         skipped_log: platform::skipped_log::SkippedLog::default(),
+        turned_away: turned_away::Report::default(),
     };
     let signals = reactor::Signals::catch()?;
     logger.info("member", &format!("entry={} starts callers={}", settings.name, settings.callers));
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -1,9 +1,8 @@
-//! Options of the entry's two state machines and limits for its callers, from the settings.
+//! Options of the entry's two state machines, from the settings.
 
 use std::time::Duration;
 
 use sapphire_front as front;
-use sapphire_net::message::Limits;
 use sapphire_plan::{policy::Policy, share, speed, stops};
 use sapphire_planner::{self as planner, event::Moment};
 use sapphire_platform as platform;
@@ -17,18 +16,6 @@
 /// Longest lease that is granted to minions.
 const MAX_LEASE: Duration = Duration::from_secs(6);
 
-/// Limits for requests of callers. When the connections are used up, the hub closes one that has
-/// stalled, so that slow clients do not keep out others.
-pub(super) fn callers() -> Limits {
-    Limits {
-        connections: 1_024,
-        head_bytes: 16 << 10,
-        body_bytes: 1 << 20,
-        request_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    }
-}
-
 /// Options of the front.
 pub(super) fn front(settings: &JobEntry, started: Moment) -> front::options::Options {
     let bounds = settings.bounds.unwrap_or_default();
--- a/crates/sapphired/src/logging.rs
+++ b/crates/sapphired/src/logging.rs
@@ -3,6 +3,7 @@
 
 use eyre::WrapErr as _;
 use log::LevelFilter;
+use sapphire_net::turned_away::TurnedAway;
 use sapphire_settings::Logging;
 use simplelog::{ColorChoice, Config, ConfigBuilder, TermLogger, TerminalMode, WriteLogger};
 
@@ -45,6 +46,13 @@
         .build()
 }
 
+/// Line about callers that met a limit, if there were any.
+pub fn turned_away(counts: &TurnedAway) -> Option<String> {
+    let texts: Vec<String> =
+        counts.by_reason().map(|(reason, count)| format!("{reason}={count}")).collect();
+    (!texts.is_empty()).then(|| format!("callers turned away {}", texts.join(" ")))
+}
+
 impl Logger {
     /// Level of a part; the general level for parts without a setting of their own.
     fn level(&self, part: &str) -> LevelFilter {
--- a/crates/sapphired/src/main.rs
+++ b/crates/sapphired/src/main.rs
@@ -20,8 +20,10 @@
 mod reactor;
 mod reload;
 mod runtime;
+mod shares;
 mod sink;
 mod store;
+mod turned_away;
 mod worker;
 
 use std::{
