net: connections of a listener are bounded even while all are being served

What callers saw: 192 idle connections, or held requests, made an entry and an agent open 201 to 209 descriptors where they may have 128; on the machines of the deployments four listeners with 1,024 connections each are more than the 3,900 sockets. Without descriptors a process reaches neither its store nor its minion.

Cause: the limits of the listeners were constants that no one had added up, and a connection above the limit was accepted all the same when requests were being served on all others.

A further connection takes the place of one that is idle or in the middle of a request, as before; if there is none it is answered 503 with `Retry-After` and closed before anything is read. Connections are accepted in turns of 64, so that a flood of them doesn't hold up the others, and after a failure (no descriptors) again each second: no event announces connections that already wait.

--- a/crates/net/src/hub.rs
+++ b/crates/net/src/hub.rs
@@ -2,7 +2,8 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    io, mem,
+    io::{self, Write as _},
+    mem,
     net::SocketAddr,
     time::Duration,
 };
@@ -38,8 +39,10 @@
 /// Largest number of connections to one address; further calls wait. Higher than the number of
 /// calls that one process has outstanding at one peer (a long poll, a report, some relayed calls).
 const MAX_CONNECTIONS_PER_TARGET: usize = 16;
+/// Most connections that are accepted in one turn.
+const MAX_ACCEPTED: usize = 64;
 /// Shortest time between two reports of connections that could not be accepted. A process that has
-/// run out of file descriptors would otherwise report one at each event.
+/// run out of file descriptors would otherwise report one at each event. It tries again as often.
 const NOT_ACCEPTED_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which an unused outbound connection is closed; shorter than the idle timeout of usual
 /// servers.
@@ -130,8 +133,10 @@
     is_closing: bool,
     /// Time of the last [`Event::NotAccepted`].
     last_not_accepted: Option<Duration>,
-    /// Sockets whose turn ended before all available bytes were read.
+    /// Sockets whose turn ended before all available bytes were read or connections accepted.
     unfinished: BTreeSet<usize>,
+    /// Listeners at which a connection could not be accepted.
+    not_accepting: BTreeSet<ListenerId>,
     turned_away: TurnedAway,
 }
 
@@ -153,6 +158,7 @@
             is_closing: false,
             last_not_accepted: None,
             unfinished: BTreeSet::new(),
+            not_accepting: BTreeSet::new(),
             turned_away: TurnedAway::default(),
         })
     }
@@ -334,7 +340,7 @@
     }
 
     fn accept(&mut self, key: usize) {
-        loop {
+        for _ in 0..MAX_ACCEPTED {
             let Some(Socket::Listener { listener, limits }) = self.sockets.get(key) else { return };
             let limits = *limits;
             let mut socket = match listener.accept() {
@@ -342,15 +348,18 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => {
-                    // The process is out of file descriptors, or the caller has disconnected: the
-                    // next event tries again.
+                    // The process is out of file descriptors, or the caller has disconnected. No
+                    // event announces the connections again that already wait.
+                    self.not_accepting.insert(key);
                     self.report_not_accepted(key, &error);
                     return;
                 }
             };
             let open = self.inbound.get(&key).map_or(0, |usage| usage.connections);
-            if open >= limits.connections {
-                self.close_stalled(key);
+            if open >= limits.connections && !self.close_stalled(key) {
+                self.turned_away.connections += 1;
+                refuse_connection(&mut socket, limits);
+                continue;
             }
             let entry = self.sockets.vacant_entry();
             let interest = Interest::READABLE | Interest::WRITABLE;
@@ -364,6 +373,7 @@
             entry.insert(Socket::Inbound(Box::new(connection), 0));
             self.inbound.entry(key).or_default().connections += 1;
         }
+        self.unfinished.insert(key);
     }
 
     fn report_not_accepted(&mut self, listener: ListenerId, error: &io::Error) {
@@ -374,19 +384,19 @@
         }
     }
 
-    /// Closes a connection so that a new one can be accepted.
+    /// Closes a connection so that a new one can be accepted; returns whether one was closed.
     ///
     /// Guards against callers that open connections and send nothing or only part of a request, and
     /// so block all other callers. The connection whose deadline is the earliest is closed; one
     /// whose request is being served never is.
-    fn close_stalled(&mut self, listener: ListenerId) {
+    fn close_stalled(&mut self, listener: ListenerId) -> bool {
         let stalled = self
             .connections_of(listener)
             .filter_map(|(key, connection)| connection.deadline.map(|deadline| (deadline, key)));
-        if let Some((_, key)) = stalled.min() {
-            self.turned_away.stalled += 1;
-            self.close(key);
-        }
+        let Some((_, key)) = stalled.min() else { return false };
+        self.turned_away.stalled += 1;
+        self.close(key);
+        true
     }
 
     fn connections_of(
@@ -568,12 +578,21 @@
                 next = next.min(call.deadline.saturating_sub(now));
             }
         }
+        if !self.not_accepting.is_empty() {
+            next = next.min(NOT_ACCEPTED_INTERVAL);
+        }
         next
     }
 
-    /// Closes connections and fails calls whose deadline has passed.
+    /// Closes connections and fails calls whose deadline has passed, and accepts connections again
+    /// that could not be accepted.
     fn expire(&mut self) {
         let now = clock::now();
+        if self.last_not_accepted.is_none_or(|last| now >= last + NOT_ACCEPTED_INTERVAL) {
+            for listener in mem::take(&mut self.not_accepting) {
+                self.accept(listener);
+            }
+        }
         let mut expired = Vec::new();
         for (key, socket) in &self.sockets {
             let is_expired = match socket {
@@ -614,3 +633,11 @@
         }
     }
 }
+
+/// Answers a connection that is not accepted, as far as that is possible without waiting.
+fn refuse_connection(socket: &mut TcpStream, limits: Limits) {
+    let mut bytes = Vec::new();
+    parse::write_response(&mut bytes, &(limits.refusal)(503), false, false);
+    // The caller has disconnected, or is told by the end of the connection.
+    let _ = socket.write(&bytes);
+}
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -95,8 +95,8 @@
 /// Limits of a listener and its connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Open connections of the listener; for a further one the connection whose timeout is due first
-    /// is closed.
+    /// Open connections of the listener. For a further one, the connection whose timeout is due
+    /// first is closed; if all requests are being served, the further one is refused.
     pub connections: usize,
     /// Size of the request line and headers, in bytes.
     pub head_bytes: usize,
--- a/crates/net/src/turned_away.rs
+++ b/crates/net/src/turned_away.rs
@@ -7,6 +7,8 @@
     pub memory: u64,
     /// Closed in favour of a new connection, while they were idle or sent a part of a request.
     pub stalled: u64,
+    /// Refused since all connections of their listener had requests that were being served.
+    pub connections: u64,
     /// Sent a head or body above the limit.
     pub too_large: u64,
     /// Sent what is no HTTP request.
@@ -21,6 +23,7 @@
         let all = [
             ("memory", self.memory),
             ("stalled", self.stalled),
+            ("connections", self.connections),
             ("too_large", self.too_large),
             ("malformed", self.malformed),
             ("late", self.late),
@@ -32,6 +35,7 @@
     pub fn add(&mut self, other: TurnedAway) {
         self.memory += other.memory;
         self.stalled += other.stalled;
+        self.connections += other.connections;
         self.too_large += other.too_large;
         self.malformed += other.malformed;
         self.late += other.late;
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -103,6 +103,42 @@
     server.join().expect("the server ends");
 }
 
+/// Guards against connections without limit whose requests are being served: a further one is refused,
+/// and told that it may come back.
+#[test]
+fn a_connection_beyond_those_that_are_served_is_refused() {
+    let address = free_address();
+    let server = serve(address, Limits { connections: 4, ..Limits::default() });
+    let mut served: Vec<TcpStream> = (0..4)
+        .map(|_| {
+            let mut socket = TcpStream::connect(address).expect("the server listens");
+            socket.write_all(b"GET /never HTTP/1.1\r\nHost: x\r\n\r\n").expect("can be sent");
+            socket
+        })
+        .collect();
+    // Which connections are accepted before the others' requests are read depends on the system.
+    let refusal = (0..100).find_map(|_| {
+        let mut socket = TcpStream::connect(address).expect("the server listens");
+        let mut answer = String::new();
+        socket.write_all(b"GET /never HTTP/1.1\r\nHost: x\r\n\r\n").expect("can be sent");
+        socket.set_read_timeout(Some(Duration::from_millis(100))).expect("a timeout can be set");
+        let _ = socket.read_to_string(&mut answer);
+        served.push(socket);
+        answer.contains("\r\n\r\n").then_some(answer)
+    });
+    let refusal = refusal.expect("a further connection is refused");
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert!(refusal.contains("Retry-After: 1\r\n"), "{refusal}");
+    drop(served);
+    // A further connection is refused until those of the others have been closed.
+    while !server.is_finished() {
+        let Ok(mut socket) = TcpStream::connect(address) else { break };
+        let _ = socket.write_all(b"GET /end HTTP/1.1\r\nHost: x\r\n\r\n");
+        let _ = socket.read(&mut [0; 64]);
+    }
+    server.join().expect("the server ends");
+}
+
 #[test]
 fn a_disconnected_caller_is_reported() {
     let address = free_address();
--- /dev/null
+++ b/crates/sapphired/tests/clients/machines.rs
@@ -0,0 +1,48 @@
+//! The shares of the interfaces on the machines of the deployments.
+
+use sapphire_net::message::{CONNECTION_BYTES, Limits};
+use sapphire_settings::ProcessLimits;
+
+use crate::{daemon, shares::Shares};
+
+/// Memory in bytes and descriptors of machines.
+const MACHINES: [(u64, u32); 5] = [
+    (128 << 20, 4_096),
+    (160 << 20, 4_100),
+    (260 << 20, 4_100),
+    (384 << 20, 4_100),
+    (512 << 20, 8_192),
+];
+/// Descriptors that are kept for files on a machine of a deployment.
+const FILES: usize = 200;
+
+/// Most memory in bytes that an interface takes.
+fn memory(limits: &Limits) -> usize {
+    limits.memory_bytes + limits.connections * (CONNECTION_BYTES + limits.receive_bytes)
+}
+
+fn interfaces(shares: &Shares) -> [Vec<Limits>; 2] {
+    [
+        vec![shares.callers(), shares.internal(), shares.probes(), shares.probes()],
+        vec![shares.minion(), shares.internal(), shares.probes()],
+    ]
+}
+
+/// Guards against interfaces whose limits add up to more than the machine has.
+#[test]
+fn interfaces_leave_a_part_of_each_machine() {
+    let test = (daemon::MEMORY, u32::try_from(daemon::DESCRIPTORS).expect("a small number"));
+    for (machine, is_deployed) in MACHINES.map(|it| (it, true)).into_iter().chain([(test, false)]) {
+        let (memory_bytes, descriptors) = machine;
+        let shares = Shares::new(&ProcessLimits { memory_bytes, descriptors });
+        for role in interfaces(&shares) {
+            let taken: usize = role.iter().map(memory).sum();
+            assert!(taken as u64 <= memory_bytes / 8 * 7, "{machine:?}: {taken} bytes, {role:?}");
+            let connections: usize = role.iter().map(|limits| limits.connections).sum();
+            let files = if is_deployed { FILES } else { 0 };
+            let sockets = descriptors as usize - files;
+            assert!(connections <= sockets / 4 * 3, "{machine:?}: {connections}, {role:?}");
+            assert!(role.iter().all(|limits| limits.memory_bytes > limits.body_bytes));
+        }
+    }
+}
--- a/crates/sapphired/tests/clients/main.rs
+++ b/crates/sapphired/tests/clients/main.rs
@@ -16,6 +16,9 @@
 mod callers;
 mod http;
 mod internal;
+mod machines;
 mod metrics;
 mod minion;
 mod ready;
+#[path = "../../src/shares.rs"]
+mod shares;
