net: a refused caller gets to read why, and one that asks may send its body

What callers saw: whoever sent a body above the limit lost the connection while sending (EPIPE) and never saw the 413; with 503 under pressure it would have lost `Retry-After` too. Callers that announce `Expect: 100-continue` waited in vain for permission, and lost the request at its timeout if they never sent the body without it.

Cause: a connection was closed right after the refusal, with unread bytes, which resets it. `Expect` was ignored.

Change: after a refusal the sending side is closed and what still arrives is discarded, for at most a second and the size of one request; such a connection is the first to be closed for a new one. A caller that expects it gets 100 once its head has been accepted.

Before: `hub::a_refusal_is_read_by_a_caller_that_sends_its_whole_body` (broken pipe) and `hub::a_caller_that_waits_for_permission_may_send_its_body` (end of file) fail.

--- a/crates/net/src/hub.rs
+++ b/crates/net/src/hub.rs
@@ -460,6 +460,7 @@
                 self.turned_away.memory += 1;
                 server::Step::Close
             }
+            server::Phase::Draining => server::Step::Close,
         };
         self.account(key);
         step
--- a/crates/net/src/parse.rs
+++ b/crates/net/src/parse.rs
@@ -28,6 +28,8 @@
     pub(crate) framing: Framing,
     /// Whether the connection can be used for another message.
     pub(crate) keep_alive: bool,
+    /// Whether the sender waits for a response with status 100 before it sends the body.
+    pub(crate) awaits_continue: bool,
 }
 
 /// Parses the head of a request at the start of a buffer; returns none if it is incomplete.
@@ -52,8 +54,11 @@
         framing => framing,
     };
     let keep_alive = keeps_alive(&headers, version);
+    let expects =
+        find(&headers, "Expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
     let message = Request { method, target, headers: without_framing(headers), body: Bytes::new() };
-    Ok(Some(Head { message, length, framing, keep_alive }))
+    let awaits_continue = expects && version >= 1;
+    Ok(Some(Head { message, length, framing, keep_alive, awaits_continue }))
 }
 
 /// Parses the head of a response at the start of a buffer; returns none if it is incomplete.
@@ -77,7 +82,7 @@
     };
     let keep_alive = keeps_alive(&headers, version) && framing != Framing::UntilClose;
     let message = Response { status, headers: without_framing(headers), body: Bytes::new() };
-    Ok(Some(Head { message, length, framing, keep_alive }))
+    Ok(Some(Head { message, length, framing, keep_alive, awaits_continue: false }))
 }
 
 /// Whether responses with this status code never have a body.
--- a/crates/net/src/reader.rs
+++ b/crates/net/src/reader.rs
@@ -31,6 +31,8 @@
     /// Length of its head in bytes.
     head: usize,
     body: Body,
+    /// Whether the peer waits for a response with status 100 before it sends the body.
+    awaits_continue: bool,
 }
 
 /// Parses a head at the start of the input, if it is complete.
@@ -93,12 +95,14 @@
                     keep_alive: head.keep_alive,
                     head: head.length,
                     body,
+                    awaits_continue: head.awaits_continue,
                 }
             }
         };
         if begun.body.read(input, has_ended)? {
             return Ok(Some(begun));
         }
+        begun.awaits_continue &= begun.body.memory() == 0;
         self.begun = Some(begun);
         Ok(None)
     }
@@ -108,6 +112,11 @@
         self.begun.is_some()
     }
 
+    /// Whether the peer waits for permission to send the body; true at most once for each message.
+    pub(crate) fn take_awaits_continue(&mut self) -> bool {
+        self.begun.as_mut().is_some_and(|begun| std::mem::take(&mut begun.awaits_continue))
+    }
+
     /// Drops an incomplete message.
     pub(crate) fn reset(&mut self) {
         self.begun = None;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,6 +1,6 @@
 //! Connections that callers have opened to this process.
 
-use std::time::Duration;
+use std::{net::Shutdown, time::Duration};
 
 use crate::{
     message::{CONNECTION_BYTES, Limits, Request, Response},
@@ -13,10 +13,15 @@
 /// Bytes behind a request that are read before it is answered. Enough to notice that a caller has
 /// closed its connection; the rest stays with the system, which stops the caller.
 const MAX_BEHIND: usize = 16 << 10;
+/// Tells a caller that waits for it to send the body of its request.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Most reads from one connection in one turn, so that a caller that sends fast doesn't keep the
 /// others waiting.
 const MAX_READS: usize = 64;
 
+/// Time within which a caller whose request was refused has to close the connection.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -26,6 +31,8 @@
     Answering { keep_alive: bool },
     /// The response is being written.
     Writing { keep_alive: bool },
+    /// A refusal has been written, and what the caller still sends is discarded.
+    Draining,
 }
 
 /// Result of an event on a connection.
@@ -63,6 +70,10 @@
     passed_on: usize,
     /// What the listener has accounted for, of the value of `excess`.
     pub(crate) accounted: usize,
+    /// Whether the present response refuses a request that may still be arriving.
+    is_refusal: bool,
+    /// Bytes that were discarded.
+    drained: usize,
     /// Status code of a refusal that has not been counted.
     pub(crate) refused: Option<u16>,
 }
@@ -85,6 +96,8 @@
             omits_body: false,
             passed_on: 0,
             accounted: 0,
+            is_refusal: false,
+            drained: 0,
             refused: None,
         }
     }
@@ -106,18 +119,27 @@
     /// Reads until a request is complete or nothing more is available.
     fn advance(&mut self, now: Duration) -> Step {
         for _ in 0..MAX_READS {
-            if self.phase == Phase::Reading {
-                if !self.stream.input.is_empty() {
-                    match self.read_request(now) {
-                        Step::Wait => {}
-                        step => return step,
+            match self.phase {
+                Phase::Reading => {
+                    if !self.stream.input.is_empty() {
+                        match self.read_request(now) {
+                            Step::Wait => {}
+                            step => return step,
+                        }
+                    }
+                    if self.has_ended {
+                        return Step::Close;
                     }
                 }
-                if self.has_ended {
-                    return Step::Close;
+                Phase::Draining => {
+                    self.drained += self.stream.input.len();
+                    self.stream.input.clear();
+                    if self.drained > self.limits.head_bytes + self.limits.body_bytes {
+                        return Step::Close;
+                    }
                 }
-            } else if self.stream.input.len() >= MAX_BEHIND {
-                return Step::Wait;
+                _ if self.stream.input.len() >= MAX_BEHIND => return Step::Wait,
+                _ => {}
             }
             if !self.is_readable {
                 return Step::Wait;
@@ -145,7 +167,16 @@
     /// Reads on from the input.
     fn read_request(&mut self, now: Duration) -> Step {
         match self.reader.read(&mut self.stream.input, self.has_ended) {
-            Progress::Incomplete => Step::Wait,
+            Progress::Incomplete => {
+                if self.reader.take_awaits_continue() {
+                    self.stream.output().extend_from_slice(CONTINUE);
+                    // What could not be written is written with the response.
+                    if self.stream.flush().is_err() {
+                        return Step::Close;
+                    }
+                }
+                Step::Wait
+            }
             Progress::Complete { message, keep_alive } => {
                 self.stream.shrink();
                 self.phase = Phase::Answering { keep_alive: keep_alive && !self.has_ended };
@@ -161,6 +192,7 @@
     /// Refuses the present request, which has not been passed on.
     pub(crate) fn refuse(&mut self, status: u16, now: Duration) -> Step {
         self.refused = Some(status);
+        self.is_refusal = true;
         self.reader.reset();
         self.stream.input = Vec::new();
         self.phase = Phase::Answering { keep_alive: false };
@@ -180,6 +212,7 @@
             Phase::Reading => self.reader.has_begun() || !self.stream.input.is_empty(),
             Phase::Answering { .. } => false,
             Phase::Writing { .. } => true,
+            Phase::Draining => false,
         }
     }
 
@@ -218,7 +251,21 @@
                 self.deadline = Some(now + time);
                 self.advance(now)
             }
+            Ok(true) if self.is_refusal && !self.has_ended => self.drain(now),
             Ok(true) => Step::Close,
         }
     }
+
+    /// Closes the sending side and discards what still arrives.
+    ///
+    /// Guards against a refusal that its caller never sees: a connection that is closed with unread
+    /// bytes is reset, and the reset overtakes the response.
+    fn drain(&mut self, now: Duration) -> Step {
+        if self.stream.socket.shutdown(Shutdown::Write).is_err() {
+            return Step::Close;
+        }
+        self.phase = Phase::Draining;
+        self.deadline = Some(now + DRAIN_TIMEOUT);
+        self.advance(now)
+    }
 }
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -196,6 +196,43 @@
     server.join().expect("the server ends");
 }
 
+/// Guards against a refusal that its caller never sees: the connection is closed while the rest of the
+/// request is on its way, and the reset overtakes the response.
+#[test]
+fn a_refusal_is_read_by_a_caller_that_sends_its_whole_body() {
+    let address = free_address();
+    let limits = Limits::default();
+    let server = serve(address, limits);
+    let body = "x".repeat(limits.body_bytes + 1);
+    for _ in 0..5 {
+        let head = format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len());
+        let answer = send(address, &(head + &body));
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    }
+    stop(address);
+    server.join().expect("the server ends");
+}
+
+/// Guards against callers that wait for permission to send their bodies, and get none.
+#[test]
+fn a_caller_that_waits_for_permission_may_send_its_body() {
+    let address = free_address();
+    let server = serve(address, Limits::default());
+    let mut socket = TcpStream::connect(address).expect("the server listens");
+    socket.set_read_timeout(Some(WAIT)).expect("a timeout can be set");
+    let head = "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+    socket.write_all(head.as_bytes()).expect("the head can be sent");
+    let mut permission = [0; 25];
+    socket.read_exact(&mut permission).expect("the server responds");
+    assert_eq!(&permission, b"HTTP/1.1 100 Continue\r\n\r\n");
+    socket.write_all(b"abc").expect("the body can be sent");
+    let mut answer = [0; 15];
+    socket.read_exact(&mut answer).expect("the server responds");
+    assert_eq!(&answer, b"HTTP/1.1 200 OK");
+    stop(address);
+    server.join().expect("the server ends");
+}
+
 fn outcome(hub: &mut Hub) -> Result<Response, Failure> {
     loop {
         hub.poll(WAIT).expect("the event queue works");
