sapphired: the product's own interface is served by net instead of tiny_http

What callers saw: one request with `Content-Length:` ended an entry, or, with a length that the system grants, held its four answering threads until nobody was answered any more. Heads without end took 260 MB of 64 with 96 clients, bytes behind a request 207 MB, chunks 355 MB, and 192 silent connections opened 400 descriptors.

Cause: `tiny_http` reads heads without bound before the program sees the request, gives each connection a thread, bounds none, and when a refused request is dropped it allocates what is left of the announced body and reads it. None of this can be set or guarded from outside.

Change: `http.rs` runs a `net::hub::Hub` on a thread of its own; answers wake it. Limits are shares of `limits.memory` and `limits.descriptors`. Refusals carry their account (`not-run`). Callers that leave are now reported (`CallerLeft`), connections are closed after their next answer once a drain begins, and the process writes what it has answered before it exits.

Before: `http::announced_bodies`, `bytes_behind_requests`, `connections`, `heads`, `unannounced_bodies` and `unread_answers` fail. After: they pass, one run each, and the 6 tests of `processes::`. `http::expanding_bodies` is still red: 2,141 MB for rule files whose lines are all faulty, another cause.

--- a/crates/net/src/hub.rs
+++ b/crates/net/src/hub.rs
@@ -28,12 +28,15 @@
 };
 
 pub use crate::call::{CallId, Failure};
+pub use mio::Waker;
 
 /// Identifier of a request that waits for its response; never reused.
 pub type CallerId = u64;
 /// Identifier of a listening socket.
 pub type ListenerId = usize;
 
+/// Token of the waker; no socket has it.
+const WAKE: Token = Token(usize::MAX);
 /// Largest number of events that one system call returns.
 const MAX_EVENTS: usize = 256;
 /// Largest number of connections to one address; further calls wait. Higher than the number of
@@ -163,6 +166,14 @@
         })
     }
 
+    /// Returns a handle with which other threads end the wait of [`Hub::poll`].
+    ///
+    /// # Errors
+    /// If the system provides no further event source.
+    pub fn waker(&self) -> io::Result<Waker> {
+        Waker::new(self.poll.registry(), WAKE)
+    }
+
     /// Starts to listen at an address.
     ///
     /// # Errors
@@ -274,6 +285,17 @@
         self.callers.len()
     }
 
+    /// Whether a response is being written.
+    pub fn is_writing(&self) -> bool {
+        let is_writing = |socket: &Socket| match socket {
+            Socket::Inbound(connection, _) => {
+                matches!(connection.phase, server::Phase::Writing { .. })
+            }
+            _ => false,
+        };
+        self.sockets.iter().any(|(_, socket)| is_writing(socket))
+    }
+
     /// Returns the numbers of callers that were turned away since the last call.
     pub fn take_turned_away(&mut self) -> TurnedAway {
         mem::take(&mut self.turned_away)
--- a/crates/sapphired/src/entry_role.rs
+++ b/crates/sapphired/src/entry_role.rs
@@ -9,7 +9,7 @@
 use sapphire_wire::peer;
 use stakker::{CX, Stakker, actor, after, call, ret_shutdown, stop};
 
-use crate::{clock, http, logging, mesh, metrics, runtime, store};
+use crate::{clock, http, logging, mesh, metrics, runtime, shares, store};
 
 /// Interval at which timeouts are checked.
 const TICK: Duration = Duration::from_millis(50);
@@ -44,11 +44,27 @@
             self.metrics.gauge("agents", self.machine.registry().agents().len() as u64);
             let jobs = self.machine.planner().map_or(0, |planner| planner.jobs().len());
             self.metrics.gauge("jobs", jobs as u64);
+            self.report_turned_away();
+        }
+    }
+
+    /// Counts and logs the callers that met a limit.
+    fn report_turned_away(&mut self) {
+        let turned_away = self.endpoint.take_turned_away();
+        for (reason, count) in turned_away.by_reason() {
+            self.metrics
+                .count(&format!("turned_away.{reason}"), i64::try_from(count).unwrap_or(i64::MAX));
+        }
+        if let Some(line) = logging::turned_away(&turned_away) {
+            self.logger.info("edge", &line);
         }
     }
 
     fn handle(&mut self, cx: CX![], event: Event) {
         let now = self.clock.at(cx.now());
+        if matches!(event, Event::Drain) {
+            self.endpoint.close_after_answers();
+        }
         for effect in self.machine.handle(now, event) {
             self.perform(cx, effect);
         }
@@ -86,15 +102,18 @@
         metrics::Sender::new(&settings.metrics.clone().unwrap_or_default(), &settings.name)?;
     let clock = clock::Clock::start();
     let options = options(settings, clock);
-    let max_body = settings.limits.unwrap_or_default().body_bytes;
+    let limits = settings.limits.unwrap_or_default();
+    let shares = shares::Shares::new(&limits.process.unwrap_or_default());
+    let http_limits = shares.http(usize::try_from(limits.body_bytes)?, http::refusal);
     let (events, queue) = bounded(runtime::MAX_EVENTS);
+    let endpoint = http::Endpoint::start(&settings.http, http_limits, &events)?;
     mesh::listen(&settings.address, events.clone(), |envelope| Event::Frame(Box::new(envelope)))?;
     let role = Role {
         machine: machine::Machine::new(options),
         clock,
         mesh: mesh::Mesh::default(),
         store: store::Store::start(&settings.store, &events)?,
-        endpoint: http::Endpoint::start(&settings.http, usize::try_from(max_body)?, &events)?,
+        endpoint: endpoint.clone(),
         logger: logger.clone(),
         metrics,
         ticks: 0,
@@ -104,6 +123,9 @@
     let mut stakker = Stakker::new(Instant::now());
     let actor = actor!(stakker, Role::init(role), ret_shutdown!(stakker));
     runtime::run(&mut stakker, &actor, &queue, |_, actor, event| call!([actor], handle(event)));
+    drop(actor);
+    drop(stakker);
+    endpoint.finish();
     Ok(())
 }
 
--- a/crates/sapphired/src/http.rs
+++ b/crates/sapphired/src/http.rs
@@ -1,199 +1,212 @@
-//! HTTP/1.1 endpoint of the entry, for callers and operators: accepts requests, reports them as
-//! events and writes the answers, on threads of its own.
+//! HTTP/1.1 endpoint of the entry, for callers and operators: an event loop on a thread of its own,
+//! which reports requests as events and writes the answers.
 
 use std::{
-    io::Read as _,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
-    },
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use crossbeam_channel::{Receiver, Sender, unbounded};
-use eyre::eyre;
+use crossbeam_channel::{Receiver, Sender, TryRecvError, bounded, unbounded};
+use eyre::WrapErr as _;
 use sapphire_entry::{
     answer::{Account, Answer},
     api, event,
 };
+use sapphire_net::{
+    hub::{Event, Hub, Waker},
+    message::{Limits, Request, Response},
+    turned_away::TurnedAway,
+};
 use sapphire_wire::Header;
-use tiny_http::{Request, Response, Server};
 
 use crate::runtime;
 
-/// Threads that accept requests.
-const ACCEPT_THREADS: usize = 2;
-/// Threads that write answers.
-const ANSWER_THREADS: usize = 4;
-/// Maximum number of bodies that are read at the same time, each on a thread of its own.
-const MAX_BODY_READERS: usize = 64;
-/// Maximum size of all headers and the request target together.
-const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Longest wait for network events.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Longest time for which answers are written after the endpoint has been finished.
+const MAX_FINISH: Duration = Duration::from_secs(2);
 
-/// Requests without an answer yet, by the caller's identifier.
-type Pending = Arc<Mutex<slab::Slab<Request>>>;
+/// Order to the thread of the endpoint.
+enum Order {
+    Answer(event::Caller, Answer),
+    CloseAfterAnswers,
+}
 
 /// Listens at one address and answers the requests that arrive there.
 #[derive(Clone)]
 pub struct Endpoint {
-    pending: Pending,
-    answers: Sender<(Request, Answer)>,
+    orders: Sender<Order>,
+    waker: Arc<Waker>,
+    turned_away: Arc<Mutex<TurnedAway>>,
+    /// Disconnected once the thread has ended.
+    ended: Receiver<()>,
 }
 
-/// Checks incoming requests, reads their bodies and reports them as events.
-#[derive(Clone)]
-struct Acceptor {
-    pending: Pending,
+/// What the thread of the endpoint owns.
+struct Server {
+    hub: Hub,
     events: Sender<event::Event>,
-    max_body: usize,
-    /// Number of bodies that are being read.
-    body_readers: Arc<AtomicUsize>,
-    answers: Sender<(Request, Answer)>,
+    orders: Receiver<Order>,
+    turned_away: Arc<Mutex<TurnedAway>>,
 }
 
 impl Endpoint {
-    /// Listens and starts the threads.
+    /// Listens and starts the thread.
     ///
     /// # Errors
-    /// When the address can't be listened on or a thread can't be started.
+    /// When the address can't be listened on or the thread can't be started.
     pub fn start(
         address: &str,
-        max_body: usize,
+        limits: Limits,
         events: &Sender<event::Event>,
     ) -> eyre::Result<Self> {
-        let server =
-            Server::http(address).map_err(|error| eyre!("cannot listen at {address}: {error}"))?;
-        let server = Arc::new(server);
-        let pending = Pending::default();
-        let (answers, queue) = unbounded();
-        for _ in 0..ANSWER_THREADS {
-            let queue: Receiver<(Request, Answer)> = queue.clone();
-            runtime::spawn("http-answer", move || queue.iter().for_each(respond))?;
-        }
-        let acceptor = Acceptor {
-            pending: pending.clone(),
+        let parsed: SocketAddr =
+            address.parse().wrap_err_with(|| format!("invalid address {address}"))?;
+        let mut hub = Hub::new().wrap_err("cannot create the event loop")?;
+        hub.listen(parsed, limits).wrap_err_with(|| format!("cannot listen at {address}"))?;
+        let waker = Arc::new(hub.waker().wrap_err("cannot create the event loop")?);
+        let (orders, queue) = unbounded();
+        let (running, ended) = bounded(0);
+        let turned_away = Arc::default();
+        let mut server = Server {
+            hub,
             events: events.clone(),
-            max_body,
-            body_readers: Arc::default(),
-            answers: answers.clone(),
+            orders: queue,
+            turned_away: Arc::clone(&turned_away),
         };
-        for _ in 0..ACCEPT_THREADS {
-            let (server, acceptor) = (server.clone(), acceptor.clone());
-            runtime::spawn("http", move || {
-                while let Ok(request) = server.recv() {
-                    acceptor.accept(request);
-                }
-            })?;
-        }
-        Ok(Endpoint { pending, answers })
+        runtime::spawn("http", move || {
+            if let Err(error) = server.run() {
+                log::error!(target: "sapphire", "edge: the event loop failed: {error}");
+            }
+            drop(running);
+        })?;
+        Ok(Endpoint { orders, waker, turned_away, ended })
     }
 
     /// Answers a caller. The answer is written by another thread, so that a slow caller does not
     /// block the main thread.
     pub fn answer(&self, caller: event::Caller, answer: Answer) {
-        let mut pending = self.pending.lock().expect("no thread panics while it holds this");
-        let key = usize::try_from(caller).unwrap_or(usize::MAX);
-        if let Some(request) = pending.try_remove(key) {
-            let _ = self.answers.send((request, answer));
-        }
+        self.send(Order::Answer(caller, answer));
     }
-}
 
-impl Acceptor {
-    /// Rejects requests that are too large and forwards the others.
-    fn accept(&self, request: Request) {
-        let size: usize = request
-            .headers()
-            .iter()
-            .map(|header| header.field.as_str().as_str().len() + header.value.as_str().len())
-            .sum();
-        if size + request.url().len() > MAX_HEADER_BYTES {
-            self.reject(request, 431, "the headers are too long");
-            return;
-        }
-        let length = request.body_length();
-        if length.is_some_and(|length| length > self.max_body) {
-            self.reject(request, 413, "the body is too long");
-            return;
-        }
-        let has_body = length != Some(0) && has_body(&request);
-        if has_body {
-            self.spawn_reader(request);
-        } else {
-            self.forward(request, Bytes::new());
+    /// Closes each connection after its next answer, so that callers turn to another entry without
+    /// losing a request.
+    pub fn close_after_answers(&self) {
+        self.send(Order::CloseAfterAnswers);
+    }
+
+    /// Returns the numbers of callers that were turned away since the last call.
+    pub fn take_turned_away(&self) -> TurnedAway {
+        let mut turned_away = self.turned_away.lock().expect("no thread panics while it holds it");
+        std::mem::take(&mut *turned_away)
+    }
+
+    /// Waits until the answers have been written, for a limited time.
+    pub fn finish(self) {
+        let Endpoint { orders, waker, ended, .. } = self;
+        drop(orders);
+        // A wait that goes on ends by itself after a short time.
+        let _ = waker.wake();
+        let _ = ended.recv_timeout(MAX_FINISH);
+    }
+
+    fn send(&self, order: Order) {
+        // Fails only after the event loop has failed, which was logged.
+        if self.orders.send(order).is_ok() {
+            let _ = self.waker.wake();
         }
     }
+}
 
-    /// Reads a body on a thread of its own, so that a caller that sends slowly delays no other. At
-    /// most [`MAX_BODY_READERS`] bodies are read at a time.
-    fn spawn_reader(&self, request: Request) {
-        if self.body_readers.fetch_add(1, Ordering::Relaxed) >= MAX_BODY_READERS {
-            self.body_readers.fetch_sub(1, Ordering::Relaxed);
-            self.reject(request, 503, "too many bodies are being read");
-            return;
+impl Server {
+    /// Serves until the endpoint is finished or nothing receives the events any more.
+    fn run(&mut self) -> std::io::Result<()> {
+        while self.perform_orders() {
+            self.hub.poll(MAX_WAIT)?;
+            while let Some(event) = self.hub.next_event() {
+                if !self.handle(event) {
+                    return Ok(());
+                }
+            }
+            self.count_turned_away();
         }
-        let acceptor = self.clone();
-        let body = move || {
-            acceptor.read(request);
-            acceptor.body_readers.fetch_sub(1, Ordering::Relaxed);
-        };
-        if runtime::spawn("http-body", body).is_err() {
-            self.body_readers.fetch_sub(1, Ordering::Relaxed);
+        let deadline = Instant::now() + MAX_FINISH;
+        while self.hub.is_writing() && Instant::now() < deadline {
+            self.hub.poll(MAX_WAIT.min(deadline.saturating_duration_since(Instant::now())))?;
         }
+        Ok(())
     }
 
-    fn read(&self, mut request: Request) {
-        let mut body = Vec::new();
-        let limit = self.max_body as u64 + 1;
-        let read = request.as_reader().take(limit).read_to_end(&mut body);
-        if read.is_err() {
-            self.reject(request, 400, "the body was cut off");
-        } else if body.len() > self.max_body {
-            self.reject(request, 413, "the body is too long");
-        } else {
-            self.forward(request, Bytes::from(body));
+    /// Returns false once there will be no more orders.
+    fn perform_orders(&mut self) -> bool {
+        loop {
+            match self.orders.try_recv() {
+                Ok(Order::Answer(caller, answer)) => self.hub.answer(caller, &response(answer)),
+                Ok(Order::CloseAfterAnswers) => self.hub.close_after_answers(),
+                Err(TryRecvError::Empty) => return true,
+                Err(TryRecvError::Disconnected) => return false,
+            }
         }
     }
 
-    fn reject(&self, request: Request, status: u16, reason: &str) {
-        let answer = Answer::failure(status, Account::NotRun, reason);
-        let _ = self.answers.send((request, answer));
+    /// Passes an event on; returns false if nothing receives it.
+    fn handle(&self, event: Event) -> bool {
+        let event = match event {
+            Event::Request { caller, request, .. } => event::Event::Http(caller, call(request)),
+            Event::Disconnected(caller) => event::Event::CallerLeft(caller),
+            Event::NotAccepted { kind, .. } => {
+                log::warn!(target: "sapphire", "edge: a connection was not accepted: {kind}");
+                return true;
+            }
+            Event::Answer { .. } => return true,
+        };
+        self.events.send(event).is_ok()
     }
 
-    /// Keeps the request until it is answered and reports it as an event.
-    fn forward(&self, request: Request, body: Bytes) {
-        let (path, query) = request.url().split_once('?').unwrap_or((request.url(), ""));
-        let headers = request.headers().iter().map(|header| Header {
-            name: header.field.as_str().as_str().to_owned(),
-            value: header.value.as_str().to_owned(),
-        });
-        let call = api::Request {
-            method: request.method().as_str().to_ascii_uppercase(),
-            path: path.to_owned(),
-            query: query.to_owned(),
-            headers: headers.collect(),
-            body,
-        };
-        let mut pending = self.pending.lock().expect("no thread panics while it holds this");
-        let caller = pending.insert(request) as event::Caller;
-        drop(pending);
-        let _ = self.events.send(event::Event::Http(caller, call));
+    fn count_turned_away(&mut self) {
+        let counted = self.hub.take_turned_away();
+        self.turned_away.lock().expect("no thread panics while it holds it").add(counted);
     }
 }
 
-fn has_body(request: &Request) -> bool {
-    request.body_length().is_some()
-        || request.headers().iter().any(|header| header.field.equiv("Transfer-Encoding"))
+/// Response to a request that is refused without being passed on.
+pub fn refusal(status: u16) -> Response {
+    let reason = match status {
+        413 => "the body is too long",
+        431 => "the headers are too long",
+        503 => "the entry is short of memory or connections",
+        _ => "the request is not valid HTTP",
+    };
+    let answer = Answer::failure(status, Account::NotRun, reason);
+    response(if status == 503 { answer.retry_after(RETRY_AFTER) } else { answer })
+}
+
+/// Time after which a caller that was refused for lack of resources may retry.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+fn call(request: Request) -> api::Request {
+    let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
+    let header = |header: &sapphire_net::message::Header| Header {
+        name: header.name.clone(),
+        value: header.value.clone(),
+    };
+    api::Request {
+        method: request.method.to_ascii_uppercase(),
+        path: path.to_owned(),
+        query: query.to_owned(),
+        headers: request.headers.iter().map(header).collect(),
+        body: request.body.clone(),
+    }
 }
 
-fn respond((request, answer): (Request, Answer)) {
-    let mut response = Response::from_data(answer.body.to_vec()).with_status_code(answer.status);
-    for header in &answer.headers {
-        let parsed = tiny_http::Header::from_bytes(header.name.as_bytes(), header.value.as_bytes());
-        if let Ok(header) = parsed {
-            response = response.with_header(header);
+fn response(answer: Answer) -> Response {
+    let mut response = Response::new(answer.status, answer.body);
+    for header in answer.headers {
+        // A line break would end the header and let a minion write others.
+        if !header.value.contains(['\r', '\n']) && api::is_end_to_end(&header.name) {
+            response = response.with(&header.name, &header.value);
         }
     }
-    // The caller may have disconnected; nothing else depends on the answer.
-    let _ = request.respond(response);
+    response
 }
--- a/crates/sapphired/src/shares.rs
+++ b/crates/sapphired/src/shares.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use nix::sys::resource::{Resource, getrlimit};
-use sapphire_net::message::{CONNECTION_BYTES, Limits};
+use sapphire_net::message::{self, CONNECTION_BYTES, Limits};
 use sapphire_settings::ProcessLimits;
 
 /// Most connections of an interface that many callers or processes use.
@@ -91,6 +91,19 @@
         }
     }
 
+    /// The product's own interface for callers and operators.
+    pub fn http(&self, body_bytes: usize, refusal: fn(u16) -> message::Response) -> Limits {
+        Limits {
+            connections: (self.sockets / 2).min(MAX_CONNECTIONS),
+            body_bytes,
+            memory_bytes: self.pool(4, body_bytes),
+            receive_bytes: SMALL_RECEIVE,
+            request_timeout: Duration::from_secs(30),
+            refusal,
+            ..Limits::default()
+        }
+    }
+
     /// Connections of an interface that many callers or processes use.
     fn many_connections(&self, receive_bytes: usize) -> usize {
         let by_memory = self.memory * 3 / 10 / (CONNECTION_BYTES + receive_bytes);
--- a/crates/sapphired/tests/clients/machines.rs
+++ b/crates/sapphired/tests/clients/machines.rs
@@ -1,6 +1,6 @@
 //! The shares of the interfaces on the machines of the deployments.
 
-use sapphire_net::message::{CONNECTION_BYTES, Limits};
+use sapphire_net::message::{self, CONNECTION_BYTES, Limits};
 use sapphire_settings::ProcessLimits;
 
 use crate::{daemon, shares::Shares};
@@ -16,15 +16,19 @@
 /// Descriptors that are kept for files on a machine of a deployment.
 const FILES: usize = 200;
 
+/// Largest body in bytes that the settings allow at the product's own interface.
+const MAX_HTTP_BODY: usize = 8 << 20;
+
 /// Most memory in bytes that an interface takes.
 fn memory(limits: &Limits) -> usize {
     limits.memory_bytes + limits.connections * (CONNECTION_BYTES + limits.receive_bytes)
 }
 
-fn interfaces(shares: &Shares) -> [Vec<Limits>; 2] {
+fn interfaces(shares: &Shares) -> [Vec<Limits>; 3] {
     [
         vec![shares.callers(), shares.internal(), shares.probes(), shares.probes()],
         vec![shares.minion(), shares.internal(), shares.probes()],
+        vec![shares.http(MAX_HTTP_BODY, message::refusal)],
     ]
 }
 
