Bodies within the limit no longer grow many times over when they are decoded

What callers saw: one kind of request within the limits, sent by 96 clients, made an entry take 1,113 MB at its internal address (lists of empty messages), 2,141 MB at `http` (a rule file of faulty lines, 59 s for the crowd), an agent 797 MB (8 MiB for an announcement of 100 bytes) and 317 MB (empty labels of a heartbeat).

Cause: the account counts encoded bytes. An entry of a list takes two bytes encoded and 200 in memory, a faulty line of two bytes gives a finding of 100, and each was collected.

Change: messages between processes have at most 65,536 entries, counted before they are decoded, also in polls' incarnations and notices' jobs; the limit of a call is 2 MiB (the largest relayed write), of an announcement 64 KiB. A rule file gives at most 1,000 findings, and the last says that the rest was not checked.

--- a/crates/rules/src/file.rs
+++ b/crates/rules/src/file.rs
@@ -21,6 +21,9 @@
 /// Longest grace period before a borrower is stopped.
 const MAX_GRACE: Duration = Duration::from_secs(3_600);
 
+/// Most findings that are reported. Each takes many times the memory of the shortest faulty line.
+const MAX_FINDINGS: usize = 1_000;
+
 /// Grace period if no rule sets one.
 pub const DEFAULT_GRACE: Duration = Duration::from_secs(30);
 /// Limit of an organisation's waiting jobs if no rule sets one.
@@ -50,7 +53,7 @@
     /// Parses a file and checks its lines against each other.
     ///
     /// # Errors
-    /// All findings, in the order of the file.
+    /// All findings, in the order of the file; the first ones if there are very many.
     pub fn parse(text: &str) -> Result<Self, Vec<finding::Finding>> {
         let mut findings = Vec::new();
         let mut entries = Vec::new();
@@ -61,6 +64,10 @@
             let (entry, faults) = parse_line(index + 1, text);
             entries.extend(entry);
             findings.extend(faults);
+            if findings.len() >= MAX_FINDINGS {
+                findings.push(unchecked_rest(index + 2));
+                return Err(findings);
+            }
         }
         let file = File { entries };
         findings.extend(file.check());
@@ -76,6 +83,10 @@
         let declared: BTreeSet<&str> =
             self.organisations().map(|organisation| organisation.name.as_str()).collect();
         for entry in &self.entries {
+            if findings.len() >= MAX_FINDINGS {
+                findings.push(unchecked_rest(entry.line));
+                break;
+            }
             let mut fault = |message| {
                 findings.push(finding::Finding { line: entry.line, column: 1, message });
             };
@@ -200,6 +211,12 @@
     }
 }
 
+/// Finding that ends a list of very many.
+fn unchecked_rest(line: usize) -> finding::Finding {
+    let message = format!("there are {MAX_FINDINGS} findings or more; the rest was not checked");
+    finding::Finding { line, column: 1, message }
+}
+
 fn parse_line(number: usize, text: &str) -> (Option<Entry>, Vec<finding::Finding>) {
     let (code, comment) = match text.split_once('#') {
         Some((code, comment)) => (code, comment.trim()),
--- a/crates/rules/tests/rules.rs
+++ b/crates/rules/tests/rules.rs
@@ -60,3 +60,14 @@
     insta::assert_snapshot!(diff::unified(GOOD, &new, "revision 4", "rules.txt"));
     assert_eq!(diff::unified(GOOD, GOOD, "a", "b"), "");
 }
+
+/// Guards against memory that findings take, which is many times that of the file, and against the time
+/// that it takes to collect them.
+#[test]
+fn findings_of_a_file_of_faults_are_limited() {
+    for text in ["x\n".repeat(500_000), "reclaim grace=1s # Ines\n".repeat(40_000)] {
+        let findings = file::File::parse(&text).err().unwrap_or_default();
+        assert_eq!(findings.len(), 1_001, "{text:.80}");
+        assert!(findings[1_000].message.ends_with("the rest was not checked"), "{text:.80}");
+    }
+}
--- a/crates/sapphired/src/internal.rs
+++ b/crates/sapphired/src/internal.rs
@@ -12,9 +12,13 @@
 //!
 //! Status 409 means that the receiving process is not the planner.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
-use prost::Message;
+use bytes::{Buf as _, Bytes};
+use prost::{
+    DecodeError, Message,
+    encoding::{self, DecodeContext, WireType},
+};
 use sapphire_net::{
     hub::{CallId, Failure, Hub},
     message::{Request, Response},
@@ -36,6 +40,64 @@
 /// date.
 pub const DECLINED: u16 = 409;
 
+/// Most entries of a message, over all of its lists. An entry takes at least two bytes encoded, and a hundred
+/// and more in memory.
+const MAX_ENTRIES: usize = 65_536;
+
+/// Reason why a message was rejected.
+#[derive(Debug)]
+pub enum Rejected {
+    /// It can't be decoded.
+    Malformed(DecodeError),
+    /// It has more entries than any process sends.
+    TooManyEntries,
+}
+
+impl fmt::Display for Rejected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Rejected::Malformed(error) => error.fmt(f),
+            Rejected::TooManyEntries => write!(f, "more than {MAX_ENTRIES} entries"),
+        }
+    }
+}
+
+/// Decodes the body of a request. `nested` is the number of a field with a message that has lists of its
+/// own.
+///
+/// Guards against a body within the limit whose lists exhaust the memory of the process once they are
+/// decoded.
+///
+/// # Errors
+/// If the body can't be decoded or has too many entries.
+pub fn decode<M: Message + Default>(body: &Bytes, nested: Option<u32>) -> Result<M, Rejected> {
+    let entries = count_entries(body.clone(), nested).map_err(Rejected::Malformed)?;
+    if entries > MAX_ENTRIES {
+        return Err(Rejected::TooManyEntries);
+    }
+    M::decode(body.clone()).map_err(Rejected::Malformed)
+}
+
+/// Number of the fields of an encoded message, and of those of its nested ones.
+fn count_entries(mut body: Bytes, nested: Option<u32>) -> Result<usize, DecodeError> {
+    let mut entries = 0;
+    while body.has_remaining() {
+        let (field, wire_type) = encoding::decode_key(&mut body)?;
+        entries += 1;
+        if Some(field) == nested && wire_type == WireType::LengthDelimited {
+            let mut inner = Bytes::new();
+            encoding::bytes::merge(wire_type, &mut inner, &mut body, DecodeContext::default())?;
+            entries += count_entries(inner, None)?;
+        } else {
+            encoding::skip_field(wire_type, field, &mut body, DecodeContext::default())?;
+        }
+        if entries > MAX_ENTRIES {
+            break;
+        }
+    }
+    Ok(entries)
+}
+
 /// Sends a call to a process; returns none if the address is invalid.
 pub fn call(
     hub: &mut Hub,
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -12,7 +12,6 @@
 
 use cadence::{Counted as _, CountedExt as _, StatsdClient, Timed as _};
 use eyre::WrapErr as _;
-use prost::Message as _;
 use sapphire_jobs::{Lead, Orders};
 use sapphire_net::{
     hub::{CallId, CallerId, Event as NetEvent, Failure, Hub, ListenerId},
@@ -146,7 +145,7 @@
             self.net.borrow_mut().answer(caller, &response);
         } else if listener == self.listeners.internal {
             let response = match (request.method.as_str(), request.path()) {
-                ("POST", internal::LEADER) => match Lead::decode(request.body.clone()) {
+                ("POST", internal::LEADER) => match internal::decode::<Lead>(&request.body, None) {
                     Ok(lead) => {
                         self.handle_machine_event(cx, MachineEvent::Announced(lead));
                         Response::new(200, "")
@@ -253,7 +252,7 @@
     let shares = shares::Shares::new(&settings.limits.unwrap_or_default());
     let listeners = Listeners {
         minion: jobs_entry::listen(&mut hub, &settings.minion, shares.minion())?,
-        internal: jobs_entry::listen(&mut hub, &settings.address, shares.internal())?,
+        internal: jobs_entry::listen(&mut hub, &settings.address, shares.agent_internal())?,
     };
     if !settings.metrics.is_empty() {
         jobs_entry::listen(&mut hub, &settings.metrics, shares.probes())?;
--- a/crates/sapphired/src/jobs_entry/mod.rs
+++ b/crates/sapphired/src/jobs_entry/mod.rs
@@ -269,7 +269,7 @@
     let listeners = Listeners {
         callers: listen(&mut hub, &settings.callers, shares.callers())?,
         ready: listen(&mut hub, &settings.ready, shares.probes())?,
-        internal: listen(&mut hub, &settings.address, shares.internal())?,
+        internal: listen(&mut hub, &settings.address, shares.entry_internal())?,
     };
     if !settings.metrics.is_empty() {
         listen(&mut hub, &settings.metrics, shares.probes())?;
--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -1,6 +1,5 @@
 //! Requests of callers and of other processes, and the answers to the calls of this process.
 
-use prost::Message as _;
 use sapphire_front::{
     self as front,
     answer::{self as answers, Answer},
@@ -16,6 +15,11 @@
 use super::{ActiveRequest, Pending, Role, STORE_TIMEOUT};
 use crate::{internal, reactor};
 
+/// Number of the field of a poll with the incarnation of the minion, which has a list of labels.
+const POLL_INCARNATION: u32 = 5;
+/// Number of the field of a notice with the submitted jobs, which have lists of steps.
+const NOTICE_JOBS: u32 = 1;
+
 impl Role {
     /// Handles a request according to the listener at which it arrived: a caller's request, a
     /// readiness check, a request of another process, or a request for the metrics.
@@ -50,17 +54,22 @@
         request: &Request,
     ) {
         use planner::event::Event;
-        let body = request.body.clone();
+        let body = &request.body;
         match (request.method.as_str(), request.path()) {
-            ("POST", internal::POLL) => match Poll::decode(body) {
-                Ok(poll) => self.send_to_planner(now, caller, Event::Poll(caller, Box::new(poll))),
-                Err(error) => self.reject_malformed(caller, &error),
-            },
-            ("POST", internal::FEED) => match FeedPoll::decode(body) {
+            ("POST", internal::POLL) => {
+                match internal::decode::<Poll>(body, Some(POLL_INCARNATION)) {
+                    Ok(poll) => {
+                        self.send_to_planner(now, caller, Event::Poll(caller, Box::new(poll)))
+                    }
+                    Err(error) => self.reject_malformed(caller, &error),
+                }
+            }
+            ("POST", internal::FEED) => match internal::decode::<FeedPoll>(body, None) {
                 Ok(poll) => self.send_to_planner(now, caller, Event::Feed(caller, poll)),
                 Err(error) => self.reject_malformed(caller, &error),
             },
-            ("POST", internal::NOTICE) => match Notice::decode(body) {
+            ("POST", internal::NOTICE) => match internal::decode::<Notice>(body, Some(NOTICE_JOBS))
+            {
                 Ok(notice) => {
                     let status = if self.planner.is_some() { 200 } else { internal::DECLINED };
                     self.handle_planner_event(now, Event::Notice(notice));
@@ -75,7 +84,7 @@
                 };
                 self.net.borrow_mut().answer(caller, &response);
             }
-            ("POST", internal::RELAY) => match Relay::decode(body) {
+            ("POST", internal::RELAY) => match internal::decode::<Relay>(body, None) {
                 Ok(relay) => {
                     let request = Request::new(&relay.method, &relay.target, relay.body)
                         .with("Content-Type", "application/json");
@@ -89,7 +98,7 @@
     }
 
     /// Answers 400 to a message that can't be decoded.
-    pub(super) fn reject_malformed(&mut self, caller: CallerId, error: &prost::DecodeError) {
+    pub(super) fn reject_malformed(&mut self, caller: CallerId, error: &internal::Rejected) {
         self.count("malformed_calls");
         let text = format!("malformed message: {error}");
         if self.skipped_log.is_due(reactor::now().steady, "calls", &text) {
--- a/crates/sapphired/src/shares.rs
+++ b/crates/sapphired/src/shares.rs
@@ -16,6 +16,11 @@
 const CALLER_BODY: usize = 1 << 20;
 /// Largest body of a minion's heartbeat, in bytes.
 const HEARTBEAT_BODY: usize = 4 << 20;
+/// Largest body of a call between processes, in bytes: a relayed write to the store, whose largest
+/// value is 1 MiB and grows by a third when it is encoded.
+const CALL_BODY: usize = 2 << 20;
+/// Largest body of an announcement of the leader, in bytes.
+const ANNOUNCEMENT_BODY: usize = 64 << 10;
 /// Largest body of a request for readiness or metrics, in bytes.
 const PROBE_BODY: usize = 16 << 10;
 /// Receive buffers of the system in bytes, where bodies are small and where they may be large.
@@ -57,14 +62,23 @@
         }
     }
 
-    /// Interface of the users' platform for other processes of the system.
-    pub fn internal(&self) -> Limits {
-        let limits = Limits::default();
+    /// Interface of an entry for other processes of the system.
+    pub fn entry_internal(&self) -> Limits {
+        self.internal(CALL_BODY)
+    }
+
+    /// Interface of an agent for other processes of the system.
+    pub fn agent_internal(&self) -> Limits {
+        self.internal(ANNOUNCEMENT_BODY)
+    }
+
+    fn internal(&self, body_bytes: usize) -> Limits {
         Limits {
             connections: self.many_connections(LARGE_RECEIVE),
-            memory_bytes: self.pool(8, limits.body_bytes),
+            body_bytes,
+            memory_bytes: self.pool(8, body_bytes),
             receive_bytes: LARGE_RECEIVE,
-            ..limits
+            ..Limits::default()
         }
     }
 
--- a/crates/sapphired/tests/clients/machines.rs
+++ b/crates/sapphired/tests/clients/machines.rs
@@ -26,8 +26,8 @@
 
 fn interfaces(shares: &Shares) -> [Vec<Limits>; 3] {
     [
-        vec![shares.callers(), shares.internal(), shares.probes(), shares.probes()],
-        vec![shares.minion(), shares.internal(), shares.probes()],
+        vec![shares.callers(), shares.entry_internal(), shares.probes(), shares.probes()],
+        vec![shares.minion(), shares.agent_internal(), shares.probes()],
         vec![shares.http(MAX_HTTP_BODY, message::refusal)],
     ]
 }
