The operators' limit of bodies is in force for callers

What callers saw: nothing; where the configuration allows bodies of 262,144 bytes, an entry took 1 MiB.

Cause: `limits.max_body_bytes` of the configuration was ignored.

Change: each new configuration sets the limit of the callers' interface, for open connections from their next requests on; never below 16 KiB and never above 1 MiB, for which the shares are made. Odd limits leave the configuration valid and the own limit in force.

--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -12,6 +12,8 @@
     pub version: Version,
     /// Revision of the store key that holds this configuration.
     pub revision: u64,
+    /// Largest body of a caller's request, in bytes; none if operators set no limit.
+    pub max_body_bytes: Option<u64>,
     queues: Vec<Queue>,
     services: BTreeMap<String, Service>,
     organisations: BTreeMap<String, Organisation>,
@@ -77,6 +79,8 @@
     pub version: Version,
     /// Revision of the store key that holds the configuration.
     pub revision: u64,
+    /// Largest body of a caller's request, in bytes; none if operators set no limit.
+    pub max_body_bytes: Option<u64>,
     /// All queues.
     pub queues: Vec<Queue>,
     /// All services.
@@ -107,6 +111,7 @@
         Catalog {
             version: parts.version,
             revision: parts.revision,
+            max_body_bytes: parts.max_body_bytes,
             queues: parts.queues,
             services,
             organisations,
--- a/crates/net/src/hub.rs
+++ b/crates/net/src/hub.rs
@@ -190,6 +190,22 @@
         Ok(key)
     }
 
+    /// Changes the size in bytes of the largest body that a listener accepts, for its open connections
+    /// from their next requests on.
+    pub fn set_body_limit(&mut self, listener: ListenerId, body_bytes: usize) {
+        for (key, socket) in &mut self.sockets {
+            match socket {
+                Socket::Listener { limits, .. } if key == listener => {
+                    limits.body_bytes = body_bytes;
+                }
+                Socket::Inbound(connection, _) if connection.listener == listener => {
+                    connection.set_body_limit(body_bytes);
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Closes a listener, so that the system refuses further connections to its address, and resets
     /// the connections that were accepted there.
     pub fn close_listener(&mut self, listener: ListenerId) {
--- a/crates/net/src/reader.rs
+++ b/crates/net/src/reader.rs
@@ -117,6 +117,11 @@
         self.begun.as_mut().is_some_and(|begun| std::mem::take(&mut begun.awaits_continue))
     }
 
+    /// Changes the size in bytes of the largest body, from the next message on.
+    pub(crate) fn set_body_limit(&mut self, body_bytes: usize) {
+        self.bounds.body = body_bytes;
+    }
+
     /// Drops an incomplete message.
     pub(crate) fn reset(&mut self) {
         self.begun = None;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Changes the size in bytes of the largest body, from the next request on.
+    pub(crate) fn set_body_limit(&mut self, body_bytes: usize) {
+        self.limits.body_bytes = body_bytes;
+        self.reader.set_body_limit(body_bytes);
+    }
+
     /// Continues after the socket has become readable; `is_closed` if the caller has closed its
     /// sending side.
     pub(crate) fn readable(&mut self, is_closed: bool, now: Duration) -> Step {
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -233,6 +233,42 @@
     server.join().expect("the server ends");
 }
 
+/// Guards against a limit of bodies that holds only for connections that are opened after its change.
+#[test]
+fn a_changed_limit_of_bodies_holds_for_open_connections() {
+    let address = free_address();
+    let mut hub = Hub::new().expect("the system gives an event queue");
+    let listener = hub.listen(address, Limits::default()).expect("the port is free");
+    let server = thread::spawn(move || {
+        for limit in [8, 4] {
+            let caller = loop {
+                hub.poll(WAIT).expect("the event queue works");
+                if let Some(Event::Request { caller, .. }) = hub.next_event() {
+                    break caller;
+                }
+            };
+            hub.set_body_limit(listener, limit);
+            hub.answer(caller, &Response::new(200, ""));
+        }
+        while hub.take_turned_away().too_large == 0 {
+            hub.poll(WAIT).expect("the event queue works");
+        }
+        hub.next_event()
+    });
+    let mut socket = TcpStream::connect(address).expect("the server listens");
+    socket.set_read_timeout(Some(WAIT)).expect("a timeout can be set");
+    for (length, status) in [(16, "200"), (8, "200"), (8, "413")] {
+        let body = "x".repeat(length);
+        let request = format!("POST / HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}");
+        socket.write_all(request.as_bytes()).expect("the request can be sent");
+        let mut answer = [0; 128];
+        let count = socket.read(&mut answer).expect("the server responds");
+        let answer = String::from_utf8_lossy(&answer[..count]);
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{length}: {answer}");
+    }
+    assert!(server.join().expect("the server ends").is_none());
+}
+
 fn outcome(hub: &mut Hub) -> Result<Response, Failure> {
     loop {
         hub.poll(WAIT).expect("the event queue works");
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -104,5 +104,6 @@
         queues: kinds.map(queue).collect(),
         services: vec![Service { name: "desk".to_owned(), ..Service::default() }],
         organisations: (0..ORGANISATIONS).map(organisation).collect(),
+        ..Parts::default()
     }))
 }
--- a/crates/sapphired/src/jobs_entry/effects.rs
+++ b/crates/sapphired/src/jobs_entry/effects.rs
@@ -8,7 +8,7 @@
 use sapphire_platform as platform;
 
 use super::{Origin, Pending, Role, Work, options};
-use crate::internal;
+use crate::{internal, shares};
 
 /// Timeout of calls between processes that are answered at once.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
@@ -51,6 +51,8 @@
             }
             Effect::Catalog(catalog) => {
                 self.catalog = catalog.clone();
+                let body_bytes = shares::caller_body(catalog.max_body_bytes);
+                self.net.borrow_mut().set_body_limit(self.listeners.callers, body_bytes);
                 self.handle_planner_event(now, planner::event::Event::Catalog(catalog));
             }
             Effect::CatalogVerified { revision, at } => {
--- a/crates/sapphired/src/shares.rs
+++ b/crates/sapphired/src/shares.rs
@@ -14,6 +14,8 @@
 const MIN_OTHER_DESCRIPTORS: usize = 24;
 /// Largest body of a caller's request, in bytes.
 const CALLER_BODY: usize = 1 << 20;
+/// Least limit of the body of a caller's request, in bytes; with a lower one nobody could submit a job.
+const MIN_CALLER_BODY: usize = 16 << 10;
 /// Largest body of a minion's heartbeat, in bytes.
 const HEARTBEAT_BODY: usize = 4 << 20;
 /// Largest body of a call between processes, in bytes: a relayed write to the store, whose largest
@@ -29,6 +31,13 @@
 /// Memory in bytes that an interface has for its requests beyond the largest body.
 const MIN_MARGIN: usize = 128 << 10;
 
+/// Largest body of a caller's request in bytes, given the limit that operators have set.
+pub fn caller_body(configured: Option<u64>) -> usize {
+    let bytes =
+        configured.map_or(CALLER_BODY, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    bytes.clamp(MIN_CALLER_BODY, CALLER_BODY)
+}
+
 /// Divides the memory and descriptors of a process among its interfaces. All shares together leave
 /// memory for the state of the process and descriptors for its own calls.
 #[derive(Clone, Copy, Debug)]
--- a/crates/sapphired/tests/clients/machines.rs
+++ b/crates/sapphired/tests/clients/machines.rs
@@ -3,7 +3,10 @@
 use sapphire_net::message::{self, CONNECTION_BYTES, Limits};
 use sapphire_settings::ProcessLimits;
 
-use crate::{daemon, shares::Shares};
+use crate::{
+    daemon,
+    shares::{self, Shares},
+};
 
 /// Memory in bytes and descriptors of machines.
 const MACHINES: [(u64, u32); 5] = [
@@ -50,3 +53,11 @@
         }
     }
 }
+
+/// Guards against limits of the operators with which nobody could submit a job, or that the shares of an
+/// interface don't allow for.
+#[test]
+fn the_operators_limit_of_bodies_is_kept_within_bounds() {
+    let limits = [None, Some(0), Some(262_144), Some(u64::MAX)].map(shares::caller_body);
+    assert_eq!(limits, [1 << 20, 16 << 10, 262_144, 1 << 20]);
+}
