sapphired: the account of the internal interface holds the largest feed

By reading: a feed that is larger than the account (16 to 20 MiB on the smallest machines) would be given up at each poll, and its entry would never learn of the jobs. The account is now at least as large as the largest answer that entries accept, 16 MiB, and a margin.

--- a/crates/sapphired/src/shares.rs
+++ b/crates/sapphired/src/shares.rs
@@ -21,6 +21,9 @@
 /// Largest body of a call between processes, in bytes: a relayed write to the store, whose largest
 /// value is 1 MiB and grows by a third when it is encoded.
 const CALL_BODY: usize = 2 << 20;
+/// Largest body of the answer to a call, in bytes: a feed with all jobs. One that is larger than the share
+/// of the interface would be given up each time.
+const FEED_BODY: usize = 16 << 20;
 /// Largest body of an announcement of the leader, in bytes.
 const ANNOUNCEMENT_BODY: usize = 64 << 10;
 /// Largest body of a request for readiness or metrics, in bytes.
@@ -73,7 +76,8 @@
 
     /// Interface of an entry for other processes of the system.
     pub fn entry_internal(&self) -> Limits {
-        self.internal(CALL_BODY)
+        let limits = self.internal(CALL_BODY);
+        Limits { memory_bytes: self.pool(8, FEED_BODY), ..limits }
     }
 
     /// Interface of an agent for other processes of the system.
@@ -134,7 +138,7 @@
     }
 
     /// Memory that the requests of an interface share: a part of all memory, and at least enough for
-    /// one with the largest body.
+    /// the largest body of a request or answer.
     fn pool(&self, part: usize, body_bytes: usize) -> usize {
         (self.memory / part).max(body_bytes + MIN_MARGIN)
     }
