net: one request of each connection is served in a turn

Cause: after an answer the next request of the connection, if it had arrived, was reported at once, so the loop that hands out events never ended while requests in a row were left.

Change: a request that has already arrived waits until the other sockets have had their turn. To tell whether something follows, the connection is read until nothing is left right after a request, rather than after its answer, so an ordinary request takes as many system calls as before.

Before: `hub::requests_in_a_row_keep_no_other_connection_waiting` fails (200 requests in one turn).

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -184,6 +184,18 @@
                 Step::Wait
             }
             Progress::Complete { message, keep_alive } => {
+                if self.stream.input.is_empty() && self.is_readable {
+                    // Shows whether anything follows; no event does if it has arrived already.
+                    match self.stream.fill() {
+                        Fill::Bytes(_) => {}
+                        Fill::Blocked => self.is_readable = false,
+                        Fill::Failed => return Step::Close,
+                        Fill::Ended => {
+                            self.is_readable = false;
+                            self.has_ended = true;
+                        }
+                    }
+                }
                 self.stream.shrink();
                 self.phase = Phase::Answering { keep_alive: keep_alive && !self.has_ended };
                 self.omits_body = message.method == "HEAD";
@@ -255,7 +267,9 @@
                 let time =
                     if has_more { self.limits.request_timeout } else { self.limits.idle_timeout };
                 self.deadline = Some(now + time);
-                self.advance(now)
+                // A request that has arrived already waits until the other connections have had
+                // their turn.
+                if has_more || self.is_readable { Step::Again } else { Step::Wait }
             }
             Ok(true) if self.is_refusal && !self.has_ended => self.drain(now),
             Ok(true) => Step::Close,
--- a/crates/net/tests/hub/mod.rs
+++ b/crates/net/tests/hub/mod.rs
@@ -233,6 +233,33 @@
     server.join().expect("the server ends");
 }
 
+/// Guards against a process that reads from no other connection while a caller has sent many requests at
+/// once: one request of each connection is served in a turn.
+#[test]
+fn requests_in_a_row_keep_no_other_connection_waiting() {
+    let address = free_address();
+    let mut hub = Hub::new().expect("the system gives an event queue");
+    hub.listen(address, Limits::default()).expect("the port is free");
+    let request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut sockets = [(); 2].map(|()| TcpStream::connect(address).expect("the server listens"));
+    for socket in &mut sockets {
+        socket.write_all(request.repeat(100).as_bytes()).expect("the requests can be sent");
+    }
+    let mut served = 0;
+    while served < 200 {
+        hub.poll(WAIT).expect("the event queue works");
+        let mut in_turn = 0;
+        while let Some(event) = hub.next_event() {
+            if let Event::Request { caller, .. } = event {
+                hub.answer(caller, &Response::new(200, ""));
+                in_turn += 1;
+            }
+        }
+        assert!(in_turn <= sockets.len(), "{in_turn} requests in one turn");
+        served += in_turn;
+    }
+}
+
 /// Guards against a limit of bodies that holds only for connections that are opened after its change.
 #[test]
 fn a_changed_limit_of_bodies_holds_for_open_connections() {
