--- a/crates/sapphired/src/shares.rs
+++ b/crates/sapphired/src/shares.rs
@@ -18,9 +18,9 @@
 const MIN_CALLER_BODY: usize = 16 << 10;
 /// Largest body of a minion's heartbeat, in bytes.
 const HEARTBEAT_BODY: usize = 4 << 20;
-/// Largest body of a call between processes, in bytes: a relayed write to the store, whose largest
-/// value is 1 MiB and grows by a third when it is encoded.
-const CALL_BODY: usize = 2 << 20;
+/// Largest body of a call between processes, in bytes: a relayed write to the store of several values, or
+/// a notice of several large jobs.
+const CALL_BODY: usize = 8 << 20;
 /// Largest body of the answer to a call, in bytes: a feed with all jobs. One that is larger than the share
 /// of the interface would be given up each time.
 const FEED_BODY: usize = 16 << 20;
