sapphired: the shares of the interfaces leave room on machines from 64 MiB on

By reading: with 64 MiB and 4,096 descriptors the interfaces of an entry would have taken 69 MiB together; the sums were checked on the deployments' machines and the tests' own only. On the machines of the deployments the limits are as before, but for 128 MiB, where callers have 819 connections.

--- a/crates/sapphired/src/shares.rs
+++ b/crates/sapphired/src/shares.rs
@@ -21,9 +21,6 @@
 /// Largest body of a call between processes, in bytes: a relayed write to the store of several values, or
 /// a notice of several large jobs.
 const CALL_BODY: usize = 8 << 20;
-/// Largest body of the answer to a call, in bytes: a feed with all jobs. One that is larger than the share
-/// of the interface would be given up each time.
-const FEED_BODY: usize = 16 << 20;
 /// Largest body of an announcement of the leader, in bytes.
 const ANNOUNCEMENT_BODY: usize = 64 << 10;
 /// Largest body of a request for readiness or metrics, in bytes.
@@ -65,7 +62,7 @@
     /// Interface of the users' platform for callers.
     pub fn callers(&self) -> Limits {
         Limits {
-            connections: self.many_connections(SMALL_RECEIVE),
+            connections: self.many_connections(self.memory / 5, SMALL_RECEIVE),
             body_bytes: CALLER_BODY,
             memory_bytes: self.pool(8, CALLER_BODY),
             receive_bytes: SMALL_RECEIVE,
@@ -76,8 +73,7 @@
 
     /// Interface of an entry for other processes of the system.
     pub fn entry_internal(&self) -> Limits {
-        let limits = self.internal(CALL_BODY);
-        Limits { memory_bytes: self.pool(8, FEED_BODY), ..limits }
+        self.internal(CALL_BODY)
     }
 
     /// Interface of an agent for other processes of the system.
@@ -87,7 +83,7 @@
 
     fn internal(&self, body_bytes: usize) -> Limits {
         Limits {
-            connections: self.many_connections(LARGE_RECEIVE),
+            connections: self.many_connections(self.memory * 3 / 10, LARGE_RECEIVE),
             body_bytes,
             memory_bytes: self.pool(8, body_bytes),
             receive_bytes: LARGE_RECEIVE,
@@ -131,14 +127,15 @@
         }
     }
 
-    /// Connections of an interface that many callers or processes use.
-    fn many_connections(&self, receive_bytes: usize) -> usize {
-        let by_memory = self.memory * 3 / 10 / (CONNECTION_BYTES + receive_bytes);
+    /// Connections of an interface that many callers or processes use, which together may take a part of
+    /// the memory.
+    fn many_connections(&self, memory: usize, receive_bytes: usize) -> usize {
+        let by_memory = memory / (CONNECTION_BYTES + receive_bytes);
         (self.sockets * 3 / 10).min(by_memory).min(MAX_CONNECTIONS)
     }
 
     /// Memory that the requests of an interface share: a part of all memory, and at least enough for
-    /// the largest body of a request or answer.
+    /// one with the largest body.
     fn pool(&self, part: usize, body_bytes: usize) -> usize {
         (self.memory / part).max(body_bytes + MIN_MARGIN)
     }
--- a/crates/sapphired/tests/clients/machines.rs
+++ b/crates/sapphired/tests/clients/machines.rs
@@ -38,8 +38,11 @@
 /// Guards against interfaces whose limits add up to more than the machine has.
 #[test]
 fn interfaces_leave_a_part_of_each_machine() {
+    let other = [64, 96, 128, 1_024].map(|mib| (mib << 20, 4_096));
     let test = (daemon::MEMORY, u32::try_from(daemon::DESCRIPTORS).expect("a small number"));
-    for (machine, is_deployed) in MACHINES.map(|it| (it, true)).into_iter().chain([(test, false)]) {
+    let deployed = MACHINES.map(|machine| (machine, true)).into_iter();
+    let others = other.into_iter().chain([test]).map(|machine| (machine, false));
+    for (machine, is_deployed) in deployed.chain(others) {
         let (memory_bytes, descriptors) = machine;
         let shares = Shares::new(&ProcessLimits { memory_bytes, descriptors });
         for role in interfaces(&shares) {
