sapphired tests: the tests of each interface in one list

The eight modules repeated the same eight functions. A macro defines them from a list; what each guards against stands at the method that it calls.

--- a/crates/sapphired/tests/clients/interface.rs
+++ b/crates/sapphired/tests/clients/interface.rs
@@ -86,7 +86,8 @@
         String::from_utf8_lossy(bytes).into_owned()
     }
 
-    /// Bodies that are announced, by a length or by the size of a chunk.
+    /// Guards against memory that is taken for bodies because they are announced, by a length or by the
+    /// size of a chunk.
     pub fn withstand_announced_bodies(&mut self) {
         let piece = "x".repeat(PIECE);
         let length = |length: &str| self.post(&format!("Content-Length: {length}\r\n"));
@@ -121,7 +122,7 @@
         self.withstand(SENDERS, &scripts);
     }
 
-    /// Bodies whose length is not announced.
+    /// Guards against memory that grows with a body whose length is not announced.
     pub fn withstand_unannounced_bodies(&mut self) {
         let piece = "x".repeat(PIECE);
         let chunked = self.post("Transfer-Encoding: chunked\r\n");
@@ -153,7 +154,7 @@
         self.withstand(SENDERS, &scripts);
     }
 
-    /// Bodies within the limit that take far more memory once they are decoded.
+    /// Guards against memory that decoded bodies take, which is many times their length.
     pub fn withstand_expanding_bodies(&mut self) {
         let [begin, filler] = self.expanding;
         let length = (self.body - begin.len()) / filler.len() * filler.len();
@@ -163,7 +164,7 @@
         self.withstand(SENDERS, &[script]);
     }
 
-    /// Heads without end.
+    /// Guards against memory that grows with a head that never ends.
     pub fn withstand_heads(&mut self) {
         let piece = "x".repeat(PIECE);
         let scripts = [
@@ -178,7 +179,7 @@
         self.withstand(SENDERS, &scripts);
     }
 
-    /// Bytes behind a request that has not been answered yet, or that is refused.
+    /// Guards against memory that grows with what follows a request before its answer, or a refused one.
     pub fn withstand_bytes_behind_requests(&mut self) {
         let piece = "x".repeat(PIECE);
         let (ordinary, held) = (Self::text(&self.ordinary), Self::text(&self.held));
@@ -191,7 +192,7 @@
         self.withstand(SENDERS, &scripts);
     }
 
-    /// Many requests whose answers are not read.
+    /// Guards against memory that grows with answers that nobody reads.
     pub fn withstand_unread_answers(&mut self) {
         let ordinary = Self::text(&self.ordinary);
         let unknown = "GET /nothing/here HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -202,7 +203,7 @@
         self.withstand(SENDERS, &scripts);
     }
 
-    /// More connections than the process may have descriptors.
+    /// Guards against a process that runs out of descriptors.
     pub fn withstand_connections(&mut self) {
         let held = Self::text(&self.held);
         let body = self.post(&format!("Content-Length: {}\r\n", self.body)) + "x";
@@ -215,7 +216,7 @@
         self.withstand(HOLDERS, &scripts);
     }
 
-    /// One request with the largest body that a client sends, in each framing, is read whole.
+    /// Guards against limits that a single request within them meets, in each framing.
     pub fn serve_largest_bodies(&mut self) {
         self.wait_until_served("before the request");
         let body = "x".repeat(self.largest);
--- a/crates/sapphired/tests/clients/main.rs
+++ b/crates/sapphired/tests/clients/main.rs
@@ -4,6 +4,19 @@
 //! and sends what clients outside the limits may send. The process has to live, to stay within both,
 //! and to answer an ordinary request while the crowd is still connected. Nothing depends on time.
 
+/// Defines tests that each start the interface of the module and call one of its methods, which say
+/// what they guard against.
+macro_rules! tests {
+    ($($name:ident: $method:ident,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                start().$method();
+            }
+        )*
+    };
+}
+
 mod agent;
 mod crowd;
 mod daemon;
--- a/crates/sapphired/tests/clients/minion.rs
+++ b/crates/sapphired/tests/clients/minion.rs
@@ -32,50 +32,13 @@
     }
 }
 
-/// Guards against memory that is taken for bodies because they are announced.
-#[test]
-fn announced_bodies() {
-    start().withstand_announced_bodies();
-}
-
-/// Guards against memory that grows with a body whose length is not announced.
-#[test]
-fn unannounced_bodies() {
-    start().withstand_unannounced_bodies();
-}
-
-/// Guards against memory that decoded bodies take, which is many times their length.
-#[test]
-fn expanding_bodies() {
-    start().withstand_expanding_bodies();
-}
-
-/// Guards against memory that grows with a head that never ends.
-#[test]
-fn heads() {
-    start().withstand_heads();
-}
-
-/// Guards against memory that grows with what follows a request before its answer.
-#[test]
-fn bytes_behind_requests() {
-    start().withstand_bytes_behind_requests();
-}
-
-/// Guards against memory that grows with answers that nobody reads.
-#[test]
-fn unread_answers() {
-    start().withstand_unread_answers();
-}
-
-/// Guards against a process that runs out of descriptors.
-#[test]
-fn connections() {
-    start().withstand_connections();
-}
-
-/// Guards against limits that a single request within them meets.
-#[test]
-fn largest_bodies() {
-    start().serve_largest_bodies();
+tests! {
+    announced_bodies: withstand_announced_bodies,
+    unannounced_bodies: withstand_unannounced_bodies,
+    expanding_bodies: withstand_expanding_bodies,
+    heads: withstand_heads,
+    bytes_behind_requests: withstand_bytes_behind_requests,
+    unread_answers: withstand_unread_answers,
+    connections: withstand_connections,
+    largest_bodies: serve_largest_bodies,
 }
