planner: cancellations without a job are removed after the retention

Each planner reads it at the beginning of its term and keeps it in memory.

Cause: records are removed with their job, once that has ended for `bounds.status`. A cancellation without a job is with none.

Fix: the planner knows since when it knows each of them, and the revision of its record. After the time for which ended jobs are kept it removes them, ten in a write, one write a second at most. A removal is conditional on the leader key, on the revision of each cancellation and on the absence of each job, so that one that is carried out late removes no later cancellation and lets no job run. A job that is found meanwhile, stored by an entry of an earlier version, is cancelled as before.

Test: `unasked::tombstones`, five tests. Four failed before ("it is removed", "0 times in 10 s", 0 of 100 removed); the fifth, which holds what was true before, passed.

--- a/crates/planner/src/accept.rs
+++ b/crates/planner/src/accept.rs
@@ -4,6 +4,7 @@
 
 use prost::Message as _;
 use sapphire_jobs::{Job, State, Step, limits, resources::Resources};
+use sapphire_store::call::Revision;
 
 use crate::{event::Moment, planner::Planner, table::Entry, worker::Cause};
 
@@ -29,8 +30,8 @@
         self.update_step_capacity(&id);
         self.observe_arrival(now, &id);
         self.log_accepted(&id);
-        if self.early_cancels.remove(&id) {
-            self.cancel(now, &id);
+        if let Some(tombstone) = self.tombstones.by_job.remove(&id) {
+            self.cancel(now, &id, tombstone.revision);
         }
     }
 
@@ -49,10 +50,11 @@
         self.log(text);
     }
 
-    /// Cancels a job. A job that is not known yet is cancelled as soon as it is accepted.
-    pub(crate) fn cancel(&mut self, now: Moment, id: &str) {
+    /// Cancels a job, given the revision of the record of its cancellation, or 0 if that was not read. A
+    /// job that is not known yet is cancelled as soon as it is accepted.
+    pub(crate) fn cancel(&mut self, now: Moment, id: &str, revision: Revision) {
         let Some(entry) = self.table.entries.get_mut(id) else {
-            self.early_cancels.insert(id.to_owned());
+            self.tombstones.add(now.steady, id, revision);
             return;
         };
         if entry.is_over() {
--- a/crates/planner/src/commit.rs
+++ b/crates/planner/src/commit.rs
@@ -137,6 +137,7 @@
             Operation::Intake => self.handle_intake(now, reply),
             Operation::Cordons => self.handle_cordons(now, reply),
             Operation::CordonWatch => self.handle_cordon_watch(now, reply),
+            Operation::Tombstones(jobs) => self.tombstones_removed(now, &jobs, reply),
             Operation::Forget(jobs) => {
                 if !matches!(reply, Reply::Committed(_)) {
                     // The next planner finds these jobs and removes them.
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -34,6 +34,8 @@
     Shares,
     /// Removal of the records of ended jobs.
     Forget(Vec<JobId>),
+    /// Removal of the cancellations of jobs that don't exist.
+    Tombstones(Vec<JobId>),
     /// Read of jobs that no entry has notified the planner of.
     Intake,
     /// Read of the list of cordons.
--- a/crates/planner/src/intake.rs
+++ b/crates/planner/src/intake.rs
@@ -28,7 +28,7 @@
             self.accept_notified(now, job);
         }
         for id in notice.cancelled {
-            self.cancel(now, &id);
+            self.cancel(now, &id, 0);
         }
     }
 
@@ -101,7 +101,7 @@
                         }
                     }
                 }
-                Key::Cancel(id) => self.cancel(now, id),
+                Key::Cancel(id) => self.cancel(now, id, item.revision),
                 _ => {}
             }
         }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -48,6 +48,7 @@
 mod supply;
 pub mod table;
 mod takeover;
+mod tombstones;
 mod unanswered;
 mod urgent;
 pub mod wait;
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -111,6 +111,8 @@
 pub const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay before a failed watch is restarted.
 pub const WATCH_RETRY: Duration = Duration::from_millis(300);
+/// Interval at which cancellations of jobs that don't exist are removed from the store.
+pub const TOMBSTONE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the store is read for jobs that no entry has notified the planner of. This is
 /// rare: their entry died between the write and the notice.
 pub const INTAKE_INTERVAL: Duration = Duration::from_millis(1_500);
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -1,10 +1,6 @@
 //! The planner of one term.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use sapphire_jobs::{
     Supply,
@@ -33,7 +29,7 @@
     state::{
         self, commits::Commits, delays::Delays, feeds::Feeds, handover::Handover, intake::Intake,
         inventory::Inventory, losses::Losses, run_log::RunLog, shares::Shares,
-        standstills::Standstills, startup::Startup, waits::Waits,
+        standstills::Standstills, startup::Startup, tombstones::Tombstones, waits::Waits,
     },
     stops,
     table::{Entry, Table},
@@ -68,8 +64,7 @@
     pub(crate) handover: Handover,
     /// Where runs that were ordered may be.
     pub(crate) run_log: RunLog,
-    /// Jobs that were cancelled before they became known.
-    pub(crate) early_cancels: BTreeSet<JobId>,
+    pub(crate) tombstones: Tombstones,
     /// Revision of the configuration that was last verified to be the newest, and the time of the
     /// verification.
     pub(crate) verified_catalog: Option<(u64, Duration)>,
@@ -134,7 +129,7 @@
             unanswered,
             handover: Handover::default(),
             run_log: RunLog::default(),
-            early_cancels: BTreeSet::new(),
+            tombstones: Tombstones::default(),
             verified_catalog: None,
             needs_pass: true,
             last_pass: Duration::ZERO,
@@ -312,6 +307,7 @@
         self.update_supplies(now);
         self.add_due_occurrences(now);
         self.remove_ended(now);
+        self.remove_tombstones(now);
         self.retry_scan(now);
         self.follow_cordons(now);
         self.read_intake(now);
@@ -481,9 +477,14 @@
         }
     }
 
+    /// Returns the time for which the records of an ended job, or of a cancellation without one, are kept.
+    pub(crate) fn retention(&self) -> Duration {
+        self.options.status_retention + options::FEED_TIMEOUT
+    }
+
     /// Removes jobs that ended long ago.
     fn remove_ended(&mut self, now: Moment) {
-        let retention = self.options.status_retention + options::FEED_TIMEOUT;
+        let retention = self.retention();
         let is_old = |entry: &Entry| {
             entry.ended.is_some_and(|ended| now.steady >= ended + retention)
                 && entry.dirty.is_none()
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -86,7 +86,7 @@
             match keys::parse(&item.key) {
                 Key::Job(id) => self.load_job(now, id, value),
                 Key::Progress(id) => progress.push((id, value, item.revision)),
-                Key::Cancel(id) => cancelled.push(id),
+                Key::Cancel(id) => cancelled.push((id, item.revision)),
                 Key::Fleet => self.load_fleet(now, value, item.revision),
                 Key::Shares => self.load_shares(now, value, item.revision),
                 Key::Unanswered(slot) => handover.push((slot, value, item.revision)),
@@ -108,8 +108,8 @@
         }
         self.load_runs(&runs);
         self.learn_restored();
-        for id in cancelled {
-            self.cancel(now, id);
+        for (id, revision) in cancelled {
+            self.cancel(now, id, revision);
         }
         self.prepare_loaded_jobs(now);
         self.startup.term_number += 1;
--- a/crates/planner/src/state/mod.rs
+++ b/crates/planner/src/state/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) mod speeds;
 pub(crate) mod standstills;
 pub(crate) mod startup;
+pub(crate) mod tombstones;
 pub(crate) mod waits;
--- a/crates/planner/tests/unasked/mod.rs
+++ b/crates/planner/tests/unasked/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of work that nobody asks for any more: a cancellation is in force within its bound, whichever
 //! planner reads it.
 
+mod tombstones;
+
 use prost::Message as _;
 use sapphire_jobs::{Ending, Notice, Running, Step};
 use sapphire_planner::{
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -128,7 +128,7 @@
             Plan::Scan => "scan",
             Plan::Fleet => "fleet",
             Plan::Progress(_) => "progress",
-            Plan::Forget(_) => "forget",
+            Plan::Forget(_) | Plan::Tombstones(_) => "forget",
             Plan::Intake => "intake",
             Plan::Unanswered(_) => "unanswered",
             Plan::Speeds(_) => "speeds",
