front: an acknowledged cancellation bars its job at every entry

The caller cancels the job at another entry and is told 410, "no such job exists". The first entry goes on after 4 s, reads the submission and stores the job, whose tasks start 9 s after the answer; `cancel_ms` is 3 s.

Cause: the entry that cancels looked the job up and answered 410 without leaving anything behind, although a submission may be unread at an entry, on its way to the store, or sent again. Submissions were written on condition of their own keys only, so that even a stored cancellation didn't bar them.

Fix: the cancellation of a job that the entry doesn't know is written before it is answered, on condition that neither the job nor a cancellation of it is stored. If the job is, the cancellation is written without that condition. Each write of submissions is conditional on the absence of the jobs and of their cancellations. So the store orders the two, and the second is refused: either the job is cancelled, or its submission is rejected with 503, which holds for good.

The cost: a write in place of a read for a cancellation of an unknown job; ten submissions in a write in place of twelve.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -201,20 +201,19 @@
 
     /// Cancels a job.
     ///
-    /// Guards against a job that runs although its caller was told that it doesn't exist: while this entry
-    /// may still write it, a read that finds nothing doesn't show what comes of that write. The
-    /// cancellation is written first or last, and is in force in both cases.
+    /// Guards against a job that runs although its caller was told that it doesn't exist: a read that finds
+    /// nothing doesn't show what comes of a write that is on its way, or of a submission that an entry has
+    /// not read yet.
     fn cancel(&mut self, now: Duration, caller: Caller, id: &str, timeout: Duration) {
-        match self.view.state(id) {
+        let payload = match self.view.state(id) {
             Some(State::Complete | State::Failed | State::Cancelled) => {
                 self.answer(caller, Answer::Cancelled);
+                return;
             }
-            Some(_) => self.enqueue_write(now, caller, id, Payload::Cancel, timeout),
-            None if self.is_unresolved(now, id) => {
-                self.enqueue_write(now, caller, id, Payload::Cancel, timeout);
-            }
-            None => self.look_up(now, caller, id, Purpose::Cancel, timeout),
-        }
+            Some(_) => Payload::Cancel,
+            None => Payload::Tombstone,
+        };
+        self.enqueue_write(now, caller, id, payload, timeout);
     }
 
     /// Looks up a job in the store that the view does not contain: only a read that can't be stale
@@ -240,13 +239,7 @@
     pub(crate) fn job_looked_up(&mut self, now: Duration, id: JobId, reply: Reply) {
         match reply {
             Reply::Value(value) if value.revision == 0 => {
-                let is_unresolved = self.is_unresolved(now, &id);
                 for lookup in self.lookups.remove(&id).unwrap_or_default() {
-                    if is_unresolved && matches!(lookup.purpose, Purpose::Cancel) {
-                        let timeout = lookup.deadline.saturating_sub(now);
-                        self.enqueue_write(now, lookup.caller, &id, Payload::Cancel, timeout);
-                        continue;
-                    }
                     let answer = match lookup.purpose {
                         Purpose::Reject { reason, after } => {
                             if reason == answer::ABOVE_SHARE {
@@ -257,7 +250,7 @@
                             }
                             Answer::NotDone { reason, after }
                         }
-                        Purpose::State | Purpose::Cancel => Answer::NoJob,
+                        Purpose::State => Answer::NoJob,
                     };
                     self.answer(lookup.caller, answer);
                 }
@@ -268,10 +261,6 @@
                     match lookup.purpose {
                         Purpose::State => reads.push(lookup),
                         Purpose::Reject { .. } => self.answer(lookup.caller, Answer::Accepted),
-                        Purpose::Cancel => {
-                            let timeout = lookup.deadline.saturating_sub(now);
-                            self.enqueue_write(now, lookup.caller, &id, Payload::Cancel, timeout);
-                        }
                     }
                 }
                 if !reads.is_empty() {
--- a/crates/front/src/event.rs
+++ b/crates/front/src/event.rs
@@ -31,6 +31,8 @@
     Submit(Vec<JobId>),
     /// Writing a cancellation.
     Cancel(JobId),
+    /// Writing a cancellation on condition that the job isn't stored.
+    Tombstone(JobId),
     /// Looking up a job.
     LookUp(JobId),
     /// Looking up a job's progress.
--- a/crates/front/src/machine.rs
+++ b/crates/front/src/machine.rs
@@ -21,8 +21,6 @@
 pub(crate) enum Purpose {
     /// The caller requested the job's state.
     State,
-    /// The caller requested its cancellation.
-    Cancel,
     /// The job is to be rejected, unless an earlier attempt of its caller was accepted.
     Reject { reason: &'static str, after: Duration },
 }
@@ -145,7 +143,9 @@
             Operation::Leader => self.leader_read(now, reply),
             Operation::LeaderWatch => self.leader_changed(now, reply),
             Operation::LeaderLease => self.lease_replied(now, sent, reply),
-            Operation::Submit(_) | Operation::Cancel(_) => self.write_ended(now, &operation, reply),
+            Operation::Submit(_) | Operation::Cancel(_) | Operation::Tombstone(_) => {
+                self.write_ended(now, &operation, reply);
+            }
             Operation::LookUp(id) => self.job_looked_up(now, id, reply),
             Operation::LookUpProgress(id) => self.progress_looked_up(now, id, reply),
             Operation::LookUpCancel(id) => self.cancel_looked_up(now, id, reply),
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -73,10 +73,11 @@
 /// Time after which a write without an answer has either been applied or is lost. The store may
 /// apply a write 6 s late, and a network partition of a few seconds may delay it before that.
 pub const WRITE_RESOLUTION_TIME: Duration = Duration::from_secs(15);
-/// Most jobs in one write: two rows for each job, of the 32 rows that the store accepts.
-pub const MAX_JOBS_PER_WRITE: usize = 12;
-/// Number of writes in flight at which no further jobs are sent. More than one, so that a write
-/// without an answer does not delay the others. Cancellations are sent regardless.
+/// Most jobs in one write: three rows for each job, of the 32 rows that the store accepts.
+pub const MAX_JOBS_PER_WRITE: usize = 10;
+/// Number of writes in flight at which no further jobs are sent, nor cancellations of jobs that may not
+/// exist. More than one, so that a write without an answer does not delay the others. Cancellations
+/// of known jobs are sent regardless.
 pub const MAX_WRITES_IN_FLIGHT: usize = 8;
 /// How long a request for the state of a running job waits for the job's end. The end of a run
 /// takes 45 ms from the minion's list to the leader, 10 to 50 ms in the store and 20 ms from there
--- a/crates/front/src/state/writes.rs
+++ b/crates/front/src/state/writes.rs
@@ -10,7 +10,11 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Payload {
     Job(Box<Job>),
+    /// Cancellation of a job that is stored.
     Cancel,
+    /// Cancellation of a job that isn't known to be stored. Written only if the job isn't, so that no
+    /// entry can store it later.
+    Tombstone,
 }
 
 /// A write and the callers that wait for it.
@@ -56,7 +60,7 @@
 impl Writes {
     /// Writes of jobs or of cancellations, whichever the operation writes.
     pub(crate) fn by_kind(&mut self, operation: &Operation) -> &mut BTreeMap<JobId, Write> {
-        if matches!(operation, Operation::Cancel(_)) { &mut self.cancels } else { &mut self.jobs }
+        if matches!(operation, Operation::Submit(_)) { &mut self.jobs } else { &mut self.cancels }
     }
 
     /// Number of jobs and cancellations that are not durable yet.
--- a/crates/front/src/writes.rs
+++ b/crates/front/src/writes.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use prost::Message as _;
 use sapphire_jobs::task::JobId;
+use sapphire_plan::admit;
 use sapphire_planner::keys;
-use sapphire_store::call::{Call, Condition, Put, Reply};
+use sapphire_store::call::{Call, Condition, Item, Put, Reply};
 
 use crate::{
-    answer::Answer,
+    answer::{self, Answer},
     effect::Effect,
     event::{Caller, Operation},
     machine::Machine,
@@ -27,7 +28,7 @@
         payload: Payload,
         timeout: Duration,
     ) {
-        let is_cancel = matches!(payload, Payload::Cancel);
+        let is_cancel = !matches!(payload, Payload::Job(_));
         let timeout = timeout.mul_f64(options::WRITE_TIMEOUT_SHARE);
         let deadline = now + timeout.min(options::WRITE_TIMEOUT);
         // While an earlier attempt that got no answer may still be applied, the outcome of this one
@@ -72,10 +73,18 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in due {
-            self.send_cancel(id);
+            let write = self.writes.cancels.get(&id);
+            let is_tombstone = write.is_some_and(|it| matches!(it.payload, Payload::Tombstone));
+            if !is_tombstone || self.writes.in_flight < options::MAX_WRITES_IN_FLIGHT {
+                self.send_cancel(id);
+            }
         }
     }
 
+    /// Sends a write of jobs, on condition that none of them is stored or was cancelled before.
+    ///
+    /// Guards against a job that runs although its cancellation was acknowledged: this entry read its
+    /// submission only after that, or the store carries out the write late.
     fn send_jobs(&mut self, ids: Vec<JobId>) {
         let mut conditions = Vec::new();
         let mut puts = Vec::new();
@@ -85,6 +94,7 @@
             let Payload::Job(job) = &write.payload else { continue };
             let key = keys::job(id);
             conditions.push(Condition { key: key.clone(), revision: 0 });
+            conditions.push(Condition { key: keys::cancel(id), revision: 0 });
             puts.push(Put { key, value: Bytes::from(job.encode_to_vec()), lease: None });
         }
         self.writes.in_flight += 1;
@@ -93,15 +103,19 @@
     }
 
     fn send_cancel(&mut self, id: JobId) {
-        if let Some(write) = self.writes.cancels.get_mut(&id) {
-            write.is_in_flight = true;
-        }
+        let Some(write) = self.writes.cancels.get_mut(&id) else { return };
+        write.is_in_flight = true;
         self.writes.in_flight += 1;
         let key = keys::cancel(&id);
-        let conditions = vec![Condition { key: key.clone(), revision: 0 }];
+        let mut conditions = vec![Condition { key: key.clone(), revision: 0 }];
+        let is_tombstone = matches!(write.payload, Payload::Tombstone);
+        if is_tombstone {
+            conditions.push(Condition { key: keys::job(&id), revision: 0 });
+        }
         let puts = vec![Put { key, value: Bytes::from_static(b"1"), lease: None }];
         let call = Call::Commit { conditions, puts, removes: Vec::new() };
-        self.effects.push(Effect::Store(Operation::Cancel(id), call));
+        let operation = if is_tombstone { Operation::Tombstone(id) } else { Operation::Cancel(id) };
+        self.effects.push(Effect::Store(operation, call));
     }
 
     /// Handles the reply to a write.
@@ -109,27 +123,18 @@
         self.writes.in_flight = self.writes.in_flight.saturating_sub(1);
         let ids = match operation {
             Operation::Submit(ids) => ids.clone(),
-            Operation::Cancel(id) => vec![id.clone()],
+            Operation::Cancel(id) | Operation::Tombstone(id) => vec![id.clone()],
             _ => return,
         };
         match reply {
             Reply::Committed(_) => {
                 for id in ids {
-                    self.complete_write(operation, &id);
+                    self.complete_write(now, operation, &id);
                 }
             }
             Reply::Refused(items) => {
-                // Already written, by an earlier attempt of this entry or by another entry.
                 for id in ids {
-                    let exists = |key: &str| {
-                        items.iter().any(|item| item.key == key && item.value.is_some())
-                    };
-                    if exists(&keys::job(&id)) || exists(&keys::cancel(&id)) {
-                        self.complete_write(operation, &id);
-                    } else if let Some(write) = self.writes.by_kind(operation).get_mut(&id) {
-                        write.is_in_flight = false;
-                        write.retry_at = now;
-                    }
+                    self.write_refused(now, operation, &id, &items);
                 }
             }
             reply => {
@@ -145,17 +150,60 @@
         }
     }
 
-    fn complete_write(&mut self, operation: &Operation, id: &str) {
-        let is_cancel = matches!(operation, Operation::Cancel(_));
+    /// Handles a write that the store refused, given the records of the jobs in it: one of them was
+    /// written already, by an earlier attempt of this entry or by another entry.
+    fn write_refused(&mut self, now: Duration, operation: &Operation, id: &str, items: &[Item]) {
+        let exists = |key: &str| items.iter().any(|item| item.key == key && item.value.is_some());
+        let (is_stored, is_cancelled) = (exists(&keys::job(id)), exists(&keys::cancel(id)));
+        match operation {
+            Operation::Submit(_) if is_stored => self.complete_write(now, operation, id),
+            Operation::Submit(_) if is_cancelled => self.reject_cancelled(id),
+            Operation::Tombstone(_) if is_stored && is_cancelled => {
+                self.complete_write(now, &Operation::Cancel(id.to_owned()), id);
+            }
+            Operation::Cancel(_) | Operation::Tombstone(_) if is_cancelled => {
+                self.complete_write(now, operation, id);
+            }
+            _ => {
+                let Some(write) = self.writes.by_kind(operation).get_mut(id) else { return };
+                write.is_in_flight = false;
+                write.retry_at = now;
+                if matches!(operation, Operation::Tombstone(_)) && is_stored {
+                    write.payload = Payload::Cancel;
+                }
+            }
+        }
+    }
+
+    /// Rejects a job whose cancellation is stored and which is not: no write of it can be applied.
+    fn reject_cancelled(&mut self, id: &str) {
+        self.writes.unresolved.remove(&Target::new(id, false));
+        let Some(write) = self.writes.jobs.remove(id) else { return };
+        self.log(format!("job={id} rejected: {}", answer::CANCELLED));
+        let answer = Answer::NotDone { reason: answer::CANCELLED, after: admit::MAX_RETRY_AFTER };
+        for caller in write.callers {
+            self.answer(caller, answer.clone());
+        }
+    }
+
+    /// Answers the callers of a write whose record is stored. What is known of a cancelled job is shown
+    /// by the call that was carried out, which may be an earlier one of the same write.
+    fn complete_write(&mut self, now: Duration, operation: &Operation, id: &str) {
+        let is_cancel = !matches!(operation, Operation::Submit(_));
         self.writes.unresolved.remove(&Target::new(id, is_cancel));
         let Some(write) = self.writes.by_kind(operation).remove(id) else { return };
-        let answer = match write.payload {
-            Payload::Job(job) => {
+        let answer = match (operation, write.payload) {
+            (_, Payload::Job(job)) => {
                 self.log(format!("job={id} accepted queue={} term={}", job.queue, job.term));
                 self.view.add_job(*job);
                 Answer::Accepted
             }
-            Payload::Cancel => {
+            (Operation::Tombstone(_), _) => {
+                self.log(format!("job={id} does not exist; its cancellation is durable"));
+                // A caller whose submission this entry is still writing has withdrawn it.
+                if self.is_unresolved(now, id) { Answer::Cancelled } else { Answer::NoJob }
+            }
+            _ => {
                 self.log(format!("job={id} cancellation is durable"));
                 self.view.add_cancellation(id);
                 Answer::Cancelled
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -3,3 +3,4 @@
 mod configuration;
 mod entry;
 mod harness;
+mod withdrawals;
--- a/crates/proofs/src/jobs/simulation/callers.rs
+++ b/crates/proofs/src/jobs/simulation/callers.rs
@@ -75,6 +75,10 @@
         let id = self.arrivals[index].job.id.clone();
         match answer {
             answer::Answer::Accepted => {
+                if self.withdrawn.contains(&id) {
+                    let text = format!("{id} is accepted after its cancellation was acknowledged");
+                    self.violations.push(text);
+                }
                 let earlier = self.accepted.insert(id, self.now);
                 if earlier.is_none() {
                     self.after(Duration::from_millis(50), Action::ReadState(index));
@@ -96,6 +100,11 @@
             answer::Answer::NoJob if self.accepted.contains_key(&id) => {
                 self.violations.push(format!("{id} was accepted and is said not to exist"));
             }
+            answer::Answer::NoJob => {
+                // Only cancellations are sent before a job is accepted.
+                self.cancelled.entry(id.clone()).or_insert(self.now);
+                self.withdrawn.insert(id);
+            }
             _ => {}
         }
     }
@@ -134,10 +143,16 @@
             let id = &arrival.job.id;
             let is_given_up =
                 self.refusals.get(&index).is_some_and(|refusal| refusal.count > self.retries);
+            let is_given_up = is_given_up || self.withdrawn.contains(id);
             is_final(id) || (is_given_up && !self.accepted.contains_key(id))
         })
     }
 
+    /// Number of jobs that were cancelled before they were accepted.
+    pub fn withdrawn(&self) -> usize {
+        self.withdrawn.len()
+    }
+
     /// Whether a caller was told that the job is accepted.
     pub fn is_accepted(&self, id: &str) -> bool {
         self.accepted.contains_key(id)
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -261,6 +261,8 @@
     refusals: BTreeMap<usize, Refusal>,
     /// When a caller was first told that its job is cancelled.
     cancelled: BTreeMap<String, Duration>,
+    /// Jobs that were cancelled before they were accepted.
+    withdrawn: BTreeSet<String>,
     /// When the first task of each job started.
     started: BTreeMap<String, Duration>,
     /// Runs that have ended as done, by task.
@@ -350,6 +352,7 @@
             refusals: BTreeMap::new(),
             retries: u32::MAX,
             cancelled: BTreeMap::new(),
+            withdrawn: BTreeSet::new(),
             started: BTreeMap::new(),
             completions: BTreeMap::new(),
             failures: BTreeMap::new(),
--- a/crates/proofs/tests/jobs/mod.rs
+++ b/crates/proofs/tests/jobs/mod.rs
@@ -144,6 +144,30 @@
     }
 }
 
+/// Guards against a job that is accepted, and starts, although its cancellation was acknowledged: its
+/// submission was on its way to an entry that was paused, or arrives again.
+#[test]
+fn jobs_that_are_cancelled_while_entries_are_paused_are_not_accepted() {
+    let mut withdrawn = 0;
+    for seed in 700..=719 {
+        let mut arrivals = load::draw(&sites::ATLANTICA, seed, LOAD_DURATION, 0.7);
+        for arrival in arrivals.iter_mut().step_by(2) {
+            arrival.cancel_after = Some(secs(0.3 + (seed % 4) as f64 / 2.0));
+        }
+        let mut sim = Simulation::new(Options::new(&sites::ATLANTICA, arrivals.clone(), seed));
+        for pause in 0..4 {
+            sim.run_until(secs(3.0 + 4.0 * f64::from(pause)));
+            let planner = sim.planner_entry();
+            let entry = (0..sim.entries()).find(|entry| Some(*entry) != planner);
+            sim.pause_entry(entry.expect("several entries"), secs(5.0));
+        }
+        sim.run_until(END);
+        check(&sim, &arrivals);
+        withdrawn += sim.withdrawn();
+    }
+    assert!(withdrawn > 20, "{withdrawn}");
+}
+
 /// Guards against tasks that run twice, such as a customer billed twice. Agents are isolated while
 /// their minions run on; a task may be started elsewhere only after the minion's lease has
 /// certainly expired.
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -120,7 +120,7 @@
             Front::LeaderWatch => "lead_watch",
             Front::LeaderLease | Front::LeaderRelease => "hold",
             Front::Submit(_) => "submit",
-            Front::Cancel(_) => "cancel",
+            Front::Cancel(_) | Front::Tombstone(_) => "cancel",
             Front::LookUp(_) | Front::LookUpProgress(_) | Front::LookUpCancel(_) => "look_up",
             Front::Probe => "probe",
         },
--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -58,6 +58,17 @@
     assert_eq!((outcome.accepted, outcome.complete), (20, 20));
 }
 
+/// Guards against tasks that start after the cancellation of their jobs was acknowledged: entries are paused
+/// with submissions unread, or their submissions arrive again.
+#[test]
+fn jobs_that_were_withdrawn_do_not_start() {
+    let trouble = Trouble { withdrawals: true, ..Trouble::default() };
+    let outcome = run_jobs(30, 257, 0, Conditions::default(), trouble);
+    assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
+    assert_eq!(outcome.accepted, outcome.complete);
+    assert!(outcome.withdrawn > 5, "{}", outcome.withdrawn);
+}
+
 /// Processes are killed, shut down and paused, connections to the store are delayed, silenced and
 /// reset, and minions crash: no guarantee is violated and every accepted job completes.
 #[test]
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -46,6 +46,10 @@
     /// with all kinds of trouble in which something is held up, which older seeds didn't have
     #[argh(switch)]
     hold_ups: bool,
+    /// with entries that are paused with submissions unread whose jobs are cancelled, which older seeds
+    /// didn't have
+    #[argh(switch)]
+    withdrawals: bool,
     /// longest lease in milliseconds, in place of that of the bounds
     #[argh(option)]
     lease: Option<u32>,
@@ -81,6 +85,7 @@
         "lost_answers" => &mut trouble.lost_answers,
         "slow_store" => &mut trouble.slow_store,
         "hanging" => &mut trouble.hanging,
+        "withdrawals" => &mut trouble.withdrawals,
         _ => return None,
     })
 }
@@ -108,6 +113,7 @@
     if args.hold_ups {
         trouble = trouble.with_hold_ups();
     }
+    trouble.withdrawals |= args.withdrawals;
     for seed in args.first..args.first + args.seeds {
         let mut bounds = if args.bounds { Bounds::of_seed(seed) } else { Bounds::default() };
         bounds.lease_limit = args.lease.unwrap_or(bounds.lease_limit);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -42,6 +42,7 @@
 mod spells;
 mod unanswered;
 mod waits;
+mod withdrawals;
 
 pub use idle::Standstill;
 pub use unanswered::Figures;
@@ -78,6 +79,8 @@
     /// Number of jobs that callers saw as ended. Failed and cancelled ones count too; each of them
     /// is also a broken promise, unless a task of it has failed as often as it may.
     pub complete: usize,
+    /// Number of jobs that were cancelled after a submission without an answer, with an acknowledgement.
+    pub withdrawn: usize,
     /// Faults in the order in which they were injected.
     pub faults: Vec<String>,
     /// Times for which a job had nothing running for three seconds or more although there was
@@ -145,6 +148,8 @@
     /// When the caller sent the first request to cancel it.
     cancel_sent_at: Option<Duration>,
     cancelled_at: Option<Duration>,
+    /// The caller cancels it if its submission has no answer.
+    withdraws: bool,
     /// Since when it has had nothing running although there was capacity for it.
     idle: Option<idle::Idle>,
     /// Entry that the caller's next request goes to.
@@ -529,6 +534,8 @@
             }
         }
         self.outcome.accepted = self.jobs.values().filter(|job| job.is_accepted).count();
+        let is_withdrawn = |job: &&Job| job.is_withdrawn() && job.cancelled_at.is_some();
+        self.outcome.withdrawn = self.jobs.values().filter(is_withdrawn).count();
         self.outcome.complete = self.jobs.values().filter(|job| job.is_complete).count();
         Ok(self.outcome)
     }
@@ -638,8 +645,8 @@
         }
     }
 
-    /// Draws a job, which its caller submits at once.
-    fn add_job(&mut self, now: Duration) {
+    /// Draws a job, which its caller submits at once. Returns its id.
+    fn add_job(&mut self, now: Duration) -> String {
         let id = format!("{:016x}", self.jobs.len() as u64 + (self.options.seed << 32));
         let tasks = self.rng.random_range(1..4);
         let work = Duration::from_millis(self.rng.random_range(200..1_800));
@@ -661,7 +668,8 @@
         let cancel_at = self.spells.draw_cancellation(now).map(|delay| now + delay);
         let job =
             Job { tasks, step, next_request_at: now, entry, spec, cancel_at, ..Job::default() };
-        self.jobs.insert(id, job);
+        self.jobs.insert(id.clone(), job);
+        id
     }
 
     /// Sends the callers' requests that are due.
@@ -675,17 +683,18 @@
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             job.next_request_at = now + CALLER_TIMEOUT * 2;
             let is_cancelled = job.cancel_at.is_some_and(|at| now >= at);
-            let (request, pending) =
-                if job.is_accepted && is_cancelled && job.cancelled_at.is_none() {
-                    job.cancel_sent_at.get_or_insert(now);
-                    (Request::new("DELETE", &format!("/q/{id}"), ""), Pending::Cancellation(id))
-                } else if job.is_accepted {
-                    (Request::new("GET", &format!("/q/{id}"), ""), Pending::Query(id))
-                } else {
-                    (job.submission(&id), Pending::Submission(id))
-                };
+            let is_cancelled = job.is_accepted && is_cancelled || job.is_withdrawn();
+            let (request, pending) = if is_cancelled && job.cancelled_at.is_none() {
+                job.cancel_sent_at.get_or_insert(now);
+                (Request::new("DELETE", &format!("/q/{id}"), ""), Pending::Cancellation(id))
+            } else if job.is_accepted {
+                (Request::new("GET", &format!("/q/{id}"), ""), Pending::Query(id))
+            } else {
+                (job.submission(&id), Pending::Submission(id))
+            };
             let request = request.with("Host", "soak.example").with("X-Key", "k");
-            let call = self.hub.call(self.net.callers(job.entry), &request, CALLER_TIMEOUT);
+            let timeout = if job.withdraws { withdrawals::TIMEOUT } else { CALLER_TIMEOUT };
+            let call = self.hub.call(self.net.callers(job.entry), &request, timeout);
             self.pending.insert(call, pending);
         }
     }
@@ -713,6 +722,9 @@
             job.is_complete = true;
             return;
         }
+        if status == 0 && job.withdraws {
+            job.cancel_sent_at.get_or_insert(now);
+        }
         if status != 200 {
             job.entry = (job.entry + 1) % ENTRIES;
             job.was_refused |= !is_query && matches!(status, 429 | 503);
--- a/crates/soak/src/soak/cancels.rs
+++ b/crates/soak/src/soak/cancels.rs
@@ -33,6 +33,9 @@
         job.next_request_at = now + REQUEST_DELAY;
         if status == 410 || (200..300).contains(&status) {
             job.cancelled_at = Some(now);
+            if job.is_withdrawn() {
+                job.end_withdrawal(now);
+            }
             self.write_log(&format!("{id} is cancelled, {status}"));
         } else {
             job.entry = (job.entry + 1) % ENTRIES;
--- a/crates/soak/src/soak/hold_ups.rs
+++ b/crates/soak/src/soak/hold_ups.rs
@@ -128,7 +128,7 @@
         }
     }
 
-    fn push(&mut self, from: Duration, until: Duration, kind: Kind) {
+    pub(super) fn push(&mut self, from: Duration, until: Duration, kind: Kind) {
         self.spells.push(Spell { from, until, kind, is_begun: false });
     }
 
@@ -161,7 +161,9 @@
     pub(super) fn record_disruptions(&mut self, now: Duration) {
         for kind in self.spells.present(now) {
             match kind {
-                Kind::AgentPaused(_) | Kind::PlannerPaused => self.frozen_until = now,
+                Kind::AgentPaused(_) | Kind::PlannerPaused | Kind::Withdrawals(_) => {
+                    self.frozen_until = now;
+                }
                 Kind::Planners(_)
                 | Kind::Operations
                 | Kind::VmGone(_)
--- a/crates/soak/src/soak/spells.rs
+++ b/crates/soak/src/soak/spells.rs
@@ -134,6 +134,8 @@
     StoreLost(u8),
     /// A minion neither carries out calls nor answers them.
     Hanging(u8),
+    /// An entry is paused with submissions unread, and their callers cancel the jobs at other entries.
+    Withdrawals(u8),
 }
 
 impl Kind {
@@ -165,7 +167,8 @@
             | Kind::AnswersLost(_)
             | Kind::StoreSlow { .. }
             | Kind::StoreLost(_)
-            | Kind::Hanging(_) => true,
+            | Kind::Hanging(_)
+            | Kind::Withdrawals(_) => true,
         }
     }
 }
@@ -278,6 +281,7 @@
             spells.draw_listeners_and_drains(options, start, length, agents);
             spells.draw_inventories(options, start, length, agents);
             spells.draw_hold_ups(options, start, length, agents);
+            spells.draw_withdrawals(options, start, length);
             spells.end = spells.spells.iter().map(|spell| spell.until).max().unwrap_or_default();
         }
         spells
@@ -747,6 +751,7 @@
             Kind::PlannerPaused => self.spells.paused_planner = self.planner(now),
             Kind::Drain(plan) => self.begin_drain(now, plan),
             Kind::EndHeld(held) => self.hold_end(now, held),
+            Kind::Withdrawals(entry) => self.submit_withdrawn(now, entry),
             Kind::Cancels => {
                 for _ in 0..self.spells.series_rng.random_range(BURST) {
                     self.add_job(now);
@@ -795,6 +800,7 @@
         let is_paused = |kind: &Kind| match *kind {
             Kind::SlowEntry { entry, share } if phase >= share => Some(Node::Entry(entry)),
             Kind::AgentPaused(agent) => Some(Node::Agent(agent)),
+            Kind::Withdrawals(entry) => Some(Node::Entry(entry)),
             Kind::PlannerPaused => planner,
             _ => None,
         };
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -61,6 +61,8 @@
     pub slow_store: bool,
     /// Minions refuse connections or hang for some seconds while their tasks go on.
     pub hanging: bool,
+    /// Entries are paused with submissions unread, and their callers cancel the jobs at other entries.
+    pub withdrawals: bool,
 }
 
 impl Trouble {
@@ -91,6 +93,7 @@
         lost_answers: false,
         slow_store: false,
         hanging: false,
+        withdrawals: false,
     };
     /// All kinds that are drawn.
     pub const ALL: Trouble = Trouble {
@@ -155,6 +158,7 @@
             || self.series
             || self.power
             || self.cancels
+            || self.withdrawals
             || self.departures
             || self.lost_start
             || self.listeners
