front: cancellations of jobs that don't exist are bounded

A client that cancels made-up ids fills the store, the memory of planners and the pages that a successor reads, and takes the store's writes from everyone else.

Fix: an entry writes at most `limits.cancellations` of them (default 1000, checked) within `bounds.status`. Beyond that a cancellation of an unknown job is looked up: one of a job that is stored is carried out, as always; of one that isn't nothing is promised, and it is answered with 503 at once. The request's log line has the reason; metric `cancellations.refused`.

Test: `cancellations_of_jobs_that_do_not_exist_are_bounded`; failed without the check ("left: (200, 0), right: (50, 150)": records written and cancellations refused), passes. `the_limit_of_cancellations_is_checked` of the settings.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -11,6 +11,9 @@
 /// Reason of the rejection of a job whose cancellation was acknowledged before the job was stored.
 pub const CANCELLED: &str = "the job was cancelled before it was accepted";
 
+/// Reason of the refusal of a cancellation whose job doesn't exist, after too many others.
+pub const TOO_MANY_TOMBSTONES: &str = "too many cancellations of jobs that do not exist";
+
 /// A job as its caller submits it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Submission {
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -211,7 +211,11 @@
                 return;
             }
             Some(_) => Payload::Cancel,
-            None => Payload::Tombstone,
+            None if self.may_write_tombstone(now) => Payload::Tombstone,
+            None => {
+                self.look_up(now, caller, id, Purpose::Cancel, timeout);
+                return;
+            }
         };
         self.enqueue_write(now, caller, id, payload, timeout);
     }
@@ -250,6 +254,10 @@
                             }
                             Answer::NotDone { reason, after }
                         }
+                        Purpose::Cancel => {
+                            self.refuse(now, lookup.caller, answer::TOO_MANY_TOMBSTONES);
+                            continue;
+                        }
                         Purpose::State => Answer::NoJob,
                     };
                     self.answer(lookup.caller, answer);
@@ -261,6 +269,10 @@
                     match lookup.purpose {
                         Purpose::State => reads.push(lookup),
                         Purpose::Reject { .. } => self.answer(lookup.caller, Answer::Accepted),
+                        Purpose::Cancel => {
+                            let timeout = lookup.deadline.saturating_sub(now);
+                            self.enqueue_write(now, lookup.caller, &id, Payload::Cancel, timeout);
+                        }
                     }
                 }
                 if !reads.is_empty() {
--- a/crates/front/src/machine.rs
+++ b/crates/front/src/machine.rs
@@ -21,6 +21,8 @@
 pub(crate) enum Purpose {
     /// The caller requested the job's state.
     State,
+    /// The caller requested its cancellation, which is refused if the job doesn't exist.
+    Cancel,
     /// The job is to be rejected, unless an earlier attempt of its caller was accepted.
     Reject { reason: &'static str, after: Duration },
 }
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -28,6 +28,10 @@
     pub revocation: Duration,
     /// Duration of the lease on the leader key.
     pub leader_lease: Duration,
+    /// Time for which the planner keeps cancellations of jobs that don't exist.
+    pub retention: Duration,
+    /// Maximum number of such cancellations that the entry writes within that time.
+    pub max_tombstones: usize,
     /// Seed of random choices.
     pub seed: u64,
 }
--- a/crates/front/src/state/writes.rs
+++ b/crates/front/src/state/writes.rs
@@ -1,6 +1,9 @@
 //! State of the writes of jobs and cancellations to the store.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use sapphire_jobs::{Job, task::JobId};
 
@@ -55,6 +58,8 @@
     pub(crate) in_flight: usize,
     /// Abandoned writes that may still be applied, each with the time after which it can't be.
     pub(crate) unresolved: BTreeMap<Target, Duration>,
+    /// When cancellations of jobs that don't exist were written, or may have been, in ascending order.
+    pub(crate) tombstones: VecDeque<Duration>,
 }
 
 impl Writes {
--- a/crates/front/src/writes.rs
+++ b/crates/front/src/writes.rs
@@ -54,6 +54,20 @@
         is_pending || until.is_some_and(|until| now < *until)
     }
 
+    /// Whether the cancellation of a job that may not exist may be written.
+    ///
+    /// Guards against a client that fills the store, and the memory of planners, with cancellations of jobs
+    /// that don't exist.
+    pub(crate) fn may_write_tombstone(&mut self, now: Duration) -> bool {
+        let writes = &mut self.writes;
+        while writes.tombstones.front().is_some_and(|at| now >= *at + self.options.retention) {
+            writes.tombstones.pop_front();
+        }
+        let is_tombstone = |write: &&Write| matches!(write.payload, Payload::Tombstone);
+        let pending = writes.cancels.values().filter(is_tombstone).count();
+        writes.tombstones.len() + pending < self.options.max_tombstones
+    }
+
     pub(crate) fn drive_writes(&mut self, now: Duration) {
         self.expire_writes(now);
         let is_due = |write: &Write| !write.is_in_flight && now >= write.retry_at;
@@ -200,6 +214,7 @@
             }
             (Operation::Tombstone(_), _) => {
                 self.log(format!("job={id} does not exist; its cancellation is durable"));
+                self.writes.tombstones.push_back(now);
                 // A caller whose submission this entry is still writing has withdrawn it.
                 if self.is_unresolved(now, id) { Answer::Cancelled } else { Answer::NoJob }
             }
@@ -230,6 +245,9 @@
                     return true;
                 }
                 let may_be_applied = write.may_be_applied || write.is_in_flight;
+                if may_be_applied && matches!(write.payload, Payload::Tombstone) {
+                    writes.tombstones.push_back(now);
+                }
                 answers.push((
                     id.clone(),
                     is_cancel,
--- a/crates/front/tests/harness/mod.rs
+++ b/crates/front/tests/harness/mod.rs
@@ -21,6 +21,9 @@
 
 pub(crate) const REVOCATION: u64 = 5_000;
 
+/// Maximum number of cancellations of jobs that don't exist.
+pub(crate) const MAX_TOMBSTONES: usize = 50;
+
 pub(crate) fn ms(time: u64) -> Duration {
     Duration::from_millis(time)
 }
@@ -66,6 +69,8 @@
             read_catalog,
             revocation: ms(REVOCATION),
             leader_lease: ms(1_300),
+            retention: ms(120_000),
+            max_tombstones: MAX_TOMBSTONES,
             seed: 1,
         });
         Fixture { machine, answers: Vec::new(), calls: Vec::new(), sent: Vec::new(), caller: 0 }
--- a/crates/front/tests/withdrawals/mod.rs
+++ b/crates/front/tests/withdrawals/mod.rs
@@ -15,7 +15,7 @@
 use sapphire_store::call::{Call, Reply};
 
 use self::store::Store;
-use crate::harness::{Fixture, is_refused, submit_one_step};
+use crate::harness::{Fixture, MAX_TOMBSTONES, is_refused, submit_one_step};
 
 /// Takes the calls that concern jobs.
 fn take_calls(entry: &mut Fixture) -> Vec<(Operation, Call)> {
@@ -170,6 +170,36 @@
     assert_eq!(entry.answers.len(), 100);
 }
 
+/// Guards against a client that fills the store with cancellations of jobs that don't exist, and against
+/// jobs that can't be cancelled meanwhile.
+#[test]
+fn cancellations_of_jobs_that_do_not_exist_are_bounded() {
+    let (mut store, mut entry, mut other) =
+        (Store::default(), Fixture::configured(1_000), Fixture::configured(1_000));
+    assert_eq!(submit(&mut other, 1_050, &mut store), Some(Answer::Accepted));
+    let unknown = |entry: &mut Fixture, store: &mut Store, now: u64, first: usize| {
+        entry.answers.clear();
+        for id in first..first + MAX_TOMBSTONES * 4 {
+            entry.store_reply(now, now, Operation::Freshness, Reply::Committed(9));
+            entry.request(now, &format!("/q/x{id}"), "k", Action::Cancel);
+            if id % 7 == 0 {
+                settle(entry, now, store);
+            }
+        }
+        settle(entry, now, store);
+        let is =
+            |wanted: fn(&Answer) -> bool| entry.answers.iter().filter(|it| wanted(&it.1)).count();
+        (is(|it| *it == Answer::NoJob), is(|it| is_refused(Some(it))))
+    };
+    let (absent, refused) = unknown(&mut entry, &mut store, 1_100, 0);
+    assert_eq!((absent, refused), (MAX_TOMBSTONES, MAX_TOMBSTONES * 3));
+    assert_eq!(store.count(&keys::cancel("")), MAX_TOMBSTONES);
+    assert_eq!(cancel(&mut entry, 1_200, &mut store), Some(Answer::Cancelled));
+    // Those of the beginning are gone from the store by now.
+    assert_eq!(unknown(&mut entry, &mut store, 110_000, 1_000).0, 0);
+    assert_eq!(unknown(&mut entry, &mut store, 125_000, 2_000).0, MAX_TOMBSTONES);
+}
+
 /// What callers were told of a job.
 #[derive(Debug, Default)]
 struct Told {
--- a/crates/front/tests/withdrawals/store.rs
+++ b/crates/front/tests/withdrawals/store.rs
@@ -16,6 +16,11 @@
         self.keys.contains_key(key)
     }
 
+    /// Number of keys that begin with a prefix.
+    pub(super) fn count(&self, prefix: &str) -> usize {
+        self.keys.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
     fn revision_of(&self, key: &str) -> Revision {
         self.keys.get(key).copied().unwrap_or(0)
     }
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -442,6 +442,8 @@
             read_catalog: settings::read_catalog,
             revocation: Duration::from_secs(5),
             leader_lease: Duration::from_millis(1_300),
+            retention: settings::STATUS_RETENTION,
+            max_tombstones: 1_000,
             seed: index as u64 * 17,
         }
     }
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -14,6 +14,9 @@
 use super::{bounds::Bounds, options::Features};
 use crate::jobs::{load, sites};
 
+/// Time for which the state of a job is kept after its end.
+pub(super) const STATUS_RETENTION: Duration = Duration::from_secs(120);
+
 pub(super) fn runner_options(
     agent: usize,
     process_generation: u64,
@@ -42,7 +45,7 @@
         longest_lease: bounds.longest_lease,
         clock_drift_milli: 20,
         stop_timeout: bounds.stop,
-        status_retention: Duration::from_secs(120),
+        status_retention: STATUS_RETENTION,
         reclaim_deadline: bounds.reclaim,
         remote_factor: 3,
         policy,
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -31,6 +31,8 @@
         read_catalog: platform::config::read,
         revocation: Duration::from_millis(bounds.revocation_ms),
         leader_lease: Duration::from_millis(bounds.store_lease_ms).max(MIN_LEADER_LEASE),
+        retention: Duration::from_millis(bounds.status_ms),
+        max_tombstones: settings.max_tombstones as usize,
         seed,
     }
 }
--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -173,8 +173,14 @@
             let took = now.steady.saturating_sub(active.received_at);
             self.record_time("request", took);
             self.count(&format!("answers.{}", response.status));
-            if matches!(answer, Answer::NotDone { reason, .. } if *reason == answers::ABOVE_SHARE) {
-                self.count("shares.refused");
+            match answer {
+                Answer::NotDone { reason: answers::ABOVE_SHARE, .. } => {
+                    self.count("shares.refused");
+                }
+                Answer::NotDone { reason: answers::TOO_MANY_TOMBSTONES, .. } => {
+                    self.count("cancellations.refused");
+                }
+                _ => {}
             }
             let (status, took) = (response.status, took.as_millis());
             let text = format!("request={caller} {} status={status} ms={took}", active.text);
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -20,6 +20,7 @@
 pub fn read_entry(text: &str) -> Result<JobEntry, Vec<finding::Finding>> {
     section::read_file(text, |file| {
         file.word("platform", PLATFORMS[0], &PLATFORMS);
+        let (limits, max_tombstones) = entry_limits(file);
         JobEntry {
             name: file.name("name"),
             region: file.name("region"),
@@ -38,7 +39,8 @@
             shares: file.optional_section("shares", read_shares),
             stops: file.optional_section("stops", read_stops),
             logging: Some(shared::logging(file)),
-            limits: Some(limits(file)),
+            limits: Some(limits),
+            max_tombstones,
         }
     })
 }
@@ -74,6 +76,20 @@
         .unwrap_or_else(shared::default_process_limits)
 }
 
+/// Returns the limits of an entry: those of each process, and the maximum number of cancellations of jobs
+/// that don't exist.
+fn entry_limits(file: &mut section::Section<'_>) -> (ProcessLimits, u32) {
+    let read = |section: &mut section::Section<'_>| {
+        let tombstones = section.count("cancellations", Some(DEFAULT_MAX_TOMBSTONES), 1..=100_000);
+        (shared::process_limits(section), tombstones)
+    };
+    file.optional_section("limits", read)
+        .unwrap_or_else(|| (shared::default_process_limits(), DEFAULT_MAX_TOMBSTONES))
+}
+
+/// Default maximum number of cancellations of jobs that don't exist.
+const DEFAULT_MAX_TOMBSTONES: u32 = 1_000;
+
 fn bounds(file: &mut section::Section<'_>) -> Bounds {
     file.optional_section("bounds", read_bounds).unwrap_or_else(default_bounds)
 }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -161,3 +161,22 @@
     let findings = sapphire_settings::jobs::read_agent(text).expect_err("the limits are faulty");
     insta::assert_snapshot!(finding::report("agent.yaml", &findings));
 }
+
+/// Guards against an entry that starts with a limit of cancellations that can't hold, and against one whose
+/// other limits are lost beside it.
+#[test]
+fn the_limit_of_cancellations_is_checked() {
+    let head = "platform: kv\nname: e\nregion: r\nzone: z\naddress: 127.0.0.1:1\n\
+                callers: 127.0.0.1:2\nready: 127.0.0.1:3\nstore: 127.0.0.1:4\nlimits:\n";
+    let read = |text: &str| sapphire_settings::jobs::read_entry(&format!("{head}{text}"));
+    let entry = read("  cancellations: 7\n  memory: 64 MiB\n").expect("the limits are valid");
+    assert_eq!(entry.max_tombstones, 7);
+    assert_eq!(entry.limits.map(|limits| limits.memory_bytes), Some(64 << 20));
+    assert_eq!(read("  memory: 64 MiB\n").map(|entry| entry.max_tombstones), Ok(1_000));
+    for value in ["0", "100001", "many"] {
+        let findings = read(&format!("  cancellations: {value}\n")).expect_err(value);
+        let keys: Vec<(usize, &str)> =
+            findings.iter().map(|finding| (finding.line, finding.key.as_str())).collect();
+        assert_eq!(keys, [(10, "limits.cancellations")], "{value}");
+    }
+}
