soak: the number of withdrawn jobs is printed

A run of the soak with `--withdrawals` didn't say whether any submission was left without an answer and cancelled elsewhere; without such jobs it checks nothing new.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -135,10 +135,11 @@
         let lost = outcome.standstills.iter().filter(|it| it.is_broken()).count();
         println!("{}", outcome.unanswered);
         println!(
-            "seed={seed} accepted={} complete={} faults={} longest_standstill_ms={} standstills={} \
-             lost={lost} frozen={} started_again={} broken={}",
+            "seed={seed} accepted={} complete={} withdrawn={} faults={} longest_standstill_ms={} \
+             standstills={} lost={lost} frozen={} started_again={} broken={}",
             outcome.accepted,
             outcome.complete,
+            outcome.withdrawn,
             outcome.faults.len(),
             outcome.longest_standstill.as_millis(),
             outcome.standstills.len(),
