--- a/crates/sapphired/tests/platform/mod.rs
+++ b/crates/sapphired/tests/platform/mod.rs
@@ -25,6 +25,7 @@
     trouble: Trouble,
 ) -> soak::Outcome {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{seed}"));
+    // Seeds of tests with the same conditions differ in their last four bits.
     let networks = if conditions.calls_outlive_incarnations { 0xf0 } else { 0xe0 };
     let options = soak::Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_sapphired")),
@@ -63,7 +64,7 @@
 #[test]
 fn jobs_that_were_withdrawn_do_not_start() {
     let trouble = Trouble { withdrawals: true, ..Trouble::default() };
-    let outcome = run_jobs(30, 257, 0, Conditions::default(), trouble);
+    let outcome = run_jobs(30, 257, 0, within_incarnations(), trouble);
     assert_eq!(outcome.broken, Vec::<String>::new(), "faults: {:?}", outcome.faults);
     assert_eq!(outcome.accepted, outcome.complete);
     assert!(outcome.withdrawn > 5, "{}", outcome.withdrawn);
