runner, planner: a heartbeat shows no end of a minion

Cause: one comparison of `id` and `born` decided that the sender is the worker's minion, that it follows the known one, and that that one has ended. The planner then took the first list of the other process for that of the worker and counted its runs as ended. A heartbeat shows none of the three.

Fix: an agent keeps other incarnations as candidates (at most 4, for 5 s) and asks its minion for a list, without a lease and without acknowledging ends. A candidate becomes the minion only once that one is over: a call that names it is answered 421, its own list has a later birth, or its lease has run out while it refuses connections or is silent. Service and address of an incarnation don't change. The planner takes nothing from a minion whose service neither the configuration nor a kept job names, and tells the agent, which drops it for 3 s at a time. When the worker's minion returns, a session begins, since its token may be below one that the agent has shown.

Why it works: what ends a run now comes from the address of the incarnation that runs it, or from the end of its lease; who the minion is, from the configuration.

Tests, `presence::foreign` of the planner with the real agent, ten kinds of senders: 5 of 6 failed on the code before ("j/0/0/0#1002 begins on b, on a as well"; "not in the session's first list; lost"), pass now.

Test code that changed: the fixture of the runner began a next incarnation by a heartbeat alone; `replace_minion` also has it answer the agent's inquiry, as a minion does. The stand-in of `presence` answered calls that name another minion; it refuses them now.

--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -140,6 +140,16 @@
         self.services.get(name)
     }
 
+    /// Returns whether it names any service.
+    pub fn has_services(&self) -> bool {
+        !self.services.is_empty() || !self.queues.is_empty()
+    }
+
+    /// Returns whether it names a service, as one of its own or as that of a queue.
+    pub fn names_service(&self, name: &str) -> bool {
+        self.services.contains_key(name) || self.queues.iter().any(|queue| queue.service == name)
+    }
+
     /// Looks up the organisation that an API key belongs to.
     pub fn owner(&self, key: &str) -> Option<&Organisation> {
         self.organisations.get(self.organisations_by_key.get(key)?)
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphire_jobs::{
-    Absence, Incarnation, LateCall, Orders, Poll, Start,
+    Absence, Incarnation, LateCall, Orders, Poll, RejectedMinion, Start,
     task::{GroupKey, Task, WorkerName},
 };
 
@@ -15,6 +15,7 @@
     planner::Planner,
     run_log,
     state::feeds::Delivery,
+    table::Entry,
     unanswered::{Grace, Released, Sender},
     worker::{LongPoll, Phase, Run, Worker},
 };
@@ -71,6 +72,7 @@
             self.effects.push(Effect::Orders(requester, Box::new(orders)));
             return;
         }
+        let (poll, is_rejected) = self.without_foreign_minion(&name, poll);
         if let Some(call) = &poll.late_call {
             self.count_on_late_calls(&name, call);
         }
@@ -101,7 +103,7 @@
             let orders = self.grant(now, &name);
             self.effects.push(Effect::Orders(earlier.requester, Box::new(orders)));
         }
-        if is_new_session {
+        if is_new_session || is_rejected {
             // The token is needed at once, so that fencing can proceed while the store is read.
             self.send_empty_orders(&name);
         } else if is_fenced && self.startup.is_serving() {
@@ -109,6 +111,47 @@
         }
     }
 
+    /// Removes the minion from a poll, with all that is said of it, unless it is known to be the worker's: the
+    /// configuration or a job names its service. Returns also whether the agent has to be told so.
+    ///
+    /// Guards against a task that runs twice: a minion's heartbeats may come from another writer. Its lists
+    /// show nothing of what the worker runs.
+    fn without_foreign_minion(&mut self, name: &str, poll: Poll) -> (Poll, bool) {
+        let foreign = poll.incarnation.as_ref().filter(|minion| !self.is_known_service(minion));
+        let foreign = foreign.map(|minion| RejectedMinion {
+            id: minion.id.clone(),
+            born_ms: minion.born_ms,
+            service: minion.service.clone(),
+        });
+        // Without a configuration any service may be a true one.
+        let rejected = foreign.clone().filter(|_| self.catalog.has_services());
+        let worker = self.workers.get_mut(name).expect("the caller has inserted it");
+        let is_new = rejected.is_some() && worker.rejected != rejected;
+        worker.rejected = rejected;
+        worker.had_foreign_minion |= foreign.is_some();
+        let Some(RejectedMinion { id, service, .. }) = foreign else { return (poll, false) };
+        if is_new {
+            self.log(format!(
+                "worker={name} minion={id} rejected: service={service} is not configured"
+            ));
+        }
+        let poll = Poll {
+            agent: poll.agent,
+            address: poll.address,
+            generation: poll.generation,
+            sequence: poll.sequence,
+            is_leaving: poll.is_leaving,
+            ..Poll::default()
+        };
+        (poll, is_new)
+    }
+
+    /// Returns whether the service of a minion is configured, or is that of a job that is kept.
+    fn is_known_service(&self, minion: &Incarnation) -> bool {
+        let is_of_job = |entry: &Entry| entry.job.service == minion.service;
+        self.catalog.names_service(&minion.service) || self.table.entries.values().any(is_of_job)
+    }
+
     /// Records the starts that an agent has had no answer to.
     fn record_unanswered(&mut self, now: Moment, name: &str, poll: &Poll) {
         if let Some(minion) = &poll.incarnation {
@@ -210,7 +253,14 @@
         worker.is_vacant = poll.is_minion_gone && poll.incarnation.is_none();
         // An agent that has lost its session must not resume an earlier one.
         let has_lost_session = worker.is_fenced && poll.fenced_token < worker.token;
-        let is_new_session = is_new_agent || is_new_minion || worker.token == 0 || has_lost_session;
+        // The agent may have shown the worker's minion a token that is above that of the session.
+        let had_foreign_minion =
+            poll.incarnation.is_some() && std::mem::take(&mut worker.had_foreign_minion);
+        let is_new_session = is_new_agent
+            || is_new_minion
+            || worker.token == 0
+            || has_lost_session
+            || had_foreign_minion;
         if is_new_session {
             self.sessions += 1;
             worker.token = self.term * options::SESSIONS_PER_TERM + self.sessions;
--- a/crates/planner/src/worker.rs
+++ b/crates/planner/src/worker.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use sapphire_jobs::{
-    Absence, Incarnation, Orders, Rejection, Running,
+    Absence, Incarnation, Orders, RejectedMinion, Rejection, Running,
     resources::Resources,
     task::{JobId, RunNumber, Task},
 };
@@ -147,6 +147,10 @@
     pub earlier: Option<(u64, u64)>,
     /// Its minion, if known.
     pub incarnation: Option<Incarnation>,
+    /// The minion that its agent has reported and that is not the worker's.
+    pub(crate) rejected: Option<RejectedMinion>,
+    /// Its agent has reported another one than the worker's since the session began.
+    pub(crate) had_foreign_minion: bool,
     /// Token of the session.
     pub token: u64,
     /// The minion has acknowledged the token, so that no earlier order can take effect and its list
@@ -398,7 +402,13 @@
 
     /// Returns orders without starts and stops.
     pub fn empty_orders(&self, term: u64) -> Orders {
-        Orders { term, token: self.token, noted: self.acknowledged, ..Orders::default() }
+        Orders {
+            term,
+            token: self.token,
+            noted: self.acknowledged,
+            rejected: self.rejected.clone(),
+            ..Orders::default()
+        }
     }
 }
 
--- a/crates/planner/tests/presence/mod.rs
+++ b/crates/planner/tests/presence/mod.rs
@@ -7,6 +7,7 @@
 
 mod crashed;
 mod drained;
+mod foreign;
 mod refused;
 mod reported;
 mod restarted;
--- a/crates/planner/tests/presence/site.rs
+++ b/crates/planner/tests/presence/site.rs
@@ -1,11 +1,12 @@
 //! A planner, agents and minions on one clock, with a store that keeps what is written. A test decides how a minion
 //! meets calls and in which order events come.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use prost::Message as _;
 use sapphire_jobs::{
     Ended, Ending, Incarnation, Lead, Notice, Orders, Poll, Rejection, Run, Running, Step,
+    catalog::{Catalog, Parts, Queue},
     inventory::{Page, Tenant},
     task::Task,
 };
@@ -150,12 +151,58 @@
     call: Call,
     due: u64,
     is_refused: bool,
+    /// Identifier of the minion that it is meant for, and its address.
+    minion_id: String,
+    address: String,
+}
+
+/// A process that is not the worker's minion and sends heartbeats to its agent.
+#[derive(Clone, Debug)]
+pub(crate) struct Foreign {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) address: String,
+    /// How it meets calls at its address; all of them, if that is not the minion's.
+    pub(crate) conduct: Conduct,
+    pub(crate) beats: u64,
+    /// Each heartbeat is that of a later incarnation.
+    pub(crate) is_reborn: bool,
+}
+
+impl Foreign {
+    /// Returns one with an address of its own that answers calls and runs nothing.
+    pub(crate) fn new(service: &str) -> Self {
+        let incarnation = Incarnation {
+            id: "m-foreign".to_owned(),
+            born_ms: 1_000,
+            service: service.to_owned(),
+            ..minion("f")
+        };
+        let address = "f:1".to_owned();
+        Foreign { incarnation, address, conduct: Conduct::Answers, beats: 0, is_reborn: false }
+    }
+
+    fn answer(&self, minion_id: &str, now: u64) -> Reply {
+        match self.conduct {
+            Conduct::Silent => Reply::Unknown,
+            Conduct::Refuses => Reply::NotListening,
+            _ if minion_id != self.incarnation.id => Reply::WrongInstance,
+            _ => Reply::Listed {
+                born_ms: self.incarnation.born_ms,
+                clock: clock(now),
+                running: Vec::new(),
+                ended: Vec::new(),
+                unreadable: 0,
+            },
+        }
+    }
 }
 
 /// A worker: an agent beside a minion.
 pub(crate) struct Worker {
     agent: Machine,
     pub(crate) program: Program,
+    /// Another process that sends heartbeats to its agent.
+    pub(crate) foreign: Option<Foreign>,
     /// Neither its polls nor their answers get through.
     pub(crate) is_cut_off: bool,
     /// Only its polls get lost, or only their answers.
@@ -305,6 +352,7 @@
         Worker {
             agent,
             program,
+            foreign: None,
             is_cut_off: false,
             loses_polls: false,
             loses_answers: false,
@@ -443,7 +491,8 @@
         let Worker { granted_at, generation, .. } = *worker;
         let program =
             std::mem::replace(&mut worker.program, Program::new(name, 0, 1, self.bounds.longest));
-        *worker = Worker { granted_at, ..Worker::new(name, generation + 1, program) };
+        let foreign = worker.foreign.take();
+        *worker = Worker { granted_at, foreign, ..Worker::new(name, generation + 1, program) };
         self.follow(name);
     }
 
@@ -544,6 +593,7 @@
             self.advance_program(name);
             if self.now.is_multiple_of(HEARTBEAT) {
                 self.beat(name);
+                self.foreign_beat(name);
             }
             self.answer_calls(name);
             self.deliver_answers(name);
@@ -554,6 +604,40 @@
         }
     }
 
+    /// Leaves the planner without a configuration.
+    pub(crate) fn forget_configuration(&mut self) {
+        self.planner_handles(Event::Catalog(Arc::default()));
+    }
+
+    /// Adds a queue whose tasks a service runs.
+    pub(crate) fn configure(&mut self, service: &str) {
+        let queue = |name: &str, service: &str| Queue {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            max_attempts: 2,
+            slack: 3.0,
+            priority: 1,
+            ..Queue::default()
+        };
+        let queues = vec![queue("q", "desk"), queue("other", service)];
+        let catalog = Catalog::new(Parts { queues, ..Parts::default() });
+        self.planner_handles(Event::Catalog(Arc::new(catalog)));
+    }
+
+    /// Sends a heartbeat of the process that is not the worker's minion.
+    pub(crate) fn foreign_beat(&mut self, name: &'static str) {
+        let worker = self.workers.get_mut(name).expect("it is known");
+        let Some(foreign) = &mut worker.foreign else { return };
+        foreign.beats += 1;
+        foreign.incarnation.born_ms += u64::from(foreign.is_reborn);
+        let heartbeat = Heartbeat {
+            incarnation: foreign.incarnation.clone(),
+            address: foreign.address.clone(),
+            sequence: foreign.beats,
+        };
+        self.agent_handles(name, agent::Event::Heartbeat(Box::new(heartbeat)));
+    }
+
     fn beat(&mut self, name: &'static str) {
         let program = self.program(name);
         if program.is_gone || !program.is_beating {
@@ -614,11 +698,22 @@
         };
         let due: Vec<Pending> = worker.calls.extract_if(.., is_due).collect();
         for pending in due {
+            let foreign = self.workers[name].foreign.clone();
+            let foreign = foreign.filter(|foreign| foreign.address == pending.address);
             let reply = match conduct {
+                _ if pending.address != format!("m-{name}:1") => {
+                    foreign.map_or(Reply::Unknown, |it| it.answer(&pending.minion_id, now))
+                }
                 Conduct::Refuses => Reply::NotListening,
                 Conduct::RefusesNew | Conduct::RefusesOrders if pending.is_refused => {
                     Reply::NotListening
                 }
+                Conduct::Answers | Conduct::RefusesNew | Conduct::RefusesOrders
+                    if !pending.minion_id.is_empty()
+                        && pending.minion_id != self.program(name).incarnation.id =>
+                {
+                    Reply::WrongInstance
+                }
                 Conduct::Answers | Conduct::RefusesNew | Conduct::RefusesOrders => {
                     self.carry_out(name, pending.call)
                 }
@@ -725,7 +820,7 @@
         let mut asks = false;
         for effect in worker.agent.handle(ms(now), event) {
             match effect {
-                Effect::CallMinion { ticket, call, .. } => {
+                Effect::CallMinion { ticket, call, minion_id, address, .. } => {
                     let wait = match &call {
                         Call::LongPoll { wait, .. } => u64::try_from(wait.as_millis()).unwrap_or(0),
                         _ => 0,
@@ -736,7 +831,14 @@
                         _ => false,
                     };
                     let due = now + wait.max(TICK);
-                    worker.calls.push(Pending { ticket, call, due, is_refused });
+                    worker.calls.push(Pending {
+                        ticket,
+                        call,
+                        due,
+                        is_refused,
+                        minion_id,
+                        address,
+                    });
                 }
                 Effect::Poll { ticket, poll, .. } => polls.push((ticket, poll)),
                 Effect::QueryLeader { .. } => asks = true,
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -3,6 +3,7 @@
 //! I/O and reads no clock.
 
 mod absence;
+mod candidates;
 pub mod effect;
 pub mod event;
 mod leader;
--- a/crates/runner/src/long_polls.rs
+++ b/crates/runner/src/long_polls.rs
@@ -71,6 +71,32 @@
         next.max(offered_token)
     }
 
+    /// Asks the minion whether it goes on while another incarnation sends heartbeats. The next incarnation
+    /// under its identifier may answer: the call grants no lease, and acknowledges no ends.
+    pub(crate) fn drive_inquiry(&mut self, now: Duration) {
+        let is_due = self.inquiry.ticket.is_none() && now >= self.inquiry.next;
+        if self.minion.is_none() || !is_due || !self.candidates.is_any_open() {
+            return;
+        }
+        let session = self.session.token;
+        let token = if session > 0 { session } else { self.provisional_token() };
+        let call = Call::LongPoll { deadline: None, token, acknowledged: 0, wait: Duration::ZERO };
+        self.inquiry.ticket = self.call_minion(call, options::MINION_TIMEOUT);
+    }
+
+    fn inquiry_answered(&mut self, now: Duration, reply: &Reply) {
+        let is_answered = !matches!(reply, Reply::Unknown | Reply::NotListening);
+        self.inquiry.unanswered = if is_answered { 0 } else { self.inquiry.unanswered + 1 };
+        let delay = options::retry_delay(self.inquiry.unanswered);
+        self.inquiry.ticket = None;
+        self.inquiry.next = now + options::LIST_DELAY.max(delay);
+        if let Reply::Listed { born_ms, .. } = reply
+            && self.is_other_incarnation(*born_ms)
+        {
+            self.restarted(now, *born_ms);
+        }
+    }
+
     fn fencing_answered(&mut self, now: Duration, reply: &Reply) {
         self.fencing_call = None;
         self.next_long_poll = now + options::LIST_DELAY;
@@ -188,7 +214,11 @@
         if self.minion.as_ref().is_some_and(|minion| ticket < minion.first_ticket) {
             return;
         }
-        self.update_presence(now, &reply);
+        self.update_presence(now, ticket, &reply);
+        if self.inquiry.ticket == Some(ticket) {
+            self.inquiry_answered(now, &reply);
+            return;
+        }
         if self.fencing_call == Some(ticket) {
             self.fencing_answered(now, &reply);
             return;
@@ -207,7 +237,7 @@
     ///
     /// Guards against a task that runs twice: a minion that refuses connections may do so for a moment
     /// and run its tasks all the while.
-    fn update_presence(&mut self, now: Duration, reply: &Reply) {
+    fn update_presence(&mut self, now: Duration, ticket: Ticket, reply: &Reply) {
         let Some(minion) = &mut self.minion else { return };
         match reply {
             Reply::Unknown => {}
@@ -257,10 +287,31 @@
                     self.log(text);
                     self.has_changes = true;
                 }
+                self.refute_candidates(ticket, reply);
             }
         }
     }
 
+    /// Notes that the minion goes on although other incarnations have sent heartbeats. Whether one with its
+    /// identifier has answered in its place is shown by a list alone.
+    fn refute_candidates(&mut self, ticket: Ticket, reply: &Reply) {
+        let Some(minion) = &self.minion else { return };
+        let id = minion.incarnation.id.clone();
+        let may_be_other = match reply {
+            Reply::Listed { born_ms, .. } if self.is_other_incarnation(*born_ms) => return,
+            Reply::Listed { .. } => None,
+            _ => Some(id.as_str()),
+        };
+        for Incarnation { id: other, born_ms, service, .. } in
+            self.candidates.refute(ticket, may_be_other)
+        {
+            self.log(format!(
+                "minion={other} born_ms={born_ms} service={service} is not the worker's: minion={id} \
+                 goes on"
+            ));
+        }
+    }
+
     fn long_poll_answered(&mut self, now: Duration, long_poll: LongPoll, reply: Reply) {
         let is_answered = !matches!(reply, Reply::Unknown | Reply::NotListening);
         self.unanswered_long_polls = if is_answered { 0 } else { self.unanswered_long_polls + 1 };
@@ -308,13 +359,17 @@
     /// ordered since it started.
     fn restarted(&mut self, now: Duration, born_ms: u64) {
         let Some(minion) = &self.minion else { return };
-        let incarnation = Incarnation { born_ms, ..minion.incarnation.clone() };
-        if born_ms < minion.incarnation.born_ms {
+        if born_ms < minion.incarnation.born_ms && minion.is_confirmed() {
             // A late answer of the previous incarnation.
             return;
         }
-        let (address, sequence) = (minion.address.clone(), 0);
-        let id = incarnation.id.clone();
+        let (id, address) = (minion.incarnation.id.clone(), minion.address.clone());
+        let heard = self.candidates.take_incarnation(&id, born_ms);
+        let heard = heard.filter(|heartbeat| heartbeat.address == address);
+        let (incarnation, sequence) = match heard {
+            Some(heartbeat) => (heartbeat.incarnation, heartbeat.sequence),
+            None => (Incarnation { born_ms, ..minion.incarnation.clone() }, 0),
+        };
         self.log(format!("minion={id} born_ms={born_ms} has restarted under the same name"));
         self.begin_incarnation(now, incarnation, address, sequence);
     }
--- a/crates/runner/src/machine.rs
+++ b/crates/runner/src/machine.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use sapphire_jobs::{
-    AbsenceCause, Ended, Incarnation, LateCall, Lead, Running, Verdict, task::Task,
+    AbsenceCause, Ended, Incarnation, LateCall, Lead, RejectedMinion, Running, Verdict, task::Task,
 };
 
 use crate::{
     absence::Absence,
+    candidates::Candidates,
     effect::Effect,
     event::{Event, Ticket},
     lease::Watch,
@@ -68,9 +69,16 @@
     pub(crate) fenced_at: Duration,
     /// First ticket of the calls that are meant for this incarnation.
     pub(crate) first_ticket: Ticket,
+    /// Nothing was running on the worker before its first contact.
+    pub(crate) follows_none: bool,
 }
 
 impl Minion {
+    /// Returns whether an answer of its own has shown which incarnation it is, beside its heartbeats.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.is_fenced || self.lists > 0 || self.fenced_token > 0
+    }
+
     /// Returns what shows that it is absent, if so.
     pub(crate) fn shown_absence(&self) -> Option<&Absence> {
         self.absence.as_ref().filter(|absence| absence.is_shown()).or(self.departure.as_ref())
@@ -102,6 +110,17 @@
     pub(crate) next: Duration,
 }
 
+/// State of the inquiries whether the minion goes on while another incarnation sends heartbeats.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Inquiry {
+    /// Ticket of the inquiry in flight.
+    pub(crate) ticket: Option<Ticket>,
+    /// When the next one is due.
+    pub(crate) next: Duration,
+    /// Inquiries in a row without an answer.
+    pub(crate) unanswered: u32,
+}
+
 /// The session that the planner has granted to the current incarnation of the minion.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Session {
@@ -136,6 +155,11 @@
 pub struct Machine {
     pub(crate) options: Options,
     pub(crate) minion: Option<Minion>,
+    /// Other incarnations that have sent heartbeats.
+    pub(crate) candidates: Candidates,
+    pub(crate) inquiry: Inquiry,
+    /// Heartbeats of incarnations that are not the worker's minion.
+    foreign_heartbeats: u64,
     /// Whether the minion that was known, or any that an earlier process knew, runs nothing any more.
     pub(crate) is_minion_gone: bool,
     /// What shows that there is no minion, while none is known.
@@ -207,6 +231,9 @@
         Machine {
             options,
             minion: None,
+            candidates: Candidates::default(),
+            inquiry: Inquiry::default(),
+            foreign_heartbeats: 0,
             is_minion_gone: false,
             absence: None,
             probe: Probe::default(),
@@ -280,8 +307,10 @@
         self.update_silence(now);
         self.watch_lease(now);
         self.end_absence(now);
+        self.adopt_candidate(now);
         self.drive_probe(now);
         self.drive_orders(now);
+        self.drive_inquiry(now);
         self.drive_long_polls(now);
         self.drive_polls(now);
         self.drive_leader_queries(now);
@@ -313,47 +342,99 @@
         Some(ticket)
     }
 
+    /// Handles a heartbeat. Only those of the known incarnation change what is known of the minion; its
+    /// service and address stay the same.
+    ///
+    /// Guards against a task that runs twice: a heartbeat may be late or that of another writer, and shows
+    /// neither which minion is the worker's nor that an earlier one has ended.
     fn heartbeat_received(&mut self, now: Duration, heartbeat: Heartbeat) {
-        if let Some(minion) = &mut self.minion {
-            let known = &minion.incarnation;
-            let is_same = known.id == heartbeat.incarnation.id
-                && known.born_ms == heartbeat.incarnation.born_ms;
-            let is_older = !is_same && heartbeat.incarnation.born_ms < known.born_ms;
-            if is_older || (is_same && heartbeat.sequence <= minion.sequence) {
-                // A late heartbeat: of an earlier incarnation, or overtaken by a newer one.
-                return;
-            }
-            if is_same {
-                let is_silent = known.is_silent;
-                let incarnation = Incarnation { is_silent, ..heartbeat.incarnation };
-                self.has_changes |= minion.incarnation.is_draining != incarnation.is_draining
-                    || minion.incarnation.capacity != incarnation.capacity;
-                minion.last_heartbeat = now;
-                // It goes on after all, or its deregistration was that of an earlier incarnation.
-                self.has_changes |= minion.departure.take().is_some();
-                if let Some(absence) = &mut minion.absence {
-                    absence.heartbeat_received(now);
-                }
-                minion.incarnation = incarnation;
-                minion.sequence = heartbeat.sequence;
-                minion.address = heartbeat.address;
-                return;
-            }
+        let Some(minion) = &mut self.minion else {
+            self.candidate_heard(now, heartbeat);
+            return;
+        };
+        let known = &minion.incarnation;
+        let is_same = known.id == heartbeat.incarnation.id
+            && known.born_ms == heartbeat.incarnation.born_ms
+            && known.service == heartbeat.incarnation.service;
+        if !is_same {
+            self.candidate_heard(now, heartbeat);
+            return;
+        }
+        if minion.address != heartbeat.address {
+            self.foreign_heartbeats += 1;
+            return;
+        }
+        if heartbeat.sequence <= minion.sequence {
+            return;
+        }
+        let is_silent = known.is_silent;
+        let incarnation = Incarnation { is_silent, ..heartbeat.incarnation };
+        self.has_changes |= minion.incarnation.is_draining != incarnation.is_draining
+            || minion.incarnation.capacity != incarnation.capacity;
+        minion.last_heartbeat = now;
+        // It goes on after all, or its deregistration was that of an earlier incarnation.
+        self.has_changes |= minion.departure.take().is_some();
+        if let Some(absence) = &mut minion.absence {
+            absence.heartbeat_received(now);
+        }
+        minion.incarnation = incarnation;
+        minion.sequence = heartbeat.sequence;
+    }
+
+    /// Handles a heartbeat of an incarnation that is not the known minion. That one is asked whether it
+    /// goes on.
+    fn candidate_heard(&mut self, now: Duration, heartbeat: Heartbeat) {
+        let Heartbeat { incarnation: Incarnation { id, born_ms, service, .. }, address, .. } =
+            &heartbeat;
+        let text = format!("minion={id} born_ms={born_ms} service={service} address={address}");
+        let next = self.last_ticket + 1;
+        let is_new = self.candidates.add(now, heartbeat, next);
+        let Some(minion) = &self.minion else { return };
+        self.foreign_heartbeats += u64::from(!is_new);
+        if is_new {
+            let known = minion.incarnation.id.clone();
+            self.log(format!("{text} heartbeat beside minion={known}, which is asked for a list"));
+            self.inquiry.next = now;
         }
-        self.incarnation_appeared(now, heartbeat);
     }
 
-    /// Handles the first heartbeat of a new incarnation of the minion.
-    fn incarnation_appeared(&mut self, now: Duration, heartbeat: Heartbeat) {
-        let Incarnation { id, born_ms, .. } = &heartbeat.incarnation;
+    /// Takes the likeliest candidate for the worker's minion if none is known.
+    fn adopt_candidate(&mut self, now: Duration) {
+        if self.minion.is_some() {
+            return;
+        }
+        let Some(heartbeat) = self.candidates.take(now) else { return };
+        let Heartbeat { incarnation, address, sequence } = heartbeat;
+        let Incarnation { id, born_ms, service, .. } = &incarnation;
         self.log(format!(
-            "minion={id} born_ms={born_ms} address={} first heartbeat",
-            heartbeat.address
+            "minion={id} born_ms={born_ms} service={service} address={address} first heartbeat"
         ));
-        let Heartbeat { incarnation, address, sequence } = heartbeat;
         self.begin_incarnation(now, incarnation, address, sequence);
     }
 
+    /// Drops the minion if the planner has rejected it: no configuration names its service. Nothing is known
+    /// of the one before.
+    pub(crate) fn reject_minion(&mut self, now: Duration, rejected: &RejectedMinion) {
+        let RejectedMinion { id, born_ms, service } = rejected;
+        let is_it = |minion: &&Minion| {
+            let known = &minion.incarnation;
+            known.id == *id && known.born_ms == *born_ms && known.service == *service
+        };
+        let Some(minion) = self.minion.as_ref().filter(is_it) else { return };
+        let follows_none = minion.follows_none;
+        self.log(format!("minion={id} is not the worker's: service={service} is not configured"));
+        self.foreign_heartbeats += 1;
+        self.candidates.reject(now, service);
+        self.withdraw_session();
+        self.forget_minion();
+        self.is_minion_gone = follows_none;
+    }
+
+    /// Number of heartbeats of incarnations that are not the worker's minion.
+    pub fn foreign_heartbeats(&self) -> u64 {
+        self.foreign_heartbeats
+    }
+
     /// Begins with a new incarnation of the minion, of which nothing else is known yet. Orders for
     /// the previous one are dropped.
     pub(crate) fn begin_incarnation(
@@ -364,7 +445,7 @@
         sequence: u64,
     ) {
         self.forget_minion();
-        self.is_minion_gone = false;
+        let follows_none = std::mem::take(&mut self.is_minion_gone);
         self.absence = None;
         self.unanswered.set_minion(&incarnation.id, incarnation.born_ms);
         self.minion = Some(Minion {
@@ -391,6 +472,7 @@
             is_fenced: false,
             fenced_at: now,
             first_ticket: self.last_ticket + 1,
+            follows_none,
         });
         self.wants_list = true;
         self.next_long_poll = now;
@@ -410,6 +492,7 @@
         self.waiting_long_poll = None;
         self.immediate_long_poll = None;
         self.fencing_call = None;
+        self.inquiry = Inquiry::default();
         self.has_changes = true;
     }
 
@@ -442,6 +525,7 @@
     /// Guards against a task that runs twice, and against work that is done again: a minion that has
     /// deregistered may go on for a while. Its ends still count, and its runs until their lease is over.
     fn deregistered(&mut self, now: Duration, id: &str) {
+        self.candidates.remove(id);
         let Some(minion) = self.minion.as_mut().filter(|minion| minion.incarnation.id == id) else {
             return;
         };
@@ -483,6 +567,16 @@
             return;
         }
         if let Some(minion) = &self.minion {
+            if minion.incarnation.is_silent && self.candidates.is_any_open() {
+                let text = format!(
+                    "minion={} its lease is over; declared lost: it is silent, and \
+                     another one sends heartbeats",
+                    minion.incarnation.id
+                );
+                self.log(text);
+                self.forget_minion();
+                return;
+            }
             let Some(absence) = minion.shown_absence() else { return };
             let is_answering = minion.absence.is_none() && !minion.incarnation.is_silent;
             if is_answering || !absence.is_reported {
--- a/crates/runner/src/options.rs
+++ b/crates/runner/src/options.rs
@@ -41,6 +41,14 @@
 /// Time after the end of a lease for which a minion that runs tasks is asked for a list without the delays
 /// of [`RETRY_DELAY`]. It covers the margin after which the planner takes the lease for over.
 pub const LAST_LIST_TIME: Duration = Duration::from_millis(700);
+/// Most incarnations beside its minion that an agent keeps the heartbeats of.
+pub const MAX_CANDIDATES: usize = 4;
+/// Time after its latest heartbeat in which an incarnation can become the minion: a few intervals of
+/// heartbeats.
+pub const CANDIDATE_TIME: Duration = Duration::from_millis(5_000);
+/// Time for which the incarnations of a service that the planner doesn't know are left out. A newer
+/// configuration may name it.
+pub const REJECTION_TIME: Duration = Duration::from_millis(3_000);
 /// Delay before the second repetition of an unanswered call, doubled with each further one. The
 /// first repetition is sent at once, since a single order may be lost. Growing delays bound the
 /// cost of a minion that answers nothing: each call to it takes a connection.
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -113,6 +113,9 @@
             self.entries.clone_from(&orders.entries);
         }
         self.unanswered.set_outliving(orders.calls_outlive_incarnations);
+        if let Some(rejected) = &orders.rejected {
+            self.reject_minion(now, rejected);
+        }
         self.begin_session(&orders);
         self.update_cordon(poll.sequence, orders.is_cordoned);
         if orders.token != self.session.token {
--- a/crates/runner/tests/agent/mod.rs
+++ b/crates/runner/tests/agent/mod.rs
@@ -61,7 +61,7 @@
 fn a_late_heartbeat_of_an_earlier_incarnation_changes_nothing() {
     let mut fixture = Fixture::fenced();
     fixture.answer_polls(900, Vec::new(), Vec::new());
-    fixture.heartbeat(1_000, 9, 1, false);
+    fixture.replace_minion(1_000, 9);
     fixture.heartbeat(1_100, 1, 5, false);
     fixture.handle(1_200, Event::Tick);
     let (_, poll) = fixture.polls.last().expect("the agent has polled");
@@ -245,7 +245,7 @@
 fn a_new_incarnation_is_fenced_before_a_planner_is_reached() {
     let mut fixture = Fixture::fenced();
     fixture.calls.clear();
-    fixture.heartbeat(1_000, 2, 1, false);
+    fixture.replace_minion(1_000, 2);
     fixture.handle(1_050, Event::Tick);
     let is_fencing = |call: &Call| matches!(call, Call::LongPoll { token, .. } if *token > TOKEN);
     let fencing_call = fixture.take_call(is_fencing);
@@ -266,7 +266,7 @@
 fn a_new_incarnation_that_is_unhealthy_is_not_fenced() {
     let mut fixture = Fixture::fenced();
     fixture.calls.clear();
-    fixture.heartbeat(1_000, 2, 1, false);
+    fixture.replace_minion(1_000, 2);
     fixture.handle(1_050, Event::Tick);
     let is_fencing = |call: &Call| matches!(call, Call::LongPoll { token, .. } if *token > TOKEN);
     let fencing_call = fixture.take_call(is_fencing);
--- a/crates/runner/tests/harness/mod.rs
+++ b/crates/runner/tests/harness/mod.rs
@@ -87,6 +87,24 @@
         self.handle(now, Event::Heartbeat(Box::new(heartbeat)));
     }
 
+    /// Begins the incarnation that was born at `born_ms`: it sends a heartbeat, and answers in place of the
+    /// one before.
+    pub(crate) fn replace_minion(&mut self, now: u64, born_ms: u64) {
+        self.calls.clear();
+        self.heartbeat(now, born_ms, 1, false);
+        let inquiry = self.take_call(|call| matches!(call, Call::LongPoll { deadline: None, .. }));
+        // Calls of the one before have no answer.
+        self.calls.clear();
+        let reply = Reply::Listed {
+            born_ms,
+            clock: Duration::ZERO,
+            running: Vec::new(),
+            ended: Vec::new(),
+            unreadable: 0,
+        };
+        self.handle(now, Event::MinionReply(inquiry, reply));
+    }
+
     /// Answers all pending polls, the latest one with orders.
     pub(crate) fn answer_polls(&mut self, now: u64, starts: Vec<Start>, stops: Vec<Run>) {
         let mut pending = std::mem::take(&mut self.polls);
--- a/crates/runner/tests/incarnations/mod.rs
+++ b/crates/runner/tests/incarnations/mod.rs
@@ -56,8 +56,7 @@
 #[test]
 fn a_start_that_a_later_incarnation_has_carried_out_is_reported() {
     let mut fixture = unanswered();
-    fixture.calls.clear();
-    fixture.heartbeat(2_000, 2, 1, false);
+    fixture.replace_minion(2_000, 2);
     // By its clock, the incarnation began at 2,000 ms.
     list_run(&mut fixture, 2_600, 2, 600);
     fixture.answer_polls(2_650, Vec::new(), Vec::new());
@@ -72,8 +71,7 @@
 #[test]
 fn a_start_that_was_sent_after_an_incarnation_began_is_no_late_call() {
     let mut fixture = unanswered();
-    fixture.calls.clear();
-    fixture.heartbeat(2_000, 2, 1, false);
+    fixture.replace_minion(2_000, 2);
     list_run(&mut fixture, 2_600, 2, 2_400);
     fixture.answer_polls(2_650, Vec::new(), Vec::new());
     fixture.handle(2_700, Event::Tick);
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use cadence::{Counted as _, CountedExt as _, StatsdClient, Timed as _};
+use cadence::{Counted as _, CountedExt as _, Gauged as _, StatsdClient, Timed as _};
 use eyre::WrapErr as _;
 use sapphire_jobs::{Lead, Orders};
 use sapphire_net::{
@@ -81,6 +81,8 @@
         }
         let turned_away = self.net.borrow_mut().take_turned_away();
         self.turned_away.report(now, turned_away, &self.metrics, &self.logger);
+        // A metric that can't be recorded is not worth an error.
+        let _ = self.metrics.gauge("foreign_heartbeats", self.machine.foreign_heartbeats());
     }
 
     fn handle(&mut self, cx: CX![], event: Event) {
