--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -8,6 +8,9 @@
 pub const ABOVE_SHARE: &str =
     "its organisation is above its share, and its turn would come too late";
 
+/// Reason of the rejection of a job that the planner has no memory for.
+pub const NO_MEMORY: &str = "too many tasks are open";
+
 /// Reason of the rejection of a job whose cancellation was acknowledged before the job was stored.
 pub const CANCELLED: &str = "the job was cancelled before it was accepted";
 
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -4,7 +4,7 @@
 
 use prost::Message as _;
 use sapphire_jobs::{
-    Job, Progress, State,
+    Job, Progress, State, Step,
     catalog::{Organisation, Queue},
     length, limits,
     resources::Resources,
@@ -19,7 +19,7 @@
     effect::Effect,
     event::{Caller, Operation},
     machine::{Lookup, Machine, Purpose, Retry},
-    options,
+    options::{self, Options},
     state::writes::Payload,
 };
 
@@ -80,7 +80,7 @@
             Action::Cancel => self.cancel(now, caller, rest, timeout),
             Action::Other => self.answer(caller, Answer::NotOffered),
             Action::Submit(Err(reason)) => self.answer(caller, Answer::Malformed(reason)),
-            Action::Submit(Ok(submission)) => match validate(&submission, unix_now) {
+            Action::Submit(Ok(submission)) => match self.validate(&submission, unix_now) {
                 Some(reason) => self.answer(caller, Answer::Malformed(reason)),
                 None => {
                     let supply = self.view.supply(now, queue, &organisation);
@@ -92,6 +92,22 @@
         }
     }
 
+    /// Returns the first error in a submitted job, if any.
+    fn validate(&self, submission: &Submission, unix_now: Duration) -> Option<String> {
+        let Submission { spec, steps, schedule } = submission;
+        let fault = limits::fault(spec, steps, schedule.as_ref(), unix_now);
+        fault.or_else(|| {
+            let Options { job_tasks, gang_tasks, .. } = self.options;
+            let tasks: u64 = steps.iter().map(|step| u64::from(step.tasks)).sum();
+            if tasks > job_tasks {
+                return Some(format!("steps: more than {job_tasks} tasks"));
+            }
+            let is_large = |step: &Step| step.is_gang && u64::from(step.tasks) > gang_tasks;
+            let index = steps.iter().position(is_large)?;
+            Some(format!("steps[{index}]: a gang of more than {gang_tasks} tasks"))
+        })
+    }
+
     fn refuse(&mut self, now: Duration, caller: Caller, reason: &'static str) {
         let after = self.retry_after(now);
         self.answer(caller, Answer::NotDone { reason, after });
@@ -147,7 +163,11 @@
         }
         // A job can't be reported as rejected while an earlier attempt to write it may be applied.
         if !self.is_unresolved(now, &job.id) {
+            let has_memory = self.view.has_memory_for(now, &job);
             let refusal = match admit::admit(&admission(&job), supply) {
+                admit::Outcome::Accept if !has_memory => {
+                    Some((answer::NO_MEMORY, options::NO_MEMORY_RETRY_AFTER))
+                }
                 admit::Outcome::Accept => None,
                 admit::Outcome::TooLarge { after } => Some(("no worker can hold a task", after)),
                 admit::Outcome::Full { after } => Some(("its turn would come too late", after)),
@@ -247,7 +267,7 @@
                 for lookup in self.lookups.remove(&id).unwrap_or_default() {
                     let answer = match lookup.purpose {
                         Purpose::Reject { reason, after } => {
-                            if reason == answer::ABOVE_SHARE {
+                            if matches!(reason, answer::ABOVE_SHARE | answer::NO_MEMORY) {
                                 let after_ms = after.as_millis();
                                 self.log(format!(
                                     "job={id} rejected: {reason} retry_after_ms={after_ms}"
@@ -378,9 +398,3 @@
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
     !text.is_empty() && text.len() <= MAX_ID_BYTES && text.chars().all(is_allowed)
 }
-
-/// First error in a submitted job, if any.
-fn validate(submission: &Submission, unix_now: Duration) -> Option<String> {
-    let Submission { spec, steps, schedule } = submission;
-    limits::fault(spec, steps, schedule.as_ref(), unix_now)
-}
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -32,6 +32,10 @@
     pub retention: Duration,
     /// Maximum number of such cancellations that the entry writes within that time.
     pub max_tombstones: usize,
+    /// Most tasks of a job in one occurrence.
+    pub job_tasks: u64,
+    /// Most tasks of a gang.
+    pub gang_tasks: u64,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -92,6 +96,9 @@
 /// Time after which a caller should retry when the store could not be reached. Outages last
 /// seconds, but another entry may reach the store at once.
 pub const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Time after which a caller may retry a job that the planner has no memory for: some of its tasks end in
+/// that time.
+pub const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Delay before the leader is notified again of a job that its feed does not list yet.
 pub const NOTICE_RETRY: Duration = Duration::from_millis(350);
 /// Timeout of a feed poll.
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -4,8 +4,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use sapphire_jobs::{
-    self as jobs, Backlog, Feed, Job, Notice, State,
+    self as jobs, Backlog, Feed, Job, JobMemory, Notice, State,
     catalog::{Organisation, Queue},
+    footprint,
     resources::Resources,
     task::JobId,
 };
@@ -41,6 +42,8 @@
     polled_at: Option<Duration>,
     /// Resources and backlog of the workers, as of the latest feed.
     supplies: Vec<jobs::Supply>,
+    /// Memory that the leader has for further jobs, as of the latest feed.
+    memory: Option<JobMemory>,
 }
 
 impl View {
@@ -61,6 +64,7 @@
         self.version = feed.version;
         self.polled_at = Some(self.polled_at.map_or(sent, |polled_at| polled_at.max(sent)));
         self.supplies = feed.supplies;
+        self.memory = feed.memory;
         for row in feed.rows {
             let state = row.state();
             if let Some(unlisted) = self.unlisted.get(&row.job)
@@ -127,6 +131,20 @@
         Some(Duration::from_millis(own.job_ms).saturating_mul(1_000) / own.share_milli.max(1))
     }
 
+    /// Whether the leader has memory for a job, beside those that it doesn't list yet. If its latest feed is
+    /// too old, it may have.
+    pub fn has_memory_for(&self, now: Duration, job: &Job) -> bool {
+        let Some(memory) = self.memory.as_ref().filter(|_| self.is_fresh(now)) else { return true };
+        let unlisted = || self.unlisted.values().filter_map(|unlisted| unlisted.job.as_ref());
+        let taken = |bytes: fn(&Job) -> u64| unlisted().map(bytes).fold(0, u64::saturating_add);
+        let needed = footprint(job);
+        let is_small = needed <= memory.small;
+        let reserve = if job.priority == 0 { memory.reserve } else { 0 };
+        let left = if is_small { memory.free + reserve } else { memory.free_large };
+        needed <= left.saturating_sub(taken(footprint))
+            && record(job) <= memory.free_records.saturating_sub(taken(record))
+    }
+
     /// State of a job, if it is known.
     pub fn state(&self, id: &str) -> Option<State> {
         if let Some(unlisted) = self.unlisted.get(id)
@@ -198,6 +216,15 @@
     }
 }
 
+/// Memory that the leader keeps for a job, with its first occurrence.
+fn footprint(job: &Job) -> u64 {
+    record(job).saturating_add(footprint::occurrence(&job.steps))
+}
+
+fn record(job: &Job) -> u64 {
+    footprint::record(&job.spec, &job.steps)
+}
+
 /// Time for the work of a queue's priority and of higher ones, in milliseconds.
 fn drain_of(backlogs: &[Backlog], queue: &Queue) -> u64 {
     let ahead = backlogs.iter().filter(|backlog| backlog.priority <= queue.priority);
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -3,4 +3,5 @@
 mod configuration;
 mod entry;
 mod harness;
+mod memory;
 mod withdrawals;
--- a/crates/front/tests/harness/mod.rs
+++ b/crates/front/tests/harness/mod.rs
@@ -71,6 +71,8 @@
             leader_lease: ms(1_300),
             retention: ms(120_000),
             max_tombstones: MAX_TOMBSTONES,
+            job_tasks: 20_000,
+            gang_tasks: 2_000,
             seed: 1,
         });
         Fixture { machine, answers: Vec::new(), calls: Vec::new(), sent: Vec::new(), caller: 0 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod catalog;
 pub mod cordon;
+pub mod footprint;
 pub mod inventory;
 pub mod length;
 pub mod limits;
@@ -12,10 +13,11 @@
 
 pub use sapphire_schema::jobs::{
     Absence, AbsenceCause, Backlog, Ended, Ending, Expiry, Feed, FeedPoll, Fleet, GoneMinion,
-    Incarnation, Job, LateCall, Lead, Member, MissingStarts, Notice, Orders, OrganisationBacklog,
-    Poll, Progress, RejectedMinion, Rejection, Relay, Relayed, Row, Run, RunSegment, Running,
-    RunsOn, Schedule, SpeedShard, Start, State, Step, Supply, Tally, Unanswered, UnansweredOn,
-    UnansweredStarts, UnansweredTask, Usage, Usages, Verdict, WorkerSpeed,
+    Incarnation, Job, JobMemory, LateCall, Lead, Member, MissingStarts, Notice, Orders,
+    OrganisationBacklog, Poll, Progress, RejectedMinion, Rejection, Relay, Relayed, Row, Run,
+    RunSegment, Running, RunsOn, Schedule, SpeedShard, Start, State, Step, Supply, Tally,
+    Unanswered, UnansweredOn, UnansweredStarts, UnansweredTask, Usage, Usages, Verdict,
+    WorkerSpeed,
 };
 
 /// Maximum number of ended runs that a minion lists at a time. When a list contains this many, a
--- a/crates/planner/src/accept.rs
+++ b/crates/planner/src/accept.rs
@@ -21,11 +21,12 @@
     pub(crate) fn accept(&mut self, now: Moment, job: Job, submitted: Duration) {
         let id = job.id.clone();
         let is_inherited = job.term < self.term;
-        let mut entry = Entry::new(Arc::new(job), is_inherited, submitted);
-        entry.add_due_occurrences(now);
+        let entry = Entry::new(Arc::new(job), is_inherited, submitted);
         if !self.table.insert(entry) {
             return;
         }
+        let due = self.table.add_occurrences_of(now, vec![id.clone()]);
+        self.log_held(&due);
         self.needs_pass = true;
         self.update_step_capacity(&id);
         self.observe_arrival(now, &id);
@@ -66,6 +67,7 @@
         self.table.open.remove(id);
         self.table.report_state(id, State::Cancelled);
         self.stop_job(now.steady, id, &Cause::Cancelled);
+        self.table.drop_groups(id);
         self.needs_pass = true;
         self.log(format!("job={id} cancelled"));
     }
--- a/crates/planner/src/commit.rs
+++ b/crates/planner/src/commit.rs
@@ -95,6 +95,7 @@
         if is_durable && entry.is_over() {
             self.log(format!("job={id} state={} is durable", state.as_str_name()));
             self.table.report_state(id, state);
+            self.table.drop_groups(id);
         }
     }
 
@@ -129,6 +130,7 @@
     pub(crate) fn handle_reply(&mut self, now: Moment, operation: Operation, reply: Reply) {
         match operation {
             Operation::Scan => self.handle_scan(now, reply),
+            Operation::Begun => self.handle_begun(now, reply),
             Operation::Fleet => self.fleet_written(now, reply),
             Operation::Progress(jobs) => self.progress_written(now, jobs, reply),
             Operation::Unanswered(write) => self.unanswered_written(now, write, reply),
--- a/crates/planner/src/ends.rs
+++ b/crates/planner/src/ends.rs
@@ -56,11 +56,15 @@
         let is_suspect = stop.is_some_and(|stop| stop.cause == Cause::Slow);
         self.needs_pass = true;
         self.log_end(now, name, &task.run(number), ending, checkpoint, removed.as_ref());
+        self.table.add_known(now, &task.job, task.occurrence);
         let entry = self.table.entries.get(&task.job)?;
         let step = entry.step(task.step)?;
         let (is_over, is_long) = (entry.is_over(), step.is_long_running);
         let key = GroupKey::of(task, step.is_gang);
-        let group = entry.groups.get(&key)?;
+        let Some(group) = entry.groups.get(&key) else {
+            // What its end has come to may not be durable yet, such as that of another member of its gang.
+            return Some((task.job.clone(), entry.last_critical_change));
+        };
         let (is_final, is_current) = (group.is_final(), group.run == number);
         self.keep_checkpoint(now, task, &key, checkpoint);
         match ending {
@@ -249,6 +253,7 @@
         }
         let urgency = if is_complete { Urgency::Immediate } else { Urgency::Soon };
         let change = entry.record_change(now.steady, urgency);
+        self.table.drop_completed(id);
         if is_complete {
             self.table.open.remove(id);
             self.log_done(now, id);
--- a/crates/planner/src/event.rs
+++ b/crates/planner/src/event.rs
@@ -22,6 +22,8 @@
 pub enum Operation {
     /// Read of all records at the start of a term.
     Scan,
+    /// Read of a job that has to be loaded at the start of a term, or of its progress.
+    Begun,
     /// Write of the list of workers.
     Fleet,
     /// Write of the starts that may still be carried out, with its number in this term.
--- a/crates/planner/src/feed.rs
+++ b/crates/planner/src/feed.rs
@@ -100,6 +100,7 @@
             config_age_ms,
             supplies: self.supplies.clone(),
             clock_ms: u64::try_from(now.steady.as_millis()).unwrap_or(u64::MAX),
+            memory: Some(self.table.account.left()),
         }
     }
 
--- a/crates/planner/src/group.rs
+++ b/crates/planner/src/group.rs
@@ -18,7 +18,7 @@
     /// Not running.
     Waiting,
     /// Ordered or running.
-    Active(Active),
+    Active(Box<Active>),
     /// Succeeded; final.
     Done,
     /// Failed too often; final.
@@ -109,15 +109,15 @@
     /// Workers on which the group failed or was too slow.
     pub avoid: Vec<WorkerName>,
     /// Resources that are being released for the group.
-    pub claim: Option<Claim>,
+    pub claim: Option<Box<Claim>>,
     /// Time since which the group waits.
     pub waiting_since: Duration,
     /// Time since which the group waits because of earlier starts that may still be carried out.
     pub blocked_since: Option<Duration>,
     /// What is known of the present wait, once the group has been examined.
-    pub wait: Option<wait::Record>,
+    pub wait: Option<Box<wait::Record>>,
     /// Run time as observed in earlier runs.
-    pub observation: Option<Observation>,
+    pub observation: Option<Box<Observation>>,
     /// What the speed of workers was last learned from.
     pub pace: Option<Pace>,
     /// A run was stopped so that the group continues on a faster worker.
@@ -148,21 +148,21 @@
     /// Records the run time that was observed in a run.
     pub fn record_observation(&mut self, observation: Observation) {
         let Some(known) = &mut self.observation else {
-            self.observation = Some(observation);
+            self.observation = Some(Box::new(observation));
             return;
         };
         // Two slow workers in succession are unlikely: the task itself is long.
         let is_same = known.run == observation.run || known.worker == observation.worker;
         let is_suspect = known.is_suspect && observation.is_suspect && is_same;
         if observation.run_time < known.run_time {
-            *known = observation;
+            **known = observation;
         }
         known.is_suspect = is_suspect;
     }
 
     /// Returns the observed run time, unless it may be due to a slow worker.
     pub fn reliable_observation(&self) -> Option<&Observation> {
-        self.observation.as_ref().filter(|observation| !observation.is_suspect)
+        self.observation.as_deref().filter(|observation| !observation.is_suspect)
     }
 
     /// Returns the run time in milliseconds once the group is done, else 0.
--- a/crates/planner/src/intake.rs
+++ b/crates/planner/src/intake.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use sapphire_jobs::Notice;
+use sapphire_jobs::{Job, Notice};
 use sapphire_store::call::{Call, Item, Reply, Revision};
 
 use crate::{
@@ -16,6 +16,9 @@
     state::intake::Scan,
 };
 
+/// Fraction of the memory for jobs that has to be free before jobs that were left out are read again.
+const LEFT_OUT_PART: u64 = 32;
+
 impl Planner {
     /// Handles the notice of an entry about what it has written to the store.
     pub(crate) fn handle_notice(&mut self, now: Moment, notice: Notice) {
@@ -25,7 +28,9 @@
             return;
         }
         for job in notice.jobs {
-            self.accept_notified(now, job);
+            if self.table.entries.contains_key(&job.id) || self.has_memory_for(&job) {
+                self.accept_notified(now, job);
+            }
         }
         for id in notice.cancelled {
             self.cancel(now, &id, 0);
@@ -43,6 +48,7 @@
         if !self.startup.is_serving() || self.intake.is_reading || now.steady < next {
             return;
         }
+        self.read_left_out(now);
         self.intake.is_reading = true;
         self.intake.requested_at = now.steady;
         let prefix = keys::INTAKE.to_owned();
@@ -56,6 +62,35 @@
         self.effects.push(Effect::Store(Operation::Intake, call));
     }
 
+    /// Returns whether there is memory for the record of a job. Otherwise it is left out until there is: it
+    /// stays in the store.
+    fn has_memory_for(&mut self, job: &Job) -> bool {
+        let has_memory = self.table.takes_record(job);
+        if !has_memory {
+            let is_first = self.load.left_out == 0;
+            self.load.left_out += usize::from(is_first || self.intake.scan.is_some());
+            if is_first {
+                self.log(format!("job={} is left out: no memory for more jobs", job.id));
+            }
+        }
+        has_memory
+    }
+
+    /// Reads all submissions again once there is memory for those that were left out.
+    fn read_left_out(&mut self, now: Moment) {
+        let account = &self.table.account;
+        let left = account.left();
+        let has_memory = left.free.min(left.free_records) >= account.limit() / LEFT_OUT_PART;
+        let is_early = now.steady < self.intake.left_out_read_at + options::LEFT_OUT_INTERVAL;
+        if self.load.left_out == 0 || !has_memory || is_early || self.intake.scan.is_some() {
+            return;
+        }
+        self.log(format!("reading the jobs that were left out: {}", self.load.left_out));
+        self.load.left_out = 0;
+        self.intake.left_out_read_at = now.steady;
+        self.intake.scan = Some(Scan { requested_at: now.steady, ..Scan::default() });
+    }
+
     /// Handles the reply to a read of newly submitted jobs and cancellations.
     pub(crate) fn handle_intake(&mut self, now: Moment, reply: Reply) {
         self.intake.is_reading = false;
@@ -89,6 +124,7 @@
             match keys::parse(&item.key) {
                 Key::Job(id) if !self.table.entries.contains_key(id) => {
                     match accept::read_record(id, &value) {
+                        Ok(job) if !self.has_memory_for(&job) => {}
                         Ok(job) => {
                             self.log(format!(
                                 "job={id} found in the store without a notice from an entry"
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -6,6 +6,7 @@
 //! the term in which it holds the leader key in the store.
 
 mod accept;
+pub mod account;
 mod commit;
 mod cordons;
 pub mod delay;
--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -7,6 +7,12 @@
     pub events: u64,
     /// Passes over the waiting groups.
     pub passes: u64,
+    /// Runs that may be on workers.
+    pub runs: usize,
+    /// Times that a due occurrence began to wait for memory.
+    pub held_occurrences: u64,
+    /// Jobs in the store that are not in the table, for want of memory, as far as the latest read shows.
+    pub left_out: usize,
     /// Groups that waited at the latest pass.
     pub waiting: usize,
     /// Attempts to place a group, in all passes.
--- a/crates/planner/src/options.rs
+++ b/crates/planner/src/options.rs
@@ -43,6 +43,8 @@
     pub read_cordon: cordon::Read,
     /// Time after the cordon of a zone from which on nothing may be started there.
     pub cordon_deadline: Duration,
+    /// Memory in bytes that is reckoned for accepted jobs and their runs.
+    pub job_memory: u64,
     /// Time after the acknowledgement of a cancellation from which on nothing of its job may be started.
     pub cancel_deadline: Duration,
 }
@@ -118,6 +120,8 @@
 pub const INTAKE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// The same while jobs are open. Starts rely on the latest read.
 pub const FRESH_INTAKE_INTERVAL: Duration = Duration::from_millis(800);
+/// Minimum interval between reads of the jobs that were left out for want of memory.
+pub const LEFT_OUT_INTERVAL: Duration = Duration::from_secs(5);
 /// Run numbers reserved for each term, per task. Far more than a task is started in one term.
 pub const RUNS_PER_TERM: u32 = 1_000;
 /// Largest number of a term. The run numbers of the terms around it have to be numbers as well.
--- a/crates/planner/src/pass.rs
+++ b/crates/planner/src/pass.rs
@@ -103,6 +103,7 @@
     /// Starts the groups that can start.
     pub(crate) fn pass(&mut self, now: Moment) {
         self.update_awaited_slowness();
+        self.load.runs = self.workers.values().map(|worker| worker.runs.len()).sum();
         let guaranteed = self.guaranteed_jobs();
         let (waiting, inherited) = self.waiting(now, &guaranteed);
         self.load.waiting = waiting.len();
@@ -153,6 +154,13 @@
         self.restart_on_faster(now, &unserved);
     }
 
+    /// Returns whether the planner has no memory for further runs. The last eighth is left to urgent work.
+    fn lacks_memory(&self, priority: u32, tasks: u32) -> bool {
+        let most = self.table.account.max_runs();
+        let most = if priority > 0 { most / 8 * 7 } else { most };
+        self.load.runs.saturating_add(tasks as usize) > most
+    }
+
     /// Returns the jobs of priority 0 that are covered by their organisation's guarantee, the
     /// earliest first.
     pub(crate) fn guaranteed_jobs(&self) -> BTreeSet<JobId> {
@@ -307,6 +315,9 @@
         }
         let is_guaranteed = guaranteed.contains(id);
         let priority = self.queue_settings(entry).priority;
+        if self.lacks_memory(priority, demand.tasks) {
+            return Outcome::NoResources(Reason::Memory);
+        }
         if priority > 0 {
             self.keep_headroom(now, pool);
         }
--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -75,7 +75,7 @@
         group.claim = None;
         group.wait = None;
         let blocked_since = group.blocked_since.take();
-        group.phase = Phase::Active(Active {
+        group.phase = Phase::Active(Box::new(Active {
             ordered_at: now.steady,
             began: None,
             unfinished: unfinished.clone(),
@@ -83,7 +83,7 @@
             is_move_deferred: false,
             is_remote,
             checkpoint: group.checkpoint.clone(),
-        });
+        }));
         let is_resumed = !group.checkpoint.is_empty();
         entry.end_idle(now.steady);
         self.order(now, id, key, demand, Order { number, is_resumed }, &unfinished);
@@ -123,6 +123,7 @@
     ) {
         let Order { number, is_resumed } = order;
         let recorded_in = self.handover.require();
+        self.load.runs += unfinished.len();
         for (index, name) in unfinished {
             let (occurrence, step) = (key.occurrence, key.step);
             let task = Task { job: id.to_owned(), occurrence, step, index: *index };
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -17,6 +17,7 @@
 };
 
 use crate::{
+    account::Account,
     cordons::Cordons,
     delay,
     effect::Effect,
@@ -32,7 +33,7 @@
         standstills::Standstills, startup::Startup, tombstones::Tombstones, waits::Waits,
     },
     stops,
-    table::{Entry, Table},
+    table::{Due, Entry, Table},
     unanswered, wait,
     worker::{Cause, Phase, Stop, Worker},
 };
@@ -107,13 +108,14 @@
     /// Creates the planner of a term and begins to read the store.
     pub fn new(options: Options, term: u64, catalog: Arc<Catalog>, now: Moment) -> Self {
         let speeds = options.speeds;
+        let table = Table { account: Account::new(options.job_memory), ..Table::default() };
         let unanswered = unanswered::Starts::new(options.calls_outlive_incarnations);
         let mut planner = Planner {
             options,
             term,
             startup: Startup::new(now.steady),
             catalog,
-            table: Table::default(),
+            table,
             workers: BTreeMap::new(),
             commits: Commits::default(),
             intake: Intake::default(),
@@ -425,14 +427,30 @@
 
     /// Adds the groups of occurrences that have become due.
     fn add_due_occurrences(&mut self, now: Moment) {
-        let open: Vec<JobId> = self.table.open.iter().cloned().collect();
-        for id in open {
-            let Some(entry) = self.table.entries.get_mut(&id) else { continue };
-            if entry.next_due().is_some_and(|due| due <= now.unix) && entry.add_due_occurrences(now)
-            {
-                self.needs_pass = true;
-                self.log(format!("job={id} occurrence due"));
-            }
+        let held_before = self.table.held_jobs(now);
+        let due = self.table.add_due_occurrences(now);
+        self.log_held(&due);
+        for id in due.added {
+            self.needs_pass = true;
+            let after = held_before.get(&id).map_or_else(String::new, |waited| {
+                format!(" after it waited {} ms for memory", waited.as_millis())
+            });
+            self.log(format!("job={id} occurrence due{after}"));
+        }
+    }
+
+    /// Logs the jobs that begin to wait for memory.
+    pub(crate) fn log_held(&mut self, due: &Due) {
+        for id in &due.held {
+            let Some(entry) = self.table.entries.get(id) else { continue };
+            let (occurrence, kept) = (entry.occurrences, entry.kept.all());
+            let account = self.table.account;
+            self.load.held_occurrences += 1;
+            self.log(format!(
+                "job={id} occurrence={occurrence} waits for memory: kept={kept} all={} limit={}",
+                account.used(),
+                account.limit()
+            ));
         }
     }
 
--- a/crates/planner/src/polls.rs
+++ b/crates/planner/src/polls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use prost::Message as _;
 use sapphire_jobs::{
     Absence, Incarnation, LateCall, Orders, Poll, RejectedMinion, Start,
     task::{GroupKey, Task, WorkerName},
@@ -20,6 +21,9 @@
     worker::{LongPoll, Phase, Run, Worker},
 };
 
+/// Size in bytes from which on no further starts are added to an answer, so that its agent takes it and
+/// few of them take up the planner's memory.
+const MAX_START_BYTES: usize = 256 << 10;
 /// Age from which on an unanswered start is logged when it counts no more.
 const LONG_WAIT: Duration = Duration::from_secs(3);
 
@@ -423,10 +427,15 @@
         // are invalid. An order with the session's own token would remain valid whatever that list
         // shows.
         let is_outstanding = |run: &Run| worker.is_fenced && !run.is_received;
+        let mut start_bytes = 0;
         for (task, run) in worker.runs.iter().filter(|(_, run)| is_outstanding(run)) {
             match run.phase {
+                // The others go with the answers to the next polls.
+                Phase::Ordered if start_bytes >= MAX_START_BYTES => {}
                 Phase::Ordered if may_start && run.recorded_in <= self.handover.durable => {
-                    orders.starts.extend(self.start_order(task, run));
+                    let start = self.start_order(task, run);
+                    start_bytes += start.as_ref().map_or(0, Start::encoded_len);
+                    orders.starts.extend(start);
                 }
                 Phase::Stopping => orders.stops.push(task.run(run.number)),
                 Phase::Ordered | Phase::Running => {}
--- a/crates/planner/src/reconcile.rs
+++ b/crates/planner/src/reconcile.rs
@@ -257,6 +257,7 @@
                 evidence.name()
             ));
         }
+        self.table.add_known(now, &task.job, task.occurrence);
         let (resources, is_wanted) = self.adoption(now, name, task, number);
         let phase = if is_wanted { Phase::Running } else { Phase::Stopping };
         let group = self.group_of(task).map(|(_, _, group)| group);
@@ -295,7 +296,7 @@
             GroupPhase::Waiting => {
                 group.run = number;
                 group.claim = None;
-                group.phase = GroupPhase::Active(Active {
+                group.phase = GroupPhase::Active(Box::new(Active {
                     ordered_at: now.steady,
                     began: None,
                     unfinished: [(task.index, name.to_owned())].into(),
@@ -303,7 +304,7 @@
                     is_move_deferred: false,
                     is_remote: false,
                     checkpoint: group.checkpoint.clone(),
-                });
+                }));
                 (resources, true)
             }
             GroupPhase::Active(active) if group.run == number => {
--- a/crates/planner/src/run_log.rs
+++ b/crates/planner/src/run_log.rs
@@ -123,7 +123,8 @@
     fn group_key(table: &Table, task: &Task) -> Option<(JobId, GroupKey)> {
         let entry = table.entries.get(&task.job)?;
         let key = GroupKey::of(task, entry.step(task.step)?.is_gang);
-        let is_open = entry.groups.get(&key).is_none_or(|group| !group.is_final());
+        let is_open = !entry.is_completed(key.occurrence)
+            && entry.groups.get(&key).is_none_or(|group| !group.is_final());
         is_open.then(|| (task.job.clone(), key))
     }
 }
--- a/crates/planner/src/startup.rs
+++ b/crates/planner/src/startup.rs
@@ -5,7 +5,10 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use sapphire_jobs::{Expiry, Fleet, Member, Progress, length, task::WorkerName};
+use sapphire_jobs::{
+    Expiry, Fleet, Job, Member, Progress, RunSegment, UnansweredStarts, length,
+    task::{Task, WorkerName},
+};
 use sapphire_plan::speed::Belief;
 use sapphire_store::call::{Call, Condition, Item, Put, Reply, Revision};
 
@@ -16,7 +19,7 @@
     keys::{self, Key},
     options,
     planner::{Planner, estimate_kind},
-    state::startup::Phase,
+    state::startup::{Phase, Sample},
     table::Entry,
     unanswered,
     worker::{Cause, Worker},
@@ -29,6 +32,20 @@
 /// after the same time at the latest.
 const GROUP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Most run times that a planner learns from what earlier ones have recorded.
+const MAX_SAMPLES: usize = 10_000;
+
+/// Returns the run times that a record of progress has.
+fn samples<'a>(job: &'a Job, progress: &'a Progress) -> impl Iterator<Item = Sample> + 'a {
+    let known = progress.tallies.iter().filter(|tally| tally.is_done && tally.took_ms > 0);
+    known.map(|tally| Sample {
+        accepted_ms: job.accepted_ms,
+        job: job.id.clone(),
+        step: tally.step,
+        took: Duration::from_millis(tally.took_ms),
+    })
+}
+
 impl Planner {
     /// Begins to read the records of the store.
     pub(crate) fn begin(&mut self) {
@@ -42,11 +59,15 @@
         self.effects.push(Effect::Store(Operation::Scan, call));
     }
 
-    /// Reads a page again that got no reply.
+    /// Makes the read again that got no reply.
     pub(crate) fn retry_scan(&mut self, now: Moment) {
-        if self.startup.retry_at.take_if(|at| now.steady >= *at).is_some() {
-            let after = self.startup.items.last().map_or(String::new(), |item| item.key.clone());
-            self.scan(after);
+        if self.startup.retry_at.take_if(|at| now.steady >= *at).is_none() {
+            return;
+        }
+        if self.startup.begun.is_empty() {
+            self.scan(self.startup.after.clone());
+        } else {
+            self.read_begun(now);
         }
     }
 
@@ -64,59 +85,151 @@
         // The pages are not a snapshot: later submissions are read from this revision on.
         let first = *self.startup.first_revision.get_or_insert(revision);
         let after = items.last().map(|item| item.key.clone());
-        self.startup.items.extend(items);
+        for item in items {
+            self.load_item(now, item);
+        }
         if has_more && let Some(after) = after {
+            self.startup.after.clone_from(&after);
             self.scan(after);
             return;
         }
         self.intake.start(self.startup.began, first);
-        self.load_records(now);
+        self.find_begun();
+        self.read_begun(now);
+    }
+
+    /// Loads a record. Those of jobs and of their progress are decoded at once, so that no more of them is
+    /// kept than there is memory for; the others are few.
+    fn load_item(&mut self, now: Moment, item: Item) {
+        let Some(value) = &item.value else { return };
+        match keys::parse(&item.key) {
+            Key::Job(id) => self.load_job(now, id, value),
+            Key::Progress(id) => self.load_progress(now, id, value, item.revision),
+            Key::Cancel(id) => {
+                self.startup.cancelled.insert(id.to_owned(), item.revision);
+            }
+            Key::Other => {}
+            _ => self.startup.items.push(item),
+        }
+    }
+
+    /// Loads the progress of a job. That of a job which was left out is read again with its record.
+    fn load_progress(&mut self, now: Moment, id: &str, value: &Bytes, revision: Revision) {
+        let Some(entry) = self.table.entries.get_mut(id) else {
+            if self.load.left_out > 0 {
+                self.startup.begun.insert(id.to_owned());
+            }
+            return;
+        };
+        match Progress::decode(&value[..]) {
+            Ok(progress) => {
+                entry.restore(&progress, revision, now);
+                let done = &mut self.startup.done;
+                let free = MAX_SAMPLES.saturating_sub(done.len());
+                done.extend(samples(&entry.job, &progress).take(free));
+                self.table.reckon(id);
+            }
+            Err(error) => self.log(format!("job={id} progress can't be decoded: {error}")),
+        }
+    }
+
+    /// Finds the jobs that were left out although earlier planners may have started them.
+    ///
+    /// Guards against a task that runs again although it is done: its end would be acknowledged, and its
+    /// job found later as one that has not begun.
+    fn find_begun(&mut self) {
+        if self.load.left_out == 0 {
+            return;
+        }
+        let mut jobs = std::mem::take(&mut self.startup.begun);
+        for item in &self.startup.items {
+            let Some(value) = &item.value else { continue };
+            match keys::parse(&item.key) {
+                Key::Runs => {
+                    let segment = RunSegment::decode(&value[..]).unwrap_or_default();
+                    let runs = segment.workers.into_iter().flat_map(|on| on.runs);
+                    jobs.extend(runs.map(|run| run.job));
+                }
+                Key::Unanswered(_) => {
+                    let record = UnansweredStarts::decode(&value[..]).unwrap_or_default();
+                    let tasks = record.workers.into_iter().flat_map(|on| on.tasks);
+                    jobs.extend(tasks.map(|task| task.job));
+                }
+                _ => {}
+            }
+        }
+        jobs.retain(|id| !self.table.entries.contains_key(id));
+        self.startup.begun = jobs;
+    }
+
+    /// Reads the next record of a job that has to be loaded whatever memory there is; loads the others once
+    /// there is none left.
+    fn read_begun(&mut self, now: Moment) {
+        let Some(id) = self.startup.begun.first().cloned() else {
+            self.load_records(now);
+            return;
+        };
+        let is_known = self.table.entries.contains_key(&id);
+        let key = if is_known { keys::progress(&id) } else { keys::job(&id) };
+        self.effects.push(Effect::Store(Operation::Begun, Call::Get { key }));
+    }
+
+    /// Handles the record of a job that has to be loaded, or that of its progress.
+    pub(crate) fn handle_begun(&mut self, now: Moment, reply: Reply) {
+        let Some(id) = self.startup.begun.first().cloned() else { return };
+        let Reply::Value(value) = reply else {
+            self.startup.retry_at = Some(now.steady + options::RETRY_DELAY);
+            return;
+        };
+        let exists = value.revision > 0;
+        if self.table.entries.contains_key(&id) {
+            if exists {
+                self.load_progress(now, &id, &value.bytes, value.revision);
+            }
+            self.startup.begun.remove(&id);
+        } else {
+            if exists {
+                self.load.left_out = self.load.left_out.saturating_sub(1);
+                self.insert_job(now, &id, &value.bytes, true);
+            }
+            if !self.table.entries.contains_key(&id) {
+                self.startup.begun.remove(&id);
+            }
+        }
+        self.read_begun(now);
     }
 
     /// Loads the records that were read, and begins to record the term in the store.
     fn load_records(&mut self, now: Moment) {
         let items = std::mem::take(&mut self.startup.items);
-        let mut progress = Vec::new();
-        let mut cancelled = Vec::new();
         let mut handover = Vec::new();
         let mut speeds = Vec::new();
         let mut runs = Vec::new();
         for item in &items {
             let Some(value) = &item.value else { continue };
             match keys::parse(&item.key) {
-                Key::Job(id) => self.load_job(now, id, value),
-                Key::Progress(id) => progress.push((id, value, item.revision)),
-                Key::Cancel(id) => cancelled.push((id, item.revision)),
                 Key::Fleet => self.load_fleet(now, value, item.revision),
                 Key::Shares => self.load_shares(now, value, item.revision),
                 Key::Unanswered(slot) => handover.push((slot, value, item.revision)),
                 Key::Runs => runs.push((item.key.as_str(), value)),
                 Key::Speeds(shard) => speeds.push((shard, value, item.revision)),
-                Key::Other => {}
+                _ => {}
             }
         }
         self.load_unanswered(now, &handover);
         self.load_speeds(speeds);
-        for (id, value, revision) in progress {
-            match (Progress::decode(&value[..]), self.table.entries.get_mut(id)) {
-                (Ok(progress), Some(entry)) => entry.restore(&progress, revision, now),
-                (Err(error), _) => {
-                    self.log(format!("job={id} progress can't be decoded: {error}"));
-                }
-                (Ok(_), None) => {}
-            }
-        }
         self.load_runs(&runs);
         self.learn_restored();
-        for (id, revision) in cancelled {
-            self.cancel(now, id, revision);
+        for (id, revision) in std::mem::take(&mut self.startup.cancelled) {
+            self.cancel(now, &id, revision);
         }
         self.prepare_loaded_jobs(now);
         self.startup.term_number += 1;
         self.startup.phase = Phase::Recording;
         let (jobs, members) = (self.table.entries.len(), self.startup.members.len());
-        let term = self.term;
-        self.log(format!("term={term} read the store: jobs={jobs} workers={members}"));
+        let (term, left_out) = (self.term, self.load.left_out);
+        let left_out = if left_out > 0 { format!(" left_out={left_out}") } else { String::new() };
+        self.log(format!("term={term} read the store: jobs={jobs} workers={members}{left_out}"));
         let members = self.startup.members.values();
         let addresses = members.map(|member| member.address.clone()).collect();
         self.effects.push(Effect::Announce(addresses));
@@ -126,35 +239,36 @@
     /// Learns run times from the tasks that were completed under earlier planners, the earliest
     /// jobs first. Otherwise each new planner would rely on declared times again.
     fn learn_restored(&mut self) {
+        let mut done = std::mem::take(&mut self.startup.done);
         if !self.options.policy.keep_times {
             return;
         }
-        let mut entries: Vec<&Entry> = self.table.entries.values().collect();
-        entries.sort_by_key(|entry| entry.job.accepted_ms);
-        for entry in entries {
-            for (key, group) in entry.groups.iter().filter(|(_, group)| group.is_final()) {
-                let (Some(observation), Some(step)) = (&group.observation, entry.step(key.step))
-                else {
-                    continue;
-                };
-                let kind = estimate_kind(entry, step);
-                let declared = length::declared(step);
-                self.estimates.observe_kind(kind, declared, observation.run_time);
-                if self.speeds.is_enabled() {
-                    let history = &mut self.speed_state.history;
-                    history.record(kind, declared, observation.run_time, Belief::REFERENCE);
-                }
+        done.sort_by_key(|sample| sample.accepted_ms);
+        for Sample { job, step, took, .. } in done {
+            let Some(entry) = self.table.entries.get(&job) else { continue };
+            let Some(step) = entry.step(step) else { continue };
+            let kind = estimate_kind(entry, step);
+            let declared = length::declared(step);
+            self.estimates.observe_kind(kind, declared, took);
+            if self.speeds.is_enabled() {
+                let history = &mut self.speed_state.history;
+                history.record(kind, declared, took, Belief::REFERENCE);
             }
         }
     }
 
-    /// Adds a job from its record.
+    /// Adds a job from its record, if there is memory for it.
     fn load_job(&mut self, now: Moment, id: &str, value: &Bytes) {
+        self.insert_job(now, id, value, false);
+    }
+
+    fn insert_job(&mut self, now: Moment, id: &str, value: &Bytes, is_forced: bool) {
         match accept::read_record(id, value) {
-            Ok(job) => {
+            Ok(job) if is_forced || self.table.takes_record(&job) => {
                 let submitted = accept::submission_time(now, &job);
                 self.table.insert(Entry::new(Arc::new(job), true, submitted));
             }
+            Ok(_) => self.load.left_out += 1,
             Err(error) => self.log(format!("job={id} record can't be decoded: {error}")),
         }
     }
@@ -315,9 +429,12 @@
         for id in ended {
             self.table.open.remove(&id);
         }
-        for entry in self.table.entries.values_mut().filter(|entry| !entry.is_over()) {
-            entry.add_due_occurrences(now);
+        let runs: Vec<Task> = self.run_log.tasks().cloned().collect();
+        for task in runs {
+            self.table.add_known(now, &task.job, task.occurrence);
         }
+        let due = self.table.add_due_occurrences(now);
+        self.log_held(&due);
     }
 
     /// Writes the list of workers if the stored one is out of date. The first write of a term also
--- a/crates/planner/src/state/intake.rs
+++ b/crates/planner/src/state/intake.rs
@@ -30,7 +30,10 @@
     pub(crate) requested_at: Duration,
     /// When the latest complete read was requested: what was cancelled before that time is known.
     pub(crate) verified_at: Duration,
-    /// The read that is in progress because the store's history after `revision` is gone.
+    /// When the jobs that were left out were last read again.
+    pub(crate) left_out_read_at: Duration,
+    /// The read that is in progress because the store's history after `revision` is gone, or jobs
+    /// were left out.
     pub(crate) scan: Option<Scan>,
 }
 
--- a/crates/planner/src/state/run_log.rs
+++ b/crates/planner/src/state/run_log.rs
@@ -85,6 +85,11 @@
         rows.map(|(row, _)| row)
     }
 
+    /// Returns the tasks of all runs.
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.runs.keys().map(|row| &row.task)
+    }
+
     /// Returns whether the log in the store lacks runs.
     pub(crate) fn has_missing(&self) -> bool {
         !self.missing.is_empty()
--- a/crates/planner/src/state/startup.rs
+++ b/crates/planner/src/state/startup.rs
@@ -1,8 +1,15 @@
 //! State of the start of a term.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use sapphire_jobs::{Expiry, Fleet, Member, remote_clock::RemoteClock, task::WorkerName};
+use sapphire_jobs::{
+    Expiry, Fleet, Member,
+    remote_clock::RemoteClock,
+    task::{JobId, WorkerName},
+};
 use sapphire_store::call::{Item, Revision};
 
 use crate::unanswered::in_ms;
@@ -15,11 +22,29 @@
     Serving,
 }
 
+/// Run time of a task that was completed under an earlier planner.
+pub(crate) struct Sample {
+    /// Unix time at which its job was accepted, in ms.
+    pub(crate) accepted_ms: u64,
+    pub(crate) job: JobId,
+    pub(crate) step: u32,
+    pub(crate) took: Duration,
+}
+
 /// State of the start of a term.
 pub(crate) struct Startup {
     pub(crate) phase: Phase,
     pub(crate) began: Duration,
+    /// Records that were read, except those of jobs.
     pub(crate) items: Vec<Item>,
+    /// Last key of the pages that were read.
+    pub(crate) after: String,
+    /// Cancellations that were read, with their revisions.
+    pub(crate) cancelled: BTreeMap<JobId, Revision>,
+    /// Jobs that were left out, and have to be read again since earlier planners may have started them.
+    pub(crate) begun: BTreeSet<JobId>,
+    /// Run times of tasks that were completed under earlier planners.
+    pub(crate) done: Vec<Sample>,
     /// Revision of the store at the first page; `None` before that page has arrived.
     pub(crate) first_revision: Option<Revision>,
     /// Time at which a page that got no reply is read again.
@@ -78,6 +103,10 @@
             phase: Phase::Reading,
             began: now,
             items: Vec::new(),
+            after: String::new(),
+            cancelled: BTreeMap::new(),
+            begun: BTreeSet::new(),
+            done: Vec::new(),
             first_revision: None,
             retry_at: None,
             term_number: 0,
--- a/crates/planner/src/stops.rs
+++ b/crates/planner/src/stops.rs
@@ -126,7 +126,7 @@
                 // An expired claim is renewed or made anew in its group's turn; until then its
                 // resources serve others.
                 let is_held = |claim: &&Claim| now.steady < claim.until + END_REPORT_DELAY;
-                let Some(claim) = group.claim.as_ref().filter(is_held) else { continue };
+                let Some(claim) = group.claim.as_deref().filter(is_held) else { continue };
                 if claim.assignments.iter().any(|(worker, _)| !pool.index.contains_key(worker)) {
                     lost.push((id.clone(), *key));
                     continue;
@@ -236,7 +236,7 @@
         pool.apply_claim(&claim, urgent.demand);
         let entry = self.table.entries.get_mut(urgent.id);
         if let Some(group) = entry.and_then(|entry| entry.groups.get_mut(urgent.key)) {
-            group.claim = Some(claim);
+            group.claim = Some(Box::new(claim));
         }
         self.load.claims_kept += 1;
         self.log(format!(
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -6,7 +6,7 @@
 };
 
 use sapphire_jobs::{
-    Progress, State, Step, Tally, length,
+    Job, Progress, State, Step, Tally, footprint, length,
     resources::Resources,
     task::{GroupKey, JobId, Task},
 };
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    account::{Account, Kept},
     event::{Moment, Record},
     group::{Group, Observation, Phase},
     idle, options,
@@ -48,8 +49,15 @@
     pub job: Record,
     /// Groups of the occurrences that have become due.
     pub groups: BTreeMap<GroupKey, Group>,
-    /// Number of occurrences whose groups have been added.
+    /// Number of occurrences, from the first, whose groups have been added. Later ones have been added
+    /// only if something is known of their tasks.
     pub occurrences: u32,
+    /// Number of occurrences, from the first, all of whose groups are done and are kept no more.
+    pub completed: u32,
+    /// Bytes that are reckoned for it.
+    pub kept: Kept,
+    /// Time since which a due occurrence waits for memory.
+    pub held_since: Option<Duration>,
     /// State as known to this planner.
     pub state: State,
     /// State that callers are shown; never ahead of what is durable.
@@ -98,6 +106,9 @@
             submitted,
             groups: BTreeMap::new(),
             occurrences: 0,
+            completed: 0,
+            kept: Kept::default(),
+            held_since: None,
             state: State::Queued,
             reported_state: State::Queued,
             has_begun: false,
@@ -128,22 +139,58 @@
         self.job.steps.get(index as usize)
     }
 
-    /// Adds the groups of occurrences that have become due. Returns whether there were any.
-    pub fn add_due_occurrences(&mut self, now: Moment) -> bool {
-        let mut is_any = false;
-        while self.occurrences < self.repetitions() && self.due(self.occurrences) <= now.unix {
-            let occurrence = self.occurrences;
-            for (index, step) in self.job.steps.iter().enumerate() {
-                let count = if step.is_gang { 1 } else { step.tasks };
-                for task in 0..count {
-                    let key = GroupKey { occurrence, step: index as u32, index: task };
-                    self.groups.entry(key).or_insert_with(|| Group::new(now.steady));
-                }
+    /// Adds the groups of an occurrence.
+    fn add_occurrence(&mut self, now: Moment, occurrence: u32) {
+        for (index, step) in self.job.steps.iter().enumerate() {
+            let count = if step.is_gang { 1 } else { step.tasks };
+            for task in 0..count {
+                let key = GroupKey { occurrence, step: index as u32, index: task };
+                self.groups.entry(key).or_insert_with(|| Group::new(now.steady));
             }
-            self.occurrences += 1;
-            is_any = true;
         }
-        is_any
+    }
+
+    /// Adds the groups of an occurrence of which something is known, if it is due. Returns whether they are
+    /// there.
+    fn add_known(&mut self, now: Moment, occurrence: u32) -> bool {
+        if occurrence < self.completed || occurrence >= self.repetitions() {
+            return false;
+        }
+        let is_missing = occurrence >= self.occurrences && self.due(occurrence) <= now.unix;
+        if is_missing && self.groups.range(of_occurrence(occurrence)).next().is_none() {
+            self.add_occurrence(now, occurrence);
+        }
+        occurrence < self.occurrences || is_missing
+    }
+
+    /// Returns whether all tasks of an occurrence are done and are kept no more.
+    pub(crate) fn is_completed(&self, occurrence: u32) -> bool {
+        occurrence < self.completed
+    }
+
+    /// Returns whether the next occurrence is due and its groups have not been added.
+    fn is_next_due(&self, now: Moment) -> bool {
+        self.next_due().is_some_and(|due| due <= now.unix)
+    }
+
+    /// Returns the bytes to reckon for it.
+    fn footprint(&self) -> Kept {
+        let record = footprint::record(&self.job.spec, &self.job.steps);
+        Kept { record, groups: self.groups.len() as u64 * footprint::GROUP }
+    }
+
+    /// Drops the groups of occurrences that are done, from the first on. Their number is all that is
+    /// recorded of them.
+    fn drop_completed(&mut self) {
+        while self.completed < self.occurrences {
+            let mut groups = self.groups.range(of_occurrence(self.completed));
+            if !groups.all(|(_, group)| group.phase == Phase::Done) {
+                return;
+            }
+            let next = GroupKey { occurrence: self.completed + 1, step: 0, index: 0 };
+            self.groups = self.groups.split_off(&next);
+            self.completed += 1;
+        }
     }
 
     /// Returns how often the job runs.
@@ -167,13 +214,23 @@
             .then(|| self.due(self.occurrences))
     }
 
-    /// Restores the progress that is recorded in the store.
+    /// Restores the progress that is recorded in the store. Nothing is kept of the tasks of a job that is
+    /// over.
     pub fn restore(&mut self, progress: &Progress, revision: u64, now: Moment) {
         self.revision = revision;
-        self.add_due_occurrences(now);
+        self.state = progress.state();
+        self.reported_state = self.state;
+        self.has_begun |= !progress.tallies.is_empty() || progress.completed > 0;
+        if self.is_over() {
+            self.ended = Some(now.steady);
+            return;
+        }
+        self.completed = progress.completed.min(self.repetitions());
+        self.occurrences = self.completed;
         for tally in &progress.tallies {
             let key =
                 GroupKey { occurrence: tally.occurrence, step: tally.step, index: tally.index };
+            self.add_known(now, key.occurrence);
             let Some(group) = self.groups.get_mut(&key) else { continue };
             group.failed_runs = tally.failed_runs.iter().copied().collect();
             group.run = group.failed_runs.last().copied().unwrap_or(0);
@@ -183,15 +240,10 @@
             }
             if tally.took_ms > 0 {
                 let run_time = Duration::from_millis(tally.took_ms);
-                group.observation = Some(Observation::healthy(run_time, "", 0));
+                group.observation = Some(Box::new(Observation::healthy(run_time, "", 0)));
             }
-            self.has_begun = true;
         }
-        self.state = progress.state();
-        self.reported_state = self.state;
-        if self.is_over() {
-            self.ended = Some(now.steady);
-        } else if self.has_begun {
+        if self.has_begun {
             self.state = State::Active;
             self.reported_state = State::Active;
         }
@@ -214,7 +266,7 @@
                 checkpoint: if group.is_final() { String::new() } else { group.checkpoint.clone() },
                 took_ms: group.took_ms(),
             });
-        Progress { tallies: tallies.collect(), state: self.state.into() }
+        Progress { tallies: tallies.collect(), state: self.state.into(), completed: self.completed }
     }
 
     /// Records a change of progress that must become durable. Returns its number.
@@ -302,6 +354,9 @@
 
     /// Returns the number of unfinished tasks of a step; a gang counts as one.
     pub fn unfinished_tasks(&self, occurrence: u32, step: u32) -> u32 {
+        if self.is_completed(occurrence) {
+            return 0;
+        }
         let groups = self.groups.range(step_groups(occurrence, step));
         let mut count = 0;
         let mut is_any = false;
@@ -324,8 +379,22 @@
     pub version: u64,
     /// Jobs that were removed, with the version of the removal.
     pub removed: Vec<(u64, JobId)>,
+    /// Memory that is reckoned for the jobs.
+    pub account: Account,
 }
 
+/// Jobs whose occurrences have become due.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Due {
+    /// Jobs to which groups were added.
+    pub(crate) added: Vec<JobId>,
+    /// Jobs that begin to wait for memory.
+    pub(crate) held: Vec<JobId>,
+}
+
+/// Number of groups from which on those of a repeated job are dropped once their occurrence is done.
+const KEPT_GROUPS: usize = 1_024;
+
 impl Table {
     /// Adds a job unless it is known. Returns whether it was added.
     pub fn insert(&mut self, entry: Entry) -> bool {
@@ -337,10 +406,124 @@
         if !entry.is_over() {
             self.open.insert(id.clone());
         }
-        self.entries.insert(id, Entry { version: self.version, ..entry });
+        self.entries.insert(id.clone(), Entry { version: self.version, ..entry });
+        self.reckon(&id);
         true
     }
 
+    /// Returns whether there is room for the record of a job.
+    pub fn takes_record(&self, job: &Job) -> bool {
+        let bytes = footprint::record(&job.spec, &job.steps);
+        self.account.takes_record(job.priority == 0, bytes)
+    }
+
+    /// Reckons the memory that is kept for a job anew.
+    pub(crate) fn reckon(&mut self, id: &str) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        let footprint = entry.footprint();
+        let before = std::mem::replace(&mut entry.kept, footprint);
+        self.account.change(before, entry.kept);
+    }
+
+    /// Adds the groups of an occurrence of which something is known, beyond the memory for jobs if need be.
+    ///
+    /// Guards against a task that runs again although its end was acknowledged: an earlier planner, with
+    /// more memory, has started it.
+    pub(crate) fn add_known(&mut self, now: Moment, id: &str, occurrence: u32) {
+        let Some(entry) = self.entries.get_mut(id).filter(|entry| !entry.is_over()) else { return };
+        let before = entry.groups.len();
+        entry.add_known(now, occurrence);
+        if entry.groups.len() > before {
+            self.reckon(id);
+        }
+    }
+
+    /// Adds the groups of occurrences that have become due, as far as there is memory for them: one at a
+    /// time to the jobs that take least. Returns the jobs that got some, and those that begin to wait.
+    pub(crate) fn add_due_occurrences(&mut self, now: Moment) -> Due {
+        let is_due = |id: &&JobId| self.entries.get(*id).is_some_and(|it| it.is_next_due(now));
+        let due: Vec<JobId> = self.open.iter().filter(is_due).cloned().collect();
+        self.add_occurrences_of(now, due)
+    }
+
+    /// The same for these jobs alone.
+    pub(crate) fn add_occurrences_of(&mut self, now: Moment, jobs: Vec<JobId>) -> Due {
+        let mut waiting: BTreeSet<(u64, JobId)> = (jobs.into_iter())
+            .filter_map(|id| Some((self.entries.get(&id)?.kept.all(), id)))
+            .collect();
+        let mut due = Due::default();
+        while let Some((kept, id)) = waiting.pop_first() {
+            let Some(entry) = self.entries.get_mut(&id).filter(|it| it.is_next_due(now)) else {
+                continue;
+            };
+            let is_urgent = entry.job.priority == 0;
+            let more = footprint::occurrence(&entry.job.steps);
+            // Without groups the next occurrence is all that can be at work.
+            let is_first = entry.groups.is_empty();
+            if !self.account.takes(is_urgent, kept, more, is_first) {
+                let before = entry.groups.len();
+                entry.drop_completed();
+                if entry.groups.len() < before {
+                    self.reckon(&id);
+                    waiting.extend(self.entries.get(&id).map(|entry| (entry.kept.all(), id)));
+                    continue;
+                }
+                if entry.held_since.is_none() {
+                    entry.held_since = Some(now.steady);
+                    due.held.push(id);
+                }
+                continue;
+            }
+            entry.held_since = None;
+            let next = entry.occurrences;
+            entry.add_occurrence(now, next);
+            entry.occurrences = next + 1;
+            self.reckon(&id);
+            let kept = self.entries.get(&id).map_or(kept, |entry| entry.kept.all());
+            if due.added.last() != Some(&id) {
+                due.added.push(id.clone());
+            }
+            waiting.insert((kept, id));
+        }
+        due
+    }
+
+    /// Drops what is kept of the occurrences of a job that are done, if that is much.
+    pub(crate) fn drop_completed(&mut self, id: &str) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        if entry.repetitions() > 1 && entry.groups.len() > KEPT_GROUPS {
+            entry.drop_completed();
+            self.reckon(id);
+        }
+    }
+
+    /// Drops the groups of a job that is over. Callers are told its state alone.
+    pub(crate) fn drop_groups(&mut self, id: &str) {
+        let Some(entry) = self.entries.get_mut(id).filter(|entry| entry.is_over()) else { return };
+        entry.groups = BTreeMap::new();
+        entry.held_since = None;
+        self.reckon(id);
+    }
+
+    /// Returns the number of groups of all jobs.
+    pub fn groups(&self) -> usize {
+        self.entries.values().map(|entry| entry.groups.len()).sum()
+    }
+
+    /// Returns the jobs with an occurrence that waits for memory, with the time that it has waited.
+    pub(crate) fn held_jobs(&self, now: Moment) -> BTreeMap<JobId, Duration> {
+        let held = self.open.iter().filter_map(|id| {
+            let since = self.entries.get(id)?.held_since?;
+            Some((id.clone(), now.steady.saturating_sub(since)))
+        });
+        held.collect()
+    }
+
+    /// Returns the number of jobs that have an occurrence which waits for memory.
+    pub fn held(&self) -> usize {
+        self.entries.values().filter(|entry| entry.held_since.is_some()).count()
+    }
+
     /// Returns the resources of a task; nothing if its job is not known.
     pub fn resources(&self, task: &Task) -> Resources {
         let step = self.entries.get(&task.job).and_then(|entry| entry.step(task.step));
@@ -360,7 +543,8 @@
     /// Removes a job.
     pub fn remove(&mut self, id: &str) {
         self.open.remove(id);
-        if self.entries.remove(id).is_some() {
+        if let Some(entry) = self.entries.remove(id) {
+            self.account.change(entry.kept, Kept::default());
             self.version += 1;
             self.removed.push((self.version, id.to_owned()));
         }
@@ -377,3 +561,9 @@
     let key = |index| GroupKey { occurrence, step, index };
     key(0)..=key(u32::MAX)
 }
+
+/// Returns the range of keys of the groups of an occurrence.
+fn of_occurrence(occurrence: u32) -> std::ops::RangeInclusive<GroupKey> {
+    let last = GroupKey { occurrence, step: u32::MAX, index: u32::MAX };
+    GroupKey { occurrence, step: 0, index: 0 }..=last
+}
--- a/crates/planner/src/urgent.rs
+++ b/crates/planner/src/urgent.rs
@@ -149,7 +149,7 @@
         pool.apply_claim(&claim, demand);
         let Some(entry) = self.table.entries.get_mut(id) else { return };
         if let Some(group) = entry.groups.get_mut(key) {
-            group.claim = Some(claim);
+            group.claim = Some(Box::new(claim));
         }
         let mut stopped = Vec::new();
         for at in stops {
--- a/crates/planner/src/wait/reason.rs
+++ b/crates/planner/src/wait/reason.rs
@@ -25,6 +25,8 @@
     Claim,
     /// Nothing is stopped for the group: its job is above its share, or has enough tasks running.
     Entitlement,
+    /// The planner has no memory for more runs.
+    Memory,
     /// Earlier starts of the group have no answer and may still be carried out.
     Unanswered,
     /// A worker may still be running a task of the group.
@@ -47,7 +49,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Reason; 20] = [
+    pub const ALL: [Reason; 21] = [
         Reason::Capacity,
         Reason::Cordoned,
         Reason::Suspect,
@@ -59,6 +61,7 @@
         Reason::Reserved,
         Reason::Claim,
         Reason::Entitlement,
+        Reason::Memory,
         Reason::Unanswered,
         Reason::Running,
         Reason::Takeover,
@@ -84,6 +87,7 @@
             Reason::Reserved => "reserved",
             Reason::Claim => "claim",
             Reason::Entitlement => "entitlement",
+            Reason::Memory => "memory",
             Reason::Unanswered => "unanswered",
             Reason::Running => "running",
             Reason::Takeover => "takeover",
--- a/crates/planner/src/waits.rs
+++ b/crates/planner/src/waits.rs
@@ -136,13 +136,13 @@
             Record { attempt: unplaced.reason, reason, fits, examined_at: now.steady, logged };
         let entry = self.table.entries.get_mut(unplaced.job);
         if let Some(group) = entry.and_then(|entry| entry.groups.get_mut(unplaced.key)) {
-            group.wait = Some(record);
+            group.wait = Some(Box::new(record));
         }
     }
 
     /// Returns what is known of the wait of a group.
     fn wait_record(&self, unplaced: &Unplaced<'_>) -> Option<&Record> {
-        self.table.entries.get(unplaced.job)?.groups.get(unplaced.key)?.wait.as_ref()
+        self.table.entries.get(unplaced.job)?.groups.get(unplaced.key)?.wait.as_deref()
     }
 
     /// Finds out why a group is not placed: the first of the limits on its place, applied one after
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -99,6 +99,7 @@
         shares: None,
         stops: None,
         calls_outlive_incarnations: true,
+        job_memory: 32 << 20,
         has_inventory: false,
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
--- a/crates/planner/tests/odd/mod.rs
+++ b/crates/planner/tests/odd/mod.rs
@@ -233,7 +233,10 @@
     let cases = vec![
         ("progress", vec![progress(Progress { tallies: tallies(), ..Progress::default() })]),
         ("tally", vec![progress(Progress { tallies: vec![tally(0)], ..Progress::default() })]),
-        ("state", vec![progress(Progress { state: 99, tallies: tallies() })]),
+        (
+            "state",
+            vec![progress(Progress { state: 99, tallies: tallies(), ..Progress::default() })],
+        ),
         ("progress bytes", bytes(keys::progress("j"))),
         ("progress of none", vec![item(keys::progress("none"), Vec::new())]),
         ("fleet bytes", bytes(keys::FLEET.to_owned())),
--- a/crates/planner/tests/planner.rs
+++ b/crates/planner/tests/planner.rs
@@ -12,6 +12,7 @@
 mod isolation;
 mod late;
 mod load;
+mod memory;
 mod mute;
 mod odd;
 mod placed;
--- a/crates/planner/tests/takeover/attempts.rs
+++ b/crates/planner/tests/takeover/attempts.rs
@@ -12,7 +12,8 @@
 #[test]
 fn a_task_that_has_failed_as_often_as_it_may_is_not_started_beside_a_silent_worker() {
     let tally = Tally { failed_runs: vec![1, 2], ..Tally::default() };
-    let progress = Progress { tallies: vec![tally], state: State::Active.into() };
+    let progress =
+        Progress { tallies: vec![tally], state: State::Active.into(), ..Progress::default() };
     let starts = UnansweredStarts { term: 1, are_runs_logged: true, ..Default::default() };
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a", "silent"]),
--- a/crates/planner/tests/terms/mod.rs
+++ b/crates/planner/tests/terms/mod.rs
@@ -19,6 +19,7 @@
     let progress = Progress {
         tallies: vec![Tally { failed_runs: vec![1], ..Tally::default() }],
         state: State::Active.into(),
+        ..Progress::default()
     };
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a"]),
@@ -230,7 +231,8 @@
 #[test]
 fn run_times_outlive_a_planner() {
     let tally = |index| Tally { index, is_done: true, took_ms: 20_000, ..Tally::default() };
-    let progress = Progress { tallies: (0..6).map(tally).collect(), state: State::Active.into() };
+    let tallies = (0..6).map(tally).collect();
+    let progress = Progress { tallies, state: State::Active.into(), ..Progress::default() };
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a"]),
         no_starts(1),
@@ -277,7 +279,8 @@
 #[test]
 fn a_task_that_has_failed_as_often_as_it_may_is_not_started_by_a_successor() {
     let tally = Tally { failed_runs: vec![1, 2], ..Tally::default() };
-    let progress = Progress { tallies: vec![tally], state: State::Active.into() };
+    let progress =
+        Progress { tallies: vec![tally], state: State::Active.into(), ..Progress::default() };
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a"]),
         no_starts(1),
@@ -298,7 +301,8 @@
 fn the_end_that_fails_a_job_waits_until_that_is_stored() {
     let wide = Step { room: Some(resources(64).message()), ..step(2, true) };
     let tally = Tally { failed_runs: vec![1], ..Tally::default() };
-    let progress = Progress { tallies: vec![tally], state: State::Active.into() };
+    let progress =
+        Progress { tallies: vec![tally], state: State::Active.into(), ..Progress::default() };
     let mut fixture = Fixture::new(vec![
         fleet(1, &["a", "b"]),
         no_starts(1),
--- a/crates/proofs/src/jobs/simulation/mod.rs
+++ b/crates/proofs/src/jobs/simulation/mod.rs
@@ -444,6 +444,8 @@
             leader_lease: Duration::from_millis(1_300),
             retention: settings::STATUS_RETENTION,
             max_tombstones: 1_000,
+            job_tasks: 20_000,
+            gang_tasks: 2_000,
             seed: index as u64 * 17,
         }
     }
--- a/crates/proofs/src/jobs/simulation/settings.rs
+++ b/crates/proofs/src/jobs/simulation/settings.rs
@@ -53,6 +53,7 @@
         shares: features.shares,
         stops: features.stops,
         calls_outlive_incarnations: true,
+        job_memory: 32 << 20,
         has_inventory: true,
         cordon_prefix: CORDONS.to_owned(),
         read_cordon,
--- a/crates/sapphired/src/jobs_entry/meter.rs
+++ b/crates/sapphired/src/jobs_entry/meter.rs
@@ -47,11 +47,11 @@
         if span < REPORT_INTERVAL {
             return None;
         }
-        let Load { events, passes, waiting, tried, searches, .. } = load;
+        let Load { events, passes, waiting, tried, searches, runs, left_out, .. } = load;
         let previous = self.previous;
         let line = format!(
             "load ms={} events={} turns={} busy_ms={} passes={} pass_ms={} longest_ms={} \
-             waiting={waiting} tried={} searches={}",
+             waiting={waiting} tried={} searches={} runs={runs} left_out={left_out}",
             span.as_millis(),
             events - previous.events,
             self.turns,
--- a/crates/sapphired/src/jobs_entry/options.rs
+++ b/crates/sapphired/src/jobs_entry/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use sapphire_front as front;
+use sapphire_jobs::footprint::Budget;
 use sapphire_plan::{policy::Policy, share, speed, stops};
 use sapphire_planner::{self as planner, event::Moment};
 use sapphire_platform as platform;
@@ -33,6 +34,8 @@
         leader_lease: Duration::from_millis(bounds.store_lease_ms).max(MIN_LEADER_LEASE),
         retention: Duration::from_millis(bounds.status_ms),
         max_tombstones: settings.max_tombstones as usize,
+        job_tasks: settings.job_tasks.into(),
+        gang_tasks: Budget::new(settings.job_memory).runs,
         seed,
     }
 }
@@ -66,6 +69,7 @@
         read_cordon: platform::cordon::read,
         cordon_deadline: millis(bounds.cordon_ms),
         cancel_deadline: millis(bounds.cancel_ms),
+        job_memory: settings.job_memory,
     }
 }
 
--- a/crates/sapphired/src/jobs_entry/planning.rs
+++ b/crates/sapphired/src/jobs_entry/planning.rs
@@ -4,7 +4,9 @@
 
 use cadence::Gauged as _;
 use sapphire_net::clock;
-use sapphire_planner::{self as planner, delay, event::Moment, inventory, lease, loss, wait};
+use sapphire_planner::{
+    self as planner, delay, event::Moment, inventory, lease, load::Load, loss, table::Table, wait,
+};
 
 use super::{Role, Work};
 use crate::reactor;
@@ -67,6 +69,7 @@
                 self.record_inventory_fault(planner.inventory_fault());
                 self.record_losses(planner.losses());
                 self.record_leases(planner.leases());
+                self.record_table(planner.table(), load);
             }
         }
         self.perform(now, effects.into_iter().map(Work::Planner).collect());
@@ -82,6 +85,20 @@
         self.record_inventory_fault(None);
         self.record_losses(&loss::Summary::default());
         self.record_leases(&lease::Summary::default());
+        self.record_table(&Table::default(), Load::default());
+    }
+
+    /// Records what the planner keeps for accepted jobs.
+    fn record_table(&self, table: &Table, load: Load) {
+        // A metric that can't be recorded is not worth an error.
+        let gauge = |name: &str, value: u64| self.metrics.gauge(&format!("table.{name}"), value);
+        let _ = gauge("jobs", table.entries.len() as u64);
+        let _ = gauge("groups", table.groups() as u64);
+        let _ = gauge("runs", load.runs as u64);
+        let _ = gauge("bytes", table.account.used());
+        let _ = gauge("waiting_jobs", table.held() as u64);
+        let _ = gauge("waits", load.held_occurrences);
+        let _ = gauge("left_out", load.left_out as u64);
     }
 
     /// Records the figures of the groups that are due and wait.
--- a/crates/sapphired/src/jobs_entry/requests.rs
+++ b/crates/sapphired/src/jobs_entry/requests.rs
@@ -177,6 +177,9 @@
                 Answer::NotDone { reason: answers::ABOVE_SHARE, .. } => {
                     self.count("shares.refused");
                 }
+                Answer::NotDone { reason: answers::NO_MEMORY, .. } => {
+                    self.count("jobs.refused_for_memory");
+                }
                 Answer::NotDone { reason: answers::TOO_MANY_TOMBSTONES, .. } => {
                     self.count("cancellations.refused");
                 }
--- a/crates/sapphired/src/jobs_entry/store.rs
+++ b/crates/sapphired/src/jobs_entry/store.rs
@@ -125,7 +125,7 @@
             Front::Probe => "probe",
         },
         Origin::Planner { operation, .. } => match operation {
-            Plan::Scan => "scan",
+            Plan::Scan | Plan::Begun => "scan",
             Plan::Fleet => "fleet",
             Plan::Progress(_) => "progress",
             Plan::Forget(_) | Plan::Tombstones(_) => "forget",
--- a/crates/sapphired/tests/clients/entry.rs
+++ b/crates/sapphired/tests/clients/entry.rs
@@ -18,8 +18,19 @@
 
 /// Starts an entry.
 pub fn start() -> Entry {
-    let [callers, ready, internal, metrics, store] = std::array::from_fn(|_| daemon::address());
-    store::serve(store);
+    start_on(start_store())
+}
+
+/// Starts a store, and returns its address.
+pub fn start_store() -> SocketAddr {
+    let address = daemon::address();
+    store::serve(address);
+    address
+}
+
+/// Starts an entry on a store.
+pub fn start_on(store: SocketAddr) -> Entry {
+    let [callers, ready, internal, metrics] = std::array::from_fn(|_| daemon::address());
     let settings = format!(
         "platform: kv\nname: e0\nregion: r\nzone: z\naddress: \"{internal}\"\n\
          callers: \"{callers}\"\nready: \"{ready}\"\nmetrics: \"{metrics}\"\n\
--- a/crates/sapphired/tests/clients/machines.rs
+++ b/crates/sapphired/tests/clients/machines.rs
@@ -57,6 +57,27 @@
     }
 }
 
+/// Memory in bytes that the program takes beside its interfaces and the jobs.
+const PROGRAM: u64 = 4 << 20;
+
+/// Guards against a planner that exceeds its machine with jobs that are within their limit, while its
+/// interfaces take all that theirs allow.
+#[test]
+fn interfaces_and_jobs_fit_on_each_machine() {
+    let test = (daemon::MEMORY, u32::try_from(daemon::DESCRIPTORS).expect("a small number"));
+    for (memory_bytes, descriptors) in MACHINES.into_iter().chain([test]) {
+        let head = "platform: kv\nname: e\nregion: r\nzone: z\naddress: 127.0.0.1:1\n\
+                    callers: 127.0.0.1:2\nready: 127.0.0.1:3\nstore: 127.0.0.1:4\nlimits:\n";
+        let text = format!("{head}  memory: {}MiB\n", memory_bytes >> 20);
+        let settings = sapphire_settings::jobs::read_entry(&text).expect("they are valid");
+        let shares = Shares::new(&ProcessLimits { memory_bytes, descriptors });
+        let [entry, ..] = interfaces(&shares);
+        let interfaces: usize = entry.iter().map(memory).sum();
+        let all = interfaces as u64 + settings.job_memory + PROGRAM;
+        assert!(all <= memory_bytes, "{memory_bytes}: {interfaces} and {}", settings.job_memory);
+    }
+}
+
 /// Guards against limits of the operators with which nobody could submit a job, or that the shares of an
 /// interface don't allow for.
 #[test]
--- a/crates/sapphired/tests/clients/main.rs
+++ b/crates/sapphired/tests/clients/main.rs
@@ -29,6 +29,7 @@
 mod callers;
 mod http;
 mod internal;
+mod jobs;
 mod machines;
 mod mesh;
 mod metrics;
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sapphire_jobs::footprint::Budget;
 use sapphire_schema::settings::{
     Bounds, JobAgent, JobEntry, Policy, ProcessLimits, Shares, Speeds, Stops,
 };
@@ -20,7 +21,7 @@
 pub fn read_entry(text: &str) -> Result<JobEntry, Vec<finding::Finding>> {
     section::read_file(text, |file| {
         file.word("platform", PLATFORMS[0], &PLATFORMS);
-        let (limits, max_tombstones) = entry_limits(file);
+        let EntryLimits { process, max_tombstones, job_memory, job_tasks } = entry_limits(file);
         JobEntry {
             name: file.name("name"),
             region: file.name("region"),
@@ -39,8 +40,10 @@
             shares: file.optional_section("shares", read_shares),
             stops: file.optional_section("stops", read_stops),
             logging: Some(shared::logging(file)),
-            limits: Some(limits),
+            limits: Some(process),
             max_tombstones,
+            job_memory,
+            job_tasks,
         }
     })
 }
@@ -76,19 +79,63 @@
         .unwrap_or_else(shared::default_process_limits)
 }
 
-/// Returns the limits of an entry: those of each process, and the maximum number of cancellations of jobs
-/// that don't exist.
-fn entry_limits(file: &mut section::Section<'_>) -> (ProcessLimits, u32) {
+/// Limits of an entry.
+#[derive(Default)]
+struct EntryLimits {
+    process: ProcessLimits,
+    /// Maximum number of cancellations of jobs that don't exist.
+    max_tombstones: u32,
+    /// Memory in bytes for accepted jobs.
+    job_memory: u64,
+    /// Most tasks of a job, in one repetition.
+    job_tasks: u32,
+}
+
+fn entry_limits(file: &mut section::Section<'_>) -> EntryLimits {
     let read = |section: &mut section::Section<'_>| {
-        let tombstones = section.count("cancellations", Some(DEFAULT_MAX_TOMBSTONES), 1..=100_000);
-        (shared::process_limits(section), tombstones)
+        let max_tombstones =
+            section.count("cancellations", Some(DEFAULT_MAX_TOMBSTONES), 1..=100_000);
+        let process = shared::process_limits(section);
+        let most = process.memory_bytes / MEMORY_PER_JOB_MEMORY;
+        let default = default_job_memory(process.memory_bytes);
+        let job_memory = section.size("jobs", Some(default), MIN_JOB_MEMORY..=most);
+        let fitting = fitting_tasks(job_memory);
+        let default = DEFAULT_JOB_TASKS.min(fitting);
+        let job_tasks = section.count("job_tasks", Some(default), 1..=fitting);
+        EntryLimits { process, max_tombstones, job_memory, job_tasks }
     };
-    file.optional_section("limits", read)
-        .unwrap_or_else(|| (shared::default_process_limits(), DEFAULT_MAX_TOMBSTONES))
+    file.optional_section("limits", read).unwrap_or_else(|| {
+        let process = shared::default_process_limits();
+        let job_memory = default_job_memory(process.memory_bytes);
+        let job_tasks = DEFAULT_JOB_TASKS.min(fitting_tasks(job_memory));
+        EntryLimits { process, max_tombstones: DEFAULT_MAX_TOMBSTONES, job_memory, job_tasks }
+    })
 }
 
 /// Default maximum number of cancellations of jobs that don't exist.
 const DEFAULT_MAX_TOMBSTONES: u32 = 1_000;
+/// Default of the most tasks of a job.
+const DEFAULT_JOB_TASKS: u32 = 20_000;
+/// The interfaces of a process leave this part of its memory, of which the program takes some itself.
+const MEMORY_PER_JOB_MEMORY: u64 = 8;
+/// Memory in bytes that the program takes beside its interfaces and the jobs.
+const PROGRAM_MEMORY: u64 = 4 << 20;
+/// Least memory in bytes for accepted jobs.
+const MIN_JOB_MEMORY: u64 = 1 << 20;
+
+fn default_job_memory(memory_bytes: u64) -> u64 {
+    let part = memory_bytes / MEMORY_PER_JOB_MEMORY;
+    part.saturating_sub(PROGRAM_MEMORY).max(MIN_JOB_MEMORY)
+}
+
+/// Returns the most tasks of a job that the planner has memory for.
+fn fitting_tasks(job_memory: u64) -> u32 {
+    let tasks = Budget::new(job_memory).largest_tasks();
+    u32::try_from(tasks).unwrap_or(u32::MAX).clamp(1, MAX_JOB_TASKS)
+}
+
+/// Most tasks that a job may be allowed.
+const MAX_JOB_TASKS: u32 = 100_000;
 
 fn bounds(file: &mut section::Section<'_>) -> Bounds {
     file.optional_section("bounds", read_bounds).unwrap_or_else(default_bounds)
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -162,6 +162,34 @@
     insta::assert_snapshot!(finding::report("agent.yaml", &findings));
 }
 
+/// Guards against limits of jobs that no machine's memory allows for.
+#[test]
+fn the_limits_of_jobs_are_checked() {
+    let head = "platform: kv\nname: e\nregion: r\nzone: z\naddress: 127.0.0.1:1\n\
+                callers: 127.0.0.1:2\nready: 127.0.0.1:3\nstore: 127.0.0.1:4\nlimits:\n";
+    let read = |text: &str| sapphire_settings::jobs::read_entry(&format!("{head}{text}"));
+    let entry = read("  memory: 260MiB\n  jobs: 20MiB\n  job_tasks: 900\n").expect("valid");
+    assert_eq!((entry.job_memory, entry.job_tasks), (20 << 20, 900));
+    let defaults = |memory: &str| {
+        let entry = read(&format!("  memory: {memory}\n")).expect("valid");
+        (entry.job_memory >> 20, entry.job_tasks)
+    };
+    assert_eq!(defaults("16MiB"), (1, 938));
+    assert_eq!(defaults("160MiB"), (16, 18_858));
+    assert_eq!(defaults("260MiB"), (28, 20_000));
+    assert_eq!(defaults("512MiB"), (60, 20_000));
+    for (text, key) in [
+        ("  memory: 160MiB\n  jobs: 21MiB\n", "limits.jobs"),
+        ("  jobs: 1KiB\n", "limits.jobs"),
+        ("  memory: 160MiB\n  job_tasks: 19000\n", "limits.job_tasks"),
+        ("  job_tasks: 0\n", "limits.job_tasks"),
+    ] {
+        let findings = read(text).expect_err(text);
+        let keys: Vec<&str> = findings.iter().map(|finding| finding.key.as_str()).collect();
+        assert_eq!(keys, [key], "{text}");
+    }
+}
+
 /// Guards against an entry that starts with a limit of cancellations that can't hold, and against one whose
 /// other limits are lost beside it.
 #[test]
