--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -50,6 +50,9 @@
     /// didn't have
     #[argh(switch)]
     withdrawals: bool,
+    /// with heartbeats of processes of another service, which older seeds didn't have
+    #[argh(switch)]
+    foreign: bool,
     /// longest lease in milliseconds, in place of that of the bounds
     #[argh(option)]
     lease: Option<u32>,
@@ -86,6 +89,7 @@
         "slow_store" => &mut trouble.slow_store,
         "hanging" => &mut trouble.hanging,
         "withdrawals" => &mut trouble.withdrawals,
+        "foreign" => &mut trouble.foreign,
         _ => return None,
     })
 }
@@ -114,6 +118,7 @@
         trouble = trouble.with_hold_ups();
     }
     trouble.withdrawals |= args.withdrawals;
+    trouble.foreign |= args.foreign;
     for seed in args.first..args.first + args.seeds {
         let mut bounds = if args.bounds { Bounds::of_seed(seed) } else { Bounds::default() };
         bounds.lease_limit = args.lease.unwrap_or(bounds.lease_limit);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -34,6 +34,7 @@
 
 mod cancels;
 mod drains;
+mod foreign;
 mod hold_ups;
 mod idle;
 mod inventory;
@@ -418,6 +419,7 @@
             if now >= next_heartbeat {
                 next_heartbeat = now + HEARTBEAT_INTERVAL;
                 self.send_heartbeats();
+                self.send_foreign_heartbeats();
             }
             if jobs > 0 && now >= next_job {
                 jobs -= 1;
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -63,6 +63,8 @@
     pub hanging: bool,
     /// Entries are paused with submissions unread, and their callers cancel the jobs at other entries.
     pub withdrawals: bool,
+    /// Processes of another service send heartbeats to agents.
+    pub foreign: bool,
 }
 
 impl Trouble {
@@ -94,6 +96,7 @@
         slow_store: false,
         hanging: false,
         withdrawals: false,
+        foreign: false,
     };
     /// All kinds that are drawn.
     pub const ALL: Trouble = Trouble {
