planner: what has run of jobs that are over stays for a while

Since the account of memory, the groups of a job that is over were dropped at once. Then a planner knew no more which of its runs are being stopped, whose resources urgent work may claim, and that starts without an answer are closed: by reading, a cancelled job would have cost others work, and its starts would have stayed in the handover record for 12.3 s. Now groups that have never run go at once, the others after the time in which starts may be carried out. The list of removed jobs, which grew with each of them, is bounded.

`jobs_that_are_over_keep_no_groups` waits for that time now; the bound it asserts is the same.

--- a/crates/planner/src/accept.rs
+++ b/crates/planner/src/accept.rs
@@ -67,7 +67,7 @@
         self.table.open.remove(id);
         self.table.report_state(id, State::Cancelled);
         self.stop_job(now.steady, id, &Cause::Cancelled);
-        self.table.drop_groups(id);
+        self.table.drop_groups(now.steady, id);
         self.needs_pass = true;
         self.log(format!("job={id} cancelled"));
     }
--- a/crates/planner/src/commit.rs
+++ b/crates/planner/src/commit.rs
@@ -70,7 +70,7 @@
         match reply {
             Reply::Committed(revision) => {
                 for (id, change) in jobs {
-                    self.progress_committed(&id, change, revision);
+                    self.progress_committed(now, &id, change, revision);
                 }
             }
             Reply::Refused(items) => {
@@ -83,7 +83,7 @@
     }
 
     /// Records that a change of a job's progress is durable.
-    fn progress_committed(&mut self, id: &str, change: u64, revision: u64) {
+    fn progress_committed(&mut self, now: Moment, id: &str, change: u64, revision: u64) {
         let Some(entry) = self.table.entries.get_mut(id) else { return };
         entry.revision = revision;
         entry.committed_change = entry.committed_change.max(change);
@@ -95,7 +95,7 @@
         if is_durable && entry.is_over() {
             self.log(format!("job={id} state={} is durable", state.as_str_name()));
             self.table.report_state(id, state);
-            self.table.drop_groups(id);
+            self.table.drop_groups(now.steady, id);
         }
     }
 
--- a/crates/planner/src/feed.rs
+++ b/crates/planner/src/feed.rs
@@ -77,6 +77,7 @@
 
     /// Returns the changes since the version `known`; everything if that is 0.
     fn feed(&self, now: Moment, known: u64) -> Feed {
+        let known = if known < self.table.forgotten { 0 } else { known };
         let changed = self.table.entries.iter().filter(|(_, entry)| entry.version > known);
         let rows = changed.map(|(id, entry)| Row {
             job: id.clone(),
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -308,6 +308,7 @@
         self.update_shares(now);
         self.update_supplies(now);
         self.add_due_occurrences(now);
+        self.table.drop_ended(now.steady);
         self.remove_ended(now);
         self.remove_tombstones(now);
         self.retry_scan(now);
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -1,7 +1,7 @@
 //! The job table: accepted jobs that have not been removed yet.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -377,8 +377,10 @@
     pub open: BTreeSet<JobId>,
     /// Version of the table, incremented with each change that callers are shown.
     pub version: u64,
-    /// Jobs that were removed, with the version of the removal.
-    pub removed: Vec<(u64, JobId)>,
+    /// Jobs that were removed, with the version of the removal; the latest ones.
+    pub removed: VecDeque<(u64, JobId)>,
+    /// Version up to which removals are forgotten.
+    pub forgotten: u64,
     /// Memory that is reckoned for the jobs.
     pub account: Account,
 }
@@ -392,6 +394,8 @@
     pub(crate) held: Vec<JobId>,
 }
 
+/// Number of removals that are kept for the entries. One that has missed more gets all jobs.
+const KEPT_REMOVALS: usize = 4_096;
 /// Number of groups from which on those of a repeated job are dropped once their occurrence is done.
 const KEPT_GROUPS: usize = 1_024;
 
@@ -497,14 +501,32 @@
         }
     }
 
-    /// Drops the groups of a job that is over. Callers are told its state alone.
-    pub(crate) fn drop_groups(&mut self, id: &str) {
+    /// Drops the groups of a job that is over, whose state is all that callers are told. Those that have run
+    /// stay while starts of them may still be carried out.
+    pub(crate) fn drop_groups(&mut self, now: Duration, id: &str) {
         let Some(entry) = self.entries.get_mut(id).filter(|entry| entry.is_over()) else { return };
-        entry.groups = BTreeMap::new();
+        let has_expired = entry.ended.is_some_and(|ended| now >= ended + options::START_EXPIRY);
+        let may_run = |group: &Group| group.active().is_some() || group.run > 0 && !has_expired;
+        entry.groups.retain(|_, group| may_run(group));
         entry.held_since = None;
         self.reckon(id);
     }
 
+    /// Drops the groups of jobs that have been over for long.
+    pub(crate) fn drop_ended(&mut self, now: Duration) {
+        let is_old = |entry: &Entry| {
+            let is_durable = entry.dirty.is_none() && !entry.groups.is_empty();
+            is_durable && entry.ended.is_some_and(|ended| now >= ended + options::START_EXPIRY)
+        };
+        let ended: Vec<JobId> = (self.entries.iter())
+            .filter(|(_, entry)| is_old(entry))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.drop_groups(now, &id);
+        }
+    }
+
     /// Returns the number of groups of all jobs.
     pub fn groups(&self) -> usize {
         self.entries.values().map(|entry| entry.groups.len()).sum()
@@ -546,7 +568,12 @@
         if let Some(entry) = self.entries.remove(id) {
             self.account.change(entry.kept, Kept::default());
             self.version += 1;
-            self.removed.push((self.version, id.to_owned()));
+            self.removed.push_back((self.version, id.to_owned()));
+            if self.removed.len() > KEPT_REMOVALS
+                && let Some((version, _)) = self.removed.pop_front()
+            {
+                self.forgotten = version;
+            }
         }
     }
 }
--- a/crates/planner/tests/memory/startup.rs
+++ b/crates/planner/tests/memory/startup.rs
@@ -162,6 +162,8 @@
     let mut minion = Minion::new(300);
     minion.run(&mut fixture, "a", 2_000);
     assert_eq!(state(&fixture, "new"), Some(State::Complete));
+    // Starts of its tasks may still be carried out for a while.
+    minion.run(&mut fixture, "a", 13_000);
     assert_eq!(fixture.planner.table().groups(), 0);
     assert!(assert_within(&fixture) < MEMORY / 64);
 }
