planner: a test of answers with many starts

600 starts with specs of 4,000 bytes for one worker: each answer stays below 300,000 bytes, and all of them start. The agent's metric `foreign_heartbeats` is recorded on change.

--- a/crates/planner/tests/memory/mod.rs
+++ b/crates/planner/tests/memory/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the memory that a planner keeps for accepted jobs.
 
+mod answers;
 mod occurrences;
 mod startup;
 
--- a/crates/sapphired/src/jobs_agent.rs
+++ b/crates/sapphired/src/jobs_agent.rs
@@ -64,6 +64,8 @@
     metrics: StatsdClient,
     skipped_log: platform::skipped_log::SkippedLog,
     turned_away: turned_away::Report,
+    /// Heartbeats of other minions that were last reported.
+    foreign_heartbeats: u64,
 }
 
 impl Role {
@@ -81,8 +83,12 @@
         }
         let turned_away = self.net.borrow_mut().take_turned_away();
         self.turned_away.report(now, turned_away, &self.metrics, &self.logger);
-        // A metric that can't be recorded is not worth an error.
-        let _ = self.metrics.gauge("foreign_heartbeats", self.machine.foreign_heartbeats());
+        let foreign = self.machine.foreign_heartbeats();
+        if foreign > self.foreign_heartbeats {
+            self.foreign_heartbeats = foreign;
+            // A metric that can't be recorded is not worth an error.
+            let _ = self.metrics.gauge("foreign_heartbeats", foreign);
+        }
     }
 
     fn handle(&mut self, cx: CX![], event: Event) {
@@ -283,6 +289,7 @@
         registry,
         skipped_log: platform::skipped_log::SkippedLog::default(),
         turned_away: turned_away::Report::default(),
+        foreign_heartbeats: 0,
     };
     let signals = reactor::Signals::catch()?;
     logger.info(
