planner: rows of another writer add a bounded number of occurrences

What could be seen since the account of memory, by reading: an occurrence of which a minion lists a run gets its groups whatever memory there is, since an earlier planner may have started it. Lists may have rows of other writers, and each could name another occurrence.

Now such occurrences may take the memory of runs beyond that of jobs, and no more.

--- a/crates/planner/src/account.rs
+++ b/crates/planner/src/account.rs
@@ -1,6 +1,9 @@
 //! Account of the memory that is reckoned for the jobs of the table.
 
-use sapphire_jobs::{JobMemory, footprint::Budget};
+use sapphire_jobs::{
+    JobMemory,
+    footprint::{self, Budget},
+};
 
 /// Fraction of what jobs may take up to which one counts as small.
 const SMALL_PART: u64 = 16;
@@ -117,6 +120,12 @@
         }
     }
 
+    /// Returns whether more bytes fit into all memory, that of runs included.
+    pub fn can_exceed(&self, more: u64) -> bool {
+        let all = self.limit().saturating_add(self.budget.runs.saturating_mul(footprint::RUN));
+        self.used.saturating_add(more) <= all
+    }
+
     /// Records that the bytes that are kept for a job change.
     pub fn change(&mut self, before: Kept, after: Kept) {
         let changed = |sum: u64, before, after| sum.saturating_sub(before).saturating_add(after);
--- a/crates/planner/src/table.rs
+++ b/crates/planner/src/table.rs
@@ -150,17 +150,16 @@
         }
     }
 
-    /// Adds the groups of an occurrence of which something is known, if it is due. Returns whether they are
-    /// there.
+    /// Adds the groups of an occurrence of which something is known, if it is due and they are missing.
+    /// Returns whether it did.
     fn add_known(&mut self, now: Moment, occurrence: u32) -> bool {
-        if occurrence < self.completed || occurrence >= self.repetitions() {
-            return false;
-        }
-        let is_missing = occurrence >= self.occurrences && self.due(occurrence) <= now.unix;
-        if is_missing && self.groups.range(of_occurrence(occurrence)).next().is_none() {
+        let is_due = (self.occurrences..self.repetitions()).contains(&occurrence)
+            && self.due(occurrence) <= now.unix;
+        let is_missing = is_due && self.groups.range(of_occurrence(occurrence)).next().is_none();
+        if is_missing {
             self.add_occurrence(now, occurrence);
         }
-        occurrence < self.occurrences || is_missing
+        is_missing
     }
 
     /// Returns whether all tasks of an occurrence are done and are kept no more.
@@ -432,12 +431,13 @@
     /// Adds the groups of an occurrence of which something is known, beyond the memory for jobs if need be.
     ///
     /// Guards against a task that runs again although its end was acknowledged: an earlier planner, with
-    /// more memory, has started it.
+    /// more memory, has started it. Rows of another writer add no more than the runs' memory.
     pub(crate) fn add_known(&mut self, now: Moment, id: &str, occurrence: u32) {
         let Some(entry) = self.entries.get_mut(id).filter(|entry| !entry.is_over()) else { return };
-        let before = entry.groups.len();
-        entry.add_known(now, occurrence);
-        if entry.groups.len() > before {
+        if occurrence >= entry.occurrences
+            && self.account.can_exceed(footprint::occurrence(&entry.job.steps))
+            && entry.add_known(now, occurrence)
+        {
             self.reckon(id);
         }
     }
--- a/crates/planner/tests/memory/occurrences.rs
+++ b/crates/planner/tests/memory/occurrences.rs
@@ -66,6 +66,22 @@
     assert_eq!(repeats(&minion), 1);
 }
 
+/// Guards against a planner that exceeds its memory because a minion lists what another writer has made
+/// up: runs of occurrences that are due and that nobody has started.
+#[test]
+fn listed_runs_of_many_occurrences_add_a_bounded_number() {
+    let mut fixture = planner(MEMORY, Vec::new());
+    submit(&mut fixture, repeated("large", 200, 10, 1_000_000));
+    fixture.advance(30_000);
+    let running = (0..3_000).map(|occurrence| {
+        let run = sapphire_jobs::Run { occurrence, ..crate::harness::run("large", 0, 1_001) };
+        sapphire_jobs::Running { run: Some(run), ..sapphire_jobs::Running::default() }
+    });
+    fixture.join("a", running.collect(), Vec::new());
+    let table = fixture.planner.table();
+    assert!(table.account.used() <= MEMORY, "{} bytes", table.account.used());
+}
+
 /// Guards against a job that waits for memory for ever which its own occurrences take that are done.
 #[test]
 fn occurrences_that_are_done_leave_memory_to_the_next() {
