--- a/crates/sapphired/tests/clients/daemon.rs
+++ b/crates/sapphired/tests/clients/daemon.rs
@@ -16,8 +16,10 @@
 /// Descriptors that the settings allow a process.
 pub const DESCRIPTORS: usize = 128;
 
-/// Port of every listener; each listener has a loopback address of its own.
+/// Port of the first listeners; each listener has a loopback address of its own, with a port.
 const PORT: u16 = 7_100;
+/// Number of loopback addresses that have the same port.
+const HOSTS: u32 = 250;
 /// State of a listening socket in `/proc/net/tcp`.
 const LISTENING: &str = "0A";
 
@@ -31,8 +33,10 @@
     let number = ASSIGNED_ADDRESSES.fetch_add(1, Ordering::Relaxed) + 1;
     let process = process::id();
     let (high, low) = (process / 250 % 120 + 130, process % 250 + 1);
-    let host = [127, high, low, number].map(|part| u8::try_from(part).expect("few addresses"));
-    SocketAddr::from((host, PORT))
+    let (port, last) = (number / HOSTS, number % HOSTS + 1);
+    let host = [127, high, low, last].map(|part| u8::try_from(part).expect("they are below 256"));
+    let port = PORT + u16::try_from(port).expect("few addresses");
+    SocketAddr::from((host, port))
 }
 
 /// A process of the daemon; dropping it kills the process.
